Start the crate: settings, service documents, records and interface bodies

The folder layout, the formatter and linter set-up, the protobuf records with their generator, and the bodies that go over HTTP between the system, targets and the platform.

--- /dev/null
+++ b/examples/generate_protocol.rs
@@ -0,0 +1,21 @@
+//! Generates the committed protocol code from the files in `proto/`.
+//!
+//! Run with `cargo run --features generate --example generate_protocol`.
+
+use std::error::Error;
+
+/// Protocol files and the folders that receive their code.
+const PROTOCOLS: [(&str, &str); 2] = [
+    ("proto/records.proto", "src/log"),
+    ("proto/peer.proto", "src/peer"),
+];
+
+fn main() -> Result<(), Box<dyn Error>> {
+    for (source, folder) in PROTOCOLS {
+        let descriptors = protox::compile([source], ["proto"])?;
+        prost_build::Config::new()
+            .out_dir(folder)
+            .compile_fds(descriptors)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,1 @@
+//! The command line: one file a subcommand.
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,1 @@
+//! Duties: fleet control, usage reporting and checkpoints.
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! Callers: HTTP, keys, admission, claims and the relay of answers.
--- /dev/null
+++ b/src/ledger/mod.rs
@@ -0,0 +1,1 @@
+//! The ledger: a pure fold over the records of the log.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,32 @@
+//! A serving system for a limited fleet of language-model engines and plain
+//! services.
+//!
+//! Equal, diskless entry instances stand between callers and targets. All that
+//! they must agree on is decided by the first valid record in the platform's
+//! append-only log, which every instance folds into the same ledger.
+//!
+//! ```
+//! use std::path::Path;
+//!
+//! use lavenderwind::Settings;
+//!
+//! let error = Settings::parse("name: a", Path::new("entry.yaml")).unwrap_err();
+//! assert!(error.to_string().contains("missing field"));
+//! ```
+
+pub mod cli;
+pub mod control;
+pub mod entry;
+pub mod ledger;
+pub mod log;
+pub mod peer;
+pub mod platform;
+pub mod policy;
+pub mod report;
+pub mod service;
+pub mod settings;
+pub mod standin;
+pub mod supervisor;
+pub mod target;
+
+pub use settings::Settings;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `lavenderwind` binary.
+
+fn main() {}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! Frames between instances: heartbeats, load deltas and log relay.
--- /dev/null
+++ b/src/report/mod.rs
@@ -0,0 +1,1 @@
+//! Reports on service-level burn.
--- /dev/null
+++ b/src/service/mod.rs
@@ -0,0 +1,11 @@
+//! Service documents: what operators publish.
+//!
+//! A document describes one service: its routes, models, client accounts,
+//! keys, target kinds and spending bounds. Operators revise it as a whole; the
+//! ledger accepts or refuses each revision (see [`crate::ledger`]).
+
+mod document;
+
+pub use document::{
+    Access, Account, Document, Key, KindRole, Model, Repeat, Route, Spending, TargetKind,
+};
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,359 @@
+//! An instance's settings, read from YAML and checked.
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+
+use displaydoc::Display;
+use indexmap::IndexMap;
+use serde::Deserialize;
+
+/// Longest lease that the settings accept, in milliseconds.
+const MAX_LEASE_MS: u64 = 60_000;
+
+/// Settings of one entry instance.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the instance, unique among its peers.
+    pub name: Arc<str>,
+    /// Failure domain of the instance.
+    pub failure_domain: Arc<str>,
+    /// Address for callers.
+    pub entry_address: SocketAddr,
+    /// Address for frames between instances.
+    pub peer_address: SocketAddr,
+    /// Address for health, metrics and status.
+    pub admin_address: SocketAddr,
+    /// Peer addresses to try before the live list is known.
+    #[serde(default)]
+    pub seed_peers: Vec<SocketAddr>,
+    /// Where the platform's interfaces are.
+    pub platform: PlatformSettings,
+    /// Times that govern agreement.
+    #[serde(default)]
+    pub timing: Timing,
+    /// Bounds on callers.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Log output.
+    #[serde(default)]
+    pub logging: Logging,
+}
+
+/// Base URLs of the platform's interfaces.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Append-only log.
+    pub log_url: Arc<str>,
+    /// Live list.
+    pub live_url: Arc<str>,
+    /// Target ordering.
+    pub targets_url: Arc<str>,
+    /// Usage reports.
+    pub usage_url: Arc<str>,
+}
+
+/// Times that govern agreement, in milliseconds.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Timing {
+    /// Length of a duty's lease.
+    pub lease_ms: u64,
+    /// Time between two renewals.
+    pub renew_ms: u64,
+    /// Largest difference between two clocks over one lease.
+    pub drift_ms: u64,
+    /// Wait beyond lease and drift before a duty is claimed.
+    pub grace_ms: u64,
+    /// Time after which an instance that cannot show that it knows the newest
+    /// configuration refuses keyed requests.
+    pub freshness_ms: u64,
+    /// Time between two heartbeats to a peer.
+    pub heartbeat_ms: u64,
+    /// Time between two polls of the live list and the target list.
+    pub poll_ms: u64,
+    /// Wait of an append for others to share its batch.
+    pub linger_ms: u64,
+    /// Longest wait for one answer of the platform.
+    pub platform_timeout_ms: u64,
+    /// Length of a usage window.
+    pub usage_window_ms: u64,
+    /// Time between two checkpoints.
+    pub checkpoint_ms: u64,
+    /// Time for which an idempotency key is remembered.
+    pub dedup_window_ms: u64,
+    /// Longest graceful stop.
+    pub drain_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            lease_ms: 3_000,
+            renew_ms: 1_000,
+            drift_ms: 100,
+            grace_ms: 500,
+            freshness_ms: 2_500,
+            heartbeat_ms: 250,
+            poll_ms: 500,
+            linger_ms: 2,
+            platform_timeout_ms: 1_000,
+            usage_window_ms: 10_000,
+            checkpoint_ms: 60_000,
+            dedup_window_ms: 86_400_000,
+            drain_ms: 30_000,
+        }
+    }
+}
+
+/// Bounds on callers.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Largest request body, in bytes.
+    pub max_body_bytes: u64,
+    /// Longest wait for a caller to send its whole request, in milliseconds.
+    pub request_read_ms: u64,
+    /// Requests that may wait for admission, over all accounts.
+    pub max_queued: u32,
+    /// Appends a second to the log, shared by all live instances.
+    pub log_appends_per_s: u32,
+    /// Models that may be fetched from the weight store in a minute.
+    pub weight_fetches_per_min: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 4 << 20,
+            request_read_ms: 10_000,
+            max_queued: 10_000,
+            log_appends_per_s: 300,
+            weight_fetches_per_min: 30,
+        }
+    }
+}
+
+/// Form of the log output.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogFormat {
+    /// One line of text an event.
+    #[default]
+    Plain,
+    /// One JSON object an event.
+    Json,
+}
+
+/// Log output.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Logging {
+    /// Form of the output.
+    pub format: LogFormat,
+    /// Filter in the syntax of `tracing`; empty for `info`.
+    pub filter: Arc<str>,
+}
+
+/// A result of this module.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why settings were refused.
+#[derive(Debug, Display, derive_more::Error)]
+pub enum Error {
+    /// {path}: cannot read: {source}
+    Read {
+        /// File that was named.
+        path: String,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// {path}: {source}
+    Parse {
+        /// File that was read.
+        path: String,
+        /// Cause, with field, line and column.
+        source: serde_yaml_ng::Error,
+    },
+    /// {path}:{line}: {field}: {reason}
+    Invalid {
+        /// File that was read.
+        path: String,
+        /// Line of the field, from 1.
+        line: usize,
+        /// Dotted name of the field.
+        field: &'static str,
+        /// What is wrong with its value.
+        reason: String,
+    },
+}
+
+impl Settings {
+    /// Reads and checks the settings in a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read, is not valid YAML of this shape, or
+    /// holds values that contradict each other.
+    pub fn load(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
+            path: path.display().to_string(),
+            source,
+        })?;
+        Self::parse(&text, path)
+    }
+
+    /// Parses and checks settings; `path` is named in errors.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Settings::load`] does.
+    pub fn parse(text: &str, path: &Path) -> Result<Self> {
+        let settings: Self = serde_yaml_ng::from_str(text).map_err(|source| Error::Parse {
+            path: path.display().to_string(),
+            source,
+        })?;
+        let checker = Checker {
+            text,
+            path: path.to_owned(),
+        };
+        settings.check(&checker)?;
+        Ok(settings)
+    }
+
+    fn check(&self, checker: &Checker<'_>) -> Result<()> {
+        checker.require("name", !self.name.is_empty(), "must not be empty")?;
+        checker.require(
+            "failure_domain",
+            !self.failure_domain.is_empty(),
+            "must not be empty",
+        )?;
+        self.check_addresses(checker)?;
+        self.check_urls(checker)?;
+        self.timing.check(checker)?;
+        self.limits.check(checker)
+    }
+
+    fn check_addresses(&self, checker: &Checker<'_>) -> Result<()> {
+        let mut seen = IndexMap::new();
+        let addresses = [
+            ("entry_address", self.entry_address),
+            ("peer_address", self.peer_address),
+            ("admin_address", self.admin_address),
+        ];
+        for (field, address) in addresses {
+            if address.port() == 0 {
+                continue;
+            }
+            let Some(other) = seen.insert(address, field) else {
+                continue;
+            };
+            return Err(checker.error(field, format!("{address} is already used by {other}")));
+        }
+        Ok(())
+    }
+
+    fn check_urls(&self, checker: &Checker<'_>) -> Result<()> {
+        let urls = [
+            ("log_url", &self.platform.log_url),
+            ("live_url", &self.platform.live_url),
+            ("targets_url", &self.platform.targets_url),
+            ("usage_url", &self.platform.usage_url),
+        ];
+        for (field, url) in urls {
+            let parsed = reqwest::Url::parse(url)
+                .map_err(|error| checker.error(field, format!("not a URL: {error}")))?;
+            checker.require(field, parsed.scheme() == "http", "must start with http://")?;
+        }
+        Ok(())
+    }
+}
+
+impl Timing {
+    fn check(&self, checker: &Checker<'_>) -> Result<()> {
+        let lease_range = (100..=MAX_LEASE_MS).contains(&self.lease_ms);
+        checker.require("lease_ms", lease_range, "must be from 100 to 60000")?;
+        let renews_in_time = self.renew_ms > 0 && self.renew_ms * 2 <= self.lease_ms;
+        checker.require(
+            "renew_ms",
+            renews_in_time,
+            "must be at most half of lease_ms",
+        )?;
+        checker.require(
+            "drift_ms",
+            self.drift_ms < self.lease_ms,
+            "must be under lease_ms",
+        )?;
+        let positive = [
+            ("freshness_ms", self.freshness_ms),
+            ("heartbeat_ms", self.heartbeat_ms),
+            ("poll_ms", self.poll_ms),
+            ("platform_timeout_ms", self.platform_timeout_ms),
+            ("usage_window_ms", self.usage_window_ms),
+            ("checkpoint_ms", self.checkpoint_ms),
+            ("dedup_window_ms", self.dedup_window_ms),
+            ("drain_ms", self.drain_ms),
+        ];
+        for (field, value) in positive {
+            checker.require(field, value > 0, "must be over 0")?;
+        }
+        Ok(())
+    }
+}
+
+impl Limits {
+    fn check(&self, checker: &Checker<'_>) -> Result<()> {
+        checker.require("max_body_bytes", self.max_body_bytes > 0, "must be over 0")?;
+        checker.require(
+            "request_read_ms",
+            self.request_read_ms > 0,
+            "must be over 0",
+        )?;
+        checker.require("max_queued", self.max_queued > 0, "must be over 0")?;
+        checker.require(
+            "log_appends_per_s",
+            self.log_appends_per_s > 0,
+            "must be over 0",
+        )
+    }
+}
+
+/// Locates the field of a failed check in the text.
+struct Checker<'a> {
+    text: &'a str,
+    path: PathBuf,
+}
+
+impl Checker<'_> {
+    fn require(&self, field: &'static str, holds: bool, reason: &str) -> Result<()> {
+        if holds {
+            return Ok(());
+        }
+        Err(self.error(field, reason.to_owned()))
+    }
+
+    fn error(&self, field: &'static str, reason: String) -> Error {
+        Error::Invalid {
+            path: self.path.display().to_string(),
+            line: self.line_of(field),
+            field,
+            reason,
+        }
+    }
+
+    fn line_of(&self, field: &str) -> usize {
+        for (index, line) in self.text.lines().enumerate() {
+            let Some(rest) = line.trim_start().strip_prefix(field) else {
+                continue;
+            };
+            if rest.starts_with(':') {
+                return index + 1;
+            }
+        }
+        1
+    }
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, engines and plain services.
