Fold the log's records into a ledger

Services by compare and set with keys that stay revoked, duties with claims, renewals and resignations, intents, request claims, usage windows, quarantine, expiry and checkpoints, each in its own file. A service document is parsed with line and field, limits and cross-checks.

The claim's after_renewal names the claim's own offset before the first renewal, so that a ledger needs no special case for it.

Not yet covered by tests but for the doc examples.

--- /dev/null
+++ b/src/ledger/duties.rs
@@ -0,0 +1,276 @@
+//! Duties, their holders, and the intents of their orders.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::{
+    Error, Rejection, Result,
+    state::{DutyState, IntentState},
+};
+use crate::log::{
+    Offset,
+    records::{
+        Duty, DutyClaim, DutyRenewal, DutyResignation, OrderIntent, OrderResolved, Record,
+        order_intent::Order,
+    },
+};
+
+/// Who holds a duty.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DutyEntry {
+    /// Name of the holder.
+    pub holder: Arc<str>,
+    /// Incarnation of the holder.
+    pub incarnation: u64,
+    /// Fencing number: the offset of the holder's claim.
+    pub epoch: u64,
+    /// Offset of the last renewal, or of the claim before the first renewal.
+    pub renewal: u64,
+    /// Whether the holder gave the duty up.
+    pub resigned: bool,
+}
+
+impl DutyEntry {
+    /// Whether an instance holds the duty under this entry.
+    pub fn held_by(&self, instance: &str, incarnation: u64) -> bool {
+        !self.resigned && self.incarnation == incarnation && &*self.holder == instance
+    }
+}
+
+/// An order that was announced and not yet resolved.
+#[derive(Clone, Debug, PartialEq)]
+pub struct IntentEntry {
+    /// Offset of the intent, which identifies the order.
+    pub offset: Offset,
+    /// Target of the order.
+    pub target: Arc<str>,
+    /// Duty under which it was announced.
+    pub duty: Duty,
+    /// Fencing number under which it was announced.
+    pub epoch: u64,
+    /// Instance that announced it.
+    pub holder: Arc<str>,
+    /// Incarnation of that instance.
+    pub incarnation: u64,
+    /// The order.
+    pub order: Order,
+}
+
+/// Duties and open intents.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Duties {
+    holders: IndexMap<Duty, DutyEntry>,
+    intents: IndexMap<Arc<str>, IntentEntry>,
+}
+
+impl Duties {
+    pub(super) fn duty(&self, duty: Duty) -> Option<&DutyEntry> {
+        self.holders.get(&duty)
+    }
+
+    pub(super) fn intent(&self, target: &str) -> Option<&IntentEntry> {
+        self.intents.get(target)
+    }
+
+    pub(super) fn intents(&self) -> impl Iterator<Item = &IntentEntry> {
+        self.intents.values()
+    }
+
+    /// Checks that the writer of a record holds a duty under an epoch.
+    pub(super) fn authorize(
+        &self,
+        duty: Duty,
+        epoch: u64,
+        record: &Record,
+    ) -> std::result::Result<(), Rejection> {
+        let entry = self.holders.get(&duty).ok_or(Rejection::NotHolder)?;
+        if entry.epoch != epoch || !entry.held_by(&record.writer, record.incarnation) {
+            return Err(Rejection::NotHolder);
+        }
+        Ok(())
+    }
+
+    pub(super) fn claim(
+        &mut self,
+        offset: Offset,
+        record: &Record,
+        claim: &DutyClaim,
+    ) -> std::result::Result<(), Rejection> {
+        let duty = named_duty(claim.duty)?;
+        let current = self.holders.get(&duty);
+        let epoch = current.map_or(0, |entry| entry.epoch);
+        let renewal = current.map_or(0, |entry| entry.renewal);
+        if claim.after_epoch != epoch || claim.after_renewal != renewal {
+            return Err(Rejection::StaleClaim { epoch, renewal });
+        }
+        let entry = DutyEntry {
+            holder: record.writer.as_str().into(),
+            incarnation: record.incarnation,
+            epoch: offset.0,
+            renewal: offset.0,
+            resigned: false,
+        };
+        self.holders.insert(duty, entry);
+        Ok(())
+    }
+
+    pub(super) fn renew(
+        &mut self,
+        offset: Offset,
+        record: &Record,
+        renewal: &DutyRenewal,
+    ) -> std::result::Result<(), Rejection> {
+        let duty = named_duty(renewal.duty)?;
+        self.authorize(duty, renewal.epoch, record)?;
+        if let Some(entry) = self.holders.get_mut(&duty) {
+            entry.renewal = offset.0;
+        }
+        Ok(())
+    }
+
+    pub(super) fn resign(
+        &mut self,
+        record: &Record,
+        resignation: &DutyResignation,
+    ) -> std::result::Result<(), Rejection> {
+        let duty = named_duty(resignation.duty)?;
+        self.authorize(duty, resignation.epoch, record)?;
+        if let Some(entry) = self.holders.get_mut(&duty) {
+            entry.resigned = true;
+        }
+        Ok(())
+    }
+
+    pub(super) fn open_intent(
+        &mut self,
+        offset: Offset,
+        record: &Record,
+        intent: &OrderIntent,
+    ) -> std::result::Result<(), Rejection> {
+        let duty = named_duty(intent.duty)?;
+        if intent.target.is_empty() {
+            return Err(Rejection::Malformed("the intent names no target"));
+        }
+        let Some(order) = &intent.order else {
+            return Err(Rejection::Malformed("the intent has no order"));
+        };
+        self.authorize(duty, intent.epoch, record)?;
+        if self.intents.contains_key(intent.target.as_str()) {
+            return Err(Rejection::IntentOpen);
+        }
+        let target: Arc<str> = intent.target.as_str().into();
+        let entry = IntentEntry {
+            offset,
+            target: target.clone(),
+            duty,
+            epoch: intent.epoch,
+            holder: record.writer.as_str().into(),
+            incarnation: record.incarnation,
+            order: order.clone(),
+        };
+        self.intents.insert(target, entry);
+        Ok(())
+    }
+
+    /// Closes an intent, for the instance that announced it, also after it
+    /// lost the duty, or for the current holder.
+    pub(super) fn resolve(
+        &mut self,
+        record: &Record,
+        resolved: &OrderResolved,
+    ) -> std::result::Result<(), Rejection> {
+        let intent = self.intents.get(resolved.target.as_str());
+        let intent = intent.ok_or(Rejection::NoIntent)?;
+        if intent.offset.0 != resolved.intent_offset {
+            return Err(Rejection::NoIntent);
+        }
+        let announced =
+            *intent.holder == *record.writer && intent.incarnation == record.incarnation;
+        let holder = self.holders.get(&intent.duty);
+        let holds = holder.is_some_and(|entry| entry.held_by(&record.writer, record.incarnation));
+        if !announced && !holds {
+            return Err(Rejection::NotHolder);
+        }
+        self.intents.shift_remove(resolved.target.as_str());
+        Ok(())
+    }
+
+    pub(super) fn encode_holders(&self) -> Vec<DutyState> {
+        let mut duties = Vec::with_capacity(self.holders.len());
+        for (duty, entry) in &self.holders {
+            duties.push(DutyState {
+                duty: i32::from(*duty),
+                holder: entry.holder.to_string(),
+                incarnation: entry.incarnation,
+                epoch: entry.epoch,
+                renewal: entry.renewal,
+                resigned: entry.resigned,
+            });
+        }
+        duties
+    }
+
+    pub(super) fn encode_intents(&self) -> Vec<IntentState> {
+        let mut intents = Vec::with_capacity(self.intents.len());
+        for entry in self.intents.values() {
+            intents.push(IntentState {
+                offset: entry.offset.0,
+                holder: entry.holder.to_string(),
+                incarnation: entry.incarnation,
+                intent: Some(OrderIntent {
+                    target: entry.target.to_string(),
+                    duty: i32::from(entry.duty),
+                    epoch: entry.epoch,
+                    order: Some(entry.order.clone()),
+                }),
+            });
+        }
+        intents
+    }
+
+    pub(super) fn decode(duties: Vec<DutyState>, intents: Vec<IntentState>) -> Result<Self> {
+        let mut decoded = Self::default();
+        for state in duties {
+            let duty = decode_duty(state.duty)?;
+            let entry = DutyEntry {
+                holder: state.holder.into(),
+                incarnation: state.incarnation,
+                epoch: state.epoch,
+                renewal: state.renewal,
+                resigned: state.resigned,
+            };
+            decoded.holders.insert(duty, entry);
+        }
+        for state in intents {
+            let entry = decode_intent(state)?;
+            decoded.intents.insert(entry.target.clone(), entry);
+        }
+        Ok(decoded)
+    }
+}
+
+fn named_duty(number: i32) -> std::result::Result<Duty, Rejection> {
+    match Duty::try_from(number) {
+        Ok(Duty::Unspecified) | Err(_) => Err(Rejection::Malformed("the duty is unknown")),
+        Ok(duty) => Ok(duty),
+    }
+}
+
+fn decode_duty(number: i32) -> Result<Duty> {
+    named_duty(number).map_err(|_| Error::Field { field: "duty" })
+}
+
+fn decode_intent(state: IntentState) -> Result<IntentEntry> {
+    let intent = state.intent.ok_or(Error::Field { field: "intent" })?;
+    let order = intent.order.ok_or(Error::Field { field: "order" })?;
+    Ok(IntentEntry {
+        offset: Offset(state.offset),
+        target: intent.target.into(),
+        duty: decode_duty(intent.duty)?,
+        epoch: intent.epoch,
+        holder: state.holder.into(),
+        incarnation: state.incarnation,
+        order,
+    })
+}
--- /dev/null
+++ b/src/ledger/error.rs
@@ -0,0 +1,112 @@
+//! Why a record has no effect, and why an encoded ledger cannot be read.
+
+use displaydoc::Display;
+
+use crate::service;
+
+/// A result of this module.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why an encoded ledger cannot be read.
+#[derive(Debug, Display, derive_more::Error)]
+pub enum Error {
+    /// cannot decode the ledger: {source}
+    Decode {
+        /// Cause.
+        source: prost::DecodeError,
+    },
+    /// the service document accepted at offset {offset} cannot be parsed: {source}
+    Document {
+        /// Offset of the accepted revision.
+        offset: u64,
+        /// Cause.
+        source: service::Error,
+    },
+    /// field `{field}` of the encoded ledger is out of range
+    Field {
+        /// Name of the field.
+        field: &'static str,
+    },
+}
+
+/// Why a record has no effect.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum Rejection {
+    /// the record is malformed: {0}
+    Malformed(&'static str),
+    /// offset {found} does not follow offset {applied}
+    Gap {
+        /// Last offset that was applied.
+        applied: u64,
+        /// Offset of the record.
+        found: u64,
+    },
+    /// the document revises revision {base}, but revision {current} is current
+    RevisionConflict {
+        /// Revision that the document revises.
+        base: u64,
+        /// Revision that is current; 0 for none.
+        current: u64,
+    },
+    /// {0}
+    Document(service::Error),
+    /// the document describes service `{0}`, not the one that it is published for
+    ServiceName(String),
+    /// there are already {0} services
+    TooManyServices(usize),
+    /// key `{0}` was revoked and cannot become valid again
+    KeyRevoked(String),
+    /// key `{key}` is also a key of service `{service}`
+    KeyInUse {
+        /// Identifier of the key.
+        key: String,
+        /// Service that has the key.
+        service: String,
+    },
+    /// path `{path}` also belongs to service `{service}`
+    PathInUse {
+        /// Path of the route.
+        path: String,
+        /// Service that has the route.
+        service: String,
+    },
+    /// target kind `{kind}` is described differently by service `{service}`
+    KindConflict {
+        /// Name of the kind.
+        kind: String,
+        /// Service that describes it otherwise.
+        service: String,
+    },
+    /// the claim does not follow the current epoch {epoch} and renewal {renewal}
+    StaleClaim {
+        /// Current epoch; 0 for none.
+        epoch: u64,
+        /// Offset of the last renewal; 0 for none.
+        renewal: u64,
+    },
+    /// the writer does not hold the duty under this epoch
+    NotHolder,
+    /// an intent is already open for this target
+    IntentOpen,
+    /// no such intent is open for this target
+    NoIntent,
+    /// the idempotency key is already claimed
+    AlreadyClaimed,
+    /// the writer has no such claim
+    NoClaim,
+    /// the outcome of the claim is already recorded
+    OutcomeRecorded,
+    /// window {window} is not open; the lowest open window is {open}
+    WindowNotOpen {
+        /// Window of the record.
+        window: u64,
+        /// Lowest window that is not closed.
+        open: u64,
+    },
+    /// window {0} has no report to acknowledge
+    NothingToAcknowledge(u64),
+    /// records up to offset {0} cannot expire yet
+    ExpireAhead(u64),
+    /// the checkpoint at offset {0} differs from this ledger
+    CheckpointMismatch(u64),
+}
--- /dev/null
+++ b/src/ledger/handle.rs
@@ -0,0 +1,118 @@
+//! The ledger as the parts of an instance share it.
+
+use std::sync::{Arc, PoisonError, RwLock};
+
+use tokio::sync::watch;
+
+use super::{Ledger, Rejection, Verdict};
+use crate::log::{Offset, records::Record};
+
+/// Checkpoints that differ from this instance's ledger.
+const MISMATCHES_METRIC: &str = "ledger_checkpoint_mismatches_total";
+
+/// Records that had no effect.
+const REJECTIONS_METRIC: &str = "ledger_rejections_total";
+
+/// A shared ledger that wakes its readers as it changes.
+#[derive(Clone, Debug)]
+pub struct LedgerHandle {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    ledger: RwLock<Ledger>,
+    applied: watch::Sender<Offset>,
+}
+
+impl LedgerHandle {
+    /// Shares a ledger.
+    pub fn new(ledger: Ledger) -> Self {
+        let applied = watch::Sender::new(ledger.applied());
+        Self {
+            inner: Arc::new(Inner {
+                ledger: RwLock::new(ledger),
+                applied,
+            }),
+        }
+    }
+
+    /// Reads from the ledger; `f` must be short and not block.
+    pub fn read<T, F>(&self, f: F) -> T
+    where
+        F: FnOnce(&Ledger) -> T,
+    {
+        let ledger = self.inner.ledger.read();
+        f(&ledger.unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Applies a record and wakes those who wait. For the tailer only.
+    pub fn apply(&self, offset: Offset, record: &Record) -> Verdict {
+        let verdict = self.write(|ledger| ledger.apply(offset, record));
+        report(offset, &verdict);
+        self.inner.applied.send_replace(self.applied());
+        verdict
+    }
+
+    /// Replaces the ledger after a rebuild from a checkpoint.
+    pub fn replace(&self, ledger: Ledger) {
+        self.write(|current| *current = ledger);
+        self.inner.applied.send_replace(self.applied());
+    }
+
+    /// Offset of the last applied record.
+    pub fn applied(&self) -> Offset {
+        self.read(Ledger::applied)
+    }
+
+    /// Follows the offset of the last applied record.
+    pub fn watch(&self) -> watch::Receiver<Offset> {
+        self.inner.applied.subscribe()
+    }
+
+    /// Waits until `f` finds what it looks for.
+    pub async fn wait_for<T, F>(&self, mut f: F) -> T
+    where
+        F: FnMut(&Ledger) -> Option<T>,
+    {
+        let mut applied = self.watch();
+        loop {
+            applied.borrow_and_update();
+            if let Some(found) = self.read(&mut f) {
+                return found;
+            }
+            // The sender lives as long as `self`, so that this cannot fail.
+            let _ = applied.changed().await;
+        }
+    }
+
+    fn write<T, F>(&self, f: F) -> T
+    where
+        F: FnOnce(&mut Ledger) -> T,
+    {
+        let ledger = self.inner.ledger.write();
+        f(&mut ledger.unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl Default for LedgerHandle {
+    fn default() -> Self {
+        Self::new(Ledger::new())
+    }
+}
+
+/// Raises alerts for what must not happen, and counts what has no effect.
+fn report(offset: Offset, verdict: &Verdict) {
+    let Verdict::Rejected(rejection) = verdict else {
+        return;
+    };
+    metrics::counter!(REJECTIONS_METRIC).increment(1);
+    match rejection {
+        Rejection::CheckpointMismatch(_) => {
+            metrics::counter!(MISMATCHES_METRIC).increment(1);
+            tracing::error!("ledger: offset {offset}: {rejection}");
+        }
+        Rejection::Gap { .. } => tracing::error!("ledger: offset {offset}: {rejection}"),
+        _ => tracing::debug!("ledger: offset {offset}: {rejection}"),
+    }
+}
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -1,1 +1,366 @@
 //! The ledger: a pure fold over the records of the log.
+//!
+//! Every instance applies the same records in offset order and so comes to the
+//! same ledger. There is no clock, I/O or randomness inside.
+//!
+//! ```
+//! use lavenderwind::{
+//!     ledger::{Ledger, Verdict},
+//!     log::{Offset, records::{Duty, DutyClaim, Record, record::Body}},
+//! };
+//!
+//! let mut ledger = Ledger::new();
+//! let record = Record {
+//!     writer: "entry-1".into(),
+//!     incarnation: 7,
+//!     sequence: 1,
+//!     body: Some(Body::DutyClaim(DutyClaim {
+//!         duty: Duty::Fleet.into(),
+//!         after_epoch: 0,
+//!         after_renewal: 0,
+//!     })),
+//! };
+//! assert_eq!(ledger.apply(Offset(1), &record), Verdict::Accepted);
+//! assert_eq!(ledger.duty(Duty::Fleet).unwrap().epoch, 1);
+//! ```
+
+mod checkpoint;
+mod claims;
+mod duties;
+mod error;
+mod handle;
+mod quarantine;
+mod services;
+mod state;
+mod usage;
+mod writers;
+
+use std::sync::Arc;
+
+use prost::Message;
+
+pub use self::{
+    checkpoint::{CHUNK_BYTES, CheckpointEntry, Rebuilder},
+    claims::{ClaimEntry, ClaimState, MAX_IDEMPOTENCY_KEY_BYTES, MAX_OUTCOME_BYTES},
+    duties::{DutyEntry, IntentEntry},
+    error::{Error, Rejection, Result},
+    handle::LedgerHandle,
+    services::{KeyEntry, RevisionEntry, ServiceEntry},
+    usage::{AccountCounts, UsageCounts, WindowEntry},
+};
+use self::{
+    claims::Claims, duties::Duties, quarantine::Quarantine, services::Services, state::LedgerState,
+    usage::Usage, writers::Writers,
+};
+use crate::log::{
+    Offset,
+    records::{CheckpointChunk, CheckpointMark, Duty, Expire, Record, WindowClose, record::Body},
+};
+
+/// What became of a record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The record took effect.
+    Accepted,
+    /// The record repeats an earlier one and has no effect.
+    Duplicate,
+    /// The record has no effect.
+    Rejected(Rejection),
+}
+
+impl Verdict {
+    /// Whether the record took effect.
+    pub fn is_accepted(&self) -> bool {
+        *self == Self::Accepted
+    }
+}
+
+/// All that the instances agree on, as of one offset of the log.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    applied: Offset,
+    writers: Writers,
+    services: Services,
+    duties: Duties,
+    claims: Claims,
+    usage: Usage,
+    quarantine: Quarantine,
+    /// Not part of the encoded ledger.
+    checkpoint: Option<CheckpointEntry>,
+}
+
+impl Ledger {
+    /// Returns the ledger of an empty log.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Applies the record at the offset after [`Ledger::applied`].
+    ///
+    /// A record at an offset that was already applied has no effect. A record
+    /// that cannot be decoded is applied as `Record::default()`, so that the
+    /// offset advances.
+    pub fn apply(&mut self, offset: Offset, record: &Record) -> Verdict {
+        if offset <= self.applied {
+            return Verdict::Duplicate;
+        }
+        if offset.0 != self.applied.0 + 1 {
+            return Verdict::Rejected(Rejection::Gap {
+                applied: self.applied.0,
+                found: offset.0,
+            });
+        }
+        self.applied = offset;
+        let Some(body) = &record.body else {
+            return Verdict::Rejected(Rejection::Malformed("the record has no body"));
+        };
+        if record.writer.is_empty() || record.sequence == 0 {
+            return Verdict::Rejected(Rejection::Malformed("no writer or sequence number"));
+        }
+        if !self.writers.advance(offset, record) {
+            return Verdict::Duplicate;
+        }
+        match self.apply_body(offset, record, body) {
+            Ok(verdict) => verdict,
+            Err(rejection) => Verdict::Rejected(rejection),
+        }
+    }
+
+    fn apply_body(
+        &mut self,
+        offset: Offset,
+        record: &Record,
+        body: &Body,
+    ) -> std::result::Result<Verdict, Rejection> {
+        match body {
+            Body::ServiceRevision(revision) => self.services.revise(offset, record, revision)?,
+            Body::DutyClaim(claim) => self.duties.claim(offset, record, claim)?,
+            Body::DutyRenewal(renewal) => self.duties.renew(offset, record, renewal)?,
+            Body::DutyResignation(resignation) => self.duties.resign(record, resignation)?,
+            Body::OrderIntent(intent) => self.duties.open_intent(offset, record, intent)?,
+            Body::OrderResolved(resolved) => self.duties.resolve(record, resolved)?,
+            Body::RequestClaim(claim) => self.claims.claim(offset, record, claim)?,
+            Body::RequestRelease(release) => self.claims.release(record, release)?,
+            Body::RequestOutcome(outcome) => self.claims.outcome(record, outcome)?,
+            Body::UsageSlice(slice) => {
+                if !self.usage.count(offset, slice)? {
+                    return Ok(Verdict::Duplicate);
+                }
+            }
+            Body::UsageWatermark(watermark) => self.usage.advance_watermark(offset, watermark)?,
+            Body::WindowClose(close) => self.close_window(offset, record, close)?,
+            Body::WindowAcknowledged(acknowledged) => {
+                self.usage.acknowledge(acknowledged.window)?;
+            }
+            Body::CrashSuspect(suspect) => self.quarantine.suspect(offset, suspect)?,
+            Body::Expire(expire) => self.expire(offset, record, expire)?,
+            Body::CheckpointMark(mark) => self.mark_checkpoint(offset, record, mark)?,
+            Body::CheckpointChunk(chunk) => self.compare_checkpoint(chunk)?,
+        }
+        Ok(Verdict::Accepted)
+    }
+
+    fn close_window(
+        &mut self,
+        offset: Offset,
+        record: &Record,
+        close: &WindowClose,
+    ) -> std::result::Result<(), Rejection> {
+        self.duties.authorize(Duty::Usage, close.epoch, record)?;
+        self.usage.close(offset, close.window)
+    }
+
+    fn expire(
+        &mut self,
+        offset: Offset,
+        record: &Record,
+        expire: &Expire,
+    ) -> std::result::Result<(), Rejection> {
+        self.duties
+            .authorize(Duty::Checkpoint, expire.epoch, record)?;
+        if expire.up_to_offset >= offset.0 {
+            return Err(Rejection::ExpireAhead(expire.up_to_offset));
+        }
+        let up_to = Offset(expire.up_to_offset);
+        self.writers.expire(up_to);
+        self.claims.expire(up_to);
+        self.usage.expire(up_to);
+        self.quarantine.expire(up_to);
+        Ok(())
+    }
+
+    fn mark_checkpoint(
+        &mut self,
+        offset: Offset,
+        record: &Record,
+        mark: &CheckpointMark,
+    ) -> std::result::Result<(), Rejection> {
+        self.duties
+            .authorize(Duty::Checkpoint, mark.epoch, record)?;
+        let data = self.encode();
+        self.checkpoint = Some(CheckpointEntry::new(offset, mark.epoch, data));
+        Ok(())
+    }
+
+    fn compare_checkpoint(&self, chunk: &CheckpointChunk) -> std::result::Result<(), Rejection> {
+        match &self.checkpoint {
+            Some(checkpoint) => checkpoint.compare(chunk),
+            None => Ok(()),
+        }
+    }
+
+    /// Offset of the last applied record.
+    pub fn applied(&self) -> Offset {
+        self.applied
+    }
+
+    /// Encodes the ledger; equal ledgers have equal encodings.
+    pub fn encode(&self) -> Vec<u8> {
+        let state = LedgerState {
+            applied: self.applied.0,
+            writers: self.writers.encode(),
+            configured_at: self.services.configured_at().0,
+            services: self.services.encode_entries(),
+            histories: self.services.encode_histories(),
+            revoked: self.services.encode_revoked(),
+            duties: self.duties.encode_holders(),
+            intents: self.duties.encode_intents(),
+            claims: self.claims.encode(),
+            usage: Some(self.usage.encode()),
+            suspects: self.quarantine.encode(),
+        };
+        state.encode_to_vec()
+    }
+
+    /// Decodes a ledger that [`Ledger::encode`] wrote.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the data is damaged or comes from another version.
+    pub fn decode(data: &[u8]) -> Result<Self> {
+        let state = LedgerState::decode(data).map_err(|source| Error::Decode { source })?;
+        Ok(Self {
+            applied: Offset(state.applied),
+            writers: Writers::decode(state.writers),
+            services: Services::decode(
+                state.configured_at,
+                state.services,
+                state.histories,
+                state.revoked,
+            )?,
+            duties: Duties::decode(state.duties, state.intents)?,
+            claims: Claims::decode(state.claims)?,
+            usage: Usage::decode(state.usage.unwrap_or_default()),
+            quarantine: Quarantine::decode(state.suspects),
+            checkpoint: None,
+        })
+    }
+
+    /// SHA-256 of the encoded ledger.
+    pub fn digest(&self) -> [u8; 32] {
+        checkpoint::sha256(&self.encode())
+    }
+}
+
+/// Queries.
+impl Ledger {
+    /// Accepted services, in order of creation.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceEntry>> {
+        self.services.entries()
+    }
+
+    /// The accepted revision of a service.
+    pub fn service(&self, name: &str) -> Option<&Arc<ServiceEntry>> {
+        self.services.get(name)
+    }
+
+    /// The last published revisions of a service, accepted and refused.
+    pub fn history(&self, service: &str) -> &[RevisionEntry] {
+        self.services.history(service)
+    }
+
+    /// The owner of a key, or `None` if it is unknown or revoked.
+    pub fn key(&self, sha256: &[u8; 32]) -> Option<KeyEntry> {
+        self.services.key(sha256).cloned()
+    }
+
+    /// Whether an accepted revision ever revoked a key.
+    pub fn key_revoked(&self, sha256: &[u8; 32]) -> bool {
+        self.services.is_revoked(sha256)
+    }
+
+    /// Offset of the last accepted revision of any service.
+    pub fn configured_at(&self) -> Offset {
+        self.services.configured_at()
+    }
+
+    /// The last holder of a duty, also after it resigned.
+    pub fn duty(&self, duty: Duty) -> Option<&DutyEntry> {
+        self.duties.duty(duty)
+    }
+
+    /// The open intent for a target.
+    pub fn intent(&self, target: &str) -> Option<&IntentEntry> {
+        self.duties.intent(target)
+    }
+
+    /// All open intents, oldest first.
+    pub fn intents(&self) -> impl Iterator<Item = &IntentEntry> {
+        self.duties.intents()
+    }
+
+    /// The claim on an idempotency key of an account, as `SERVICE/ACCOUNT`.
+    pub fn claim(&self, account: &str, idempotency_key: &str) -> Option<&ClaimEntry> {
+        self.claims.get(account, idempotency_key)
+    }
+
+    /// Number of claims that are remembered.
+    pub fn claim_count(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Number of writers that are remembered.
+    pub fn writer_count(&self) -> usize {
+        self.writers.len()
+    }
+
+    /// Lowest usage window that is not closed.
+    pub fn window_open(&self) -> u64 {
+        self.usage.open()
+    }
+
+    /// Figures of a window that is not closed.
+    pub fn window(&self, window: u64) -> Option<&WindowEntry> {
+        self.usage.window(window)
+    }
+
+    /// Closed windows whose report is not acknowledged, oldest first.
+    pub fn windows_unacknowledged(&self) -> impl Iterator<Item = &WindowEntry> {
+        self.usage.closed()
+    }
+
+    /// Last window for which a source has nothing more to report.
+    pub fn watermark(&self, source: &str, incarnation: u64) -> u64 {
+        self.usage.watermark(source, incarnation)
+    }
+
+    /// Whether a usage slice was counted.
+    pub fn has_slice(&self, source: &str, incarnation: u64, slice: u64) -> bool {
+        self.usage.has_slice(source, incarnation, slice)
+    }
+
+    /// Whether a request was implicated in two crashes.
+    pub fn quarantined(&self, account: &str, body_digest: &[u8]) -> bool {
+        self.quarantine.contains(account, body_digest)
+    }
+
+    /// Number of crashes in which a request was implicated, up to two.
+    pub fn crashes(&self, account: &str, body_digest: &[u8]) -> usize {
+        self.quarantine.crashes(account, body_digest)
+    }
+
+    /// The checkpoint of the last mark that this ledger applied.
+    pub fn checkpoint(&self) -> Option<&CheckpointEntry> {
+        self.checkpoint.as_ref()
+    }
+}
--- /dev/null
+++ b/src/ledger/usage.rs
@@ -0,0 +1,350 @@
+//! Usage slices and windows.
+//!
+//! Windows are numbered from 1 and close in order. A source measures for the
+//! open window, or for the one behind it if its own part of the open window
+//! is over. A slice for a closed window goes to the open one.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use indexmap::IndexMap;
+
+use super::{
+    Rejection,
+    state::{SourceState, UsageState, WindowState},
+};
+use crate::log::{
+    Offset,
+    records::{UsageLine, UsageSlice, UsageWatermark},
+};
+
+/// Number of the first window.
+const FIRST_WINDOW: u64 = 1;
+
+/// Windows that a source may be ahead of the open one.
+const MAX_WINDOWS_AHEAD: u64 = 1;
+
+/// Usage of one account of one service.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct UsageCounts {
+    /// Requests served.
+    pub requests: u64,
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
+    /// Generated tokens.
+    pub output_tokens: u64,
+}
+
+impl UsageCounts {
+    fn add(&mut self, line: &UsageLine) {
+        self.requests = self.requests.saturating_add(line.requests);
+        self.prompt_tokens = self.prompt_tokens.saturating_add(line.prompt_tokens);
+        self.output_tokens = self.output_tokens.saturating_add(line.output_tokens);
+    }
+}
+
+/// Usage of the accounts of one service.
+pub type AccountCounts = IndexMap<Arc<str>, UsageCounts>;
+
+/// Figures of one window.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct WindowEntry {
+    /// Number of the window.
+    pub window: u64,
+    /// Offset of the record that closed it; 0 while it is open.
+    pub closed_at: Offset,
+    /// Slices that were measured in earlier windows.
+    pub late_slices: u64,
+    /// Counts by service and account.
+    pub services: IndexMap<Arc<str>, AccountCounts>,
+}
+
+/// One start of a measuring instance.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Source {
+    name: Arc<str>,
+    incarnation: u64,
+}
+
+/// Slices that were counted from a source.
+#[derive(Clone, Debug, Default)]
+struct SourceProgress {
+    /// All slices up to this one.
+    through: u64,
+    /// Slices after a gap.
+    above: BTreeSet<u64>,
+    watermark: u64,
+    offset: Offset,
+}
+
+/// Usage windows and the progress of the sources.
+#[derive(Clone, Debug)]
+pub(super) struct Usage {
+    open: u64,
+    windows: IndexMap<u64, WindowEntry>,
+    closed: IndexMap<u64, WindowEntry>,
+    sources: IndexMap<Source, SourceProgress>,
+}
+
+impl Default for Usage {
+    fn default() -> Self {
+        Self {
+            open: FIRST_WINDOW,
+            windows: IndexMap::new(),
+            closed: IndexMap::new(),
+            sources: IndexMap::new(),
+        }
+    }
+}
+
+impl Usage {
+    pub(super) fn open(&self) -> u64 {
+        self.open
+    }
+
+    pub(super) fn window(&self, window: u64) -> Option<&WindowEntry> {
+        self.windows.get(&window)
+    }
+
+    pub(super) fn closed(&self) -> impl Iterator<Item = &WindowEntry> {
+        self.closed.values()
+    }
+
+    pub(super) fn watermark(&self, source: &str, incarnation: u64) -> u64 {
+        let source = Source::new(source, incarnation);
+        self.sources
+            .get(&source)
+            .map_or(0, |progress| progress.watermark)
+    }
+
+    pub(super) fn has_slice(&self, source: &str, incarnation: u64, slice: u64) -> bool {
+        let source = Source::new(source, incarnation);
+        self.sources
+            .get(&source)
+            .is_some_and(|progress| progress.has(slice))
+    }
+
+    /// Counts a slice; returns false if it was counted before.
+    pub(super) fn count(
+        &mut self,
+        offset: Offset,
+        slice: &UsageSlice,
+    ) -> std::result::Result<bool, Rejection> {
+        check_slice(slice)?;
+        if slice.window > self.open + MAX_WINDOWS_AHEAD {
+            return Err(Rejection::WindowNotOpen {
+                window: slice.window,
+                open: self.open,
+            });
+        }
+        let source = Source::new(&slice.source, slice.source_incarnation);
+        let progress = self.sources.entry(source).or_default();
+        if !progress.insert(slice.slice) {
+            return Ok(false);
+        }
+        progress.offset = offset;
+        let window = slice.window.max(self.open);
+        let entry = self.windows.entry(window).or_default();
+        entry.window = window;
+        if slice.window < self.open {
+            entry.late_slices += 1;
+        }
+        for line in &slice.lines {
+            entry.add(line);
+        }
+        Ok(true)
+    }
+
+    pub(super) fn advance_watermark(
+        &mut self,
+        offset: Offset,
+        watermark: &UsageWatermark,
+    ) -> std::result::Result<(), Rejection> {
+        if watermark.source.is_empty() {
+            return Err(Rejection::Malformed("the watermark names no source"));
+        }
+        if watermark.window > self.open + MAX_WINDOWS_AHEAD {
+            return Err(Rejection::WindowNotOpen {
+                window: watermark.window,
+                open: self.open,
+            });
+        }
+        let source = Source::new(&watermark.source, watermark.source_incarnation);
+        let progress = self.sources.entry(source).or_default();
+        progress.watermark = progress.watermark.max(watermark.window);
+        progress.offset = offset;
+        Ok(())
+    }
+
+    /// Closes the open window, which fixes its figures.
+    pub(super) fn close(
+        &mut self,
+        offset: Offset,
+        window: u64,
+    ) -> std::result::Result<(), Rejection> {
+        if window != self.open {
+            return Err(Rejection::WindowNotOpen {
+                window,
+                open: self.open,
+            });
+        }
+        let mut entry = self.windows.shift_remove(&window).unwrap_or_default();
+        entry.window = window;
+        entry.closed_at = offset;
+        self.closed.insert(window, entry);
+        self.open += 1;
+        Ok(())
+    }
+
+    /// Drops a closed window whose report the platform acknowledged.
+    pub(super) fn acknowledge(&mut self, window: u64) -> std::result::Result<(), Rejection> {
+        let known = self.closed.shift_remove(&window);
+        known.ok_or(Rejection::NothingToAcknowledge(window))?;
+        Ok(())
+    }
+
+    pub(super) fn expire(&mut self, up_to: Offset) {
+        self.sources.retain(|_, progress| progress.offset > up_to);
+    }
+
+    pub(super) fn encode(&self) -> UsageState {
+        let mut sources = Vec::with_capacity(self.sources.len());
+        for (source, progress) in &self.sources {
+            sources.push(SourceState {
+                name: source.name.to_string(),
+                incarnation: source.incarnation,
+                through: progress.through,
+                above: progress.above.iter().copied().collect(),
+                watermark: progress.watermark,
+                offset: progress.offset.0,
+            });
+        }
+        UsageState {
+            open: self.open,
+            windows: self.windows.values().map(WindowEntry::encode).collect(),
+            closed: self.closed.values().map(WindowEntry::encode).collect(),
+            sources,
+        }
+    }
+
+    pub(super) fn decode(state: UsageState) -> Self {
+        let mut decoded = Self {
+            open: state.open.max(FIRST_WINDOW),
+            ..Self::default()
+        };
+        for window in state.windows {
+            decoded
+                .windows
+                .insert(window.window, WindowEntry::decode(window));
+        }
+        for window in state.closed {
+            decoded
+                .closed
+                .insert(window.window, WindowEntry::decode(window));
+        }
+        for source in state.sources {
+            let progress = SourceProgress {
+                through: source.through,
+                above: source.above.into_iter().collect(),
+                watermark: source.watermark,
+                offset: Offset(source.offset),
+            };
+            let source = Source::new(&source.name, source.incarnation);
+            decoded.sources.insert(source, progress);
+        }
+        decoded
+    }
+}
+
+impl Source {
+    fn new(name: &str, incarnation: u64) -> Self {
+        Self {
+            name: name.into(),
+            incarnation,
+        }
+    }
+}
+
+impl SourceProgress {
+    fn has(&self, slice: u64) -> bool {
+        slice <= self.through || self.above.contains(&slice)
+    }
+
+    fn insert(&mut self, slice: u64) -> bool {
+        if self.has(slice) {
+            return false;
+        }
+        self.above.insert(slice);
+        while self.above.remove(&(self.through + 1)) {
+            self.through += 1;
+        }
+        true
+    }
+}
+
+impl WindowEntry {
+    fn add(&mut self, line: &UsageLine) {
+        if !self.services.contains_key(line.service.as_str()) {
+            self.services
+                .insert(line.service.as_str().into(), AccountCounts::new());
+        }
+        let accounts = &mut self.services[line.service.as_str()];
+        if let Some(counts) = accounts.get_mut(line.account.as_str()) {
+            counts.add(line);
+            return;
+        }
+        let mut counts = UsageCounts::default();
+        counts.add(line);
+        accounts.insert(line.account.as_str().into(), counts);
+    }
+
+    /// Returns the counts as lines, in a fixed order.
+    pub fn lines(&self) -> Vec<UsageLine> {
+        let mut lines = Vec::new();
+        for (service, accounts) in &self.services {
+            for (account, counts) in accounts {
+                lines.push(UsageLine {
+                    service: service.to_string(),
+                    account: account.to_string(),
+                    requests: counts.requests,
+                    prompt_tokens: counts.prompt_tokens,
+                    output_tokens: counts.output_tokens,
+                });
+            }
+        }
+        lines
+    }
+
+    fn encode(&self) -> WindowState {
+        WindowState {
+            window: self.window,
+            closed_at: self.closed_at.0,
+            late_slices: self.late_slices,
+            lines: self.lines(),
+        }
+    }
+
+    fn decode(state: WindowState) -> Self {
+        let mut entry = Self {
+            window: state.window,
+            closed_at: Offset(state.closed_at),
+            late_slices: state.late_slices,
+            services: IndexMap::new(),
+        };
+        for line in &state.lines {
+            entry.add(line);
+        }
+        entry
+    }
+}
+
+fn check_slice(slice: &UsageSlice) -> std::result::Result<(), Rejection> {
+    if slice.source.is_empty() || slice.slice == 0 {
+        return Err(Rejection::Malformed("the slice has no source or number"));
+    }
+    for line in &slice.lines {
+        if line.service.is_empty() || line.account.is_empty() {
+            return Err(Rejection::Malformed("a line has no service or account"));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/ledger/writers.rs
@@ -0,0 +1,85 @@
+//! Detection of records that were appended twice.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::state::WriterState;
+use crate::log::{Offset, records::Record};
+
+/// One start of a writer.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Writer {
+    name: Arc<str>,
+    incarnation: u64,
+}
+
+/// Progress of a writer.
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    sequence: u64,
+    offset: Offset,
+}
+
+/// Highest sequence number of each writer.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Writers {
+    progress: IndexMap<Writer, Progress>,
+}
+
+impl Writers {
+    /// Notes a record; returns false if it repeats an earlier one.
+    pub(super) fn advance(&mut self, offset: Offset, record: &Record) -> bool {
+        let writer = Writer {
+            name: record.writer.as_str().into(),
+            incarnation: record.incarnation,
+        };
+        let progress = self.progress.entry(writer).or_insert(Progress {
+            sequence: 0,
+            offset,
+        });
+        if record.sequence <= progress.sequence {
+            return false;
+        }
+        progress.sequence = record.sequence;
+        progress.offset = offset;
+        true
+    }
+
+    pub(super) fn expire(&mut self, up_to: Offset) {
+        self.progress.retain(|_, progress| progress.offset > up_to);
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.progress.len()
+    }
+
+    pub(super) fn encode(&self) -> Vec<WriterState> {
+        let mut writers = Vec::with_capacity(self.progress.len());
+        for (writer, progress) in &self.progress {
+            writers.push(WriterState {
+                name: writer.name.to_string(),
+                incarnation: writer.incarnation,
+                sequence: progress.sequence,
+                offset: progress.offset.0,
+            });
+        }
+        writers
+    }
+
+    pub(super) fn decode(states: Vec<WriterState>) -> Self {
+        let mut progress = IndexMap::with_capacity(states.len());
+        for state in states {
+            let writer = Writer {
+                name: state.name.into(),
+                incarnation: state.incarnation,
+            };
+            let entry = Progress {
+                sequence: state.sequence,
+                offset: Offset(state.offset),
+            };
+            progress.insert(writer, entry);
+        }
+        Self { progress }
+    }
+}
--- a/src/log/lavenderwind.records.rs
+++ b/src/log/lavenderwind.records.rs
@@ -78,7 +78,8 @@
     /// Offset of the claim that this one succeeds; 0 if none.
     #[prost(uint64, tag = "2")]
     pub after_epoch: u64,
-    /// Offset of the last renewal that the claimant folded; 0 if none.
+    /// Offset of the last renewal that the claimant folded, or of the claim before
+    /// the first renewal; 0 if the duty was never claimed.
     #[prost(uint64, tag = "3")]
     pub after_renewal: u64,
 }
--- /dev/null
+++ b/src/service/check.rs
@@ -0,0 +1,349 @@
+//! Parsing and checks of a service document.
+
+use std::collections::HashSet;
+
+use super::{Account, Document, Error, Key, KindRole, Model, Result, Route, TargetKind};
+
+/// Longest document that is accepted, in bytes.
+pub const MAX_DOCUMENT_BYTES: usize = 4 << 20;
+
+/// Account for which requests on open routes run.
+pub const OPEN_ACCOUNT: &str = "open";
+
+/// Longest name of a service, account, key, model or kind, in bytes.
+const MAX_NAME_BYTES: usize = 128;
+
+/// Longest path of a route, in bytes.
+const MAX_PATH_BYTES: usize = 1024;
+
+/// Longest deadline of a route, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+
+/// Largest weight of an account.
+const MAX_WEIGHT: u32 = 1_000_000;
+
+/// Most routes of a service.
+const MAX_ROUTES: usize = 256;
+
+/// Most accounts of a service.
+const MAX_ACCOUNTS: usize = 20_000;
+
+/// Most keys of an account.
+const MAX_KEYS: usize = 64;
+
+/// Length of a SHA-256 digest in hexadecimal.
+const SHA256_HEX_BYTES: usize = 64;
+
+impl Document {
+    /// Parses and checks a document.
+    ///
+    /// ```
+    /// use lavenderwind::service::Document;
+    ///
+    /// let error = Document::parse("service: swaps\nteam: 7\ncolour: red\n").unwrap_err();
+    /// assert!(error.to_string().starts_with("line "));
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text is too long, is not YAML of this shape, or holds
+    /// values that are out of range or contradict each other.
+    pub fn parse(text: &str) -> Result<Self> {
+        if text.len() > MAX_DOCUMENT_BYTES {
+            return Err(Error::TooLong {
+                bytes: text.len(),
+                limit: MAX_DOCUMENT_BYTES,
+            });
+        }
+        let document: Self = serde_yaml_ng::from_str(text).map_err(|error| parse_error(&error))?;
+        document.check(&Checker { text })?;
+        Ok(document)
+    }
+
+    fn check(&self, checker: &Checker<'_>) -> Result<()> {
+        checker.name("service", &self.service)?;
+        checker.name("team", &self.team)?;
+        self.check_kinds(checker)?;
+        self.check_models(checker)?;
+        self.check_routes(checker)?;
+        self.check_accounts(checker)?;
+        self.check_spending(checker)
+    }
+
+    fn check_kinds(&self, checker: &Checker<'_>) -> Result<()> {
+        let mut names = HashSet::new();
+        for (index, kind) in self.target_kinds.iter().enumerate() {
+            let field = format!("target_kinds[{index}].name");
+            checker.name(&field, &kind.name)?;
+            checker.require(&field, &kind.name, names.insert(&kind.name), "is repeated")?;
+        }
+        checker.require(
+            "target_kinds",
+            "target_kinds",
+            !self.target_kinds.is_empty(),
+            "must name at least one kind",
+        )
+    }
+
+    fn check_models(&self, checker: &Checker<'_>) -> Result<()> {
+        let runs_engines = self.target_kinds.iter().any(TargetKind::is_engine);
+        checker.require(
+            "models",
+            "models",
+            !runs_engines || !self.models.is_empty(),
+            "must name a model, since a target kind is an engine",
+        )?;
+        let mut names = HashSet::new();
+        for (index, model) in self.models.iter().enumerate() {
+            let field = format!("models[{index}].name");
+            checker.require(
+                &field,
+                &model.name,
+                names.insert(&model.name),
+                "is repeated",
+            )?;
+            model.check(&field, checker)?;
+        }
+        Ok(())
+    }
+
+    fn check_routes(&self, checker: &Checker<'_>) -> Result<()> {
+        let count_fits = (1..=MAX_ROUTES).contains(&self.routes.len());
+        checker.require("routes", "routes", count_fits, "must have 1 to 256 routes")?;
+        let mut seen = HashSet::new();
+        for (index, route) in self.routes.iter().enumerate() {
+            route.check(index, checker)?;
+            let field = format!("routes[{index}].target_kind");
+            let known = self.kind(&route.target_kind).is_some();
+            checker.require(
+                &field,
+                &route.target_kind,
+                known,
+                "is not one of target_kinds",
+            )?;
+            let field = format!("routes[{index}].path");
+            if route.methods.is_empty() {
+                let fresh = seen.insert((&*route.path, ""));
+                checker.require(&field, &route.path, fresh, "is repeated")?;
+            }
+            for method in &route.methods {
+                let fresh = seen.insert((&route.path, method));
+                checker.require(&field, &route.path, fresh, "repeats a path and method")?;
+            }
+        }
+        Ok(())
+    }
+
+    fn check_accounts(&self, checker: &Checker<'_>) -> Result<()> {
+        let count_fits = self.accounts.len() <= MAX_ACCOUNTS;
+        checker.require(
+            "accounts",
+            "accounts",
+            count_fits,
+            "must have at most 20000 accounts",
+        )?;
+        let mut names = HashSet::new();
+        let mut ids = HashSet::new();
+        let mut digests = HashSet::new();
+        for (index, account) in self.accounts.iter().enumerate() {
+            account.check(index, checker)?;
+            if !names.insert(&account.name) {
+                let field = format!("accounts[{index}].name");
+                return Err(checker.error(&field, &account.name, "is repeated"));
+            }
+            for key in &account.keys {
+                let field = format!("accounts[{index}].keys");
+                key.check(&field, checker)?;
+                checker.require(&field, &key.id, ids.insert(&key.id), "repeats a key id")?;
+                let fresh = digests.insert(&key.sha256);
+                checker.require(&field, &key.sha256, fresh, "repeats a key")?;
+            }
+        }
+        Ok(())
+    }
+
+    fn check_spending(&self, checker: &Checker<'_>) -> Result<()> {
+        let spending = &self.spending;
+        let ordered = spending.max_targets == 0 || spending.min_targets <= spending.max_targets;
+        checker.require(
+            "spending.min_targets",
+            "min_targets",
+            ordered,
+            "must be at most max_targets",
+        )
+    }
+
+    /// Returns the target kind of a name.
+    pub fn kind(&self, name: &str) -> Option<&TargetKind> {
+        self.target_kinds.iter().find(|kind| &*kind.name == name)
+    }
+}
+
+impl TargetKind {
+    /// Whether targets of this kind are language-model engines.
+    pub fn is_engine(&self) -> bool {
+        self.role == KindRole::Engine
+    }
+}
+
+impl Model {
+    fn check(&self, field: &str, checker: &Checker<'_>) -> Result<()> {
+        checker.model_name(field, &self.name)?;
+        checker.name(field, &self.version)?;
+        let mut names = HashSet::new();
+        for adapter in &self.adapters {
+            checker.model_name(field, adapter)?;
+            checker.require(field, adapter, names.insert(adapter), "repeats an adapter")?;
+        }
+        Ok(())
+    }
+}
+
+impl Route {
+    fn check(&self, index: usize, checker: &Checker<'_>) -> Result<()> {
+        let field = |name: &str| format!("routes[{index}].{name}");
+        let path_fits = self.path.starts_with('/')
+            && self.path.len() <= MAX_PATH_BYTES
+            && !self.path.contains(['?', '#', ' ']);
+        checker.require(
+            &field("path"),
+            &self.path,
+            path_fits,
+            "must start with / and hold no query, fragment or space",
+        )?;
+        for method in &self.methods {
+            let known = !method.is_empty() && method.bytes().all(|byte| byte.is_ascii_uppercase());
+            checker.require(&field("methods"), method, known, "must be in upper case")?;
+        }
+        let deadline_fits = (1..=MAX_DEADLINE_MS).contains(&self.deadline_ms);
+        checker.require(
+            &field("deadline_ms"),
+            "deadline_ms",
+            deadline_fits,
+            "must be from 1 to 3600000",
+        )?;
+        let first_fits = (1..=self.deadline_ms).contains(&self.first_token_ms);
+        checker.require(
+            &field("first_token_ms"),
+            "first_token_ms",
+            first_fits,
+            "must be from 1 to deadline_ms",
+        )?;
+        checker.require(
+            &field("between_tokens_ms"),
+            "between_tokens_ms",
+            self.between_tokens_ms > 0,
+            "must be over 0",
+        )?;
+        checker.require(
+            &field("max_body_bytes"),
+            "max_body_bytes",
+            self.max_body_bytes > 0,
+            "must be over 0",
+        )
+    }
+}
+
+impl Account {
+    fn check(&self, index: usize, checker: &Checker<'_>) -> Result<()> {
+        let field = |name: &str| format!("accounts[{index}].{name}");
+        if &*self.name == OPEN_ACCOUNT {
+            return Err(checker.error(&field("name"), &self.name, "is reserved for open routes"));
+        }
+        if !is_name(&self.name) {
+            return Err(checker.error(&field("name"), &self.name, NAME_RULE));
+        }
+        if !(1..=MAX_WEIGHT).contains(&self.weight) {
+            return Err(checker.error(&field("weight"), "weight", "must be from 1 to 1000000"));
+        }
+        if self.keys.len() > MAX_KEYS {
+            return Err(checker.error(&field("keys"), &self.name, "must be at most 64"));
+        }
+        Ok(())
+    }
+}
+
+impl Key {
+    /// Returns the digest as bytes, or `None` if it is not 64 lower-case
+    /// hexadecimal digits.
+    pub fn digest(&self) -> Option<[u8; 32]> {
+        let lower = !self.sha256.bytes().any(|byte| byte.is_ascii_uppercase());
+        if !lower || self.sha256.len() != SHA256_HEX_BYTES {
+            return None;
+        }
+        let mut digest = [0; 32];
+        hex::decode_to_slice(&*self.sha256, &mut digest).ok()?;
+        Some(digest)
+    }
+
+    fn check(&self, field: &str, checker: &Checker<'_>) -> Result<()> {
+        checker.name(field, &self.id)?;
+        checker.require(
+            field,
+            &self.sha256,
+            self.digest().is_some(),
+            "sha256 must be 64 lower-case hexadecimal digits",
+        )
+    }
+}
+
+/// What a name may be, for errors.
+const NAME_RULE: &str = "must be 1 to 128 letters, digits, dots, hyphens or underscores";
+
+fn is_name(name: &str) -> bool {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b".-_".contains(&byte);
+    (1..=MAX_NAME_BYTES).contains(&name.len()) && name.bytes().all(allowed)
+}
+
+fn parse_error(error: &serde_yaml_ng::Error) -> Error {
+    let location = error.location();
+    Error::Parse {
+        line: location.as_ref().map_or(0, serde_yaml_ng::Location::line),
+        column: location.as_ref().map_or(0, serde_yaml_ng::Location::column),
+        reason: error.to_string(),
+    }
+}
+
+/// Locates the value of a failed check in the text.
+struct Checker<'a> {
+    text: &'a str,
+}
+
+impl Checker<'_> {
+    fn require(&self, field: &str, value: &str, holds: bool, reason: &str) -> Result<()> {
+        if holds {
+            return Ok(());
+        }
+        Err(self.error(field, value, reason))
+    }
+
+    fn name(&self, field: &str, value: &str) -> Result<()> {
+        self.require(field, value, is_name(value), NAME_RULE)
+    }
+
+    /// Model and adapter names may hold slashes, as in `team/model`.
+    fn model_name(&self, field: &str, value: &str) -> Result<()> {
+        let holds = value.split('/').all(is_name);
+        self.require(field, value, holds, NAME_RULE)
+    }
+
+    fn error(&self, field: &str, value: &str, reason: &str) -> Error {
+        Error::Invalid {
+            line: self.line_of(value),
+            field: field.to_owned(),
+            reason: reason.to_owned(),
+        }
+    }
+
+    /// Returns the last line that holds the value: of two equal ones the later
+    /// is the repeated one.
+    fn line_of(&self, value: &str) -> usize {
+        let mut found = 1;
+        for (index, line) in self.text.lines().enumerate() {
+            if !value.is_empty() && line.contains(value) {
+                found = index + 1;
+            }
+        }
+        found
+    }
+}
--- a/src/service/mod.rs
+++ b/src/service/mod.rs
@@ -4,8 +4,12 @@
 //! keys, target kinds and spending bounds. Operators revise it as a whole; the
 //! ledger accepts or refuses each revision (see [`crate::ledger`]).
 
+mod check;
 mod document;
+mod error;
 
+pub use check::{MAX_DOCUMENT_BYTES, OPEN_ACCOUNT};
 pub use document::{
     Access, Account, Document, Key, KindRole, Model, Repeat, Route, Spending, TargetKind,
 };
+pub use error::{Error, Result};
