--- /dev/null
+++ b/src/log/appender.rs
@@ -0,0 +1,239 @@
+//! Appends records to the log, one batch at a time.
+
+use std::{future::Future, pin::Pin, sync::Arc, time::Duration};
+
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::Instant,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    AppendBudget, Error, LogClient, Offset, Result, backoff::Backoff, queue::AppendQueue,
+    queue::Receipt, queue::Reply, records::record::Body,
+};
+use crate::ledger::Verdict;
+
+/// Requests that wait in the channel to the append task.
+const REQUEST_CAPACITY: usize = 1_024;
+
+/// Number of waiting records above which the task takes no more requests.
+const MAX_WAITING: usize = 8_192;
+
+/// Delay before the first retry of an append.
+const FIRST_RETRY: Duration = Duration::from_millis(50);
+
+/// Longest delay between retries of an append.
+const MAX_RETRY: Duration = Duration::from_secs(1);
+
+/// Handle that appends this instance's records to the log.
+#[derive(Clone, Debug)]
+pub struct Appender {
+    writer: Arc<str>,
+    incarnation: u64,
+    requests: mpsc::Sender<Request>,
+}
+
+#[derive(Debug)]
+struct Request {
+    body: Body,
+    reply: Reply,
+}
+
+impl Appender {
+    /// Returns the name under which records are written.
+    pub fn writer(&self) -> &Arc<str> {
+        &self.writer
+    }
+
+    /// Returns the incarnation under which records are written.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Appends a record and waits until this instance has folded it.
+    ///
+    /// An append whose answer is lost is repeated until the tail shows the
+    /// record. Dropping the future withdraws a record that was never sent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the record is too large, if the appender stops, or if the
+    /// record may be among records that a rebuild from a checkpoint skipped.
+    pub async fn append(&self, body: Body) -> Result<Receipt> {
+        let (reply, outcome) = oneshot::channel();
+        let request = Request { body, reply };
+        self.requests
+            .send(request)
+            .await
+            .map_err(|_| Error::Stopped)?;
+        outcome.await.map_err(|_| Error::Stopped)?
+    }
+}
+
+/// What the tailer tells the append task.
+#[derive(Debug)]
+pub(crate) enum FoldReport {
+    /// A record of this writer and incarnation was folded.
+    Folded {
+        /// Sequence number of the record.
+        sequence: u64,
+        /// Offset of the record.
+        offset: Offset,
+        /// Outcome of the fold.
+        verdict: Verdict,
+    },
+    /// The ledger was rebuilt from a checkpoint; records may have been skipped.
+    Rebuilt,
+}
+
+/// Inputs of the append task, beside the requests.
+#[derive(Debug)]
+pub(crate) struct AppendInputs {
+    /// Client of the log.
+    pub(crate) client: LogClient,
+    /// Reports of the tailer.
+    pub(crate) folds: mpsc::UnboundedReceiver<FoldReport>,
+    /// Number of live instances, which share the budget.
+    pub(crate) live_instances: watch::Receiver<usize>,
+    /// Appends a second of all instances together.
+    pub(crate) appends_per_s: u32,
+    /// Wait of an append for others to share its batch.
+    pub(crate) linger: Duration,
+}
+
+type InFlight = Pin<Box<dyn Future<Output = Result<Offset>> + Send>>;
+
+/// Task that sends batches and resolves the records in them.
+pub(crate) struct AppendTask {
+    requests: mpsc::Receiver<Request>,
+    inputs: AppendInputs,
+    queue: AppendQueue,
+    budget: AppendBudget,
+    backoff: Backoff,
+    not_before: Instant,
+    in_flight: Option<InFlight>,
+}
+
+/// Makes an appender and its task.
+pub(crate) fn new(
+    writer: Arc<str>,
+    incarnation: u64,
+    inputs: AppendInputs,
+) -> (Appender, AppendTask) {
+    let (sender, requests) = mpsc::channel(REQUEST_CAPACITY);
+    let appender = Appender {
+        writer: writer.clone(),
+        incarnation,
+        requests: sender,
+    };
+    let now = Instant::now();
+    let mut budget = AppendBudget::new(inputs.appends_per_s, now);
+    budget.set_live_instances(*inputs.live_instances.borrow(), now);
+    let task = AppendTask {
+        requests,
+        inputs,
+        queue: AppendQueue::new(writer, incarnation),
+        budget,
+        backoff: Backoff::new(FIRST_RETRY, MAX_RETRY),
+        not_before: now,
+        in_flight: None,
+    };
+    (appender, task)
+}
+
+impl AppendTask {
+    /// Runs until `stop` is cancelled or all handles are gone.
+    pub(crate) async fn run(mut self, stop: CancellationToken) {
+        loop {
+            let send_at = self.send_at();
+            tokio::select! {
+                () = stop.cancelled() => return,
+                request = self.requests.recv(), if self.queue.waiting() < MAX_WAITING => {
+                    let Some(request) = request else {
+                        return;
+                    };
+                    self.take_request(request);
+                }
+                Some(report) = self.inputs.folds.recv() => self.take_report(report),
+                Ok(()) = self.inputs.live_instances.changed() => self.share_budget(),
+                outcome = in_flight(&mut self.in_flight) => self.finish(outcome),
+                () = sleep_until(send_at) => self.send(),
+            }
+        }
+    }
+
+    fn take_request(&mut self, request: Request) {
+        if self.queue.waiting() == 0 {
+            let linger_end = Instant::now() + self.inputs.linger;
+            self.not_before = self.not_before.max(linger_end);
+        }
+        self.queue.push(request.body, request.reply);
+    }
+
+    fn take_report(&mut self, report: FoldReport) {
+        match report {
+            FoldReport::Folded {
+                sequence,
+                offset,
+                verdict,
+            } => self.queue.resolve(sequence, offset, verdict),
+            FoldReport::Rebuilt => self.queue.repeat_all(),
+        }
+    }
+
+    fn share_budget(&mut self) {
+        let live_instances = *self.inputs.live_instances.borrow_and_update();
+        self.budget
+            .set_live_instances(live_instances, Instant::now());
+    }
+
+    /// Returns when the next batch may be sent, if there is one.
+    fn send_at(&mut self) -> Option<Instant> {
+        if self.in_flight.is_some() || !self.queue.has_batch() {
+            return None;
+        }
+        let ready_at = self.budget.ready_at(Instant::now());
+        Some(ready_at.max(self.not_before))
+    }
+
+    fn send(&mut self) {
+        let now = Instant::now();
+        let batch = self.queue.next_batch(now);
+        if batch.is_empty() {
+            return;
+        }
+        self.budget.spend(now);
+        metrics::counter!("log_appends_total").increment(1);
+        metrics::histogram!("log_append_records").record(batch.len() as f64);
+        let client = self.inputs.client.clone();
+        self.in_flight = Some(Box::pin(async move { client.append(batch).await }));
+    }
+
+    fn finish(&mut self, outcome: Result<Offset>) {
+        self.in_flight = None;
+        let Err(error) = outcome else {
+            self.queue.acknowledge();
+            self.backoff.reset();
+            return;
+        };
+        let delay = self.backoff.next_delay();
+        metrics::counter!("log_append_failures_total").increment(1);
+        tracing::warn!("log: append not acknowledged: {error}; retrying in {delay:?}");
+        self.not_before = Instant::now() + delay;
+    }
+}
+
+async fn in_flight(slot: &mut Option<InFlight>) -> Result<Offset> {
+    match slot {
+        Some(future) => future.await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/src/log/backoff.rs
@@ -0,0 +1,34 @@
+//! Delays between retries.
+
+use std::time::Duration;
+
+/// Exponential delay between retries, reset by a success.
+#[derive(Clone, Copy, Debug)]
+pub struct Backoff {
+    first: Duration,
+    max: Duration,
+    next: Duration,
+}
+
+impl Backoff {
+    /// Makes a delay that doubles from `first` up to `max`.
+    pub fn new(first: Duration, max: Duration) -> Self {
+        Self {
+            first,
+            max,
+            next: first,
+        }
+    }
+
+    /// Returns the delay before the next retry and doubles the one after it.
+    pub fn next_delay(&mut self) -> Duration {
+        let delay = self.next;
+        self.next = (delay * 2).min(self.max);
+        delay
+    }
+
+    /// Starts over after a success.
+    pub fn reset(&mut self) {
+        self.next = self.first;
+    }
+}
--- /dev/null
+++ b/src/log/recent.rs
@@ -0,0 +1,74 @@
+//! The newest records of the log, kept for peers that are cut off from it.
+
+use std::{
+    collections::VecDeque,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use super::Offset;
+use crate::platform::protocol::LogEntry;
+
+/// Shared buffer of the newest records, in offset order without gaps.
+#[derive(Clone, Debug)]
+pub struct RecentEntries {
+    entries: Arc<Mutex<Entries>>,
+    max_bytes: usize,
+}
+
+#[derive(Debug, Default)]
+struct Entries {
+    entries: VecDeque<LogEntry>,
+    bytes: usize,
+}
+
+impl RecentEntries {
+    /// Makes an empty buffer that keeps up to `max_bytes` of records.
+    pub fn new(max_bytes: usize) -> Self {
+        Self {
+            entries: Arc::default(),
+            max_bytes,
+        }
+    }
+
+    /// Adds the next record; a gap drops all that came before it.
+    pub fn push(&self, entry: LogEntry) {
+        let mut entries = self.lock();
+        let follows = entries
+            .entries
+            .back()
+            .is_none_or(|last| last.offset + 1 == entry.offset);
+        if !follows {
+            *entries = Entries::default();
+        }
+        entries.bytes += entry.record.len();
+        entries.entries.push_back(entry);
+        while entries.bytes > self.max_bytes {
+            let Some(oldest) = entries.entries.pop_front() else {
+                break;
+            };
+            entries.bytes -= oldest.record.len();
+        }
+    }
+
+    /// Returns records from `from` on, up to `max_bytes` but at least one, or
+    /// `None` if `from` is no longer in the buffer.
+    pub fn read(&self, from: Offset, max_bytes: usize) -> Option<Vec<LogEntry>> {
+        let entries = self.lock();
+        let first = entries.entries.front()?.offset;
+        let skipped = from.0.checked_sub(first)? as usize;
+        let mut bytes = 0;
+        let mut found = Vec::new();
+        for entry in entries.entries.iter().skip(skipped) {
+            if bytes + entry.record.len() > max_bytes && !found.is_empty() {
+                break;
+            }
+            bytes += entry.record.len();
+            found.push(entry.clone());
+        }
+        Some(found)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Entries> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/log/spawn.rs
@@ -0,0 +1,111 @@
+use std::{sync::Arc, time::Duration};
+
+use tokio::{
+    sync::{mpsc, watch},
+    task::JoinSet,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    Appender, LogClient, RecentEntries, RelayedEntries, TailStatus,
+    appender::{self, AppendInputs},
+    tailer::{self, TailInputs},
+};
+use crate::{Settings, ledger::LedgerHandle};
+
+/// Batches of relayed records that wait for the tailer.
+const RELAY_CAPACITY: usize = 16;
+
+/// Records kept for peers, in bytes.
+const RECENT_BYTES: usize = 4 << 20;
+
+/// Longest wait of a read for the next record.
+const MAX_READ_WAIT: Duration = Duration::from_millis(500);
+
+/// What the appender and the tailer need to know.
+#[derive(Clone, Debug)]
+pub struct LogOptions {
+    writer: Arc<str>,
+    incarnation: u64,
+    log_url: Arc<str>,
+    timeout: Duration,
+    linger: Duration,
+    read_wait: Duration,
+    appends_per_s: u32,
+}
+
+impl LogOptions {
+    /// Takes the options from an instance's settings.
+    pub fn new(settings: &Settings, incarnation: u64) -> Self {
+        let freshness = Duration::from_millis(settings.timing.freshness_ms);
+        Self {
+            writer: settings.name.clone(),
+            incarnation,
+            log_url: settings.platform.log_url.clone(),
+            timeout: Duration::from_millis(settings.timing.platform_timeout_ms),
+            linger: Duration::from_millis(settings.timing.linger_ms),
+            read_wait: MAX_READ_WAIT.min(freshness / 4),
+            appends_per_s: settings.limits.log_appends_per_s,
+        }
+    }
+}
+
+/// The log as the other parts of an instance use it.
+#[derive(Debug)]
+pub struct Log {
+    /// Appends records.
+    pub appender: Appender,
+    /// What is known of the log's end.
+    pub status: watch::Receiver<TailStatus>,
+    /// Takes records that peers relay.
+    pub relayed: mpsc::Sender<RelayedEntries>,
+    /// The newest records, for peers.
+    pub recent: RecentEntries,
+    /// Append and tail tasks; they end as the stop signal is given.
+    pub tasks: JoinSet<()>,
+}
+
+/// Starts the append and tail tasks.
+///
+/// `live_instances` is the number of instances that share the append budget.
+pub fn spawn(
+    options: &LogOptions,
+    ledger: LedgerHandle,
+    live_instances: watch::Receiver<usize>,
+    stop: &CancellationToken,
+) -> Log {
+    let client = LogClient::new(&options.log_url, options.timeout);
+    let (folds_sender, folds) = mpsc::unbounded_channel();
+    let (relayed_sender, relayed) = mpsc::channel(RELAY_CAPACITY);
+    let recent = RecentEntries::new(RECENT_BYTES);
+    let append_inputs = AppendInputs {
+        client: client.clone(),
+        folds,
+        live_instances,
+        appends_per_s: options.appends_per_s,
+        linger: options.linger,
+    };
+    let tail_inputs = TailInputs {
+        client,
+        ledger,
+        writer: options.writer.clone(),
+        incarnation: options.incarnation,
+        folds: folds_sender,
+        relayed,
+        recent: recent.clone(),
+        read_wait: options.read_wait,
+    };
+    let (appender, append_task) =
+        appender::new(options.writer.clone(), options.incarnation, append_inputs);
+    let (tailer, status) = tailer::new(tail_inputs);
+    let mut tasks = JoinSet::new();
+    tasks.spawn(append_task.run(stop.clone()));
+    tasks.spawn(tailer.run(stop.clone()));
+    Log {
+        appender,
+        status,
+        relayed: relayed_sender,
+        recent,
+        tasks,
+    }
+}
--- /dev/null
+++ b/src/log/tailer.rs
@@ -0,0 +1,320 @@
+//! Reads the log and folds its records into the ledger.
+
+use std::{sync::Arc, time::Duration};
+
+use prost::Message;
+use tokio::{
+    sync::{mpsc, watch},
+    time::Instant,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    Error, LogClient, Offset, RecentEntries, Result,
+    appender::FoldReport,
+    backoff::Backoff,
+    rebuild::{Checkpoint, CheckpointGatherer},
+    records::{Record, record::Body},
+};
+use crate::{
+    ledger::{Ledger, LedgerHandle},
+    platform::protocol::{LogEntry, ReadResponse},
+};
+
+/// Most records that one read asks for.
+const MAX_READ_RECORDS: u32 = 4_096;
+
+/// Delay before the first retry of a read.
+const FIRST_RETRY: Duration = Duration::from_millis(20);
+
+/// Longest delay between retries of a read.
+const MAX_RETRY: Duration = Duration::from_millis(500);
+
+/// What an instance knows of the log's end.
+#[derive(Clone, Copy, Debug)]
+pub struct TailStatus {
+    /// Whether the last read succeeded.
+    pub live: bool,
+    /// Taken before the last read that reached the log's end was sent.
+    pub last_read_at: Instant,
+    /// Moment as of which all records are known, by own reads or by relay.
+    pub known_at: Instant,
+    /// Highest offset that was heard of.
+    pub end_offset: Offset,
+    /// Whether the ledger holds all that the log ever held.
+    pub complete: bool,
+}
+
+/// Records that a peer relays.
+#[derive(Clone, Debug)]
+pub struct RelayedEntries {
+    /// Records in offset order.
+    pub entries: Vec<LogEntry>,
+    /// Highest offset that the peer knows.
+    pub end_offset: Offset,
+    /// Moment as of which the peer knows all records, on this instance's clock.
+    pub known_at: Instant,
+}
+
+/// What the tailer works on.
+#[derive(Debug)]
+pub(crate) struct TailInputs {
+    /// Client of the log.
+    pub(crate) client: LogClient,
+    /// Ledger that takes the records.
+    pub(crate) ledger: LedgerHandle,
+    /// Writer whose records are reported.
+    pub(crate) writer: Arc<str>,
+    /// Incarnation whose records are reported.
+    pub(crate) incarnation: u64,
+    /// Reports to the append task.
+    pub(crate) folds: mpsc::UnboundedSender<FoldReport>,
+    /// Records relayed by peers.
+    pub(crate) relayed: mpsc::Receiver<RelayedEntries>,
+    /// Records kept for peers.
+    pub(crate) recent: RecentEntries,
+    /// Wait of a read for the next record.
+    pub(crate) read_wait: Duration,
+}
+
+/// Task that reads the log.
+#[derive(Debug)]
+pub(crate) struct Tailer {
+    inputs: TailInputs,
+    status: watch::Sender<TailStatus>,
+    backoff: Backoff,
+    scan: Option<Scan>,
+}
+
+/// A search for a checkpoint, after older records have expired.
+#[derive(Debug)]
+struct Scan {
+    next_offset: Offset,
+    gatherer: CheckpointGatherer,
+}
+
+/// A finished read of the log.
+struct ReadOutcome {
+    sent_at: Instant,
+    result: Result<ReadResponse>,
+}
+
+/// Makes a tailer and the channel of its status.
+pub(crate) fn new(inputs: TailInputs) -> (Tailer, watch::Receiver<TailStatus>) {
+    let now = Instant::now();
+    let (status, receiver) = watch::channel(TailStatus {
+        live: false,
+        last_read_at: now,
+        known_at: now,
+        end_offset: inputs.ledger.applied(),
+        complete: false,
+    });
+    let tailer = Tailer {
+        inputs,
+        status,
+        backoff: Backoff::new(FIRST_RETRY, MAX_RETRY),
+        scan: None,
+    };
+    (tailer, receiver)
+}
+
+impl Tailer {
+    /// Runs until `stop` is cancelled.
+    pub(crate) async fn run(mut self, stop: CancellationToken) {
+        let mut delay = Duration::ZERO;
+        loop {
+            let read = read_after(self.inputs.client.clone(), self.request(), delay);
+            tokio::pin!(read);
+            // A read goes on while relayed records arrive.
+            let outcome = loop {
+                tokio::select! {
+                    () = stop.cancelled() => return,
+                    Some(relayed) = self.inputs.relayed.recv() => self.take_relayed(relayed),
+                    outcome = &mut read => break outcome,
+                }
+            };
+            delay = self.take_outcome(outcome);
+        }
+    }
+
+    fn request(&self) -> ReadRequest {
+        let from = match &self.scan {
+            Some(scan) => scan.next_offset,
+            None => Offset(self.inputs.ledger.applied().0 + 1),
+        };
+        ReadRequest {
+            from,
+            wait: self.inputs.read_wait,
+        }
+    }
+
+    /// Takes a read's outcome and returns the delay before the next.
+    fn take_outcome(&mut self, outcome: ReadOutcome) -> Duration {
+        let response = match outcome.result {
+            Ok(response) => response,
+            Err(Error::Trimmed { oldest_offset, .. }) => {
+                self.start_scan(oldest_offset);
+                return self.backoff.next_delay();
+            }
+            Err(error) => return self.note_failure(&error),
+        };
+        self.backoff.reset();
+        if self.scan.is_some() {
+            self.scan_entries(response);
+            return Duration::ZERO;
+        }
+        self.fold_response(response, outcome.sent_at);
+        Duration::ZERO
+    }
+
+    fn note_failure(&mut self, error: &Error) -> Duration {
+        let delay = self.backoff.next_delay();
+        let was_live = self.status.send_if_modified(|status| {
+            let was_live = status.live;
+            status.live = false;
+            was_live
+        });
+        if was_live {
+            tracing::warn!("log: read failed: {error}; retrying");
+        }
+        metrics::counter!("log_read_failures_total").increment(1);
+        delay
+    }
+
+    fn fold_response(&mut self, response: ReadResponse, sent_at: Instant) {
+        let end_offset = Offset(response.next_offset.saturating_sub(1));
+        self.fold_entries(response.entries);
+        let reached_end = self.inputs.ledger.applied() >= end_offset;
+        self.status.send_modify(|status| {
+            if !status.live {
+                tracing::info!("log: reading at offset {end_offset}");
+            }
+            status.live = true;
+            status.end_offset = status.end_offset.max(end_offset);
+            if reached_end {
+                status.complete = true;
+                status.last_read_at = status.last_read_at.max(sent_at);
+                status.known_at = status.known_at.max(sent_at);
+            }
+        });
+    }
+
+    fn take_relayed(&mut self, relayed: RelayedEntries) {
+        if self.scan.is_some() {
+            return;
+        }
+        self.fold_entries(relayed.entries);
+        let reached_end = self.inputs.ledger.applied() >= relayed.end_offset;
+        self.status.send_modify(|status| {
+            status.end_offset = status.end_offset.max(relayed.end_offset);
+            if reached_end && status.complete {
+                status.known_at = status.known_at.max(relayed.known_at);
+            }
+        });
+    }
+
+    /// Folds those entries that follow the ledger without a gap.
+    fn fold_entries(&mut self, entries: Vec<LogEntry>) {
+        for entry in entries {
+            let next_offset = self.inputs.ledger.applied().0 + 1;
+            if entry.offset < next_offset {
+                continue;
+            }
+            if entry.offset > next_offset {
+                return;
+            }
+            self.fold(entry);
+        }
+    }
+
+    fn fold(&mut self, entry: LogEntry) {
+        let offset = Offset(entry.offset);
+        // A record that cannot be decoded folds as one without a body.
+        let record = Record::decode(entry.record.clone()).unwrap_or_default();
+        let verdict = self.inputs.ledger.apply(offset, &record);
+        self.inputs.recent.push(entry);
+        let own =
+            *record.writer == *self.inputs.writer && record.incarnation == self.inputs.incarnation;
+        if !own {
+            return;
+        }
+        // The append task may have stopped already.
+        let _ = self.inputs.folds.send(FoldReport::Folded {
+            sequence: record.sequence,
+            offset,
+            verdict,
+        });
+    }
+
+    fn start_scan(&mut self, oldest_offset: Offset) {
+        tracing::warn!("log: records before {oldest_offset} expired; looking for a checkpoint");
+        let gatherer = self.scan.take().map(|scan| scan.gatherer);
+        self.scan = Some(Scan {
+            next_offset: oldest_offset,
+            gatherer: gatherer.unwrap_or_default(),
+        });
+        self.status.send_modify(|status| {
+            status.live = false;
+            status.complete = false;
+        });
+    }
+
+    fn scan_entries(&mut self, response: ReadResponse) {
+        let Some(scan) = &mut self.scan else {
+            return;
+        };
+        for entry in response.entries {
+            scan.next_offset = Offset(entry.offset + 1);
+            let record = Record::decode(entry.record).unwrap_or_default();
+            let Some(Body::CheckpointChunk(chunk)) = record.body else {
+                continue;
+            };
+            scan.gatherer.add(chunk);
+        }
+        if scan.next_offset.0 < response.next_offset {
+            return;
+        }
+        let Some(checkpoint) = scan.gatherer.take(Offset(response.oldest_offset)) else {
+            return;
+        };
+        self.load_checkpoint(checkpoint);
+    }
+
+    fn load_checkpoint(&mut self, checkpoint: Checkpoint) {
+        let mark_offset = checkpoint.mark_offset;
+        let ledger = match Ledger::decode(&checkpoint.data) {
+            Ok(ledger) => ledger,
+            Err(error) => {
+                tracing::error!("log: checkpoint at {mark_offset} cannot be decoded: {error}");
+                return;
+            }
+        };
+        if ledger.applied() != mark_offset || ledger.digest()[..] != checkpoint.digest[..] {
+            tracing::error!("log: checkpoint at {mark_offset} does not match its digest");
+            return;
+        }
+        if ledger.applied() < self.inputs.ledger.applied() {
+            return;
+        }
+        self.inputs.ledger.replace(ledger);
+        self.scan = None;
+        let _ = self.inputs.folds.send(FoldReport::Rebuilt);
+        metrics::counter!("log_rebuilds_total").increment(1);
+        tracing::info!("log: ledger rebuilt from the checkpoint at {mark_offset}");
+    }
+}
+
+/// What to read next.
+struct ReadRequest {
+    from: Offset,
+    wait: Duration,
+}
+
+async fn read_after(client: LogClient, request: ReadRequest, delay: Duration) -> ReadOutcome {
+    tokio::time::sleep(delay).await;
+    let sent_at = Instant::now();
+    let result = client
+        .read(request.from, MAX_READ_RECORDS, request.wait)
+        .await;
+    ReadOutcome { sent_at, result }
+}
