--- a/src/supervisor/mod.rs
+++ b/src/supervisor/mod.rs
@@ -1,1 +1,124 @@
 //! A supervisor tree: restarts parts that fail, and stops them in order.
+//!
+//! A supervisor runs named children. A child that returns an error or panics
+//! is logged and started again after a delay that doubles up to a bound;
+//! its siblings go on. Stopping a supervisor stops the supervisors below it.
+
+use std::{fmt::Display, future::Future, sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+/// Delay before the first restart of a child.
+const FIRST_DELAY: Duration = Duration::from_millis(50);
+/// Longest delay before a restart.
+const MAX_DELAY: Duration = Duration::from_secs(5);
+/// A child that ran this long starts over with the first delay.
+const STABLE_AFTER: Duration = Duration::from_secs(30);
+
+/// Runs children, restarts those that fail and stops them together.
+#[derive(Clone, Debug)]
+pub struct Supervisor {
+    name: Arc<str>,
+    stop: CancellationToken,
+    tasks: TaskTracker,
+}
+
+/// How a child's run ended.
+enum Exit {
+    Finished,
+    Failed(String),
+}
+
+impl Supervisor {
+    /// Creates the root of a tree.
+    #[must_use]
+    pub fn new(name: &str) -> Self {
+        Self {
+            name: name.into(),
+            stop: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+        }
+    }
+
+    /// Creates a supervisor that stops with this one, or earlier on its own.
+    #[must_use]
+    pub fn subtree(&self, name: &str) -> Self {
+        Self {
+            name: format!("{}/{name}", self.name).into(),
+            stop: self.stop.child_token(),
+            tasks: TaskTracker::new(),
+        }
+    }
+
+    /// Returns the token that is cancelled when the supervisor stops.
+    #[must_use]
+    pub fn stop_token(&self) -> CancellationToken {
+        self.stop.clone()
+    }
+
+    /// Runs a child, which `start` creates anew for each run.
+    ///
+    /// A child that returns `Ok` has finished and is not started again.
+    pub fn spawn<F, R, E>(&self, name: &str, mut start: F)
+    where
+        F: FnMut(CancellationToken) -> R + Send + 'static,
+        R: Future<Output = Result<(), E>> + Send + 'static,
+        E: Display + Send + 'static,
+    {
+        let path = format!("{}/{name}", self.name);
+        let stop = self.stop.clone();
+        self.tasks.spawn(async move {
+            let mut delay = FIRST_DELAY;
+            loop {
+                let started_at = Instant::now();
+                let Exit::Failed(reason) = run_once(start(stop.clone())).await else {
+                    return;
+                };
+                if stop.is_cancelled() {
+                    return;
+                }
+                delay = next_delay(delay, started_at.elapsed());
+                metrics::counter!("supervisor_restarts_total", "part" => path.clone()).increment(1);
+                tracing::error!("supervisor: {path} failed; restart in {delay:?}: {reason}");
+                let stopped = tokio::time::timeout(delay, stop.cancelled()).await;
+                if stopped.is_ok() {
+                    return;
+                }
+                delay *= 2;
+            }
+        });
+    }
+
+    /// Stops the children and waits for them; returns whether all ended
+    /// within `bound`.
+    pub async fn stop(&self, bound: Duration) -> bool {
+        self.stop.cancel();
+        self.tasks.close();
+        let ended = tokio::time::timeout(bound, self.tasks.wait()).await.is_ok();
+        if !ended {
+            tracing::error!("supervisor: {} still runs parts after {bound:?}", self.name);
+        }
+        ended
+    }
+}
+
+async fn run_once<R, E>(child: R) -> Exit
+where
+    R: Future<Output = Result<(), E>> + Send + 'static,
+    E: Display + Send + 'static,
+{
+    let outcome = tokio::spawn(async move { child.await.map_err(|error| error.to_string()) });
+    match outcome.await {
+        Ok(Ok(())) => Exit::Finished,
+        Ok(Err(reason)) => Exit::Failed(reason),
+        Err(error) => Exit::Failed(error.to_string()),
+    }
+}
+
+fn next_delay(delay: Duration, ran: Duration) -> Duration {
+    if ran >= STABLE_AFTER {
+        return FIRST_DELAY;
+    }
+    delay.min(MAX_DELAY)
+}
--- /dev/null
+++ b/tests/supervisor_restart.rs
@@ -0,0 +1,77 @@
+//! Restart and stop of supervised parts.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use lavenderwind::supervisor::Supervisor;
+
+const BOUND: Duration = Duration::from_secs(60);
+
+async fn wait_for_runs(runs: &AtomicU32, count: u32) {
+    while runs.load(Ordering::SeqCst) < count {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn failed_child() {
+    let supervisor = Supervisor::new("root");
+    let runs = Arc::new(AtomicU32::new(0));
+    let counted = Arc::clone(&runs);
+    supervisor.spawn("part", move |_stop| {
+        let run = counted.fetch_add(1, Ordering::SeqCst);
+        async move {
+            assert!(run != 1, "panics on its second run");
+            Err::<(), _>("broken")
+        }
+    });
+    wait_for_runs(&runs, 4).await;
+    assert!(supervisor.stop(BOUND).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn sibling_unharmed() {
+    let supervisor = Supervisor::new("root");
+    let starts = Arc::new(AtomicU32::new(0));
+    let failures = Arc::new(AtomicU32::new(0));
+    let counted = Arc::clone(&starts);
+    supervisor.spawn("steady", move |stop| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        async move {
+            stop.cancelled().await;
+            Ok::<(), &str>(())
+        }
+    });
+    let counted = Arc::clone(&failures);
+    supervisor.spawn("broken", move |_stop| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        async { Err::<(), _>("broken") }
+    });
+    wait_for_runs(&failures, 3).await;
+    assert!(supervisor.stop(BOUND).await);
+    assert_eq!(starts.load(Ordering::SeqCst), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn stop_bound() {
+    let supervisor = Supervisor::new("root");
+    supervisor.spawn("stuck", |_stop| std::future::pending::<Result<(), &str>>());
+    assert!(!supervisor.stop(Duration::from_millis(100)).await);
+}
+
+#[tokio::test(start_paused = true)]
+async fn subtree_stops() {
+    let root = Supervisor::new("root");
+    let subtree = root.subtree("duties");
+    subtree.spawn("part", |stop| async move {
+        stop.cancelled().await;
+        Ok::<(), &str>(())
+    });
+    assert!(root.stop(BOUND).await);
+    assert!(subtree.stop(BOUND).await);
+}
