Add the fair queue and the routing table

Admission needs an order between client accounts and a target for each request, from an instance's partial view alone.

The queue is a virtual token counter: charge at dispatch, settled by what was served, set back by what peers served (bounded lead). Late requests are refused at push by a lower bound of the wait, and at the latest start. Lifting an idle account to the lowest backlogged counter was ruled out: it erased the lead that remote service had given a flooding account (remote_lead_is_bounded saw Some(0), expected 99..=101). It is lifted to the counter served last.

The router predicts the time to the first token from a report that decays from its own instant, and from what was dispatched since.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,1 +1,9 @@
 //! Decisions: pure functions of their inputs, with time as an argument.
+//!
+//! Times are milliseconds of a monotonic clock. Nothing here does I/O, reads
+//! a clock or draws random numbers of its own.
+
+pub mod load;
+pub mod prefix;
+pub mod queue;
+pub mod routing;
--- /dev/null
+++ b/src/policy/queue/fair.rs
@@ -0,0 +1,336 @@
+//! The queue.
+
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+};
+
+use indexmap::IndexMap;
+
+use super::{
+    Popped, QueueError, QueueRequest, QueueSettings, Ticket,
+    account::{AccountQueue, Queued},
+    rate::{DrainRate, MS_PER_S},
+};
+
+/// A bounded queue that shares its drain rate fairly between accounts.
+///
+/// ```
+/// use lavenderwind::policy::queue::{FairQueue, QueueRequest, QueueSettings};
+///
+/// let mut queue = FairQueue::new(QueueSettings::default());
+/// let request = QueueRequest::new("shop/a".into(), "first").cost_tokens(120);
+/// queue.push(request, 0).unwrap();
+/// let popped = queue.pop(5).unwrap();
+/// queue.settle(&popped.account, popped.charged_tokens, 90);
+/// assert_eq!(popped.item, "first");
+/// ```
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    settings: QueueSettings,
+    accounts: IndexMap<Arc<str>, AccountQueue<T>>,
+    backlogged: BTreeSet<(u64, usize)>,
+    deadlines: BTreeSet<(u64, Ticket)>,
+    queued_tokens: u64,
+    virtual_time: u64,
+    next_sequence: u64,
+    rate: DrainRate,
+}
+
+impl<T> FairQueue<T> {
+    /// Creates an empty queue.
+    #[must_use]
+    pub fn new(settings: QueueSettings) -> Self {
+        Self {
+            settings,
+            accounts: IndexMap::new(),
+            backlogged: BTreeSet::new(),
+            deadlines: BTreeSet::new(),
+            queued_tokens: 0,
+            virtual_time: 0,
+            next_sequence: 0,
+            rate: DrainRate::new(settings.initial_tokens_per_s),
+        }
+    }
+
+    /// Returns the number of queued requests.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.deadlines.len()
+    }
+
+    /// Returns whether nothing is queued.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.deadlines.is_empty()
+    }
+
+    /// Returns the cost of all that is queued, in tokens.
+    #[must_use]
+    pub fn queued_tokens(&self) -> u64 {
+        self.queued_tokens
+    }
+
+    /// Returns the drain rate that predictions assume, in tokens a second.
+    #[must_use]
+    pub fn drain_tokens_per_s(&self) -> u64 {
+        self.rate.tokens_per_s
+    }
+
+    /// Queues a request.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request that exceeds the queue's bounds or that, by the
+    /// queue's own prediction, can't be dispatched in time.
+    pub fn push(&mut self, request: QueueRequest<T>, now_ms: u64) -> Result<Ticket, QueueError> {
+        if self.len() >= self.settings.max_requests {
+            return Err(QueueError::Full);
+        }
+        let index = self.account_index(&request.account, request.weight);
+        if self.accounts[index].requests.len() >= self.settings.max_account_requests {
+            return Err(QueueError::AccountFull);
+        }
+        let latest_start_ms = request.deadline_ms.saturating_sub(request.service_ms);
+        self.check_deadline(index, latest_start_ms, now_ms)?;
+
+        if self.is_empty() {
+            self.rate.restart(now_ms);
+        }
+        let ticket = Ticket {
+            account: index,
+            sequence: self.next_sequence,
+        };
+        self.next_sequence += 1;
+        self.activate(index);
+        let account = &mut self.accounts[index];
+        account.queued_tokens += request.cost_tokens;
+        account.requests.push_back(Queued {
+            item: request.item,
+            sequence: ticket.sequence,
+            cost_tokens: request.cost_tokens,
+            queued_at_ms: now_ms,
+            latest_start_ms,
+        });
+        self.queued_tokens += request.cost_tokens;
+        self.deadlines.insert((latest_start_ms, ticket));
+        Ok(ticket)
+    }
+
+    /// Takes the next request to dispatch and charges its account the estimate.
+    ///
+    /// Call [`Self::expire`] first, so that no late request is dispatched.
+    pub fn pop(&mut self, now_ms: u64) -> Option<Popped<T>> {
+        let &(counter, index) = self.backlogged.first()?;
+        self.virtual_time = self.virtual_time.max(counter);
+        let sequence = self.accounts[index].requests.front()?.sequence;
+        let ticket = Ticket {
+            account: index,
+            sequence,
+        };
+        let (queued, account) = self.remove(ticket)?;
+        self.add_counter(index, queued.cost_tokens);
+        self.rate.record(queued.cost_tokens, now_ms);
+        Some(Popped {
+            account,
+            item: queued.item,
+            charged_tokens: queued.cost_tokens,
+            waited_ms: now_ms.saturating_sub(queued.queued_at_ms),
+        })
+    }
+
+    /// Takes a request that can no longer be dispatched in time, if any.
+    ///
+    /// Its account is not charged, and it is refused before its deadline as
+    /// long as this is called at least once within its service time.
+    pub fn expire(&mut self, now_ms: u64) -> Option<Popped<T>> {
+        let &(latest_start_ms, ticket) = self.deadlines.first()?;
+        if latest_start_ms >= now_ms {
+            return None;
+        }
+        self.take(ticket, now_ms)
+    }
+
+    /// Returns the instant at which [`Self::expire`] next finds a request.
+    #[must_use]
+    pub fn next_expiry_ms(&self) -> Option<u64> {
+        let &(latest_start_ms, _) = self.deadlines.first()?;
+        Some(latest_start_ms.saturating_add(1))
+    }
+
+    /// Takes a request out without charging its account, such as one whose
+    /// caller has gone.
+    pub fn take(&mut self, ticket: Ticket, now_ms: u64) -> Option<Popped<T>> {
+        let (queued, account) = self.remove(ticket)?;
+        Some(Popped {
+            account,
+            item: queued.item,
+            charged_tokens: 0,
+            waited_ms: now_ms.saturating_sub(queued.queued_at_ms),
+        })
+    }
+
+    /// Corrects the charge of a dispatched request by what it was served.
+    pub fn settle(&mut self, account: &str, charged_tokens: u64, served_tokens: u64) {
+        let Some(index) = self.accounts.get_index_of(account) else {
+            return;
+        };
+        if served_tokens >= charged_tokens {
+            self.add_counter(index, served_tokens - charged_tokens);
+            return;
+        }
+        let refund = self.accounts[index].units(charged_tokens - served_tokens);
+        let counter = self.accounts[index].counter.saturating_sub(refund);
+        self.set_counter(index, counter);
+    }
+
+    /// Charges an account for what peers served to it.
+    ///
+    /// The charge puts the account ahead of the others by at most
+    /// `max_lead_ms` of this queue's drain rate: what peers served long ago
+    /// doesn't lock the account out here.
+    pub fn add_remote(&mut self, account: &str, weight: u32, tokens: u64) {
+        let index = self.account_index(account, weight);
+        let lead_tokens = self
+            .rate
+            .tokens_per_s
+            .saturating_mul(self.settings.max_lead_ms)
+            / MS_PER_S;
+        let entry = &self.accounts[index];
+        let limit = self.virtual_time.saturating_add(entry.units(lead_tokens));
+        let counter = entry.counter.max(self.virtual_time);
+        let charged = counter.saturating_add(entry.units(tokens)).min(limit);
+        self.set_counter(index, charged.max(entry.counter));
+    }
+
+    /// Predicts the least wait of a request that an account would queue now.
+    ///
+    /// The prediction is exact to one request an account if nothing else
+    /// arrives, and never too long: other arrivals only add to it.
+    #[must_use]
+    pub fn predicted_wait_ms(&self, account: &str) -> u64 {
+        let index = self.accounts.get_index_of(account);
+        self.rate.duration_ms(self.tokens_ahead(index, u64::MAX))
+    }
+
+    /// Forgets accounts that `keep` refuses and that have nothing queued.
+    pub fn retain_accounts<F>(&mut self, mut keep: F)
+    where
+        F: FnMut(&str) -> bool,
+    {
+        // Tickets hold indices, so that accounts move only while none is out.
+        if !self.is_empty() {
+            return;
+        }
+        self.accounts.retain(|name, _| keep(name));
+    }
+
+    fn check_deadline(
+        &self,
+        index: usize,
+        latest_start_ms: u64,
+        now_ms: u64,
+    ) -> Result<(), QueueError> {
+        let Some(slack_ms) = latest_start_ms.checked_sub(now_ms) else {
+            return Err(QueueError::TooLate { wait_ms: 0 });
+        };
+        if self.rate.duration_ms(self.queued_tokens) <= slack_ms {
+            return Ok(());
+        }
+        let slack_tokens = slack_ms
+            .saturating_add(1)
+            .saturating_mul(self.rate.tokens_per_s)
+            .div_ceil(MS_PER_S);
+        let ahead_tokens = self.tokens_ahead(Some(index), slack_tokens);
+        let wait_ms = self.rate.duration_ms(ahead_tokens);
+        if wait_ms > slack_ms {
+            return Err(QueueError::TooLate { wait_ms });
+        }
+        Ok(())
+    }
+
+    /// Sums what is dispatched before the account's next request, and stops
+    /// once it exceeds `enough_tokens`.
+    fn tokens_ahead(&self, index: Option<usize>, enough_tokens: u64) -> u64 {
+        let own = index.map(|index| &self.accounts[index]);
+        let mut ahead_tokens = own.map_or(0, |own| own.queued_tokens);
+        let start = own.map_or(self.floor(), |own| {
+            own.counter.max(self.floor()) + own.units(own.queued_tokens)
+        });
+        for &(counter, other) in &self.backlogged {
+            if counter >= start || ahead_tokens > enough_tokens {
+                break;
+            }
+            if Some(other) == index {
+                continue;
+            }
+            let account = &self.accounts[other];
+            ahead_tokens += account.tokens(start - counter).min(account.queued_tokens);
+        }
+        ahead_tokens
+    }
+
+    /// Returns the counter at which an idle account starts.
+    fn floor(&self) -> u64 {
+        match self.backlogged.first() {
+            Some(&(counter, _)) => counter.min(self.virtual_time),
+            None => self.virtual_time,
+        }
+    }
+
+    fn account_index(&mut self, name: &str, weight: u32) -> usize {
+        let weight = weight.max(1);
+        let Some(index) = self.accounts.get_index_of(name) else {
+            let account = AccountQueue {
+                weight,
+                counter: 0,
+                queued_tokens: 0,
+                requests: VecDeque::new(),
+            };
+            return self.accounts.insert_full(name.into(), account).0;
+        };
+        self.accounts[index].weight = weight;
+        index
+    }
+
+    /// Lifts the counter of an idle account that is about to queue a request.
+    fn activate(&mut self, index: usize) {
+        let floor = self.floor();
+        let account = &mut self.accounts[index];
+        if !account.requests.is_empty() {
+            return;
+        }
+        account.counter = account.counter.max(floor);
+        self.backlogged.insert((account.counter, index));
+    }
+
+    fn add_counter(&mut self, index: usize, tokens: u64) {
+        let account = &self.accounts[index];
+        let counter = account.counter.saturating_add(account.units(tokens));
+        self.set_counter(index, counter);
+    }
+
+    fn set_counter(&mut self, index: usize, counter: u64) {
+        let account = &mut self.accounts[index];
+        let old = std::mem::replace(&mut account.counter, counter);
+        if self.backlogged.remove(&(old, index)) {
+            self.backlogged.insert((counter, index));
+        }
+    }
+
+    fn remove(&mut self, ticket: Ticket) -> Option<(Queued<T>, Arc<str>)> {
+        let (name, account) = self.accounts.get_index_mut(ticket.account)?;
+        let position = account
+            .requests
+            .binary_search_by_key(&ticket.sequence, |queued| queued.sequence)
+            .ok()?;
+        let queued = account.requests.remove(position)?;
+        account.queued_tokens -= queued.cost_tokens;
+        if account.requests.is_empty() {
+            self.backlogged.remove(&(account.counter, ticket.account));
+        }
+        self.queued_tokens -= queued.cost_tokens;
+        self.deadlines.remove(&(queued.latest_start_ms, ticket));
+        Some((queued, Arc::clone(name)))
+    }
+}
--- /dev/null
+++ b/src/policy/queue/rate.rs
@@ -0,0 +1,47 @@
+//! Measured drain rate of a queue.
+
+/// Busy time over which one sample of the drain rate is taken.
+const RATE_SAMPLE_MS: u64 = 500;
+/// Milliseconds in a second.
+pub(super) const MS_PER_S: u64 = 1_000;
+
+/// Measures how fast the queue drains while it is backlogged.
+#[derive(Debug)]
+pub(super) struct DrainRate {
+    pub(super) tokens_per_s: u64,
+    sampled_tokens: u64,
+    since_ms: Option<u64>,
+}
+
+impl DrainRate {
+    pub(super) fn new(initial_tokens_per_s: u64) -> Self {
+        Self {
+            tokens_per_s: initial_tokens_per_s.max(1),
+            sampled_tokens: 0,
+            since_ms: None,
+        }
+    }
+
+    pub(super) fn record(&mut self, tokens: u64, now_ms: u64) {
+        let Some(since_ms) = self.since_ms else {
+            return;
+        };
+        self.sampled_tokens += tokens;
+        let elapsed_ms = now_ms.saturating_sub(since_ms);
+        if elapsed_ms < RATE_SAMPLE_MS {
+            return;
+        }
+        let sample = self.sampled_tokens * MS_PER_S / elapsed_ms;
+        self.tokens_per_s = ((self.tokens_per_s + sample) / 2).max(1);
+        self.restart(now_ms);
+    }
+
+    pub(super) fn restart(&mut self, now_ms: u64) {
+        self.since_ms = Some(now_ms);
+        self.sampled_tokens = 0;
+    }
+
+    pub(super) fn duration_ms(&self, tokens: u64) -> u64 {
+        tokens.saturating_mul(MS_PER_S) / self.tokens_per_s
+    }
+}
--- /dev/null
+++ b/src/policy/queue/request.rs
@@ -0,0 +1,129 @@
+//! Requests to queue and what becomes of them.
+
+use std::sync::Arc;
+
+use displaydoc::Display;
+
+/// Cost of a generated token relative to a prompt token.
+const OUTPUT_TOKEN_COST: u64 = 2;
+
+/// Cost of a request in the tokens that the queue counts.
+#[must_use]
+pub fn cost_tokens(prompt_tokens: u64, output_tokens: u64) -> u64 {
+    prompt_tokens + OUTPUT_TOKEN_COST * output_tokens
+}
+
+/// Bounds of a queue.
+#[derive(Clone, Copy, Debug)]
+pub struct QueueSettings {
+    /// Most requests queued over all accounts.
+    pub max_requests: usize,
+    /// Most requests queued for one account.
+    pub max_account_requests: usize,
+    /// Drain rate assumed before one was measured, in tokens a second.
+    pub initial_tokens_per_s: u64,
+    /// Most by which service from peers sets an account back, in milliseconds
+    /// of the drain rate.
+    pub max_lead_ms: u64,
+}
+
+impl Default for QueueSettings {
+    fn default() -> Self {
+        Self {
+            max_requests: 4_096,
+            max_account_requests: 1_024,
+            initial_tokens_per_s: 10_000,
+            max_lead_ms: 10_000,
+        }
+    }
+}
+
+/// A request to queue.
+#[derive(Clone, Debug)]
+pub struct QueueRequest<T> {
+    pub(super) account: Arc<str>,
+    pub(super) item: T,
+    pub(super) weight: u32,
+    pub(super) cost_tokens: u64,
+    pub(super) service_ms: u64,
+    pub(super) deadline_ms: u64,
+}
+
+impl<T> QueueRequest<T> {
+    /// Creates a request of weight 1 and cost 1 without a deadline.
+    #[must_use]
+    pub fn new(account: Arc<str>, item: T) -> Self {
+        Self {
+            account,
+            item,
+            weight: 1,
+            cost_tokens: 1,
+            service_ms: 0,
+            deadline_ms: u64::MAX,
+        }
+    }
+
+    /// Sets the account's weight; 0 counts as 1.
+    #[must_use]
+    pub fn weight(mut self, weight: u32) -> Self {
+        self.weight = weight.max(1);
+        self
+    }
+
+    /// Sets the estimated cost (see [`cost_tokens`]).
+    #[must_use]
+    pub fn cost_tokens(mut self, tokens: u64) -> Self {
+        self.cost_tokens = tokens.max(1);
+        self
+    }
+
+    /// Sets the least time from dispatch to the first token.
+    #[must_use]
+    pub fn service_ms(mut self, service_ms: u64) -> Self {
+        self.service_ms = service_ms;
+        self
+    }
+
+    /// Sets the instant by which the first token is due.
+    #[must_use]
+    pub fn deadline_ms(mut self, deadline_ms: u64) -> Self {
+        self.deadline_ms = deadline_ms;
+        self
+    }
+}
+
+/// Identifies a queued request.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Ticket {
+    pub(super) account: usize,
+    pub(super) sequence: u64,
+}
+
+/// Why a request was refused; it was not run.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum QueueError {
+    /// the queue is full
+    Full,
+    /// the account has too many queued requests
+    AccountFull,
+    /// predicted start in {wait_ms} ms is too late for the deadline
+    TooLate {
+        /// Predicted wait before dispatch.
+        wait_ms: u64,
+    },
+}
+
+impl std::error::Error for QueueError {}
+
+/// A request that left the queue.
+#[derive(Debug)]
+pub struct Popped<T> {
+    /// Client account.
+    pub account: Arc<str>,
+    /// What was queued.
+    pub item: T,
+    /// Estimated cost that the account was charged; 0 for an expired request.
+    pub charged_tokens: u64,
+    /// Time spent in the queue.
+    pub waited_ms: u64,
+}
--- /dev/null
+++ b/src/policy/routing/choose.rs
@@ -0,0 +1,288 @@
+//! Predictions and the choice between them.
+
+use std::sync::Arc;
+
+use rand::Rng;
+
+use super::{
+    Availability, Choice, PrefillChoice, RouteError, RouteRequest, RouteTable, RouteTarget,
+    TargetRole, table::group_key,
+};
+use crate::{
+    policy::load::Demand,
+    target::protocol::{BLOCK_TOKENS, EngineRole},
+};
+
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1_000.0;
+/// Prefix holders considered beside the home and the sample.
+const MAX_HOLDERS: usize = 4;
+
+impl RouteTable {
+    /// Chooses a target for a request.
+    ///
+    /// # Errors
+    ///
+    /// Says whether no target holds what the request needs, none of them takes
+    /// new work, or none has room; only the last is worth waiting for.
+    pub fn choose<R>(
+        &self,
+        request: &RouteRequest<'_>,
+        now_ms: u64,
+        rng: &mut R,
+    ) -> Result<Choice, RouteError>
+    where
+        R: Rng,
+    {
+        let Some(group) = self
+            .groups
+            .get(&group_key(request.kind, request.model, request.version))
+        else {
+            return Err(self.absence(request));
+        };
+        let mut best: Option<Choice> = None;
+        for index in self.candidates(request, group, rng) {
+            let Some(choice) = self.single(request, index, now_ms) else {
+                continue;
+            };
+            best = Some(self.better(best, choice, rng));
+        }
+        if let Some(choice) = self.split(request, group, now_ms, rng) {
+            best = Some(match best {
+                Some(single) if single.first_token_ms <= choice.first_token_ms => single,
+                _ => choice,
+            });
+        }
+        best.ok_or_else(|| self.absence(request))
+    }
+
+    fn absence(&self, request: &RouteRequest<'_>) -> RouteError {
+        let mut error = RouteError::NotHeld;
+        for (name, target) in &self.targets {
+            if !target.holds(request) {
+                continue;
+            }
+            if target.availability == Availability::Live && !request.excluded.contains(name) {
+                return RouteError::NoRoom;
+            }
+            error = RouteError::Unavailable;
+        }
+        error
+    }
+
+    fn candidates<R>(&self, request: &RouteRequest<'_>, group: &[usize], rng: &mut R) -> Vec<usize>
+    where
+        R: Rng,
+    {
+        if group.len() <= self.settings.full_scan {
+            return group.to_vec();
+        }
+        let mut candidates = Vec::with_capacity(1 + MAX_HOLDERS + self.settings.samples);
+        candidates.extend(self.home(request, group));
+        for name in self.prefixes.holders(request.prefix_blocks, MAX_HOLDERS) {
+            candidates.extend(self.targets.get_index_of(name));
+        }
+        for _ in 0..self.settings.samples {
+            let sample = rng.next_u64() % group.len() as u64;
+            candidates.push(group[sample as usize]);
+        }
+        candidates.sort_unstable();
+        candidates.dedup();
+        candidates
+    }
+
+    /// Returns the rendezvous home among the targets under the load bound.
+    fn home(&self, request: &RouteRequest<'_>, group: &[usize]) -> Option<usize> {
+        let mut requests = 0;
+        for &index in group {
+            requests += u64::from(self.targets[index].load.requests());
+        }
+        let percent = u64::from(self.settings.home_load_percent);
+        let bound = requests * percent / (100 * group.len() as u64) + 1;
+        let mut home = None;
+        let mut highest = 0;
+        for &index in group {
+            let target = &self.targets[index];
+            let score = mix(target.name_hash ^ request.home_key);
+            if score < highest || u64::from(target.load.requests()) > bound {
+                continue;
+            }
+            highest = score;
+            home = Some(index);
+        }
+        home
+    }
+
+    fn usable(
+        &self,
+        request: &RouteRequest<'_>,
+        index: usize,
+    ) -> Option<(&Arc<str>, &RouteTarget)> {
+        let (name, target) = self.targets.get_index(index)?;
+        let usable = target.availability == Availability::Live
+            && target.holds(request)
+            && !request.excluded.contains(name);
+        usable.then_some((name, target))
+    }
+
+    /// Predicts a request that one target runs as a whole.
+    fn single(&self, request: &RouteRequest<'_>, index: usize, now_ms: u64) -> Option<Choice> {
+        let (name, target) = self.usable(request, index)?;
+        if target.role == TargetRole::Plain {
+            return self.plain(name, target, now_ms);
+        }
+        if target.role != TargetRole::Engine(EngineRole::Mixed) {
+            return None;
+        }
+        let blocks = request.blocks();
+        if !target.has_room(blocks, &self.settings, now_ms) {
+            return None;
+        }
+        let cached_tokens = self.cached_tokens(request, name);
+        let prefill_tokens = u64::from(request.prompt_tokens - cached_tokens);
+        let wait_ms = target.load.queue_ms(now_ms) + target.load.prefill_ms(prefill_tokens);
+        Some(Choice {
+            target: Arc::clone(name),
+            demand: Demand {
+                prefill_tokens,
+                blocks,
+            },
+            prefill: None,
+            cached_tokens,
+            first_token_ms: wait_ms * target.slowdown,
+        })
+    }
+
+    fn plain(&self, name: &Arc<str>, target: &RouteTarget, now_ms: u64) -> Option<Choice> {
+        if !target.has_room(0, &self.settings, now_ms) {
+            return None;
+        }
+        let ahead = f64::from(target.load.requests());
+        Some(Choice {
+            target: Arc::clone(name),
+            demand: Demand::default(),
+            prefill: None,
+            cached_tokens: 0,
+            first_token_ms: target.latency_ms * (1.0 + ahead) * target.slowdown,
+        })
+    }
+
+    /// Predicts a prefill on one target and the decode on another.
+    fn split<R>(
+        &self,
+        request: &RouteRequest<'_>,
+        group: &[usize],
+        now_ms: u64,
+        rng: &mut R,
+    ) -> Option<Choice>
+    where
+        R: Rng,
+    {
+        let decode = self.best_decode(request, group, now_ms, rng)?;
+        let (decode_name, _) = self.targets.get_index(decode)?;
+        let blocks = request.prompt_tokens.div_ceil(BLOCK_TOKENS);
+        let mut best: Option<Choice> = None;
+        for &index in group {
+            if index == decode {
+                continue;
+            }
+            let Some((name, target)) = self.usable(request, index) else {
+                continue;
+            };
+            let prefills = target.role != TargetRole::Engine(EngineRole::Decode);
+            if !prefills || !target.has_room(blocks, &self.settings, now_ms) {
+                continue;
+            }
+            let cached_tokens = self.cached_tokens(request, name);
+            let prefill_tokens = u64::from(request.prompt_tokens - cached_tokens);
+            let wait_ms = target.load.queue_ms(now_ms) + target.load.prefill_ms(prefill_tokens);
+            let choice = Choice {
+                target: Arc::clone(decode_name),
+                demand: Demand {
+                    prefill_tokens: 0,
+                    blocks: request.blocks(),
+                },
+                prefill: Some(PrefillChoice {
+                    target: Arc::clone(name),
+                    demand: Demand {
+                        prefill_tokens,
+                        blocks,
+                    },
+                }),
+                cached_tokens,
+                first_token_ms: wait_ms * target.slowdown + self.transfer_ms(blocks),
+            };
+            best = Some(self.better(best, choice, rng));
+        }
+        best
+    }
+
+    /// Returns the decoding target with the most room relative to its size.
+    fn best_decode<R>(
+        &self,
+        request: &RouteRequest<'_>,
+        group: &[usize],
+        now_ms: u64,
+        rng: &mut R,
+    ) -> Option<usize>
+    where
+        R: Rng,
+    {
+        let blocks = request.blocks();
+        let mut best = None;
+        let mut most = -1.0;
+        let start = rng.next_u64() as usize % group.len();
+        for offset in 0..group.len() {
+            let index = group[(start + offset) % group.len()];
+            let Some((_, target)) = self.usable(request, index) else {
+                continue;
+            };
+            let decodes = target.role == TargetRole::Engine(EngineRole::Decode);
+            if !decodes || !target.has_room(blocks, &self.settings, now_ms) {
+                continue;
+            }
+            let free = f64::from(target.load.free_blocks()) / f64::from(target.load.total_blocks());
+            if free > most {
+                most = free;
+                best = Some(index);
+            }
+        }
+        best
+    }
+
+    /// Returns the earlier of two choices, and either one where they tie.
+    fn better<R>(&self, best: Option<Choice>, choice: Choice, rng: &mut R) -> Choice
+    where
+        R: Rng,
+    {
+        let Some(best) = best else {
+            return choice;
+        };
+        let gap_ms = best.first_token_ms - choice.first_token_ms;
+        if gap_ms.abs() < self.settings.tie_ms {
+            return if rng.next_u64().is_multiple_of(2) {
+                best
+            } else {
+                choice
+            };
+        }
+        if gap_ms > 0.0 { choice } else { best }
+    }
+
+    fn cached_tokens(&self, request: &RouteRequest<'_>, name: &str) -> u32 {
+        let blocks = self.prefixes.expected_blocks(name, request.prefix_blocks);
+        // The last token is always computed, to have something to decode from.
+        (blocks * BLOCK_TOKENS).min(request.prompt_tokens.saturating_sub(1))
+    }
+
+    fn transfer_ms(&self, blocks: u32) -> f64 {
+        f64::from(blocks) * MS_PER_S / f64::from(self.settings.transfer_blocks_per_s.max(1))
+    }
+}
+
+/// Finalizer of SplitMix64.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/src/policy/routing/request.rs
@@ -0,0 +1,124 @@
+//! Requests to route and the choices made for them.
+
+use std::sync::Arc;
+
+use displaydoc::Display;
+
+use crate::{policy::load::Demand, target::protocol::BLOCK_TOKENS};
+
+/// A request to route.
+#[derive(Clone, Debug)]
+pub struct RouteRequest<'a> {
+    pub(super) kind: &'a str,
+    pub(super) model: &'a str,
+    pub(super) version: &'a str,
+    pub(super) adapter: &'a str,
+    pub(super) prompt_tokens: u32,
+    pub(super) output_tokens: u32,
+    pub(super) prefix_blocks: &'a [u64],
+    pub(super) home_key: u64,
+    pub(super) excluded: &'a [Arc<str>],
+}
+
+impl<'a> RouteRequest<'a> {
+    /// Creates a request for any target of a kind.
+    #[must_use]
+    pub fn new(kind: &'a str) -> Self {
+        Self {
+            kind,
+            model: "",
+            version: "",
+            adapter: "",
+            prompt_tokens: 0,
+            output_tokens: 0,
+            prefix_blocks: &[],
+            home_key: 0,
+            excluded: &[],
+        }
+    }
+
+    /// Sets the model and the version of its weights.
+    #[must_use]
+    pub fn model(mut self, model: &'a str, version: &'a str) -> Self {
+        self.model = model;
+        self.version = version;
+        self
+    }
+
+    /// Sets the adapter; empty for none.
+    #[must_use]
+    pub fn adapter(mut self, adapter: &'a str) -> Self {
+        self.adapter = adapter;
+        self
+    }
+
+    /// Sets the length of the prompt and the expected length of the answer.
+    #[must_use]
+    pub fn tokens(mut self, prompt_tokens: u32, output_tokens: u32) -> Self {
+        self.prompt_tokens = prompt_tokens;
+        self.output_tokens = output_tokens;
+        self
+    }
+
+    /// Sets the chained hashes of the prompt's blocks.
+    #[must_use]
+    pub fn prefix_blocks(mut self, blocks: &'a [u64]) -> Self {
+        self.prefix_blocks = blocks;
+        self
+    }
+
+    /// Sets what requests with the same home have in common.
+    #[must_use]
+    pub fn home_key(mut self, key: u64) -> Self {
+        self.home_key = key;
+        self
+    }
+
+    /// Sets targets that must not be chosen, such as those already tried.
+    #[must_use]
+    pub fn excluded(mut self, targets: &'a [Arc<str>]) -> Self {
+        self.excluded = targets;
+        self
+    }
+
+    pub(super) fn blocks(&self) -> u32 {
+        (self.prompt_tokens + self.output_tokens).div_ceil(BLOCK_TOKENS)
+    }
+}
+
+/// Why no target was chosen.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum RouteError {
+    /// no target holds the model, version and adapter
+    NotHeld,
+    /// every target that could serve the request is leaving, suspect or changing
+    Unavailable,
+    /// every target that could serve the request is out of room
+    NoRoom,
+}
+
+impl std::error::Error for RouteError {}
+
+/// A target to send a request to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Target that decodes, or answers as a whole.
+    pub target: Arc<str>,
+    /// What the request takes there.
+    pub demand: Demand,
+    /// Target that runs the prefill, where that is another one.
+    pub prefill: Option<PrefillChoice>,
+    /// Prompt tokens expected in the cache of the target that runs the prefill.
+    pub cached_tokens: u32,
+    /// Predicted time to the first token.
+    pub first_token_ms: f64,
+}
+
+/// A target that runs only the prefill of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PrefillChoice {
+    /// Target.
+    pub target: Arc<str>,
+    /// What the prefill takes there.
+    pub demand: Demand,
+}
--- /dev/null
+++ b/src/policy/routing/table.rs
@@ -0,0 +1,284 @@
+//! The targets that an instance routes to.
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
+};
+
+use indexmap::IndexMap;
+
+use super::{Availability, Choice, PrefillChoice, RouteTarget, TargetRole};
+use crate::{
+    policy::{load::TargetLoad, prefix::PrefixIndex},
+    target::protocol::EngineState,
+};
+
+/// Weight of the newest sample in a plain target's mean response time.
+const LATENCY_GAIN: f64 = 0.2;
+/// Response time assumed of a plain target that has not answered yet.
+const INITIAL_LATENCY_MS: f64 = 10.0;
+
+/// Settings of the router.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteSettings {
+    /// Largest group of targets that is considered whole.
+    pub full_scan: usize,
+    /// Random targets considered of a larger group.
+    pub samples: usize,
+    /// Requests on the home relative to the group's mean, in percent.
+    pub home_load_percent: u32,
+    /// Speed of a KV transfer between two targets, in blocks a second.
+    pub transfer_blocks_per_s: u32,
+    /// Time over which a returning target is given its whole room.
+    pub ramp_ms: u64,
+    /// Predictions that differ by less count as equal.
+    pub tie_ms: f64,
+}
+
+impl Default for RouteSettings {
+    fn default() -> Self {
+        Self {
+            full_scan: 16,
+            samples: 4,
+            home_load_percent: 125,
+            transfer_blocks_per_s: 20_000,
+            ramp_ms: 5_000,
+            tie_ms: 2.0,
+        }
+    }
+}
+
+/// The targets that an instance routes to.
+///
+/// ```
+/// use lavenderwind::policy::routing::{
+///     Availability, RouteRequest, RouteSettings, RouteTable,
+/// };
+///
+/// let mut table = RouteTable::new(RouteSettings::default());
+/// table.observe_plain("desk-1", "desk", Availability::Live, 0);
+/// let request = RouteRequest::new("desk");
+/// let choice = table.choose(&request, 0, &mut rand::rng()).unwrap();
+/// table.dispatched(&choice, &[], 0);
+/// assert_eq!(&*choice.target, "desk-1");
+/// ```
+#[derive(Clone, Debug)]
+pub struct RouteTable {
+    pub(super) settings: RouteSettings,
+    pub(super) targets: IndexMap<Arc<str>, RouteTarget>,
+    pub(super) groups: IndexMap<u64, Vec<usize>>,
+    pub(super) prefixes: PrefixIndex,
+}
+
+impl RouteTable {
+    /// Creates a table without targets.
+    #[must_use]
+    pub fn new(settings: RouteSettings) -> Self {
+        Self {
+            settings,
+            targets: IndexMap::new(),
+            groups: IndexMap::new(),
+            prefixes: PrefixIndex::default(),
+        }
+    }
+
+    /// Takes in an engine's state that was received at `now_ms`.
+    pub fn observe_engine(
+        &mut self,
+        name: &str,
+        kind: &str,
+        availability: Availability,
+        state: &EngineState,
+        now_ms: u64,
+    ) {
+        let availability = match availability {
+            Availability::Live if state.changing => Availability::Changing,
+            other => other,
+        };
+        let role = TargetRole::from(state.role);
+        let index = self.observe(name, kind, role, availability, now_ms);
+        self.prefixes.observe_boot(name, &state.boot);
+        let target = &mut self.targets[index];
+        target.load.observe_report(state, now_ms);
+        if target.models != state.models {
+            target.models.clone_from(&state.models);
+            self.rebuild_groups();
+        }
+    }
+
+    /// Takes in a plain target's state.
+    pub fn observe_plain(
+        &mut self,
+        name: &str,
+        kind: &str,
+        availability: Availability,
+        now_ms: u64,
+    ) {
+        self.observe(name, kind, TargetRole::Plain, availability, now_ms);
+    }
+
+    /// Changes only whether a target may get new work.
+    pub fn set_availability(&mut self, name: &str, availability: Availability, now_ms: u64) {
+        let Some(target) = self.targets.get(name) else {
+            return;
+        };
+        let (kind, role) = (Arc::clone(&target.kind), target.role);
+        self.observe(name, &kind, role, availability, now_ms);
+    }
+
+    /// Removes the targets that `keep` refuses.
+    pub fn retain<F>(&mut self, mut keep: F)
+    where
+        F: FnMut(&str) -> bool,
+    {
+        let before = self.targets.len();
+        let prefixes = &mut self.prefixes;
+        self.targets.retain(|name, _| {
+            let kept = keep(name);
+            if !kept {
+                prefixes.forget(name);
+            }
+            kept
+        });
+        if self.targets.len() != before {
+            self.rebuild_groups();
+        }
+    }
+
+    /// Returns a target.
+    #[must_use]
+    pub fn target(&self, name: &str) -> Option<&RouteTarget> {
+        self.targets.get(name)
+    }
+
+    /// Returns a target's load, to take in what peers sent there.
+    pub fn load_mut(&mut self, name: &str) -> Option<&mut TargetLoad> {
+        self.targets.get_mut(name).map(|target| &mut target.load)
+    }
+
+    /// Returns the index of cached prefixes, to take in cache events.
+    pub fn prefixes_mut(&mut self) -> &mut PrefixIndex {
+        &mut self.prefixes
+    }
+
+    /// Sets this instance's share of a target's blocks; `None` for all.
+    pub fn set_share(&mut self, name: &str, share_blocks: Option<u32>) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.share_blocks = share_blocks;
+        }
+    }
+
+    /// Sets by how much a target is slower than it reports.
+    pub fn set_slowdown(&mut self, name: &str, slowdown: f64) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.slowdown = slowdown.max(1.0);
+        }
+    }
+
+    /// Counts a request that is sent to the chosen targets.
+    pub fn dispatched(&mut self, choice: &Choice, prefix_blocks: &[u64], now_ms: u64) {
+        if let Some(target) = self.targets.get_mut(&*choice.target) {
+            target.load.dispatched(choice.demand, now_ms);
+            self.prefixes
+                .insert(&choice.target, prefix_blocks, target.load.total_blocks());
+        }
+        let Some(prefill) = &choice.prefill else {
+            return;
+        };
+        if let Some(target) = self.targets.get_mut(&*prefill.target) {
+            target.load.dispatched(prefill.demand, now_ms);
+            self.prefixes
+                .insert(&prefill.target, prefix_blocks, target.load.total_blocks());
+        }
+    }
+
+    /// Counts the end of the prefill that another target ran.
+    pub fn prefill_finished(&mut self, prefill: &PrefillChoice, now_ms: u64) {
+        if let Some(target) = self.targets.get_mut(&*prefill.target) {
+            target.load.finished(prefill.demand, now_ms);
+        }
+    }
+
+    /// Counts the end of a request on the target that answered it.
+    pub fn finished(&mut self, choice: &Choice, now_ms: u64) {
+        if let Some(target) = self.targets.get_mut(&*choice.target) {
+            target.load.finished(choice.demand, now_ms);
+        }
+    }
+
+    /// Takes in how long a plain target took to answer.
+    pub fn observe_latency(&mut self, name: &str, latency_ms: f64) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target.latency_ms += LATENCY_GAIN * (latency_ms - target.latency_ms);
+        }
+    }
+
+    fn observe(
+        &mut self,
+        name: &str,
+        kind: &str,
+        role: TargetRole,
+        availability: Availability,
+        now_ms: u64,
+    ) -> usize {
+        let Some(index) = self.targets.get_index_of(name) else {
+            let target = RouteTarget {
+                kind: kind.into(),
+                role,
+                models: Vec::new(),
+                availability,
+                name_hash: hash_of(name),
+                load: TargetLoad::new(1, u32::MAX),
+                share_blocks: None,
+                returned_at_ms: None,
+                latency_ms: INITIAL_LATENCY_MS,
+                slowdown: 1.0,
+            };
+            let (index, _) = self.targets.insert_full(name.into(), target);
+            self.rebuild_groups();
+            return index;
+        };
+        let target = &mut self.targets[index];
+        let returned = availability == Availability::Live && target.availability != availability;
+        if returned {
+            target.returned_at_ms = Some(now_ms);
+        }
+        let changed = target.role != role || target.availability != availability;
+        target.role = role;
+        target.availability = availability;
+        if changed {
+            self.rebuild_groups();
+        }
+        index
+    }
+
+    /// Groups the live targets by kind, model and version.
+    fn rebuild_groups(&mut self) {
+        self.groups.clear();
+        for (index, target) in self.targets.values().enumerate() {
+            if target.availability != Availability::Live {
+                continue;
+            }
+            if target.role == TargetRole::Plain {
+                let key = group_key(&target.kind, "", "");
+                self.groups.entry(key).or_default().push(index);
+            }
+            for held in &target.models {
+                let key = group_key(&target.kind, &held.model, &held.version);
+                self.groups.entry(key).or_default().push(index);
+            }
+        }
+    }
+}
+
+pub(super) fn group_key(kind: &str, model: &str, version: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (kind, model, version).hash(&mut hasher);
+    hasher.finish()
+}
+
+fn hash_of(name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/src/policy/routing/target.rs
@@ -0,0 +1,113 @@
+//! A target as the router sees it.
+
+use std::sync::Arc;
+
+use derive_more::From;
+
+use super::{RouteRequest, RouteSettings};
+use crate::{
+    policy::load::TargetLoad,
+    target::protocol::{EngineRole, LoadedModel},
+};
+
+/// Share of its room that a returning target offers at once.
+const RAMP_START: f64 = 0.1;
+
+/// Whether a target may get new work.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Availability {
+    /// Takes new work.
+    #[default]
+    Live,
+    /// Is being started.
+    Starting,
+    /// Is being drained or reclaimed.
+    Leaving,
+    /// May have failed.
+    Suspect,
+    /// Changes its role or loads weights.
+    Changing,
+}
+
+/// What a target runs.
+#[derive(Clone, Copy, Debug, Eq, From, PartialEq)]
+pub enum TargetRole {
+    /// A language-model engine in a role.
+    Engine(EngineRole),
+    /// A plain service.
+    #[from(skip)]
+    Plain,
+}
+
+/// A target as the router sees it.
+#[derive(Clone, Debug)]
+pub struct RouteTarget {
+    pub(super) kind: Arc<str>,
+    pub(super) role: TargetRole,
+    pub(super) models: Vec<LoadedModel>,
+    pub(super) availability: Availability,
+    pub(super) name_hash: u64,
+    pub(super) load: TargetLoad,
+    pub(super) share_blocks: Option<u32>,
+    pub(super) returned_at_ms: Option<u64>,
+    pub(super) latency_ms: f64,
+    pub(super) slowdown: f64,
+}
+
+impl RouteTarget {
+    /// Returns the load as this instance estimates it.
+    #[must_use]
+    pub fn load(&self) -> &TargetLoad {
+        &self.load
+    }
+
+    /// Returns whether the target may get new work.
+    #[must_use]
+    pub fn availability(&self) -> Availability {
+        self.availability
+    }
+
+    pub(super) fn holds(&self, request: &RouteRequest<'_>) -> bool {
+        if *self.kind != *request.kind {
+            return false;
+        }
+        if self.role == TargetRole::Plain {
+            return true;
+        }
+        self.models.iter().any(|held| {
+            *held.model == *request.model
+                && *held.version == *request.version
+                && (request.adapter.is_empty()
+                    || held
+                        .adapters
+                        .iter()
+                        .any(|adapter| **adapter == *request.adapter))
+        })
+    }
+
+    pub(super) fn has_room(&self, blocks: u32, settings: &RouteSettings, now_ms: u64) -> bool {
+        let own = self.load.own();
+        let ramp = self.ramp(settings, now_ms);
+        if ramp < 1.0 && own.requests > 0 {
+            let offered = f64::from(self.load.total_blocks()) * ramp;
+            if f64::from(own.blocks + blocks) > offered {
+                return false;
+            }
+        }
+        if self.role == TargetRole::Plain {
+            return true;
+        }
+        let shared = self
+            .share_blocks
+            .map_or(u32::MAX, |share| share.saturating_sub(own.blocks));
+        blocks <= self.load.free_blocks().min(shared)
+    }
+
+    fn ramp(&self, settings: &RouteSettings, now_ms: u64) -> f64 {
+        let Some(returned_at_ms) = self.returned_at_ms else {
+            return 1.0;
+        };
+        let elapsed_ms = now_ms.saturating_sub(returned_at_ms) as f64;
+        RAMP_START + (1.0 - RAMP_START) * elapsed_ms / settings.ramp_ms.max(1) as f64
+    }
+}
--- /dev/null
+++ b/tests/fair_queue.rs
@@ -0,0 +1,275 @@
+//! Fair queue: order, limits, deadlines and what peers served.
+
+use std::sync::Arc;
+
+use arbtest::{
+    arbitrary::{Result, Unstructured},
+    arbtest,
+};
+use indexmap::IndexMap;
+use lavenderwind::policy::queue::{FairQueue, QueueError, QueueRequest, QueueSettings};
+
+const SEEDS: [u64; 8] = [
+    0x5eed_0001_0000_0800,
+    0x5eed_0002_0000_0800,
+    0x5eed_0003_0000_0800,
+    0x5eed_0004_0000_1000,
+    0x5eed_0005_0000_1000,
+    0x5eed_0006_0000_1000,
+    0x5eed_0007_0000_2000,
+    0x5eed_0008_0000_2000,
+];
+const RATE_TOKENS_PER_S: u64 = 1_000;
+
+fn queue() -> FairQueue<usize> {
+    FairQueue::new(QueueSettings {
+        initial_tokens_per_s: RATE_TOKENS_PER_S,
+        ..QueueSettings::default()
+    })
+}
+
+fn account(index: usize) -> Arc<str> {
+    format!("shop/{index}").into()
+}
+
+fn check_seeds<F>(mut property: F)
+where
+    F: FnMut(&mut Unstructured<'_>) -> Result<()>,
+{
+    for seed in SEEDS {
+        arbtest(&mut property).seed(seed).run();
+    }
+}
+
+#[test]
+fn weighted_shares() {
+    let mut contended = 0;
+    check_seeds(|u| {
+        let mut queue = queue();
+        let weights = [1, 2, 4];
+        let mut largest = 0;
+        for item in 0..300 {
+            let cost = u.int_in_range(1..=200)?;
+            largest = largest.max(cost);
+            let weight = weights[item % 3];
+            let request = QueueRequest::new(account(item % 3), item)
+                .weight(weight)
+                .cost_tokens(cost);
+            queue.push(request, 0).unwrap();
+        }
+        let mut served = [0_u64; 3];
+        for _ in 0..90 {
+            let popped = queue.pop(0).unwrap();
+            served[popped.item % 3] += popped.charged_tokens;
+        }
+        // The difference of weighted service is at most two requests' cost.
+        for (index, weight) in weights.iter().enumerate() {
+            let scaled = served[index] / u64::from(*weight);
+            assert!(scaled.abs_diff(served[0]) <= 2 * largest, "{served:?}");
+            contended += u64::from(served[index] > 0);
+        }
+        Ok(())
+    });
+    assert_eq!(contended, 24);
+}
+
+#[test]
+fn flood_starves_no_one() {
+    let mut waits = 0;
+    check_seeds(|u| {
+        let mut queue = queue();
+        let accounts = u.int_in_range(2..=8)?;
+        let mut pops_since: IndexMap<usize, usize> = IndexMap::new();
+        for round in 0..400 {
+            for _ in 0..10 {
+                let request =
+                    QueueRequest::new(account(0), 0).cost_tokens(u.int_in_range(50..=100)?);
+                let _ = queue.push(request, 0);
+            }
+            let quiet = 1 + round % (accounts - 1);
+            if !pops_since.contains_key(&quiet) {
+                let request =
+                    QueueRequest::new(account(quiet), quiet).cost_tokens(u.int_in_range(50..=100)?);
+                queue.push(request, 0).unwrap();
+                pops_since.insert(quiet, 0);
+            }
+            let popped = queue.pop(0).unwrap();
+            pops_since.swap_remove(&popped.item);
+            for pops in pops_since.values_mut() {
+                *pops += 1;
+                waits += 1;
+                // One request of each account, twice as costly at most.
+                assert!(*pops <= 2 * accounts);
+            }
+        }
+        Ok(())
+    });
+    assert!(waits > 0);
+}
+
+#[test]
+fn idle_saves_no_credit() {
+    let mut queue = queue();
+    for item in 0..40 {
+        queue
+            .push(QueueRequest::new(account(0), item).cost_tokens(100), 0)
+            .unwrap();
+    }
+    for _ in 0..20 {
+        queue.pop(0).unwrap();
+    }
+    for item in 0..20 {
+        queue
+            .push(
+                QueueRequest::new(account(1), 100 + item).cost_tokens(100),
+                0,
+            )
+            .unwrap();
+    }
+    let mut late = 0;
+    for _ in 0..20 {
+        late += usize::from(queue.pop(0).unwrap().item >= 100);
+    }
+    assert_eq!(late, 10);
+}
+
+#[test]
+fn early_refusal_is_right() {
+    let (mut refused, mut accepted) = (0, 0);
+    check_seeds(|u| {
+        let mut queue = queue();
+        for item in 0..u.int_in_range(20..=60)? {
+            let index = u.int_in_range(0..=5)?;
+            let request = QueueRequest::new(account(index), item)
+                .weight(1 + index as u32)
+                .cost_tokens(u.int_in_range(1..=100)?);
+            queue.push(request, 0).unwrap();
+        }
+        let probe = u.int_in_range(0..=6)?;
+        let deadline_ms = u.int_in_range(0..=4_000)?;
+        let request = QueueRequest::new(account(probe), 1_000)
+            .weight(1 + probe as u32)
+            .cost_tokens(50);
+        let Err(error) = queue.push(request.clone().service_ms(100).deadline_ms(deadline_ms), 0)
+        else {
+            accepted += 1;
+            return Ok(());
+        };
+        assert!(matches!(error, QueueError::TooLate { .. }));
+        refused += 1;
+        queue.push(request, 0).unwrap();
+        let mut started_at_ms = 0;
+        loop {
+            let popped = queue.pop(0).unwrap();
+            if popped.item == 1_000 {
+                break;
+            }
+            started_at_ms += popped.charged_tokens * 1_000 / RATE_TOKENS_PER_S;
+        }
+        assert!(
+            started_at_ms + 100 > deadline_ms,
+            "{started_at_ms} {deadline_ms} {error}"
+        );
+        Ok(())
+    });
+    assert!(refused > 0 && accepted > 0, "{refused} {accepted}");
+}
+
+#[test]
+fn remote_service_counts() {
+    let mut queue = queue();
+    for item in 0..20 {
+        queue
+            .push(
+                QueueRequest::new(account(item % 2), item).cost_tokens(100),
+                0,
+            )
+            .unwrap();
+    }
+    queue.add_remote("shop/0", 1, 500);
+    let mut first = Vec::new();
+    for _ in 0..6 {
+        first.push(queue.pop(0).unwrap().item % 2);
+    }
+    assert_eq!(first.iter().sum::<usize>(), 5, "{first:?}");
+}
+
+#[test]
+fn remote_lead_is_bounded() {
+    let mut queue = queue();
+    queue.add_remote("shop/0", 1, 1_000_000_000);
+    let mut popped = None;
+    for item in 0..400 {
+        queue
+            .push(QueueRequest::new(account(0), 1_000).cost_tokens(100), 0)
+            .unwrap();
+        queue
+            .push(QueueRequest::new(account(1), item).cost_tokens(100), 0)
+            .unwrap();
+        if queue.pop(0).unwrap().item == 1_000 {
+            popped = Some(item);
+            break;
+        }
+    }
+    // Ten seconds of the drain rate are a hundred requests.
+    assert!(matches!(popped, Some(99..=101)), "{popped:?}");
+}
+
+#[test]
+fn settle_corrects_charge() {
+    let mut queue = queue();
+    for item in 0..10 {
+        queue
+            .push(
+                QueueRequest::new(account(item % 2), item).cost_tokens(100),
+                0,
+            )
+            .unwrap();
+    }
+    let pop = |queue: &mut FairQueue<usize>| queue.pop(0).unwrap().item % 2;
+    assert_eq!(pop(&mut queue), 0);
+    queue.settle("shop/0", 100, 10);
+    assert_eq!(pop(&mut queue), 1);
+    assert_eq!(pop(&mut queue), 0);
+    // 110 against 100 now; the correction makes it 410.
+    queue.settle("shop/0", 100, 400);
+    for _ in 0..4 {
+        assert_eq!(pop(&mut queue), 1);
+    }
+    assert_eq!(pop(&mut queue), 0);
+}
+
+#[test]
+fn expire_before_deadline() {
+    let mut queue = queue();
+    let request = QueueRequest::new(account(0), 1)
+        .service_ms(50)
+        .deadline_ms(200);
+    queue.push(request, 0).unwrap();
+    queue.push(QueueRequest::new(account(1), 2), 0).unwrap();
+    assert!(queue.expire(150).is_none());
+    assert_eq!(queue.next_expiry_ms(), Some(151));
+    let expired = queue.expire(151).unwrap();
+    assert_eq!((expired.item, expired.charged_tokens), (1, 0));
+    assert!(queue.expire(151).is_none());
+    assert_eq!(queue.len(), 1);
+}
+
+#[test]
+fn bounds_and_take() {
+    let mut queue = FairQueue::new(QueueSettings {
+        max_requests: 3,
+        max_account_requests: 2,
+        ..QueueSettings::default()
+    });
+    let first = queue.push(QueueRequest::new(account(0), 1), 0).unwrap();
+    queue.push(QueueRequest::new(account(0), 2), 0).unwrap();
+    let refused = queue.push(QueueRequest::new(account(0), 3), 0);
+    assert_eq!(refused, Err(QueueError::AccountFull));
+    queue.push(QueueRequest::new(account(1), 4), 0).unwrap();
+    let refused = queue.push(QueueRequest::new(account(2), 5), 0);
+    assert_eq!(refused, Err(QueueError::Full));
+    assert_eq!(queue.take(first, 7).unwrap().waited_ms, 7);
+    assert!(queue.take(first, 7).is_none());
+    assert_eq!(queue.pop(7).unwrap().item, 2);
+}
