--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,1 +1,3 @@
 //! The command line: one file a subcommand.
+
+pub mod standin;
--- /dev/null
+++ b/src/platform/error.rs
@@ -0,0 +1,69 @@
+//! Errors of the clients for the platform.
+
+use std::sync::Arc;
+
+use displaydoc::Display;
+
+/// Result of a call to the platform.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a call to the platform failed.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// cannot connect to {url}: {cause}
+    Connect {
+        /// URL of the call.
+        url: Arc<str>,
+        /// Cause from the HTTP client.
+        cause: reqwest::Error,
+    },
+    /// request to {url} failed: {cause}
+    Exchange {
+        /// URL of the call.
+        url: Arc<str>,
+        /// Cause from the HTTP client.
+        cause: reqwest::Error,
+    },
+    /// {url} refused an old fencing number
+    OldEpoch {
+        /// URL of the call.
+        url: Arc<str>,
+    },
+    /// {url} already holds other figures for this window
+    Conflict {
+        /// URL of the call.
+        url: Arc<str>,
+    },
+    /// {url} answered status {status}
+    Status {
+        /// URL of the call.
+        url: Arc<str>,
+        /// HTTP status.
+        status: u16,
+    },
+}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Connect { cause, .. } | Self::Exchange { cause, .. } => Some(cause),
+            _ => None,
+        }
+    }
+}
+
+impl Error {
+    /// Returns whether a byte of the request may have reached the platform.
+    pub fn written(&self) -> bool {
+        !matches!(self, Self::Connect { .. })
+    }
+
+    /// Sorts an error of the HTTP client.
+    pub(super) fn from_http(url: &str, cause: reqwest::Error) -> Self {
+        let url = url.into();
+        if cause.is_connect() || cause.is_builder() {
+            return Self::Connect { url, cause };
+        }
+        Self::Exchange { url, cause }
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,4 +4,11 @@
 //! [`protocol`] holds the bodies that go over HTTP; it is shared with the
 //! stand-ins.
 
+mod client;
+mod error;
 pub mod protocol;
+
+pub use self::{
+    client::{LiveClient, TargetsClient, UsageClient},
+    error::{Error, Result},
+};
--- /dev/null
+++ b/src/standin/engine/batch.rs
@@ -0,0 +1,272 @@
+//! Continuous batching: streams share steps of prefill and decode.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::{
+    answer::Answer,
+    cache::BlockCache,
+    options::{EngineFaults, EngineOptions},
+};
+use crate::target::{
+    protocol::{BLOCK_TOKENS, EngineRole, FinishReason, GenerateEvent, GenerateRequest},
+    tokens::{block_hashes, count_tokens},
+};
+
+/// Prefill tokens in one step of a mixed engine.
+const MIXED_CHUNK_TOKENS: u32 = 512;
+/// Prefill tokens in one step of a prefill engine.
+const PREFILL_CHUNK_TOKENS: u32 = 2_048;
+/// Prefill tokens in one step of a decode engine.
+const DECODE_CHUNK_TOKENS: u32 = 64;
+/// Factor by which a prefill engine decodes slower.
+const PREFILL_ROLE_DECODE_FACTOR: f64 = 4.0;
+
+/// One item of an answer's body; an error cuts the connection.
+pub(super) type BodyItem = Result<Bytes, std::io::Error>;
+
+/// A request in the engine.
+#[derive(Debug)]
+pub(super) struct Stream {
+    request: GenerateRequest,
+    sender: UnboundedSender<BodyItem>,
+    shown_request_id: Arc<str>,
+    answer: Answer,
+    prompt_tokens: u32,
+    prefix: Vec<u64>,
+    private_blocks: u32,
+    cached_tokens: u32,
+    prefill_left: u32,
+    prefill_share: u32,
+    decodes: bool,
+    generated: u32,
+    sent: u32,
+}
+
+impl Stream {
+    /// Returns a stream that waits for prefill.
+    pub(super) fn new(
+        request: GenerateRequest,
+        sender: UnboundedSender<BodyItem>,
+        shown_request_id: Arc<str>,
+    ) -> Self {
+        let prompt_tokens = count_tokens(&request.prompt).max(1);
+        let full_blocks = (prompt_tokens / BLOCK_TOKENS) as usize;
+        let mut prefix = request.prefix_blocks.clone();
+        if prefix.is_empty() {
+            prefix = block_hashes(&request.prompt);
+        }
+        prefix.truncate(full_blocks);
+        let output_tokens = if request.prefill_only {
+            0
+        } else {
+            request.max_tokens
+        };
+        let blocks = (prompt_tokens + output_tokens).div_ceil(BLOCK_TOKENS);
+        Self {
+            answer: Answer::new(&request.prompt),
+            private_blocks: blocks - prefix.len() as u32,
+            prefill_left: prompt_tokens + request.resume_tokens,
+            generated: request.resume_tokens,
+            request,
+            sender,
+            shown_request_id,
+            prompt_tokens,
+            prefix,
+            cached_tokens: 0,
+            prefill_share: 0,
+            decodes: false,
+            sent: 0,
+        }
+    }
+
+    /// Returns the blocks that the stream holds in all.
+    pub(super) fn blocks(&self) -> u32 {
+        self.prefix.len() as u32 + self.private_blocks
+    }
+
+    /// Returns whether this is the given attempt.
+    pub(super) fn is(&self, request_id: &str, attempt: u32) -> bool {
+        &*self.request.request_id == request_id && self.request.attempt == attempt
+    }
+
+    /// Returns whether the prompt holds a text.
+    pub(super) fn prompt_contains(&self, text: &str) -> bool {
+        !text.is_empty() && self.request.prompt.contains(text)
+    }
+
+    /// Sends one event.
+    pub(super) fn send(&self, event: &GenerateEvent) {
+        let _ = self.sender.send(Ok(encode_event(event)));
+    }
+
+    /// Cuts the connection.
+    pub(super) fn cut(&self) {
+        let _ = self.sender.send(Err(std::io::Error::other("cut")));
+    }
+
+    fn finish(&self) {
+        let finish_reason = FinishReason::Length;
+        self.send(&GenerateEvent::Done {
+            request_id: Arc::clone(&self.shown_request_id),
+            attempt: self.request.attempt,
+            finish_reason,
+            prompt_tokens: self.prompt_tokens,
+            cached_tokens: self.cached_tokens,
+            output_tokens: self.generated,
+        });
+    }
+}
+
+/// Streams that wait, and those in the running batch.
+#[derive(Debug, Default)]
+pub(super) struct Batch {
+    pub(super) waiting: Vec<Stream>,
+    pub(super) running: Vec<Stream>,
+}
+
+impl Batch {
+    /// Adds a stream behind those of its priority.
+    pub(super) fn push(&mut self, stream: Stream) {
+        let priority = stream.request.priority;
+        let index = self
+            .waiting
+            .partition_point(|other| other.request.priority >= priority);
+        self.waiting.insert(index, stream);
+    }
+
+    /// Removes one attempt and returns whether it was there.
+    pub(super) fn cancel(&mut self, cache: &mut BlockCache, request_id: &str, attempt: u32) {
+        self.waiting
+            .retain(|stream| !stream.is(request_id, attempt));
+        self.remove_running(cache, |stream| stream.is(request_id, attempt));
+    }
+
+    /// Returns prompt tokens that wait for prefill.
+    pub(super) fn waiting_prefill_tokens(&self) -> u64 {
+        let streams = self.waiting.iter().chain(&self.running);
+        streams.map(|stream| u64::from(stream.prefill_left)).sum()
+    }
+
+    /// Chooses the work of the next step and returns its length.
+    ///
+    /// Returns `None` while there is nothing to do.
+    pub(super) fn plan(
+        &mut self,
+        cache: &mut BlockCache,
+        options: &EngineOptions,
+        faults: &EngineFaults,
+        role: EngineRole,
+    ) -> Option<Duration> {
+        self.drop_closed(cache);
+        self.admit(cache, options.max_running as usize);
+        if self.running.is_empty() {
+            return None;
+        }
+        let mut chunk = chunk_tokens(role);
+        let mut prefill_tokens = 0;
+        let mut decoding = 0;
+        for stream in &mut self.running {
+            stream.decodes = stream.prefill_left == 0;
+            decoding += u32::from(stream.decodes);
+            stream.prefill_share = stream.prefill_left.min(chunk);
+            chunk -= stream.prefill_share;
+            prefill_tokens += stream.prefill_share;
+        }
+        let prefill_s = f64::from(prefill_tokens) / f64::from(options.prefill_tokens_per_s.max(1));
+        let mut decode_s = 0.0;
+        if decoding > 0 {
+            let batch_factor = 1.0 + options.decode_batch_slope * f64::from(decoding - 1);
+            decode_s = batch_factor / f64::from(options.decode_tokens_per_s.max(1));
+        }
+        if role == EngineRole::Prefill {
+            decode_s *= PREFILL_ROLE_DECODE_FACTOR;
+        }
+        let step_s = (prefill_s + decode_s) * faults.slow_factor / options.time_scale;
+        Some(Duration::from_secs_f64(step_s.max(0.0)))
+    }
+
+    /// Applies the planned step: prefill advances, decoding streams get a token.
+    pub(super) fn apply(&mut self, cache: &mut BlockCache, faults: &EngineFaults) {
+        for stream in &mut self.running {
+            stream.prefill_left -= stream.prefill_share;
+            stream.prefill_share = 0;
+            if !stream.decodes || stream.generated >= stream.request.max_tokens {
+                continue;
+            }
+            let index = stream.generated;
+            stream.send(&GenerateEvent::Token {
+                index,
+                text: stream.answer.token(index),
+            });
+            stream.generated += 1;
+            stream.sent += 1;
+        }
+        let cut_after = faults.cut_after_tokens;
+        self.remove_running(cache, |stream| {
+            if cut_after > 0 && stream.sent >= cut_after {
+                stream.cut();
+                return true;
+            }
+            let prefilled = stream.prefill_left == 0;
+            let whole = stream.generated >= stream.request.max_tokens;
+            let done = prefilled && (stream.request.prefill_only || whole);
+            if done {
+                stream.finish();
+            }
+            done
+        });
+    }
+
+    fn drop_closed(&mut self, cache: &mut BlockCache) {
+        self.waiting.retain(|stream| !stream.sender.is_closed());
+        self.remove_running(cache, |stream| stream.sender.is_closed());
+    }
+
+    fn admit(&mut self, cache: &mut BlockCache, max_running: usize) {
+        while self.running.len() < max_running {
+            let Some(stream) = self.waiting.first() else {
+                return;
+            };
+            let Some(cached) = cache.allocate(&stream.prefix, stream.private_blocks) else {
+                return;
+            };
+            let mut stream = self.waiting.remove(0);
+            let cached_tokens = cached as u32 * BLOCK_TOKENS;
+            stream.cached_tokens = cached_tokens.min(stream.prompt_tokens - 1);
+            stream.prefill_left -= stream.cached_tokens;
+            self.running.push(stream);
+        }
+    }
+
+    fn remove_running<F>(&mut self, cache: &mut BlockCache, mut remove: F)
+    where
+        F: FnMut(&Stream) -> bool,
+    {
+        self.running.retain(|stream| {
+            let gone = remove(stream);
+            if gone {
+                cache.release(&stream.prefix, stream.private_blocks);
+            }
+            !gone
+        });
+    }
+}
+
+/// Encodes an event as server-sent events carry it.
+pub(super) fn encode_event(event: &GenerateEvent) -> Bytes {
+    let mut data = b"data: ".to_vec();
+    let _ = serde_json::to_writer(&mut data, event);
+    data.extend_from_slice(b"\n\n");
+    Bytes::from(data)
+}
+
+fn chunk_tokens(role: EngineRole) -> u32 {
+    match role {
+        EngineRole::Mixed => MIXED_CHUNK_TOKENS,
+        EngineRole::Prefill => PREFILL_CHUNK_TOKENS,
+        EngineRole::Decode => DECODE_CHUNK_TOKENS,
+    }
+}
--- /dev/null
+++ b/src/standin/engine/cache.rs
@@ -0,0 +1,132 @@
+//! Prefix cache by block hashes within a limited number of blocks.
+
+use std::collections::BTreeMap;
+
+use indexmap::IndexMap;
+
+use crate::target::protocol::CacheAction;
+
+#[derive(Debug)]
+struct Block {
+    references: u32,
+    used_at: u64,
+}
+
+/// A change of the cache.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct CacheChange {
+    pub(super) block: u64,
+    pub(super) action: CacheAction,
+}
+
+/// Blocks of KV memory: cached prefix blocks and private ones of streams.
+#[derive(Debug)]
+pub(super) struct BlockCache {
+    total: u32,
+    private: u32,
+    clock: u64,
+    blocks: IndexMap<u64, Block>,
+    evictable: BTreeMap<u64, u64>,
+    changes: Vec<CacheChange>,
+}
+
+impl BlockCache {
+    /// Returns an empty cache of `total` blocks.
+    pub(super) fn new(total: u32) -> Self {
+        Self {
+            total,
+            private: 0,
+            clock: 0,
+            blocks: IndexMap::new(),
+            evictable: BTreeMap::new(),
+            changes: Vec::new(),
+        }
+    }
+
+    /// Returns the number of blocks that streams hold.
+    pub(super) fn in_use(&self) -> u32 {
+        self.private + (self.blocks.len() - self.evictable.len()) as u32
+    }
+
+    /// Returns the number of leading blocks that are cached.
+    pub(super) fn cached_prefix(&self, prefix: &[u64]) -> usize {
+        let hits = prefix.iter();
+        hits.take_while(|block| self.blocks.contains_key(*block))
+            .count()
+    }
+
+    /// Holds a prefix and `private` further blocks.
+    ///
+    /// Returns the number of leading blocks that were cached, or `None` without
+    /// room.
+    pub(super) fn allocate(&mut self, prefix: &[u64], private: u32) -> Option<usize> {
+        let cached = self.cached_prefix(prefix);
+        let mut needed = private as usize + prefix.len();
+        for block in prefix {
+            let held = self.blocks.get(block).is_some_and(|b| b.references > 0);
+            needed -= usize::from(held);
+        }
+        if needed > (self.total - self.in_use()) as usize {
+            return None;
+        }
+        for block in prefix {
+            self.hold(*block);
+        }
+        self.private += private;
+        self.evict_beyond_total();
+        Some(cached)
+    }
+
+    /// Releases what [`BlockCache::allocate`] held; the prefix stays cached.
+    pub(super) fn release(&mut self, prefix: &[u64], private: u32) {
+        self.private -= private;
+        for block in prefix {
+            let Some(entry) = self.blocks.get_mut(block) else {
+                continue;
+            };
+            entry.references -= 1;
+            if entry.references == 0 {
+                self.clock += 1;
+                entry.used_at = self.clock;
+                self.evictable.insert(self.clock, *block);
+            }
+        }
+    }
+
+    /// Takes the changes since the last call.
+    pub(super) fn take_changes(&mut self) -> Vec<CacheChange> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn hold(&mut self, block: u64) {
+        if let Some(entry) = self.blocks.get_mut(&block) {
+            if entry.references == 0 {
+                self.evictable.remove(&entry.used_at);
+            }
+            entry.references += 1;
+            return;
+        }
+        let entry = Block {
+            references: 1,
+            used_at: 0,
+        };
+        self.blocks.insert(block, entry);
+        self.changes.push(CacheChange {
+            block,
+            action: CacheAction::Stored,
+        });
+    }
+
+    fn evict_beyond_total(&mut self) {
+        while self.private as usize + self.blocks.len() > self.total as usize {
+            let Some((_, block)) = self.evictable.pop_first() else {
+                return;
+            };
+            self.blocks.swap_remove(&block);
+            self.changes.push(CacheChange {
+                block,
+                action: CacheAction::Evicted,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/engine/core.rs
@@ -0,0 +1,381 @@
+//! State of one engine: batch, cache, models, role, orders and reports.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde::{Deserialize, Serialize};
+use tokio::{sync::mpsc::UnboundedSender, time::Instant};
+
+use super::{
+    batch::{Batch, BodyItem, Stream},
+    cache::BlockCache,
+    options::{EngineFaults, EngineOptions},
+};
+use crate::target::protocol::{
+    CacheEvent, CacheEventList, EngineAction, EngineOrderRequest, EngineRole, EngineState,
+    GenerateEvent, GenerateRequest, LoadedModel,
+};
+
+/// Load samples that are kept for lagging reports.
+const MAX_LOAD_SAMPLES: usize = 4_096;
+/// Least time between two load samples, in milliseconds.
+const LOAD_SAMPLE_MS: u64 = 5;
+/// Cache events that are kept.
+const MAX_CACHE_EVENTS: usize = 65_536;
+/// Request identifier shown under the fault `wrong_request`.
+const WRONG_REQUEST_ID: &str = "another-request";
+
+/// An order as the engine received it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ReceivedOrder {
+    /// The order.
+    pub order: EngineOrderRequest,
+    /// Whether it was accepted.
+    pub accepted: bool,
+    /// Whether it came while another order's change was in progress.
+    pub during_change: bool,
+    /// Boot identifier of the engine as it came.
+    pub boot: Arc<str>,
+}
+
+/// Load at an instant.
+#[derive(Clone, Copy, Debug)]
+struct LoadSample {
+    at: Instant,
+    running: u32,
+    waiting: u32,
+    waiting_prefill_tokens: u64,
+    used_blocks: u32,
+}
+
+#[derive(Debug)]
+struct PendingEvent {
+    visible_at: Instant,
+    event: CacheEvent,
+}
+
+/// State of one engine.
+#[derive(Debug)]
+pub(super) struct Core {
+    pub(super) options: EngineOptions,
+    pub(super) faults: EngineFaults,
+    pub(super) on: bool,
+    pub(super) received: Vec<ReceivedOrder>,
+    boots: u64,
+    boot: Arc<str>,
+    role: EngineRole,
+    models: Vec<LoadedModel>,
+    changing: bool,
+    epoch: u64,
+    last_order_id: u64,
+    batch: Batch,
+    cache: BlockCache,
+    loads: VecDeque<LoadSample>,
+    events: VecDeque<PendingEvent>,
+    next_event: u64,
+    rng: StdRng,
+}
+
+impl Core {
+    /// Returns an engine that has just booted.
+    pub(super) fn new(options: EngineOptions) -> Self {
+        let mut core = Self {
+            faults: EngineFaults::default(),
+            on: true,
+            received: Vec::new(),
+            boots: 0,
+            boot: "".into(),
+            role: options.role,
+            models: options.models.clone(),
+            changing: false,
+            epoch: 0,
+            last_order_id: 0,
+            batch: Batch::default(),
+            cache: BlockCache::new(options.total_blocks),
+            loads: VecDeque::new(),
+            events: VecDeque::new(),
+            next_event: 1,
+            rng: StdRng::seed_from_u64(0),
+            options,
+        };
+        core.reboot();
+        core
+    }
+
+    /// Cuts all streams and loses what is not persistent.
+    pub(super) fn reboot(&mut self) {
+        let batch = std::mem::take(&mut self.batch);
+        for stream in batch.waiting.iter().chain(&batch.running) {
+            stream.cut();
+        }
+        self.boots += 1;
+        let nonce: u32 = rand::random();
+        self.boot = format!("{}-{nonce:08x}", self.boots).into();
+        self.role = self.options.role;
+        self.models = self.options.models.clone();
+        self.changing = false;
+        self.epoch = 0;
+        self.last_order_id = 0;
+        self.cache = BlockCache::new(self.options.total_blocks);
+        self.loads.clear();
+        self.events.clear();
+        self.next_event = 1;
+    }
+
+    /// Returns the boot identifier.
+    pub(super) fn boot(&self) -> &Arc<str> {
+        &self.boot
+    }
+
+    /// Takes a request, or refuses it without running any of it.
+    pub(super) fn submit(&mut self, request: GenerateRequest, sender: UnboundedSender<BodyItem>) {
+        let mut request_id = Arc::clone(&request.request_id);
+        if self.faults.wrong_request {
+            request_id = WRONG_REQUEST_ID.into();
+        }
+        let refusal = self.refusal(&request);
+        let accepted = GenerateEvent::Accepted {
+            request_id: Arc::clone(&request_id),
+            attempt: request.attempt,
+            boot: Arc::clone(&self.boot),
+        };
+        let stream = Stream::new(request, sender, request_id);
+        let too_large = stream.blocks() > self.options.total_blocks;
+        if let Some(reason) = refusal.or(too_large.then_some("exceeds the KV memory")) {
+            stream.send(&GenerateEvent::Failed {
+                reason: reason.into(),
+                not_run: true,
+            });
+            return;
+        }
+        stream.send(&accepted);
+        self.batch.push(stream);
+    }
+
+    /// Drops one attempt.
+    pub(super) fn cancel(&mut self, request_id: &str, attempt: u32) {
+        self.batch.cancel(&mut self.cache, request_id, attempt);
+    }
+
+    /// Chooses the next step; `None` while there is nothing to do.
+    pub(super) fn plan(&mut self) -> Option<Duration> {
+        if self.faults.hang || self.changing {
+            return None;
+        }
+        let step = self
+            .batch
+            .plan(&mut self.cache, &self.options, &self.faults, self.role);
+        self.record_load();
+        step
+    }
+
+    /// Applies the planned step.
+    pub(super) fn apply(&mut self) {
+        if self.faults.hang || self.changing {
+            return;
+        }
+        self.batch.apply(&mut self.cache, &self.faults);
+        self.publish_cache_changes();
+        self.record_load();
+    }
+
+    /// Returns whether a stream runs that crashes the engine.
+    pub(super) fn runs_crash_marker(&self) -> bool {
+        let marker = &self.options.crash_marker;
+        let mut running = self.batch.running.iter();
+        running.any(|stream| stream.prompt_contains(marker))
+    }
+
+    /// Takes an order unless its fencing number is old and checked.
+    pub(super) fn take_order(&mut self, order: &EngineOrderRequest) -> bool {
+        let accepted = !self.options.check_epoch || order.epoch >= self.epoch;
+        self.received.push(ReceivedOrder {
+            order: order.clone(),
+            accepted,
+            during_change: self.changing,
+            boot: Arc::clone(&self.boot),
+        });
+        if !accepted {
+            return false;
+        }
+        if self.options.check_epoch {
+            self.epoch = order.epoch;
+        }
+        self.last_order_id = order.order_id;
+        self.changing = true;
+        self.cut_for_change();
+        true
+    }
+
+    /// Ends the change that an order began, unless the engine booted again or
+    /// took another order since.
+    pub(super) fn finish_order(&mut self, order: &EngineOrderRequest, boot: &str) {
+        if &*self.boot != boot || self.last_order_id != order.order_id {
+            return;
+        }
+        self.changing = false;
+        match &order.action {
+            EngineAction::SetRole { role } => self.role = *role,
+            EngineAction::UnloadModel { model } => self.models.retain(|held| held.model != *model),
+            EngineAction::LoadModel {
+                model,
+                version,
+                adapter,
+            } => self.add_model(model, version, adapter),
+        }
+    }
+
+    /// Returns how long an order's change takes beside a weight fetch.
+    pub(super) fn change_time(&self, action: &EngineAction) -> Duration {
+        let change_ms = match action {
+            EngineAction::SetRole { .. } => self.options.role_change_ms,
+            EngineAction::LoadModel { .. } | EngineAction::UnloadModel { .. } => {
+                self.options.load_ms
+            }
+        };
+        Duration::from_millis(change_ms).div_f64(self.options.time_scale)
+    }
+
+    /// Returns the blocks of a list that are cached.
+    pub(super) fn held_blocks(&self, blocks: &[u64]) -> Vec<u64> {
+        let held = self.cache.cached_prefix(blocks);
+        blocks[..held].to_vec()
+    }
+
+    /// Caches imported blocks, as far as there is room.
+    pub(super) fn import_blocks(&mut self, blocks: &[u64]) -> bool {
+        let fits = self.cache.allocate(blocks, 0).is_some();
+        if fits {
+            self.cache.release(blocks, 0);
+            self.publish_cache_changes();
+        }
+        fits
+    }
+
+    /// Returns the state, with load figures as old as the report's lag.
+    pub(super) fn state(&mut self) -> EngineState {
+        self.record_load();
+        let lag = Duration::from_millis(self.faults.state_lag_ms);
+        let now = Instant::now();
+        let until = now.checked_sub(lag).unwrap_or(now);
+        let aged = self.loads.iter().rev().find(|load| load.at <= until);
+        let load = aged.or(self.loads.front()).copied();
+        let scale = self.options.time_scale;
+        EngineState {
+            boot: Arc::clone(&self.boot),
+            report_age_ms: self.faults.state_lag_ms,
+            role: self.role,
+            changing: self.changing,
+            models: self.models.clone(),
+            running: load.map_or(0, |load| load.running),
+            waiting: load.map_or(0, |load| load.waiting),
+            waiting_prefill_tokens: load.map_or(0, |load| load.waiting_prefill_tokens),
+            used_blocks: load.map_or(0, |load| load.used_blocks),
+            total_blocks: self.options.total_blocks,
+            prefill_tokens_per_s: (f64::from(self.options.prefill_tokens_per_s) * scale) as u32,
+            decode_tokens_per_s: (f64::from(self.options.decode_tokens_per_s) * scale) as u32,
+            epoch: self.epoch,
+            last_order_id: self.last_order_id,
+        }
+    }
+
+    /// Returns the visible cache events from a sequence number on.
+    pub(super) fn cache_events(&self, from: u64) -> CacheEventList {
+        let now = Instant::now();
+        let visible = self.events.iter();
+        let visible = visible
+            .filter(|pending| pending.event.sequence >= from && pending.visible_at <= now)
+            .map(|pending| pending.event);
+        CacheEventList {
+            boot: Arc::clone(&self.boot),
+            events: visible.collect(),
+        }
+    }
+
+    fn refusal(&self, request: &GenerateRequest) -> Option<&'static str> {
+        if self.changing {
+            return Some("a change is in progress");
+        }
+        for held in &self.models {
+            if held.model != request.model {
+                continue;
+            }
+            let adapter = &request.adapter;
+            if adapter.is_empty() || held.adapters.contains(adapter) {
+                return None;
+            }
+        }
+        Some("the model or adapter is not loaded")
+    }
+
+    fn cut_for_change(&mut self) {
+        let batch = std::mem::take(&mut self.batch);
+        let failed = |not_run| GenerateEvent::Failed {
+            reason: "a change was ordered".into(),
+            not_run,
+        };
+        for stream in &batch.waiting {
+            stream.send(&failed(true));
+        }
+        for stream in &batch.running {
+            stream.send(&failed(false));
+        }
+        self.cache = BlockCache::new(self.options.total_blocks);
+    }
+
+    fn add_model(&mut self, model: &Arc<str>, version: &Arc<str>, adapter: &Arc<str>) {
+        let known = self.models.iter_mut().find(|held| held.model == *model);
+        let adapters = (!adapter.is_empty()).then(|| Arc::clone(adapter));
+        if let Some(held) = known {
+            held.version = Arc::clone(version);
+            held.adapters.retain(|held| held != adapter);
+            held.adapters.extend(adapters);
+            return;
+        }
+        self.models.push(LoadedModel {
+            model: Arc::clone(model),
+            version: Arc::clone(version),
+            adapters: adapters.into_iter().collect(),
+        });
+    }
+
+    fn record_load(&mut self) {
+        let now = Instant::now();
+        let least = Duration::from_millis(LOAD_SAMPLE_MS);
+        let recent = self.loads.back();
+        if recent.is_some_and(|load| now.duration_since(load.at) < least) {
+            self.loads.pop_back();
+        }
+        if self.loads.len() >= MAX_LOAD_SAMPLES {
+            self.loads.pop_front();
+        }
+        self.loads.push_back(LoadSample {
+            at: now,
+            running: self.batch.running.len() as u32,
+            waiting: self.batch.waiting.len() as u32,
+            waiting_prefill_tokens: self.batch.waiting_prefill_tokens(),
+            used_blocks: self.cache.in_use(),
+        });
+    }
+
+    fn publish_cache_changes(&mut self) {
+        let visible_at = Instant::now() + Duration::from_millis(self.faults.event_lag_ms);
+        let gap = self.faults.event_gap_probability.clamp(0.0, 1.0);
+        for change in self.cache.take_changes() {
+            let sequence = self.next_event;
+            self.next_event += 1;
+            if gap > 0.0 && self.rng.random_bool(gap) {
+                continue;
+            }
+            let event = CacheEvent {
+                sequence,
+                block: change.block,
+                action: change.action,
+            };
+            self.events.push_back(PendingEvent { visible_at, event });
+        }
+        while self.events.len() > MAX_CACHE_EVENTS {
+            self.events.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/engine/mod.rs
@@ -0,0 +1,129 @@
+//! Stand-in for an engine: continuous batching in real time within a limited
+//! number of KV blocks.
+//!
+//! Beside the interface of [`crate::target::protocol`]: `PUT /faults` replaces
+//! the [`EngineFaults`], `PUT /power` with `{"on":false}` makes the engine
+//! unreachable, `POST /crash` crashes it, and `GET /orders` answers every order
+//! received.
+
+mod answer;
+mod batch;
+mod cache;
+mod core;
+mod options;
+mod service;
+
+use std::{net::SocketAddr, time::Duration};
+
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, sleep, sleep_until},
+};
+
+pub(crate) use self::service::Power;
+pub use self::{
+    answer::{Answer, expected_token},
+    core::ReceivedOrder,
+    options::{EngineFaults, EngineOptions},
+};
+use self::{core::Core, service::EngineService};
+use super::{Result, http::HttpServer};
+
+/// Longest time by which late steps are made up for, in milliseconds.
+const MAX_CATCH_UP_MS: u64 = 20;
+
+/// A running stand-in of an engine; stops when dropped.
+#[derive(Debug)]
+pub struct Engine {
+    address: SocketAddr,
+    service: EngineService,
+    batches: JoinHandle<()>,
+    server: JoinHandle<()>,
+}
+
+impl Engine {
+    /// Starts an engine on an address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start(address: SocketAddr, options: EngineOptions) -> Result<Self> {
+        let service = EngineService::new(Core::new(options));
+        let server = HttpServer::start(address, service.clone()).await?;
+        let address = server.address();
+        tracing::info!("standin: engine listens on {address}");
+        Ok(Self {
+            address,
+            batches: tokio::spawn(run_batches(service.clone())),
+            server: tokio::spawn(run_server(server, service.clone())),
+            service,
+        })
+    }
+
+    /// Returns the bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        self.service.set_faults(faults);
+    }
+
+    /// Crashes the engine; it boots again after its restart time.
+    pub fn crash(&self) {
+        self.service.crash.notify_one();
+    }
+
+    /// Stops the engine and waits until its listener is closed.
+    pub async fn stop(mut self) {
+        self.service.stop.notify_one();
+        let _ = (&mut self.server).await;
+    }
+
+    /// Returns every order received since the start, over all boots.
+    pub fn orders(&self) -> Vec<ReceivedOrder> {
+        self.service.orders()
+    }
+}
+
+impl Drop for Engine {
+    fn drop(&mut self) {
+        self.batches.abort();
+        self.service.stop.notify_one();
+    }
+}
+
+async fn run_batches(service: EngineService) {
+    let mut due = Instant::now();
+    loop {
+        let step = service.lock().plan();
+        let Some(step) = step else {
+            service.work.notified().await;
+            due = Instant::now();
+            continue;
+        };
+        if service.lock().runs_crash_marker() {
+            service.crash.notify_one();
+        }
+        let earliest = Instant::now() - Duration::from_millis(MAX_CATCH_UP_MS);
+        due = due.max(earliest) + step;
+        sleep_until(due).await;
+        service.lock().apply();
+    }
+}
+
+async fn run_server(mut server: HttpServer, service: EngineService) {
+    loop {
+        tokio::select! {
+            () = service.crash.notified() => {}
+            () = service.stop.notified() => return server.stop().await,
+        }
+        service.lock().reboot();
+        server.stop().await;
+        let restart_ms = service.lock().options.restart_ms;
+        sleep(Duration::from_millis(restart_ms)).await;
+        service.lock().reboot();
+        server = HttpServer::restart(server.address(), service.clone()).await;
+    }
+}
--- /dev/null
+++ b/src/standin/http.rs
@@ -0,0 +1,154 @@
+//! HTTP server shared by the stand-ins.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use salvo::{
+    Handler, Server,
+    conn::{Acceptor, tcp::TcpAcceptor},
+    http::{Request, Response, StatusCode, header::CONTENT_TYPE, header::HeaderValue},
+    routing::Router,
+    server::ServerHandle,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
+
+use super::{Error, Result};
+
+/// Largest body that a stand-in reads, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+/// Time between two tries to bind an address again, in milliseconds.
+const REBIND_MS: u64 = 20;
+
+/// A running HTTP server; stops when dropped.
+#[derive(Debug)]
+pub(crate) struct HttpServer {
+    address: SocketAddr,
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+impl HttpServer {
+    /// Starts a server that hands every request to `handler`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub(crate) async fn start<H>(address: SocketAddr, handler: H) -> Result<Self>
+    where
+        H: Handler,
+    {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|cause| Error::Listen { address, cause })?;
+        Self::listen(listener, handler).map_err(|cause| Error::Listen { address, cause })
+    }
+
+    /// Starts a server on an address that was bound before, trying again until
+    /// the address is free.
+    pub(crate) async fn restart<H>(address: SocketAddr, handler: H) -> Self
+    where
+        H: Handler + Clone,
+    {
+        loop {
+            if let Ok(server) = Self::start(address, handler.clone()).await {
+                return server;
+            }
+            sleep(Duration::from_millis(REBIND_MS)).await;
+        }
+    }
+
+    fn listen<H>(listener: TcpListener, handler: H) -> std::io::Result<Self>
+    where
+        H: Handler,
+    {
+        let address = listener.local_addr()?;
+        let acceptor = TcpAcceptor::try_from(listener)?;
+        debug_assert!(!acceptor.holdings().is_empty());
+        let server = Server::new(acceptor);
+        let handle = server.handle();
+        let router = Router::with_path("{**rest}").goal(handler);
+        let task = tokio::spawn(server.serve(router));
+        Ok(Self {
+            address,
+            handle,
+            task,
+        })
+    }
+
+    /// Returns the bound address.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener and all connections at once.
+    pub(crate) async fn stop(&mut self) {
+        self.handle.stop_forceful();
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.handle.stop_forceful();
+    }
+}
+
+/// Reads a whole body.
+pub(crate) async fn read_body(request: &mut Request) -> Option<Bytes> {
+    request
+        .payload_with_max_size(MAX_BODY_BYTES)
+        .await
+        .ok()
+        .cloned()
+}
+
+/// Reads a JSON body; answers 400 and returns `None` if it does not parse.
+pub(crate) async fn read_json<T>(request: &mut Request, response: &mut Response) -> Option<T>
+where
+    T: DeserializeOwned,
+{
+    let body = read_body(request).await.unwrap_or_default();
+    match serde_json::from_slice(&body) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            write_error(response, StatusCode::BAD_REQUEST, &error.to_string());
+            None
+        }
+    }
+}
+
+/// Answers with a JSON body.
+pub(crate) fn write_json<T>(response: &mut Response, status: StatusCode, body: &T)
+where
+    T: Serialize,
+{
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    write_bytes(response, status, "application/json", Bytes::from(body));
+}
+
+/// Answers with an error message in JSON.
+pub(crate) fn write_error(response: &mut Response, status: StatusCode, message: &str) {
+    write_json(response, status, &serde_json::json!({ "error": message }));
+}
+
+/// Answers with bytes of the given content type.
+pub(crate) fn write_bytes(
+    response: &mut Response,
+    status: StatusCode,
+    content_type: &'static str,
+    body: Bytes,
+) {
+    response.status_code(status);
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response.replace_body(salvo::http::ResBody::Once(body));
+}
+
+/// Returns the path's segments.
+pub(crate) fn segments(request: &Request) -> Vec<String> {
+    let path = request.uri().path();
+    let parts = path.split('/').filter(|part| !part.is_empty());
+    parts.map(str::to_owned).collect()
+}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -1,1 +1,31 @@
 //! Small stand-ins for the platform, engines and plain services.
+//!
+//! Each runs in this process or as `lavenderwind standin`, binds any address
+//! (port 0 included), and switches its faults at run time by `PUT /faults`.
+
+pub mod engine;
+pub mod faults;
+mod http;
+pub mod plain;
+pub mod platform;
+
+use std::io;
+
+use displaydoc::Display;
+
+/// Result of starting a stand-in.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a stand-in could not start.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// cannot listen on {address}: {cause}
+    Listen {
+        /// Address asked for.
+        address: std::net::SocketAddr,
+        /// Cause from the operating system.
+        cause: io::Error,
+    },
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/src/standin/plain.rs
@@ -0,0 +1,273 @@
+//! Stand-in for a plain service.
+//!
+//! `GET` paths answer idempotently; any other method executes and answers 201.
+//! `GET /executions` answers every execution, `GET /headers` the names of the
+//! headers seen, `PUT /faults` replaces the [`PlainFaults`] and `PUT /power`
+//! switches the service on and off.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use indexmap::IndexSet;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use salvo::{
+    conn::ConnCtrl,
+    handler,
+    http::{HeaderMap, Method, Request, Response, StatusCode},
+};
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use super::{
+    Result,
+    engine::Power,
+    http::{HttpServer, read_body, read_json, segments, write_json},
+};
+
+/// Header that names a request; a plain service returns it.
+const REQUEST_ID: &str = "x-request-id";
+/// Header that names an operation over all of its attempts.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Behaviour and faults of a plain service, changeable at run time.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlainFaults {
+    /// Time that a call takes, in milliseconds.
+    pub latency_ms: u64,
+    /// Cuts this many next calls before they run.
+    pub cut_before: u32,
+    /// Cuts this many next calls after they ran.
+    pub cut_after: u32,
+    /// Probability that a call is cut after it ran.
+    pub cut_after_probability: f64,
+    /// Seed of the random numbers.
+    pub seed: u64,
+    /// Answers carry the identifier of another request.
+    pub wrong_request: bool,
+    /// Closes each connection without running the request.
+    pub outage: bool,
+    /// Whether a repeated idempotency key runs only once.
+    pub deduplicates: bool,
+}
+
+/// One execution of a call that is not a `GET`.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Execution {
+    /// Identifier of the request; empty if none came.
+    pub request_id: Arc<str>,
+    /// Idempotency key; empty if none came.
+    pub idempotency_key: Arc<str>,
+    /// Path.
+    pub path: Arc<str>,
+    /// Body, as text.
+    pub body: Arc<str>,
+}
+
+/// What a call answers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PlainAnswer {
+    /// Path of the call.
+    pub path: Arc<str>,
+    /// Number of the execution, from 1; 0 for a `GET`.
+    pub execution: u64,
+    /// Body of the call, as text.
+    pub body: Arc<str>,
+}
+
+#[derive(Debug)]
+struct State {
+    faults: PlainFaults,
+    rng: StdRng,
+    on: bool,
+    executions: Vec<Execution>,
+    header_names: IndexSet<String>,
+}
+
+#[derive(Clone, Debug)]
+struct PlainHandler {
+    state: Arc<Mutex<State>>,
+}
+
+#[handler]
+impl PlainHandler {
+    async fn handle(&self, req: &mut Request, res: &mut Response, conn: &mut ConnCtrl) {
+        let path = segments(req);
+        let path: Vec<&str> = path.iter().map(String::as_str).collect();
+        match (req.method().as_str(), path.as_slice()) {
+            ("PUT", ["faults"]) => {
+                if let Some(faults) = read_json(req, res).await {
+                    self.set_faults(faults);
+                    res.status_code(StatusCode::NO_CONTENT);
+                }
+            }
+            ("PUT", ["power"]) => {
+                if let Some(power) = read_json::<Power>(req, res).await {
+                    self.lock().on = power.on;
+                    res.status_code(StatusCode::NO_CONTENT);
+                }
+            }
+            ("GET", ["executions"]) => {
+                write_json(res, StatusCode::OK, &self.lock().executions);
+            }
+            ("GET", ["headers"]) => {
+                write_json(res, StatusCode::OK, &self.lock().header_names);
+            }
+            _ => self.serve_call(req, res, conn).await,
+        }
+    }
+}
+
+impl PlainHandler {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set_faults(&self, faults: PlainFaults) {
+        let mut state = self.lock();
+        state.rng = StdRng::seed_from_u64(faults.seed);
+        state.faults = faults;
+    }
+
+    async fn serve_call(&self, req: &mut Request, res: &mut Response, conn: &mut ConnCtrl) {
+        let body = read_body(req).await.unwrap_or_default();
+        let latency_ms = self.lock().faults.latency_ms;
+        if self.cut_before(req.headers()) {
+            return conn.abort();
+        }
+        if latency_ms > 0 {
+            sleep(Duration::from_millis(latency_ms)).await;
+        }
+        let answer = self.execute(req, body);
+        if self.cut_after() {
+            return conn.abort();
+        }
+        let status = if answer.execution == 0 {
+            StatusCode::OK
+        } else {
+            StatusCode::CREATED
+        };
+        write_json(res, status, &answer);
+        let mut request_id = header(req.headers(), REQUEST_ID);
+        if self.lock().faults.wrong_request {
+            request_id = "another-request".into();
+        }
+        if let Ok(value) = request_id.parse() {
+            res.headers_mut().insert(REQUEST_ID, value);
+        }
+    }
+
+    fn cut_before(&self, headers: &HeaderMap) -> bool {
+        let mut state = self.lock();
+        for name in headers.keys() {
+            state.header_names.insert(name.as_str().to_owned());
+        }
+        if state.faults.outage || !state.on {
+            return true;
+        }
+        let cut = state.faults.cut_before > 0;
+        state.faults.cut_before -= u32::from(cut);
+        cut
+    }
+
+    fn cut_after(&self) -> bool {
+        let state = &mut *self.lock();
+        if state.faults.cut_after > 0 {
+            state.faults.cut_after -= 1;
+            return true;
+        }
+        let probability = state.faults.cut_after_probability.clamp(0.0, 1.0);
+        probability > 0.0 && state.rng.random_bool(probability)
+    }
+
+    fn execute(&self, req: &Request, body: Bytes) -> PlainAnswer {
+        let path: Arc<str> = req.uri().path().into();
+        let body: Arc<str> = String::from_utf8_lossy(&body).into();
+        let mut execution = 0;
+        if req.method() != Method::GET {
+            execution = self.record_execution(Execution {
+                request_id: header(req.headers(), REQUEST_ID),
+                idempotency_key: header(req.headers(), IDEMPOTENCY_KEY),
+                path: Arc::clone(&path),
+                body: Arc::clone(&body),
+            });
+        }
+        PlainAnswer {
+            path,
+            execution,
+            body,
+        }
+    }
+
+    fn record_execution(&self, execution: Execution) -> u64 {
+        let mut state = self.lock();
+        let key = &execution.idempotency_key;
+        if state.faults.deduplicates && !key.is_empty() {
+            let mut known = state.executions.iter();
+            if let Some(index) = known.position(|known| known.idempotency_key == *key) {
+                return index as u64 + 1;
+            }
+        }
+        state.executions.push(execution);
+        state.executions.len() as u64
+    }
+}
+
+/// A running stand-in of a plain service; stops when dropped.
+#[derive(Debug)]
+pub struct PlainService {
+    server: HttpServer,
+    handler: PlainHandler,
+}
+
+impl PlainService {
+    /// Starts a plain service.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub async fn start(address: SocketAddr, faults: PlainFaults) -> Result<Self> {
+        let state = State {
+            rng: StdRng::seed_from_u64(faults.seed),
+            faults,
+            on: true,
+            executions: Vec::new(),
+            header_names: IndexSet::new(),
+        };
+        let handler = PlainHandler {
+            state: Arc::new(Mutex::new(state)),
+        };
+        let server = HttpServer::start(address, handler.clone()).await?;
+        tracing::info!("standin: plain service listens on {}", server.address());
+        Ok(Self { server, handler })
+    }
+
+    /// Returns the bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: PlainFaults) {
+        self.handler.set_faults(faults);
+    }
+
+    /// Returns every execution of a call that is not a `GET`.
+    pub fn executions(&self) -> Vec<Execution> {
+        self.handler.lock().executions.clone()
+    }
+
+    /// Returns the names of all headers seen, in lower case.
+    pub fn header_names(&self) -> Vec<String> {
+        self.handler.lock().header_names.iter().cloned().collect()
+    }
+}
+
+fn header(headers: &HeaderMap, name: &str) -> Arc<str> {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().into()
+}
--- /dev/null
+++ b/src/standin/platform/fleet.rs
@@ -0,0 +1,228 @@
+//! Target ordering: a pool of registered targets and standing orders.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use tokio::time::{Duration, Instant};
+
+use crate::platform::protocol::{
+    PlatformTarget, TargetList, TargetOrder, TargetOrderStatus, TargetState,
+};
+
+/// Kind and failure domain that an order is for.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Group {
+    /// Kind of target.
+    pub kind: Arc<str>,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+}
+
+/// An order as the platform received it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ReceivedOrder {
+    /// The order.
+    pub order: TargetOrder,
+    /// Whether it was accepted.
+    pub accepted: bool,
+}
+
+/// Where a pooled target is in its life.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Phase {
+    Idle,
+    Starting(Instant),
+    Live,
+    Leaving(Instant),
+}
+
+#[derive(Debug)]
+struct Pooled {
+    target: PlatformTarget,
+    phase: Phase,
+}
+
+/// A target that was switched on or off by the last step.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct PowerChange {
+    pub(crate) address: Arc<str>,
+    pub(crate) on: bool,
+}
+
+/// The pool of targets and the orders for them.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    pool: IndexMap<Arc<str>, Pooled>,
+    orders: IndexMap<Group, TargetOrder>,
+    reclaimed: Vec<Group>,
+    received: Vec<ReceivedOrder>,
+}
+
+impl Fleet {
+    /// Adds a running target; without an order for its group it is live.
+    pub(crate) fn register(&mut self, target: PlatformTarget) {
+        let phase = match target.state {
+            TargetState::Starting => Phase::Idle,
+            TargetState::Live | TargetState::Leaving => Phase::Live,
+        };
+        let name = Arc::clone(&target.name);
+        self.pool.insert(name, Pooled { target, phase });
+    }
+
+    /// Removes a target.
+    pub(crate) fn remove(&mut self, name: &str) {
+        self.pool.shift_remove(name);
+    }
+
+    /// Takes an order unless its fencing number is old and checked.
+    pub(crate) fn order(&mut self, order: TargetOrder, check_epoch: bool) -> bool {
+        let newest = self.orders.values().map(|known| known.epoch).max();
+        let accepted = !check_epoch || newest.is_none_or(|epoch| order.epoch >= epoch);
+        self.received.push(ReceivedOrder {
+            order: order.clone(),
+            accepted,
+        });
+        if accepted {
+            self.orders.insert(group_of_order(&order), order);
+        }
+        accepted
+    }
+
+    /// Returns all orders received so far.
+    pub(crate) fn received(&self) -> &[ReceivedOrder] {
+        &self.received
+    }
+
+    /// Withdraws a group's targets after `notice`, until restored.
+    pub(crate) fn reclaim(&mut self, group: &Group, notice: Duration) {
+        let until = Instant::now() + notice;
+        for pooled in self.pool.values_mut() {
+            if group_of_target(&pooled.target) != *group || pooled.phase == Phase::Idle {
+                continue;
+            }
+            pooled.phase = Phase::Leaving(until);
+        }
+        self.reclaimed.push(group.clone());
+    }
+
+    /// Makes a reclaimed group available again.
+    pub(crate) fn restore(&mut self, group: &Group) {
+        self.reclaimed.retain(|reclaimed| reclaimed != group);
+    }
+
+    /// Moves targets towards their orders.
+    pub(crate) fn step(
+        &mut self,
+        unavailable_kinds: &[Arc<str>],
+        start_time: Duration,
+        notice: Duration,
+    ) -> Vec<PowerChange> {
+        let mut changes = Vec::new();
+        let now = Instant::now();
+        let mut counts: IndexMap<Group, u32> = IndexMap::new();
+        for pooled in self.pool.values_mut() {
+            advance(pooled, now, &mut changes);
+            let group = group_of_target(&pooled.target);
+            let Some(order) = self.orders.get(&group) else {
+                continue;
+            };
+            let count = counts.entry(group.clone()).or_default();
+            let available =
+                !self.reclaimed.contains(&group) && !unavailable_kinds.contains(&group.kind);
+            match pooled.phase {
+                Phase::Live | Phase::Starting(_) if *count < order.count => *count += 1,
+                Phase::Live => pooled.phase = Phase::Leaving(now + notice),
+                Phase::Starting(_) => pooled.phase = Phase::Leaving(now),
+                Phase::Idle if *count < order.count && available => {
+                    *count += 1;
+                    pooled.phase = Phase::Starting(now + start_time);
+                }
+                Phase::Idle | Phase::Leaving(_) => {}
+            }
+        }
+        changes
+    }
+
+    /// Returns the list that the platform shows.
+    pub(crate) fn list(&self, unavailable_kinds: &[Arc<str>]) -> TargetList {
+        let now = Instant::now();
+        let targets = self.pool.values().filter_map(|pooled| show(pooled, now));
+        let orders = self.orders.iter();
+        TargetList {
+            targets: targets.collect(),
+            orders: orders
+                .map(|(group, order)| self.status(group, order, unavailable_kinds))
+                .collect(),
+        }
+    }
+
+    fn status(
+        &self,
+        group: &Group,
+        order: &TargetOrder,
+        unavailable_kinds: &[Arc<str>],
+    ) -> TargetOrderStatus {
+        let startable = !self.reclaimed.contains(group) && !unavailable_kinds.contains(&group.kind);
+        let mut available = 0;
+        for pooled in self.pool.values() {
+            if group_of_target(&pooled.target) != *group {
+                continue;
+            }
+            let running = matches!(pooled.phase, Phase::Live | Phase::Starting(_));
+            available += u32::from(running || startable);
+        }
+        TargetOrderStatus {
+            last_order_id: order.order_id,
+            last_epoch: order.epoch,
+            kind: Arc::clone(&group.kind),
+            failure_domain: Arc::clone(&group.failure_domain),
+            wanted: order.count,
+            available: available.min(order.count),
+        }
+    }
+}
+
+fn advance(pooled: &mut Pooled, now: Instant, changes: &mut Vec<PowerChange>) {
+    let on = match pooled.phase {
+        Phase::Starting(until) if until <= now => true,
+        Phase::Leaving(until) if until <= now => false,
+        _ => return,
+    };
+    pooled.phase = if on { Phase::Live } else { Phase::Idle };
+    changes.push(PowerChange {
+        address: Arc::clone(&pooled.target.address),
+        on,
+    });
+}
+
+fn show(pooled: &Pooled, now: Instant) -> Option<PlatformTarget> {
+    let mut target = pooled.target.clone();
+    target.leaves_in_ms = None;
+    match pooled.phase {
+        Phase::Idle => return None,
+        Phase::Starting(_) => target.state = TargetState::Starting,
+        Phase::Live => target.state = TargetState::Live,
+        Phase::Leaving(until) => {
+            let left = until.saturating_duration_since(now);
+            target.state = TargetState::Leaving;
+            target.leaves_in_ms = Some(left.as_millis() as u64);
+        }
+    }
+    Some(target)
+}
+
+fn group_of_target(target: &PlatformTarget) -> Group {
+    Group {
+        kind: Arc::clone(&target.kind),
+        failure_domain: Arc::clone(&target.failure_domain),
+    }
+}
+
+fn group_of_order(order: &TargetOrder) -> Group {
+    Group {
+        kind: Arc::clone(&order.kind),
+        failure_domain: Arc::clone(&order.failure_domain),
+    }
+}
--- /dev/null
+++ b/src/standin/platform/live.rs
@@ -0,0 +1,82 @@
+//! Live list: entries with a time to live, shown with a lag.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use indexmap::IndexMap;
+use tokio::time::{Duration, Instant};
+
+use crate::platform::protocol::LiveInstance;
+
+/// An entry and the last time it was announced.
+#[derive(Debug)]
+struct Announced {
+    instance: LiveInstance,
+    at: Instant,
+}
+
+/// What the list held at an instant.
+#[derive(Debug)]
+struct Snapshot {
+    at: Instant,
+    instances: Vec<LiveInstance>,
+}
+
+/// The live list.
+#[derive(Debug, Default)]
+pub(crate) struct LiveList {
+    announced: IndexMap<Arc<str>, Announced>,
+    history: VecDeque<Snapshot>,
+}
+
+impl LiveList {
+    /// Adds or renews an entry.
+    pub(crate) fn announce(&mut self, instance: LiveInstance) {
+        let name = Arc::clone(&instance.name);
+        let at = Instant::now();
+        self.announced.insert(name, Announced { instance, at });
+        self.record();
+    }
+
+    /// Removes an entry.
+    pub(crate) fn remove(&mut self, name: &str) {
+        self.announced.shift_remove(name);
+        self.record();
+    }
+
+    /// Drops entries that were silent for longer than `ttl`.
+    pub(crate) fn expire(&mut self, ttl: Duration) {
+        let now = Instant::now();
+        let before = self.announced.len();
+        self.announced
+            .retain(|_, entry| now.duration_since(entry.at) <= ttl);
+        if self.announced.len() != before {
+            self.record();
+        }
+    }
+
+    /// Returns the list as it was `lag` ago.
+    pub(crate) fn list(&mut self, lag: Duration) -> Vec<LiveInstance> {
+        let Some(until) = Instant::now().checked_sub(lag) else {
+            return Vec::new();
+        };
+        while self.history.get(1).is_some_and(|next| next.at <= until) {
+            self.history.pop_front();
+        }
+        let Some(first) = self.history.front() else {
+            return Vec::new();
+        };
+        if first.at > until {
+            return Vec::new();
+        }
+        first.instances.clone()
+    }
+
+    fn record(&mut self) {
+        let instances = self.announced.values();
+        let instances = instances.map(|entry| entry.instance.clone());
+        self.history.push_back(Snapshot {
+            at: Instant::now(),
+            instances: instances.collect(),
+        });
+    }
+}
--- /dev/null
+++ b/src/standin/platform/log.rs
@@ -0,0 +1,91 @@
+//! Append-only log with offsets, bounded retention and an append rate.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use tokio::{
+    sync::watch,
+    time::{Duration, Instant},
+};
+
+use crate::platform::protocol::{LogEntry, ReadResponse, TrimmedResponse};
+
+/// Records of the log that are retained.
+#[derive(Debug)]
+pub(crate) struct LogStore {
+    entries: VecDeque<LogEntry>,
+    next_offset: u64,
+    next_slot: Instant,
+    appended: watch::Sender<u64>,
+}
+
+impl LogStore {
+    /// Returns an empty log whose first offset is 1.
+    pub(crate) fn new() -> Self {
+        Self {
+            entries: VecDeque::new(),
+            next_offset: 1,
+            next_slot: Instant::now(),
+            appended: watch::Sender::new(1),
+        }
+    }
+
+    /// Reserves the instant at which the next append may run.
+    pub(crate) fn reserve_append(&mut self, appends_per_s: u32) -> Instant {
+        let slot = self.next_slot.max(Instant::now());
+        self.next_slot = slot + Duration::from_secs(1) / appends_per_s.max(1);
+        slot
+    }
+
+    /// Appends a batch and returns its first offset.
+    pub(crate) fn append(&mut self, records: Vec<Bytes>, now_ms: u64) -> u64 {
+        let first_offset = self.next_offset;
+        for record in records {
+            self.entries.push_back(LogEntry {
+                offset: self.next_offset,
+                appended_at_ms: now_ms,
+                record,
+            });
+            self.next_offset += 1;
+        }
+        self.appended.send_replace(self.next_offset);
+        first_offset
+    }
+
+    /// Drops the oldest records beyond `retained` records; 0 keeps all.
+    pub(crate) fn trim(&mut self, retained: usize) {
+        if retained == 0 {
+            return;
+        }
+        while self.entries.len() > retained {
+            self.entries.pop_front();
+        }
+    }
+
+    /// Returns a channel that carries the next offset.
+    pub(crate) fn watch(&self) -> watch::Receiver<u64> {
+        self.appended.subscribe()
+    }
+
+    /// Reads up to `max` records from an offset on.
+    ///
+    /// # Errors
+    ///
+    /// Fails if records from `from` on were trimmed.
+    pub(crate) fn read(&self, from: u64, max: usize) -> Result<ReadResponse, TrimmedResponse> {
+        let oldest_offset = self.next_offset - self.entries.len() as u64;
+        if from < oldest_offset && from != 0 {
+            return Err(TrimmedResponse {
+                oldest_offset,
+                next_offset: self.next_offset,
+            });
+        }
+        let skipped = from.max(oldest_offset) - oldest_offset;
+        let entries = self.entries.iter().skip(skipped as usize).take(max);
+        Ok(ReadResponse {
+            entries: entries.cloned().collect(),
+            next_offset: self.next_offset,
+            oldest_offset,
+        })
+    }
+}
--- /dev/null
+++ b/src/standin/platform/service.rs
@@ -0,0 +1,365 @@
+//! HTTP side of the platform stand-in.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use bytes::Bytes;
+use prost::Message;
+use salvo::{
+    conn::ConnCtrl,
+    handler,
+    http::{Request, Response, StatusCode},
+};
+use serde::{Deserialize, Serialize};
+use tokio::time::{Duration, Instant, sleep, sleep_until, timeout_at};
+
+use super::{
+    Group, PlatformFaults, ReceivedOrder, ReceivedUsage, UsageVerdict,
+    fleet::{Fleet, PowerChange},
+    live::LiveList,
+    log::LogStore,
+    usage::UsageSink,
+};
+use crate::{
+    platform::protocol::{
+        AppendRequest, AppendResponse, LiveInstance, PlatformTarget, TargetOrder, UsageReport,
+        WeightFetch,
+    },
+    standin::{
+        faults::{AnswerLoss, InterfaceFaults},
+        http::{read_body, read_json, segments, write_bytes, write_error, write_json},
+    },
+};
+
+/// Content type of protobuf bodies.
+const PROTOBUF: &str = "application/x-protobuf";
+/// Records that a read returns where the caller names no number.
+const DEFAULT_READ_RECORDS: usize = 1_000;
+
+/// Body of `POST /targets/reclaim`.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Reclaim {
+    /// Kind and failure domain that are withdrawn.
+    pub group: Group,
+    /// Notice before the targets are gone, in milliseconds.
+    pub notice_ms: u64,
+}
+
+/// An interface of the platform.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Interface {
+    Log,
+    Live,
+    Targets,
+    Usage,
+    Weights,
+}
+
+/// Which answers of each interface are lost.
+#[derive(Debug, Default)]
+struct Losses {
+    log: AnswerLoss,
+    live: AnswerLoss,
+    targets: AnswerLoss,
+    usage: AnswerLoss,
+    weights: AnswerLoss,
+}
+
+#[derive(Debug)]
+struct State {
+    faults: PlatformFaults,
+    losses: Losses,
+    log: LogStore,
+    live: LiveList,
+    fleet: Fleet,
+    usage: UsageSink,
+    fetch_starts: Vec<Instant>,
+}
+
+/// Shared state of the platform stand-in and its request handler.
+#[derive(Clone, Debug)]
+pub(super) struct PlatformService {
+    state: Arc<Mutex<State>>,
+}
+
+#[handler]
+impl PlatformService {
+    async fn handle(&self, req: &mut Request, res: &mut Response, conn: &mut ConnCtrl) {
+        let path = segments(req);
+        let path: Vec<&str> = path.iter().map(String::as_str).collect();
+        if path == ["faults"] {
+            return self.replace_faults(req, res).await;
+        }
+        let interface = match path.first() {
+            Some(&"log") => Interface::Log,
+            Some(&"live") => Interface::Live,
+            Some(&"targets" | &"orders") => Interface::Targets,
+            Some(&"usage") => Interface::Usage,
+            Some(&"weights") => Interface::Weights,
+            _ => return write_error(res, StatusCode::NOT_FOUND, "no such interface"),
+        };
+        let faults = self.interface_faults(interface);
+        if faults.slow_ms > 0 {
+            sleep(Duration::from_millis(faults.slow_ms)).await;
+        }
+        if self.interface_faults(interface).outage {
+            return conn.abort();
+        }
+        self.route(&path, req, res).await;
+        let cut = self.interface_faults(interface).outage;
+        let write = req.method() != salvo::http::Method::GET;
+        if cut || write && self.lose_answer(interface) {
+            conn.abort();
+        }
+    }
+}
+
+impl PlatformService {
+    /// Returns a platform without records, instances or targets.
+    pub(super) fn new(faults: PlatformFaults) -> Self {
+        let state = State {
+            losses: losses_of(&faults),
+            faults,
+            log: LogStore::new(),
+            live: LiveList::default(),
+            fleet: Fleet::default(),
+            usage: UsageSink::default(),
+            fetch_starts: Vec::new(),
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Replaces the faults.
+    pub(super) fn set_faults(&self, faults: PlatformFaults) {
+        let mut state = self.lock();
+        state.losses = losses_of(&faults);
+        state.log.trim(faults.retention_records);
+        state.faults = faults;
+    }
+
+    /// Moves targets towards their orders.
+    pub(super) fn step(&self) -> Vec<PowerChange> {
+        let state = &mut *self.lock();
+        let start_time = Duration::from_millis(state.faults.start_ms);
+        let notice = Duration::from_millis(state.faults.release_notice_ms);
+        state
+            .fleet
+            .step(&state.faults.unavailable_kinds, start_time, notice)
+    }
+
+    /// Returns every usage report received.
+    pub(super) fn usage_reports(&self) -> Vec<ReceivedUsage> {
+        self.lock().usage.received().to_vec()
+    }
+
+    /// Returns every target order received.
+    pub(super) fn target_orders(&self) -> Vec<ReceivedOrder> {
+        self.lock().fleet.received().to_vec()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn interface_faults(&self, interface: Interface) -> InterfaceFaults {
+        let state = self.lock();
+        match interface {
+            Interface::Log => state.faults.log,
+            Interface::Live => state.faults.live,
+            Interface::Targets => state.faults.targets,
+            Interface::Usage => state.faults.usage,
+            Interface::Weights => state.faults.weights,
+        }
+    }
+
+    fn lose_answer(&self, interface: Interface) -> bool {
+        let losses = &mut self.lock().losses;
+        match interface {
+            Interface::Log => losses.log.next(),
+            Interface::Live => losses.live.next(),
+            Interface::Targets => losses.targets.next(),
+            Interface::Usage => losses.usage.next(),
+            Interface::Weights => losses.weights.next(),
+        }
+    }
+
+    async fn replace_faults(&self, req: &mut Request, res: &mut Response) {
+        if let Some(faults) = read_json(req, res).await {
+            self.set_faults(faults);
+            res.status_code(StatusCode::NO_CONTENT);
+        }
+    }
+
+    async fn route(&self, path: &[&str], req: &mut Request, res: &mut Response) {
+        let method = req.method().clone();
+        match (method.as_str(), path) {
+            ("POST", ["log", "append"]) => self.append(req, res).await,
+            ("GET", ["log", "read"]) => self.read(req, res).await,
+            ("PUT", ["live", _]) => {
+                if let Some(instance) = read_json::<LiveInstance>(req, res).await {
+                    self.lock().live.announce(instance);
+                    res.status_code(StatusCode::NO_CONTENT);
+                }
+            }
+            ("DELETE", ["live", name]) => {
+                self.lock().live.remove(name);
+                res.status_code(StatusCode::NO_CONTENT);
+            }
+            ("GET", ["live"]) => self.list_live(res),
+            ("GET", ["targets"]) => {
+                let state = self.lock();
+                let list = state.fleet.list(&state.faults.unavailable_kinds);
+                write_json(res, StatusCode::OK, &list);
+            }
+            ("POST", ["targets", "order"]) => self.order_targets(req, res).await,
+            ("POST", ["targets", "reclaim"]) => {
+                if let Some(reclaim) = read_json::<Reclaim>(req, res).await {
+                    let notice = Duration::from_millis(reclaim.notice_ms);
+                    self.lock().fleet.reclaim(&reclaim.group, notice);
+                    res.status_code(StatusCode::NO_CONTENT);
+                }
+            }
+            ("POST", ["targets", "restore"]) => {
+                if let Some(group) = read_json::<Group>(req, res).await {
+                    self.lock().fleet.restore(&group);
+                    res.status_code(StatusCode::NO_CONTENT);
+                }
+            }
+            ("PUT", ["targets", _]) => {
+                if let Some(target) = read_json::<PlatformTarget>(req, res).await {
+                    self.lock().fleet.register(target);
+                    res.status_code(StatusCode::NO_CONTENT);
+                }
+            }
+            ("DELETE", ["targets", name]) => {
+                self.lock().fleet.remove(name);
+                res.status_code(StatusCode::NO_CONTENT);
+            }
+            ("GET", ["orders"]) => write_json(res, StatusCode::OK, &self.target_orders()),
+            ("POST", ["usage"]) => self.report_usage(req, res).await,
+            ("GET", ["usage"]) => write_json(res, StatusCode::OK, &self.usage_reports()),
+            ("POST", ["weights", "fetch"]) => self.fetch_weights(req, res).await,
+            _ => write_error(res, StatusCode::NOT_FOUND, "no such path or method"),
+        }
+    }
+
+    async fn append(&self, req: &mut Request, res: &mut Response) {
+        let body = read_body(req).await.unwrap_or_default();
+        let Ok(request) = AppendRequest::decode(body) else {
+            return write_error(res, StatusCode::BAD_REQUEST, "not an append request");
+        };
+        if request.records.is_empty() {
+            return write_error(res, StatusCode::BAD_REQUEST, "an append needs a record");
+        }
+        let slot = {
+            let mut state = self.lock();
+            let appends_per_s = state.faults.appends_per_s;
+            state.log.reserve_append(appends_per_s)
+        };
+        sleep_until(slot).await;
+        let mut state = self.lock();
+        let first_offset = state.log.append(request.records, wall_clock_ms());
+        let retained = state.faults.retention_records;
+        state.log.trim(retained);
+        drop(state);
+        let body = AppendResponse { first_offset }.encode_to_vec();
+        write_bytes(res, StatusCode::OK, PROTOBUF, Bytes::from(body));
+    }
+
+    async fn read(&self, req: &mut Request, res: &mut Response) {
+        let from: u64 = req.query("from").unwrap_or(0);
+        let max: usize = req.query("max").unwrap_or(DEFAULT_READ_RECORDS);
+        let wait_ms: u64 = req.query("wait_ms").unwrap_or(0);
+        let deadline = Instant::now() + Duration::from_millis(wait_ms);
+        let mut appended = self.lock().log.watch();
+        let _ = timeout_at(deadline, appended.wait_for(|next| *next > from)).await;
+        let read = self.lock().log.read(from, max);
+        match read {
+            Ok(page) => {
+                let body = Bytes::from(page.encode_to_vec());
+                write_bytes(res, StatusCode::OK, PROTOBUF, body);
+            }
+            Err(trimmed) => write_json(res, StatusCode::GONE, &trimmed),
+        }
+    }
+
+    fn list_live(&self, res: &mut Response) {
+        let mut state = self.lock();
+        let ttl = Duration::from_millis(state.faults.live_ttl_ms);
+        let lag = Duration::from_millis(state.faults.live_lag_ms);
+        state.live.expire(ttl);
+        write_json(res, StatusCode::OK, &state.live.list(lag));
+    }
+
+    async fn order_targets(&self, req: &mut Request, res: &mut Response) {
+        let Some(order) = read_json::<TargetOrder>(req, res).await else {
+            return;
+        };
+        let mut state = self.lock();
+        let check_epoch = state.faults.targets_check_epoch;
+        if state.fleet.order(order, check_epoch) {
+            res.status_code(StatusCode::ACCEPTED);
+        } else {
+            write_error(res, StatusCode::CONFLICT, "old fencing number");
+        }
+    }
+
+    async fn report_usage(&self, req: &mut Request, res: &mut Response) {
+        let Some(report) = read_json::<UsageReport>(req, res).await else {
+            return;
+        };
+        let mut state = self.lock();
+        let check_epoch = state.faults.usage_check_epoch;
+        let status = match state.usage.report(report, check_epoch) {
+            UsageVerdict::Accepted | UsageVerdict::Repeated => StatusCode::OK,
+            UsageVerdict::Conflict => StatusCode::UNPROCESSABLE_ENTITY,
+            UsageVerdict::OldEpoch => StatusCode::CONFLICT,
+        };
+        res.status_code(status);
+    }
+
+    async fn fetch_weights(&self, req: &mut Request, res: &mut Response) {
+        let Some(_fetch) = read_json::<WeightFetch>(req, res).await else {
+            return;
+        };
+        let Some(fetch_time) = self.start_fetch() else {
+            return write_error(res, StatusCode::TOO_MANY_REQUESTS, "too many fetches");
+        };
+        sleep(fetch_time).await;
+        res.status_code(StatusCode::NO_CONTENT);
+    }
+
+    fn start_fetch(&self) -> Option<Duration> {
+        let mut state = self.lock();
+        let now = Instant::now();
+        let minute = Duration::from_secs(60);
+        state
+            .fetch_starts
+            .retain(|start| now.duration_since(*start) < minute);
+        if state.fetch_starts.len() >= state.faults.weight_fetches_per_min as usize {
+            return None;
+        }
+        state.fetch_starts.push(now);
+        Some(Duration::from_millis(state.faults.weight_fetch_ms))
+    }
+}
+
+fn losses_of(faults: &PlatformFaults) -> Losses {
+    Losses {
+        log: AnswerLoss::new(&faults.log),
+        live: AnswerLoss::new(&faults.live),
+        targets: AnswerLoss::new(&faults.targets),
+        usage: AnswerLoss::new(&faults.usage),
+        weights: AnswerLoss::new(&faults.weights),
+    }
+}
+
+fn wall_clock_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.unwrap_or_default().as_millis() as u64
+}
--- /dev/null
+++ b/src/standin/platform/usage.rs
@@ -0,0 +1,66 @@
+//! Usage sink: idempotent by window, remembers every report.
+
+use serde::{Deserialize, Serialize};
+
+use crate::platform::protocol::UsageReport;
+
+/// What became of a report.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum UsageVerdict {
+    /// The window's first report.
+    Accepted,
+    /// The same figures as before.
+    Repeated,
+    /// Other figures than before.
+    Conflict,
+    /// The fencing number is old.
+    OldEpoch,
+}
+
+/// A report as the sink received it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ReceivedUsage {
+    /// The report.
+    pub report: UsageReport,
+    /// What became of it.
+    pub verdict: UsageVerdict,
+}
+
+/// The usage sink.
+#[derive(Debug, Default)]
+pub(crate) struct UsageSink {
+    received: Vec<ReceivedUsage>,
+    newest_epoch: u64,
+}
+
+impl UsageSink {
+    /// Takes a report.
+    pub(crate) fn report(&mut self, report: UsageReport, check_epoch: bool) -> UsageVerdict {
+        let verdict = self.judge(&report, check_epoch);
+        self.newest_epoch = self.newest_epoch.max(report.epoch);
+        self.received.push(ReceivedUsage { report, verdict });
+        verdict
+    }
+
+    /// Returns every report received, in order.
+    pub(crate) fn received(&self) -> &[ReceivedUsage] {
+        &self.received
+    }
+
+    fn judge(&self, report: &UsageReport, check_epoch: bool) -> UsageVerdict {
+        if check_epoch && report.epoch < self.newest_epoch {
+            return UsageVerdict::OldEpoch;
+        }
+        for known in &self.received {
+            if known.verdict != UsageVerdict::Accepted || known.report.window != report.window {
+                continue;
+            }
+            if known.report.figures == report.figures {
+                return UsageVerdict::Repeated;
+            }
+            return UsageVerdict::Conflict;
+        }
+        UsageVerdict::Accepted
+    }
+}
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -3,4 +3,18 @@
 //! [`protocol`] holds the bodies that go over HTTP; it is shared with the
 //! stand-ins.
 
+mod engine;
+mod error;
+mod http;
+mod plain;
 pub mod protocol;
+mod stream;
+pub mod tokens;
+
+pub use self::{
+    engine::EngineClient,
+    error::{Error, Result},
+    http::http_client,
+    plain::{IDEMPOTENCY_KEY, PlainClient, PlainRequest, PlainResponse, REQUEST_ID},
+    stream::EventStream,
+};
--- /dev/null
+++ b/src/target/plain.rs
@@ -0,0 +1,140 @@
+//! Client for plain services.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use reqwest::{
+    Method,
+    header::{HeaderMap, HeaderName, HeaderValue},
+};
+
+use super::{Error, Result, http::read_whole};
+
+/// Header that names a request; a plain service returns it.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// Header that names an operation over all of its attempts.
+pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Headers of a caller that no target sees: credentials and those of one
+/// connection.
+const WITHHELD: [&str; 15] = [
+    "authorization",
+    "proxy-authorization",
+    "x-api-key",
+    "api-key",
+    "cookie",
+    "connection",
+    "proxy-connection",
+    "keep-alive",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "host",
+    "content-length",
+];
+
+/// One call of a plain service.
+#[derive(Clone, Debug)]
+pub struct PlainRequest {
+    /// Method.
+    pub method: Method,
+    /// Path with its query.
+    pub path_and_query: Arc<str>,
+    /// Headers of the caller; credentials are dropped.
+    pub headers: HeaderMap,
+    /// Identifier of the request; the same for each attempt.
+    pub request_id: Arc<str>,
+    /// Idempotency key; empty for none.
+    pub idempotency_key: Arc<str>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A whole answer of a plain service.
+#[derive(Clone, Debug)]
+pub struct PlainResponse {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers, without those of one connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Client for plain services; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct PlainClient {
+    http: reqwest::Client,
+}
+
+impl PlainClient {
+    /// Returns a client over [`http_client`](super::http_client).
+    pub fn new(http: reqwest::Client) -> Self {
+        Self { http }
+    }
+
+    /// Sends a call, once, and reads the answer whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service cannot be reached, the answer is cut, too large or
+    /// belongs to another request. Any status is an answer, not an error.
+    pub async fn call(&self, address: &str, request: PlainRequest) -> Result<PlainResponse> {
+        let url = format!("http://{address}{}", request.path_and_query);
+        let request_id = Arc::clone(&request.request_id);
+        let sent = self
+            .http
+            .request(request.method.clone(), url)
+            .headers(target_headers(&request))
+            .body(request.body)
+            .send()
+            .await;
+        let response = sent.map_err(|cause| Error::from_http(address, cause))?;
+        if !answers(response.headers(), &request_id) {
+            return Err(Error::WrongRequest {
+                address: address.into(),
+            });
+        }
+        let status = response.status().as_u16();
+        let mut headers = response.headers().clone();
+        remove_withheld(&mut headers);
+        let body = read_whole(address, response).await?;
+        Ok(PlainResponse {
+            status,
+            headers,
+            body,
+        })
+    }
+}
+
+fn target_headers(request: &PlainRequest) -> HeaderMap {
+    let mut headers = request.headers.clone();
+    remove_withheld(&mut headers);
+    headers.remove(IDEMPOTENCY_KEY);
+    headers.remove(REQUEST_ID);
+    if let Ok(value) = HeaderValue::from_str(&request.request_id) {
+        headers.insert(REQUEST_ID, value);
+    }
+    if request.idempotency_key.is_empty() {
+        return headers;
+    }
+    if let Ok(value) = HeaderValue::from_str(&request.idempotency_key) {
+        headers.insert(IDEMPOTENCY_KEY, value);
+    }
+    headers
+}
+
+fn remove_withheld(headers: &mut HeaderMap) {
+    for name in WITHHELD {
+        headers.remove(name);
+    }
+}
+
+fn answers(headers: &HeaderMap, request_id: &str) -> bool {
+    let Some(value) = headers.get(REQUEST_ID) else {
+        return true;
+    };
+    value.as_bytes() == request_id.as_bytes()
+}
--- /dev/null
+++ b/src/target/stream.rs
@@ -0,0 +1,146 @@
+//! Event stream of one attempt, checked as it is read.
+
+use std::sync::Arc;
+
+use bytes::{Buf, BytesMut};
+use reqwest::Response;
+
+use super::{
+    Error, Result,
+    protocol::{GenerateEvent, GenerateRequest},
+};
+
+/// Largest event of a stream, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Start of a line that carries data.
+const DATA_PREFIX: &[u8] = b"data:";
+
+/// Events of one attempt; dropping it cancels the attempt.
+#[derive(Debug)]
+pub struct EventStream {
+    address: Arc<str>,
+    request_id: Arc<str>,
+    attempt: u32,
+    next_index: u32,
+    ended: bool,
+    response: Response,
+    buffer: BytesMut,
+}
+
+impl EventStream {
+    pub(super) fn new(address: Arc<str>, request: &GenerateRequest, response: Response) -> Self {
+        Self {
+            address,
+            request_id: Arc::clone(&request.request_id),
+            attempt: request.attempt,
+            next_index: request.resume_tokens,
+            ended: false,
+            response,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Returns the next event, or `None` after `Done` or `Failed`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Cut`] or [`Error::Exchange`] if the stream ends early,
+    /// [`Error::WrongRequest`] if it answers another request or attempt, and
+    /// [`Error::TokenOrder`] if tokens are missing or repeated.
+    pub async fn next(&mut self) -> Result<Option<GenerateEvent>> {
+        if self.ended {
+            return Ok(None);
+        }
+        loop {
+            if let Some(event) = self.take_event()? {
+                self.check(&event)?;
+                return Ok(Some(event));
+            }
+            self.fill().await?;
+        }
+    }
+
+    async fn fill(&mut self) -> Result<()> {
+        let chunk = self.response.chunk().await;
+        let chunk = chunk.map_err(|cause| Error::from_http(&self.address, cause))?;
+        let Some(chunk) = chunk else {
+            return Err(Error::Cut {
+                address: Arc::clone(&self.address),
+            });
+        };
+        if self.buffer.len() + chunk.len() > MAX_EVENT_BYTES {
+            return Err(Error::TooLarge {
+                address: Arc::clone(&self.address),
+                max_bytes: MAX_EVENT_BYTES,
+            });
+        }
+        self.buffer.extend_from_slice(&chunk);
+        Ok(())
+    }
+
+    fn take_event(&mut self) -> Result<Option<GenerateEvent>> {
+        while let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+            let mut line = self.buffer.split_to(end);
+            self.buffer.advance(1);
+            if !line.starts_with(DATA_PREFIX) {
+                continue;
+            }
+            line.advance(DATA_PREFIX.len());
+            let event = serde_json::from_slice(&line).map_err(|cause| Error::Decode {
+                address: Arc::clone(&self.address),
+                cause,
+            })?;
+            return Ok(Some(event));
+        }
+        Ok(None)
+    }
+
+    fn check(&mut self, event: &GenerateEvent) -> Result<()> {
+        match event {
+            GenerateEvent::Accepted {
+                request_id,
+                attempt,
+                ..
+            } => self.check_request(request_id, *attempt),
+            GenerateEvent::Token { index, .. } => {
+                self.check_index(*index)?;
+                self.next_index += 1;
+                Ok(())
+            }
+            GenerateEvent::Done {
+                request_id,
+                attempt,
+                output_tokens,
+                ..
+            } => {
+                self.ended = true;
+                self.check_request(request_id, *attempt)?;
+                self.check_index(*output_tokens)
+            }
+            GenerateEvent::Failed { .. } => {
+                self.ended = true;
+                Ok(())
+            }
+        }
+    }
+
+    fn check_request(&self, request_id: &str, attempt: u32) -> Result<()> {
+        if request_id == &*self.request_id && attempt == self.attempt {
+            return Ok(());
+        }
+        Err(Error::WrongRequest {
+            address: Arc::clone(&self.address),
+        })
+    }
+
+    fn check_index(&self, got: u32) -> Result<()> {
+        if got == self.next_index {
+            return Ok(());
+        }
+        Err(Error::TokenOrder {
+            address: Arc::clone(&self.address),
+            expected: self.next_index,
+            got,
+        })
+    }
+}
--- /dev/null
+++ b/src/target/tokens.rs
@@ -0,0 +1,35 @@
+//! Estimates of token counts, and hashes of a prompt's blocks.
+
+use sha2::{Digest, Sha256};
+
+use super::protocol::BLOCK_TOKENS;
+
+/// Bytes of text that are counted as one token.
+pub const TOKEN_BYTES: usize = 4;
+
+/// Returns the number of tokens that a text is counted as.
+pub fn count_tokens(text: &str) -> u32 {
+    text.len().div_ceil(TOKEN_BYTES) as u32
+}
+
+/// Returns the hashes of a prompt's full blocks, each chained over the prefix.
+pub fn block_hashes(prompt: &str) -> Vec<u64> {
+    let block_bytes = BLOCK_TOKENS as usize * TOKEN_BYTES;
+    let mut hashes = Vec::with_capacity(prompt.len() / block_bytes);
+    let mut previous = 0_u64;
+    for block in prompt.as_bytes().chunks_exact(block_bytes) {
+        previous = chain_hash(previous, block);
+        hashes.push(previous);
+    }
+    hashes
+}
+
+fn chain_hash(previous: u64, block: &[u8]) -> u64 {
+    let mut hasher = Sha256::new();
+    hasher.update(previous.to_le_bytes());
+    hasher.update(block);
+    let digest = hasher.finalize();
+    let mut head = [0; 8];
+    head.copy_from_slice(&digest[..8]);
+    u64::from_le_bytes(head)
+}
--- /dev/null
+++ b/tests/engine_client.rs
@@ -0,0 +1,215 @@
+//! Contract between the engine client and engines.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use lavenderwind::{
+    standin::engine::{Answer, Engine, EngineFaults, EngineOptions},
+    target::{
+        EngineClient, Error, http_client,
+        protocol::{GenerateEvent, GenerateRequest},
+    },
+};
+
+const MODEL: &str = "adviser";
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn options() -> EngineOptions {
+    EngineOptions::default()
+        .with_model(MODEL, "1")
+        .with_time_scale(100.0)
+        .with_crash_marker("crash-me")
+}
+
+fn client() -> EngineClient {
+    EngineClient::new(http_client().expect("client"))
+}
+
+fn request(id: &str, prompt: &str, max_tokens: u32) -> GenerateRequest {
+    GenerateRequest {
+        request_id: id.into(),
+        attempt: 1,
+        model: MODEL.into(),
+        adapter: "".into(),
+        prompt: prompt.into(),
+        resume_text: String::new(),
+        resume_tokens: 0,
+        max_tokens,
+        priority: 0,
+        prefix_blocks: Vec::new(),
+        prefill_only: false,
+    }
+}
+
+struct Outcome {
+    text: String,
+    tokens: u32,
+    whole: bool,
+    cached_tokens: u32,
+    error: Option<Error>,
+    refused: Option<bool>,
+}
+
+async fn collect(engine: &Engine, request: &GenerateRequest) -> Outcome {
+    let mut outcome = Outcome {
+        text: String::new(),
+        tokens: 0,
+        whole: false,
+        cached_tokens: 0,
+        error: None,
+        refused: None,
+    };
+    let address: Arc<str> = engine.addr().to_string().into();
+    let mut stream = match client().generate(&address, request).await {
+        Ok(stream) => stream,
+        Err(error) => {
+            outcome.error = Some(error);
+            return outcome;
+        }
+    };
+    loop {
+        match stream.next().await {
+            Ok(Some(GenerateEvent::Accepted { .. })) => {}
+            Ok(Some(GenerateEvent::Token { text, .. })) => {
+                outcome.text.push_str(&text);
+                outcome.tokens += 1;
+            }
+            Ok(Some(GenerateEvent::Done { cached_tokens, .. })) => {
+                outcome.whole = true;
+                outcome.cached_tokens = cached_tokens;
+            }
+            Ok(Some(GenerateEvent::Failed { not_run, .. })) => outcome.refused = Some(not_run),
+            Ok(None) => return outcome,
+            Err(error) => {
+                outcome.error = Some(error);
+                return outcome;
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn whole_answer() {
+    let engine = Engine::start(any_port(), options()).await.expect("engine");
+    let prompt = "what does norm 12 say?".repeat(20);
+    let outcome = collect(&engine, &request("r1", &prompt, 50)).await;
+    assert!(outcome.whole);
+    assert_eq!(outcome.text, Answer::new(&prompt).text(50));
+}
+
+#[tokio::test]
+async fn resumed_answer() {
+    let engine = Engine::start(any_port(), options()).await.expect("engine");
+    let mut resumed = request("r1", "a prompt", 30);
+    let answer = Answer::new("a prompt");
+    resumed.attempt = 2;
+    resumed.resume_text = answer.text(12);
+    resumed.resume_tokens = 12;
+    let outcome = collect(&engine, &resumed).await;
+    assert!(outcome.whole);
+    assert_eq!(resumed.resume_text + &outcome.text, answer.text(30));
+}
+
+/// What a fault must lead to.
+enum Expected {
+    Error { written: bool },
+    Refused,
+}
+
+struct FaultCase {
+    name: &'static str,
+    faults: EngineFaults,
+    request: GenerateRequest,
+    expected: Expected,
+}
+
+fn fault_cases() -> Vec<FaultCase> {
+    let none = EngineFaults::default();
+    let mut outage = none;
+    outage.http.outage = true;
+    let mut other_model = request("r1", "a prompt", 10);
+    other_model.model = "other".into();
+    let mut other_adapter = request("r1", "a prompt", 10);
+    other_adapter.adapter = "other".into();
+    vec![
+        FaultCase {
+            name: "stream cut after some tokens",
+            faults: EngineFaults {
+                cut_after_tokens: 3,
+                ..none
+            },
+            request: request("r1", "a prompt", 10),
+            expected: Expected::Error { written: true },
+        },
+        FaultCase {
+            name: "answer to another request",
+            faults: EngineFaults {
+                wrong_request: true,
+                ..none
+            },
+            request: request("r1", "a prompt", 10),
+            expected: Expected::Error { written: true },
+        },
+        FaultCase {
+            name: "connection closed under the request",
+            faults: outage,
+            request: request("r1", "a prompt", 10),
+            expected: Expected::Error { written: true },
+        },
+        FaultCase {
+            name: "engine crashes on the prompt",
+            faults: none,
+            request: request("r1", "please crash-me now", 10),
+            expected: Expected::Error { written: true },
+        },
+        FaultCase {
+            name: "model not loaded",
+            faults: none,
+            request: other_model,
+            expected: Expected::Refused,
+        },
+        FaultCase {
+            name: "adapter not loaded",
+            faults: none,
+            request: other_adapter,
+            expected: Expected::Refused,
+        },
+        FaultCase {
+            name: "more tokens than KV memory",
+            faults: none,
+            request: request("r1", "a prompt", 2_000 * 16),
+            expected: Expected::Refused,
+        },
+    ]
+}
+
+#[tokio::test]
+async fn generate_faults() {
+    for case in fault_cases() {
+        let engine = Engine::start(any_port(), options()).await.expect("engine");
+        engine.set_faults(case.faults);
+        let outcome = collect(&engine, &case.request).await;
+        assert!(!outcome.whole, "{}", case.name);
+        match case.expected {
+            Expected::Error { written } => {
+                let error = outcome.error.expect(case.name);
+                assert_eq!(error.written(), written, "{}: {error}", case.name);
+            }
+            Expected::Refused => assert_eq!(outcome.refused, Some(true), "{}", case.name),
+        }
+    }
+}
+
+#[tokio::test]
+async fn refused_connection() {
+    let engine = Engine::start(any_port(), options()).await.expect("engine");
+    let address = engine.addr().to_string();
+    engine.stop().await;
+    let error = client()
+        .generate(&address, &request("r1", "a prompt", 10))
+        .await
+        .expect_err("nobody listens");
+    assert!(!error.written(), "{error}");
+}
