Mark the intents of a holder that resigned

A holder that resigns sends nothing afterwards, so its open intents can be settled at once, also on targets that do not check fencing numbers. Adds the usage report as an order, so that it goes through an intent as engine and fleet orders do. A document must fit one record of the log: 960 KiB.

--- a/src/ledger/duties.rs
+++ b/src/ledger/duties.rs
@@ -55,6 +55,8 @@
     pub incarnation: u64,
     /// The order.
     pub order: Order,
+    /// Whether its holder resigned, after which it sends nothing.
+    pub resigned: bool,
 }
 
 /// Duties and open intents.
@@ -139,6 +141,11 @@
         if let Some(entry) = self.holders.get_mut(&duty) {
             entry.resigned = true;
         }
+        for intent in self.intents.values_mut() {
+            if intent.duty == duty && intent.epoch == resignation.epoch {
+                intent.resigned = true;
+            }
+        }
         Ok(())
     }
 
@@ -168,6 +175,7 @@
             holder: record.writer.as_str().into(),
             incarnation: record.incarnation,
             order: order.clone(),
+            resigned: false,
         };
         self.intents.insert(target, entry);
         Ok(())
@@ -218,6 +226,7 @@
                 offset: entry.offset.0,
                 holder: entry.holder.to_string(),
                 incarnation: entry.incarnation,
+                resigned: entry.resigned,
                 intent: Some(OrderIntent {
                     target: entry.target.to_string(),
                     duty: i32::from(entry.duty),
@@ -272,5 +281,6 @@
         holder: state.holder.into(),
         incarnation: state.incarnation,
         order,
+        resigned: state.resigned,
     })
 }
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -103,6 +103,8 @@
     pub(super) incarnation: u64,
     #[prost(message, optional, tag = "4")]
     pub(super) intent: Option<OrderIntent>,
+    #[prost(bool, tag = "5")]
+    pub(super) resigned: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- a/src/log/lavenderwind.records.rs
+++ b/src/log/lavenderwind.records.rs
@@ -146,19 +146,26 @@
     #[prost(uint32, tag = "3")]
     pub count: u32,
 }
+/// A report of a closed usage window to the platform.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct UsageOrder {
+    #[prost(uint64, tag = "1")]
+    pub window: u64,
+}
 /// Announces an order before it is sent; accepted only under the current
 /// epoch of the duty that sends it and while no other intent is open for the
 /// same target.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct OrderIntent {
-    /// Target that the order goes to; "platform/KIND/DOMAIN" for a fleet order.
+    /// Target that the order goes to; "platform/KIND/DOMAIN" for a fleet order,
+    /// "usage/WINDOW" for a usage report.
     #[prost(string, tag = "1")]
     pub target: ::prost::alloc::string::String,
     #[prost(enumeration = "Duty", tag = "2")]
     pub duty: i32,
     #[prost(uint64, tag = "3")]
     pub epoch: u64,
-    #[prost(oneof = "order_intent::Order", tags = "4, 5")]
+    #[prost(oneof = "order_intent::Order", tags = "4, 5, 6")]
     pub order: ::core::option::Option<order_intent::Order>,
 }
 /// Nested message and enum types in `OrderIntent`.
@@ -169,6 +176,8 @@
         Engine(super::EngineOrder),
         #[prost(message, tag = "5")]
         Fleet(super::FleetOrder),
+        #[prost(message, tag = "6")]
+        Usage(super::UsageOrder),
     }
 }
 /// Closes an intent. Taken from former holders also.
--- a/src/service/check.rs
+++ b/src/service/check.rs
@@ -4,8 +4,8 @@
 
 use super::{Account, Document, Error, Key, KindRole, Model, Result, Route, TargetKind};
 
-/// Longest document that is accepted, in bytes.
-pub const MAX_DOCUMENT_BYTES: usize = 4 << 20;
+/// Longest document that is accepted, in bytes; it has to fit one record.
+pub const MAX_DOCUMENT_BYTES: usize = 960 << 10;
 
 /// Account for which requests on open routes run.
 pub const OPEN_ACCOUNT: &str = "open";
