--- /dev/null
+++ b/src/control/duty.rs
@@ -0,0 +1,148 @@
+//! Decides when an instance claims, renews and resigns a duty.
+
+use std::sync::Arc;
+
+use super::{ChallengeClock, LeaseTiming};
+use crate::{
+    ledger::DutyEntry,
+    log::records::{Duty, DutyClaim, DutyRenewal, DutyResignation},
+};
+
+/// Leases for which another instance must be preferred before the holder
+/// hands the duty over.
+const HANDOVER_LEASES: u64 = 3;
+
+/// Identity of one start of an instance.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Identity {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Incarnation, new with each start.
+    pub incarnation: u64,
+}
+
+/// What an instance does about a duty.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DutyStep {
+    /// Nothing for now.
+    Wait,
+    /// Appends a claim.
+    Claim(DutyClaim),
+    /// Appends a renewal.
+    Renew(DutyRenewal),
+    /// Appends a resignation.
+    Resign(DutyResignation),
+}
+
+/// What is known as a step is decided.
+#[derive(Clone, Copy, Debug)]
+pub struct DutySituation<'a> {
+    /// The duty in the ledger.
+    pub entry: Option<&'a DutyEntry>,
+    /// Whether the instance reads the log and its ledger is complete.
+    pub tail_live: bool,
+    /// Place of this instance in the order of preference, from 0.
+    pub rank: u64,
+    /// Whether the instance is being stopped.
+    pub stopping: bool,
+    /// Whether no order of this instance is in progress.
+    pub idle: bool,
+    /// Monotonic time, in milliseconds.
+    pub now_ms: u64,
+}
+
+/// Rules by which one instance claims and keeps one duty.
+#[derive(Clone, Debug)]
+pub struct DutyRules {
+    duty: Duty,
+    identity: Identity,
+    timing: LeaseTiming,
+    renew_ms: u64,
+    challenge: ChallengeClock,
+    renewed_ms: Option<u64>,
+    unpreferred_since_ms: Option<u64>,
+}
+
+impl DutyRules {
+    /// Returns the rules of an instance that holds nothing.
+    pub fn new(duty: Duty, identity: Identity, timing: LeaseTiming, renew_ms: u64) -> Self {
+        Self {
+            duty,
+            identity,
+            timing,
+            renew_ms,
+            challenge: ChallengeClock::new(),
+            renewed_ms: None,
+            unpreferred_since_ms: None,
+        }
+    }
+
+    /// Whether the instance is about to give the duty up and starts no more
+    /// orders.
+    pub fn is_closing(&self, stopping: bool, now_ms: u64) -> bool {
+        let handover_ms = HANDOVER_LEASES * self.timing.lease_ms;
+        let unpreferred = self
+            .unpreferred_since_ms
+            .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) >= handover_ms);
+        stopping || unpreferred
+    }
+
+    /// Decides the next step.
+    pub fn step(&mut self, situation: &DutySituation<'_>) -> DutyStep {
+        let now_ms = situation.now_ms;
+        self.challenge
+            .observe(situation.entry, situation.tail_live, now_ms);
+        match situation.entry {
+            Some(entry) if self.holds(entry) => self.hold(entry, situation),
+            _ => self.challenge(situation),
+        }
+    }
+
+    fn holds(&self, entry: &DutyEntry) -> bool {
+        entry.held_by(&self.identity.name, self.identity.incarnation)
+    }
+
+    fn hold(&mut self, entry: &DutyEntry, situation: &DutySituation<'_>) -> DutyStep {
+        let now_ms = situation.now_ms;
+        match situation.rank {
+            0 => self.unpreferred_since_ms = None,
+            _ => self.unpreferred_since_ms = self.unpreferred_since_ms.or(Some(now_ms)),
+        }
+        if self.is_closing(situation.stopping, now_ms) && situation.idle {
+            return DutyStep::Resign(DutyResignation {
+                duty: self.duty.into(),
+                epoch: entry.epoch,
+            });
+        }
+        let due = self
+            .renewed_ms
+            .is_none_or(|renewed_ms| now_ms >= renewed_ms + self.renew_ms);
+        if !due {
+            return DutyStep::Wait;
+        }
+        self.renewed_ms = Some(now_ms);
+        DutyStep::Renew(DutyRenewal {
+            duty: self.duty.into(),
+            epoch: entry.epoch,
+        })
+    }
+
+    fn challenge(&mut self, situation: &DutySituation<'_>) -> DutyStep {
+        self.unpreferred_since_ms = None;
+        if situation.stopping || !situation.tail_live {
+            return DutyStep::Wait;
+        }
+        let held = situation.entry.is_some_and(|entry| !entry.resigned);
+        let lapse_ms = if held { self.timing.lapse_ms() } else { 0 };
+        let turn_ms = situation.rank * self.timing.grace_ms;
+        if self.challenge.unchanged_ms(situation.now_ms) < lapse_ms + turn_ms {
+            return DutyStep::Wait;
+        }
+        self.renewed_ms = Some(situation.now_ms);
+        DutyStep::Claim(DutyClaim {
+            duty: self.duty.into(),
+            after_epoch: situation.entry.map_or(0, |entry| entry.epoch),
+            after_renewal: situation.entry.map_or(0, |entry| entry.renewal),
+        })
+    }
+}
--- /dev/null
+++ b/src/control/runner.rs
@@ -0,0 +1,149 @@
+//! Claims, renews and resigns one duty.
+
+use std::time::Duration;
+
+use tokio::{sync::watch, time::timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    Authority, DutyRules, DutySituation, DutyStep, LeaseTiming, Member, Result, preference,
+};
+use crate::{
+    ledger::{DutyEntry, LedgerHandle, Verdict},
+    log::{Appender, TailStatus, records::record::Body},
+    settings::Timing,
+};
+
+/// Decisions of a duty within one renewal.
+const STEPS_PER_RENEWAL: u64 = 8;
+
+/// Runs one duty of this instance.
+#[derive(Debug)]
+pub struct DutyRunner<M> {
+    authority: Authority,
+    appender: Appender,
+    ledger: LedgerHandle,
+    tail: watch::Receiver<TailStatus>,
+    members: M,
+    rules: DutyRules,
+    timing: Timing,
+}
+
+impl<M> DutyRunner<M>
+where
+    M: Fn() -> Vec<Member>,
+{
+    /// Returns a runner; `members` lists the live instances.
+    pub fn new(
+        authority: Authority,
+        appender: Appender,
+        ledger: LedgerHandle,
+        tail: watch::Receiver<TailStatus>,
+        members: M,
+        timing: &Timing,
+    ) -> Self {
+        let rules = DutyRules::new(
+            authority.duty(),
+            authority.identity().clone(),
+            LeaseTiming::from(timing),
+            timing.renew_ms,
+        );
+        Self {
+            authority,
+            appender,
+            ledger,
+            tail,
+            members,
+            rules,
+            timing: *timing,
+        }
+    }
+
+    /// Runs until `stop` is cancelled and the duty, if held, is resigned.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the appender has stopped.
+    pub async fn run(mut self, stop: CancellationToken) -> Result<()> {
+        let period = Duration::from_millis((self.timing.renew_ms / STEPS_PER_RENEWAL).max(1));
+        loop {
+            let stopping = stop.is_cancelled();
+            let step = self.next_step(stopping);
+            self.take_step(step).await?;
+            let resigned = matches!(step, DutyStep::Resign(_));
+            if stopping && (resigned || !self.holds()) {
+                return Ok(());
+            }
+            tokio::time::sleep(period).await;
+        }
+    }
+
+    fn next_step(&mut self, stopping: bool) -> DutyStep {
+        let entry = self.entry();
+        let now_ms = self.authority.clock().now_ms();
+        self.authority
+            .set_closing(self.rules.is_closing(stopping, now_ms));
+        let tail = *self.tail.borrow();
+        let situation = DutySituation {
+            entry: entry.as_ref(),
+            tail_live: tail.live && tail.complete,
+            rank: self.rank(entry.as_ref()),
+            stopping,
+            idle: self.authority.is_idle(),
+            now_ms,
+        };
+        self.rules.step(&situation)
+    }
+
+    fn rank(&self, entry: Option<&DutyEntry>) -> u64 {
+        let name = &self.authority.identity().name;
+        let members = (self.members)();
+        let holder = entry.map(|entry| &*entry.holder);
+        let lapsed = holder.filter(|holder| *holder != &**name);
+        preference::rank(self.authority.duty(), name, &members, lapsed)
+    }
+
+    async fn take_step(&mut self, step: DutyStep) -> Result<()> {
+        let body = match step {
+            DutyStep::Wait => return Ok(()),
+            DutyStep::Claim(claim) => Body::DutyClaim(claim),
+            DutyStep::Renew(renewal) => Body::DutyRenewal(renewal),
+            DutyStep::Resign(resignation) => Body::DutyResignation(resignation),
+        };
+        let lease = Duration::from_millis(self.timing.lease_ms);
+        let Ok(appended) = timeout(lease, self.appender.append(body)).await else {
+            return Ok(());
+        };
+        let receipt = appended?;
+        let duty = self.authority.duty();
+        let sent_ms = self.authority.clock().ms(receipt.sent_at);
+        match (step, receipt.verdict) {
+            (DutyStep::Claim(_), Verdict::Accepted) => {
+                tracing::info!(
+                    "control: took over duty {duty:?} at epoch {}",
+                    receipt.offset
+                );
+                self.authority.confirm(receipt.offset.0, sent_ms);
+            }
+            (DutyStep::Renew(renewal), Verdict::Accepted) => {
+                self.authority.confirm(renewal.epoch, sent_ms);
+            }
+            (DutyStep::Resign(_), Verdict::Accepted) => {
+                tracing::info!("control: resigned duty {duty:?}");
+            }
+            (_, verdict) => tracing::debug!("control: duty {duty:?}: {verdict:?}"),
+        }
+        Ok(())
+    }
+
+    fn entry(&self) -> Option<DutyEntry> {
+        let duty = self.authority.duty();
+        self.ledger.read(|ledger| ledger.duty(duty).cloned())
+    }
+
+    fn holds(&self) -> bool {
+        let identity = self.authority.identity();
+        self.entry()
+            .is_some_and(|entry| entry.held_by(&identity.name, identity.incarnation))
+    }
+}
