--- a/src/control/authority.rs
+++ b/src/control/authority.rs
@@ -80,6 +80,11 @@
         self.lock_lease().confirm(epoch, sent_ms);
     }
 
+    /// Ends the lease of an epoch, before its resignation is sent.
+    pub fn give_up(&self, epoch: u64) {
+        self.lock_lease().give_up(epoch);
+    }
+
     /// Starts an order, unless the duty is being given up.
     ///
     /// # Errors
--- a/src/control/duty.rs
+++ b/src/control/duty.rs
@@ -61,6 +61,8 @@
     challenge: ChallengeClock,
     renewed_ms: Option<u64>,
     unpreferred_since_ms: Option<u64>,
+    /// Epoch of which a resignation may have been sent.
+    resigned_epoch: u64,
 }
 
 impl DutyRules {
@@ -74,6 +76,7 @@
             challenge: ChallengeClock::new(),
             renewed_ms: None,
             unpreferred_since_ms: None,
+            resigned_epoch: 0,
         }
     }
 
@@ -108,7 +111,9 @@
             0 => self.unpreferred_since_ms = None,
             _ => self.unpreferred_since_ms = self.unpreferred_since_ms.or(Some(now_ms)),
         }
-        if self.is_closing(situation.stopping, now_ms) && situation.idle {
+        let closing = self.is_closing(situation.stopping, now_ms) && situation.idle;
+        if closing || self.resigned_epoch == entry.epoch {
+            self.resigned_epoch = entry.epoch;
             return DutyStep::Resign(DutyResignation {
                 duty: self.duty.into(),
                 epoch: entry.epoch,
--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -50,6 +50,7 @@
     lease_ms: u64,
     epoch: u64,
     valid_until_ms: u64,
+    given_up_epoch: u64,
 }
 
 impl LeaseClock {
@@ -59,6 +60,7 @@
             lease_ms,
             epoch: 0,
             valid_until_ms: 0,
+            given_up_epoch: 0,
         }
     }
 
@@ -75,9 +77,15 @@
         self.valid_until_ms = self.valid_until_ms.max(sent_ms + self.lease_ms);
     }
 
+    /// Ends the lease of an epoch for good, before its resignation is sent.
+    pub fn give_up(&mut self, epoch: u64) {
+        self.given_up_epoch = self.given_up_epoch.max(epoch);
+    }
+
     /// Returns the epoch of the lease if it has not lapsed.
     pub fn epoch(&self, now_ms: u64) -> Option<u64> {
-        (self.epoch > 0 && now_ms < self.valid_until_ms).then_some(self.epoch)
+        let valid = self.epoch > self.given_up_epoch && now_ms < self.valid_until_ms;
+        valid.then_some(self.epoch)
     }
 }
 
--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -10,7 +10,7 @@
 
 use tokio::time::Instant;
 
-use super::{Authority, Error, IntentSituation, Result, Settlement, settlement};
+use super::{Authority, Error, IntentSituation, Result, Settlement, is_direct, settlement};
 use crate::{
     ledger::{IntentEntry, LedgerHandle, Rejection, Verdict},
     log::{
@@ -161,6 +161,7 @@
         let situation = IntentSituation {
             own: intent.holder == identity.name && intent.incarnation == identity.incarnation,
             checks_fencing,
+            direct: self.is_direct(intent),
             refenced: lock(&self.refenced).contains(&intent.offset),
             announcer_gone,
         };
@@ -168,7 +169,9 @@
         let outcome = match step {
             Settlement::Wait => None,
             Settlement::Resolve => Some(self.read_outcome(&intent.target, intent.offset.0).await),
-            Settlement::Refence => self.refence(intent, permit.epoch).await,
+            Settlement::Refence { unless_taken } => {
+                self.refence(intent, permit.epoch, unless_taken).await
+            }
         };
         let Some(outcome) = outcome else {
             return Ok(Settlement::Wait);
@@ -179,12 +182,19 @@
 
     /// Sends a former holder's order under the own epoch. Returns `None` if
     /// the target may still take it from the former holder.
-    async fn refence(&self, intent: &IntentEntry, epoch: u64) -> Option<OrderOutcome> {
+    async fn refence(
+        &self,
+        intent: &IntentEntry,
+        epoch: u64,
+        unless_taken: bool,
+    ) -> Option<OrderOutcome> {
         let order_id = intent.offset.0;
         match (self.observe)(intent.target.clone()).await {
             Observation::Gone => return Some(OrderOutcome::NotApplied),
             Observation::Unreachable => return None,
-            Observation::LastOrder(last) if last == order_id => return Some(OrderOutcome::Applied),
+            Observation::LastOrder(last) if unless_taken && last == order_id => {
+                return Some(OrderOutcome::Applied);
+            }
             Observation::LastOrder(_) => {}
         }
         lock(&self.refenced).insert(intent.offset);
@@ -197,14 +207,21 @@
         let outcome = match self.write_once(sent).await {
             WriteOutcome::Taken => OrderOutcome::Applied,
             WriteOutcome::Refused => return None,
+            // What the state shows may be a former holder's write.
+            WriteOutcome::Unknown if !unless_taken => return None,
             WriteOutcome::Unknown => self.read_outcome(&intent.target, order_id).await,
         };
         (outcome == OrderOutcome::Applied).then_some(outcome)
     }
 
-    /// Writes an order once if the lease holds at this moment.
+    /// Writes an order once if the lease holds and the intent is open at this
+    /// moment.
     async fn write_once(&self, sent: SentOrder) -> WriteOutcome {
-        if self.authority.epoch() != Some(sent.epoch) {
+        let open = self.ledger.read(|ledger| {
+            let intent = ledger.intent(&sent.target);
+            intent.map(|intent| intent.offset.0)
+        });
+        if open != Some(sent.order_id) || self.authority.epoch() != Some(sent.epoch) {
             return WriteOutcome::Refused;
         }
         (self.write)(sent).await
@@ -252,6 +269,13 @@
         }
     }
 
+    fn is_direct(&self, intent: &IntentEntry) -> bool {
+        self.ledger.read(|ledger| {
+            let holder = ledger.duty(intent.duty);
+            holder.is_some_and(|holder| is_direct(intent, holder))
+        })
+    }
+
     /// Marks a target's order as in progress, unless one already is.
     fn start_progress(&self, target: &Arc<str>) -> Result<Progress<'_>> {
         if !lock(&self.in_progress).insert(target.clone()) {
--- a/src/control/runner.rs
+++ b/src/control/runner.rs
@@ -108,7 +108,10 @@
             DutyStep::Wait => return Ok(()),
             DutyStep::Claim(claim) => Body::DutyClaim(claim),
             DutyStep::Renew(renewal) => Body::DutyRenewal(renewal),
-            DutyStep::Resign(resignation) => Body::DutyResignation(resignation),
+            DutyStep::Resign(resignation) => {
+                self.authority.give_up(resignation.epoch);
+                Body::DutyResignation(resignation)
+            }
         };
         let lease = Duration::from_millis(self.timing.lease_ms);
         let Ok(appended) = timeout(lease, self.appender.append(body)).await else {
--- a/src/control/settlement.rs
+++ b/src/control/settlement.rs
@@ -3,17 +3,20 @@
 use indexmap::IndexMap;
 
 use super::{Identity, Member};
-use crate::ledger::IntentEntry;
+use crate::ledger::{DutyEntry, IntentEntry};
 
 /// What the holder of a duty does about an open intent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Settlement {
     /// Reads the target's state and closes the intent.
     Resolve,
-    /// Unless the target already took the order, sends it once under the own
-    /// epoch, so that the target refuses the former holder, and then closes
-    /// the intent.
-    Refence,
+    /// Sends the order once under the own epoch, so that the target refuses
+    /// former holders, and then closes the intent.
+    Refence {
+        /// Whether the order need not be sent if the target already took it:
+        /// each holder sends it at most once.
+        unless_taken: bool,
+    },
     /// Leaves the target as it is: the order may still be sent.
     Wait,
 }
@@ -25,19 +28,39 @@
     pub own: bool,
     /// Whether the target refuses old fencing numbers.
     pub checks_fencing: bool,
+    /// Whether no other instance held the duty between the epoch of the intent
+    /// and the own one.
+    pub direct: bool,
     /// Whether this process already sent it under its own epoch.
     pub refenced: bool,
     /// Whether the process that announced it is surely gone.
     pub announcer_gone: bool,
 }
 
+/// Whether no other instance held the duty between the epoch of an intent and
+/// that of the holder.
+pub fn is_direct(intent: &IntentEntry, holder: &DutyEntry) -> bool {
+    intent.epoch == holder.epoch || intent.epoch == holder.after_epoch
+}
+
 /// Decides what the holder of the duty does about an open intent.
 pub fn settlement(intent: &IntentEntry, situation: &IntentSituation) -> Settlement {
+    let refence = situation.checks_fencing && !situation.refenced;
+    // A holder in between may have sent the order, too, and be about to do so.
+    if situation.checks_fencing && !situation.direct {
+        return if refence {
+            Settlement::Refence {
+                unless_taken: false,
+            }
+        } else {
+            Settlement::Wait
+        };
+    }
     if situation.own || intent.resigned {
         return Settlement::Resolve;
     }
-    if situation.checks_fencing && !situation.refenced {
-        return Settlement::Refence;
+    if refence {
+        return Settlement::Refence { unless_taken: true };
     }
     if situation.announcer_gone {
         return Settlement::Resolve;
--- a/src/ledger/duties.rs
+++ b/src/ledger/duties.rs
@@ -25,6 +25,8 @@
     pub incarnation: u64,
     /// Fencing number: the offset of the holder's claim.
     pub epoch: u64,
+    /// Epoch of the claim before this one; 0 if there was none.
+    pub after_epoch: u64,
     /// Offset of the last renewal, or of the claim before the first renewal.
     pub renewal: u64,
     /// Whether the holder gave the duty up.
@@ -110,6 +112,7 @@
             holder: record.writer.as_str().into(),
             incarnation: record.incarnation,
             epoch: offset.0,
+            after_epoch: epoch,
             renewal: offset.0,
             resigned: false,
         };
@@ -212,6 +215,7 @@
                 holder: entry.holder.to_string(),
                 incarnation: entry.incarnation,
                 epoch: entry.epoch,
+                after_epoch: entry.after_epoch,
                 renewal: entry.renewal,
                 resigned: entry.resigned,
             });
@@ -246,6 +250,7 @@
                 holder: state.holder.into(),
                 incarnation: state.incarnation,
                 epoch: state.epoch,
+                after_epoch: state.after_epoch,
                 renewal: state.renewal,
                 resigned: state.resigned,
             };
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -91,6 +91,8 @@
     pub(super) renewal: u64,
     #[prost(bool, tag = "6")]
     pub(super) resigned: bool,
+    #[prost(uint64, tag = "7")]
+    pub(super) after_epoch: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
--- /dev/null
+++ b/tests/order_authority.rs
@@ -0,0 +1,45 @@
+//! No order of an instance that has lost its duty takes effect.
+
+mod records;
+mod walk;
+
+use arbtest::arbtest;
+use walk::{Counts, World};
+
+const SEEDS: u64 = 200;
+const SEED_SIZE: u64 = 0x4000;
+
+#[test]
+fn random_walks() {
+    let mut counts = Counts::default();
+    for seed in 0..SEEDS {
+        arbtest(|u| {
+            let mut world = World::new(u)?;
+            while u.len() > 16 {
+                world.step(u, &mut counts)?;
+            }
+            Ok(())
+        })
+        .seed((0x5eed_1000 + seed) << 32 | SEED_SIZE);
+    }
+    println!("{counts:?}");
+    for reached in [
+        counts.takeovers,
+        counts.refused_claims,
+        counts.resignations,
+        counts.duplicates,
+        counts.long_pauses,
+        counts.pauses_before_write,
+        counts.kills,
+        counts.cuts,
+        counts.writes_after_lapse,
+        counts.fenced_writes,
+        counts.lapsed_checks,
+        counts.refences,
+        counts.adoptions,
+        counts.waits,
+    ] {
+        assert!(reached >= 50, "a state is rarely reached: {counts:?}");
+    }
+    assert!(counts.writes >= 5_000, "{counts:?}");
+}
--- /dev/null
+++ b/tests/walk/log.rs
@@ -0,0 +1,63 @@
+use lavenderwind::{
+    ledger::{Ledger, Verdict},
+    log::{
+        Offset,
+        records::{Record, record::Body},
+    },
+};
+
+use super::Counts;
+
+/// A record on its way to the log.
+struct Packet {
+    arrives_ms: u64,
+    record: Record,
+}
+
+/// The log, with records on their way to it.
+#[derive(Default)]
+pub(crate) struct Log {
+    records: Vec<Record>,
+    /// The fold of all records.
+    pub(crate) ledger: Ledger,
+    packets: Vec<Packet>,
+}
+
+impl Log {
+    /// Sends a record that arrives at a later time.
+    pub(crate) fn send(&mut self, arrives_ms: u64, record: Record) {
+        self.packets.push(Packet { arrives_ms, record });
+    }
+
+    /// Appends the records that have arrived.
+    pub(crate) fn deliver(&mut self, now_ms: u64, counts: &mut Counts) {
+        self.packets.sort_by_key(|packet| packet.arrives_ms);
+        while let Some(packet) = self.packets.first() {
+            if packet.arrives_ms > now_ms {
+                return;
+            }
+            let packet = self.packets.remove(0);
+            self.append(packet.record, counts);
+        }
+    }
+
+    fn append(&mut self, record: Record, counts: &mut Counts) {
+        self.records.push(record);
+        let offset = Offset(self.records.len() as u64);
+        let record = &self.records[self.records.len() - 1];
+        let verdict = self.ledger.apply(offset, record);
+        match (&record.body, verdict) {
+            (_, Verdict::Duplicate) => counts.duplicates += 1,
+            (Some(Body::DutyClaim(_)), Verdict::Accepted) => counts.takeovers += 1,
+            (Some(Body::DutyClaim(_)), Verdict::Rejected(_)) => counts.refused_claims += 1,
+            (Some(Body::DutyResignation(_)), Verdict::Accepted) => counts.resignations += 1,
+            _ => {}
+        }
+    }
+
+    /// Returns the record at an offset.
+    pub(crate) fn get(&self, offset: Offset) -> Option<&Record> {
+        let index = usize::try_from(offset.0).ok()?.checked_sub(1)?;
+        self.records.get(index)
+    }
+}
--- /dev/null
+++ b/tests/walk/mod.rs
@@ -0,0 +1,170 @@
+//! Random walks of instances that share a duty, in virtual time.
+//!
+//! The instances use the ledger, the lease rules and the settlement of intents
+//! as the binary does. The walk adds pauses at any point, clocks that drift,
+//! appends that are lost, late or repeated, kills and cut connections.
+
+mod instance;
+mod log;
+mod target;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use lavenderwind::control::{LeaseTiming, Member};
+
+pub(crate) use self::{instance::Instance, log::Log, target::Target};
+
+/// Times of the leases in the walk.
+pub(crate) const TIMING: LeaseTiming = LeaseTiming {
+    lease_ms: 3_000,
+    drift_ms: 100,
+    grace_ms: 500,
+};
+
+/// Time between two renewals.
+pub(crate) const RENEW_MS: u64 = 1_000;
+
+/// Delay with which the live list shows a change.
+pub(crate) const LIST_LAG_MS: u64 = 800;
+
+/// How often interesting states were reached.
+#[derive(Debug, Default)]
+pub(crate) struct Counts {
+    pub(crate) takeovers: u32,
+    pub(crate) refused_claims: u32,
+    pub(crate) resignations: u32,
+    pub(crate) duplicates: u32,
+    pub(crate) long_pauses: u32,
+    pub(crate) pauses_before_write: u32,
+    pub(crate) kills: u32,
+    pub(crate) cuts: u32,
+    pub(crate) writes: u32,
+    pub(crate) writes_after_lapse: u32,
+    pub(crate) fenced_writes: u32,
+    pub(crate) lapsed_checks: u32,
+    pub(crate) repeats: u32,
+    pub(crate) refences: u32,
+    pub(crate) adoptions: u32,
+    pub(crate) waits: u32,
+}
+
+/// A member of the live list that was killed.
+struct Departed {
+    member: Member,
+    killed_ms: u64,
+}
+
+/// Instances, log and targets.
+pub(crate) struct World {
+    pub(crate) now_ms: u64,
+    pub(crate) log: Log,
+    pub(crate) targets: Vec<Target>,
+    pub(crate) instances: Vec<Instance>,
+    departed: Vec<Departed>,
+}
+
+impl World {
+    pub(crate) fn new(u: &mut Unstructured<'_>) -> Result<Self> {
+        let mut instances = Vec::new();
+        for name in ["entry-1", "entry-2", "entry-3"] {
+            instances.push(Instance::arbitrary(u, name, 1)?);
+        }
+        Ok(Self {
+            now_ms: 0,
+            log: Log::default(),
+            targets: vec![
+                Target::new("plain-1", false),
+                Target::new("plain-2", false),
+                Target::new("fencing-1", true),
+            ],
+            instances,
+            departed: Vec::new(),
+        })
+    }
+
+    pub(crate) fn step(&mut self, u: &mut Unstructured<'_>, counts: &mut Counts) -> Result<()> {
+        self.now_ms += u.int_in_range(1..=60)?;
+        self.log.deliver(self.now_ms, counts);
+        let index = u.choose_index(self.instances.len())?;
+        self.disturb(u, index, counts)?;
+        let members = self.members();
+        let instance = &mut self.instances[index];
+        if !instance.is_paused(self.now_ms) {
+            let mut surroundings = instance::Surroundings {
+                now_ms: self.now_ms,
+                log: &mut self.log,
+                targets: &mut self.targets,
+                members: &members,
+            };
+            instance.run(u, &mut surroundings, counts)?;
+        }
+        self.check_one_holder();
+        Ok(())
+    }
+
+    /// Pauses, kills or cuts off an instance now and then.
+    fn disturb(
+        &mut self,
+        u: &mut Unstructured<'_>,
+        index: usize,
+        counts: &mut Counts,
+    ) -> Result<()> {
+        let now_ms = self.now_ms;
+        let instance = &mut self.instances[index];
+        match u.int_in_range(0..=599)? {
+            0..=7 => {
+                let pause_ms = u.int_in_range(50..=9_000)?;
+                counts.long_pauses += u32::from(pause_ms > TIMING.lease_ms);
+                instance.pause(now_ms + pause_ms);
+            }
+            8 => {
+                counts.kills += 1;
+                let member = instance.member();
+                self.departed.push(Departed {
+                    member,
+                    killed_ms: now_ms,
+                });
+                let name = instance.name().to_owned();
+                let incarnation = instance.incarnation() + 1;
+                *instance = Instance::arbitrary(u, &name, incarnation)?;
+            }
+            9 => {
+                counts.cuts += 1;
+                let cut_ms = u.int_in_range(100..=6_000)?;
+                instance.cut_off(now_ms + cut_ms);
+            }
+            10..=11 => instance.toggle_stopping(),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// The live list: it drops a killed process late, and a paused one never.
+    fn members(&mut self) -> Vec<Member> {
+        let now_ms = self.now_ms;
+        self.departed
+            .retain(|departed| now_ms < departed.killed_ms + LIST_LAG_MS);
+        let mut members = Vec::new();
+        for instance in &self.instances {
+            members.push(instance.member());
+        }
+        for departed in &self.departed {
+            members.push(departed.member.clone());
+        }
+        members
+    }
+
+    /// At no moment do two processes find that they hold the duty.
+    fn check_one_holder(&self) {
+        let mut holders = Vec::new();
+        for instance in &self.instances {
+            if let Some(epoch) = instance.authority(self.now_ms) {
+                holders.push(format!("{} at epoch {epoch}", instance.name()));
+            }
+        }
+        assert!(
+            holders.len() <= 1,
+            "two holders at {}: {holders:?}",
+            self.now_ms
+        );
+    }
+}
