--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -24,5 +24,5 @@
     orders::{Observation, OrderOutcome, OrderSender, SentOrder, WriteOutcome},
     preference::{Member, rank},
     runner::DutyRunner,
-    settlement::{AbsenceClock, IntentSituation, Settlement, is_direct, settlement},
+    settlement::{AbsenceClock, IntentSituation, Settlement, settlement},
 };
--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -10,7 +10,7 @@
 
 use tokio::time::Instant;
 
-use super::{Authority, Error, IntentSituation, Result, Settlement, is_direct, settlement};
+use super::{Authority, Error, IntentSituation, Result, Settlement, settlement};
 use crate::{
     ledger::{IntentEntry, LedgerHandle, Rejection, Verdict},
     log::{
@@ -77,7 +77,6 @@
     /// was not answered counts as not taken.
     settle_time: Duration,
     in_progress: Mutex<HashSet<Arc<str>>>,
-    refenced: Mutex<HashSet<Offset>>,
     write: W,
     observe: R,
 }
@@ -104,7 +103,6 @@
             ledger,
             settle_time,
             in_progress: Mutex::default(),
-            refenced: Mutex::default(),
             write,
             observe,
         }
@@ -119,13 +117,8 @@
     pub async fn send(&self, target: &Arc<str>, order: Order) -> Result<OrderOutcome> {
         let permit = self.authority.start_order().await?;
         let _progress = self.start_progress(target)?;
-        let intent = OrderIntent {
-            target: target.to_string(),
-            duty: self.authority.duty().into(),
-            epoch: permit.epoch,
-            order: Some(order.clone()),
-        };
-        let receipt = self.append(Body::OrderIntent(intent)).await?;
+        let intent = self.announcement(target, permit.epoch, &order);
+        let receipt = self.append(intent).await?;
         let sent = SentOrder {
             order_id: receipt.offset.0,
             epoch: permit.epoch,
@@ -158,20 +151,20 @@
             return Ok(Settlement::Wait);
         };
         let identity = self.authority.identity();
+        let order_id = intent.offset.0;
+        let observed = (self.observe)(intent.target.clone()).await;
         let situation = IntentSituation {
             own: intent.holder == identity.name && intent.incarnation == identity.incarnation,
+            epoch: permit.epoch,
             checks_fencing,
-            direct: self.is_direct(intent),
-            refenced: lock(&self.refenced).contains(&intent.offset),
-            announcer_gone,
+            taken: observed == Observation::LastOrder(order_id),
+            announcer_gone: announcer_gone || observed == Observation::Gone,
         };
         let step = settlement(intent, &situation);
         let outcome = match step {
             Settlement::Wait => None,
-            Settlement::Resolve => Some(self.read_outcome(&intent.target, intent.offset.0).await),
-            Settlement::Refence { unless_taken } => {
-                self.refence(intent, permit.epoch, unless_taken).await
-            }
+            Settlement::Resolve => Some(self.read_outcome(&intent.target, order_id).await),
+            Settlement::Adopt => self.adopt(intent, permit.epoch).await?,
         };
         let Some(outcome) = outcome else {
             return Ok(Settlement::Wait);
@@ -181,47 +174,44 @@
     }
 
     /// Sends a former holder's order under the own epoch. Returns `None` if
-    /// the target may still take it from the former holder.
-    async fn refence(
-        &self,
-        intent: &IntentEntry,
-        epoch: u64,
-        unless_taken: bool,
-    ) -> Option<OrderOutcome> {
-        let order_id = intent.offset.0;
-        match (self.observe)(intent.target.clone()).await {
-            Observation::Gone => return Some(OrderOutcome::NotApplied),
-            Observation::Unreachable => return None,
-            Observation::LastOrder(last) if unless_taken && last == order_id => {
-                return Some(OrderOutcome::Applied);
-            }
-            Observation::LastOrder(_) => {}
-        }
-        lock(&self.refenced).insert(intent.offset);
+    /// the target may still take it from a former holder.
+    async fn adopt(&self, intent: &IntentEntry, epoch: u64) -> Result<Option<OrderOutcome>> {
+        let adoption = self.announcement(&intent.target, epoch, &intent.order);
+        self.append(adoption).await?;
         let sent = SentOrder {
-            order_id,
+            order_id: intent.offset.0,
             epoch,
             target: intent.target.clone(),
             order: intent.order.clone(),
         };
-        let outcome = match self.write_once(sent).await {
-            WriteOutcome::Taken => OrderOutcome::Applied,
-            WriteOutcome::Refused => return None,
-            // What the state shows may be a former holder's write.
-            WriteOutcome::Unknown if !unless_taken => return None,
-            WriteOutcome::Unknown => self.read_outcome(&intent.target, order_id).await,
-        };
-        (outcome == OrderOutcome::Applied).then_some(outcome)
+        let outcome = self.write_once(sent).await;
+        if outcome == WriteOutcome::Taken {
+            return Ok(Some(OrderOutcome::Applied));
+        }
+        let target = &intent.target;
+        tracing::warn!("control: target {target} did not confirm an adopted order; leaving it");
+        Ok(None)
     }
 
-    /// Writes an order once if the lease holds and the intent is open at this
-    /// moment.
+    fn announcement(&self, target: &str, epoch: u64, order: &Order) -> Body {
+        Body::OrderIntent(OrderIntent {
+            target: target.to_owned(),
+            duty: self.authority.duty().into(),
+            epoch,
+            order: Some(order.clone()),
+        })
+    }
+
+    /// Writes an order once if the lease holds and the intent is open under
+    /// this epoch at this moment.
     async fn write_once(&self, sent: SentOrder) -> WriteOutcome {
-        let open = self.ledger.read(|ledger| {
+        let announced = self.ledger.read(|ledger| {
             let intent = ledger.intent(&sent.target);
-            intent.map(|intent| intent.offset.0)
+            intent.is_some_and(|intent| {
+                intent.offset.0 == sent.order_id && intent.epoch == sent.epoch
+            })
         });
-        if open != Some(sent.order_id) || self.authority.epoch() != Some(sent.epoch) {
+        if !announced || self.authority.epoch() != Some(sent.epoch) {
             return WriteOutcome::Refused;
         }
         (self.write)(sent).await
@@ -269,13 +259,6 @@
         }
     }
 
-    fn is_direct(&self, intent: &IntentEntry) -> bool {
-        self.ledger.read(|ledger| {
-            let holder = ledger.duty(intent.duty);
-            holder.is_some_and(|holder| is_direct(intent, holder))
-        })
-    }
-
     /// Marks a target's order as in progress, unless one already is.
     fn start_progress(&self, target: &Arc<str>) -> Result<Progress<'_>> {
         if !lock(&self.in_progress).insert(target.clone()) {
@@ -314,6 +297,6 @@
     }
 }
 
-fn lock<T>(set: &Mutex<HashSet<T>>) -> MutexGuard<'_, HashSet<T>> {
+fn lock(set: &Mutex<HashSet<Arc<str>>>) -> MutexGuard<'_, HashSet<Arc<str>>> {
     set.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/control/settlement.rs
+++ b/src/control/settlement.rs
@@ -3,20 +3,16 @@
 use indexmap::IndexMap;
 
 use super::{Identity, Member};
-use crate::ledger::{DutyEntry, IntentEntry};
+use crate::ledger::IntentEntry;
 
 /// What the holder of a duty does about an open intent.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Settlement {
     /// Reads the target's state and closes the intent.
     Resolve,
-    /// Sends the order once under the own epoch, so that the target refuses
-    /// former holders, and then closes the intent.
-    Refence {
-        /// Whether the order need not be sent if the target already took it:
-        /// each holder sends it at most once.
-        unless_taken: bool,
-    },
+    /// Announces the same order under the own epoch, sends it once, so that the
+    /// target refuses former holders, and then closes the intent.
+    Adopt,
     /// Leaves the target as it is: the order may still be sent.
     Wait,
 }
@@ -24,46 +20,40 @@
 /// What is known of an intent beside its entry.
 #[derive(Clone, Copy, Debug)]
 pub struct IntentSituation {
-    /// Whether this process announced it, and no longer sends it.
+    /// Whether this process announced or last adopted it, and does not send
+    /// it at the moment.
     pub own: bool,
+    /// Epoch under which this process holds the duty.
+    pub epoch: u64,
     /// Whether the target refuses old fencing numbers.
     pub checks_fencing: bool,
-    /// Whether no other instance held the duty between the epoch of the intent
-    /// and the own one.
-    pub direct: bool,
-    /// Whether this process already sent it under its own epoch.
-    pub refenced: bool,
+    /// Whether the target's state shows that it took the order.
+    pub taken: bool,
     /// Whether the process that announced it is surely gone.
     pub announcer_gone: bool,
 }
 
-/// Whether no other instance held the duty between the epoch of an intent and
-/// that of the holder.
-pub fn is_direct(intent: &IntentEntry, holder: &DutyEntry) -> bool {
-    intent.epoch == holder.epoch || intent.epoch == holder.after_epoch
-}
-
 /// Decides what the holder of the duty does about an open intent.
+///
+/// Each process sends an order at most once an epoch, and only if it announced
+/// or adopted the intent under that epoch.
 pub fn settlement(intent: &IntentEntry, situation: &IntentSituation) -> Settlement {
-    let refence = situation.checks_fencing && !situation.refenced;
-    // A holder in between may have sent the order, too, and be about to do so.
-    if situation.checks_fencing && !situation.direct {
-        return if refence {
-            Settlement::Refence {
-                unless_taken: false,
-            }
+    // Several processes may have sent an adopted order, or be about to do so:
+    // only a write under a later epoch shuts all of them out.
+    if intent.adopted {
+        let may_adopt = situation.checks_fencing && intent.epoch < situation.epoch;
+        return if may_adopt {
+            Settlement::Adopt
         } else {
             Settlement::Wait
         };
     }
-    if situation.own || intent.resigned {
+    let settled = situation.taken || situation.announcer_gone;
+    if situation.own || intent.resigned || settled {
         return Settlement::Resolve;
     }
-    if refence {
-        return Settlement::Refence { unless_taken: true };
-    }
-    if situation.announcer_gone {
-        return Settlement::Resolve;
+    if situation.checks_fencing {
+        return Settlement::Adopt;
     }
     Settlement::Wait
 }
--- a/src/ledger/duties.rs
+++ b/src/ledger/duties.rs
@@ -25,8 +25,6 @@
     pub incarnation: u64,
     /// Fencing number: the offset of the holder's claim.
     pub epoch: u64,
-    /// Epoch of the claim before this one; 0 if there was none.
-    pub after_epoch: u64,
     /// Offset of the last renewal, or of the claim before the first renewal.
     pub renewal: u64,
     /// Whether the holder gave the duty up.
@@ -43,15 +41,15 @@
 /// An order that was announced and not yet resolved.
 #[derive(Clone, Debug, PartialEq)]
 pub struct IntentEntry {
-    /// Offset of the intent, which identifies the order.
+    /// Offset of the first intent, which identifies the order.
     pub offset: Offset,
     /// Target of the order.
     pub target: Arc<str>,
     /// Duty under which it was announced.
     pub duty: Duty,
-    /// Fencing number under which it was announced.
+    /// Fencing number under which it was announced, or last adopted.
     pub epoch: u64,
-    /// Instance that announced it.
+    /// Instance that announced it, or last adopted it.
     pub holder: Arc<str>,
     /// Incarnation of that instance.
     pub incarnation: u64,
@@ -59,6 +57,28 @@
     pub order: Order,
     /// Whether its holder resigned, after which it sends nothing.
     pub resigned: bool,
+    /// Whether a later holder announced the same order under its own epoch.
+    pub adopted: bool,
+}
+
+impl IntentEntry {
+    fn adopt(
+        &mut self,
+        duty: Duty,
+        record: &Record,
+        intent: &OrderIntent,
+    ) -> std::result::Result<(), Rejection> {
+        let same_order = self.duty == duty && intent.order.as_ref() == Some(&self.order);
+        if !same_order || intent.epoch <= self.epoch {
+            return Err(Rejection::IntentOpen);
+        }
+        self.epoch = intent.epoch;
+        self.holder = record.writer.as_str().into();
+        self.incarnation = record.incarnation;
+        self.resigned = false;
+        self.adopted = true;
+        Ok(())
+    }
 }
 
 /// Duties and open intents.
@@ -112,7 +132,6 @@
             holder: record.writer.as_str().into(),
             incarnation: record.incarnation,
             epoch: offset.0,
-            after_epoch: epoch,
             renewal: offset.0,
             resigned: false,
         };
@@ -152,6 +171,8 @@
         Ok(())
     }
 
+    /// Opens an intent, or lets the holder adopt the same order of an earlier
+    /// epoch.
     pub(super) fn open_intent(
         &mut self,
         offset: Offset,
@@ -166,8 +187,8 @@
             return Err(Rejection::Malformed("the intent has no order"));
         };
         self.authorize(duty, intent.epoch, record)?;
-        if self.intents.contains_key(intent.target.as_str()) {
-            return Err(Rejection::IntentOpen);
+        if let Some(open) = self.intents.get_mut(intent.target.as_str()) {
+            return open.adopt(duty, record, intent);
         }
         let target: Arc<str> = intent.target.as_str().into();
         let entry = IntentEntry {
@@ -179,13 +200,14 @@
             incarnation: record.incarnation,
             order: order.clone(),
             resigned: false,
+            adopted: false,
         };
         self.intents.insert(target, entry);
         Ok(())
     }
 
-    /// Closes an intent, for the instance that announced it, also after it
-    /// lost the duty, or for the current holder.
+    /// Closes an intent, for the instance that announced it or last adopted it,
+    /// also after it lost the duty, or for the current holder.
     pub(super) fn resolve(
         &mut self,
         record: &Record,
@@ -215,7 +237,6 @@
                 holder: entry.holder.to_string(),
                 incarnation: entry.incarnation,
                 epoch: entry.epoch,
-                after_epoch: entry.after_epoch,
                 renewal: entry.renewal,
                 resigned: entry.resigned,
             });
@@ -231,6 +252,7 @@
                 holder: entry.holder.to_string(),
                 incarnation: entry.incarnation,
                 resigned: entry.resigned,
+                adopted: entry.adopted,
                 intent: Some(OrderIntent {
                     target: entry.target.to_string(),
                     duty: i32::from(entry.duty),
@@ -250,7 +272,6 @@
                 holder: state.holder.into(),
                 incarnation: state.incarnation,
                 epoch: state.epoch,
-                after_epoch: state.after_epoch,
                 renewal: state.renewal,
                 resigned: state.resigned,
             };
@@ -287,5 +308,6 @@
         incarnation: state.incarnation,
         order,
         resigned: state.resigned,
+        adopted: state.adopted,
     })
 }
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -91,8 +91,6 @@
     pub(super) renewal: u64,
     #[prost(bool, tag = "6")]
     pub(super) resigned: bool,
-    #[prost(uint64, tag = "7")]
-    pub(super) after_epoch: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -107,6 +105,8 @@
     pub(super) intent: Option<OrderIntent>,
     #[prost(bool, tag = "5")]
     pub(super) resigned: bool,
+    #[prost(bool, tag = "6")]
+    pub(super) adopted: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
