--- /dev/null
+++ b/src/cli/check.rs
@@ -0,0 +1,33 @@
+//! `check`: checks settings or a service document without starting anything.
+
+use std::{path::Path, process::ExitCode};
+
+use clap::{ArgGroup, ArgMatches, Command};
+
+use super::{Result, option, read_file};
+use crate::{Settings, service::Document};
+
+pub(super) fn command() -> Command {
+    Command::new("check")
+        .about("Check settings or a service document, and start nothing")
+        .arg(option("settings", "FILE", "Settings of an instance"))
+        .arg(option("service", "FILE", "Service document"))
+        .group(
+            ArgGroup::new("file")
+                .args(["settings", "service"])
+                .required(true),
+        )
+}
+
+pub(super) fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    if let Some(path) = matches.get_one::<String>("settings") {
+        let settings = Settings::load(Path::new(path))?;
+        println!("{path}: settings of instance {} are valid", settings.name);
+    }
+    if let Some(path) = matches.get_one::<String>("service") {
+        let document = Document::parse(&read_file(path)?)
+            .map_err(|error| super::Error::Invalid(format!("{path}: {error}")))?;
+        println!("{path}: document of service {} is valid", document.service);
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,3 +1,157 @@
 //! The command line: one file a subcommand.
 
-pub mod standin;
+mod check;
+mod key;
+mod operator;
+mod service;
+mod standin;
+mod status;
+
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command};
+use displaydoc::Display;
+use tracing_subscriber::EnvFilter;
+
+use crate::settings::{LogFormat, Logging};
+
+/// Exit code for bad arguments, settings or documents.
+const EXIT_INVALID: u8 = 2;
+
+/// Log filter without a setting: our own events from `info` on.
+const DEFAULT_FILTER: &str = "warn,lavenderwind=info";
+
+/// A result of a command.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a command failed.
+#[derive(Debug, Display, derive_more::Error, derive_more::From)]
+pub enum Error {
+    /// {0}
+    Settings(crate::settings::Error),
+    /// {0}
+    Service(crate::service::Error),
+    /// {0}
+    Standin(standin::Error),
+    /// log: {0}
+    Log(crate::log::Error),
+    /// platform: {0}
+    Platform(crate::platform::Error),
+    /// {path}: {source}
+    #[from(ignore)]
+    File {
+        /// File that was named.
+        path: String,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// admin interface {address}: {source}
+    #[from(ignore)]
+    Admin {
+        /// Address that was asked.
+        address: String,
+        /// Cause.
+        source: reqwest::Error,
+    },
+    /// {0}
+    #[from(ignore)]
+    Refused(#[error(not(source))] String),
+    /// {0}
+    #[from(ignore)]
+    Invalid(#[error(not(source))] String),
+    /// {0}
+    Io(std::io::Error),
+    /// {0}
+    Json(serde_json::Error),
+}
+
+impl Error {
+    fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Settings(_) | Self::Service(_) | Self::File { .. } | Self::Invalid(_) => {
+                ExitCode::from(EXIT_INVALID)
+            }
+            _ => ExitCode::FAILURE,
+        }
+    }
+}
+
+/// Builds the command line.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("lavenderwind")
+        .about("Serves language models and plain services from a limited fleet of targets")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(check::command())
+        .subcommand(service::command())
+        .subcommand(key::command())
+        .subcommand(status::command())
+        .subcommand(standin::command())
+}
+
+/// Parses the arguments of the process and runs the command.
+pub async fn main() -> ExitCode {
+    let matches = command().get_matches();
+    match dispatch(&matches).await {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("lavenderwind: {error}");
+            error.exit_code()
+        }
+    }
+}
+
+async fn dispatch(matches: &ArgMatches) -> Result<ExitCode> {
+    let Some((name, matches)) = matches.subcommand() else {
+        return Ok(ExitCode::from(EXIT_INVALID));
+    };
+    match name {
+        "check" => check::run(matches),
+        "service" => service::run(matches).await,
+        "key" => key::run(matches).await,
+        "status" => status::run(matches).await,
+        _ => {
+            start_logging(&Logging::default());
+            standin::run(matches).await?;
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+/// Sends logs to standard error in the chosen form.
+fn start_logging(logging: &Logging) {
+    let filter = if logging.filter.is_empty() {
+        DEFAULT_FILTER
+    } else {
+        &logging.filter
+    };
+    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
+    // A second call, as in tests, keeps the first subscriber.
+    let _ = match logging.format {
+        LogFormat::Plain => builder.with_target(false).try_init(),
+        LogFormat::Json => builder.json().try_init(),
+    };
+}
+
+/// Reads a string argument that the command declares as required.
+fn string<'a>(matches: &'a ArgMatches, name: &str) -> &'a str {
+    matches.get_one::<String>(name).map_or("", String::as_str)
+}
+
+/// Builds an option that takes a value.
+fn option(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value).help(help)
+}
+
+/// Reads a file that was named on the command line.
+fn read_file(path: &str) -> Result<String> {
+    std::fs::read_to_string(path).map_err(|source| Error::File {
+        path: path.to_owned(),
+        source,
+    })
+}
--- /dev/null
+++ b/src/cli/operator.rs
@@ -0,0 +1,215 @@
+//! An operator's view of the log: folds it, publishes to it and waits for the
+//! instances.
+
+use std::{process::ExitCode, time::Duration};
+
+use clap::{ArgMatches, Command};
+use tokio::{sync::watch, time::Instant};
+use tokio_util::sync::CancellationToken;
+
+use super::{Error, Result, option, string};
+use crate::{
+    instance::status::InstanceStatus,
+    ledger::{Ledger, LedgerHandle, Verdict},
+    log::{
+        self, Log, LogOptions, Offset,
+        records::{ServiceRevision, record::Body},
+    },
+    platform::{LiveClient, protocol::LiveInstance},
+    service::Document,
+};
+
+/// Longest wait for one answer of the platform or an instance.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the log to be read to its end, or to take a record.
+const LOG_TIMEOUT: Duration = Duration::from_secs(15);
+/// Longest wait for every live instance to apply a revision: the bound within
+/// which a configuration is in force everywhere.
+const APPLY_TIMEOUT: Duration = Duration::from_secs(12);
+/// Time between two looks at the instances.
+const APPLY_POLL: Duration = Duration::from_millis(50);
+
+/// Adds the options by which a command reaches the platform.
+pub(super) fn arguments(command: Command) -> Command {
+    command.arg(
+        option(
+            "platform",
+            "URL",
+            "Base URL of the platform's log and live list",
+        )
+        .env("LAVENDERWIND_PLATFORM")
+        .required(true),
+    )
+}
+
+/// What a live instance reports.
+pub(super) struct InstanceReport {
+    /// Entry of the platform's live list.
+    pub(super) instance: LiveInstance,
+    /// The instance's own status, or why it is not known.
+    pub(super) status: std::result::Result<InstanceStatus, reqwest::Error>,
+}
+
+/// A folded ledger, with the means to publish to the log that it came from.
+pub(super) struct Operator {
+    log: Log,
+    ledger: LedgerHandle,
+    live: LiveClient,
+    http: reqwest::Client,
+}
+
+impl Operator {
+    /// Folds the retained log to its end.
+    pub(super) async fn connect(matches: &ArgMatches) -> Result<Self> {
+        let url = string(matches, "platform");
+        let http = reqwest::Client::builder()
+            .timeout(ANSWER_TIMEOUT)
+            .build()
+            .map_err(|error| Error::Invalid(error.to_string()))?;
+        let options = LogOptions::for_operator(url, rand::random(), ANSWER_TIMEOUT);
+        let ledger = LedgerHandle::new(Ledger::new());
+        let (_, live_instances) = watch::channel(1);
+        let log = log::spawn(
+            &options,
+            ledger.clone(),
+            live_instances,
+            &CancellationToken::new(),
+        );
+        let live = LiveClient::new(http.clone(), url, ANSWER_TIMEOUT);
+        let operator = Self {
+            log,
+            ledger,
+            live,
+            http,
+        };
+        operator.catch_up().await?;
+        Ok(operator)
+    }
+
+    /// Returns the folded ledger.
+    pub(super) fn ledger(&self) -> &LedgerHandle {
+        &self.ledger
+    }
+
+    /// Waits until the log is folded to the end that it had.
+    async fn catch_up(&self) -> Result<()> {
+        let mut status = self.log.status.clone();
+        let read = status.wait_for(|status| status.live && status.complete);
+        match tokio::time::timeout(LOG_TIMEOUT, read).await {
+            Ok(Ok(_)) => Ok(()),
+            _ => Err(Error::Refused(
+                "the platform's log cannot be read to its end".into(),
+            )),
+        }
+    }
+
+    /// Returns the current revision of a service; 0 if there is none.
+    pub(super) fn revision(&self, service: &str) -> u64 {
+        self.ledger()
+            .read(|ledger| ledger.service(service).map_or(0, |entry| entry.revision))
+    }
+
+    /// Returns the accepted document of a service.
+    pub(super) fn document(&self, service: &str) -> Result<Document> {
+        let found = self
+            .ledger()
+            .read(|ledger| ledger.service(service).map(|e| e.document.clone()));
+        found.ok_or_else(|| Error::Invalid(format!("there is no service {service}")))
+    }
+
+    /// Publishes a revision; returns its offset once it is accepted.
+    pub(super) async fn publish(
+        &self,
+        service: &str,
+        base_revision: u64,
+        document: String,
+    ) -> Result<Offset> {
+        let body = Body::ServiceRevision(ServiceRevision {
+            service: service.to_owned(),
+            base_revision,
+            document,
+        });
+        let append = self.log.appender.append(body);
+        let Ok(receipt) = tokio::time::timeout(LOG_TIMEOUT, append).await else {
+            return Err(Error::Refused(format!(
+                "service {service}: the log gave no answer; see `service history {service}` \
+                 for whether the revision was accepted"
+            )));
+        };
+        let receipt = receipt?;
+        match receipt.verdict {
+            Verdict::Rejected(reason) => Err(Error::Refused(format!(
+                "service {service} refused: {reason}"
+            ))),
+            _ => Ok(receipt.offset),
+        }
+    }
+
+    /// Asks every live instance for its status.
+    pub(super) async fn instances(&self) -> Result<Vec<InstanceReport>> {
+        let mut reports = Vec::new();
+        for instance in self.live.list().await? {
+            let status = self.status(&instance).await;
+            reports.push(InstanceReport { instance, status });
+        }
+        Ok(reports)
+    }
+
+    /// Waits until every live instance has applied an offset, and prints
+    /// those that have not within the bound.
+    pub(super) async fn wait_applied(&self, offset: Offset) -> Result<ExitCode> {
+        let deadline = Instant::now() + APPLY_TIMEOUT;
+        loop {
+            let reports = self.instances().await?;
+            let behind = behind(&reports, offset);
+            if reports.is_empty() {
+                println!("no instance is on the platform's live list");
+                return Ok(ExitCode::FAILURE);
+            }
+            if behind.is_empty() {
+                println!("applied by {} live instances", reports.len());
+                return Ok(ExitCode::SUCCESS);
+            }
+            if Instant::now() >= deadline {
+                for line in behind {
+                    println!("{line}");
+                }
+                return Ok(ExitCode::FAILURE);
+            }
+            tokio::time::sleep(APPLY_POLL).await;
+        }
+    }
+
+    async fn status(
+        &self,
+        instance: &LiveInstance,
+    ) -> std::result::Result<InstanceStatus, reqwest::Error> {
+        let url = format!("http://{}/status", instance.admin_address);
+        self.http
+            .get(url)
+            .send()
+            .await?
+            .error_for_status()?
+            .json()
+            .await
+    }
+}
+
+/// Describes the instances that have not applied an offset.
+fn behind(reports: &[InstanceReport], offset: Offset) -> Vec<String> {
+    let mut lines = Vec::new();
+    for report in reports {
+        let name = &report.instance.name;
+        match &report.status {
+            Ok(status) if status.applied_offset >= offset.0 => (),
+            Ok(status) => {
+                lines.push(format!(
+                    "not applied by {name}: at offset {}",
+                    status.applied_offset
+                ));
+            }
+            Err(error) => lines.push(format!("not applied by {name}: no answer: {error}")),
+        }
+    }
+    lines
+}
--- a/src/cli/standin.rs
+++ b/src/cli/standin.rs
@@ -21,7 +21,7 @@
 const REGISTER_TIMEOUT_MS: u64 = 5_000;
 
 /// Result of the subcommand.
-pub type Result<T> = std::result::Result<T, Error>;
+pub(super) type Result<T> = std::result::Result<T, Error>;
 
 /// Why a stand-in process ended.
 #[derive(Debug, Display)]
@@ -51,7 +51,7 @@
 impl std::error::Error for Error {}
 
 /// Returns the subcommand's arguments.
-pub fn command() -> Command {
+pub(super) fn command() -> Command {
     let platform = with_common(Command::new("platform"))
         .about("Log, live list, target ordering, usage sink and weight store");
     let engine = with_registration(with_common(Command::new("engine")))
@@ -69,7 +69,7 @@
 /// # Errors
 ///
 /// Fails if options cannot be read or the address cannot be bound.
-pub async fn run(matches: &ArgMatches) -> Result<()> {
+pub(super) async fn run(matches: &ArgMatches) -> Result<()> {
     match matches.subcommand() {
         Some(("platform", matches)) => run_platform(matches).await,
         Some(("engine", matches)) => run_engine(matches).await,
--- /dev/null
+++ b/src/instance/mod.rs
@@ -0,0 +1,3 @@
+//! An entry instance: wires the parts together under a supervisor tree.
+
+pub mod status;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod cli;
 pub mod control;
 pub mod entry;
+pub mod instance;
 pub mod ledger;
 pub mod log;
 pub mod peer;
--- a/src/log/spawn.rs
+++ b/src/log/spawn.rs
@@ -22,6 +22,12 @@
 /// Longest wait of a read for the next record.
 const MAX_READ_WAIT: Duration = Duration::from_millis(500);
 
+/// Name under which operators' commands write records.
+const OPERATOR_WRITER: &str = "operator";
+
+/// Appends a second of an operator's command.
+const OPERATOR_APPENDS_PER_S: u32 = 20;
+
 /// What the appender and the tailer need to know.
 #[derive(Clone, Debug)]
 pub struct LogOptions {
@@ -48,6 +54,19 @@
             appends_per_s: settings.limits.log_appends_per_s,
         }
     }
+
+    /// Makes the options of an operator's command, which appends a few records.
+    pub fn for_operator(log_url: &str, incarnation: u64, timeout: Duration) -> Self {
+        Self {
+            writer: OPERATOR_WRITER.into(),
+            incarnation,
+            log_url: log_url.into(),
+            timeout,
+            linger: Duration::ZERO,
+            read_wait: MAX_READ_WAIT,
+            appends_per_s: OPERATOR_APPENDS_PER_S,
+        }
+    }
 }
 
 /// The log as the other parts of an instance use it.
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,8 @@
 //! The `lavenderwind` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    lavenderwind::cli::main().await
+}
