target: add the table of targets with polled state and health

Routing and control need one view of the targets: what the platform lists, what each engine reported and how old that is, and whether requests fail there. A changed boot identifier on a target that is not leaving is published as a crash, so that requests in flight can be marked as suspects.

An engine appears only after its first report, so that it is never taken for a plain service. An instance can poll a subset of the engines; the rank by (instance, target) spreads the subsets.

The stand-in engine stopped its listener after it had rebooted, which showed one crash as two boots; it now stops first.

--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -119,11 +119,10 @@
             () = service.crash.notified() => {}
             () = service.stop.notified() => return server.stop().await,
         }
-        service.lock().reboot();
         server.stop().await;
+        service.lock().reboot();
         let restart_ms = service.lock().options.restart_ms;
         sleep(Duration::from_millis(restart_ms)).await;
-        service.lock().reboot();
         server = HttpServer::restart(server.address(), service.clone()).await;
     }
 }
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -9,6 +9,7 @@
 mod plain;
 pub mod protocol;
 mod stream;
+pub mod table;
 pub mod tokens;
 
 pub use self::{
@@ -17,4 +18,5 @@
     http::http_client,
     plain::{IDEMPOTENCY_KEY, PlainClient, PlainRequest, PlainResponse, REQUEST_ID},
     stream::EventStream,
+    table::{TargetTable, TargetView},
 };
--- a/src/target/stream.rs
+++ b/src/target/stream.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Returns whether a whole event has arrived that was not read yet.
+    pub fn is_buffered(&self) -> bool {
+        !self.ended && self.buffer.contains(&b'\n')
+    }
+
     async fn fill(&mut self) -> Result<()> {
         let chunk = self.response.chunk().await;
         let chunk = chunk.map_err(|cause| Error::from_http(&self.address, cause))?;
--- /dev/null
+++ b/src/target/table/mod.rs
@@ -0,0 +1,375 @@
+//! Table of targets: the platform's list joined with each engine's state and
+//! what requests show of its health.
+
+mod health;
+mod poll;
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use indexmap::IndexMap;
+use tokio::{
+    sync::{broadcast, watch},
+    time::Instant,
+};
+use tokio_util::sync::CancellationToken;
+
+pub use self::health::Health;
+use self::{health::HealthTracker, poll::Poller};
+use super::{EngineClient, protocol::EngineState};
+use crate::{
+    platform::{
+        TargetsClient,
+        protocol::{PlatformTarget, TargetState},
+    },
+    service::KindRole,
+};
+
+/// Crash events that a slow subscriber may lag behind.
+const MAX_PENDING_CRASHES: usize = 256;
+
+/// One target, as this instance sees it.
+#[derive(Clone, Debug)]
+pub struct TargetView {
+    /// Name of the target.
+    pub name: Arc<str>,
+    /// Kind of target.
+    pub kind: Arc<str>,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Address of its HTTP interface, `IP:PORT`.
+    pub address: Arc<str>,
+    /// Whether it starts, runs or leaves.
+    pub state: TargetState,
+    /// For a leaving target, the instant at which it is gone.
+    pub leaves_at: Option<Instant>,
+    /// Last state that an engine reported; `None` for plain services.
+    pub engine: Option<EngineState>,
+    /// Instant at which the last report was received; for a plain service, at
+    /// which it was first listed.
+    pub reported_at: Instant,
+    /// Whether it answers.
+    pub health: Health,
+}
+
+impl TargetView {
+    /// Returns the age of the load figures at `now`, the report's own lag
+    /// included.
+    pub fn report_age(&self, now: Instant) -> Duration {
+        let lag_ms = self.engine.as_ref().map_or(0, |state| state.report_age_ms);
+        now.saturating_duration_since(self.reported_at) + Duration::from_millis(lag_ms)
+    }
+
+    /// Returns whether the target may get new work.
+    pub fn is_available(&self) -> bool {
+        let changing = self.engine.as_ref().is_some_and(|state| state.changing);
+        self.state == TargetState::Live && self.health == Health::Healthy && !changing
+    }
+}
+
+/// An engine that was found to have booted again without an order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CrashEvent {
+    /// Name of the target.
+    pub target: Arc<str>,
+    /// Boot identifier before the crash.
+    pub previous_boot: Arc<str>,
+    /// Boot identifier now.
+    pub boot: Arc<str>,
+}
+
+/// What the platform lists and an engine reported.
+#[derive(Clone, Debug)]
+struct Row {
+    listed: PlatformTarget,
+    role: Option<KindRole>,
+    leaves_at: Option<Instant>,
+    engine: Option<EngineState>,
+    reported_at: Instant,
+    health: HealthTracker,
+}
+
+#[derive(Debug)]
+struct Shared {
+    rows: Mutex<IndexMap<Arc<str>, Row>>,
+    views: watch::Sender<Arc<Vec<TargetView>>>,
+    crashes: broadcast::Sender<CrashEvent>,
+}
+
+/// Table of targets, shared by the parts of an instance; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct TargetTable {
+    shared: Arc<Shared>,
+}
+
+impl Default for TargetTable {
+    fn default() -> Self {
+        Self {
+            shared: Arc::new(Shared {
+                rows: Mutex::default(),
+                views: watch::Sender::default(),
+                crashes: broadcast::Sender::new(MAX_PENDING_CRASHES),
+            }),
+        }
+    }
+}
+
+impl TargetTable {
+    /// Returns an empty table; [`TargetPoller::run`] fills it.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the targets that may be used or have been until lately.
+    ///
+    /// An engine appears once it has reported its state.
+    pub fn snapshot(&self) -> Arc<Vec<TargetView>> {
+        Arc::clone(&self.shared.views.borrow())
+    }
+
+    /// Returns a channel that carries each new snapshot.
+    pub fn watch(&self) -> watch::Receiver<Arc<Vec<TargetView>>> {
+        self.shared.views.subscribe()
+    }
+
+    /// Returns a channel that carries the crashes found by polling.
+    pub fn crashes(&self) -> broadcast::Receiver<CrashEvent> {
+        self.shared.crashes.subscribe()
+    }
+
+    /// Notes that a target answered a request whole.
+    pub fn mark_success(&self, name: &str) {
+        self.mark(name, HealthTracker::succeed);
+    }
+
+    /// Notes that a target failed a request.
+    pub fn mark_failure(&self, name: &str) {
+        let now = Instant::now();
+        self.mark(name, |health| health.fail(now));
+    }
+
+    /// Notes that a target crashed.
+    pub fn mark_crashed(&self, name: &str) {
+        let now = Instant::now();
+        self.mark(name, |health| health.crash(now));
+    }
+
+    /// Takes in the platform's list; targets that it leaves out are dropped.
+    pub fn observe_list<F>(&self, targets: Vec<PlatformTarget>, role_of: F)
+    where
+        F: Fn(&str) -> Option<KindRole>,
+    {
+        let now = Instant::now();
+        let mut rows = self.lock();
+        let mut listed = IndexMap::with_capacity(targets.len());
+        for target in targets {
+            let known = rows.swap_remove(&target.name);
+            let row = known.filter(|row| row.listed.address == target.address);
+            let mut row = row.unwrap_or_else(|| Row {
+                listed: target.clone(),
+                role: None,
+                leaves_at: None,
+                engine: None,
+                reported_at: now,
+                health: HealthTracker::default(),
+            });
+            row.role = role_of(&target.kind);
+            row.leaves_at = target
+                .leaves_in_ms
+                .map(|ms| now + Duration::from_millis(ms));
+            row.listed = target;
+            listed.insert(Arc::clone(&row.listed.name), row);
+        }
+        *rows = listed;
+        self.publish(&mut rows);
+    }
+
+    /// Takes in an engine's state.
+    pub fn observe_state(&self, name: &str, state: EngineState) {
+        let mut rows = self.lock();
+        self.take_state(&mut rows, name, state);
+        self.publish(&mut rows);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<Arc<str>, Row>> {
+        let rows = self.shared.rows.lock();
+        rows.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn mark<F>(&self, name: &str, change: F)
+    where
+        F: FnOnce(&mut HealthTracker) -> bool,
+    {
+        let mut rows = self.lock();
+        let Some(row) = rows.get_mut(name) else {
+            return;
+        };
+        if change(&mut row.health) {
+            tracing::info!("target: {name} is now {:?}", row.health.health());
+            self.publish(&mut rows);
+        }
+    }
+
+    fn take_state(&self, rows: &mut IndexMap<Arc<str>, Row>, name: &str, state: EngineState) {
+        let Some(row) = rows.get_mut(name) else {
+            return;
+        };
+        let known = row.engine.as_ref().map(|known| &known.boot);
+        let previous_boot = known.filter(|boot| **boot != state.boot).cloned();
+        row.health.poll_succeeded(previous_boot.is_some());
+        if let Some(previous_boot) = previous_boot
+            && row.listed.state == TargetState::Live
+        {
+            tracing::warn!("target: {name} crashed and booted again");
+            let _ = self.shared.crashes.send(CrashEvent {
+                target: Arc::clone(&row.listed.name),
+                previous_boot,
+                boot: Arc::clone(&state.boot),
+            });
+        }
+        row.engine = Some(state);
+        row.reported_at = Instant::now();
+    }
+
+    fn publish(&self, rows: &mut IndexMap<Arc<str>, Row>) {
+        let now = Instant::now();
+        let mut views = Vec::with_capacity(rows.len());
+        for row in rows.values_mut() {
+            row.health.expire(now);
+            if row.role == Some(KindRole::Engine) && row.engine.is_none() {
+                continue;
+            }
+            views.push(TargetView {
+                name: Arc::clone(&row.listed.name),
+                kind: Arc::clone(&row.listed.kind),
+                failure_domain: Arc::clone(&row.listed.failure_domain),
+                address: Arc::clone(&row.listed.address),
+                state: row.listed.state,
+                leaves_at: row.leaves_at,
+                engine: row.engine.clone(),
+                reported_at: row.reported_at,
+                health: row.health.health(),
+            });
+        }
+        self.shared.views.send_replace(Arc::new(views));
+    }
+
+    /// Returns the engines to poll: all, or a subset that is spread evenly over
+    /// the instances.
+    fn engines(&self, instance: &str, subset: Option<usize>) -> Vec<PlatformTarget> {
+        let rows = self.lock();
+        let engines = rows.values();
+        let mut engines: Vec<PlatformTarget> = engines
+            .filter(|row| row.role == Some(KindRole::Engine))
+            .map(|row| row.listed.clone())
+            .collect();
+        drop(rows);
+        let Some(subset) = subset.filter(|subset| *subset < engines.len()) else {
+            return engines;
+        };
+        engines.sort_by_cached_key(|target| rank(instance, &target.name));
+        engines.truncate(subset);
+        engines
+    }
+}
+
+fn rank(instance: &str, target: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    instance.hash(&mut hasher);
+    target.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Fills a [`TargetTable`] from the platform's list and the engines' states.
+///
+/// ```no_run
+/// use std::time::Duration;
+///
+/// use lavenderwind::{
+///     platform::TargetsClient,
+///     service::KindRole,
+///     target::{
+///         EngineClient, http_client,
+///         table::{TargetPoller, TargetTable},
+///     },
+/// };
+/// use tokio_util::sync::CancellationToken;
+///
+/// # async fn example() -> reqwest::Result<()> {
+/// let http = http_client()?;
+/// let platform = TargetsClient::new(
+///     http.clone(),
+///     "http://127.0.0.1:9000",
+///     Duration::from_secs(1),
+/// );
+/// let table = TargetTable::new();
+/// let poller = TargetPoller::new(table.clone(), platform, EngineClient::new(http), |_kind| {
+///     Some(KindRole::Engine)
+/// });
+/// poller
+///     .with_poll(Duration::from_millis(500))
+///     .run(CancellationToken::new())
+///     .await;
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Clone, Debug)]
+pub struct TargetPoller<F> {
+    poller: Poller<F>,
+}
+
+impl<F> TargetPoller<F>
+where
+    F: Fn(&str) -> Option<KindRole>,
+{
+    /// Returns a poller of all engines; `role_of` tells what a kind of target
+    /// runs, from the service documents.
+    pub fn new(
+        table: TargetTable,
+        targets: TargetsClient,
+        engines: EngineClient,
+        role_of: F,
+    ) -> Self {
+        let poller = Poller::new(table, targets, engines, role_of);
+        Self { poller }
+    }
+
+    /// Sets the time between two polls of the list.
+    #[must_use]
+    pub fn with_poll(mut self, poll: Duration) -> Self {
+        self.poller.list_period = poll;
+        self
+    }
+
+    /// Sets the time between two polls of each engine's state.
+    #[must_use]
+    pub fn with_state_poll(mut self, poll: Duration) -> Self {
+        self.poller.state_period = poll;
+        self
+    }
+
+    /// Polls only `count` engines, another part of them on each instance.
+    #[must_use]
+    pub fn with_subset(mut self, instance: Arc<str>, count: usize) -> Self {
+        self.poller.instance = instance;
+        self.poller.subset = Some(count);
+        self
+    }
+
+    /// Polls the list and all states once.
+    pub async fn refresh(&self) {
+        self.poller.poll_list().await;
+        self.poller.poll_states().await;
+    }
+
+    /// Polls until stopped.
+    pub async fn run(self, stop: CancellationToken) {
+        tokio::select! {
+            () = self.poller.run() => {}
+            () = stop.cancelled() => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/target/table/poll.rs
@@ -0,0 +1,129 @@
+//! Polls of the platform's list and the engines' states.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_util::{StreamExt, stream};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+
+use super::TargetTable;
+use crate::{
+    platform::{TargetsClient, protocol::PlatformTarget},
+    service::KindRole,
+    target::{EngineClient, Result, protocol::EngineState},
+};
+
+/// Engines whose state is polled at the same time.
+const MAX_CONCURRENT_POLLS: usize = 32;
+/// Longest wait for an engine's state, in milliseconds.
+const STATE_TIMEOUT_MS: u64 = 500;
+/// Default time between two polls of the list, in milliseconds.
+const LIST_PERIOD_MS: u64 = 500;
+/// Default time between two polls of each state, in milliseconds.
+const STATE_PERIOD_MS: u64 = 250;
+
+/// Polls on behalf of one table.
+#[derive(Clone, Debug)]
+pub(super) struct Poller<F> {
+    pub(super) instance: Arc<str>,
+    pub(super) subset: Option<usize>,
+    pub(super) list_period: Duration,
+    pub(super) state_period: Duration,
+    table: TargetTable,
+    targets: TargetsClient,
+    engines: EngineClient,
+    role_of: F,
+}
+
+/// What became of one engine's poll.
+struct Polled {
+    name: Arc<str>,
+    /// `None` if the engine did not answer in time.
+    state: Option<Result<EngineState>>,
+}
+
+impl<F> Poller<F>
+where
+    F: Fn(&str) -> Option<KindRole>,
+{
+    pub(super) fn new(
+        table: TargetTable,
+        targets: TargetsClient,
+        engines: EngineClient,
+        role_of: F,
+    ) -> Self {
+        Self {
+            instance: "".into(),
+            subset: None,
+            list_period: Duration::from_millis(LIST_PERIOD_MS),
+            state_period: Duration::from_millis(STATE_PERIOD_MS),
+            table,
+            targets,
+            engines,
+            role_of,
+        }
+    }
+
+    /// Polls list and states, each in its own period.
+    pub(super) async fn run(&self) {
+        tokio::join!(self.run_list(), self.run_states());
+    }
+
+    async fn run_list(&self) {
+        let mut ticks = interval(self.list_period);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.poll_list().await;
+        }
+    }
+
+    async fn run_states(&self) {
+        let mut ticks = interval(self.state_period);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.poll_states().await;
+        }
+    }
+
+    /// Polls the list once; the known targets stay if it cannot be read.
+    pub(super) async fn poll_list(&self) {
+        match self.targets.list().await {
+            Ok(list) => self.table.observe_list(list.targets, &self.role_of),
+            Err(error) => tracing::warn!("target: cannot read the target list: {error}"),
+        }
+    }
+
+    /// Polls the state of each engine once.
+    pub(super) async fn poll_states(&self) {
+        let engines = self.table.engines(&self.instance, self.subset);
+        let polls = stream::iter(engines).map(|target| self.poll_state(target));
+        let polled: Vec<Polled> = polls.buffer_unordered(MAX_CONCURRENT_POLLS).collect().await;
+        self.take_states(polled);
+    }
+
+    async fn poll_state(&self, target: PlatformTarget) -> Polled {
+        let limit = Duration::from_millis(STATE_TIMEOUT_MS);
+        let state = timeout(limit, self.engines.state(&target.address)).await;
+        Polled {
+            name: target.name,
+            state: state.ok(),
+        }
+    }
+
+    fn take_states(&self, polled: Vec<Polled>) {
+        let now = Instant::now();
+        let mut rows = self.table.lock();
+        for poll in polled {
+            match poll.state {
+                Some(Ok(state)) => self.table.take_state(&mut rows, &poll.name, state),
+                Some(Err(_)) | None => {
+                    if let Some(row) = rows.get_mut(&poll.name) {
+                        row.health.poll_failed(now);
+                    }
+                }
+            }
+        }
+        self.table.publish(&mut rows);
+    }
+}
