--- /dev/null
+++ b/src/entry/answer.rs
@@ -0,0 +1,212 @@
+//! Bodies of answers of the chat and text completion interfaces.
+
+use std::sync::Arc;
+
+use serde::Serialize;
+
+use crate::{entry::openai::Interface, target::protocol::FinishReason};
+
+/// What all bodies of one answer have in common.
+#[derive(Clone, Debug)]
+pub(super) struct AnswerHead {
+    /// Interface of the request.
+    pub(super) interface: Interface,
+    /// Identifier of the answer.
+    pub(super) id: String,
+    /// Time of the answer, in seconds since the epoch.
+    pub(super) created: u64,
+    /// Model as the caller named it.
+    pub(super) model: Arc<str>,
+}
+
+/// Tokens of a request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub(super) struct Usage {
+    /// Tokens of the prompt.
+    pub(super) prompt_tokens: u32,
+    /// Tokens generated.
+    pub(super) completion_tokens: u32,
+    /// Sum of both.
+    pub(super) total_tokens: u32,
+    /// Where the prompt's tokens came from.
+    pub(super) prompt_tokens_details: PromptDetails,
+}
+
+/// Where a prompt's tokens came from.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub(super) struct PromptDetails {
+    /// Tokens found in the engine's cache.
+    pub(super) cached_tokens: u32,
+}
+
+impl Usage {
+    /// Returns the usage of one request.
+    pub(super) const fn new(prompt_tokens: u32, cached_tokens: u32, output_tokens: u32) -> Self {
+        Self {
+            prompt_tokens,
+            completion_tokens: output_tokens,
+            total_tokens: prompt_tokens.saturating_add(output_tokens),
+            prompt_tokens_details: PromptDetails { cached_tokens },
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Body<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    choices: &'a [Choice<'a>],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+#[derive(Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<Message<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Message<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    logprobs: (),
+    finish_reason: Option<FinishReason>,
+}
+
+#[derive(Clone, Copy, Default, Serialize)]
+struct Message<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<&'a str>,
+}
+
+impl AnswerHead {
+    /// Returns the body of a whole answer.
+    pub(super) fn whole(&self, text: &str, reason: FinishReason, usage: Usage) -> Vec<u8> {
+        let mut choice = self.choice(Some(reason));
+        match self.interface {
+            Interface::Chat => {
+                choice.message = Some(Message {
+                    role: Some("assistant"),
+                    content: Some(text),
+                });
+            }
+            Interface::Text => choice.text = Some(text),
+        }
+        let object = match self.interface {
+            Interface::Chat => "chat.completion",
+            Interface::Text => "text_completion",
+        };
+        let mut body = Vec::new();
+        self.write(&mut body, object, &[choice], Some(usage));
+        body
+    }
+
+    /// Appends the first event of a stream, which names the role.
+    pub(super) fn write_opening(&self, buffer: &mut Vec<u8>) {
+        if self.interface == Interface::Text {
+            return;
+        }
+        let mut choice = self.choice(None);
+        choice.delta = Some(Message {
+            role: Some("assistant"),
+            content: Some(""),
+        });
+        self.write_event(buffer, &[choice], None);
+    }
+
+    /// Appends an event with text.
+    pub(super) fn write_text(&self, buffer: &mut Vec<u8>, text: &str) {
+        let mut choice = self.choice(None);
+        match self.interface {
+            Interface::Chat => {
+                choice.delta = Some(Message {
+                    content: Some(text),
+                    ..Message::default()
+                });
+            }
+            Interface::Text => choice.text = Some(text),
+        }
+        self.write_event(buffer, &[choice], None);
+    }
+
+    /// Appends the event that gives the finish reason.
+    pub(super) fn write_finish(&self, buffer: &mut Vec<u8>, reason: FinishReason) {
+        let mut choice = self.choice(Some(reason));
+        match self.interface {
+            Interface::Chat => choice.delta = Some(Message::default()),
+            Interface::Text => choice.text = Some(""),
+        }
+        self.write_event(buffer, &[choice], None);
+    }
+
+    /// Appends the event that gives the usage.
+    pub(super) fn write_usage(&self, buffer: &mut Vec<u8>, usage: Usage) {
+        self.write_event(buffer, &[], Some(usage));
+    }
+
+    fn choice(&self, finish_reason: Option<FinishReason>) -> Choice<'static> {
+        Choice {
+            index: 0,
+            message: None,
+            delta: None,
+            text: None,
+            logprobs: (),
+            finish_reason,
+        }
+    }
+
+    fn write_event(&self, buffer: &mut Vec<u8>, choices: &[Choice<'_>], usage: Option<Usage>) {
+        let object = match self.interface {
+            Interface::Chat => "chat.completion.chunk",
+            Interface::Text => "text_completion",
+        };
+        buffer.extend_from_slice(b"data: ");
+        self.write(buffer, object, choices, usage);
+        buffer.extend_from_slice(b"\n\n");
+    }
+
+    fn write(
+        &self,
+        buffer: &mut Vec<u8>,
+        object: &'static str,
+        choices: &[Choice<'_>],
+        usage: Option<Usage>,
+    ) {
+        let body = Body {
+            id: &self.id,
+            object,
+            created: self.created,
+            model: &self.model,
+            choices,
+            usage,
+        };
+        // Writing plain structs to memory cannot fail.
+        let _ = serde_json::to_writer(buffer, &body);
+    }
+}
+
+/// One model in the answer to `GET /v1/models`.
+#[derive(Debug, Serialize)]
+pub(super) struct ModelBody {
+    /// Name that callers give.
+    pub(super) id: String,
+    /// Always `model`.
+    pub(super) object: &'static str,
+    /// Always 0: models carry no date.
+    pub(super) created: u64,
+    /// Team that owns the service.
+    pub(super) owned_by: Arc<str>,
+}
+
+/// The answer to `GET /v1/models`.
+#[derive(Debug, Serialize)]
+pub(super) struct ModelListBody {
+    /// Always `list`.
+    pub(super) object: &'static str,
+    /// The models.
+    pub(super) data: Vec<ModelBody>,
+}
--- /dev/null
+++ b/src/entry/attempt.rs
@@ -0,0 +1,274 @@
+//! One attempt of a request on one engine.
+
+use std::{sync::Arc, time::Duration};
+
+use displaydoc::Display;
+use tokio::time::timeout;
+
+use crate::{
+    entry::{
+        call::Call,
+        context::EntryContext,
+        error::Result,
+        generation::Finish,
+        scheduler::{Demand, Permit},
+        suspect::SuspectGuard,
+    },
+    log::records::{CrashSuspect, record::Body},
+    platform::protocol::TargetState,
+    target::{
+        self, EventStream,
+        protocol::{GenerateEvent, GenerateRequest},
+    },
+};
+
+/// Longest wait for an engine to tell whether it was restarted.
+const STATE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Why an attempt failed.
+#[derive(Debug, Display)]
+pub(super) enum AttemptError {
+    /// {0}
+    Target(target::Error),
+    /// the engine refused the request: {0}
+    Refused(Arc<str>),
+    /// the engine could not finish: {0}
+    Failed(Arc<str>),
+    /// the engine sent nothing for too long
+    Stalled,
+    /// the engine left out tokens
+    Gap,
+}
+
+impl AttemptError {
+    /// Whether the engine may have run the request.
+    pub(super) fn written(&self) -> bool {
+        match self {
+            Self::Target(error) => error.written(),
+            Self::Refused(_) => false,
+            Self::Failed(_) | Self::Stalled | Self::Gap => true,
+        }
+    }
+}
+
+/// A checked event of an attempt.
+#[derive(Debug)]
+pub(super) enum Event {
+    /// The engine took the request.
+    Accepted,
+    /// One token.
+    Token {
+        /// Index of the token in the answer.
+        index: u32,
+        /// Text of the token.
+        text: String,
+    },
+    /// The answer is whole.
+    Done(Finish),
+}
+
+/// An attempt, from its place on an engine to its end.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    number: u32,
+    boot: Option<Arc<str>>,
+    permit: Permit,
+    stream: Option<EventStream>,
+    _guard: Option<SuspectGuard>,
+}
+
+impl Attempt {
+    /// Waits for a place on an engine and checks that the request may run.
+    ///
+    /// # Errors
+    ///
+    /// Those of the scheduler and of [`Call::recheck`].
+    pub(super) async fn place(
+        context: &EntryContext,
+        call: &Call,
+        demand: &Arc<Demand>,
+        failed: &[Arc<str>],
+    ) -> Result<Self> {
+        loop {
+            let suspect = context.suspects().is_suspect(call);
+            let mut excluded = failed.to_vec();
+            if suspect {
+                excluded.extend(context.suspects().occupied());
+            }
+            let permit = context.scheduler().acquire(demand, &excluded).await?;
+            call.recheck(context)?;
+            if !permit.is_usable() {
+                continue;
+            }
+            let guard = if suspect {
+                let released = context.suspects().released();
+                match context.suspects().occupy(&permit.target.name) {
+                    Some(guard) => Some(guard),
+                    None => {
+                        drop(permit);
+                        let _ = timeout(call.remaining(), released).await;
+                        continue;
+                    }
+                }
+            } else {
+                None
+            };
+            return Ok(Self {
+                number: 0,
+                boot: permit.target.engine.as_ref().map(|e| Arc::clone(&e.boot)),
+                permit,
+                stream: None,
+                _guard: guard,
+            });
+        }
+    }
+
+    /// Sends the request.
+    ///
+    /// # Errors
+    ///
+    /// Gives the attempt back together with the cause.
+    pub(super) async fn start(
+        mut self,
+        context: &EntryContext,
+        request: &GenerateRequest,
+        wait: Duration,
+    ) -> std::result::Result<Self, (Self, AttemptError)> {
+        self.number = request.attempt;
+        let engine = context.engine();
+        let address = Arc::clone(&self.permit.target.address);
+        match timeout(wait, engine.generate(&address, request)).await {
+            Ok(Ok(stream)) => {
+                self.stream = Some(stream);
+                Ok(self)
+            }
+            Ok(Err(error)) => Err((self, AttemptError::Target(error))),
+            Err(_) => Err((self, AttemptError::Stalled)),
+        }
+    }
+}
+
+impl Attempt {
+    /// Name of the engine.
+    pub(super) fn target_name(&self) -> &Arc<str> {
+        &self.permit.target.name
+    }
+
+    /// Waits for the next event.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the stream ends before the answer is whole.
+    pub(super) async fn next(&mut self) -> std::result::Result<Event, AttemptError> {
+        let Some(stream) = &mut self.stream else {
+            return Err(AttemptError::Gap);
+        };
+        match stream.next().await.map_err(AttemptError::Target)? {
+            Some(GenerateEvent::Accepted { boot, .. }) => {
+                self.boot = Some(boot);
+                Ok(Event::Accepted)
+            }
+            Some(GenerateEvent::Token { index, text }) => Ok(Event::Token { index, text }),
+            Some(GenerateEvent::Done {
+                finish_reason,
+                prompt_tokens,
+                cached_tokens,
+                output_tokens,
+                ..
+            }) => Ok(Event::Done(Finish {
+                reason: finish_reason,
+                prompt_tokens,
+                cached_tokens,
+                output_tokens,
+            })),
+            Some(GenerateEvent::Failed { reason, not_run }) if not_run => {
+                Err(AttemptError::Refused(reason))
+            }
+            Some(GenerateEvent::Failed { reason, .. }) => Err(AttemptError::Failed(reason)),
+            None => Err(AttemptError::Gap),
+        }
+    }
+
+    /// Ends the attempt after a whole answer.
+    pub(super) fn succeed(mut self, context: &EntryContext, call: &Call, finish: Finish) {
+        self.permit
+            .set_served(finish.prompt_tokens, finish.output_tokens);
+        context.targets().mark_success(&self.permit.target.name);
+        context.suspects().clear(call);
+    }
+
+    /// Cancels the attempt on the engine.
+    pub(super) fn cancel(self, context: &EntryContext, call: &Call) {
+        let engine = context.engine().clone();
+        let address = Arc::clone(&self.permit.target.address);
+        let id = Arc::clone(&call.id);
+        let number = self.number;
+        drop(self.stream);
+        context.tasks().spawn(async move {
+            if let Err(error) = engine.cancel(&address, &id, number).await {
+                tracing::debug!(request = &*id, "entry: cancel failed: {error}");
+            }
+        });
+    }
+
+    /// Ends the attempt after a failure.
+    ///
+    /// Returns whether the request is to be quarantined because its targets
+    /// crash.
+    pub(super) async fn fail(
+        self,
+        context: &EntryContext,
+        call: &Call,
+        error: &AttemptError,
+    ) -> bool {
+        let name = Arc::clone(&self.permit.target.name);
+        if !error.written() {
+            context.targets().mark_failure(&name);
+            return false;
+        }
+        let crashed = matches!(error, AttemptError::Target(_)) && self.has_crashed(context).await;
+        if !crashed {
+            context.targets().mark_failure(&name);
+            self.cancel(context, call);
+            return false;
+        }
+        context.targets().mark_crashed(&name);
+        let boot = self.boot.as_deref().unwrap_or_default();
+        tracing::warn!(
+            request = &*call.id,
+            "entry: target {name} crashed with the request in flight"
+        );
+        context.append_later(Body::CrashSuspect(CrashSuspect {
+            account: call.account.full_name.to_string(),
+            body_digest: call.digest.to_vec(),
+            target: name.to_string(),
+            target_boot: boot.to_owned(),
+        }));
+        let quarantined = context.suspects().record_crash(call);
+        if quarantined {
+            (context.peers().notify_quarantine)(&call.account.full_name, &call.digest);
+        }
+        quarantined
+    }
+
+    /// Whether the engine was restarted or accepts no connections, without
+    /// having been told to leave.
+    async fn has_crashed(&self, context: &EntryContext) -> bool {
+        let target = &self.permit.target;
+        if is_leaving(context, &target.name) {
+            return false;
+        }
+        let state = context.engine().state(&target.address);
+        match timeout(STATE_TIMEOUT, state).await {
+            Ok(Ok(state)) => self.boot.as_ref().is_some_and(|boot| *boot != state.boot),
+            Ok(Err(error)) => !error.written() && !error.timed_out(),
+            Err(_) => false,
+        }
+    }
+}
+
+fn is_leaving(context: &EntryContext, name: &str) -> bool {
+    let snapshot = context.targets().snapshot();
+    let view = snapshot.iter().find(|view| &*view.name == name);
+    view.is_none_or(|view| view.state == TargetState::Leaving)
+}
--- /dev/null
+++ b/src/entry/body.rs
@@ -0,0 +1,81 @@
+//! Bounded reading of requests from callers.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use salvo::{
+    Request,
+    http::{HeaderMap, ReqBody, header::CONTENT_LENGTH},
+};
+use tokio::time::timeout;
+
+use crate::entry::error::{Error, Result};
+
+/// Largest sum of a request's header names and values, in bytes.
+pub(super) const MAX_HEADER_BYTES: usize = 32 << 10;
+
+/// Checks the size of a request's headers.
+///
+/// # Errors
+///
+/// [`Error::HeadersTooLarge`]
+pub(super) fn check_headers(headers: &HeaderMap) -> Result<()> {
+    let mut bytes = 0;
+    for (name, value) in headers {
+        bytes += name.as_str().len() + value.len();
+    }
+    if bytes > MAX_HEADER_BYTES {
+        return Err(Error::HeadersTooLarge {
+            limit: MAX_HEADER_BYTES,
+        });
+    }
+    Ok(())
+}
+
+/// Reads a request's whole body.
+///
+/// # Errors
+///
+/// [`Error::BodyTooLarge`], [`Error::ReadTimeout`] and [`Error::BodyRead`].
+pub(super) async fn read_body(request: &mut Request, limit: u64, limit_ms: u64) -> Result<Bytes> {
+    let announced = content_length(request.headers());
+    if announced.is_some_and(|length| length > limit) {
+        return Err(Error::BodyTooLarge { limit });
+    }
+    let body = request.take_body();
+    match timeout(Duration::from_millis(limit_ms), collect(body, limit)).await {
+        Ok(result) => result,
+        Err(_) => Err(Error::ReadTimeout { limit_ms }),
+    }
+}
+
+fn content_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+async fn collect(mut body: ReqBody, limit: u64) -> Result<Bytes> {
+    let mut whole = BytesMut::new();
+    let mut only = None;
+    while let Some(frame) = body.next().await {
+        let frame = frame.map_err(|error| Error::BodyRead {
+            reason: error.to_string(),
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let length = whole.len() + only.as_ref().map_or(0, Bytes::len) + data.len();
+        if length as u64 > limit {
+            return Err(Error::BodyTooLarge { limit });
+        }
+        if whole.is_empty() && only.is_none() {
+            only = Some(data);
+            continue;
+        }
+        if let Some(first) = only.take() {
+            whole.extend_from_slice(&first);
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(only.unwrap_or_else(|| whole.freeze()))
+}
--- /dev/null
+++ b/src/entry/complete.rs
@@ -0,0 +1,217 @@
+//! Answers to the chat and text completion interfaces.
+
+use std::{
+    sync::Arc,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use crate::{
+    entry::{
+        answer::{AnswerHead, Usage},
+        burn::RequestResult,
+        call::Call,
+        context::EntryContext,
+        error::{Error, Result},
+        generation::{Finish, Generation, Step},
+        openai::{CompletionRequest, Interface},
+        reply::Reply,
+        stop::StopFilter,
+    },
+    target::protocol::FinishReason,
+};
+
+/// An answer in progress, with what is needed to write it.
+#[derive(Debug)]
+pub(super) struct Completion {
+    /// What all bodies of the answer have in common.
+    pub(super) head: AnswerHead,
+    /// Whether the stream ends with a usage event.
+    pub(super) include_usage: bool,
+    context: EntryContext,
+    call: Arc<Call>,
+    generation: Generation,
+    stop: StopFilter,
+    recorded: bool,
+}
+
+/// One piece of an answer's text, or its end.
+#[derive(Debug)]
+pub(super) enum Piece {
+    /// Text; may be empty while a stop sequence may have begun.
+    Text(String),
+    /// The answer is whole; the text left over comes first.
+    End {
+        /// Text left over.
+        text: String,
+        /// Why the answer ended.
+        reason: FinishReason,
+        /// Tokens of the request.
+        usage: Usage,
+    },
+}
+
+impl Completion {
+    /// Prepares the answer to a checked request.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::ModelNotFound`]
+    pub(super) fn new(
+        context: &EntryContext,
+        call: &Arc<Call>,
+        request: &CompletionRequest,
+    ) -> Result<Self> {
+        let version = find_version(call, request)?;
+        let prefix = match request.interface {
+            Interface::Chat => "chatcmpl",
+            Interface::Text => "cmpl",
+        };
+        let head = AnswerHead {
+            interface: request.interface,
+            id: format!("{prefix}-{}", call.id),
+            created: unix_seconds(),
+            model: Arc::clone(&request.model),
+        };
+        Ok(Self {
+            head,
+            include_usage: request.include_usage,
+            context: context.clone(),
+            call: Arc::clone(call),
+            generation: Generation::new(context, call, request, &version),
+            stop: StopFilter::new(&request.stop),
+            recorded: false,
+        })
+    }
+
+    /// Waits for the next piece.
+    ///
+    /// # Errors
+    ///
+    /// As [`Generation::next`].
+    pub(super) async fn next(&mut self) -> Result<Piece> {
+        match self.generation.next().await {
+            Ok(Step::Token(text)) => Ok(self.take_text(&text)),
+            Ok(Step::Done(finish)) => Ok(self.end(finish)),
+            Err(error) => {
+                self.record(result_of(&error));
+                Err(error)
+            }
+        }
+    }
+
+    /// Returns the next text if it has already arrived.
+    pub(super) fn next_ready(&mut self) -> Option<Piece> {
+        let text = self.generation.next_ready()?;
+        Some(self.take_text(&text))
+    }
+
+    fn take_text(&mut self, token: &str) -> Piece {
+        let (text, stopped) = self.stop.push(token);
+        if !stopped {
+            return Piece::Text(text);
+        }
+        let finish = self.generation.stop();
+        self.record_end();
+        Piece::End {
+            text,
+            reason: FinishReason::Stop,
+            usage: usage_of(finish),
+        }
+    }
+
+    fn end(&mut self, finish: Finish) -> Piece {
+        self.record_end();
+        Piece::End {
+            text: self.stop.finish(),
+            reason: finish.reason,
+            usage: usage_of(finish),
+        }
+    }
+
+    fn record_end(&mut self) {
+        let good = self.generation.pace().is_good(&self.call.entry.route);
+        self.record(if good {
+            RequestResult::Good
+        } else {
+            RequestResult::Late
+        });
+    }
+
+    fn record(&mut self, result: RequestResult) {
+        if !self.recorded {
+            self.recorded = true;
+            self.context.record_result(&self.call, result);
+        }
+    }
+}
+
+impl Drop for Completion {
+    fn drop(&mut self) {
+        self.record(RequestResult::Cancelled);
+    }
+}
+
+/// Waits for a whole answer.
+///
+/// # Errors
+///
+/// As [`Completion::new`] and [`Completion::next`].
+pub(super) async fn answer_whole(
+    context: &EntryContext,
+    call: &Arc<Call>,
+    request: &CompletionRequest,
+) -> Result<Reply> {
+    let mut completion = Completion::new(context, call, request)?;
+    let mut answer = String::new();
+    loop {
+        match completion.next().await? {
+            Piece::Text(text) => answer.push_str(&text),
+            Piece::End {
+                text,
+                reason,
+                usage,
+            } => {
+                answer.push_str(&text);
+                return Ok(Reply::json(completion.head.whole(&answer, reason, usage)));
+            }
+        }
+    }
+}
+
+/// Returns the result that an error counts as.
+pub(super) fn result_of(error: &Error) -> RequestResult {
+    if error.is_refusal() {
+        RequestResult::Refused
+    } else {
+        RequestResult::Failed
+    }
+}
+
+fn usage_of(finish: Finish) -> Usage {
+    Usage::new(
+        finish.prompt_tokens,
+        finish.cached_tokens,
+        finish.output_tokens,
+    )
+}
+
+fn find_version(call: &Call, request: &CompletionRequest) -> Result<Arc<str>> {
+    let (name, adapter) = request.model_parts();
+    for model in &call.entry.service.document.models {
+        if *model.name != *name {
+            continue;
+        }
+        let held = adapter.is_empty() || model.adapters.iter().any(|a| **a == *adapter);
+        if held {
+            return Ok(Arc::clone(&model.version));
+        }
+    }
+    Err(Error::ModelNotFound {
+        model: request.model.to_string(),
+    })
+}
+
+fn unix_seconds() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| elapsed.as_secs())
+}
--- /dev/null
+++ b/src/entry/context.rs
@@ -0,0 +1,298 @@
+//! What the entry needs from the other parts of an instance.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use derive_more::Debug;
+use tokio::sync::{Semaphore, oneshot};
+use tokio_util::task::TaskTracker;
+
+use crate::{
+    Settings,
+    entry::{
+        burn::{BurnRecorder, RequestResult},
+        call::Call,
+        claim::Claim,
+        log_writer::LogWriter,
+        peers::Peers,
+        router::Router,
+        scheduler::Scheduler,
+        suspect::Suspects,
+    },
+    ledger::{LedgerHandle, Verdict},
+    log::{self, Offset, records::record::Body},
+    target::{EngineClient, PlainClient, table::TargetTable},
+};
+
+/// Claims whose fate in the log is not yet known, at most.
+const MAX_PENDING_CLAIMS: usize = 1_024;
+
+/// Delay before a record is appended again after a failure.
+const APPEND_RETRY: Duration = Duration::from_millis(500);
+
+/// Tokens and requests of one account to bill.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UsageEntry {
+    /// Service.
+    pub service: Arc<str>,
+    /// Account within the service.
+    pub account: Arc<str>,
+    /// Requests.
+    pub requests: u64,
+    /// Tokens of prompts.
+    pub prompt_tokens: u64,
+    /// Tokens generated.
+    pub output_tokens: u64,
+}
+
+type UsageFn = dyn Fn(UsageEntry) + Send + Sync;
+
+/// What all requests of an instance share; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct EntryContext {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    settings: Arc<Settings>,
+    ledger: LedgerHandle,
+    log: LogWriter,
+    peers: Peers,
+    targets: TargetTable,
+    engine: EngineClient,
+    plain: PlainClient,
+    #[debug(skip)]
+    usage: Box<UsageFn>,
+    burn: BurnRecorder,
+    router: Router,
+    scheduler: Arc<Scheduler>,
+    suspects: Arc<Suspects>,
+    pending_claims: Arc<Semaphore>,
+    tasks: TaskTracker,
+    stopping: AtomicBool,
+}
+
+/// Builds an [`EntryContext`].
+#[derive(Debug)]
+pub struct EntryBuilder {
+    settings: Arc<Settings>,
+    ledger: LedgerHandle,
+    log: LogWriter,
+    peers: Peers,
+    targets: TargetTable,
+    http: reqwest::Client,
+    #[debug(skip)]
+    usage: Box<UsageFn>,
+    burn: BurnRecorder,
+}
+
+impl EntryBuilder {
+    /// Starts with what every entry needs; it has no peers and records no
+    /// usage unless they are set.
+    pub fn new<L>(
+        settings: Arc<Settings>,
+        ledger: LedgerHandle,
+        log: L,
+        targets: TargetTable,
+        http: reqwest::Client,
+    ) -> Self
+    where
+        L: Into<LogWriter>,
+    {
+        Self {
+            settings,
+            ledger,
+            log: log.into(),
+            peers: Peers::none(),
+            targets,
+            http,
+            usage: Box::new(|_| ()),
+            burn: BurnRecorder::default(),
+        }
+    }
+
+    /// Sets how the other instances are asked.
+    #[must_use]
+    pub fn peers(mut self, peers: Peers) -> Self {
+        self.peers = peers;
+        self
+    }
+
+    /// Sets where usage is recorded.
+    #[must_use]
+    pub fn usage<F>(mut self, record: F) -> Self
+    where
+        F: Fn(UsageEntry) + Send + Sync + 'static,
+    {
+        self.usage = Box::new(record);
+        self
+    }
+
+    /// Sets where the results of requests are counted.
+    #[must_use]
+    pub fn burn(mut self, burn: BurnRecorder) -> Self {
+        self.burn = burn;
+        self
+    }
+
+    /// Builds the context.
+    pub fn build(self) -> EntryContext {
+        let max_queued = self.settings.limits.max_queued;
+        EntryContext {
+            inner: Arc::new(Inner {
+                scheduler: Scheduler::new(self.targets.clone(), max_queued),
+                settings: self.settings,
+                ledger: self.ledger,
+                log: self.log,
+                peers: self.peers,
+                targets: self.targets,
+                engine: EngineClient::new(self.http.clone()),
+                plain: PlainClient::new(self.http),
+                usage: self.usage,
+                burn: self.burn,
+                router: Router::default(),
+                suspects: Arc::default(),
+                pending_claims: Arc::new(Semaphore::new(MAX_PENDING_CLAIMS)),
+                tasks: TaskTracker::new(),
+                stopping: AtomicBool::new(false),
+            }),
+        }
+    }
+}
+
+impl EntryContext {
+    pub(super) fn settings(&self) -> &Settings {
+        &self.inner.settings
+    }
+
+    pub(super) fn ledger(&self) -> &LedgerHandle {
+        &self.inner.ledger
+    }
+
+    pub(super) fn peers(&self) -> &Peers {
+        &self.inner.peers
+    }
+
+    pub(super) fn targets(&self) -> &TargetTable {
+        &self.inner.targets
+    }
+
+    pub(super) fn engine(&self) -> &EngineClient {
+        &self.inner.engine
+    }
+
+    pub(super) fn plain(&self) -> &PlainClient {
+        &self.inner.plain
+    }
+
+    pub(super) fn router(&self) -> &Router {
+        &self.inner.router
+    }
+
+    pub(super) fn scheduler(&self) -> &Arc<Scheduler> {
+        &self.inner.scheduler
+    }
+
+    pub(super) fn suspects(&self) -> &Arc<Suspects> {
+        &self.inner.suspects
+    }
+
+    /// Tasks that must end before the instance stops.
+    pub(super) fn tasks(&self) -> &TaskTracker {
+        &self.inner.tasks
+    }
+
+    /// Counts of requests by result.
+    pub fn burn(&self) -> &BurnRecorder {
+        &self.inner.burn
+    }
+
+    /// Requests that wait for a target.
+    pub fn queued(&self) -> usize {
+        self.inner.scheduler.queued()
+    }
+
+    /// Whether a graceful stop has begun.
+    pub(super) fn is_stopping(&self) -> bool {
+        self.inner.stopping.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn begin_stop(&self) {
+        self.inner.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Records what a request used.
+    pub(super) fn record_usage(&self, call: &Call, prompt_tokens: u32, output_tokens: u32) {
+        let account = &call.account;
+        (self.inner.usage)(UsageEntry {
+            service: Arc::clone(&account.service),
+            account: Arc::clone(&account.account.name),
+            requests: 1,
+            prompt_tokens: u64::from(prompt_tokens),
+            output_tokens: u64::from(output_tokens),
+        });
+        let tokens = u64::from(prompt_tokens) + u64::from(output_tokens);
+        (self.inner.peers.report_served)(&account.full_name, tokens);
+    }
+
+    /// Counts the result of a request.
+    pub(super) fn record_result(&self, call: &Call, result: RequestResult) {
+        self.inner.burn.record(&call.account, result);
+    }
+
+    /// Whether another attempt of a request may be made.
+    pub(super) fn allow_retry(&self, _call: &Call) -> bool {
+        true
+    }
+
+    /// Appends a record in the background until it is folded.
+    pub(super) fn append_later(&self, body: Body) {
+        let log = self.inner.log.clone();
+        self.inner.tasks.spawn(async move {
+            while let Err(error) = log.append(body.clone()).await {
+                tracing::warn!("entry: record not appended, retrying: {error}");
+                if matches!(error, log::Error::Stopped | log::Error::TooLarge { .. }) {
+                    return;
+                }
+                tokio::time::sleep(APPEND_RETRY).await;
+            }
+        });
+    }
+
+    /// Appends a claim in the background.
+    ///
+    /// If the receiver is gone once the claim is folded, the claim is released.
+    /// Returns nothing if too many claims are pending.
+    pub(super) fn append_claim<F>(
+        &self,
+        body: Body,
+        make_claim: F,
+    ) -> Option<oneshot::Receiver<log::Result<Option<Claim>>>>
+    where
+        F: FnOnce(Offset) -> Claim + Send + 'static,
+    {
+        let place = Arc::clone(&self.inner.pending_claims)
+            .try_acquire_owned()
+            .ok()?;
+        let (sender, receiver) = oneshot::channel();
+        let context = self.clone();
+        self.inner.tasks.spawn(async move {
+            let result = context.inner.log.append(body).await;
+            drop(place);
+            let result = result.map(|appended| match appended.verdict {
+                Verdict::Accepted => Some(make_claim(appended.offset)),
+                Verdict::Duplicate | Verdict::Rejected(_) => None,
+            });
+            if let Err(Ok(Some(claim))) = sender.send(result) {
+                claim.release(&context);
+            }
+        });
+        Some(receiver)
+    }
+}
--- /dev/null
+++ b/src/entry/fields.rs
@@ -0,0 +1,144 @@
+//! Checked access to the fields of a JSON body.
+
+use std::ops::RangeInclusive;
+
+use serde_json::{Map, Value};
+
+use crate::entry::error::{Error, Result};
+
+/// The top-level object of a request's body.
+#[derive(Debug)]
+pub(super) struct Fields {
+    object: Map<String, Value>,
+}
+
+impl Fields {
+    /// Parses a body.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Json`] with the position of the fault.
+    pub(super) fn parse(body: &[u8]) -> Result<Self> {
+        let object = serde_json::from_slice(body)?;
+        Ok(Self { object })
+    }
+
+    /// Returns a field that is present and not null.
+    pub(super) fn get(&self, param: &'static str) -> Option<&Value> {
+        self.object.get(param).filter(|value| !value.is_null())
+    }
+
+    /// Removes and returns a field that is present and not null.
+    pub(super) fn take(&mut self, param: &'static str) -> Option<Value> {
+        self.object.remove(param).filter(|value| !value.is_null())
+    }
+
+    /// Returns a string that must be present.
+    pub(super) fn required_string(&self, param: &'static str) -> Result<&str> {
+        match self.get(param) {
+            Some(Value::String(text)) if !text.is_empty() => Ok(text),
+            Some(Value::String(_)) => Err(invalid(param, "must not be empty")),
+            Some(other) => Err(wrong_type(param, "a string", other)),
+            None => Err(invalid(param, "is required")),
+        }
+    }
+
+    /// Checks that a field, if present, is a string.
+    pub(super) fn check_string(&self, param: &'static str) -> Result<()> {
+        match self.get(param) {
+            None | Some(Value::String(_)) => Ok(()),
+            Some(other) => Err(wrong_type(param, "a string", other)),
+        }
+    }
+
+    /// Returns a boolean, by default `false`.
+    pub(super) fn boolean(&self, param: &'static str) -> Result<bool> {
+        match self.get(param) {
+            None => Ok(false),
+            Some(Value::Bool(value)) => Ok(*value),
+            Some(other) => Err(wrong_type(param, "a boolean", other)),
+        }
+    }
+
+    /// Returns an integer within a range.
+    pub(super) fn integer(
+        &self,
+        param: &'static str,
+        range: RangeInclusive<i64>,
+    ) -> Result<Option<i64>> {
+        let Some(value) = self.get(param) else {
+            return Ok(None);
+        };
+        let Some(number) = value.as_i64() else {
+            return Err(wrong_type(param, "an integer", value));
+        };
+        if !range.contains(&number) {
+            let reason = format!("must be from {} to {}", range.start(), range.end());
+            return Err(invalid(param, reason));
+        }
+        Ok(Some(number))
+    }
+
+    /// Checks that a field, if present, is a number within a range.
+    pub(super) fn check_number(
+        &self,
+        param: &'static str,
+        range: RangeInclusive<f64>,
+    ) -> Result<()> {
+        let Some(value) = self.get(param) else {
+            return Ok(());
+        };
+        let Some(number) = value.as_f64() else {
+            return Err(wrong_type(param, "a number", value));
+        };
+        if !range.contains(&number) {
+            let reason = format!("must be from {} to {}", range.start(), range.end());
+            return Err(invalid(param, reason));
+        }
+        Ok(())
+    }
+
+    /// Refuses a field unless it is absent, false, or empty.
+    pub(super) fn check_absent(&self, param: &'static str) -> Result<()> {
+        let used = match self.get(param) {
+            None | Some(Value::Bool(false)) => false,
+            Some(Value::Array(items)) => !items.is_empty(),
+            Some(Value::Object(items)) => !items.is_empty(),
+            Some(_) => true,
+        };
+        if used {
+            return Err(invalid(param, "is not supported"));
+        }
+        Ok(())
+    }
+}
+
+/// Returns an error for a field's value.
+pub(super) fn invalid<S>(param: &'static str, reason: S) -> Error
+where
+    S: Into<String>,
+{
+    Error::InvalidField {
+        param,
+        reason: reason.into(),
+    }
+}
+
+/// Returns an error for a field of the wrong type.
+pub(super) fn wrong_type(param: &'static str, expected: &str, value: &Value) -> Error {
+    invalid(
+        param,
+        format!("must be {expected}, not {}", type_name(value)),
+    )
+}
+
+const fn type_name(value: &Value) -> &'static str {
+    match value {
+        Value::Null => "null",
+        Value::Bool(_) => "a boolean",
+        Value::Number(_) => "a number",
+        Value::String(_) => "a string",
+        Value::Array(_) => "an array",
+        Value::Object(_) => "an object",
+    }
+}
--- /dev/null
+++ b/src/entry/generation.rs
@@ -0,0 +1,346 @@
+//! One answer of an engine, over as many attempts as it takes.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_util::FutureExt;
+use tokio::time::timeout;
+
+use crate::{
+    entry::{
+        attempt::{Attempt, AttemptError, Event},
+        call::Call,
+        context::EntryContext,
+        error::{Error, Outcome, Result},
+        openai::CompletionRequest,
+        pace::Pace,
+        scheduler::Demand,
+    },
+    target::{
+        protocol::{FinishReason, GenerateRequest},
+        tokens::{block_hashes, count_tokens},
+    },
+};
+
+/// Most attempts of one request at which a target may have run it.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// Most targets that are tried in vain before a request is refused.
+const MAX_REFUSALS: u32 = 8;
+
+/// Shortest wait for a first token before an attempt counts as stalled.
+const MIN_FIRST_STALL: Duration = Duration::from_secs(5);
+
+/// Shortest wait for another token before an attempt counts as stalled.
+const MIN_STALL: Duration = Duration::from_secs(2);
+
+/// Multiple of the deadline of the first token after which an attempt counts as
+/// stalled.
+const FIRST_STALL_FACTOR: u64 = 4;
+
+/// Multiple of the deadline between tokens after which an attempt counts as
+/// stalled.
+const STALL_FACTOR: u64 = 20;
+
+/// One step of an answer.
+#[derive(Debug)]
+pub(super) enum Step {
+    /// The next token's text.
+    Token(String),
+    /// The answer is whole.
+    Done(Finish),
+}
+
+/// The end of a whole answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Finish {
+    /// Why the answer ended.
+    pub(super) reason: FinishReason,
+    /// Tokens of the prompt.
+    pub(super) prompt_tokens: u32,
+    /// Prompt tokens found in the cache.
+    pub(super) cached_tokens: u32,
+    /// Tokens generated.
+    pub(super) output_tokens: u32,
+}
+
+/// An answer in progress. Dropping it cancels the engine's stream.
+#[derive(Debug)]
+pub(super) struct Generation {
+    context: EntryContext,
+    call: Arc<Call>,
+    request: GenerateRequest,
+    demand: Arc<Demand>,
+    current: Option<Attempt>,
+    /// Event that was read ahead of its turn.
+    early: Option<std::result::Result<Event, AttemptError>>,
+    refusals: u32,
+    /// Targets that failed this request.
+    failed: Vec<Arc<str>>,
+    /// Whether a target may have run the request.
+    written: bool,
+    finish: Option<Finish>,
+    pace: Pace,
+}
+
+impl Generation {
+    /// Prepares an answer; nothing is sent yet.
+    pub(super) fn new(
+        context: &EntryContext,
+        call: &Arc<Call>,
+        request: &CompletionRequest,
+        version: &Arc<str>,
+    ) -> Self {
+        let (model, adapter) = request.model_parts();
+        let prompt_tokens = count_tokens(&request.prompt);
+        let route = &call.entry.route;
+        let demand = Demand {
+            kind: Arc::clone(&route.target_kind),
+            model: Arc::from(model),
+            version: Arc::clone(version),
+            adapter: Arc::from(adapter),
+            account: Arc::clone(&call.account.full_name),
+            weight: call.account.account.weight,
+            prompt_tokens,
+            output_tokens: request.max_tokens,
+            prefix_blocks: block_hashes(&request.prompt),
+            deadline: Some(call.first_token_deadline()),
+        };
+        let request = GenerateRequest {
+            request_id: Arc::clone(&call.id),
+            attempt: 0,
+            model: Arc::clone(&demand.model),
+            adapter: Arc::clone(&demand.adapter),
+            prompt: Arc::clone(&request.prompt),
+            resume_text: String::new(),
+            resume_tokens: 0,
+            max_tokens: request.max_tokens,
+            priority: 0,
+            prefix_blocks: demand.prefix_blocks.clone(),
+            prefill_only: false,
+        };
+        Self {
+            context: context.clone(),
+            call: Arc::clone(call),
+            request,
+            demand: Arc::new(demand),
+            current: None,
+            early: None,
+            refusals: 0,
+            failed: Vec::new(),
+            written: false,
+            finish: None,
+            pace: Pace::new(call.received_at, route),
+        }
+    }
+
+    /// Waits for the next step.
+    ///
+    /// # Errors
+    ///
+    /// Fails once no further attempt may be made; the error says what became
+    /// of the request.
+    pub(super) async fn next(&mut self) -> Result<Step> {
+        loop {
+            let wait = self.stall_timeout();
+            let Some(attempt) = &mut self.current else {
+                self.dispatch().await?;
+                continue;
+            };
+            let event = match self.early.take() {
+                Some(event) => event,
+                None => match timeout(wait, attempt.next()).await {
+                    Ok(event) => event,
+                    Err(_) => Err(AttemptError::Stalled),
+                },
+            };
+            match event.and_then(|event| self.check_event(event)) {
+                Ok(Some(step)) => return Ok(step),
+                Ok(None) => {}
+                Err(error) => self.fail_attempt(error).await?,
+            }
+        }
+    }
+
+    /// Returns the next token if it has already arrived.
+    pub(super) fn next_ready(&mut self) -> Option<String> {
+        let attempt = self.current.as_mut()?;
+        let event = attempt.next().now_or_never()?;
+        if let Ok(Event::Token { index, text }) = event {
+            if index == self.request.resume_tokens {
+                self.take_token(&text);
+                return Some(text);
+            }
+            self.early = Some(Ok(Event::Token { index, text }));
+            return None;
+        }
+        self.early = Some(event);
+        None
+    }
+
+    /// Ends the answer early, at a stop sequence.
+    pub(super) fn stop(&mut self) -> Finish {
+        let finish = Finish {
+            reason: FinishReason::Stop,
+            prompt_tokens: self.demand.prompt_tokens,
+            cached_tokens: 0,
+            output_tokens: self.request.resume_tokens,
+        };
+        self.finish = Some(finish);
+        finish
+    }
+
+    /// How the answer kept its deadlines so far.
+    pub(super) fn pace(&self) -> &Pace {
+        &self.pace
+    }
+
+    async fn dispatch(&mut self) -> Result<()> {
+        if self.call.remaining().is_zero() {
+            return Err(Error::DeadlineExceeded {
+                outcome: self.outcome(),
+            });
+        }
+        let attempt = Attempt::place(&self.context, &self.call, &self.demand, &self.failed).await;
+        let attempt = attempt.map_err(|error| self.after_earlier(error))?;
+        self.request.attempt += 1;
+        match attempt
+            .start(&self.context, &self.request, self.stall_timeout())
+            .await
+        {
+            Ok(attempt) => {
+                self.written = true;
+                self.current = Some(attempt);
+                Ok(())
+            }
+            Err((attempt, error)) => {
+                self.written |= error.written();
+                self.current = Some(attempt);
+                self.fail_attempt(error).await
+            }
+        }
+    }
+
+    /// Checks that an event continues the answer.
+    fn check_event(&mut self, event: Event) -> std::result::Result<Option<Step>, AttemptError> {
+        match event {
+            Event::Accepted => Ok(None),
+            Event::Token { index, text } => {
+                if index < self.request.resume_tokens {
+                    return Ok(None);
+                }
+                if index > self.request.resume_tokens {
+                    return Err(AttemptError::Gap);
+                }
+                self.take_token(&text);
+                Ok(Some(Step::Token(text)))
+            }
+            Event::Done(finish) => {
+                if finish.output_tokens != self.request.resume_tokens {
+                    return Err(AttemptError::Gap);
+                }
+                self.finish = Some(finish);
+                if let Some(attempt) = self.current.take() {
+                    attempt.succeed(&self.context, &self.call, finish);
+                }
+                Ok(Some(Step::Done(finish)))
+            }
+        }
+    }
+
+    fn take_token(&mut self, text: &str) {
+        self.request.resume_tokens += 1;
+        self.request.resume_text.push_str(text);
+        self.pace.token();
+    }
+
+    /// Gives up the current attempt and decides whether another may be made.
+    async fn fail_attempt(&mut self, error: AttemptError) -> Result<()> {
+        let Some(attempt) = self.current.take() else {
+            return Ok(());
+        };
+        let target = Arc::clone(attempt.target_name());
+        let written = error.written();
+        tracing::warn!(
+            request = &*self.call.id,
+            "entry: attempt {} on {target} failed: {error}",
+            self.request.attempt,
+        );
+        let quarantined = attempt.fail(&self.context, &self.call, &error).await;
+        if !self.failed.contains(&target) {
+            self.failed.push(target);
+        }
+        if quarantined {
+            return Err(Error::Quarantined {
+                outcome: self.outcome(),
+            });
+        }
+        if !written {
+            self.refusals += 1;
+            if self.refusals >= MAX_REFUSALS {
+                return Err(self.after_earlier(Error::NoTarget));
+            }
+            return Ok(());
+        }
+        let may_retry = self.call.is_idempotent() && self.request.attempt < MAX_ATTEMPTS;
+        if may_retry && self.context.allow_retry(&self.call) {
+            return Ok(());
+        }
+        Err(Error::TargetFailed {
+            reason: Arc::from(error.to_string()),
+            outcome: self.outcome(),
+        })
+    }
+
+    /// Turns a refusal into a failure if an earlier attempt may have run.
+    fn after_earlier(&self, error: Error) -> Error {
+        if !self.written {
+            return error;
+        }
+        Error::TargetFailed {
+            reason: Arc::from(error.to_string()),
+            outcome: self.outcome(),
+        }
+    }
+
+    fn outcome(&self) -> Outcome {
+        if self.request.resume_tokens > 0 {
+            return Outcome::Ran;
+        }
+        if self.written {
+            return Outcome::Unknown;
+        }
+        Outcome::NotRun
+    }
+
+    /// Longest wait for the next event before the attempt counts as stalled.
+    fn stall_timeout(&self) -> Duration {
+        let route = &self.call.entry.route;
+        let wait = if self.request.resume_tokens == 0 {
+            MIN_FIRST_STALL.max(Duration::from_millis(
+                FIRST_STALL_FACTOR * route.first_token_ms,
+            ))
+        } else {
+            MIN_STALL.max(Duration::from_millis(
+                STALL_FACTOR * route.between_tokens_ms,
+            ))
+        };
+        wait.min(self.call.remaining())
+    }
+}
+
+impl Drop for Generation {
+    fn drop(&mut self) {
+        if let Some(attempt) = self.current.take() {
+            attempt.cancel(&self.context, &self.call);
+        }
+        if !self.written {
+            return;
+        }
+        let prompt_tokens = self
+            .finish
+            .map_or(self.demand.prompt_tokens, |finish| finish.prompt_tokens);
+        let output_tokens = self.request.resume_tokens;
+        self.context
+            .record_usage(&self.call, prompt_tokens, output_tokens);
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,1 +1,43 @@
-//! Callers: HTTP, keys, admission, claims and the relay of answers.
+//! Callers' HTTP interface.
+//!
+//! A request passes the key check, admission by a fair queue, for a
+//! non-repeatable request the claim on its single execution, routing and
+//! dispatch; its answer is relayed whole or as a stream. Every refusal and
+//! failure says in the [`OUTCOME_HEADER`] what became of the request.
+
+mod answer;
+mod attempt;
+mod auth;
+mod body;
+mod burn;
+mod call;
+mod claim;
+mod complete;
+mod context;
+mod error;
+mod fields;
+mod generation;
+mod handler;
+mod log_writer;
+mod models;
+mod openai;
+mod pace;
+mod peers;
+mod plain;
+mod reply;
+mod router;
+mod scheduler;
+mod server;
+mod stop;
+mod stream;
+mod suspect;
+
+pub use self::{
+    burn::{BurnCounts, BurnRecorder},
+    context::{EntryBuilder, EntryContext, UsageEntry},
+    error::{Error, OUTCOME_HEADER, Outcome, Result},
+    log_writer::{Appended, LogWriter},
+    peers::Peers,
+    reply::REPLAYED_HEADER,
+    server::serve,
+};
--- /dev/null
+++ b/src/entry/models.rs
@@ -0,0 +1,104 @@
+//! The list of models.
+
+use salvo::{Request, Response, http::Method};
+
+use crate::{
+    entry::{
+        answer::{ModelBody, ModelListBody},
+        auth::KeyDigest,
+        context::EntryContext,
+        error::{Error, Result},
+        reply::Reply,
+        router::RouteTable,
+    },
+    ledger::{KeyEntry, ServiceEntry},
+};
+
+/// Path of the list of models.
+const MODELS_PATH: &str = "/v1/models";
+
+/// Whether a request asks for the models or one of them.
+pub(super) fn is_models_path(request: &Request) -> bool {
+    model_of(request.uri().path()).is_some()
+}
+
+/// Returns the model that a path names; empty for the list.
+fn model_of(path: &str) -> Option<&str> {
+    let rest = path.strip_prefix(MODELS_PATH)?.trim_end_matches('/');
+    if rest.is_empty() {
+        return Some(rest);
+    }
+    rest.strip_prefix('/')
+}
+
+/// Answers with the models that a caller may use.
+///
+/// # Errors
+///
+/// [`Error::MissingKey`], [`Error::InvalidKey`], [`Error::MethodNotAllowed`]
+/// and [`Error::ModelNotFound`].
+pub(super) fn answer(
+    table: &RouteTable,
+    context: &EntryContext,
+    request: &Request,
+    digest: Option<KeyDigest>,
+    key: Option<&KeyEntry>,
+    response: &mut Response,
+) -> Result<()> {
+    let path = request.uri().path();
+    if request.method() != Method::GET {
+        return Err(Error::MethodNotAllowed {
+            path: path.to_owned(),
+            method: request.method().to_string(),
+            allow: "GET".to_owned(),
+        });
+    }
+    if digest.is_some() && key.is_none() {
+        return Err(Error::InvalidKey);
+    }
+    let mut services = table.open_services();
+    if let Some(key) = key {
+        let service = context
+            .ledger()
+            .read(|ledger| ledger.service(&key.service).cloned());
+        services.retain(|open| open.document.service != key.service);
+        services.extend(service);
+    }
+    if services.is_empty() && key.is_none() {
+        return Err(Error::MissingKey);
+    }
+    let mut models = Vec::new();
+    for service in &services {
+        append_models(&mut models, service);
+    }
+    let name = model_of(path).unwrap_or_default();
+    let body = if name.is_empty() {
+        serde_json::to_vec(&ModelListBody {
+            object: "list",
+            data: models,
+        })
+    } else {
+        let found = models.into_iter().find(|model| model.id == name);
+        serde_json::to_vec(&found.ok_or_else(|| Error::ModelNotFound {
+            model: name.to_owned(),
+        })?)
+    };
+    Reply::json(body.unwrap_or_default()).write(response);
+    Ok(())
+}
+
+fn append_models(models: &mut Vec<ModelBody>, service: &ServiceEntry) {
+    let owner = &service.document.team;
+    for model in &service.document.models {
+        let mut names = vec![model.name.to_string()];
+        names.extend(model.adapters.iter().map(|a| format!("{}:{a}", model.name)));
+        for id in names {
+            models.push(ModelBody {
+                id,
+                object: "model",
+                created: 0,
+                owned_by: owner.clone(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/pace.rs
@@ -0,0 +1,63 @@
+//! How an answer keeps its deadlines.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::service::Route;
+
+/// Share of the gaps between tokens that may exceed their deadline, in percent.
+const MAX_LATE_GAPS_PERCENT: u32 = 5;
+
+/// Times of an answer's tokens.
+#[derive(Clone, Debug)]
+pub(super) struct Pace {
+    received_at: Instant,
+    first_at: Option<Instant>,
+    last_at: Instant,
+    between: Duration,
+    gaps: u32,
+    late_gaps: u32,
+}
+
+impl Pace {
+    /// Starts with the reception of a request.
+    pub(super) fn new(received_at: Instant, route: &Route) -> Self {
+        Self {
+            received_at,
+            first_at: None,
+            last_at: received_at,
+            between: Duration::from_millis(route.between_tokens_ms),
+            gaps: 0,
+            late_gaps: 0,
+        }
+    }
+
+    /// Counts a token, or the first byte of a plain answer.
+    pub(super) fn token(&mut self) {
+        let now = Instant::now();
+        if self.first_at.is_none() {
+            self.first_at = Some(now);
+            self.last_at = now;
+            return;
+        }
+        self.gaps += 1;
+        if now.saturating_duration_since(self.last_at) > self.between {
+            self.late_gaps += 1;
+        }
+        self.last_at = now;
+    }
+
+    /// Time to the first token.
+    pub(super) fn first_token(&self) -> Option<Duration> {
+        Some(self.first_at?.saturating_duration_since(self.received_at))
+    }
+
+    /// Whether the deadlines of a route were kept.
+    pub(super) fn is_good(&self, route: &Route) -> bool {
+        let first = self.first_token();
+        let in_time = first.is_some_and(|t| t <= Duration::from_millis(route.first_token_ms));
+        let late_percent = self.late_gaps.saturating_mul(100);
+        in_time && late_percent <= self.gaps.saturating_mul(MAX_LATE_GAPS_PERCENT)
+    }
+}
--- /dev/null
+++ b/src/entry/peers.rs
@@ -0,0 +1,47 @@
+//! What the entry asks of the other instances.
+
+use std::sync::Arc;
+
+use derive_more::Debug;
+
+type IsQuarantinedFn = dyn Fn(&str, &[u8]) -> bool + Send + Sync;
+type NotifyQuarantineFn = dyn Fn(&str, &[u8]) + Send + Sync;
+type IsLiveFn = dyn Fn(&str, u64) -> bool + Send + Sync;
+type ReportServedFn = dyn Fn(&str, u64) + Send + Sync;
+
+/// What the entry asks of the other instances.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    /// Whether this instance surely knows the newest keys.
+    #[debug(skip)]
+    pub may_serve_keyed: Arc<dyn Fn() -> bool + Send + Sync>,
+    /// Whether a peer announced that a request is quarantined.
+    #[debug(skip)]
+    pub quarantined: Arc<IsQuarantinedFn>,
+    /// Announces a quarantined request.
+    #[debug(skip)]
+    pub notify_quarantine: Arc<NotifyQuarantineFn>,
+    /// Whether an incarnation of an instance is live.
+    #[debug(skip)]
+    pub is_live: Arc<IsLiveFn>,
+    /// Number of live instances, this one included.
+    #[debug(skip)]
+    pub live_instances: Arc<dyn Fn() -> u32 + Send + Sync>,
+    /// Reports tokens served to an account, `SERVICE/ACCOUNT`.
+    #[debug(skip)]
+    pub report_served: Arc<ReportServedFn>,
+}
+
+impl Peers {
+    /// Returns the peers of an instance that is alone.
+    pub fn none() -> Self {
+        Self {
+            may_serve_keyed: Arc::new(|| true),
+            quarantined: Arc::new(|_, _| false),
+            notify_quarantine: Arc::new(|_, _| ()),
+            is_live: Arc::new(|_, _| true),
+            live_instances: Arc::new(|| 1),
+            report_served: Arc::new(|_, _| ()),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/plain.rs
@@ -0,0 +1,201 @@
+//! Calls of plain services.
+
+use std::sync::Arc;
+
+use salvo::http::{HeaderMap, Method, StatusCode, header::CONTENT_LENGTH};
+use tokio::time::timeout;
+
+use crate::{
+    entry::{
+        burn::RequestResult,
+        call::Call,
+        complete::result_of,
+        context::EntryContext,
+        error::{Error, Outcome, Result},
+        reply::Reply,
+        scheduler::{Demand, Permit},
+    },
+    target::{self, PlainRequest},
+};
+
+/// Most attempts of one request at which a target may have run it.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// Most targets that are tried in vain before a request is refused.
+const MAX_REFUSALS: u32 = 8;
+
+/// Cost of a call in the fair queue, in tokens.
+const CALL_COST_TOKENS: u32 = 100;
+
+/// What a plain service is to be asked.
+#[derive(Clone, Debug)]
+pub(super) struct PlainCall {
+    /// Method.
+    pub(super) method: Method,
+    /// Path with its query.
+    pub(super) path_and_query: Arc<str>,
+    /// Headers of the caller.
+    pub(super) headers: HeaderMap,
+}
+
+/// Calls a plain service and returns its whole answer.
+///
+/// # Errors
+///
+/// Says what became of the request.
+pub(super) async fn answer(
+    context: &EntryContext,
+    call: &Arc<Call>,
+    plain: &PlainCall,
+) -> Result<Reply> {
+    let result = attempt_all(context, call, plain).await;
+    let first_byte_ms = call.received_at.elapsed().as_millis() as u64;
+    let result_kind = match &result {
+        Ok(_) if first_byte_ms <= call.entry.route.first_token_ms => RequestResult::Good,
+        Ok(_) => RequestResult::Late,
+        Err(error) => result_of(error),
+    };
+    context.record_result(call, result_kind);
+    let ran = match &result {
+        Ok(_) => true,
+        Err(error) => error.outcome() != Outcome::NotRun,
+    };
+    if ran {
+        context.record_usage(call, 0, 0);
+    }
+    result
+}
+
+async fn attempt_all(context: &EntryContext, call: &Arc<Call>, plain: &PlainCall) -> Result<Reply> {
+    let demand = Arc::new(demand(call));
+    let mut failed: Vec<Arc<str>> = Vec::new();
+    let mut attempts = 0;
+    let mut refusals = 0;
+    let mut written = false;
+    loop {
+        let placed = place(context, call, &demand, &failed).await;
+        let permit = placed.map_err(|error| after_earlier(written, error))?;
+        let name = Arc::clone(&permit.target.name);
+        attempts += 1;
+        let error = match attempt(context, call, plain, &permit).await {
+            Ok(reply) => return Ok(reply),
+            Err(error) => error,
+        };
+        tracing::warn!(
+            request = &*call.id,
+            "entry: attempt {attempts} on {name} failed: {error}"
+        );
+        context.targets().mark_failure(&name);
+        if !failed.contains(&name) {
+            failed.push(name);
+        }
+        if !error.written() {
+            refusals += 1;
+            if refusals >= MAX_REFUSALS {
+                return Err(after_earlier(written, Error::NoTarget));
+            }
+            continue;
+        }
+        written = true;
+        let may_retry = call.is_idempotent() && attempts < MAX_ATTEMPTS;
+        if !may_retry || !context.allow_retry(call) {
+            return Err(error.into_error());
+        }
+    }
+}
+
+/// Why a call of a plain service failed.
+#[derive(Debug, displaydoc::Display)]
+enum CallError {
+    /// {0}
+    Target(target::Error),
+    /// the deadline passed
+    Deadline,
+}
+
+impl CallError {
+    fn written(&self) -> bool {
+        match self {
+            Self::Target(error) => error.written(),
+            Self::Deadline => true,
+        }
+    }
+
+    fn into_error(self) -> Error {
+        let outcome = Outcome::Unknown;
+        match self {
+            Self::Target(_) => Error::TargetFailed {
+                reason: Arc::from("its answer was lost, and it may have run"),
+                outcome,
+            },
+            Self::Deadline => Error::DeadlineExceeded { outcome },
+        }
+    }
+}
+
+async fn place(
+    context: &EntryContext,
+    call: &Call,
+    demand: &Arc<Demand>,
+    failed: &[Arc<str>],
+) -> Result<Permit> {
+    loop {
+        let permit = context.scheduler().acquire(demand, failed).await?;
+        call.recheck(context)?;
+        if permit.is_usable() {
+            return Ok(permit);
+        }
+    }
+}
+
+async fn attempt(
+    context: &EntryContext,
+    call: &Call,
+    plain: &PlainCall,
+    permit: &Permit,
+) -> std::result::Result<Reply, CallError> {
+    let request = PlainRequest {
+        method: plain.method.clone(),
+        path_and_query: Arc::clone(&plain.path_and_query),
+        headers: plain.headers.clone(),
+        request_id: Arc::clone(&call.id),
+        idempotency_key: call.idempotency_key.clone().unwrap_or_default(),
+        body: call.body.clone(),
+    };
+    let answer = context.plain().call(&permit.target.address, request);
+    let answer = match timeout(call.remaining(), answer).await {
+        Ok(answer) => answer.map_err(CallError::Target)?,
+        Err(_) => return Err(CallError::Deadline),
+    };
+    context.targets().mark_success(&permit.target.name);
+    let mut headers = answer.headers;
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(target::REQUEST_ID);
+    Ok(Reply {
+        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY),
+        headers,
+        body: answer.body,
+    })
+}
+
+fn demand(call: &Call) -> Demand {
+    let route = &call.entry.route;
+    Demand {
+        kind: Arc::clone(&route.target_kind),
+        account: Arc::clone(&call.account.full_name),
+        weight: call.account.account.weight,
+        prompt_tokens: CALL_COST_TOKENS,
+        deadline: Some(call.first_token_deadline()),
+        ..Demand::default()
+    }
+}
+
+fn after_earlier(written: bool, error: Error) -> Error {
+    if !written {
+        return error;
+    }
+    Error::TargetFailed {
+        reason: Arc::from(error.to_string()),
+        outcome: Outcome::Unknown,
+    }
+}
--- /dev/null
+++ b/src/entry/router.rs
@@ -0,0 +1,236 @@
+//! Lookup of routes and accounts in the ledger's service documents.
+
+use std::sync::{Arc, RwLock};
+
+use indexmap::IndexMap;
+
+use crate::{
+    entry::error::{Error, Result},
+    ledger::{Ledger, LedgerHandle, ServiceEntry},
+    log::Offset,
+    service::{Access, Account, KindRole, Route, TargetKind},
+};
+
+/// Name of the account that requests on open routes run for.
+pub(super) const OPEN_ACCOUNT: &str = "open";
+
+/// One route of an accepted service document.
+#[derive(Clone, Debug)]
+pub(super) struct RouteEntry {
+    /// Service of the route.
+    pub(super) service: Arc<ServiceEntry>,
+    /// The route.
+    pub(super) route: Route,
+    /// What the route's targets run.
+    pub(super) role: KindRole,
+}
+
+/// A client account with its full name.
+#[derive(Clone, Debug)]
+pub(super) struct AccountEntry {
+    /// Name over all services, `SERVICE/ACCOUNT`.
+    pub(super) full_name: Arc<str>,
+    /// Name of the service.
+    pub(super) service: Arc<str>,
+    /// The account as its document describes it.
+    pub(super) account: Account,
+}
+
+/// Routes and accounts of all services at one point of the log.
+#[derive(Debug, Default)]
+pub(super) struct RouteTable {
+    configured_at: Option<Offset>,
+    routes: IndexMap<Arc<str>, Vec<Arc<RouteEntry>>>,
+    accounts: IndexMap<Arc<str>, IndexMap<Arc<str>, Arc<AccountEntry>>>,
+}
+
+/// Holds the route table of the newest configuration.
+#[derive(Debug, Default)]
+pub(super) struct Router {
+    table: RwLock<Arc<RouteTable>>,
+}
+
+impl Router {
+    /// Returns the table for the ledger's configuration.
+    pub(super) fn table(&self, ledger: &LedgerHandle) -> Arc<RouteTable> {
+        let configured_at = ledger.read(Ledger::configured_at);
+        let current = Arc::clone(&self.table.read().unwrap_or_else(|e| e.into_inner()));
+        if current.configured_at == Some(configured_at) {
+            return current;
+        }
+        let table = Arc::new(ledger.read(RouteTable::build));
+        *self.table.write().unwrap_or_else(|e| e.into_inner()) = Arc::clone(&table);
+        table
+    }
+}
+
+impl RouteTable {
+    fn build(ledger: &Ledger) -> Self {
+        let mut table = Self {
+            configured_at: Some(ledger.configured_at()),
+            ..Self::default()
+        };
+        for service in ledger.services() {
+            table.insert(service);
+        }
+        table
+    }
+
+    fn insert(&mut self, service: &Arc<ServiceEntry>) {
+        let document = &service.document;
+        for route in &document.routes {
+            let Some(kind) = find_kind(&document.target_kinds, &route.target_kind) else {
+                continue;
+            };
+            let entry = RouteEntry {
+                service: Arc::clone(service),
+                route: route.clone(),
+                role: kind.role,
+            };
+            let path = Arc::from(trim_path(&route.path));
+            self.routes.entry(path).or_default().push(Arc::new(entry));
+        }
+        let accounts = self
+            .accounts
+            .entry(Arc::clone(&document.service))
+            .or_default();
+        for account in &document.accounts {
+            let entry = AccountEntry::new(&document.service, account.clone());
+            accounts.insert(Arc::clone(&account.name), Arc::new(entry));
+        }
+        if accounts.contains_key(OPEN_ACCOUNT) {
+            return;
+        }
+        let open = AccountEntry::new(&document.service, open_account());
+        accounts.insert(Arc::from(OPEN_ACCOUNT), Arc::new(open));
+    }
+
+    /// Returns the account of a service.
+    pub(super) fn account(&self, service: &str, account: &str) -> Option<&Arc<AccountEntry>> {
+        self.accounts.get(service)?.get(account)
+    }
+
+    /// Returns the services that have an open route for an engine.
+    pub(super) fn open_services(&self) -> Vec<Arc<ServiceEntry>> {
+        let mut services: Vec<Arc<ServiceEntry>> = Vec::new();
+        for entry in self.routes.values().flatten() {
+            if entry.route.access != Access::Open || entry.role != KindRole::Engine {
+                continue;
+            }
+            if !services.iter().any(|s| Arc::ptr_eq(s, &entry.service)) {
+                services.push(Arc::clone(&entry.service));
+            }
+        }
+        services
+    }
+
+    /// Finds the route of the longest matching prefix that takes the method.
+    ///
+    /// Routes of the key's service go before open routes of other services.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::UnknownRoute`], [`Error::MethodNotAllowed`], and for a keyed
+    /// route [`Error::MissingKey`] or [`Error::WrongService`].
+    pub(super) fn find(
+        &self,
+        path: &str,
+        method: &str,
+        service: Option<&str>,
+    ) -> Result<Arc<RouteEntry>> {
+        let mut keyed_elsewhere = false;
+        for prefix in prefixes(path) {
+            let Some(entries) = self.routes.get(prefix) else {
+                continue;
+            };
+            let mut usable: Vec<&Arc<RouteEntry>> = Vec::new();
+            for entry in entries {
+                let own = service == Some(&*entry.service.document.service);
+                if own || entry.route.access == Access::Open {
+                    usable.push(entry);
+                } else {
+                    keyed_elsewhere = true;
+                }
+            }
+            usable.sort_by_key(|entry| service != Some(&*entry.service.document.service));
+            if usable.is_empty() {
+                continue;
+            }
+            for entry in &usable {
+                if takes(&entry.route, method) {
+                    return Ok(Arc::clone(entry));
+                }
+            }
+            if keyed_elsewhere && service.is_none() {
+                return Err(Error::MissingKey);
+            }
+            return Err(Error::MethodNotAllowed {
+                path: path.to_owned(),
+                method: method.to_owned(),
+                allow: allowed_methods(&usable),
+            });
+        }
+        Err(match (keyed_elsewhere, service) {
+            (true, None) => Error::MissingKey,
+            (true, Some(_)) => Error::WrongService {
+                path: path.to_owned(),
+            },
+            (false, _) => Error::UnknownRoute {
+                path: path.to_owned(),
+            },
+        })
+    }
+}
+
+impl AccountEntry {
+    fn new(service: &Arc<str>, account: Account) -> Self {
+        Self {
+            full_name: Arc::from(format!("{service}/{}", account.name)),
+            service: Arc::clone(service),
+            account,
+        }
+    }
+}
+
+fn open_account() -> Account {
+    Account {
+        name: Arc::from(OPEN_ACCOUNT),
+        weight: 1,
+        max_requests_per_s: 0,
+        max_tokens_per_s: 0,
+        max_concurrent: 0,
+        keys: Vec::new(),
+    }
+}
+
+fn find_kind<'a>(kinds: &'a [TargetKind], name: &str) -> Option<&'a TargetKind> {
+    kinds.iter().find(|kind| &*kind.name == name)
+}
+
+fn takes(route: &Route, method: &str) -> bool {
+    route.methods.is_empty() || route.methods.iter().any(|m| m.eq_ignore_ascii_case(method))
+}
+
+fn allowed_methods(entries: &[&Arc<RouteEntry>]) -> String {
+    let mut methods: Vec<&str> = Vec::new();
+    for method in entries.iter().flat_map(|entry| &entry.route.methods) {
+        if !methods.contains(&&**method) {
+            methods.push(method);
+        }
+    }
+    methods.join(", ")
+}
+
+fn trim_path(path: &str) -> &str {
+    path.trim_end_matches('/')
+}
+
+/// Returns the path's prefixes at segment boundaries, the longest first.
+fn prefixes(path: &str) -> impl Iterator<Item = &str> {
+    let mut rest = Some(trim_path(path));
+    std::iter::from_fn(move || {
+        let prefix = rest?;
+        rest = prefix.rfind('/').map(|end| &prefix[..end]);
+        Some(prefix)
+    })
+}
--- /dev/null
+++ b/src/entry/server.rs
@@ -0,0 +1,67 @@
+//! The listener for callers and its graceful stop.
+
+use std::{io, time::Duration};
+
+use salvo::{Router, Server, conn::tcp::TcpAcceptor, fuse::FuseConfig};
+use tokio::{net::TcpListener, time::MissedTickBehavior};
+use tokio_util::sync::CancellationToken;
+
+use crate::entry::{body::MAX_HEADER_BYTES, context::EntryContext, handler::EntryHandler};
+
+/// Time between two looks at the targets for queued requests.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Serves callers until `stop` is cancelled, then ends what is in flight.
+///
+/// # Errors
+///
+/// Fails if the listener fails.
+pub async fn serve(
+    context: EntryContext,
+    listener: TcpListener,
+    stop: CancellationToken,
+) -> io::Result<()> {
+    let settings = context.settings();
+    let drain = Duration::from_millis(settings.timing.drain_ms);
+    let read = Duration::from_millis(settings.limits.request_read_ms);
+    let handler = EntryHandler {
+        context: context.clone(),
+    };
+    let router = Router::with_path("{**path}").goal(handler);
+    let acceptor = TcpAcceptor::try_from(listener)?;
+    let mut server =
+        Server::new(acceptor).fuse_config(FuseConfig::default().with_http1_header_timeout(read));
+    server.http1_mut().max_buf_size(4 * MAX_HEADER_BYTES);
+    let handle = server.handle();
+    let serving = server.try_serve(router);
+    tokio::pin!(serving);
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        tokio::select! {
+            result = &mut serving => return result,
+            () = stop.cancelled() => break,
+            _ = tick.tick() => context.scheduler().tick(),
+        }
+    }
+    tracing::info!("entry: stopping; in-flight requests end first");
+    context.begin_stop();
+    handle.stop_graceful(drain);
+    let ended = async {
+        loop {
+            tokio::select! {
+                result = &mut serving => return result,
+                _ = tick.tick() => context.scheduler().tick(),
+            }
+        }
+    };
+    let result = ended.await;
+    context.tasks().close();
+    if tokio::time::timeout(drain, context.tasks().wait())
+        .await
+        .is_err()
+    {
+        tracing::warn!("entry: stopped with unfinished background work");
+    }
+    result
+}
--- /dev/null
+++ b/tests/entry_support/mod.rs
@@ -0,0 +1,404 @@
+//! Entry instances over an in-memory log, before stand-ins of targets.
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use lavenderwind::{
+    Settings,
+    entry::{Appended, EntryBuilder, EntryContext, LogWriter, Peers, UsageEntry, serve},
+    ledger::{Ledger, LedgerHandle},
+    log::{
+        Offset,
+        records::{Record, ServiceRevision, record::Body},
+    },
+    platform::protocol::{PlatformTarget, TargetState},
+    service::KindRole,
+    standin::{
+        engine::{Engine, EngineOptions},
+        plain::{PlainFaults, PlainService},
+    },
+    target::{EngineClient, http_client, table::TargetTable},
+};
+use sha2::{Digest, Sha256};
+use tokio::{net::TcpListener, sync::watch, task::JoinHandle};
+use tokio_util::sync::CancellationToken;
+
+/// Key of the account `mill`.
+pub(crate) const MILL_KEY: &str = "sk-mill-0001";
+/// Key of the account `press`.
+pub(crate) const PRESS_KEY: &str = "sk-press-0002";
+/// Model of the service.
+pub(crate) const MODEL: &str = "adviser";
+
+/// Longest wait for a condition; only there against hanging.
+const HANG: Duration = Duration::from_secs(30);
+
+/// Returns any free loopback address.
+pub(crate) fn any_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Returns the service document, with the key of `mill` revoked or not.
+pub(crate) fn document(mill_revoked: bool) -> String {
+    format!(
+        "service: desk
+team: advisers
+routes:
+  - {{path: /v1, access: keyed, repeat: idempotent, target_kind: engine, first_token_ms: 20000}}
+  - {{path: /once/v1, access: keyed, repeat: once, target_kind: engine, first_token_ms: 20000}}
+  - {{path: /status, methods: [GET], access: keyed, repeat: idempotent, target_kind: desk, first_token_ms: 20000}}
+  - {{path: /orders, methods: [POST], access: keyed, repeat: once, target_kind: desk, first_token_ms: 20000, max_body_bytes: 4096}}
+  - {{path: /swaps, access: keyed, repeat: once-by-target, target_kind: desk, first_token_ms: 20000}}
+  - {{path: /hours, access: open, repeat: idempotent, target_kind: desk}}
+models:
+  - {{name: {MODEL}, version: '1', adapters: [norms]}}
+accounts:
+  - {{name: mill, keys: [{{id: m1, sha256: {}, revoked: {mill_revoked}}}]}}
+  - {{name: press, weight: 2, keys: [{{id: p1, sha256: {}}}]}}
+target_kinds:
+  - {{name: engine, role: engine}}
+  - {{name: desk, role: plain}}
+",
+        digest(MILL_KEY),
+        digest(PRESS_KEY),
+    )
+}
+
+fn digest(key: &str) -> String {
+    hex::encode(Sha256::digest(key.as_bytes()))
+}
+
+/// An append-only log in memory that all instances fold at once.
+#[derive(Clone)]
+pub(crate) struct MemoryLog {
+    state: Arc<Mutex<LogState>>,
+    up: watch::Sender<bool>,
+}
+
+struct LogState {
+    records: Vec<Record>,
+    ledgers: Vec<LedgerHandle>,
+}
+
+impl MemoryLog {
+    pub(crate) fn new() -> Self {
+        Self {
+            state: Arc::new(Mutex::new(LogState {
+                records: Vec::new(),
+                ledgers: Vec::new(),
+            })),
+            up: watch::Sender::new(true),
+        }
+    }
+
+    /// Returns a ledger that follows the log.
+    pub(crate) fn follow(&self) -> LedgerHandle {
+        let mut state = self.state.lock().unwrap();
+        let ledger = LedgerHandle::new(Ledger::new());
+        for (index, record) in state.records.iter().enumerate() {
+            ledger.apply(Offset(index as u64 + 1), record);
+        }
+        state.ledgers.push(ledger.clone());
+        ledger
+    }
+
+    /// Holds all appends back, or lets them through again.
+    pub(crate) fn set_up(&self, up: bool) {
+        self.up.send_replace(up);
+    }
+
+    pub(crate) fn records(&self) -> Vec<Body> {
+        let state = self.state.lock().unwrap();
+        state
+            .records
+            .iter()
+            .filter_map(|r| r.body.clone())
+            .collect()
+    }
+
+    pub(crate) fn append_now(&self, writer: &str, incarnation: u64, body: Body) -> Appended {
+        let mut state = self.state.lock().unwrap();
+        let offset = Offset(state.records.len() as u64 + 1);
+        let record = Record {
+            writer: writer.to_owned(),
+            incarnation,
+            sequence: offset.0,
+            body: Some(body),
+        };
+        state.records.push(record.clone());
+        let mut verdict = None;
+        for ledger in &state.ledgers {
+            verdict = Some(ledger.apply(offset, &record));
+        }
+        Appended {
+            offset,
+            verdict: verdict.expect("an instance follows the log"),
+        }
+    }
+
+    pub(crate) fn publish(&self, base_revision: u64, document: &str) {
+        let appended = self.append_now(
+            "operator",
+            1,
+            Body::ServiceRevision(ServiceRevision {
+                service: "desk".to_owned(),
+                base_revision,
+                document: document.to_owned(),
+            }),
+        );
+        assert!(appended.verdict.is_accepted(), "{:?}", appended.verdict);
+    }
+
+    fn writer(&self, name: &str, incarnation: u64) -> LogWriter {
+        let log = self.clone();
+        let writer: Arc<str> = name.into();
+        LogWriter::new(Arc::clone(&writer), incarnation, move |body| {
+            let log = log.clone();
+            let writer = Arc::clone(&writer);
+            Box::pin(async move {
+                let mut up = log.up.subscribe();
+                let _ = up.wait_for(|up| *up).await;
+                Ok(log.append_now(&writer, incarnation, body))
+            })
+        })
+    }
+}
+
+/// An entry instance in this process.
+pub(crate) struct Entry {
+    pub(crate) url: String,
+    pub(crate) context: EntryContext,
+    pub(crate) ledger: LedgerHandle,
+    pub(crate) targets: TargetTable,
+    pub(crate) usage: Arc<Mutex<Vec<UsageEntry>>>,
+    /// Whether the instance knows the newest keys.
+    pub(crate) fresh: Arc<AtomicBool>,
+    /// Whether its peers count as live.
+    pub(crate) peers_live: Arc<AtomicBool>,
+    pub(crate) stop: CancellationToken,
+    pub(crate) serving: Option<JoinHandle<std::io::Result<()>>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        if let Some(serving) = &self.serving {
+            serving.abort();
+        }
+    }
+}
+
+/// Targets that the instances of a test share.
+#[derive(Default)]
+pub(crate) struct Targets {
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) plains: Vec<PlainService>,
+    /// Further targets, by kind and address.
+    pub(crate) others: Vec<(&'static str, SocketAddr)>,
+}
+
+impl Targets {
+    pub(crate) async fn start(engines: usize, plains: usize) -> Self {
+        let mut targets = Self::default();
+        for index in 0..engines {
+            targets.add_engine(engine_options(index)).await;
+        }
+        for _ in 0..plains {
+            let plain = PlainService::start(any_address(), PlainFaults::default());
+            targets.plains.push(plain.await.unwrap());
+        }
+        targets
+    }
+
+    pub(crate) async fn add_engine(&mut self, options: EngineOptions) {
+        let engine = Engine::start(any_address(), options).await.unwrap();
+        self.engines.push(engine);
+    }
+
+    pub(crate) fn listed(&self) -> Vec<PlatformTarget> {
+        let mut listed = Vec::new();
+        for (index, engine) in self.engines.iter().enumerate() {
+            listed.push(listed_target(
+                format!("engine-{index}"),
+                "engine",
+                engine.addr(),
+            ));
+        }
+        for (index, plain) in self.plains.iter().enumerate() {
+            listed.push(listed_target(format!("desk-{index}"), "desk", plain.addr()));
+        }
+        for (index, (kind, address)) in self.others.iter().enumerate() {
+            listed.push(listed_target(
+                format!("{kind}-other-{index}"),
+                kind,
+                *address,
+            ));
+        }
+        listed
+    }
+}
+
+pub(crate) fn engine_options(index: usize) -> EngineOptions {
+    EngineOptions::default()
+        .with_name(&format!("engine-{index}"))
+        .with_model(MODEL, "1")
+        .with_time_scale(10.0)
+}
+
+pub(crate) fn listed_target(name: String, kind: &str, address: SocketAddr) -> PlatformTarget {
+    PlatformTarget {
+        name: name.into(),
+        kind: kind.into(),
+        failure_domain: "a".into(),
+        address: address.to_string().into(),
+        state: TargetState::Live,
+        leaves_in_ms: None,
+    }
+}
+
+pub(crate) fn role_of(kind: &str) -> Option<KindRole> {
+    match kind {
+        "engine" => Some(KindRole::Engine),
+        _ => Some(KindRole::Plain),
+    }
+}
+
+pub(crate) fn settings(name: &str, extra: &str) -> Settings {
+    let text = format!(
+        "name: {name}
+failure_domain: a
+entry_address: 127.0.0.1:1001
+peer_address: 127.0.0.1:1002
+admin_address: 127.0.0.1:1003
+platform:
+  log_url: http://127.0.0.1:1
+  live_url: http://127.0.0.1:1
+  targets_url: http://127.0.0.1:1
+  usage_url: http://127.0.0.1:1
+{extra}"
+    );
+    Settings::parse(&text, std::path::Path::new("entry.yaml")).unwrap()
+}
+
+/// Starts an instance that follows the log and knows the targets.
+pub(crate) async fn start_entry(log: &MemoryLog, name: &str, targets: &Targets) -> Entry {
+    start_entry_with(log, settings(name, ""), targets).await
+}
+
+pub(crate) async fn start_entry_with(
+    log: &MemoryLog,
+    settings: Settings,
+    targets: &Targets,
+) -> Entry {
+    let ledger = log.follow();
+    let table = TargetTable::new();
+    table.observe_list(targets.listed(), role_of);
+    let http = http_client().unwrap();
+    let client = EngineClient::new(http.clone());
+    for target in targets.listed() {
+        if &*target.kind == "engine"
+            && let Ok(state) = client.state(&target.address).await
+        {
+            table.observe_state(&target.name, state);
+        }
+    }
+    let poll = tokio::spawn(poll_engines(table.clone(), client, targets.listed()));
+    let usage = Arc::new(Mutex::new(Vec::new()));
+    let fresh = Arc::new(AtomicBool::new(true));
+    let peers_live = Arc::new(AtomicBool::new(true));
+    let mut peers = Peers::none();
+    peers.may_serve_keyed = Arc::new({
+        let fresh = Arc::clone(&fresh);
+        move || fresh.load(Ordering::SeqCst)
+    });
+    peers.is_live = Arc::new({
+        let peers_live = Arc::clone(&peers_live);
+        move |_, _| peers_live.load(Ordering::SeqCst)
+    });
+    let writer = log.writer(&settings.name, 1);
+    let recorded = Arc::clone(&usage);
+    let settings = Arc::new(settings);
+    let context = EntryBuilder::new(settings, ledger.clone(), writer, table.clone(), http)
+        .peers(peers)
+        .usage(move |entry| recorded.lock().unwrap().push(entry))
+        .build();
+    let listener = TcpListener::bind(any_address()).await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let stop = CancellationToken::new();
+    let serving = tokio::spawn(serve(context.clone(), listener, stop.clone()));
+    Entry {
+        url,
+        context,
+        ledger,
+        targets: table,
+        usage,
+        fresh,
+        peers_live,
+        stop,
+        serving: Some(serving),
+        tasks: vec![poll],
+    }
+}
+
+async fn poll_engines(table: TargetTable, client: EngineClient, targets: Vec<PlatformTarget>) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        for target in &targets {
+            if &*target.kind != "engine" {
+                continue;
+            }
+            if let Ok(state) = client.state(&target.address).await {
+                table.observe_state(&target.name, state);
+            }
+        }
+    }
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn wait_until<F>(what: &str, mut condition: F)
+where
+    F: FnMut() -> bool,
+{
+    let waiting = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(HANG, waiting)
+        .await
+        .unwrap_or_else(|_| panic!("timed out: {what}"));
+}
+
+/// Returns a client of callers.
+pub(crate) fn caller() -> reqwest::Client {
+    reqwest::Client::builder().no_proxy().build().unwrap()
+}
+
+/// Returns the prompt that the engines get for one user message.
+pub(crate) fn chat_prompt(text: &str) -> String {
+    format!("<|user|>\n{text}\n<|assistant|>\n")
+}
+
+/// Returns the text that the engines answer to a prompt.
+pub(crate) fn expected_text(prompt: &str, tokens: u32) -> String {
+    use lavenderwind::standin::engine::expected_token;
+    (0..tokens)
+        .map(|index| expected_token(prompt, index))
+        .collect()
+}
+
+/// Returns the outcome header of an answer.
+pub(crate) fn outcome(response: &reqwest::Response) -> String {
+    let value = response.headers().get("lavenderwind-outcome");
+    value.map_or(String::new(), |v| v.to_str().unwrap().to_owned())
+}
