Add contract tests for platform, engines and plain services

They found one fault in the stand-in: load samples closer than 5 ms replaced each other's time, so that a lagging report showed the current load. Samples now keep their time and the newest is skipped instead.

--- a/src/standin/engine/core.rs
+++ b/src/standin/engine/core.rs
@@ -120,6 +120,7 @@
         self.loads.clear();
         self.events.clear();
         self.next_event = 1;
+        self.record_load();
     }
 
     /// Returns the boot identifier.
@@ -255,11 +256,7 @@
     /// Returns the state, with load figures as old as the report's lag.
     pub(super) fn state(&mut self) -> EngineState {
         self.record_load();
-        let lag = Duration::from_millis(self.faults.state_lag_ms);
-        let now = Instant::now();
-        let until = now.checked_sub(lag).unwrap_or(now);
-        let aged = self.loads.iter().rev().find(|load| load.at <= until);
-        let load = aged.or(self.loads.front()).copied();
+        let load = self.reported_load();
         let scale = self.options.time_scale;
         EngineState {
             boot: Arc::clone(&self.boot),
@@ -267,10 +264,10 @@
             role: self.role,
             changing: self.changing,
             models: self.models.clone(),
-            running: load.map_or(0, |load| load.running),
-            waiting: load.map_or(0, |load| load.waiting),
-            waiting_prefill_tokens: load.map_or(0, |load| load.waiting_prefill_tokens),
-            used_blocks: load.map_or(0, |load| load.used_blocks),
+            running: load.running,
+            waiting: load.waiting,
+            waiting_prefill_tokens: load.waiting_prefill_tokens,
+            used_blocks: load.used_blocks,
             total_blocks: self.options.total_blocks,
             prefill_tokens_per_s: (f64::from(self.options.prefill_tokens_per_s) * scale) as u32,
             decode_tokens_per_s: (f64::from(self.options.decode_tokens_per_s) * scale) as u32,
@@ -340,22 +337,39 @@
     }
 
     fn record_load(&mut self) {
-        let now = Instant::now();
+        let load = self.current_load();
         let least = Duration::from_millis(LOAD_SAMPLE_MS);
         let recent = self.loads.back();
-        if recent.is_some_and(|load| now.duration_since(load.at) < least) {
-            self.loads.pop_back();
+        if recent.is_some_and(|recent| load.at.duration_since(recent.at) < least) {
+            return;
         }
         if self.loads.len() >= MAX_LOAD_SAMPLES {
             self.loads.pop_front();
         }
-        self.loads.push_back(LoadSample {
-            at: now,
+        self.loads.push_back(load);
+    }
+
+    fn current_load(&self) -> LoadSample {
+        LoadSample {
+            at: Instant::now(),
             running: self.batch.running.len() as u32,
             waiting: self.batch.waiting.len() as u32,
             waiting_prefill_tokens: self.batch.waiting_prefill_tokens(),
             used_blocks: self.cache.in_use(),
-        });
+        }
+    }
+
+    /// Returns the load as it was the report's lag ago.
+    fn reported_load(&self) -> LoadSample {
+        let current = self.current_load();
+        let lag = Duration::from_millis(self.faults.state_lag_ms);
+        if lag.is_zero() {
+            return current;
+        }
+        let until = current.at.checked_sub(lag);
+        let mut recent = self.loads.iter().rev();
+        let aged = recent.find(|load| until.is_some_and(|until| load.at <= until));
+        aged.or(self.loads.front()).copied().unwrap_or(current)
     }
 
     fn publish_cache_changes(&mut self) {
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -9,7 +9,7 @@
 pub mod plain;
 pub mod platform;
 
-use std::io;
+use std::{io, net::SocketAddr};
 
 use displaydoc::Display;
 
@@ -22,10 +22,15 @@
     /// cannot listen on {address}: {cause}
     Listen {
         /// Address asked for.
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         /// Cause from the operating system.
         cause: io::Error,
     },
 }
 
 impl std::error::Error for Error {}
+
+/// Returns the loopback address with a port that the system chooses.
+pub fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
--- a/tests/engine_client.rs
+++ b/tests/engine_client.rs
@@ -1,9 +1,12 @@
 //! Contract between the engine client and engines.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
 use lavenderwind::{
-    standin::engine::{Answer, Engine, EngineFaults, EngineOptions},
+    standin::{
+        engine::{Answer, Engine, EngineFaults, EngineOptions},
+        loopback,
+    },
     target::{
         EngineClient, Error, http_client,
         protocol::{GenerateEvent, GenerateRequest},
@@ -12,10 +15,6 @@
 
 const MODEL: &str = "adviser";
 
-fn any_port() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
 fn options() -> EngineOptions {
     EngineOptions::default()
         .with_model(MODEL, "1")
@@ -92,7 +91,7 @@
 
 #[tokio::test]
 async fn whole_answer() {
-    let engine = Engine::start(any_port(), options()).await.expect("engine");
+    let engine = Engine::start(loopback(), options()).await.expect("engine");
     let prompt = "what does norm 12 say?".repeat(20);
     let outcome = collect(&engine, &request("r1", &prompt, 50)).await;
     assert!(outcome.whole);
@@ -101,7 +100,7 @@
 
 #[tokio::test]
 async fn resumed_answer() {
-    let engine = Engine::start(any_port(), options()).await.expect("engine");
+    let engine = Engine::start(loopback(), options()).await.expect("engine");
     let mut resumed = request("r1", "a prompt", 30);
     let answer = Answer::new("a prompt");
     resumed.attempt = 2;
@@ -188,7 +187,7 @@
 #[tokio::test]
 async fn generate_faults() {
     for case in fault_cases() {
-        let engine = Engine::start(any_port(), options()).await.expect("engine");
+        let engine = Engine::start(loopback(), options()).await.expect("engine");
         engine.set_faults(case.faults);
         let outcome = collect(&engine, &case.request).await;
         assert!(!outcome.whole, "{}", case.name);
@@ -204,7 +203,7 @@
 
 #[tokio::test]
 async fn refused_connection() {
-    let engine = Engine::start(any_port(), options()).await.expect("engine");
+    let engine = Engine::start(loopback(), options()).await.expect("engine");
     let address = engine.addr().to_string();
     engine.stop().await;
     let error = client()
--- /dev/null
+++ b/tests/live_list.rs
@@ -0,0 +1,169 @@
+//! Contract between the live list's client and the platform.
+
+use std::{sync::Arc, time::Duration};
+
+use lavenderwind::{
+    platform::{
+        LiveClient,
+        protocol::{LiveInstance, LiveState},
+    },
+    standin::{
+        loopback,
+        platform::{Platform, PlatformFaults},
+    },
+    target::http_client,
+};
+use tokio::time::timeout;
+
+/// Deadline against hanging.
+const HANG: Duration = Duration::from_secs(20);
+
+fn client(platform: &Platform, limit: Duration) -> LiveClient {
+    LiveClient::new(http_client().expect("client"), &platform.url(), limit)
+}
+
+fn instance(name: &str, state: LiveState) -> LiveInstance {
+    LiveInstance {
+        name: name.into(),
+        incarnation: 1,
+        failure_domain: "domain-a".into(),
+        peer_address: "127.0.0.1:1".into(),
+        admin_address: "127.0.0.1:2".into(),
+        state,
+    }
+}
+
+async fn names(client: &LiveClient) -> Vec<Arc<str>> {
+    let list = client.list().await.expect("list");
+    list.into_iter().map(|instance| instance.name).collect()
+}
+
+async fn wait_for_names(client: &LiveClient, expected: &[&str]) {
+    let wait = async {
+        loop {
+            let names = names(client).await;
+            if names
+                .iter()
+                .map(|name| &**name)
+                .eq(expected.iter().copied())
+            {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(HANG, wait).await.expect("list changes");
+}
+
+#[tokio::test]
+async fn announced_instances() {
+    let platform = Platform::start(loopback(), PlatformFaults::default())
+        .await
+        .expect("platform");
+    let client = client(&platform, HANG);
+    for name in ["a", "b"] {
+        let announced = client.announce(&instance(name, LiveState::Live)).await;
+        announced.expect("announced");
+    }
+    assert_eq!(names(&client).await.len(), 2);
+    let leaving = instance("a", LiveState::Leaving);
+    client.announce(&leaving).await.expect("announced");
+    assert!(client.list().await.expect("list").contains(&leaving));
+    client.withdraw("a").await.expect("withdrawn");
+    client.withdraw("a").await.expect("withdrawn again");
+    assert_eq!(names(&client).await, ["b".into()]);
+}
+
+#[tokio::test]
+async fn silent_instance() {
+    let faults = PlatformFaults {
+        live_ttl_ms: 30,
+        ..PlatformFaults::default()
+    };
+    let platform = Platform::start(loopback(), faults).await.expect("platform");
+    let client = client(&platform, HANG);
+    let announced = client.announce(&instance("a", LiveState::Live)).await;
+    announced.expect("announced");
+    wait_for_names(&client, &[]).await;
+}
+
+#[tokio::test]
+async fn lagging_list() {
+    let faults = PlatformFaults {
+        live_lag_ms: 100_000,
+        live_ttl_ms: 200_000,
+        ..PlatformFaults::default()
+    };
+    let platform = Platform::start(loopback(), faults).await.expect("platform");
+    let client = client(&platform, HANG);
+    let announced = client.announce(&instance("a", LiveState::Live)).await;
+    announced.expect("announced");
+    assert!(names(&client).await.is_empty(), "the list lags");
+    platform.set_faults(PlatformFaults {
+        live_lag_ms: 30,
+        live_ttl_ms: 200_000,
+        ..PlatformFaults::default()
+    });
+    wait_for_names(&client, &["a"]).await;
+}
+
+#[tokio::test]
+async fn list_faults() {
+    struct Case {
+        name: &'static str,
+        outage: bool,
+        slow_ms: u64,
+        lose_answers: u32,
+        takes_effect: bool,
+    }
+    let cases = [
+        Case {
+            name: "outage",
+            outage: true,
+            slow_ms: 0,
+            lose_answers: 0,
+            takes_effect: false,
+        },
+        Case {
+            name: "slower than the timeout",
+            outage: false,
+            slow_ms: 60_000,
+            lose_answers: 0,
+            takes_effect: false,
+        },
+        Case {
+            name: "answer lost after taking effect",
+            outage: false,
+            slow_ms: 0,
+            lose_answers: 1,
+            takes_effect: true,
+        },
+    ];
+    for case in cases {
+        let mut faults = PlatformFaults {
+            live_ttl_ms: 60_000,
+            ..PlatformFaults::default()
+        };
+        faults.live.outage = case.outage;
+        faults.live.slow_ms = case.slow_ms;
+        faults.live.lose_answers = case.lose_answers;
+        let platform = Platform::start(loopback(), faults).await.expect("platform");
+        let limit = if case.slow_ms > 0 {
+            Duration::from_millis(50)
+        } else {
+            HANG
+        };
+        let hasty = client(&platform, limit);
+        let error = hasty.announce(&instance("a", LiveState::Live)).await;
+        let error = error.expect_err(case.name);
+        assert!(error.written(), "{}: {error}", case.name);
+        platform.set_faults(PlatformFaults::default());
+        let patient = client(&platform, HANG);
+        assert_eq!(
+            !names(&patient).await.is_empty(),
+            case.takes_effect,
+            "{}",
+            case.name
+        );
+    }
+}
--- /dev/null
+++ b/tests/plain_client.rs
@@ -0,0 +1,194 @@
+//! Contract between the client for plain services and such a service.
+
+use lavenderwind::{
+    standin::{
+        loopback,
+        plain::{PlainAnswer, PlainFaults, PlainService},
+    },
+    target::{Error, PlainClient, PlainRequest, http_client},
+};
+use reqwest::{Method, header::HeaderMap};
+
+fn client() -> PlainClient {
+    PlainClient::new(http_client().expect("client"))
+}
+
+fn call(method: Method, id: &str, key: &str) -> PlainRequest {
+    PlainRequest {
+        method,
+        path_and_query: "/orders?sheet=steel".into(),
+        headers: HeaderMap::new(),
+        request_id: id.into(),
+        idempotency_key: key.into(),
+        body: "two sheets".into(),
+    }
+}
+
+#[tokio::test]
+async fn whole_call() {
+    let service = PlainService::start(loopback(), PlainFaults::default())
+        .await
+        .expect("service");
+    let address = service.addr().to_string();
+    let posted = client()
+        .call(&address, call(Method::POST, "r1", "k1"))
+        .await;
+    let posted = posted.expect("answer");
+    assert_eq!(posted.status, 201);
+    let answer: PlainAnswer = serde_json::from_slice(&posted.body).expect("json");
+    assert_eq!(answer.execution, 1);
+    assert_eq!(&*answer.body, "two sheets");
+    let read = client().call(&address, call(Method::GET, "r2", "")).await;
+    assert_eq!(read.expect("answer").status, 200);
+    let executions = service.executions();
+    assert_eq!(executions.len(), 1);
+    assert_eq!(&*executions[0].idempotency_key, "k1");
+    assert_eq!(&*executions[0].request_id, "r1");
+}
+
+#[tokio::test]
+async fn withheld_headers() {
+    let service = PlainService::start(loopback(), PlainFaults::default())
+        .await
+        .expect("service");
+    let mut request = call(Method::POST, "r1", "k1");
+    for name in [
+        "authorization",
+        "x-api-key",
+        "cookie",
+        "proxy-authorization",
+    ] {
+        request
+            .headers
+            .insert(name, "secret".parse().expect("value"));
+    }
+    request
+        .headers
+        .insert("accept", "text/plain".parse().expect("value"));
+    let address = service.addr().to_string();
+    client().call(&address, request).await.expect("answer");
+    let seen = service.header_names();
+    assert!(seen.contains(&"accept".to_owned()));
+    for name in [
+        "authorization",
+        "x-api-key",
+        "cookie",
+        "proxy-authorization",
+    ] {
+        assert!(
+            !seen.contains(&name.to_owned()),
+            "{name} reached the target"
+        );
+    }
+}
+
+#[tokio::test]
+async fn call_faults() {
+    struct Case {
+        name: &'static str,
+        faults: PlainFaults,
+        executions: usize,
+        wrong_request: bool,
+    }
+    let none = PlainFaults::default();
+    let cases = [
+        Case {
+            name: "outage",
+            faults: PlainFaults {
+                outage: true,
+                ..none.clone()
+            },
+            executions: 0,
+            wrong_request: false,
+        },
+        Case {
+            name: "cut before it ran",
+            faults: PlainFaults {
+                cut_before: 1,
+                ..none.clone()
+            },
+            executions: 0,
+            wrong_request: false,
+        },
+        Case {
+            name: "cut after it ran",
+            faults: PlainFaults {
+                cut_after: 1,
+                ..none.clone()
+            },
+            executions: 1,
+            wrong_request: false,
+        },
+        Case {
+            name: "answer to another request",
+            faults: PlainFaults {
+                wrong_request: true,
+                ..none
+            },
+            executions: 1,
+            wrong_request: true,
+        },
+    ];
+    for case in cases {
+        let service = PlainService::start(loopback(), case.faults)
+            .await
+            .expect("service");
+        let address = service.addr().to_string();
+        let outcome = client()
+            .call(&address, call(Method::POST, "r1", "k1"))
+            .await;
+        let error = outcome.expect_err(case.name);
+        assert!(error.written(), "{}: {error}", case.name);
+        assert_eq!(
+            matches!(error, Error::WrongRequest { .. }),
+            case.wrong_request,
+            "{}",
+            case.name
+        );
+        assert_eq!(service.executions().len(), case.executions, "{}", case.name);
+    }
+}
+
+/// A pooled connection that closes under a call must not make the client send
+/// it a second time, nor call it unwritten.
+#[tokio::test]
+async fn closed_pooled_connection() {
+    let service = PlainService::start(loopback(), PlainFaults::default())
+        .await
+        .expect("service");
+    let address = service.addr().to_string();
+    let client = client();
+    for round in 0..20 {
+        let warm = client.call(&address, call(Method::GET, "warm", "")).await;
+        warm.expect("answer");
+        service.set_faults(PlainFaults {
+            cut_after: 1,
+            ..PlainFaults::default()
+        });
+        let outcome = client.call(&address, call(Method::POST, "r1", "")).await;
+        let error = outcome.expect_err("cut");
+        assert!(error.written(), "{error}");
+        assert_eq!(service.executions().len(), round + 1);
+    }
+}
+
+#[tokio::test]
+async fn deduplicated_key() {
+    let service = PlainService::start(
+        loopback(),
+        PlainFaults {
+            deduplicates: true,
+            ..PlainFaults::default()
+        },
+    )
+    .await
+    .expect("service");
+    let address = service.addr().to_string();
+    for _ in 0..2 {
+        let outcome = client()
+            .call(&address, call(Method::POST, "r1", "k1"))
+            .await;
+        outcome.expect("answer");
+    }
+    assert_eq!(service.executions().len(), 1);
+}
--- /dev/null
+++ b/tests/target_order.rs
@@ -0,0 +1,223 @@
+//! Contract between the client for target ordering and the platform.
+
+use std::{sync::Arc, time::Duration};
+
+use lavenderwind::{
+    platform::{
+        Error, TargetsClient,
+        protocol::{PlatformTarget, TargetList, TargetOrder, TargetState},
+    },
+    standin::{
+        loopback,
+        plain::{PlainFaults, PlainService},
+        platform::{Group, Platform, PlatformFaults, Reclaim},
+    },
+    target::http_client,
+};
+use serde::Serialize;
+use tokio::time::timeout;
+
+/// Deadline against hanging.
+const HANG: Duration = Duration::from_secs(20);
+const KIND: &str = "cheap";
+const DOMAIN: &str = "domain-a";
+
+struct Bench {
+    platform: Platform,
+    client: TargetsClient,
+    services: Vec<PlainService>,
+}
+
+impl Bench {
+    async fn start(faults: PlatformFaults, idle_targets: usize) -> Self {
+        let platform = Platform::start(loopback(), faults).await.expect("platform");
+        let http = http_client().expect("client");
+        let bench = Self {
+            client: TargetsClient::new(http, &platform.url(), HANG),
+            platform,
+            services: Vec::new(),
+        };
+        bench.with_targets(idle_targets).await
+    }
+
+    async fn with_targets(mut self, count: usize) -> Self {
+        for index in 0..count {
+            let service = PlainService::start(loopback(), PlainFaults::default())
+                .await
+                .expect("service");
+            let target = PlatformTarget {
+                name: format!("t{index}").into(),
+                kind: KIND.into(),
+                failure_domain: DOMAIN.into(),
+                address: service.addr().to_string().into(),
+                state: TargetState::Starting,
+                leaves_in_ms: None,
+            };
+            let url = format!("{}/targets/{}", self.platform.url(), target.name);
+            send(http_client().expect("client").put(url), &target).await;
+            self.services.push(service);
+        }
+        self
+    }
+
+    async fn post<T>(&self, path: &str, body: &T)
+    where
+        T: Serialize,
+    {
+        let url = format!("{}/{path}", self.platform.url());
+        send(http_client().expect("client").post(url), body).await;
+    }
+
+    async fn wait_for<F>(&self, name: &str, condition: F) -> TargetList
+    where
+        F: Fn(&TargetList) -> bool,
+    {
+        let wait = async {
+            loop {
+                let list = self.client.list().await.expect("list");
+                if condition(&list) {
+                    return list;
+                }
+                tokio::task::yield_now().await;
+            }
+        };
+        timeout(HANG, wait).await.expect(name)
+    }
+}
+
+async fn send<T>(request: reqwest::RequestBuilder, body: &T)
+where
+    T: Serialize,
+{
+    let response = request.json(body).send().await.expect("answer");
+    assert!(response.status().is_success());
+}
+
+fn fast() -> PlatformFaults {
+    PlatformFaults {
+        start_ms: 20,
+        release_notice_ms: 20,
+        ..PlatformFaults::default()
+    }
+}
+
+fn order(order_id: u64, epoch: u64, count: u32) -> TargetOrder {
+    TargetOrder {
+        order_id,
+        epoch,
+        kind: KIND.into(),
+        failure_domain: DOMAIN.into(),
+        count,
+    }
+}
+
+fn group() -> Group {
+    Group {
+        kind: KIND.into(),
+        failure_domain: DOMAIN.into(),
+    }
+}
+
+fn count(list: &TargetList, state: TargetState) -> usize {
+    let targets = list.targets.iter();
+    targets.filter(|target| target.state == state).count()
+}
+
+#[tokio::test]
+async fn ordered_targets() {
+    let bench = Bench::start(fast(), 3).await;
+    let list = bench.client.list().await.expect("list");
+    assert!(list.targets.is_empty(), "nothing was ordered");
+    bench.client.order(&order(1, 1, 2)).await.expect("order");
+    let list = bench
+        .wait_for("two run", |list| count(list, TargetState::Live) == 2)
+        .await;
+    assert_eq!(list.orders[0].last_order_id, 1);
+    assert_eq!(list.orders[0].available, 2);
+    bench.client.order(&order(2, 1, 1)).await.expect("order");
+    bench
+        .wait_for("one is left", |list| {
+            list.targets.len() == 1 && list.orders[0].wanted == 1
+        })
+        .await;
+}
+
+#[tokio::test]
+async fn reclaimed_group() {
+    let bench = Bench::start(fast(), 2).await;
+    bench.client.order(&order(1, 1, 2)).await.expect("order");
+    bench
+        .wait_for("two run", |list| count(list, TargetState::Live) == 2)
+        .await;
+    let mut reclaim = Reclaim {
+        group: group(),
+        notice_ms: 60_000,
+    };
+    bench.post("targets/reclaim", &reclaim).await;
+    let list = bench.client.list().await.expect("list");
+    assert_eq!(count(&list, TargetState::Leaving), 2);
+    for target in &list.targets {
+        assert!(target.leaves_in_ms.is_some_and(|ms| ms <= 60_000));
+    }
+    reclaim.notice_ms = 0;
+    bench.post("targets/reclaim", &reclaim).await;
+    let list = bench
+        .wait_for("all are gone", |list| list.targets.is_empty())
+        .await;
+    assert_eq!(list.orders[0].available, 0);
+    bench.post("targets/restore", &group()).await;
+    bench
+        .wait_for("two run again", |list| count(list, TargetState::Live) == 2)
+        .await;
+}
+
+#[tokio::test]
+async fn unavailable_kind() {
+    let mut faults = fast();
+    faults.unavailable_kinds = vec![Arc::from(KIND)];
+    let bench = Bench::start(faults, 2).await;
+    bench.client.order(&order(1, 1, 2)).await.expect("order");
+    let list = bench.client.list().await.expect("list");
+    assert_eq!(list.orders[0].wanted, 2);
+    assert_eq!(list.orders[0].available, 0);
+    bench.platform.set_faults(fast());
+    bench
+        .wait_for("two run", |list| count(list, TargetState::Live) == 2)
+        .await;
+}
+
+#[tokio::test]
+async fn old_epoch() {
+    for check in [true, false] {
+        let mut faults = fast();
+        faults.targets_check_epoch = check;
+        let bench = Bench::start(faults, 1).await;
+        bench.client.order(&order(7, 7, 1)).await.expect("order");
+        let late = bench.client.order(&order(3, 3, 0)).await;
+        assert_eq!(late.is_err(), check);
+        if let Err(error) = late {
+            assert!(matches!(error, Error::OldEpoch { .. }), "{error}");
+        }
+        let received = bench.platform.target_orders();
+        assert_eq!(received.len(), 2);
+        assert_eq!(received[1].accepted, !check);
+    }
+}
+
+#[tokio::test]
+async fn order_faults() {
+    for (name, outage, lose_answers) in [
+        ("outage", true, 0),
+        ("answer lost after taking effect", false, 1),
+    ] {
+        let mut faults = fast();
+        faults.targets.outage = outage;
+        faults.targets.lose_answers = lose_answers;
+        let bench = Bench::start(faults, 0).await;
+        let error = bench.client.order(&order(1, 1, 1)).await.expect_err(name);
+        assert!(error.written(), "{name}: {error}");
+        bench.platform.set_faults(fast());
+        let list = bench.client.list().await.expect("list");
+        assert_eq!(list.orders.len(), usize::from(!outage), "{name}");
+    }
+}
--- a/tests/target_table.rs
+++ b/tests/target_table.rs
@@ -10,6 +10,7 @@
     service::KindRole,
     standin::{
         engine::{Engine, EngineOptions},
+        loopback,
         platform::{Group, Platform, PlatformFaults, Reclaim},
     },
     target::{
@@ -22,10 +23,6 @@
 /// Deadline against hanging.
 const HANG: Duration = Duration::from_secs(20);
 
-fn any_port() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
 fn role_of(kind: &str) -> Option<KindRole> {
     match kind {
         "cheap" => Some(KindRole::Engine),
@@ -65,10 +62,10 @@
 
 #[tokio::test]
 async fn leaving_target() {
-    let platform = Platform::start(any_port(), PlatformFaults::default())
+    let platform = Platform::start(loopback(), PlatformFaults::default())
         .await
         .expect("platform");
-    let engine = Engine::start(any_port(), EngineOptions::default())
+    let engine = Engine::start(loopback(), EngineOptions::default())
         .await
         .expect("engine");
     register(&platform, &target("e1", "cheap", engine.addr())).await;
@@ -96,14 +93,14 @@
 
 #[tokio::test]
 async fn crashed_engine() {
-    let platform = Platform::start(any_port(), PlatformFaults::default())
+    let platform = Platform::start(loopback(), PlatformFaults::default())
         .await
         .expect("platform");
     let options = EngineOptions {
         restart_ms: 50,
         ..EngineOptions::default()
     };
-    let engine = Engine::start(any_port(), options).await.expect("engine");
+    let engine = Engine::start(loopback(), options).await.expect("engine");
     register(&platform, &target("e1", "cheap", engine.addr())).await;
     let table = TargetTable::new();
     let poller = poller(&platform, &table);
@@ -131,10 +128,10 @@
 
 #[tokio::test]
 async fn list_outage() {
-    let platform = Platform::start(any_port(), PlatformFaults::default())
+    let platform = Platform::start(loopback(), PlatformFaults::default())
         .await
         .expect("platform");
-    let engine = Engine::start(any_port(), EngineOptions::default())
+    let engine = Engine::start(loopback(), EngineOptions::default())
         .await
         .expect("engine");
     register(&platform, &target("e1", "cheap", engine.addr())).await;
@@ -152,10 +149,10 @@
 
 #[tokio::test]
 async fn polled_subset() {
-    let platform = Platform::start(any_port(), PlatformFaults::default())
+    let platform = Platform::start(loopback(), PlatformFaults::default())
         .await
         .expect("platform");
-    let engine = Engine::start(any_port(), EngineOptions::default())
+    let engine = Engine::start(loopback(), EngineOptions::default())
         .await
         .expect("engine");
     for index in 0..40 {
@@ -231,7 +228,7 @@
     ];
     for (name, steps, expected) in cases {
         let table = TargetTable::new();
-        let listed = vec![target("p1", "desk", any_port())];
+        let listed = vec![target("p1", "desk", loopback())];
         table.observe_list(listed.clone(), role_of);
         for step in steps {
             match step {
--- /dev/null
+++ b/tests/usage_sink.rs
@@ -0,0 +1,148 @@
+//! Contract between the usage client and the platform.
+
+use std::time::Duration;
+
+use lavenderwind::{
+    platform::{
+        Error, UsageClient,
+        protocol::{UsageFigure, UsageReport},
+    },
+    standin::{
+        loopback,
+        platform::{Platform, PlatformFaults, UsageVerdict},
+    },
+    target::http_client,
+};
+
+/// Deadline against hanging.
+const HANG: Duration = Duration::from_secs(20);
+
+fn client(platform: &Platform) -> UsageClient {
+    UsageClient::new(http_client().expect("client"), &platform.url(), HANG)
+}
+
+fn report(window: u64, epoch: u64, requests: u64) -> UsageReport {
+    UsageReport {
+        window,
+        epoch,
+        figures: vec![UsageFigure {
+            service: "adviser".into(),
+            account: "workshop-1".into(),
+            requests,
+            prompt_tokens: 10 * requests,
+            output_tokens: 5 * requests,
+        }],
+    }
+}
+
+#[tokio::test]
+async fn report_verdicts() {
+    struct Case {
+        name: &'static str,
+        check_epoch: bool,
+        second: UsageReport,
+        verdict: UsageVerdict,
+    }
+    let cases = [
+        Case {
+            name: "same figures again",
+            check_epoch: true,
+            second: report(1, 5, 3),
+            verdict: UsageVerdict::Repeated,
+        },
+        Case {
+            name: "same figures by a successor",
+            check_epoch: true,
+            second: report(1, 6, 3),
+            verdict: UsageVerdict::Repeated,
+        },
+        Case {
+            name: "other figures",
+            check_epoch: true,
+            second: report(1, 6, 4),
+            verdict: UsageVerdict::Conflict,
+        },
+        Case {
+            name: "next window",
+            check_epoch: true,
+            second: report(2, 5, 4),
+            verdict: UsageVerdict::Accepted,
+        },
+        Case {
+            name: "old fencing number",
+            check_epoch: true,
+            second: report(2, 4, 4),
+            verdict: UsageVerdict::OldEpoch,
+        },
+        Case {
+            name: "old fencing number, not checked",
+            check_epoch: false,
+            second: report(2, 4, 4),
+            verdict: UsageVerdict::Accepted,
+        },
+    ];
+    for case in cases {
+        let faults = PlatformFaults {
+            usage_check_epoch: case.check_epoch,
+            ..PlatformFaults::default()
+        };
+        let platform = Platform::start(loopback(), faults).await.expect("platform");
+        let client = client(&platform);
+        client.report(&report(1, 5, 3)).await.expect(case.name);
+        let second = client.report(&case.second).await;
+        match case.verdict {
+            UsageVerdict::Accepted | UsageVerdict::Repeated => second.expect(case.name),
+            UsageVerdict::Conflict => {
+                assert!(
+                    matches!(second, Err(Error::Conflict { .. })),
+                    "{}",
+                    case.name
+                );
+            }
+            UsageVerdict::OldEpoch => {
+                assert!(
+                    matches!(second, Err(Error::OldEpoch { .. })),
+                    "{}",
+                    case.name
+                );
+            }
+        }
+        let received = platform.usage_reports();
+        assert_eq!(received[1].verdict, case.verdict, "{}", case.name);
+        assert_eq!(received[1].report, case.second, "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn lost_acknowledgement() {
+    let mut faults = PlatformFaults::default();
+    faults.usage.lose_answers = 2;
+    let platform = Platform::start(loopback(), faults).await.expect("platform");
+    let client = client(&platform);
+    for _ in 0..2 {
+        let error = client.report(&report(1, 5, 3)).await.expect_err("lost");
+        assert!(error.written(), "{error}");
+    }
+    client.report(&report(1, 5, 3)).await.expect("acknowledged");
+    let verdicts: Vec<UsageVerdict> = platform
+        .usage_reports()
+        .into_iter()
+        .map(|received| received.verdict)
+        .collect();
+    let expected = [
+        UsageVerdict::Accepted,
+        UsageVerdict::Repeated,
+        UsageVerdict::Repeated,
+    ];
+    assert_eq!(verdicts, expected);
+}
+
+#[tokio::test]
+async fn sink_outage() {
+    let mut faults = PlatformFaults::default();
+    faults.usage.outage = true;
+    let platform = Platform::start(loopback(), faults).await.expect("platform");
+    let client = client(&platform);
+    client.report(&report(1, 5, 3)).await.expect_err("outage");
+    assert!(platform.usage_reports().is_empty());
+}
