Wire the whole path in separate processes and count crashes by boot

Instance starts the log, the targets, the callers' listener and the admin interface under supervisors and stops them in order.

Found by tests/process_targets.rs killed_engine: eight equal requests in flight at one crash were quarantined (422), because each counted as a crash of its own. Suspects now count distinct boots, as the ledger does. Before: killed_engine failed with status 422; after: passed. poisonous_request still fails (4 engines crash instead of 2): peers are not wired yet, so that the other instances learn of the quarantine late.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod key;
 mod operator;
+mod serve;
 mod service;
 mod standin;
 mod status;
@@ -33,6 +34,8 @@
     Service(crate::service::Error),
     /// {0}
     Standin(standin::Error),
+    /// {0}
+    Instance(crate::instance::Error),
     /// log: {0}
     Log(crate::log::Error),
     /// platform: {0}
@@ -84,6 +87,7 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(serve::command())
         .subcommand(check::command())
         .subcommand(service::command())
         .subcommand(key::command())
@@ -108,6 +112,7 @@
         return Ok(ExitCode::from(EXIT_INVALID));
     };
     match name {
+        "serve" => serve::run(matches).await,
         "check" => check::run(matches),
         "service" => service::run(matches).await,
         "key" => key::run(matches).await,
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -244,7 +244,7 @@
             target: name.to_string(),
             target_boot: boot.to_owned(),
         }));
-        let quarantined = context.suspects().record_crash(call);
+        let quarantined = context.suspects().record_crash(call, boot);
         if quarantined {
             (context.peers().notify_quarantine)(&call.account.full_name, &call.digest);
         }
--- a/src/entry/suspect.rs
+++ b/src/entry/suspect.rs
@@ -8,13 +8,13 @@
     sync::{Arc, Mutex, MutexGuard},
 };
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tokio::sync::Notify;
 
 use crate::entry::{call::BodyDigest, call::Call};
 
 /// Crashes after which a request is quarantined.
-const MAX_CRASHES: u32 = 2;
+const MAX_CRASHES: usize = 2;
 
 /// Suspects remembered by an instance; the oldest are forgotten first.
 const MAX_SUSPECTS: usize = 10_000;
@@ -35,7 +35,8 @@
 
 #[derive(Debug, Default)]
 struct State {
-    crashes: IndexMap<Fingerprint, u32>,
+    /// Boots of the targets that crashed while the request ran there.
+    crashes: IndexMap<Fingerprint, IndexSet<Arc<str>>>,
     running: HashMap<Arc<str>, u32>,
 }
 
@@ -49,15 +50,16 @@
 impl Suspects {
     /// Counts a crash of a target while it ran a request.
     ///
+    /// One boot counts once, however many copies of the request ran there.
     /// Returns whether the request is to be quarantined.
-    pub(super) fn record_crash(&self, call: &Call) -> bool {
+    pub(super) fn record_crash(&self, call: &Call, boot: &str) -> bool {
         let mut state = self.lock();
         if state.crashes.len() >= MAX_SUSPECTS {
             state.crashes.shift_remove_index(0);
         }
-        let crashes = state.crashes.entry(fingerprint(call)).or_default();
-        *crashes += 1;
-        *crashes >= MAX_CRASHES
+        let boots = state.crashes.entry(fingerprint(call)).or_default();
+        boots.insert(boot.into());
+        boots.len() >= MAX_CRASHES
     }
 
     /// Whether a request was in flight at a crash.
--- a/src/instance/admin.rs
+++ b/src/instance/admin.rs
@@ -4,18 +4,13 @@
 
 use metrics_exporter_prometheus::PrometheusHandle;
 use salvo::{
-    Response, Router, Server,
-    conn::tcp::TcpAcceptor,
-    handler,
-    http::StatusCode,
-    prelude::Json,
+    Response, Router, Server, conn::tcp::TcpAcceptor, handler, http::StatusCode, prelude::Json,
     writing::Text,
 };
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use super::{Error, Result, status::InstanceStatus};
-use crate::report::BurnSample;
 
 /// Longest wait for admin requests in progress as the interface stops.
 const STOP_BOUND: Duration = Duration::from_secs(1);
@@ -25,8 +20,6 @@
 pub(super) struct AdminSources {
     /// Collects the instance's status.
     pub(super) status: Arc<dyn Fn() -> InstanceStatus + Send + Sync>,
-    /// Collects the samples of the burn report.
-    pub(super) burn: Arc<dyn Fn() -> Vec<BurnSample> + Send + Sync>,
     /// Renders the metrics.
     pub(super) metrics: PrometheusHandle,
 }
@@ -48,7 +41,10 @@
         stop.cancelled().await;
         handle.stop_graceful(STOP_BOUND);
     });
-    server.try_serve(router(sources)).await.map_err(Error::Listen)
+    server
+        .try_serve(router(sources))
+        .await
+        .map_err(Error::Listen)
 }
 
 fn router(sources: AdminSources) -> Router {
@@ -56,8 +52,7 @@
         .push(Router::with_path("healthz").get(Health))
         .push(Router::with_path("readyz").get(Readiness(sources.clone())))
         .push(Router::with_path("metrics").get(Metrics(sources.clone())))
-        .push(Router::with_path("status").get(Status(sources.clone())))
-        .push(Router::with_path("burn").get(Burn(sources)))
+        .push(Router::with_path("status").get(Status(sources)))
 }
 
 struct Health;
@@ -106,12 +101,3 @@
         response.render(Json((self.0.status)()));
     }
 }
-
-struct Burn(AdminSources);
-
-#[handler]
-impl Burn {
-    async fn handle(&self, response: &mut Response) {
-        response.render(Json((self.0.burn)()));
-    }
-}
--- a/src/instance/status.rs
+++ b/src/instance/status.rs
@@ -4,6 +4,22 @@
 
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    Settings,
+    ledger::LedgerHandle,
+    log::{TailStatus, records::Duty},
+    target::table::{TargetTable, TargetView},
+};
+
+/// Duties with the names that operators see.
+const DUTY_NAMES: [(Duty, &str); 3] = [
+    (Duty::Fleet, "fleet"),
+    (Duty::Usage, "usage"),
+    (Duty::Checkpoint, "checkpoint"),
+];
 
 /// Status of one instance, as `GET /status` answers it.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -20,6 +36,8 @@
     pub applied_offset: u64,
     /// Offset of the newest accepted configuration.
     pub configured_offset: u64,
+    /// Claims of non-repeatable requests in the ledger.
+    pub request_claims: usize,
     /// Whether the last read of the log succeeded.
     pub log_live: bool,
     /// Whether the instance may serve keyed requests.
@@ -92,3 +110,90 @@
     /// Whether it is leaving.
     pub leaving: bool,
 }
+
+/// Sources of an instance's status.
+#[derive(Clone, Debug)]
+pub(super) struct StatusSources {
+    pub(super) settings: Arc<Settings>,
+    pub(super) incarnation: u64,
+    pub(super) ledger: LedgerHandle,
+    pub(super) tail: watch::Receiver<TailStatus>,
+    pub(super) targets: TargetTable,
+    /// Cancelled as the instance begins to stop.
+    pub(super) stopping: CancellationToken,
+}
+
+impl StatusSources {
+    /// Collects the status as of now.
+    pub(super) fn collect(&self) -> InstanceStatus {
+        let tail = *self.tail.borrow();
+        InstanceStatus {
+            name: Arc::clone(&self.settings.name),
+            incarnation: self.incarnation,
+            failure_domain: Arc::clone(&self.settings.failure_domain),
+            not_ready: self.not_ready(tail),
+            applied_offset: self.ledger.applied().0,
+            configured_offset: self.ledger.read(|ledger| ledger.configured_at().0),
+            request_claims: self.ledger.read(|ledger| ledger.claim_count()),
+            log_live: tail.live,
+            fresh: true,
+            duties: self.duties(),
+            targets: self.targets(),
+            peers: Vec::new(),
+        }
+    }
+
+    fn not_ready(&self, tail: TailStatus) -> Vec<NotReady> {
+        let mut reasons = Vec::new();
+        if !tail.complete {
+            reasons.push(NotReady::Starting);
+        }
+        if self.stopping.is_cancelled() {
+            reasons.push(NotReady::Stopping);
+        }
+        reasons
+    }
+
+    fn duties(&self) -> Vec<DutyStatus> {
+        let mut duties = Vec::new();
+        for (duty, name) in DUTY_NAMES {
+            let entry = self.ledger.read(|ledger| ledger.duty(duty).cloned());
+            let Some(entry) = entry else {
+                continue;
+            };
+            duties.push(DutyStatus {
+                duty: name.into(),
+                holder: entry.holder,
+                epoch: entry.epoch,
+                resigned: entry.resigned,
+            });
+        }
+        duties
+    }
+
+    fn targets(&self) -> Vec<TargetStatus> {
+        let mut targets = Vec::new();
+        for view in self.targets.snapshot().iter() {
+            targets.push(TargetStatus::from(view));
+        }
+        targets
+    }
+}
+
+impl From<&TargetView> for TargetStatus {
+    fn from(view: &TargetView) -> Self {
+        let engine = view.engine.as_ref();
+        Self {
+            name: Arc::clone(&view.name),
+            kind: Arc::clone(&view.kind),
+            failure_domain: Arc::clone(&view.failure_domain),
+            state: format!("{:?}, {:?}", view.state, view.health)
+                .to_lowercase()
+                .into(),
+            running: engine.map_or(0, |engine| engine.running),
+            waiting: engine.map_or(0, |engine| engine.waiting),
+            used_blocks: engine.map_or(0, |engine| engine.used_blocks),
+            total_blocks: engine.map_or(0, |engine| engine.total_blocks),
+        }
+    }
+}
