--- a/src/log/queue.rs
+++ b/src/log/queue.rs
@@ -62,6 +62,7 @@
     reply: Reply,
     sent_at: Instant,
     acknowledged: bool,
+    maybe_skipped: bool,
 }
 
 impl AppendQueue {
@@ -142,14 +143,15 @@
         let Some(sent) = self.sent.remove(index) else {
             return;
         };
-        let outcome = match verdict {
-            // The first copy was folded into a checkpoint that was loaded.
-            Verdict::Duplicate => Err(Error::Unresolved),
-            verdict => Ok(Receipt {
+        let outcome = if sent.maybe_skipped && verdict == Verdict::Duplicate {
+            // The first copy was folded among the skipped records.
+            Err(Error::Unresolved)
+        } else {
+            Ok(Receipt {
                 offset,
                 verdict,
                 sent_at: sent.sent_at,
-            }),
+            })
         };
         // The waiter may have gone away.
         let _ = sent.reply.send(outcome);
@@ -162,6 +164,7 @@
     pub fn repeat_all(&mut self) {
         for sent in &mut self.sent {
             sent.acknowledged = false;
+            sent.maybe_skipped = true;
         }
     }
 
@@ -193,6 +196,7 @@
             reply: waiting.reply,
             sent_at: now,
             acknowledged: false,
+            maybe_skipped: false,
         });
         Some(record)
     }
--- a/src/log/tailer.rs
+++ b/src/log/tailer.rs
@@ -10,14 +10,11 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    Error, LogClient, Offset, RecentEntries, Result,
-    appender::FoldReport,
-    backoff::Backoff,
-    rebuild::{Checkpoint, CheckpointGatherer},
-    records::{Record, record::Body},
+    Error, LogClient, Offset, RecentEntries, Result, appender::FoldReport, backoff::Backoff,
+    records::Record,
 };
 use crate::{
-    ledger::{Ledger, LedgerHandle},
+    ledger::{LedgerHandle, Rebuilder},
     platform::protocol::{LogEntry, ReadResponse},
 };
 
@@ -83,14 +80,7 @@
     inputs: TailInputs,
     status: watch::Sender<TailStatus>,
     backoff: Backoff,
-    scan: Option<Scan>,
-}
-
-/// A search for a checkpoint, after older records have expired.
-#[derive(Debug)]
-struct Scan {
-    next_offset: Offset,
-    gatherer: CheckpointGatherer,
+    rebuilder: Option<Rebuilder>,
 }
 
 /// A finished read of the log.
@@ -113,7 +103,7 @@
         inputs,
         status,
         backoff: Backoff::new(FIRST_RETRY, MAX_RETRY),
-        scan: None,
+        rebuilder: None,
     };
     (tailer, receiver)
 }
@@ -138,8 +128,8 @@
     }
 
     fn request(&self) -> ReadRequest {
-        let from = match &self.scan {
-            Some(scan) => scan.next_offset,
+        let from = match &self.rebuilder {
+            Some(rebuilder) => rebuilder.next_offset(),
             None => Offset(self.inputs.ledger.applied().0 + 1),
         };
         ReadRequest {
@@ -153,17 +143,16 @@
         let response = match outcome.result {
             Ok(response) => response,
             Err(Error::Trimmed { oldest_offset, .. }) => {
-                self.start_scan(oldest_offset);
+                self.start_rebuild(oldest_offset);
                 return self.backoff.next_delay();
             }
             Err(error) => return self.note_failure(&error),
         };
         self.backoff.reset();
-        if self.scan.is_some() {
-            self.scan_entries(response);
-            return Duration::ZERO;
+        match self.rebuilder.take() {
+            Some(rebuilder) => self.rebuild(rebuilder, response),
+            None => self.fold_response(response, outcome.sent_at),
         }
-        self.fold_response(response, outcome.sent_at);
         Duration::ZERO
     }
 
@@ -200,7 +189,7 @@
     }
 
     fn take_relayed(&mut self, relayed: RelayedEntries) {
-        if self.scan.is_some() {
+        if self.rebuilder.is_some() {
             return;
         }
         self.fold_entries(relayed.entries);
@@ -246,61 +235,37 @@
         });
     }
 
-    fn start_scan(&mut self, oldest_offset: Offset) {
+    fn start_rebuild(&mut self, oldest_offset: Offset) {
         tracing::warn!("log: records before {oldest_offset} expired; looking for a checkpoint");
-        let gatherer = self.scan.take().map(|scan| scan.gatherer);
-        self.scan = Some(Scan {
-            next_offset: oldest_offset,
-            gatherer: gatherer.unwrap_or_default(),
-        });
+        self.rebuilder = Some(Rebuilder::new(oldest_offset));
         self.status.send_modify(|status| {
             status.live = false;
             status.complete = false;
         });
     }
 
-    fn scan_entries(&mut self, response: ReadResponse) {
-        let Some(scan) = &mut self.scan else {
-            return;
-        };
+    /// Goes on with a rebuild, and ends it once it reaches the log's end.
+    fn rebuild(&mut self, mut rebuilder: Rebuilder, response: ReadResponse) {
         for entry in response.entries {
-            scan.next_offset = Offset(entry.offset + 1);
-            let record = Record::decode(entry.record).unwrap_or_default();
-            let Some(Body::CheckpointChunk(chunk)) = record.body else {
+            if entry.offset != rebuilder.next_offset().0 {
                 continue;
-            };
-            scan.gatherer.add(chunk);
+            }
+            rebuilder.push(Record::decode(entry.record).unwrap_or_default());
         }
-        if scan.next_offset.0 < response.next_offset {
+        let reached_end = rebuilder.next_offset().0 >= response.next_offset;
+        if !reached_end || !rebuilder.is_complete() {
+            self.rebuilder = Some(rebuilder);
             return;
         }
-        let Some(checkpoint) = scan.gatherer.take(Offset(response.oldest_offset)) else {
+        let Some(ledger) = rebuilder.finish() else {
             return;
         };
-        self.load_checkpoint(checkpoint);
-    }
-
-    fn load_checkpoint(&mut self, checkpoint: Checkpoint) {
-        let mark_offset = checkpoint.mark_offset;
-        let ledger = match Ledger::decode(&checkpoint.data) {
-            Ok(ledger) => ledger,
-            Err(error) => {
-                tracing::error!("log: checkpoint at {mark_offset} cannot be decoded: {error}");
-                return;
-            }
-        };
-        if ledger.applied() != mark_offset || ledger.digest()[..] != checkpoint.digest[..] {
-            tracing::error!("log: checkpoint at {mark_offset} does not match its digest");
-            return;
-        }
-        if ledger.applied() < self.inputs.ledger.applied() {
-            return;
-        }
+        let applied = ledger.applied();
         self.inputs.ledger.replace(ledger);
-        self.scan = None;
+        // The append task may have stopped already.
         let _ = self.inputs.folds.send(FoldReport::Rebuilt);
         metrics::counter!("log_rebuilds_total").increment(1);
-        tracing::info!("log: ledger rebuilt from the checkpoint at {mark_offset}");
+        tracing::info!("log: ledger rebuilt from a checkpoint up to offset {applied}");
     }
 }
 
--- /dev/null
+++ b/src/peer/digest.rs
@@ -0,0 +1,277 @@
+//! Loads and served tokens as changes between heartbeats.
+
+use std::sync::Arc;
+
+use displaydoc::Display;
+use indexmap::{IndexMap, IndexSet};
+use prost::Message;
+
+use super::frames::{Heartbeat, LoadChange, NameDefinition, ServedTokens};
+
+/// Most names that one connection may define.
+pub const MAX_NAMES: usize = 1 << 16;
+
+/// Bytes of a repeated field's tag and length.
+const FIELD_HEADER_BYTES: usize = 2;
+
+/// What an instance has in flight on a target.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TargetLoad {
+    /// Requests.
+    pub requests: u32,
+    /// Tokens of these requests that are still to be processed.
+    pub tokens: u64,
+    /// Blocks of KV cache that these requests hold.
+    pub blocks: u64,
+}
+
+impl TargetLoad {
+    /// Adds another load.
+    pub fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.tokens += other.tokens;
+        self.blocks += other.blocks;
+    }
+
+    fn distance(&self, other: &Self) -> u64 {
+        let requests = u64::from(self.requests.abs_diff(other.requests));
+        let tokens = self.tokens.abs_diff(other.tokens);
+        let blocks = self.blocks.abs_diff(other.blocks);
+        requests.saturating_add(tokens).saturating_add(blocks)
+    }
+}
+
+/// Tokens served for an account.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Served {
+    /// Client account, as `SERVICE/ACCOUNT`.
+    pub account: Arc<str>,
+    /// Tokens served since the last report.
+    pub tokens: u64,
+}
+
+/// Why a heartbeat's changes cannot be applied.
+#[derive(Debug, Display, derive_more::Error)]
+pub enum Error {
+    /// name {index} was not defined on this connection
+    UnknownName {
+        /// Index of the name.
+        index: u32,
+    },
+    /// more than {max_names} names were defined on this connection
+    TooManyNames {
+        /// Largest number of names.
+        max_names: usize,
+    },
+}
+
+/// Sending side of one connection.
+#[derive(Debug, Default)]
+pub struct DigestEncoder {
+    names: IndexSet<Arc<str>>,
+    sent: IndexMap<Arc<str>, TargetLoad>,
+    served: IndexMap<Arc<str>, u64>,
+}
+
+/// Bytes that may still be added to a heartbeat.
+struct Allowance {
+    bytes: usize,
+}
+
+impl Allowance {
+    fn take(&mut self, bytes: usize) -> bool {
+        let Some(rest) = self.bytes.checked_sub(bytes) else {
+            return false;
+        };
+        self.bytes = rest;
+        true
+    }
+}
+
+impl DigestEncoder {
+    /// Notes tokens to be reported.
+    pub fn add_served(&mut self, account: &Arc<str>, tokens: u64) {
+        if let Some(pending) = self.served.get_mut(account) {
+            *pending += tokens;
+            return;
+        }
+        self.served.insert(account.clone(), tokens);
+    }
+
+    /// Adds the largest changes to a heartbeat, within `max_bytes`.
+    ///
+    /// What finds no room goes into a later heartbeat. Loads get at most half
+    /// of the bytes while tokens wait to be reported.
+    pub fn encode(
+        &mut self,
+        loads: &IndexMap<Arc<str>, TargetLoad>,
+        max_bytes: usize,
+        heartbeat: &mut Heartbeat,
+    ) {
+        let load_bytes = if self.served.is_empty() {
+            max_bytes
+        } else {
+            max_bytes / 2
+        };
+        let mut allowance = Allowance { bytes: load_bytes };
+        self.encode_loads(loads, &mut allowance, heartbeat);
+        allowance.bytes += max_bytes - load_bytes;
+        self.encode_served(&mut allowance, heartbeat);
+    }
+
+    /// Returns the number of accounts with tokens to be reported.
+    pub fn pending_accounts(&self) -> usize {
+        self.served.len()
+    }
+
+    fn encode_loads(
+        &mut self,
+        loads: &IndexMap<Arc<str>, TargetLoad>,
+        allowance: &mut Allowance,
+        heartbeat: &mut Heartbeat,
+    ) {
+        for (name, load) in self.changed_loads(loads) {
+            let added = self.add_name(&name, allowance, heartbeat);
+            let Some(target) = added else {
+                return;
+            };
+            let change = LoadChange {
+                target,
+                requests: load.requests,
+                tokens: load.tokens,
+                blocks: load.blocks,
+            };
+            if !allowance.take(change.encoded_len() + FIELD_HEADER_BYTES) {
+                return;
+            }
+            heartbeat.loads.push(change);
+            if load == TargetLoad::default() {
+                self.sent.swap_remove(&name);
+                continue;
+            }
+            self.sent.insert(name, load);
+        }
+    }
+
+    fn encode_served(&mut self, allowance: &mut Allowance, heartbeat: &mut Heartbeat) {
+        let mut pending = Vec::new();
+        for (account, &tokens) in &self.served {
+            pending.push((tokens, account.clone()));
+        }
+        pending.sort_unstable_by(|a, b| b.cmp(a));
+        for (tokens, name) in pending {
+            let added = self.add_name(&name, allowance, heartbeat);
+            let Some(account) = added else {
+                return;
+            };
+            let served = ServedTokens { account, tokens };
+            if !allowance.take(served.encoded_len() + FIELD_HEADER_BYTES) {
+                return;
+            }
+            heartbeat.served.push(served);
+            self.served.swap_remove(&name);
+        }
+    }
+
+    /// Returns loads that differ from what was sent, largest change first.
+    fn changed_loads(&self, loads: &IndexMap<Arc<str>, TargetLoad>) -> Vec<(Arc<str>, TargetLoad)> {
+        let idle = TargetLoad::default();
+        let mut changed = Vec::new();
+        for (name, load) in loads {
+            let sent = self.sent.get(name).unwrap_or(&idle);
+            if load != sent {
+                changed.push((load.distance(sent), name.clone(), *load));
+            }
+        }
+        for (name, sent) in &self.sent {
+            if !loads.contains_key(name) {
+                changed.push((idle.distance(sent), name.clone(), idle));
+            }
+        }
+        changed.sort_unstable_by(|a, b| (b.0, &b.1).cmp(&(a.0, &a.1)));
+        changed
+            .into_iter()
+            .map(|(_, name, load)| (name, load))
+            .collect()
+    }
+
+    /// Returns the index of a name, and defines it if it is new.
+    fn add_name(
+        &mut self,
+        name: &Arc<str>,
+        allowance: &mut Allowance,
+        heartbeat: &mut Heartbeat,
+    ) -> Option<u32> {
+        if let Some(index) = self.names.get_index_of(name) {
+            return u32::try_from(index).ok();
+        }
+        if self.names.len() >= MAX_NAMES {
+            return None;
+        }
+        let definition = NameDefinition {
+            name: name.to_string(),
+        };
+        if !allowance.take(definition.encoded_len() + FIELD_HEADER_BYTES) {
+            return None;
+        }
+        heartbeat.names.push(definition);
+        let (index, _) = self.names.insert_full(name.clone());
+        u32::try_from(index).ok()
+    }
+}
+
+/// Receiving side of one connection.
+#[derive(Debug, Default)]
+pub struct DigestDecoder {
+    names: Vec<Arc<str>>,
+    loads: IndexMap<Arc<str>, TargetLoad>,
+}
+
+impl DigestDecoder {
+    /// Applies a heartbeat's changes and returns the tokens served.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the heartbeat names what was not defined, or too much.
+    pub fn apply(&mut self, heartbeat: &Heartbeat) -> Result<Vec<Served>, Error> {
+        for definition in &heartbeat.names {
+            if self.names.len() >= MAX_NAMES {
+                return Err(Error::TooManyNames {
+                    max_names: MAX_NAMES,
+                });
+            }
+            self.names.push(definition.name.as_str().into());
+        }
+        for change in &heartbeat.loads {
+            let name = self.name(change.target)?;
+            let load = TargetLoad {
+                requests: change.requests,
+                tokens: change.tokens,
+                blocks: change.blocks,
+            };
+            if load == TargetLoad::default() {
+                self.loads.swap_remove(&name);
+                continue;
+            }
+            self.loads.insert(name, load);
+        }
+        let mut served = Vec::with_capacity(heartbeat.served.len());
+        for entry in &heartbeat.served {
+            served.push(Served {
+                account: self.name(entry.account)?,
+                tokens: entry.tokens,
+            });
+        }
+        Ok(served)
+    }
+
+    /// Returns the loads that the other side reported.
+    pub fn loads(&self) -> &IndexMap<Arc<str>, TargetLoad> {
+        &self.loads
+    }
+
+    fn name(&self, index: u32) -> Result<Arc<str>, Error> {
+        let name = self.names.get(index as usize);
+        name.cloned().ok_or(Error::UnknownName { index })
+    }
+}
--- /dev/null
+++ b/src/peer/freshness.rs
@@ -0,0 +1,103 @@
+//! Whether an instance knows the newest configuration.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+
+use crate::log::Offset;
+
+/// Why an instance counts as fresh, or that it does not.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Freshness {
+    /// It read the log up to its end within the bound.
+    ByLog,
+    /// Peers relayed all records within the bound.
+    ByRelay,
+    /// All listed instances answered that none reads past its offset.
+    ByOutage,
+    /// It may have missed records.
+    Stale,
+}
+
+impl Freshness {
+    /// Returns whether keyed requests may be served.
+    pub fn may_serve_keyed(self) -> bool {
+        self != Self::Stale
+    }
+}
+
+/// A peer's answer to what it has read.
+#[derive(Clone, Debug)]
+pub struct PeerAnswer {
+    /// Name of the peer.
+    pub name: Arc<str>,
+    /// Moment that the answer is known to be later than.
+    pub answered_at: Instant,
+    /// Highest offset that the peer, or any instance it speaks for, heard of.
+    pub end_offset: Offset,
+    /// Number of instances that the peer speaks for, itself included.
+    pub instances: usize,
+}
+
+/// What freshness is judged by.
+#[derive(Clone, Debug)]
+pub struct FreshnessInput<'a> {
+    /// Now.
+    pub now: Instant,
+    /// Age at which knowledge is too old.
+    pub max_age: Duration,
+    /// Whether the ledger holds all that the log ever held.
+    pub complete: bool,
+    /// Moment as of which the log's end was read by this instance.
+    pub last_read_at: Instant,
+    /// Moment as of which all records are known, by read or relay.
+    pub known_at: Instant,
+    /// Offset up to which this instance has folded the log.
+    pub applied_offset: Offset,
+    /// Number of other instances on the live list; `None` if never read.
+    pub listed_instances: Option<usize>,
+    /// The latest answer of each linked peer.
+    pub answers: &'a [PeerAnswer],
+}
+
+impl FreshnessInput<'_> {
+    /// Judges the input.
+    pub fn judge(&self) -> Freshness {
+        if !self.complete {
+            return Freshness::Stale;
+        }
+        if self.is_recent(self.last_read_at) {
+            return Freshness::ByLog;
+        }
+        if self.is_recent(self.known_at) {
+            return Freshness::ByRelay;
+        }
+        if self.all_agree() {
+            return Freshness::ByOutage;
+        }
+        Freshness::Stale
+    }
+
+    /// Whether every listed instance answered that nothing was read past this
+    /// instance's offset. An instance without peers has nobody to confirm it.
+    fn all_agree(&self) -> bool {
+        let Some(listed_instances) = self.listed_instances else {
+            return false;
+        };
+        let mut answered_instances = 0;
+        for answer in self.answers {
+            if !self.is_recent(answer.answered_at) {
+                continue;
+            }
+            if answer.end_offset > self.applied_offset {
+                return false;
+            }
+            answered_instances += answer.instances;
+        }
+        listed_instances > 0 && answered_instances >= listed_instances
+    }
+
+    fn is_recent(&self, at: Instant) -> bool {
+        self.now.saturating_duration_since(at) <= self.max_age
+    }
+}
--- /dev/null
+++ b/src/peer/membership.rs
@@ -0,0 +1,211 @@
+//! Which instances run, by the platform's live list and by heartbeats.
+
+use std::{sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use tokio::time::Instant;
+
+use crate::{
+    log::Offset,
+    platform::protocol::{LiveInstance, LiveState},
+};
+
+/// What is known of another instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerState {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Its newest known incarnation.
+    pub incarnation: u64,
+    /// Its failure domain.
+    pub failure_domain: Arc<str>,
+    /// Its address for frames, if the live list told one.
+    pub peer_address: Option<Arc<str>>,
+    /// Whether it is being stopped.
+    pub leaving: bool,
+    /// Offset up to which it has folded the log.
+    pub applied_offset: Offset,
+    /// When it was last heard; `None` if never.
+    pub heard_at: Option<Instant>,
+    /// Whether the live list names this incarnation or a newer one.
+    pub listed: bool,
+}
+
+/// Who sent a frame.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Sender {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Incarnation that sent the frame.
+    pub incarnation: u64,
+    /// Failure domain of the instance.
+    pub failure_domain: Arc<str>,
+}
+
+/// The live list joined with heartbeats.
+///
+/// An instance counts as running while the live list names it, and, since the
+/// list lags, also while its heartbeats arrive. An older incarnation than the
+/// newest known one is ignored.
+#[derive(Debug)]
+pub struct Membership {
+    name: Arc<str>,
+    silent_after: Duration,
+    peers: IndexMap<Arc<str>, PeerState>,
+    listed_once: bool,
+}
+
+impl Membership {
+    /// Makes the membership as seen by the instance called `name`; an instance
+    /// that is not listed counts as gone when silent for `silent_after`.
+    pub fn new(name: Arc<str>, silent_after: Duration) -> Self {
+        Self {
+            name,
+            silent_after,
+            peers: IndexMap::new(),
+            listed_once: false,
+        }
+    }
+
+    /// Takes a new state of the live list.
+    pub fn apply_list(&mut self, list: &[LiveInstance]) {
+        self.listed_once = true;
+        for peer in self.peers.values_mut() {
+            peer.listed = false;
+        }
+        for entry in list {
+            if entry.name == self.name {
+                continue;
+            }
+            self.apply_entry(entry);
+        }
+    }
+
+    /// Returns whether the live list was ever read.
+    pub fn listed_once(&self) -> bool {
+        self.listed_once
+    }
+
+    /// Takes note of a frame; false if it is from an outdated incarnation.
+    pub fn hear(&mut self, sender: &Sender, now: Instant) -> bool {
+        if sender.name == self.name {
+            return false;
+        }
+        let peer = self
+            .peers
+            .entry(sender.name.clone())
+            .or_insert_with(|| PeerState::unheard(&sender.name, &sender.failure_domain));
+        if sender.incarnation < peer.incarnation {
+            return false;
+        }
+        if sender.incarnation > peer.incarnation {
+            peer.restart(sender.incarnation);
+            peer.failure_domain = sender.failure_domain.clone();
+        }
+        peer.heard_at = Some(now);
+        true
+    }
+
+    /// Takes what a heartbeat says; false if it is outdated.
+    pub fn apply_heartbeat(
+        &mut self,
+        sender: &Sender,
+        applied_offset: Offset,
+        leaving: bool,
+        now: Instant,
+    ) -> bool {
+        if !self.hear(sender, now) {
+            return false;
+        }
+        let Some(peer) = self.peers.get_mut(&sender.name) else {
+            return false;
+        };
+        peer.applied_offset = applied_offset;
+        peer.leaving |= leaving;
+        true
+    }
+
+    /// Drops instances that are neither listed nor heard, and returns them.
+    pub fn expire(&mut self, now: Instant) -> Vec<PeerState> {
+        let silent_after = self.silent_after;
+        let mut gone = Vec::new();
+        self.peers.retain(|_, peer| {
+            let runs = peer.listed || !peer.silent(silent_after, now);
+            if !runs {
+                gone.push(peer.clone());
+            }
+            runs
+        });
+        gone
+    }
+
+    /// Returns the running instances other than this one.
+    pub fn live(&self, now: Instant) -> Vec<PeerState> {
+        let mut live = Vec::new();
+        for peer in self.peers.values() {
+            if peer.listed || !peer.silent(self.silent_after, now) {
+                live.push(peer.clone());
+            }
+        }
+        live
+    }
+
+    /// Returns the names of the listed instances other than this one.
+    pub fn listed(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.peers
+            .values()
+            .filter(|peer| peer.listed)
+            .map(|peer| &peer.name)
+    }
+
+    /// Returns what is known of an instance.
+    pub fn get(&self, name: &str) -> Option<&PeerState> {
+        self.peers.get(name)
+    }
+
+    fn apply_entry(&mut self, entry: &LiveInstance) {
+        let peer = self
+            .peers
+            .entry(entry.name.clone())
+            .or_insert_with(|| PeerState::unheard(&entry.name, &entry.failure_domain));
+        if entry.incarnation < peer.incarnation {
+            // The list lags behind a restart; the old entry says nothing.
+            return;
+        }
+        if entry.incarnation > peer.incarnation {
+            peer.restart(entry.incarnation);
+        }
+        peer.failure_domain = entry.failure_domain.clone();
+        peer.peer_address = Some(entry.peer_address.clone());
+        peer.leaving |= entry.state == LiveState::Leaving;
+        peer.listed = true;
+    }
+}
+
+impl PeerState {
+    fn unheard(name: &Arc<str>, failure_domain: &Arc<str>) -> Self {
+        Self {
+            name: name.clone(),
+            incarnation: 0,
+            failure_domain: failure_domain.clone(),
+            peer_address: None,
+            leaving: false,
+            applied_offset: Offset(0),
+            heard_at: None,
+            listed: false,
+        }
+    }
+
+    /// Forgets what an earlier incarnation said.
+    fn restart(&mut self, incarnation: u64) {
+        self.incarnation = incarnation;
+        self.leaving = false;
+        self.applied_offset = Offset(0);
+        self.heard_at = None;
+    }
+
+    fn silent(&self, silent_after: Duration, now: Instant) -> bool {
+        self.heard_at
+            .is_none_or(|heard_at| now.saturating_duration_since(heard_at) > silent_after)
+    }
+}
--- /dev/null
+++ b/src/peer/topology.rs
@@ -0,0 +1,191 @@
+//! Which instances exchange frames.
+//!
+//! Up to [`MAX_MESH_INSTANCES`] instances all talk to each other. Above that,
+//! the instances of a failure domain form groups; rendezvous hashing chooses a
+//! relay and a backup in each. Members talk to these two, and relays to all
+//! other relays, so that an instance has about twice the square root of the
+//! number of instances as its links.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use sha2::{Digest, Sha256};
+
+/// Most instances that all talk to each other.
+pub const MAX_MESH_INSTANCES: usize = 16;
+
+/// Intended number of instances in a group.
+pub const GROUP_INSTANCES: usize = 16;
+
+/// An instance as the topology sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Node {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Failure domain of the instance.
+    pub failure_domain: Arc<str>,
+}
+
+/// What the other end of a link is to this instance.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum LinkKind {
+    /// An equal: another instance of the mesh, or another group's relay.
+    Peer,
+    /// The relay of this instance's group.
+    Relay,
+    /// A member of the group that this instance relays for.
+    Member,
+    /// Backup of this group's relay, or a member that this instance backs up.
+    Backup,
+}
+
+impl LinkKind {
+    /// Returns whether what this kind of link brought in goes out to `other`.
+    ///
+    /// Equals get what members said, members get what all others said, and
+    /// nothing comes back to the link that it came from.
+    pub fn forwards_to(self, other: Self) -> bool {
+        match (self, other) {
+            (Self::Member, Self::Peer | Self::Member) => true,
+            (Self::Peer, Self::Member) => true,
+            (Self::Peer | Self::Relay | Self::Backup, _) => false,
+            (Self::Member, Self::Relay | Self::Backup) => false,
+        }
+    }
+}
+
+/// Returns the links of the instance called `name` among `nodes`.
+///
+/// Links are symmetric as long as both ends know the same nodes.
+pub fn links(nodes: &[Node], name: &str) -> IndexMap<Arc<str>, LinkKind> {
+    if nodes.len() <= MAX_MESH_INSTANCES {
+        return mesh_links(nodes, name);
+    }
+    let mut links = IndexMap::new();
+    let groups = groups(nodes);
+    for group in groups.values() {
+        if group.contains(name) {
+            group.add_links(name, &mut links);
+        }
+    }
+    let is_relay = groups.values().any(|group| *group.relay == *name);
+    if !is_relay {
+        return links;
+    }
+    for group in groups.values() {
+        if *group.relay != *name {
+            links.insert(group.relay.clone(), LinkKind::Peer);
+        }
+    }
+    links
+}
+
+/// Orders `candidates` by their rendezvous hash for `key`, highest first.
+pub fn rendezvous_order<'a, I>(key: &str, candidates: I) -> Vec<&'a Arc<str>>
+where
+    I: IntoIterator<Item = &'a Arc<str>>,
+{
+    let mut ordered = Vec::new();
+    for candidate in candidates {
+        ordered.push((rendezvous_hash(key, candidate), candidate));
+    }
+    ordered.sort_unstable_by(|a, b| b.cmp(a));
+    ordered
+        .into_iter()
+        .map(|(_, candidate)| candidate)
+        .collect()
+}
+
+fn mesh_links(nodes: &[Node], name: &str) -> IndexMap<Arc<str>, LinkKind> {
+    let mut links = IndexMap::new();
+    for node in nodes {
+        if *node.name != *name {
+            links.insert(node.name.clone(), LinkKind::Peer);
+        }
+    }
+    links
+}
+
+/// A part of a failure domain with its relay.
+#[derive(Debug)]
+struct Group {
+    relay: Arc<str>,
+    backup: Option<Arc<str>>,
+    members: Vec<Arc<str>>,
+}
+
+impl Group {
+    fn new(key: &str, members: Vec<Arc<str>>) -> Self {
+        let order = rendezvous_order(key, &members);
+        Self {
+            relay: order[0].clone(),
+            backup: order.get(1).map(|&backup| backup.clone()),
+            members,
+        }
+    }
+
+    fn contains(&self, name: &str) -> bool {
+        self.members.iter().any(|member| **member == *name)
+    }
+
+    fn add_links(&self, name: &str, links: &mut IndexMap<Arc<str>, LinkKind>) {
+        if *self.relay == *name {
+            for member in &self.members {
+                if **member != *name {
+                    links.insert(member.clone(), LinkKind::Member);
+                }
+            }
+            return;
+        }
+        links.insert(self.relay.clone(), LinkKind::Relay);
+        let Some(backup) = &self.backup else {
+            return;
+        };
+        if **backup != *name {
+            links.insert(backup.clone(), LinkKind::Backup);
+            return;
+        }
+        for member in &self.members {
+            if **member != *name && *member != self.relay {
+                links.insert(member.clone(), LinkKind::Backup);
+            }
+        }
+    }
+}
+
+/// Divides the nodes into groups, each within one failure domain.
+fn groups(nodes: &[Node]) -> IndexMap<Arc<str>, Group> {
+    let mut domains: IndexMap<&Arc<str>, Vec<&Node>> = IndexMap::new();
+    for node in nodes {
+        domains.entry(&node.failure_domain).or_default().push(node);
+    }
+    let mut groups = IndexMap::new();
+    for (domain, nodes) in domains {
+        let keys = group_keys(domain, nodes.len());
+        let mut members: IndexMap<&Arc<str>, Vec<Arc<str>>> = IndexMap::new();
+        for node in nodes {
+            let key = rendezvous_order(&node.name, &keys)[0];
+            members.entry(key).or_default().push(node.name.clone());
+        }
+        for (key, members) in members {
+            groups.insert(key.clone(), Group::new(key, members));
+        }
+    }
+    groups
+}
+
+fn group_keys(domain: &str, instances: usize) -> Vec<Arc<str>> {
+    let mut keys = Vec::new();
+    for index in 0..instances.div_ceil(GROUP_INSTANCES) {
+        keys.push(format!("{domain}/{index}").into());
+    }
+    keys
+}
+
+fn rendezvous_hash(key: &str, candidate: &str) -> [u8; 32] {
+    let mut hasher = Sha256::new();
+    hasher.update((key.len() as u64).to_be_bytes());
+    hasher.update(key);
+    hasher.update(candidate);
+    hasher.finalize().into()
+}
