--- a/src/peer/topology.rs
+++ b/src/peer/topology.rs
@@ -54,30 +54,66 @@
     }
 }
 
-/// Returns the links of the instance called `name` among `nodes`.
+/// Links of all instances.
 ///
-/// Links are symmetric as long as both ends know the same nodes.
-pub fn links(nodes: &[Node], name: &str) -> IndexMap<Arc<str>, LinkKind> {
-    if nodes.len() <= MAX_MESH_INSTANCES {
-        return mesh_links(nodes, name);
-    }
-    let mut links = IndexMap::new();
-    let groups = groups(nodes);
-    for group in groups.values() {
-        if group.contains(name) {
-            group.add_links(name, &mut links);
+/// ```
+/// use lavenderwind::peer::topology::{LinkKind, Node, Topology};
+///
+/// let nodes = ["a", "b"].map(|name| Node {
+///     name: name.into(),
+///     failure_domain: "d1".into(),
+/// });
+/// let links = Topology::new(&nodes).links("a");
+/// assert_eq!(links["b"], LinkKind::Peer);
+/// ```
+#[derive(Debug)]
+pub struct Topology {
+    /// Names of all nodes while these form a mesh, otherwise empty.
+    mesh: Vec<Arc<str>>,
+    groups: Vec<Group>,
+}
+
+impl Topology {
+    /// Derives the links between `nodes`.
+    pub fn new(nodes: &[Node]) -> Self {
+        if nodes.len() > MAX_MESH_INSTANCES {
+            return Self {
+                mesh: Vec::new(),
+                groups: groups(nodes),
+            };
+        }
+        Self {
+            mesh: nodes.iter().map(|node| node.name.clone()).collect(),
+            groups: Vec::new(),
         }
     }
-    let is_relay = groups.values().any(|group| *group.relay == *name);
-    if !is_relay {
-        return links;
-    }
-    for group in groups.values() {
-        if *group.relay != *name {
-            links.insert(group.relay.clone(), LinkKind::Peer);
+
+    /// Returns the links of the instance called `name`.
+    ///
+    /// Links are symmetric as long as both ends know the same nodes.
+    pub fn links(&self, name: &str) -> IndexMap<Arc<str>, LinkKind> {
+        let mut links = IndexMap::new();
+        for other in &self.mesh {
+            if **other != *name {
+                links.insert(other.clone(), LinkKind::Peer);
+            }
         }
+        for group in &self.groups {
+            if group.contains(name) {
+                group.add_links(name, &mut links);
+            }
+        }
+        let is_relay = self.groups.iter().any(|group| *group.relay == *name);
+        if !is_relay {
+            return links;
+        }
+        for group in &self.groups {
+            if *group.relay != *name {
+                links.insert(group.relay.clone(), LinkKind::Peer);
+            }
+        }
+        links
     }
-    links
 }
 
 /// Orders `candidates` by their rendezvous hash for `key`, highest first.
@@ -96,16 +132,6 @@
         .collect()
 }
 
-fn mesh_links(nodes: &[Node], name: &str) -> IndexMap<Arc<str>, LinkKind> {
-    let mut links = IndexMap::new();
-    for node in nodes {
-        if *node.name != *name {
-            links.insert(node.name.clone(), LinkKind::Peer);
-        }
-    }
-    links
-}
-
 /// A part of a failure domain with its relay.
 #[derive(Debug)]
 struct Group {
@@ -154,12 +180,12 @@
 }
 
 /// Divides the nodes into groups, each within one failure domain.
-fn groups(nodes: &[Node]) -> IndexMap<Arc<str>, Group> {
+fn groups(nodes: &[Node]) -> Vec<Group> {
     let mut domains: IndexMap<&Arc<str>, Vec<&Node>> = IndexMap::new();
     for node in nodes {
         domains.entry(&node.failure_domain).or_default().push(node);
     }
-    let mut groups = IndexMap::new();
+    let mut groups = Vec::new();
     for (domain, nodes) in domains {
         let keys = group_keys(domain, nodes.len());
         let mut members: IndexMap<&Arc<str>, Vec<Arc<str>>> = IndexMap::new();
@@ -168,7 +194,7 @@
             members.entry(key).or_default().push(node.name.clone());
         }
         for (key, members) in members {
-            groups.insert(key.clone(), Group::new(key, members));
+            groups.push(Group::new(key, members));
         }
     }
     groups
--- /dev/null
+++ b/tests/peer_digest.rs
@@ -0,0 +1,143 @@
+//! Loads and served tokens as changes between heartbeats.
+
+use std::sync::Arc;
+
+use arbtest::arbtest;
+use indexmap::IndexMap;
+use lavenderwind::peer::{
+    digest::{DigestDecoder, DigestEncoder, Error, TargetLoad},
+    frames::{Heartbeat, LoadChange, ServedTokens},
+};
+use prost::Message;
+
+const MAX_BYTES: usize = 64;
+const SEEDS: u64 = 400;
+
+struct Run {
+    encoder: DigestEncoder,
+    decoder: DigestDecoder,
+    loads: IndexMap<Arc<str>, TargetLoad>,
+    served: IndexMap<Arc<str>, u64>,
+    received: IndexMap<Arc<str>, u64>,
+    carried_over: usize,
+}
+
+impl Run {
+    fn new() -> Self {
+        Self {
+            encoder: DigestEncoder::default(),
+            decoder: DigestDecoder::default(),
+            loads: IndexMap::new(),
+            served: IndexMap::new(),
+            received: IndexMap::new(),
+            carried_over: 0,
+        }
+    }
+
+    fn exchange(&mut self) -> bool {
+        let mut heartbeat = Heartbeat::default();
+        self.encoder.encode(&self.loads, MAX_BYTES, &mut heartbeat);
+        let bytes = heartbeat.encoded_len();
+        assert!(bytes <= MAX_BYTES, "{bytes} bytes: {heartbeat:?}");
+        for served in self.decoder.apply(&heartbeat).unwrap() {
+            *self.received.entry(served.account).or_insert(0) += served.tokens;
+        }
+        self.carried_over += self.encoder.pending_accounts();
+        heartbeat != Heartbeat::default()
+    }
+}
+
+#[test]
+fn converges_within_bytes() {
+    let mut carried_over = 0;
+    for seed in 0..SEEDS {
+        arbtest(|input| {
+            let mut run = Run::new();
+            for _ in 0..30 {
+                let name: Arc<str> = format!("name-{}", input.int_in_range(0..=20)?).into();
+                match input.int_in_range(0..=3)? {
+                    0 => {
+                        let load = TargetLoad {
+                            requests: input.int_in_range(0..=9)?,
+                            tokens: input.int_in_range(0..=100_000)?,
+                            blocks: input.int_in_range(0..=2_000)?,
+                        };
+                        run.loads.insert(name, load);
+                    }
+                    1 => {
+                        run.loads.swap_remove(&name);
+                    }
+                    2 => {
+                        let tokens = input.int_in_range(1..=100_000)?;
+                        run.encoder.add_served(&name, tokens);
+                        *run.served.entry(name).or_insert(0) += tokens;
+                    }
+                    _ => {
+                        run.exchange();
+                    }
+                }
+            }
+            while run.exchange() {}
+            run.loads.retain(|_, load| *load != TargetLoad::default());
+            assert_eq!(*run.decoder.loads(), run.loads);
+            assert_eq!(run.received, run.served);
+            carried_over += run.carried_over;
+            Ok(())
+        })
+        .seed(seed << 32 | 0x400);
+    }
+    assert!(carried_over > 500, "accounts carried over: {carried_over}");
+}
+
+#[test]
+fn unchanged_is_not_sent() {
+    let mut encoder = DigestEncoder::default();
+    let mut loads = IndexMap::new();
+    let load = TargetLoad {
+        requests: 1,
+        tokens: 2,
+        blocks: 3,
+    };
+    loads.insert("t1".into(), load);
+    let mut first = Heartbeat::default();
+    encoder.encode(&loads, MAX_BYTES, &mut first);
+    assert_eq!(first.loads.len(), 1);
+    let mut second = Heartbeat::default();
+    encoder.encode(&loads, MAX_BYTES, &mut second);
+    assert_eq!(second, Heartbeat::default());
+}
+
+#[test]
+fn largest_goes_first() {
+    let mut encoder = DigestEncoder::default();
+    for (account, tokens) in [("s/small", 1), ("s/large", 1_000), ("s/medium", 50)] {
+        encoder.add_served(&account.into(), tokens);
+    }
+    let mut heartbeat = Heartbeat::default();
+    encoder.encode(&IndexMap::new(), 20, &mut heartbeat);
+    assert_eq!(heartbeat.names.len(), 1);
+    assert_eq!(heartbeat.names[0].name, "s/large");
+    assert_eq!(encoder.pending_accounts(), 2);
+}
+
+#[test]
+fn unknown_name_fails() {
+    let load = Heartbeat {
+        loads: vec![LoadChange {
+            target: 3,
+            ..LoadChange::default()
+        }],
+        ..Heartbeat::default()
+    };
+    let served = Heartbeat {
+        served: vec![ServedTokens {
+            account: 3,
+            tokens: 1,
+        }],
+        ..Heartbeat::default()
+    };
+    for heartbeat in [load, served] {
+        let refusal = DigestDecoder::default().apply(&heartbeat).unwrap_err();
+        assert!(matches!(refusal, Error::UnknownName { index: 3 }));
+    }
+}
--- /dev/null
+++ b/tests/peer_freshness.rs
@@ -0,0 +1,239 @@
+//! Whether keyed requests may be served, case by case.
+
+use std::time::Duration;
+
+use lavenderwind::{
+    log::Offset,
+    peer::freshness::{Freshness, FreshnessInput, PeerAnswer},
+};
+use tokio::time::Instant;
+
+const MAX_AGE_MS: u64 = 2_500;
+
+struct Answer {
+    age_ms: u64,
+    end_offset: u64,
+    instances: usize,
+}
+
+struct Case {
+    name: &'static str,
+    complete: bool,
+    read_age_ms: u64,
+    known_age_ms: u64,
+    applied_offset: u64,
+    listed_instances: Option<usize>,
+    answers: &'static [Answer],
+    expected: Freshness,
+}
+
+/// An instance that is cut off from the log, with two listed peers.
+const CUT_OFF: Case = Case {
+    name: "",
+    complete: true,
+    read_age_ms: 60_000,
+    known_age_ms: 60_000,
+    applied_offset: 10,
+    listed_instances: Some(2),
+    answers: &[],
+    expected: Freshness::Stale,
+};
+
+const CASES: &[Case] = &[
+    Case {
+        name: "reads the log",
+        read_age_ms: 100,
+        known_age_ms: 100,
+        expected: Freshness::ByLog,
+        ..CUT_OFF
+    },
+    Case {
+        name: "reads the log, at the bound",
+        read_age_ms: MAX_AGE_MS,
+        known_age_ms: MAX_AGE_MS,
+        expected: Freshness::ByLog,
+        ..CUT_OFF
+    },
+    Case {
+        name: "read the log just over the bound ago",
+        read_age_ms: MAX_AGE_MS + 1,
+        known_age_ms: MAX_AGE_MS + 1,
+        ..CUT_OFF
+    },
+    Case {
+        name: "reads the log, with a ledger that lacks expired records",
+        complete: false,
+        read_age_ms: 100,
+        known_age_ms: 100,
+        ..CUT_OFF
+    },
+    Case {
+        name: "cut off, peers relay",
+        known_age_ms: 700,
+        expected: Freshness::ByRelay,
+        ..CUT_OFF
+    },
+    Case {
+        name: "cut off, the relayed records are too old",
+        known_age_ms: 2_600,
+        ..CUT_OFF
+    },
+    Case {
+        name: "cut off, nobody answers",
+        ..CUT_OFF
+    },
+    Case {
+        name: "outage for all: every listed instance answers",
+        answers: &[
+            Answer {
+                age_ms: 300,
+                end_offset: 10,
+                instances: 1,
+            },
+            Answer {
+                age_ms: 600,
+                end_offset: 8,
+                instances: 1,
+            },
+        ],
+        expected: Freshness::ByOutage,
+        ..CUT_OFF
+    },
+    Case {
+        name: "one listed instance does not answer",
+        answers: &[Answer {
+            age_ms: 300,
+            end_offset: 10,
+            instances: 1,
+        }],
+        ..CUT_OFF
+    },
+    Case {
+        name: "one answer is too old",
+        answers: &[
+            Answer {
+                age_ms: 300,
+                end_offset: 10,
+                instances: 1,
+            },
+            Answer {
+                age_ms: 2_600,
+                end_offset: 10,
+                instances: 1,
+            },
+        ],
+        ..CUT_OFF
+    },
+    Case {
+        name: "one instance has read past this one's offset",
+        answers: &[
+            Answer {
+                age_ms: 300,
+                end_offset: 10,
+                instances: 1,
+            },
+            Answer {
+                age_ms: 300,
+                end_offset: 11,
+                instances: 1,
+            },
+        ],
+        ..CUT_OFF
+    },
+    Case {
+        name: "more answers than listed, one of them past this one's offset",
+        listed_instances: Some(1),
+        answers: &[
+            Answer {
+                age_ms: 300,
+                end_offset: 10,
+                instances: 1,
+            },
+            Answer {
+                age_ms: 300,
+                end_offset: 11,
+                instances: 1,
+            },
+        ],
+        ..CUT_OFF
+    },
+    Case {
+        name: "a relay answers for its group",
+        listed_instances: Some(16),
+        answers: &[Answer {
+            age_ms: 300,
+            end_offset: 10,
+            instances: 16,
+        }],
+        expected: Freshness::ByOutage,
+        ..CUT_OFF
+    },
+    Case {
+        name: "a relay answers for part of its group",
+        listed_instances: Some(16),
+        answers: &[Answer {
+            age_ms: 300,
+            end_offset: 10,
+            instances: 15,
+        }],
+        ..CUT_OFF
+    },
+    Case {
+        name: "the only instance, with nobody to confirm the outage",
+        listed_instances: Some(0),
+        ..CUT_OFF
+    },
+    Case {
+        name: "the live list was never read",
+        listed_instances: None,
+        answers: &[Answer {
+            age_ms: 300,
+            end_offset: 10,
+            instances: 1,
+        }],
+        ..CUT_OFF
+    },
+    Case {
+        name: "outage for all, with an incomplete ledger",
+        complete: false,
+        listed_instances: Some(1),
+        answers: &[Answer {
+            age_ms: 300,
+            end_offset: 10,
+            instances: 1,
+        }],
+        ..CUT_OFF
+    },
+];
+
+#[test]
+fn freshness_table() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(120);
+    for case in CASES {
+        let ago = |age_ms| now - Duration::from_millis(age_ms);
+        let mut answers = Vec::new();
+        for answer in case.answers {
+            answers.push(PeerAnswer {
+                name: "b".into(),
+                answered_at: ago(answer.age_ms),
+                end_offset: Offset(answer.end_offset),
+                instances: answer.instances,
+            });
+        }
+        let input = FreshnessInput {
+            now,
+            max_age: Duration::from_millis(MAX_AGE_MS),
+            complete: case.complete,
+            last_read_at: ago(case.read_age_ms),
+            known_at: ago(case.known_age_ms),
+            applied_offset: Offset(case.applied_offset),
+            listed_instances: case.listed_instances,
+            answers: &answers,
+        };
+        let found = input.judge();
+        assert_eq!(found, case.expected, "{}", case.name);
+        let serves = case.expected != Freshness::Stale;
+        assert_eq!(found.may_serve_keyed(), serves, "{}", case.name);
+    }
+}
--- /dev/null
+++ b/tests/peer_membership.rs
@@ -0,0 +1,256 @@
+//! The live list joined with heartbeats.
+
+use std::{sync::Arc, time::Duration};
+
+use lavenderwind::{
+    log::Offset,
+    peer::membership::{Membership, Sender},
+    platform::protocol::{LiveInstance, LiveState},
+};
+use tokio::time::Instant;
+
+const SILENT_AFTER: Duration = Duration::from_secs(1);
+
+enum Step {
+    /// The live list shows these incarnations of `b`.
+    List(&'static [(u64, LiveState)]),
+    /// A heartbeat of this incarnation of `b` arrives; whether it counts.
+    Heartbeat { incarnation: u64, counts: bool },
+    /// A heartbeat that says that it leaves.
+    Leaving { incarnation: u64 },
+    /// Time passes, in milliseconds.
+    Wait(u64),
+}
+
+struct Case {
+    name: &'static str,
+    steps: &'static [Step],
+    /// Incarnation and leaving flag of `b`, if it counts as running.
+    live: Option<(u64, bool)>,
+}
+
+use LiveState::{Leaving, Live};
+use Step::{Heartbeat, List, Wait};
+
+const CASES: &[Case] = &[
+    Case {
+        name: "listed and never heard",
+        steps: &[List(&[(1, Live)])],
+        live: Some((1, false)),
+    },
+    Case {
+        name: "heard before the list shows it",
+        steps: &[
+            List(&[]),
+            Heartbeat {
+                incarnation: 1,
+                counts: true,
+            },
+        ],
+        live: Some((1, false)),
+    },
+    Case {
+        name: "heard, then silent, and not listed",
+        steps: &[
+            Heartbeat {
+                incarnation: 1,
+                counts: true,
+            },
+            Wait(1_500),
+        ],
+        live: None,
+    },
+    Case {
+        name: "silent but listed",
+        steps: &[
+            List(&[(1, Live)]),
+            Heartbeat {
+                incarnation: 1,
+                counts: true,
+            },
+            Wait(60_000),
+        ],
+        live: Some((1, false)),
+    },
+    Case {
+        name: "heard but no longer listed",
+        steps: &[
+            List(&[(1, Live)]),
+            List(&[]),
+            Heartbeat {
+                incarnation: 1,
+                counts: true,
+            },
+            Wait(500),
+        ],
+        live: Some((1, false)),
+    },
+    Case {
+        name: "removed from the list and silent",
+        steps: &[
+            List(&[(1, Live)]),
+            Heartbeat {
+                incarnation: 1,
+                counts: true,
+            },
+            List(&[]),
+            Wait(1_500),
+        ],
+        live: None,
+    },
+    Case {
+        name: "an old incarnation's heartbeat after the list shows a new one",
+        steps: &[
+            List(&[(2, Live)]),
+            Heartbeat {
+                incarnation: 1,
+                counts: false,
+            },
+        ],
+        live: Some((2, false)),
+    },
+    Case {
+        name: "an old incarnation's heartbeat after a newer heartbeat",
+        steps: &[
+            Heartbeat {
+                incarnation: 2,
+                counts: true,
+            },
+            Heartbeat {
+                incarnation: 1,
+                counts: false,
+            },
+        ],
+        live: Some((2, false)),
+    },
+    Case {
+        name: "a list that lags behind a restart",
+        steps: &[
+            Heartbeat {
+                incarnation: 2,
+                counts: true,
+            },
+            List(&[(1, Leaving)]),
+        ],
+        live: Some((2, false)),
+    },
+    Case {
+        name: "a lagging list does not keep a silent successor",
+        steps: &[
+            Heartbeat {
+                incarnation: 2,
+                counts: true,
+            },
+            List(&[(1, Live)]),
+            Wait(1_500),
+        ],
+        live: None,
+    },
+    Case {
+        name: "leaving by the list",
+        steps: &[List(&[(1, Leaving)])],
+        live: Some((1, true)),
+    },
+    Case {
+        name: "leaving by its heartbeat, while the list lags",
+        steps: &[
+            List(&[(1, Live)]),
+            Step::Leaving { incarnation: 1 },
+            List(&[(1, Live)]),
+        ],
+        live: Some((1, true)),
+    },
+    Case {
+        name: "a successor does not inherit that its predecessor leaves",
+        steps: &[
+            Step::Leaving { incarnation: 1 },
+            Heartbeat {
+                incarnation: 2,
+                counts: true,
+            },
+        ],
+        live: Some((2, false)),
+    },
+];
+
+fn entry(incarnation: u64, state: LiveState) -> LiveInstance {
+    LiveInstance {
+        name: "b".into(),
+        incarnation,
+        failure_domain: "d2".into(),
+        peer_address: "127.0.0.1:1".into(),
+        admin_address: "127.0.0.1:2".into(),
+        state,
+    }
+}
+
+fn sender(name: &str, incarnation: u64) -> Sender {
+    Sender {
+        name: name.into(),
+        incarnation,
+        failure_domain: "d2".into(),
+    }
+}
+
+#[test]
+fn membership_table() {
+    for case in CASES {
+        let mut now = Instant::now();
+        let mut membership = Membership::new("a".into(), SILENT_AFTER);
+        for step in case.steps {
+            match *step {
+                List(entries) => {
+                    let list: Vec<_> = entries
+                        .iter()
+                        .map(|&(incarnation, state)| entry(incarnation, state))
+                        .collect();
+                    membership.apply_list(&list);
+                }
+                Heartbeat {
+                    incarnation,
+                    counts,
+                } => {
+                    let heard = membership.apply_heartbeat(
+                        &sender("b", incarnation),
+                        Offset(5),
+                        false,
+                        now,
+                    );
+                    assert_eq!(heard, counts, "{}", case.name);
+                }
+                Step::Leaving { incarnation } => {
+                    let sender = sender("b", incarnation);
+                    membership.apply_heartbeat(&sender, Offset(5), true, now);
+                }
+                Wait(ms) => now += Duration::from_millis(ms),
+            }
+        }
+        let live = membership.live(now);
+        let found = live.first().map(|peer| (peer.incarnation, peer.leaving));
+        assert_eq!(found, case.live, "{}", case.name);
+        let gone = membership.expire(now);
+        assert_eq!(membership.live(now), live, "{}", case.name);
+        assert_eq!(gone.is_empty(), case.live.is_some(), "{}", case.name);
+    }
+}
+
+#[test]
+fn own_name_is_ignored() {
+    let now = Instant::now();
+    let mut membership = Membership::new("b".into(), SILENT_AFTER);
+    membership.apply_list(&[entry(1, Live)]);
+    assert!(!membership.hear(&sender("b", 9), now));
+    assert!(membership.live(now).is_empty());
+    assert!(membership.listed_once());
+}
+
+#[test]
+fn restart_forgets_offset() {
+    let now = Instant::now();
+    let mut membership = Membership::new("a".into(), SILENT_AFTER);
+    membership.apply_heartbeat(&sender("b", 1), Offset(9), false, now);
+    let name: Arc<str> = "b".into();
+    assert_eq!(membership.get(&name).unwrap().applied_offset, Offset(9));
+    membership.apply_list(&[entry(2, Live)]);
+    assert_eq!(membership.get(&name).unwrap().applied_offset, Offset(0));
+}
