--- /dev/null
+++ b/src/peer/connection.rs
@@ -0,0 +1,206 @@
+//! One connection to a peer.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::{StreamExt, stream::SplitSink, stream::SplitStream};
+use prost::Message;
+use tokio::{
+    net::TcpStream,
+    sync::mpsc,
+    time::{Instant, sleep_until},
+};
+
+use super::{
+    Error, Result,
+    frame::{FramedStream, framed, receive, send},
+    frames::{Hello, UsageCopy, frame::Body},
+    heartbeat::heartbeat_interval,
+    membership::Sender,
+    quarantine::QuarantinedRequest,
+    shared::Shared,
+    usage::Source,
+};
+use crate::log::records::UsageSlice;
+
+/// Frames beside heartbeats that wait to be sent.
+const OUTBOX_FRAMES: usize = 256;
+
+/// Longest wait for the first frame, and for a peer to take a frame.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(2);
+
+type FrameSink = SplitSink<FramedStream, Bytes>;
+type FrameSource = SplitStream<FramedStream>;
+
+/// An open connection.
+struct Connection {
+    shared: Arc<Shared>,
+    peer: Sender,
+    id: u64,
+}
+
+/// Exchanges frames until the connection fails or a newer one replaces it.
+///
+/// # Errors
+///
+/// Always ends with an error, which tells why.
+pub(super) async fn run(shared: Arc<Shared>, stream: TcpStream) -> Result<()> {
+    stream.set_nodelay(true)?;
+    let (mut sink, mut source) = framed(stream).split();
+    let own = shared.state().own.clone();
+    let hello = Hello {
+        sender: own.name.to_string(),
+        incarnation: own.incarnation,
+        failure_domain: own.failure_domain.to_string(),
+    };
+    send(&mut sink, Body::Hello(hello), FRAME_TIMEOUT).await?;
+    let Body::Hello(hello) = receive(&mut source, FRAME_TIMEOUT).await? else {
+        return Err(Error::UnexpectedFrame);
+    };
+    let peer = Sender {
+        name: hello.sender.into(),
+        incarnation: hello.incarnation,
+        failure_domain: hello.failure_domain.into(),
+    };
+    let (outbox, queued) = mpsc::channel(OUTBOX_FRAMES);
+    let opened = shared
+        .state()
+        .open_link(peer.clone(), outbox, Instant::now())?;
+    tracing::debug!("peer: connected to {}", peer.name);
+    let connection = Connection {
+        shared,
+        peer,
+        id: opened.id,
+    };
+    tokio::select! {
+        () = opened.closed.cancelled() => Err(Error::Replaced),
+        outcome = connection.send_frames(&mut sink, queued) => outcome,
+        outcome = connection.receive_frames(&mut source) => outcome,
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.shared.state().close_link(&self.peer.name, self.id);
+    }
+}
+
+impl Connection {
+    async fn send_frames(
+        &self,
+        sink: &mut FrameSink,
+        mut queued: mpsc::Receiver<Body>,
+    ) -> Result<()> {
+        let mut next_heartbeat = Instant::now();
+        loop {
+            tokio::select! {
+                () = sleep_until(next_heartbeat) => (),
+                () = self.shared.urgent.notified() => (),
+                Some(body) = queued.recv() => {
+                    send(sink, body, FRAME_TIMEOUT).await?;
+                    continue;
+                }
+            }
+            next_heartbeat = Instant::now() + self.interval();
+            self.send_heartbeat(sink).await?;
+        }
+    }
+
+    async fn send_heartbeat(&self, sink: &mut FrameSink) -> Result<()> {
+        let log = self.shared.log_view();
+        let heartbeat = self.shared.state().heartbeat(
+            &self.peer.name,
+            self.id,
+            &log,
+            self.shared.heartbeat,
+            Instant::now(),
+        );
+        let heartbeat = heartbeat.ok_or(Error::Replaced)?;
+        send(sink, Body::Heartbeat(heartbeat), FRAME_TIMEOUT).await
+    }
+
+    fn interval(&self) -> Duration {
+        let links = self.shared.state().links.len();
+        heartbeat_interval(links, self.shared.heartbeat)
+    }
+
+    async fn receive_frames(&self, source: &mut FrameSource) -> Result<()> {
+        let mut silence = self.shared.silence(0);
+        loop {
+            let body = receive(source, silence).await?;
+            self.shared.state().hear(&self.peer, Instant::now())?;
+            if let Body::Heartbeat(heartbeat) = &body {
+                silence = self.shared.silence(heartbeat.interval_ms);
+            }
+            self.take_frame(body)?;
+        }
+    }
+
+    fn take_frame(&self, body: Body) -> Result<()> {
+        let now = Instant::now();
+        match body {
+            Body::Hello(_) => Err(Error::UnexpectedFrame),
+            Body::Heartbeat(heartbeat) => {
+                let mut state = self.shared.state();
+                state.receive_heartbeat(&self.peer, self.id, &heartbeat, now)
+            }
+            Body::LogRequest(request) => {
+                let answer = self.shared.serve_log_request(&request);
+                self.queue(answer);
+                Ok(())
+            }
+            Body::LogTail(tail) => {
+                let relayed = self.shared.state().take_log_tail(&self.peer.name, tail);
+                if let Some(relayed) = relayed {
+                    // The tailer is behind with earlier records if it is full.
+                    let _ = self.shared.relayed.try_send(relayed);
+                }
+                Ok(())
+            }
+            Body::QuarantineNotice(notice) => {
+                let request = QuarantinedRequest {
+                    account: notice.account.into(),
+                    body_digest: notice.body_digest.into(),
+                };
+                let mut state = self.shared.state();
+                state.quarantine(request, Some(&self.peer.name));
+                Ok(())
+            }
+            Body::UsageCopy(copy) => self.take_usage_copy(&copy),
+            Body::UsageFlushed(flushed) => {
+                let mut state = self.shared.state();
+                let source = self.source();
+                state.usage_copies.remove_flushed(&source, flushed.slice);
+                Ok(())
+            }
+        }
+    }
+
+    fn take_usage_copy(&self, copy: &UsageCopy) -> Result<()> {
+        let slice = UsageSlice::decode(&*copy.slice)?;
+        let own_slice =
+            *slice.source == *self.peer.name && slice.source_incarnation == self.peer.incarnation;
+        if !own_slice {
+            return Err(Error::UnexpectedFrame);
+        }
+        let mut state = self.shared.state();
+        state.usage_copies.insert(self.source(), slice);
+        Ok(())
+    }
+
+    fn source(&self) -> Source {
+        Source {
+            name: self.peer.name.clone(),
+            incarnation: self.peer.incarnation,
+        }
+    }
+
+    fn queue(&self, body: Body) {
+        let state = self.shared.state();
+        let Some(link) = state.links.get(&self.peer.name) else {
+            return;
+        };
+        // The peer asks again if the outbox is full.
+        let _ = link.outbox.try_send(body);
+    }
+}
--- /dev/null
+++ b/src/peer/dial.rs
@@ -0,0 +1,152 @@
+//! Opening and accepting connections.
+//!
+//! Of two linked instances, the one whose name sorts first dials.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    task::{AbortHandle, JoinSet},
+    time::{Instant, sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{Error, Result, connection, shared::Shared};
+use crate::log::backoff::Backoff;
+
+/// Longest wait for a connection to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// First delay before a peer is dialed again.
+const FIRST_REDIAL: Duration = Duration::from_millis(50);
+
+/// Longest delay before a peer is dialed again.
+const MAX_REDIAL: Duration = Duration::from_secs(2);
+
+/// Time between two looks at whom to dial.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Most connections that peers may open to this instance.
+const MAX_ACCEPTED: usize = 512;
+
+/// Accepts connections of peers until `stop` is cancelled.
+pub(super) async fn accept(shared: Arc<Shared>, listener: TcpListener, stop: CancellationToken) {
+    let mut connections = JoinSet::new();
+    let slots = Arc::new(Semaphore::new(MAX_ACCEPTED));
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            Some(_) = connections.join_next() => continue,
+            accepted = listener.accept() => accepted,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!("peer: cannot accept: {error}");
+                sleep(FIRST_REDIAL).await;
+                continue;
+            }
+        };
+        let Ok(slot) = slots.clone().try_acquire_owned() else {
+            tracing::warn!("peer: too many connections");
+            continue;
+        };
+        let shared = shared.clone();
+        connections.spawn(async move {
+            let _slot = slot;
+            report(connection::run(shared, stream).await);
+        });
+    }
+}
+
+/// Dials linked peers until `stop` is cancelled.
+pub(super) async fn connect(
+    shared: Arc<Shared>,
+    seed_peers: Vec<SocketAddr>,
+    stop: CancellationToken,
+) {
+    let mut dials = JoinSet::new();
+    let mut dialing: IndexMap<Arc<str>, AbortHandle> = IndexMap::new();
+    loop {
+        let wanted = wanted_dials(&shared, &seed_peers);
+        dialing.retain(|address, dial| {
+            let keep = wanted.contains(address) && !dial.is_finished();
+            if !keep {
+                dial.abort();
+            }
+            keep
+        });
+        for address in wanted {
+            if dialing.contains_key(&address) {
+                continue;
+            }
+            let dial = dials.spawn(dial(shared.clone(), address.clone()));
+            dialing.insert(address, dial);
+        }
+        while dials.try_join_next().is_some() {}
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = sleep(REVIEW_INTERVAL) => (),
+        }
+    }
+}
+
+/// Returns the addresses that this instance dials.
+fn wanted_dials(shared: &Shared, seed_peers: &[SocketAddr]) -> Vec<Arc<str>> {
+    let state = shared.state();
+    if !state.membership.listed_once() {
+        return seed_peers
+            .iter()
+            .map(|address| address.to_string().into())
+            .collect();
+    }
+    let mut wanted = Vec::new();
+    for name in state.kinds.keys() {
+        let peer = state.membership.get(name);
+        let Some(address) = peer.and_then(|peer| peer.peer_address.clone()) else {
+            continue;
+        };
+        if state.own.name < *name {
+            wanted.push(address);
+        }
+    }
+    wanted
+}
+
+async fn dial(shared: Arc<Shared>, address: Arc<str>) {
+    let mut backoff = Backoff::new(FIRST_REDIAL, MAX_REDIAL);
+    loop {
+        match open(&address).await {
+            Ok(stream) => {
+                let opened_at = Instant::now();
+                report(connection::run(shared.clone(), stream).await);
+                if opened_at.elapsed() > MAX_REDIAL {
+                    backoff.reset();
+                }
+            }
+            Err(error) => tracing::debug!("peer: cannot connect to {address}: {error}"),
+        }
+        sleep(backoff.next_delay()).await;
+    }
+}
+
+async fn open(address: &Arc<str>) -> Result<TcpStream> {
+    let parsed: SocketAddr = address.parse().map_err(|_| Error::Address {
+        address: address.clone(),
+    })?;
+    let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(parsed)).await;
+    Ok(opened.map_err(|_| Error::Silent)??)
+}
+
+fn report(outcome: Result<()>) {
+    let Err(error) = outcome else {
+        return;
+    };
+    metrics::counter!("peer_connections_closed_total").increment(1);
+    match error {
+        Error::Closed | Error::Replaced => tracing::debug!("peer: connection ended: {error}"),
+        error => tracing::info!("peer: connection ended: {error}"),
+    }
+}
--- a/src/peer/digest.rs
+++ b/src/peer/digest.rs
@@ -28,9 +28,16 @@
 impl TargetLoad {
     /// Adds another load.
     pub fn add(&mut self, other: &Self) {
-        self.requests += other.requests;
-        self.tokens += other.tokens;
-        self.blocks += other.blocks;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.tokens = self.tokens.saturating_add(other.tokens);
+        self.blocks = self.blocks.saturating_add(other.blocks);
+    }
+
+    /// Subtracts a part of this load.
+    pub fn subtract(&mut self, part: &Self) {
+        self.requests = self.requests.saturating_sub(part.requests);
+        self.tokens = self.tokens.saturating_sub(part.tokens);
+        self.blocks = self.blocks.saturating_sub(part.blocks);
     }
 
     fn distance(&self, other: &Self) -> u64 {
--- /dev/null
+++ b/src/peer/handle.rs
@@ -0,0 +1,133 @@
+//! What the other parts of an instance use of its peers.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use super::{
+    digest::{Served, TargetLoad},
+    freshness::Freshness,
+    membership::PeerState,
+    quarantine::QuarantinedRequest,
+    shared::Shared,
+};
+use crate::log::records::UsageSlice;
+
+/// Shared handle to the peers of an instance.
+#[derive(Clone, Debug)]
+pub struct PeerHandle {
+    shared: Arc<Shared>,
+}
+
+impl PeerHandle {
+    pub(super) fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    /// Returns the running instances other than this one.
+    pub fn live(&self) -> Vec<PeerState> {
+        self.shared.state().membership.live(Instant::now())
+    }
+
+    /// Returns the names of the peers with an open connection.
+    pub fn connected(&self) -> Vec<Arc<str>> {
+        self.shared.state().links.keys().cloned().collect()
+    }
+
+    /// Judges whether this instance knows the newest configuration.
+    pub fn freshness(&self) -> Freshness {
+        let log = self.shared.log_view();
+        self.shared.state().freshness(&log, Instant::now())
+    }
+
+    /// Returns whether keyed requests may be served.
+    pub fn may_serve_keyed(&self) -> bool {
+        self.freshness().may_serve_keyed()
+    }
+
+    /// Returns what peers have in flight on a target.
+    pub fn peer_loads(&self, target: &str) -> TargetLoad {
+        self.shared.state().peer_load(target)
+    }
+
+    /// Takes the tokens that peers served since the last call.
+    pub fn served_by_peers(&self) -> Vec<Served> {
+        let served = std::mem::take(&mut self.shared.state().served);
+        let mut taken = Vec::with_capacity(served.len());
+        for (account, tokens) in served {
+            taken.push(Served { account, tokens });
+        }
+        taken
+    }
+
+    /// Reports what this instance has in flight on a target.
+    pub fn report_load(&self, target: &str, load: TargetLoad) {
+        self.shared.state().loads.report(target, load);
+    }
+
+    /// Reports tokens that this instance served for `SERVICE/ACCOUNT`.
+    pub fn report_served(&self, account: &str, tokens: u64) {
+        let account = account.into();
+        self.shared.state().report_served(&account, tokens);
+    }
+
+    /// Tells all peers and the live list that this instance is being stopped.
+    pub fn announce_leaving(&self) {
+        self.shared.state().leaving = true;
+        self.shared.urgent.notify_waiters();
+    }
+
+    /// Tells all peers that a request was implicated in two crashes.
+    pub fn notify_quarantine(&self, account: &str, body_digest: &[u8]) {
+        let request = quarantined_request(account, body_digest);
+        self.shared.state().quarantine(request, None);
+    }
+
+    /// Returns whether a peer reported a request as implicated in two crashes.
+    pub fn quarantined(&self, account: &str, body_digest: &[u8]) -> bool {
+        let request = quarantined_request(account, body_digest);
+        self.shared.state().quarantine.contains(&request)
+    }
+
+    /// Gives a copy of an unflushed usage slice to one peer, which flushes it
+    /// if this instance dies. A growing slice is copied again and again.
+    pub fn copy_usage(&self, slice: UsageSlice) {
+        let mut state = self.shared.state();
+        let frame = state.usage_holder.insert(slice);
+        if state.choose_usage_holder() {
+            // The new holder got this slice among the others.
+            return;
+        }
+        let Some(holder) = state.usage_holder.holder() else {
+            return;
+        };
+        let link = state.links.get(&holder.name);
+        let sent = link.is_some_and(|link| link.outbox.try_send(frame).is_ok());
+        if !sent {
+            // The next choice of a holder sends all copies.
+            state.usage_holder.forget();
+        }
+    }
+
+    /// Notes that the own slices up to this number were folded.
+    pub fn usage_flushed(&self, up_to_slice: u64) {
+        let mut state = self.shared.state();
+        let frame = state.usage_holder.remove_flushed(up_to_slice);
+        let Some(holder) = state.usage_holder.holder() else {
+            return;
+        };
+        let Some(link) = state.links.get(&holder.name) else {
+            return;
+        };
+        // A copy that stays is flushed again, to no effect.
+        let _ = link.outbox.try_send(frame);
+    }
+}
+
+fn quarantined_request(account: &str, body_digest: &[u8]) -> QuarantinedRequest {
+    QuarantinedRequest {
+        account: account.into(),
+        body_digest: Bytes::copy_from_slice(body_digest),
+    }
+}
--- /dev/null
+++ b/src/peer/heartbeat.rs
@@ -0,0 +1,125 @@
+//! Heartbeats that go out, and how often.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::{
+    frames::Heartbeat,
+    state::{LogView, State},
+    topology::LinkKind,
+};
+use crate::log::Offset;
+
+/// Bytes a second that an instance spends on heartbeats over all links.
+pub const HEARTBEAT_BYTES_PER_S: usize = 2_048;
+
+/// Size of a heartbeat without changes, with its frame's length, in bytes.
+pub const BASE_BYTES: usize = 36;
+
+/// Bytes for changes that every heartbeat may carry.
+const MIN_CHANGE_BYTES: usize = 48;
+
+/// Returns the time between two heartbeats on each of `links` connections.
+///
+/// It is at least `shortest`, and so long that heartbeats without changes take
+/// at most half of the bytes.
+pub fn heartbeat_interval(links: usize, shortest: Duration) -> Duration {
+    let bytes = (links * BASE_BYTES * 2) as f64;
+    let needed = Duration::from_secs_f64(bytes / HEARTBEAT_BYTES_PER_S as f64);
+    needed.max(shortest)
+}
+
+/// Returns the bytes for changes in one heartbeat.
+pub fn change_bytes(links: usize, interval: Duration) -> usize {
+    let bytes = HEARTBEAT_BYTES_PER_S as f64 * interval.as_secs_f64() / links.max(1) as f64;
+    (bytes as usize)
+        .saturating_sub(BASE_BYTES)
+        .max(MIN_CHANGE_BYTES)
+}
+
+/// Statements of other instances that a heartbeat passes on.
+#[derive(Debug, Default)]
+struct Covered {
+    instances: usize,
+    end_offset: Offset,
+    oldest: Option<Instant>,
+}
+
+impl State {
+    /// Returns the next heartbeat for a connection; `None` if it was replaced.
+    pub(super) fn heartbeat(
+        &mut self,
+        name: &str,
+        id: u64,
+        log: &LogView,
+        shortest: Duration,
+        now: Instant,
+    ) -> Option<Heartbeat> {
+        let kind = self.kind(name);
+        let interval = heartbeat_interval(self.links.len(), shortest);
+        let max_bytes = change_bytes(self.links.len(), interval);
+        let mut heartbeat = self.log_heartbeat(log, now);
+        if interval > shortest {
+            heartbeat.interval_ms = interval.as_millis() as u32;
+        }
+        self.cover(name, kind, &mut heartbeat, now);
+        self.loads.refresh(&self.kinds, &self.links);
+        let link = self.links.get_mut(name).filter(|link| link.id == id)?;
+        let loads = self.loads.outgoing(kind, link);
+        link.encoder.encode(&loads, max_bytes, &mut heartbeat);
+        link.number(&mut heartbeat, now);
+        Some(heartbeat)
+    }
+
+    fn log_heartbeat(&self, log: &LogView, now: Instant) -> Heartbeat {
+        let end_offset = log.status.end_offset.0;
+        Heartbeat {
+            applied_offset: log.applied_offset.0,
+            unread_records: end_offset.saturating_sub(log.applied_offset.0),
+            known_age_ms: age_ms(log.status.known_at, now),
+            log_down: !log.status.live,
+            incomplete: !log.status.complete,
+            leaving: self.leaving,
+            ..Heartbeat::default()
+        }
+    }
+
+    /// Adds what others said, if this instance relays for the peer.
+    fn cover(&self, to: &str, kind: LinkKind, heartbeat: &mut Heartbeat, now: Instant) {
+        let covered = self.covered(to, kind, now);
+        let Some(oldest) = covered.oldest else {
+            return;
+        };
+        heartbeat.covered_instances = covered.instances as u32;
+        heartbeat.covered_end_offset = covered.end_offset.0;
+        heartbeat.covered_age_ms = age_ms(oldest, now);
+    }
+
+    fn covered(&self, to: &str, kind: LinkKind, now: Instant) -> Covered {
+        let mut covered = Covered::default();
+        for (name, link) in &self.links {
+            if **name == *to || !self.kind(name).forwards_to(kind) {
+                continue;
+            }
+            let Some(answer) = link.answer() else {
+                continue;
+            };
+            // Half of the bound is left for the way to those who ask.
+            if now.saturating_duration_since(answer.answered_at) > self.max_age / 2 {
+                continue;
+            }
+            covered.instances += answer.instances;
+            covered.end_offset = covered.end_offset.max(answer.end_offset);
+            let oldest = covered.oldest.unwrap_or(answer.answered_at);
+            covered.oldest = Some(oldest.min(answer.answered_at));
+        }
+        covered
+    }
+}
+
+/// Returns an age, rounded up.
+pub(super) fn age_ms(at: Instant, now: Instant) -> u32 {
+    let age = now.saturating_duration_since(at).as_millis() + 1;
+    u32::try_from(age).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/peer/link.rs
@@ -0,0 +1,164 @@
+//! What this instance keeps for one connection.
+
+use std::{collections::VecDeque, time::Duration};
+
+use tokio::{sync::mpsc, time::Instant};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    Result,
+    digest::{DigestDecoder, DigestEncoder, Served},
+    frames::{Heartbeat, frame::Body},
+    freshness::PeerAnswer,
+    membership::Sender,
+};
+use crate::log::Offset;
+
+/// Heartbeats whose echo is awaited.
+const MAX_UNECHOED: usize = 64;
+
+/// State of one connection.
+#[derive(Debug)]
+pub(super) struct Link {
+    /// Tells connections to the same peer apart.
+    pub(super) id: u64,
+    /// The other end.
+    pub(super) peer: Sender,
+    /// Frames to be sent beside heartbeats.
+    pub(super) outbox: mpsc::Sender<Body>,
+    /// Ends the connection.
+    pub(super) closed: CancellationToken,
+    /// Changes that go out.
+    pub(super) encoder: DigestEncoder,
+    /// Loads that came in.
+    pub(super) decoder: DigestDecoder,
+    /// When the last log request was sent that is not answered.
+    pub(super) log_requested_at: Option<Instant>,
+    /// Lowest offset that the peer could not relay.
+    pub(super) missing_offset: Option<Offset>,
+    last_received: u64,
+    last_sent: u64,
+    unechoed: VecDeque<SentHeartbeat>,
+    statement: Option<Statement>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SentHeartbeat {
+    sequence: u64,
+    sent_at: Instant,
+}
+
+/// What the peer's last echoing heartbeat said.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Statement {
+    /// A moment before this statement and those that it passes on were made.
+    pub(super) answered_at: Instant,
+    /// Offset up to which the peer has folded the log.
+    pub(super) applied_offset: Offset,
+    /// Highest offset that it, or any it speaks for, heard of.
+    pub(super) end_offset: Offset,
+    /// Number of instances that it speaks for, itself included.
+    pub(super) instances: usize,
+    /// Moment as of which it knows all records.
+    pub(super) known_at: Instant,
+    /// Whether it reads the log.
+    pub(super) reads_log: bool,
+    /// Whether its ledger is complete.
+    pub(super) complete: bool,
+}
+
+impl Link {
+    /// Makes the state of a new connection.
+    pub(super) fn new(id: u64, peer: Sender, outbox: mpsc::Sender<Body>) -> Self {
+        Self {
+            id,
+            peer,
+            outbox,
+            closed: CancellationToken::new(),
+            encoder: DigestEncoder::default(),
+            decoder: DigestDecoder::default(),
+            log_requested_at: None,
+            missing_offset: None,
+            last_received: 0,
+            last_sent: 0,
+            unechoed: VecDeque::new(),
+            statement: None,
+        }
+    }
+
+    /// Numbers a heartbeat that is sent now.
+    pub(super) fn number(&mut self, heartbeat: &mut Heartbeat, now: Instant) {
+        self.last_sent += 1;
+        heartbeat.sequence = self.last_sent;
+        heartbeat.echo = self.last_received;
+        if self.unechoed.len() == MAX_UNECHOED {
+            self.unechoed.pop_front();
+        }
+        self.unechoed.push_back(SentHeartbeat {
+            sequence: self.last_sent,
+            sent_at: now,
+        });
+    }
+
+    /// Applies a heartbeat and returns the tokens served.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its changes cannot be applied.
+    pub(super) fn receive(&mut self, heartbeat: &Heartbeat) -> Result<Vec<Served>> {
+        self.last_received = heartbeat.sequence;
+        let served = self.decoder.apply(heartbeat)?;
+        self.note_statement(heartbeat);
+        Ok(served)
+    }
+
+    /// Returns the peer's last statement.
+    pub(super) fn statement(&self) -> Option<&Statement> {
+        self.statement.as_ref()
+    }
+
+    /// Returns the peer's last statement as an answer on freshness.
+    pub(super) fn answer(&self) -> Option<PeerAnswer> {
+        let statement = self.statement?;
+        Some(PeerAnswer {
+            name: self.peer.name.clone(),
+            answered_at: statement.answered_at,
+            end_offset: statement.end_offset,
+            instances: statement.instances,
+        })
+    }
+
+    /// Dates the statement by the own heartbeat that it echoes, so that frames
+    /// that waited while this process was paused do not seem new.
+    fn note_statement(&mut self, heartbeat: &Heartbeat) {
+        while let Some(sent) = self.unechoed.front().copied() {
+            if sent.sequence > heartbeat.echo {
+                return;
+            }
+            self.unechoed.pop_front();
+            if sent.sequence == heartbeat.echo {
+                self.statement = Statement::new(heartbeat, sent.sent_at);
+                return;
+            }
+        }
+    }
+}
+
+impl Statement {
+    fn new(heartbeat: &Heartbeat, echoed_at: Instant) -> Option<Self> {
+        let covered_age = Duration::from_millis(heartbeat.covered_age_ms.into());
+        let known_age = Duration::from_millis(heartbeat.known_age_ms.into());
+        let own_end = heartbeat
+            .applied_offset
+            .saturating_add(heartbeat.unread_records);
+        Some(Self {
+            answered_at: echoed_at.checked_sub(covered_age)?,
+            applied_offset: Offset(heartbeat.applied_offset),
+            end_offset: Offset(own_end.max(heartbeat.covered_end_offset)),
+            instances: heartbeat.covered_instances as usize + 1,
+            known_at: echoed_at.checked_sub(known_age)?,
+            reads_log: !heartbeat.log_down,
+            complete: !heartbeat.incomplete,
+        })
+    }
+}
--- /dev/null
+++ b/src/peer/live_list.rs
@@ -0,0 +1,71 @@
+//! Announces this instance on the platform's live list and reads the list.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+use super::{shared::Shared, topology::MAX_MESH_INSTANCES};
+use crate::platform::{
+    LiveClient,
+    protocol::{LiveInstance, LiveState},
+};
+
+/// Announces this instance every `poll` until `stop` is cancelled, and then
+/// withdraws it.
+pub(super) async fn announce(
+    shared: Arc<Shared>,
+    client: LiveClient,
+    entry: LiveInstance,
+    poll: Duration,
+    stop: CancellationToken,
+) {
+    loop {
+        let mut entry = entry.clone();
+        if shared.state().leaving {
+            entry.state = LiveState::Leaving;
+        }
+        if let Err(error) = client.announce(&entry).await {
+            tracing::debug!("peer: cannot announce this instance: {error}");
+        }
+        tokio::select! {
+            () = stop.cancelled() => break,
+            () = shared.urgent.notified() => (),
+            () = sleep(poll) => (),
+        }
+    }
+    if let Err(error) = client.withdraw(&entry.name).await {
+        tracing::debug!("peer: cannot withdraw this instance: {error}");
+    }
+}
+
+/// Reads the live list until `stop` is cancelled.
+pub(super) async fn follow(
+    shared: Arc<Shared>,
+    client: LiveClient,
+    poll: Duration,
+    stop: CancellationToken,
+) {
+    loop {
+        let mut listed = 0;
+        match client.list().await {
+            Ok(list) => {
+                listed = list.len();
+                shared.state().apply_list(&list, Instant::now());
+                shared.count_live(Instant::now());
+            }
+            Err(error) => tracing::debug!("peer: cannot read the live list: {error}"),
+        }
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = sleep(list_interval(listed, poll)) => (),
+        }
+    }
+}
+
+/// Returns the time between two reads of a list of this length; a long list
+/// is read less often.
+pub fn list_interval(listed: usize, poll: Duration) -> Duration {
+    let factor = listed.div_ceil(MAX_MESH_INSTANCES).max(1);
+    poll * u32::try_from(factor).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/peer/load.rs
@@ -0,0 +1,100 @@
+//! Sums of the loads that peers report.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::{digest::TargetLoad, link::Link, state::kind_of, topology::LinkKind};
+
+/// Loads by target.
+pub(super) type Loads = IndexMap<Arc<str>, TargetLoad>;
+
+/// Loads of this instance, and sums over its links that are kept until a link
+/// changes.
+#[derive(Debug, Default)]
+pub(super) struct LoadTotals {
+    own: Loads,
+    all: Loads,
+    members: Loads,
+    current: bool,
+}
+
+impl LoadTotals {
+    /// Replaces what this instance has in flight on a target.
+    pub(super) fn report(&mut self, target: &str, load: TargetLoad) {
+        if load == TargetLoad::default() {
+            self.own.swap_remove(target);
+            return;
+        }
+        if let Some(own) = self.own.get_mut(target) {
+            *own = load;
+            return;
+        }
+        self.own.insert(target.into(), load);
+    }
+
+    /// Marks the sums as outdated.
+    pub(super) fn invalidate(&mut self) {
+        self.current = false;
+    }
+
+    /// Brings the sums up to date.
+    pub(super) fn refresh(
+        &mut self,
+        kinds: &IndexMap<Arc<str>, LinkKind>,
+        links: &IndexMap<Arc<str>, Link>,
+    ) {
+        if self.current {
+            return;
+        }
+        self.all.clear();
+        self.members.clear();
+        for (name, link) in links {
+            add_all(&mut self.all, link.decoder.loads());
+            if kind_of(kinds, name) == LinkKind::Member {
+                add_all(&mut self.members, link.decoder.loads());
+            }
+        }
+        self.current = true;
+    }
+
+    /// Returns what peers have in flight on a target.
+    pub(super) fn peers(&self, target: &str) -> TargetLoad {
+        self.all.get(target).copied().unwrap_or_default()
+    }
+
+    /// Returns the loads that go out over a link of this kind, of which `link`
+    /// brought in a part.
+    pub(super) fn outgoing(&self, kind: LinkKind, link: &Link) -> Loads {
+        match kind {
+            LinkKind::Backup => Loads::new(),
+            LinkKind::Relay => self.own.clone(),
+            LinkKind::Peer => sum(&self.own, &self.members),
+            LinkKind::Member => {
+                let mut loads = sum(&self.own, &self.all);
+                for (target, load) in link.decoder.loads() {
+                    if let Some(total) = loads.get_mut(target) {
+                        total.subtract(load);
+                    }
+                }
+                loads
+            }
+        }
+    }
+}
+
+fn add_all(totals: &mut Loads, loads: &Loads) {
+    for (target, load) in loads {
+        if let Some(total) = totals.get_mut(target) {
+            total.add(load);
+            continue;
+        }
+        totals.insert(target.clone(), *load);
+    }
+}
+
+fn sum(first: &Loads, second: &Loads) -> Loads {
+    let mut total = first.clone();
+    add_all(&mut total, second);
+    total
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,11 +1,44 @@
-//! Frames between instances: heartbeats, load changes and log relay.
+//! Frames between instances: membership, freshness, loads and log relay.
+//!
+//! Nothing here decides what instances agree on: that is the log's matter.
+//! Peers tell each other what they have read, what they have in flight and
+//! what they served, and relay records of the log to those that are cut off
+//! from it. [`topology`] says who talks with whom.
 
+mod connection;
+mod dial;
 pub mod digest;
+mod error;
+mod frame;
 pub mod freshness;
+mod handle;
+mod heartbeat;
+mod link;
+mod live_list;
+mod load;
 pub mod membership;
+mod quarantine;
+mod relay;
+mod shared;
+mod spawn;
+mod state;
 pub mod topology;
+mod upkeep;
+mod usage;
+mod usage_holder;
 
 /// Frames, generated from `proto/peer.proto`.
 #[path = "lavenderwind.peer.rs"]
 #[allow(missing_docs, unreachable_pub, clippy::all)]
 pub mod frames;
+
+pub use digest::{Served, TargetLoad};
+pub use error::{Error, Result};
+pub use frame::MAX_FRAME_BYTES;
+pub use freshness::Freshness;
+pub use handle::PeerHandle;
+pub use heartbeat::{BASE_BYTES, HEARTBEAT_BYTES_PER_S, change_bytes, heartbeat_interval};
+pub use live_list::list_interval;
+pub use membership::PeerState;
+pub use spawn::{PeerInputs, Peers, spawn};
+pub use usage::{Source, UsageCopies};
--- /dev/null
+++ b/src/peer/relay.rs
@@ -0,0 +1,123 @@
+//! Relay of log records to instances that are cut off from the log.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::{
+    frames::{LogRequest, LogTail, RelayedRecord, frame::Body},
+    heartbeat::age_ms,
+    shared::Shared,
+    state::{LogView, State},
+};
+use crate::{
+    log::{Offset, RelayedEntries},
+    platform::protocol::LogEntry,
+};
+
+/// Records in one answer, in bytes.
+const MAX_RELAY_BYTES: usize = 256 << 10;
+
+/// Time after which a peer that did not answer may be asked again.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
+impl State {
+    /// Asks the best informed peer for records, if this instance needs them.
+    pub(super) fn request_log(&mut self, log: &LogView, now: Instant) {
+        let age = now.saturating_duration_since(log.status.known_at);
+        let informed = log.status.live && age < self.max_age / 2;
+        if informed || !log.status.complete {
+            return;
+        }
+        let from = Offset(log.applied_offset.0 + 1);
+        let Some(name) = self.best_relay(from, now) else {
+            return;
+        };
+        let Some(link) = self.links.get_mut(&*name) else {
+            return;
+        };
+        let request = LogRequest {
+            from_offset: from.0,
+        };
+        if link.outbox.try_send(Body::LogRequest(request)).is_ok() {
+            link.log_requested_at = Some(now);
+        }
+    }
+
+    /// Returns the peer that knows the newest records and has those from
+    /// `from` on.
+    fn best_relay(&self, from: Offset, now: Instant) -> Option<std::sync::Arc<str>> {
+        let mut best = None;
+        for (name, link) in &self.links {
+            let Some(statement) = link.statement() else {
+                continue;
+            };
+            let behind = statement.applied_offset.0 + 1 < from.0;
+            let missing = link.missing_offset.is_some_and(|missing| from <= missing);
+            let asked = link
+                .log_requested_at
+                .is_some_and(|at| now.saturating_duration_since(at) < ANSWER_TIMEOUT);
+            if behind || missing || asked || !statement.complete {
+                continue;
+            }
+            let rank = (statement.reads_log, statement.known_at);
+            if best.as_ref().is_none_or(|(best, _)| rank > *best) {
+                best = Some((rank, name.clone()));
+            }
+        }
+        best.map(|(_, name)| name)
+    }
+
+    /// Takes a peer's answer; `None` if it cannot be used.
+    pub(super) fn take_log_tail(&mut self, name: &str, tail: LogTail) -> Option<RelayedEntries> {
+        let link = self.links.get_mut(name)?;
+        let requested_at = link.log_requested_at.take()?;
+        if tail.missing {
+            link.missing_offset = Some(Offset(tail.from_offset));
+            return None;
+        }
+        let known_age = Duration::from_millis(tail.known_age_ms.into());
+        let mut entries = Vec::with_capacity(tail.records.len());
+        for record in tail.records {
+            entries.push(LogEntry {
+                offset: record.offset,
+                appended_at_ms: record.appended_at_ms,
+                record: record.record.into(),
+            });
+        }
+        Some(RelayedEntries {
+            entries,
+            end_offset: Offset(tail.end_offset),
+            known_at: requested_at.checked_sub(known_age)?,
+        })
+    }
+}
+
+impl Shared {
+    /// Answers a peer that is cut off from the log.
+    pub(super) fn serve_log_request(&self, request: &LogRequest) -> Body {
+        let log = self.log_view();
+        let from = Offset(request.from_offset);
+        let next = Offset(log.applied_offset.0 + 1);
+        let entries = if from >= next {
+            Some(Vec::new())
+        } else {
+            self.recent.read(from, MAX_RELAY_BYTES)
+        };
+        let mut tail = LogTail {
+            from_offset: from.0,
+            end_offset: log.applied_offset.0.max(log.status.end_offset.0),
+            known_age_ms: age_ms(log.status.known_at, Instant::now()),
+            missing: entries.is_none() || !log.status.complete,
+            records: Vec::new(),
+        };
+        for entry in entries.unwrap_or_default() {
+            tail.records.push(RelayedRecord {
+                offset: entry.offset,
+                appended_at_ms: entry.appended_at_ms,
+                record: entry.record.to_vec(),
+            });
+        }
+        Body::LogTail(tail)
+    }
+}
--- /dev/null
+++ b/src/peer/state.rs
@@ -0,0 +1,293 @@
+//! What an instance knows of its peers, shared by the tasks of this module.
+
+use std::{sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use tokio::{sync::mpsc, time::Instant};
+
+use super::{
+    Error, Result,
+    digest::{Served, TargetLoad},
+    frames::{Heartbeat, QuarantineNotice, frame::Body},
+    freshness::{Freshness, FreshnessInput, PeerAnswer},
+    link::Link,
+    load::LoadTotals,
+    membership::{Membership, PeerState, Sender},
+    quarantine::{QuarantineSet, QuarantinedRequest},
+    topology::{LinkKind, Node, Topology},
+    usage::UsageCopies,
+    usage_holder::UsageHolder,
+};
+use crate::{
+    log::{Offset, TailStatus},
+    platform::protocol::LiveInstance,
+};
+
+/// State of the log as it goes into heartbeats.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LogView {
+    /// State of the tail.
+    pub(super) status: TailStatus,
+    /// Offset up to which this instance has folded the log.
+    pub(super) applied_offset: Offset,
+}
+
+/// What an instance knows of its peers.
+#[derive(Debug)]
+pub(super) struct State {
+    /// This instance.
+    pub(super) own: Sender,
+    /// Bound on the age of knowledge.
+    pub(super) max_age: Duration,
+    /// Running instances.
+    pub(super) membership: Membership,
+    /// Kinds of link by peer, as the topology has them.
+    pub(super) kinds: IndexMap<Arc<str>, LinkKind>,
+    /// Open connections by peer.
+    pub(super) links: IndexMap<Arc<str>, Link>,
+    /// Whether this instance is being stopped.
+    pub(super) leaving: bool,
+    /// Requests that peers reported as implicated in crashes.
+    pub(super) quarantine: QuarantineSet,
+    /// Slices held for other instances.
+    pub(super) usage_copies: UsageCopies,
+    /// Own slices that a peer holds.
+    pub(super) usage_holder: UsageHolder,
+    /// Loads of this instance and its peers.
+    pub(super) loads: LoadTotals,
+    /// Tokens served by peers since they were last taken.
+    pub(super) served: IndexMap<Arc<str>, u64>,
+    last_link_id: u64,
+}
+
+impl State {
+    pub(super) fn new(own: Sender, max_age: Duration, silent_after: Duration) -> Self {
+        Self {
+            membership: Membership::new(own.name.clone(), silent_after),
+            own,
+            max_age,
+            kinds: IndexMap::new(),
+            links: IndexMap::new(),
+            leaving: false,
+            quarantine: QuarantineSet::default(),
+            usage_copies: UsageCopies::default(),
+            usage_holder: UsageHolder::default(),
+            loads: LoadTotals::default(),
+            served: IndexMap::new(),
+            last_link_id: 0,
+        }
+    }
+
+    /// Takes the live list and derives who talks with whom.
+    pub(super) fn apply_list(&mut self, list: &[LiveInstance], now: Instant) {
+        self.membership.apply_list(list);
+        self.derive_links(now);
+    }
+
+    /// Drops instances that are gone; returns them.
+    pub(super) fn expire(&mut self, now: Instant) -> Vec<PeerState> {
+        let gone = self.membership.expire(now);
+        if !gone.is_empty() {
+            self.derive_links(now);
+        }
+        gone
+    }
+
+    /// Takes up a connection and returns its number.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer is outdated or has this instance's name.
+    pub(super) fn open_link(
+        &mut self,
+        peer: Sender,
+        outbox: mpsc::Sender<Body>,
+        now: Instant,
+    ) -> Result<OpenedLink> {
+        if peer.name == self.own.name {
+            return Err(Error::SameName);
+        }
+        self.hear(&peer, now)?;
+        self.last_link_id += 1;
+        let link = Link::new(self.last_link_id, peer, outbox);
+        let opened = OpenedLink {
+            id: link.id,
+            closed: link.closed.clone(),
+        };
+        let name = link.peer.name.clone();
+        if let Some(replaced) = self.links.insert(name.clone(), link) {
+            replaced.closed.cancel();
+        }
+        if !self.kinds.contains_key(&name) {
+            self.derive_links(now);
+        }
+        Ok(opened)
+    }
+
+    /// Drops a connection, unless a newer one took its place.
+    pub(super) fn close_link(&mut self, name: &str, id: u64) {
+        let current = self.links.get(name).is_some_and(|link| link.id == id);
+        if !current {
+            return;
+        }
+        self.links.swap_remove(name);
+        self.loads.invalidate();
+    }
+
+    /// Applies a heartbeat of a peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer is outdated or its changes cannot be applied.
+    pub(super) fn receive_heartbeat(
+        &mut self,
+        peer: &Sender,
+        id: u64,
+        heartbeat: &Heartbeat,
+        now: Instant,
+    ) -> Result<()> {
+        let applied_offset = Offset(heartbeat.applied_offset);
+        let counts = self
+            .membership
+            .apply_heartbeat(peer, applied_offset, heartbeat.leaving, now);
+        if !counts {
+            return Err(outdated(peer));
+        }
+        let link = self.links.get_mut(&peer.name);
+        let link = link.filter(|link| link.id == id).ok_or(Error::Replaced)?;
+        let served = link.receive(heartbeat)?;
+        if !heartbeat.loads.is_empty() {
+            self.loads.invalidate();
+        }
+        self.take_served(&peer.name, served);
+        Ok(())
+    }
+
+    /// Notes that any frame of a peer arrived.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer is outdated.
+    pub(super) fn hear(&mut self, peer: &Sender, now: Instant) -> Result<()> {
+        if self.membership.hear(peer, now) {
+            return Ok(());
+        }
+        Err(outdated(peer))
+    }
+
+    /// Notes tokens that this instance served.
+    pub(super) fn report_served(&mut self, account: &Arc<str>, tokens: u64) {
+        for (name, link) in &mut self.links {
+            if kind_of(&self.kinds, name) != LinkKind::Backup {
+                link.encoder.add_served(account, tokens);
+            }
+        }
+    }
+
+    /// Keeps a quarantined request and passes it on if it is new.
+    pub(super) fn quarantine(&mut self, request: QuarantinedRequest, from: Option<&str>) {
+        if !self.quarantine.insert(request.clone()) {
+            return;
+        }
+        let notice = QuarantineNotice {
+            account: request.account.to_string(),
+            body_digest: request.body_digest.to_vec(),
+        };
+        for (name, link) in &self.links {
+            if from == Some(&**name) {
+                continue;
+            }
+            // A full outbox loses the notice; the log has the record.
+            let _ = link.outbox.try_send(Body::QuarantineNotice(notice.clone()));
+        }
+    }
+
+    /// Judges whether this instance knows the newest configuration.
+    pub(super) fn freshness(&self, log: &LogView, now: Instant) -> Freshness {
+        let answers = self.answers();
+        let listed = self.membership.listed().count();
+        let input = FreshnessInput {
+            now,
+            max_age: self.max_age,
+            complete: log.status.complete,
+            last_read_at: log.status.last_read_at,
+            known_at: log.status.known_at,
+            applied_offset: log.applied_offset,
+            listed_instances: self.membership.listed_once().then_some(listed),
+            answers: &answers,
+        };
+        input.judge()
+    }
+
+    /// Returns what peers have in flight on a target.
+    pub(super) fn peer_load(&mut self, target: &str) -> TargetLoad {
+        self.loads.refresh(&self.kinds, &self.links);
+        self.loads.peers(target)
+    }
+
+    /// Returns the kind of the link to a peer.
+    pub(super) fn kind(&self, name: &str) -> LinkKind {
+        kind_of(&self.kinds, name)
+    }
+
+    fn answers(&self) -> Vec<PeerAnswer> {
+        let mut answers = Vec::new();
+        for (name, link) in &self.links {
+            if self.kind(name) == LinkKind::Backup {
+                // The relay speaks for it.
+                continue;
+            }
+            answers.extend(link.answer());
+        }
+        answers
+    }
+
+    fn take_served(&mut self, from: &Arc<str>, served: Vec<Served>) {
+        let from_kind = self.kind(from);
+        for Served { account, tokens } in served {
+            for (name, link) in &mut self.links {
+                let kind = kind_of(&self.kinds, name);
+                if name != from && from_kind.forwards_to(kind) {
+                    link.encoder.add_served(&account, tokens);
+                }
+            }
+            *self.served.entry(account).or_insert(0) += tokens;
+        }
+    }
+
+    fn derive_links(&mut self, now: Instant) {
+        let mut nodes = vec![Node {
+            name: self.own.name.clone(),
+            failure_domain: self.own.failure_domain.clone(),
+        }];
+        for peer in self.membership.live(now) {
+            nodes.push(Node {
+                name: peer.name,
+                failure_domain: peer.failure_domain,
+            });
+        }
+        self.kinds = Topology::new(&nodes).links(&self.own.name);
+        self.loads.invalidate();
+    }
+}
+
+/// A connection that was taken up.
+#[derive(Debug)]
+pub(super) struct OpenedLink {
+    /// Number of the connection.
+    pub(super) id: u64,
+    /// Cancelled when a newer connection takes over.
+    pub(super) closed: tokio_util::sync::CancellationToken,
+}
+
+/// Returns a link's kind; a peer outside the topology gets no relayed changes.
+pub(super) fn kind_of(kinds: &IndexMap<Arc<str>, LinkKind>, name: &str) -> LinkKind {
+    kinds.get(name).copied().unwrap_or(LinkKind::Backup)
+}
+
+fn outdated(peer: &Sender) -> Error {
+    Error::Outdated {
+        name: peer.name.clone(),
+        incarnation: peer.incarnation,
+    }
+}
--- /dev/null
+++ b/src/peer/upkeep.rs
@@ -0,0 +1,117 @@
+//! Periodic work: expiry of members, log requests and usage copies.
+
+use std::sync::Arc;
+
+use tokio::time::{Instant, sleep};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    shared::Shared,
+    state::{LogView, State},
+    topology::{LinkKind, rendezvous_order},
+    usage::Source,
+};
+use crate::log::records::{UsageSlice, record::Body};
+
+/// Runs the periodic work until `stop` is cancelled.
+pub(super) async fn run(shared: Arc<Shared>, stop: CancellationToken) {
+    loop {
+        let log = shared.log_view();
+        let now = Instant::now();
+        let orphans = shared.state().upkeep(&log, now);
+        shared.count_live(now);
+        for slice in orphans {
+            tokio::spawn(flush_orphan(shared.clone(), slice, stop.clone()));
+        }
+        tokio::select! {
+            () = stop.cancelled() => return,
+            () = sleep(shared.heartbeat) => (),
+        }
+    }
+}
+
+impl State {
+    /// Does what is due; returns slices of instances that are gone.
+    fn upkeep(&mut self, log: &LogView, now: Instant) -> Vec<UsageSlice> {
+        for peer in self.expire(now) {
+            tracing::info!("peer: {} is gone", peer.name);
+        }
+        self.request_log(log, now);
+        self.choose_usage_holder();
+        self.take_orphans()
+    }
+
+    /// Sends all unflushed slices to another peer if the holder changed, and
+    /// returns whether it did.
+    pub(super) fn choose_usage_holder(&mut self) -> bool {
+        let chosen = self.usage_holder_candidate();
+        if self.usage_holder.holder() == chosen.as_ref() {
+            return false;
+        }
+        let frames = self.usage_holder.choose(chosen.clone());
+        let Some(link) = chosen.and_then(|holder| self.links.get(&holder.name)) else {
+            return false;
+        };
+        for frame in frames {
+            if link.outbox.try_send(frame).is_err() {
+                self.usage_holder.forget();
+                break;
+            }
+        }
+        true
+    }
+
+    /// Returns the linked peer that comes first in rendezvous order.
+    fn usage_holder_candidate(&self) -> Option<Source> {
+        let mut candidates = Vec::new();
+        for name in self.links.keys() {
+            let leaving = self.membership.get(name).is_none_or(|peer| peer.leaving);
+            if !leaving && self.kind(name) != LinkKind::Backup {
+                candidates.push(name);
+            }
+        }
+        let order = rendezvous_order(&self.own.name, candidates);
+        let link = self.links.get(*order.first()?)?;
+        Some(Source {
+            name: link.peer.name.clone(),
+            incarnation: link.peer.incarnation,
+        })
+    }
+
+    fn take_orphans(&mut self) -> Vec<UsageSlice> {
+        if !self.membership.listed_once() {
+            return Vec::new();
+        }
+        let membership = &self.membership;
+        self.usage_copies.take_orphans(|source| {
+            membership
+                .get(&source.name)
+                .is_none_or(|peer| peer.incarnation > source.incarnation)
+        })
+    }
+}
+
+/// Flushes a slice to the log on behalf of its source.
+///
+/// The fold counts a slice once, whoever appends it.
+async fn flush_orphan(shared: Arc<Shared>, slice: UsageSlice, stop: CancellationToken) {
+    let appended = tokio::select! {
+        () = stop.cancelled() => return,
+        appended = shared.appender.append(Body::UsageSlice(slice.clone())) => appended,
+    };
+    match appended {
+        Ok(_) => tracing::info!(
+            "peer: flushed slice {} of {} for it",
+            slice.slice,
+            slice.source
+        ),
+        Err(error) => {
+            tracing::warn!("peer: cannot flush a slice of {}: {error}", slice.source);
+            let source = Source {
+                name: slice.source.as_str().into(),
+                incarnation: slice.source_incarnation,
+            };
+            shared.state().usage_copies.insert(source, slice);
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/usage_holder.rs
@@ -0,0 +1,60 @@
+//! The peer that holds copies of this instance's unflushed usage slices.
+
+use indexmap::IndexMap;
+use prost::Message;
+
+use super::{
+    frames::{UsageCopy, UsageFlushed, frame::Body},
+    usage::Source,
+};
+use crate::log::records::UsageSlice;
+
+/// Unflushed slices of this instance and the peer that holds them.
+#[derive(Debug, Default)]
+pub(super) struct UsageHolder {
+    holder: Option<Source>,
+    slices: IndexMap<u64, UsageSlice>,
+}
+
+impl UsageHolder {
+    /// Unflushed slices that are kept.
+    const MAX_SLICES: usize = 256;
+
+    /// Keeps a slice and returns the frame for the holder.
+    pub(super) fn insert(&mut self, slice: UsageSlice) -> Body {
+        let frame = copy_frame(&slice);
+        self.slices.insert(slice.slice, slice);
+        if self.slices.len() > Self::MAX_SLICES {
+            self.slices.shift_remove_index(0);
+        }
+        frame
+    }
+
+    /// Drops flushed slices and returns the frame for the holder.
+    pub(super) fn remove_flushed(&mut self, up_to_slice: u64) -> Body {
+        self.slices.retain(|&number, _| number > up_to_slice);
+        Body::UsageFlushed(UsageFlushed { slice: up_to_slice })
+    }
+
+    /// Returns the peer that holds the copies.
+    pub(super) fn holder(&self) -> Option<&Source> {
+        self.holder.as_ref()
+    }
+
+    /// Chooses another holder; returns all frames that it has to get.
+    pub(super) fn choose(&mut self, holder: Option<Source>) -> Vec<Body> {
+        self.holder = holder;
+        self.slices.values().map(copy_frame).collect()
+    }
+
+    /// Forgets the holder, so that the next choice gets all copies.
+    pub(super) fn forget(&mut self) {
+        self.holder = None;
+    }
+}
+
+fn copy_frame(slice: &UsageSlice) -> Body {
+    Body::UsageCopy(UsageCopy {
+        slice: slice.encode_to_vec(),
+    })
+}
--- /dev/null
+++ b/tests/peer_exchange.rs
@@ -0,0 +1,201 @@
+//! What connected instances tell each other.
+
+mod peer_net;
+
+use lavenderwind::{
+    log::records::{RequestClaim, UsageLine, UsageSlice, record::Body},
+    peer::{Freshness, TargetLoad},
+    standin::platform::PlatformFaults,
+};
+use peer_net::{Cut, Instance, Options, eventually, platform};
+
+fn claim(number: usize) -> Body {
+    Body::RequestClaim(RequestClaim {
+        account: "quotes/a".into(),
+        idempotency_key: format!("key-{number}"),
+        body_digest: vec![1; 32],
+    })
+}
+
+#[tokio::test]
+async fn loads_and_tokens() {
+    let platform = platform(PlatformFaults::default()).await;
+    let a = Instance::start("a", &platform).await;
+    let b = Instance::start("b", &platform).await;
+    let c = Instance::start("c", &platform).await;
+    for instance in [&a, &b, &c] {
+        instance.wait_connected(2).await;
+        eventually("three live", || *instance.live_instances.borrow() == 3).await;
+    }
+    let load = TargetLoad {
+        requests: 2,
+        tokens: 900,
+        blocks: 12,
+    };
+    a.handle.report_load("t1", load);
+    b.handle.report_load("t1", load);
+    eventually("sum at c", || c.handle.peer_loads("t1").tokens == 1_800).await;
+    eventually("load of b at a", || a.handle.peer_loads("t1") == load).await;
+    a.handle.report_load("t1", TargetLoad::default());
+    eventually("idle again", || c.handle.peer_loads("t1") == load).await;
+
+    a.handle.report_served("quotes/x", 70);
+    a.handle.report_served("quotes/x", 30);
+    let mut tokens = 0;
+    eventually("tokens at b", || {
+        for served in b.handle.served_by_peers() {
+            assert_eq!(&*served.account, "quotes/x");
+            tokens += served.tokens;
+        }
+        tokens == 100
+    })
+    .await;
+
+    assert!(!b.handle.quarantined("quotes/x", &[7; 32]));
+    a.handle.notify_quarantine("quotes/x", &[7; 32]);
+    eventually("quarantined", || {
+        b.handle.quarantined("quotes/x", &[7; 32]) && c.handle.quarantined("quotes/x", &[7; 32])
+    })
+    .await;
+
+    a.handle.announce_leaving();
+    eventually("leaving", || {
+        b.handle
+            .live()
+            .iter()
+            .any(|peer| *peer.name == *"a" && peer.leaving)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn relay_when_cut_off() {
+    let platform = platform(PlatformFaults::default()).await;
+    let cut = Cut::start(platform.addr()).await;
+    let a = Instance::start("a", &platform).await;
+    let b = Instance::start("b", &platform).await;
+    let c = Instance::with(Options {
+        name: "c",
+        incarnation: 1,
+        log_url: format!("http://{}", cut.address),
+        live_url: platform.url(),
+        extra: "  platform_timeout_ms: 200",
+    })
+    .await;
+    c.wait_connected(2).await;
+    let first = a.append(claim(1)).await.offset;
+    c.wait_applied(first).await;
+    assert_eq!(c.handle.freshness(), Freshness::ByLog);
+
+    cut.set(true);
+    let mut last = first;
+    for number in 2..40 {
+        last = b.append(claim(number)).await.offset;
+    }
+    c.wait_applied(last).await;
+    eventually("fresh by relay", || {
+        c.handle.freshness() == Freshness::ByRelay
+    })
+    .await;
+    assert_eq!(
+        c.ledger.read(|ledger| ledger.digest()),
+        b.ledger.read(|ledger| ledger.digest())
+    );
+
+    cut.set(false);
+    eventually("fresh by the log", || {
+        c.handle.freshness() == Freshness::ByLog
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn outage_for_all() {
+    let platform = platform(PlatformFaults {
+        live_ttl_ms: 60_000,
+        ..PlatformFaults::default()
+    })
+    .await;
+    let a = Instance::start("a", &platform).await;
+    let b = Instance::start("b", &platform).await;
+    let c = Instance::start("c", &platform).await;
+    let last = a.append(claim(1)).await.offset;
+    for instance in [&a, &b, &c] {
+        instance.wait_connected(2).await;
+        instance.wait_applied(last).await;
+    }
+    let mut faults = PlatformFaults {
+        live_ttl_ms: 60_000,
+        ..PlatformFaults::default()
+    };
+    faults.log.outage = true;
+    platform.set_faults(faults);
+    eventually("fresh by outage", || {
+        a.handle.freshness() == Freshness::ByOutage
+    })
+    .await;
+    assert!(a.handle.may_serve_keyed());
+
+    // A listed instance that does not answer might be reading the log.
+    c.kill().await;
+    eventually("stale", || !a.handle.may_serve_keyed()).await;
+}
+
+#[tokio::test]
+async fn alone_is_stale() {
+    let platform = platform(PlatformFaults::default()).await;
+    let a = Instance::start("a", &platform).await;
+    eventually("fresh", || a.handle.freshness() == Freshness::ByLog).await;
+    let mut faults = PlatformFaults::default();
+    faults.log.outage = true;
+    platform.set_faults(faults);
+    eventually("stale", || a.handle.freshness() == Freshness::Stale).await;
+}
+
+fn slice(number: u64, tokens: u64) -> UsageSlice {
+    UsageSlice {
+        source: "a".into(),
+        source_incarnation: 1,
+        slice: number,
+        window: 1,
+        lines: vec![UsageLine {
+            service: "quotes".into(),
+            account: "x".into(),
+            requests: 1,
+            prompt_tokens: 1,
+            output_tokens: tokens,
+        }],
+    }
+}
+
+#[tokio::test]
+async fn usage_outlives_source() {
+    let platform = platform(PlatformFaults {
+        live_ttl_ms: 300,
+        ..PlatformFaults::default()
+    })
+    .await;
+    let a = Instance::start("a", &platform).await;
+    let b = Instance::start("b", &platform).await;
+    let c = Instance::start("c", &platform).await;
+    a.wait_connected(2).await;
+    // Slice 1 is flushed by the source itself, slice 2 grows and is not.
+    a.handle.copy_usage(slice(1, 10));
+    a.append(Body::UsageSlice(slice(1, 10))).await;
+    a.handle.usage_flushed(1);
+    a.handle.copy_usage(slice(2, 20));
+    a.handle.copy_usage(slice(2, 25));
+    // A notice goes the same way, after the copies.
+    a.handle.notify_quarantine("quotes/x", &[1]);
+    eventually("copied", || {
+        b.handle.quarantined("quotes/x", &[1]) && c.handle.quarantined("quotes/x", &[1])
+    })
+    .await;
+    assert!(!b.ledger.read(|ledger| ledger.has_slice("a", 1, 2)));
+    a.kill().await;
+    eventually("flushed by a peer", || {
+        b.ledger.read(|ledger| ledger.has_slice("a", 1, 2))
+    })
+    .await;
+    assert!(b.ledger.read(|ledger| ledger.has_slice("a", 1, 1)));
+}
--- /dev/null
+++ b/tests/peer_frames.rs
@@ -0,0 +1,289 @@
+//! Contract of the frames between instances, with faults in a table.
+
+mod peer_net;
+
+use std::time::Duration;
+
+use bytes::{BufMut, BytesMut};
+use lavenderwind::{
+    peer::{
+        MAX_FRAME_BYTES,
+        frames::{
+            Frame, Heartbeat, Hello, LoadChange, LogRequest, LogTail, NameDefinition, UsageCopy,
+            frame::Body,
+        },
+    },
+    standin::platform::PlatformFaults,
+};
+use peer_net::{Instance, eventually, platform, within};
+use prost::Message;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+/// Incarnation of the peer that the tests play.
+const INCARNATION: u64 = 5;
+
+fn encode(body: Body) -> Vec<u8> {
+    encode_frame(&Frame { body: Some(body) })
+}
+
+fn encode_frame(frame: &Frame) -> Vec<u8> {
+    with_length(&frame.encode_to_vec())
+}
+
+fn with_length(bytes: &[u8]) -> Vec<u8> {
+    let mut buffer = BytesMut::new();
+    buffer.put_u32(bytes.len() as u32);
+    buffer.put_slice(bytes);
+    buffer.to_vec()
+}
+
+fn hello(sender: &str, incarnation: u64) -> Vec<u8> {
+    encode(Body::Hello(Hello {
+        sender: sender.into(),
+        incarnation,
+        failure_domain: "d2".into(),
+    }))
+}
+
+fn heartbeat() -> Heartbeat {
+    Heartbeat {
+        sequence: 1,
+        ..Heartbeat::default()
+    }
+}
+
+/// A hand-driven peer.
+struct RawPeer {
+    stream: TcpStream,
+}
+
+impl RawPeer {
+    async fn connect(instance: &Instance) -> Self {
+        let stream = TcpStream::connect(instance.peer_address).await.unwrap();
+        Self { stream }
+    }
+
+    async fn send(&mut self, bytes: &[u8]) {
+        // The instance may have closed the connection already.
+        let _ = self.stream.write_all(bytes).await;
+    }
+
+    async fn receive(&mut self) -> Option<Body> {
+        let length = self.stream.read_u32().await.ok()?;
+        let mut bytes = vec![0; length as usize];
+        self.stream.read_exact(&mut bytes).await.ok()?;
+        Frame::decode(&*bytes).unwrap().body
+    }
+
+    /// Receives frames until one is found, or the connection ends.
+    async fn find<T, F>(&mut self, mut f: F) -> Option<T>
+    where
+        F: FnMut(Body) -> Option<T>,
+    {
+        let find = async {
+            while let Some(body) = self.receive().await {
+                if let Some(found) = f(body) {
+                    return Some(found);
+                }
+            }
+            None
+        };
+        within("frame or end of connection", find).await
+    }
+
+    async fn wait_closed(&mut self) {
+        let found: Option<()> = self.find(|_| None).await;
+        assert_eq!(found, None);
+    }
+}
+
+struct Case {
+    name: &'static str,
+    /// What the peer sends, in order; then it is silent.
+    sent: fn() -> Vec<Vec<u8>>,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "nothing at all",
+        sent: Vec::new,
+    },
+    Case {
+        name: "half a length",
+        sent: || vec![vec![0, 0]],
+    },
+    Case {
+        name: "half a frame",
+        sent: || vec![hello("b", INCARNATION)[..6].to_vec()],
+    },
+    Case {
+        name: "a frame over the size limit",
+        sent: || {
+            let mut frame = hello("b", INCARNATION);
+            frame.extend((MAX_FRAME_BYTES as u32 + 1).to_be_bytes());
+            vec![frame]
+        },
+    },
+    Case {
+        name: "garbage in place of the first frame",
+        sent: || vec![with_length(&[0xff; 40])],
+    },
+    Case {
+        name: "garbage after the first frame",
+        sent: || vec![hello("b", INCARNATION), with_length(&[0xff; 40])],
+    },
+    Case {
+        name: "a frame without a body",
+        sent: || vec![hello("b", INCARNATION), encode_frame(&Frame { body: None })],
+    },
+    Case {
+        name: "a heartbeat in place of the first frame",
+        sent: || vec![encode(Body::Heartbeat(heartbeat()))],
+    },
+    Case {
+        name: "two first frames",
+        sent: || vec![hello("b", INCARNATION), hello("b", INCARNATION)],
+    },
+    Case {
+        name: "an outdated incarnation",
+        sent: || vec![hello("b", INCARNATION - 1)],
+    },
+    Case {
+        name: "this instance's own name",
+        sent: || vec![hello("a", INCARNATION)],
+    },
+    Case {
+        name: "a load of a target that has no name",
+        sent: || {
+            let mut heartbeat = heartbeat();
+            heartbeat.loads.push(LoadChange {
+                target: 7,
+                ..LoadChange::default()
+            });
+            vec![hello("b", INCARNATION), encode(Body::Heartbeat(heartbeat))]
+        },
+    },
+    Case {
+        name: "a usage slice of another instance",
+        sent: || {
+            let slice = lavenderwind::log::records::UsageSlice {
+                source: "c".into(),
+                source_incarnation: INCARNATION,
+                ..Default::default()
+            };
+            let copy = UsageCopy {
+                slice: slice.encode_to_vec(),
+            };
+            vec![hello("b", INCARNATION), encode(Body::UsageCopy(copy))]
+        },
+    },
+    Case {
+        name: "a connection that goes silent",
+        sent: || {
+            vec![
+                hello("b", INCARNATION),
+                encode(Body::Heartbeat(heartbeat())),
+            ]
+        },
+    },
+];
+
+#[tokio::test]
+async fn faults_close_connection() {
+    let platform = platform(PlatformFaults::default()).await;
+    let a = Instance::start("a", &platform).await;
+    // The newest incarnation of `b` is known from here on.
+    let mut first = RawPeer::connect(&a).await;
+    first.send(&hello("b", INCARNATION)).await;
+    a.wait_connected(1).await;
+    drop(first);
+    for case in CASES {
+        let mut peer = RawPeer::connect(&a).await;
+        for bytes in (case.sent)() {
+            peer.send(&bytes).await;
+        }
+        peer.wait_closed().await;
+        eventually(case.name, || a.handle.connected().is_empty()).await;
+        // A sound connection works afterwards.
+        let mut peer = RawPeer::connect(&a).await;
+        peer.send(&hello("b", INCARNATION)).await;
+        let found = peer.find(|body| matches!(body, Body::Heartbeat(_)).then_some(()));
+        assert!(found.await.is_some(), "{}", case.name);
+        drop(peer);
+        eventually(case.name, || a.handle.connected().is_empty()).await;
+    }
+}
+
+#[tokio::test]
+async fn newer_connection_replaces() {
+    let platform = platform(PlatformFaults::default()).await;
+    let a = Instance::start("a", &platform).await;
+    let mut old = RawPeer::connect(&a).await;
+    old.send(&hello("b", INCARNATION)).await;
+    a.wait_connected(1).await;
+    let mut new = RawPeer::connect(&a).await;
+    new.send(&hello("b", INCARNATION + 1)).await;
+    old.wait_closed().await;
+    let echo = new.find(|body| matches!(body, Body::Heartbeat(_)).then_some(()));
+    assert!(echo.await.is_some());
+    assert_eq!(a.handle.connected().len(), 1);
+    assert_eq!(a.handle.live()[0].incarnation, INCARNATION + 1);
+}
+
+/// Loads of a connection that ends no longer count.
+#[tokio::test]
+async fn cut_drops_loads() {
+    let platform = platform(PlatformFaults::default()).await;
+    let a = Instance::start("a", &platform).await;
+    let mut peer = RawPeer::connect(&a).await;
+    peer.send(&hello("b", INCARNATION)).await;
+    let mut beat = heartbeat();
+    beat.names.push(NameDefinition { name: "t1".into() });
+    beat.loads.push(LoadChange {
+        target: 0,
+        requests: 1,
+        tokens: 50,
+        blocks: 2,
+    });
+    peer.send(&encode(Body::Heartbeat(beat))).await;
+    eventually("load", || a.handle.peer_loads("t1").tokens == 50).await;
+    drop(peer);
+    eventually("no load", || a.handle.peer_loads("t1").tokens == 0).await;
+}
+
+/// Asks for records that were never written, are kept, and are not kept.
+#[tokio::test]
+async fn log_request_answers() {
+    let platform = platform(PlatformFaults::default()).await;
+    let a = Instance::start("a", &platform).await;
+    let complete = {
+        let mut status = a.log.status.clone();
+        async move { status.wait_for(|status| status.complete).await.is_ok() }
+    };
+    assert!(within("complete", complete).await);
+    let mut peer = RawPeer::connect(&a).await;
+    peer.send(&hello("b", INCARNATION)).await;
+    let tail = ask(&mut peer, 1).await;
+    assert_eq!((tail.missing, tail.records.len()), (false, 0));
+    assert!(u64::from(tail.known_age_ms) < Duration::from_secs(60).as_millis() as u64);
+    let claim = lavenderwind::log::records::record::Body::RequestClaim(Default::default());
+    let offset = a.append(claim).await.offset;
+    let tail = ask(&mut peer, 1).await;
+    assert_eq!((tail.missing, tail.records.len()), (false, 1));
+    assert_eq!(tail.records[0].offset, offset.0);
+    let tail = ask(&mut peer, 0).await;
+    assert!(tail.missing, "offset 0 was never written");
+}
+
+async fn ask(peer: &mut RawPeer, from_offset: u64) -> LogTail {
+    let request = Body::LogRequest(LogRequest { from_offset });
+    peer.send(&encode(request)).await;
+    let tail = peer.find(|body| match body {
+        Body::LogTail(tail) => Some(tail),
+        _ => None,
+    });
+    tail.await.unwrap()
+}
--- /dev/null
+++ b/tests/peer_net/mod.rs
@@ -0,0 +1,224 @@
+//! Instances in one process, over loopback, with the stand-in platform.
+
+#![allow(dead_code, unreachable_pub)]
+
+use std::{
+    future::Future,
+    net::SocketAddr,
+    path::Path,
+    sync::{Arc, atomic::AtomicBool, atomic::Ordering},
+    time::Duration,
+};
+
+use lavenderwind::{
+    Settings,
+    ledger::{Ledger, LedgerHandle},
+    log::{self, Log, LogOptions, Offset, Receipt, records::record::Body},
+    peer::{self, PeerHandle, PeerInputs, Peers},
+    platform::LiveClient,
+    standin::platform::{Platform, PlatformFaults},
+};
+use tokio::{
+    io::copy_bidirectional,
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+use tokio_util::sync::CancellationToken;
+
+/// Bound against hanging.
+pub const DEADLINE: Duration = Duration::from_secs(30);
+
+/// Waits until a condition holds.
+pub async fn eventually<F>(what: &str, mut holds: F)
+where
+    F: FnMut() -> bool,
+{
+    let poll = async {
+        while !holds() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    assert!(timeout(DEADLINE, poll).await.is_ok(), "never: {what}");
+}
+
+/// Fails instead of hanging.
+pub async fn within<F>(what: &str, future: F) -> F::Output
+where
+    F: Future,
+{
+    match timeout(DEADLINE, future).await {
+        Ok(output) => output,
+        Err(_) => panic!("never: {what}"),
+    }
+}
+
+pub async fn platform(faults: PlatformFaults) -> Platform {
+    let address = "127.0.0.1:0".parse().unwrap();
+    Platform::start(address, faults).await.unwrap()
+}
+
+/// A TCP relay whose connections can be cut.
+pub struct Cut {
+    pub address: SocketAddr,
+    cut: Arc<AtomicBool>,
+    task: JoinHandle<()>,
+}
+
+impl Cut {
+    pub async fn start(to: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let cut = Arc::new(AtomicBool::new(false));
+        let task = tokio::spawn(Self::relay(listener, to, cut.clone()));
+        Self { address, cut, task }
+    }
+
+    pub fn set(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+    }
+
+    async fn relay(listener: TcpListener, to: SocketAddr, cut: Arc<AtomicBool>) {
+        loop {
+            let (mut inbound, _) = listener.accept().await.unwrap();
+            let cut = cut.clone();
+            if cut.load(Ordering::SeqCst) {
+                continue;
+            }
+            tokio::spawn(async move {
+                let Ok(mut outbound) = TcpStream::connect(to).await else {
+                    return;
+                };
+                let watch_cut = async {
+                    while !cut.load(Ordering::SeqCst) {
+                        sleep(Duration::from_millis(5)).await;
+                    }
+                };
+                tokio::select! {
+                    _ = copy_bidirectional(&mut inbound, &mut outbound) => (),
+                    () = watch_cut => (),
+                }
+            });
+        }
+    }
+}
+
+impl Drop for Cut {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+pub struct Instance {
+    pub handle: PeerHandle,
+    pub ledger: LedgerHandle,
+    pub log: Log,
+    pub peer_address: SocketAddr,
+    pub live_instances: watch::Receiver<usize>,
+    stop: CancellationToken,
+    peers: Peers,
+}
+
+pub struct Options<'a> {
+    pub name: &'a str,
+    pub incarnation: u64,
+    pub log_url: String,
+    pub live_url: String,
+    pub extra: &'a str,
+}
+
+impl Instance {
+    pub async fn start(name: &str, platform: &Platform) -> Self {
+        Self::with(Options {
+            name,
+            incarnation: 1,
+            log_url: platform.url(),
+            live_url: platform.url(),
+            extra: "",
+        })
+        .await
+    }
+
+    pub async fn with(options: Options<'_>) -> Self {
+        let Options {
+            name,
+            log_url,
+            live_url,
+            extra,
+            incarnation,
+        } = options;
+        let text = format!(
+            "name: {name}
+failure_domain: d-{name}
+entry_address: 127.0.0.1:0
+peer_address: 127.0.0.1:0
+admin_address: 127.0.0.1:0
+platform:
+  log_url: {log_url}
+  live_url: {live_url}
+  targets_url: {log_url}
+  usage_url: {log_url}
+timing:
+  heartbeat_ms: 50
+  poll_ms: 50
+{extra}
+"
+        );
+        let settings = Settings::parse(&text, Path::new("entry.yaml")).unwrap();
+        let ledger = LedgerHandle::new(Ledger::new());
+        let stop = CancellationToken::new();
+        let (live_sender, live_instances) = watch::channel(1);
+        let log_options = LogOptions::new(&settings, incarnation);
+        let log = log::spawn(&log_options, ledger.clone(), live_instances.clone(), &stop);
+        let listener = TcpListener::bind(settings.peer_address).await.unwrap();
+        let peer_address = listener.local_addr().unwrap();
+        let client = LiveClient::new(reqwest::Client::new(), &live_url, Duration::from_secs(1));
+        let inputs = PeerInputs {
+            settings: &settings,
+            log: &log,
+            ledger: ledger.clone(),
+            live_instances: live_sender,
+            live_client: client,
+            listener,
+            admin_address: settings.admin_address,
+        };
+        let peers = peer::spawn(inputs, &stop).unwrap();
+        Self {
+            handle: peers.handle.clone(),
+            ledger,
+            log,
+            peer_address,
+            live_instances,
+            stop,
+            peers,
+        }
+    }
+
+    pub async fn append(&self, body: Body) -> Receipt {
+        let append = self.log.appender.append(body);
+        within("append", append).await.unwrap()
+    }
+
+    pub async fn wait_applied(&self, offset: Offset) {
+        let mut applied = self.ledger.watch();
+        let reached = applied.wait_for(|applied| *applied >= offset);
+        within("applied", reached).await.unwrap();
+    }
+
+    pub async fn wait_connected(&self, count: usize) {
+        eventually("connected", || self.handle.connected().len() == count).await;
+    }
+
+    /// Ends all tasks at once, without telling anyone.
+    pub async fn kill(mut self) {
+        self.peers.tasks.shutdown().await;
+        self.log.tasks.shutdown().await;
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
