Add retries, breakers, suspects, role changes and spending

Failing targets need decisions that don't make matters worse: retries that multiply load, probes that stampede, a request that crashes one target after the other, roles that flap, cheap targets that all go at once.

Retries and hedges share a token bucket filled by successes; requests that may run once are retried only where nothing ran. The breaker opens on a crash, halves the room on an overload and raises the prediction of a slow target. A request in flight at a crash is a suspect that runs apart from other suspects; twice implicated it is quarantined. Roles change by the net gain of a fluid model over a horizon. Spending takes the cheapest plan of which enough survives losing any one domain's reclaimable targets.

Ruled out: freezing role planning while any target is unavailable (a crashed target would hold it up for good); enumerating the most targets of a domain (misses plans between two levels under a cost bound; survivors are enumerated and checked against brute force).

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,9 +3,15 @@
 //! Times are milliseconds of a monotonic clock. Nothing here does I/O, reads
 //! a clock or draws random numbers of its own.
 
+pub mod baseline;
+pub mod breaker;
 pub mod limits;
 pub mod load;
 pub mod prefix;
 pub mod queue;
+pub mod retry;
+pub mod roles;
 pub mod routing;
 pub mod share;
+pub mod spending;
+pub mod suspects;
--- /dev/null
+++ b/src/policy/retry.rs
@@ -0,0 +1,128 @@
+//! Retries and hedges, and the budget that they share.
+
+use derive_more::IsVariant;
+
+use crate::service::Repeat;
+
+/// Thousandths of one retry.
+const MILLI: u64 = 1_000;
+/// Attempts of one request, the first included.
+const MAX_ATTEMPTS: u32 = 3;
+/// Time to the first token relative to its prediction, after which a request
+/// is hedged.
+const HEDGE_FACTOR: f64 = 3.0;
+/// Least time after which a request is hedged.
+const MIN_HEDGE_MS: f64 = 50.0;
+
+/// A token bucket filled by successes: retries are a share of what succeeds.
+///
+/// ```
+/// use lavenderwind::policy::retry::RetryBudget;
+///
+/// let mut budget = RetryBudget::new(100, 1);
+/// assert!(budget.withdraw());
+/// assert!(!budget.withdraw());
+/// for _ in 0..10 {
+///     budget.record_success();
+/// }
+/// assert!(budget.withdraw());
+/// ```
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    ratio_milli: u64,
+    max_milli: u64,
+    level_milli: u64,
+}
+
+impl RetryBudget {
+    /// Creates a full budget of `max_retries` that each success fills by
+    /// `ratio_milli` thousandths of a retry.
+    #[must_use]
+    pub fn new(ratio_milli: u64, max_retries: u64) -> Self {
+        let max_milli = max_retries * MILLI;
+        Self {
+            ratio_milli,
+            max_milli,
+            level_milli: max_milli,
+        }
+    }
+
+    /// Counts a request that succeeded.
+    pub fn record_success(&mut self) {
+        self.level_milli = (self.level_milli + self.ratio_milli).min(self.max_milli);
+    }
+
+    /// Takes one retry out; false if none is left.
+    pub fn withdraw(&mut self) -> bool {
+        let Some(level_milli) = self.level_milli.checked_sub(MILLI) else {
+            return false;
+        };
+        self.level_milli = level_milli;
+        true
+    }
+}
+
+/// How an attempt failed.
+#[derive(Clone, Copy, Debug, Eq, IsVariant, PartialEq)]
+pub enum Failure {
+    /// No byte of the request was written to the target.
+    NotWritten,
+    /// The target refused the request without running any of it.
+    Refused,
+    /// The target's answer was cut or its connection broke.
+    Cut,
+    /// The target did not answer in time.
+    Timeout,
+}
+
+/// What the caller of a request that is given up is told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The request did not run.
+    NotRun,
+    /// The request may have run.
+    Unknown,
+}
+
+/// A failed attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedAttempt {
+    /// How it failed.
+    pub failure: Failure,
+    /// Whether the request may run more than once.
+    pub repeat: Repeat,
+    /// Attempts made, this one included.
+    pub attempts: u32,
+    /// Whether any attempt so far may have run.
+    pub ran_before: bool,
+}
+
+/// What to do after a failed attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryDecision {
+    /// Try another target.
+    Retry,
+    /// Tell the caller.
+    GiveUp(Outcome),
+}
+
+/// Decides whether a failed attempt is retried, and takes it from the budget.
+pub fn decide(attempt: &FailedAttempt, budget: &mut RetryBudget) -> RetryDecision {
+    let not_run = attempt.failure.is_not_written() || attempt.failure.is_refused();
+    let outcome = match not_run && !attempt.ran_before {
+        true => Outcome::NotRun,
+        false => Outcome::Unknown,
+    };
+    let repeatable = attempt.repeat == Repeat::Idempotent || outcome == Outcome::NotRun;
+    if !repeatable || attempt.attempts >= MAX_ATTEMPTS || !budget.withdraw() {
+        return RetryDecision::GiveUp(outcome);
+    }
+    RetryDecision::Retry
+}
+
+/// Decides whether a request without a first token yet is sent to a second
+/// target as well, and takes it from the budget.
+pub fn hedge(repeat: Repeat, elapsed_ms: u64, predicted_ms: f64, budget: &mut RetryBudget) -> bool {
+    let after_ms = (predicted_ms * HEDGE_FACTOR).max(MIN_HEDGE_MS);
+    repeat == Repeat::Idempotent && elapsed_ms as f64 >= after_ms && budget.withdraw()
+}
--- /dev/null
+++ b/src/policy/roles/loads.rs
@@ -0,0 +1,96 @@
+//! Loads of weights within the weight store's rate.
+
+use std::sync::Arc;
+
+/// Milliseconds in a minute.
+const MS_PER_MINUTE: u64 = 60_000;
+
+/// A token bucket of loads from the weight store.
+///
+/// ```
+/// use lavenderwind::policy::roles::LoadBudget;
+///
+/// let mut budget = LoadBudget::new(6, 1);
+/// assert!(budget.withdraw(0));
+/// assert!(!budget.withdraw(9_999));
+/// assert!(budget.withdraw(10_000));
+/// ```
+#[derive(Clone, Debug)]
+pub struct LoadBudget {
+    loads_per_minute: u64,
+    burst: u64,
+    // Loads times milliseconds in a minute.
+    level: u64,
+    refilled_at_ms: u64,
+}
+
+impl LoadBudget {
+    /// Creates a full budget of `burst` loads.
+    #[must_use]
+    pub fn new(loads_per_minute: u64, burst: u64) -> Self {
+        Self {
+            loads_per_minute,
+            burst,
+            level: burst * MS_PER_MINUTE,
+            refilled_at_ms: 0,
+        }
+    }
+
+    /// Takes one load out; false if the store's rate is used up.
+    pub fn withdraw(&mut self, now_ms: u64) -> bool {
+        let elapsed_ms = now_ms.saturating_sub(self.refilled_at_ms);
+        self.refilled_at_ms = now_ms.max(self.refilled_at_ms);
+        let gained = elapsed_ms.saturating_mul(self.loads_per_minute);
+        self.level = self
+            .level
+            .saturating_add(gained)
+            .min(self.burst * MS_PER_MINUTE);
+        let Some(level) = self.level.checked_sub(MS_PER_MINUTE) else {
+            return false;
+        };
+        self.level = level;
+        true
+    }
+}
+
+/// A model, version or adapter that too few targets hold.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LoadWant {
+    /// Model.
+    pub model: Arc<str>,
+    /// Version of the weights.
+    pub version: Arc<str>,
+    /// Adapter; empty for none.
+    pub adapter: Arc<str>,
+    /// Targets that hold it and take new work.
+    pub held_by: u32,
+    /// Targets that should hold it.
+    pub wanted: u32,
+    /// Requests a second for it that found no room.
+    pub unserved_per_s: f64,
+}
+
+/// Chooses the load that helps most: what no target holds first, then by the
+/// requests that find no room, then by the part that is missing.
+#[must_use]
+pub fn choose_load(wants: &[LoadWant]) -> Option<&LoadWant> {
+    let mut best: Option<&LoadWant> = None;
+    for want in wants {
+        if want.held_by >= want.wanted {
+            continue;
+        }
+        if best.is_none_or(|best| urgency(want) > urgency(best)) {
+            best = Some(want);
+        }
+    }
+    best
+}
+
+fn urgency(want: &LoadWant) -> (bool, u64, u32) {
+    let unserved_milli = (want.unserved_per_s * 1_000.0) as u64;
+    (
+        want.held_by == 0,
+        unserved_milli,
+        want.wanted - want.held_by,
+    )
+}
--- /dev/null
+++ b/src/policy/roles/planner.rs
@@ -0,0 +1,172 @@
+//! Choice of at most one role change a model.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::{Demand, RoleTarget, served_fraction};
+use crate::target::protocol::EngineRole;
+
+/// Roles that an engine can change to.
+const ROLES: [EngineRole; 3] = [EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode];
+
+/// Settings of the planner.
+#[derive(Clone, Copy, Debug)]
+pub struct RoleSettings {
+    /// Time over which a change has to pay.
+    pub horizon_ms: u64,
+    /// Time that an engine is away while it changes.
+    pub change_ms: u64,
+    /// Least time between two changes of one engine.
+    pub target_dwell_ms: u64,
+    /// Least time between two changes of engines with the same model.
+    pub model_dwell_ms: u64,
+    /// Time constant of the demand's average.
+    pub demand_ms: u64,
+    /// Served fraction that leaves room for bursts; more counts for nothing.
+    pub headroom: f64,
+    /// Least net gain, as a part of the demand over the horizon.
+    pub min_gain: f64,
+    /// Part of its speed that a mixed engine keeps.
+    pub mixed_efficiency: f64,
+}
+
+impl Default for RoleSettings {
+    fn default() -> Self {
+        Self {
+            horizon_ms: 60_000,
+            change_ms: 5_000,
+            target_dwell_ms: 60_000,
+            model_dwell_ms: 20_000,
+            demand_ms: 5_000,
+            headroom: 1.2,
+            min_gain: 0.03,
+            mixed_efficiency: 0.85,
+        }
+    }
+}
+
+/// A change of an engine's role.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RoleChange {
+    /// Target.
+    pub target: Arc<str>,
+    /// New role.
+    pub role: EngineRole,
+    /// Net gain as a part of the demand over the horizon.
+    pub gain: f64,
+}
+
+/// Decides the role changes of the engines that hold one model.
+#[derive(Clone, Debug)]
+pub struct RolePlanner {
+    settings: RoleSettings,
+    demand: Demand,
+    observed_at_ms: Option<u64>,
+    changed_at_ms: Option<u64>,
+    targets_changed_at_ms: IndexMap<Arc<str>, u64>,
+}
+
+impl RolePlanner {
+    /// Creates a planner that has seen no demand.
+    #[must_use]
+    pub fn new(settings: RoleSettings) -> Self {
+        Self {
+            settings,
+            demand: Demand::default(),
+            observed_at_ms: None,
+            changed_at_ms: None,
+            targets_changed_at_ms: IndexMap::new(),
+        }
+    }
+
+    /// Takes in the demand since the last observation.
+    pub fn observe(&mut self, demand: Demand, now_ms: u64) {
+        let Some(observed_at_ms) = self.observed_at_ms.replace(now_ms) else {
+            self.demand = demand;
+            return;
+        };
+        let elapsed_ms = now_ms.saturating_sub(observed_at_ms) as f64;
+        let gain = 1.0 - (-elapsed_ms / self.settings.demand_ms.max(1) as f64).exp();
+        let average = &mut self.demand;
+        average.prefill_tokens_per_s +=
+            gain * (demand.prefill_tokens_per_s - average.prefill_tokens_per_s);
+        average.decode_tokens_per_s +=
+            gain * (demand.decode_tokens_per_s - average.decode_tokens_per_s);
+    }
+
+    /// Returns the averaged demand.
+    #[must_use]
+    pub fn demand(&self) -> Demand {
+        self.demand
+    }
+
+    /// Returns the change that gains most, if any is worth its cost.
+    ///
+    /// None is proposed while a target of the model changes or within the
+    /// dwell times.
+    #[must_use]
+    pub fn plan(&self, targets: &[RoleTarget], now_ms: u64) -> Option<RoleChange> {
+        if within(self.changed_at_ms, self.settings.model_dwell_ms, now_ms) {
+            return None;
+        }
+        if targets.iter().any(|target| target.changing) {
+            return None;
+        }
+        let now = self.value(targets);
+        let mut best: Option<RoleChange> = None;
+        for (index, target) in targets.iter().enumerate() {
+            let changed_at_ms = self.targets_changed_at_ms.get(&target.name).copied();
+            if !target.available || within(changed_at_ms, self.settings.target_dwell_ms, now_ms) {
+                continue;
+            }
+            for role in ROLES {
+                if role == target.role {
+                    continue;
+                }
+                let gain = self.net_gain(targets, index, role, now);
+                if gain < self.settings.min_gain
+                    || best.as_ref().is_some_and(|best| best.gain >= gain)
+                {
+                    continue;
+                }
+                best = Some(RoleChange {
+                    target: Arc::clone(&target.name),
+                    role,
+                    gain,
+                });
+            }
+        }
+        best
+    }
+
+    /// Records that a change was ordered.
+    pub fn record_change(&mut self, target: &Arc<str>, now_ms: u64) {
+        self.changed_at_ms = Some(now_ms);
+        self.targets_changed_at_ms
+            .insert(Arc::clone(target), now_ms);
+    }
+
+    /// Returns the gain of a change over the horizon, less what is lost while
+    /// the target is away.
+    fn net_gain(&self, targets: &[RoleTarget], index: usize, role: EngineRole, now: f64) -> f64 {
+        let mut changed = targets.to_vec();
+        changed[index].available = false;
+        let during = self.value(&changed);
+        changed[index].available = true;
+        changed[index].role = role;
+        let after = self.value(&changed);
+        let away = self.settings.change_ms as f64 / self.settings.horizon_ms.max(1) as f64;
+        (after - now) * (1.0 - away) - (now - during) * away
+    }
+
+    /// Returns the part of the demand that is served with headroom for bursts.
+    fn value(&self, targets: &[RoleTarget]) -> f64 {
+        let fraction = served_fraction(targets, &self.demand, self.settings.mixed_efficiency);
+        (fraction / self.settings.headroom).min(1.0)
+    }
+}
+
+fn within(since_ms: Option<u64>, dwell_ms: u64, now_ms: u64) -> bool {
+    since_ms.is_some_and(|since_ms| now_ms < since_ms + dwell_ms)
+}
--- a/src/policy/routing/table.rs
+++ b/src/policy/routing/table.rs
@@ -168,10 +168,12 @@
         }
     }
 
-    /// Sets by how much a target is slower than it reports.
-    pub fn set_slowdown(&mut self, name: &str, slowdown: f64) {
+    /// Sets how much slower than it reports a target is, and which part of its
+    /// room it is given, as its breaker found.
+    pub fn set_condition(&mut self, name: &str, slowdown: f64, room: f64) {
         if let Some(target) = self.targets.get_mut(name) {
             target.slowdown = slowdown.max(1.0);
+            target.room = room;
         }
     }
 
@@ -233,6 +235,7 @@
                 returned_at_ms: None,
                 latency_ms: INITIAL_LATENCY_MS,
                 slowdown: 1.0,
+                room: 1.0,
             };
             let (index, _) = self.targets.insert_full(name.into(), target);
             self.rebuild_groups();
--- a/src/policy/routing/target.rs
+++ b/src/policy/routing/target.rs
@@ -12,6 +12,9 @@
 
 /// Share of its room that a returning target offers at once.
 const RAMP_START: f64 = 0.1;
+/// Requests of this instance that a returning plain target gets at the end of
+/// its ramp.
+const PLAIN_REQUESTS: u32 = 32;
 
 /// Whether a target may get new work.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -52,6 +55,7 @@
     pub(super) returned_at_ms: Option<u64>,
     pub(super) latency_ms: f64,
     pub(super) slowdown: f64,
+    pub(super) room: f64,
 }
 
 impl RouteTarget {
@@ -87,20 +91,23 @@
 
     pub(super) fn has_room(&self, blocks: u32, settings: &RouteSettings, now_ms: u64) -> bool {
         let own = self.load.own();
-        let ramp = self.ramp(settings, now_ms);
-        if ramp < 1.0 && own.requests > 0 {
-            let offered = f64::from(self.load.total_blocks()) * ramp;
-            if f64::from(own.blocks + blocks) > offered {
-                return false;
-            }
-        }
+        let part = self.ramp(settings, now_ms).min(self.room);
         if self.role == TargetRole::Plain {
-            return true;
+            let offered = f64::from(PLAIN_REQUESTS) * part;
+            return part >= 1.0 || f64::from(own.requests) < offered;
+        }
+        let total = self.load.total_blocks();
+        let share = self.share_blocks.unwrap_or(total);
+        let offered = f64::from(share.min(total)) * part.min(1.0);
+        // One request at a time always fits, so that a small part can grow.
+        if part < 1.0 && own.requests > 0 && f64::from(own.blocks + blocks) > offered {
+            return false;
         }
-        let shared = self
-            .share_blocks
-            .map_or(u32::MAX, |share| share.saturating_sub(own.blocks));
-        blocks <= self.load.free_blocks().min(shared)
+        blocks
+            <= self
+                .load
+                .free_blocks()
+                .min(share.saturating_sub(own.blocks))
     }
 
     fn ramp(&self, settings: &RouteSettings, now_ms: u64) -> f64 {
--- /dev/null
+++ b/src/policy/spending/mod.rs
@@ -0,0 +1,11 @@
+//! Orders for targets by failure domain and kind.
+//!
+//! Enough targets are ordered that losing the reclaimable ones of any one
+//! failure domain leaves what the service level needs; within that, as much as
+//! is cheapest runs on reclaimable targets.
+
+mod need;
+mod plan;
+
+pub use need::{NeedWindow, needed_targets};
+pub use plan::{DomainSupply, SpendingLimits, SpendingPlan, SpendingPrices, plan, release};
--- /dev/null
+++ b/src/policy/spending/plan.rs
@@ -0,0 +1,193 @@
+//! The cheapest set of targets that survives a reclaim.
+
+use std::{cmp::Reverse, sync::Arc};
+
+/// Targets that can be had in a failure domain.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DomainSupply {
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Reclaimable targets that run or can be had now.
+    pub reclaimable: u32,
+    /// Reclaimable targets that run and take work.
+    pub reclaimable_live: u32,
+    /// Other targets that run or can be had now.
+    pub regular: u32,
+}
+
+/// Cost of one target, in thousandths of the currency unit an hour.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SpendingPrices {
+    /// Reclaimable kind.
+    pub reclaimable_milli_per_hour: u64,
+    /// Other kind.
+    pub regular_milli_per_hour: u64,
+}
+
+/// Bounds of a service document; `None` is no bound.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct SpendingLimits {
+    /// Fewest targets.
+    pub min_targets: u32,
+    /// Most targets.
+    pub max_targets: Option<u32>,
+    /// Most cost, in thousandths of the currency unit an hour.
+    pub max_cost_milli_per_hour: Option<u64>,
+}
+
+/// Targets wanted in each failure domain, in the order of the supply.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct SpendingPlan {
+    /// Reclaimable targets.
+    pub reclaimable: Vec<u32>,
+    /// Other targets.
+    pub regular: Vec<u32>,
+    /// Targets that are left when the reclaimable ones of any one domain go.
+    pub surviving: u32,
+    /// Cost, in thousandths of the currency unit an hour.
+    pub cost_milli_per_hour: u64,
+}
+
+impl SpendingPlan {
+    fn targets(&self) -> u32 {
+        self.reclaimable.iter().sum::<u32>() + self.regular.iter().sum::<u32>()
+    }
+}
+
+/// Returns the cheapest plan of which `needed` targets survive, or, where the
+/// supply or the limits don't allow that, the one of which most survive.
+#[must_use]
+pub fn plan(
+    needed: u32,
+    supply: &[DomainSupply],
+    prices: &SpendingPrices,
+    limits: &SpendingLimits,
+) -> SpendingPlan {
+    let needed = needed.max(limits.min_targets);
+    let mut best: Option<SpendingPlan> = None;
+    for survivors in 0..=needed {
+        let reclaimable = spread_reclaimable(survivors, supply);
+        let survivors = surviving_reclaimable(&reclaimable);
+        for regular in (0..=needed.saturating_sub(survivors)).rev() {
+            let candidate = build(reclaimable.clone(), regular, supply, prices);
+            if !allowed(&candidate, limits) {
+                continue;
+            }
+            if best
+                .as_ref()
+                .is_none_or(|best| rank(&candidate, needed) > rank(best, needed))
+            {
+                best = Some(candidate);
+            }
+            // Fewer regular targets only leave fewer survivors.
+            break;
+        }
+    }
+    best.unwrap_or_else(|| build(vec![0; supply.len()], 0, supply, prices))
+}
+
+/// Keeps regular targets until the reclaimable ones that replace them run.
+#[must_use]
+pub fn release(
+    planned: &SpendingPlan,
+    needed: u32,
+    regular_now: &[u32],
+    supply: &[DomainSupply],
+) -> Vec<u32> {
+    let mut live = Vec::with_capacity(supply.len());
+    for (domain, wanted) in supply.iter().zip(&planned.reclaimable) {
+        live.push(domain.reclaimable_live.min(*wanted));
+    }
+    let mut missing = needed
+        .min(planned.surviving)
+        .saturating_sub(surviving_reclaimable(&live));
+    missing = missing.saturating_sub(planned.regular.iter().sum());
+    let mut kept = planned.regular.clone();
+    for (kept, now) in kept.iter_mut().zip(regular_now) {
+        let extra = now.saturating_sub(*kept).min(missing);
+        *kept += extra;
+        missing -= extra;
+    }
+    kept
+}
+
+/// Spreads the fewest reclaimable targets over the domains of which `needed`
+/// survive, as far as the supply goes.
+fn spread_reclaimable(needed: u32, supply: &[DomainSupply]) -> Vec<u32> {
+    let mut counts = vec![0; supply.len()];
+    loop {
+        if surviving_reclaimable(&counts) >= needed {
+            return counts;
+        }
+        // The emptiest domain with supply left.
+        let mut emptiest: Option<usize> = None;
+        for (index, domain) in supply.iter().enumerate() {
+            if counts[index] >= domain.reclaimable {
+                continue;
+            }
+            if emptiest.is_none_or(|other| counts[index] < counts[other]) {
+                emptiest = Some(index);
+            }
+        }
+        let Some(index) = emptiest else {
+            return counts;
+        };
+        counts[index] += 1;
+    }
+}
+
+fn surviving_reclaimable(counts: &[u32]) -> u32 {
+    counts.iter().sum::<u32>() - counts.iter().copied().max().unwrap_or(0)
+}
+
+/// Spreads regular targets over the domains with the fewest targets.
+fn build(
+    reclaimable: Vec<u32>,
+    regular: u32,
+    supply: &[DomainSupply],
+    prices: &SpendingPrices,
+) -> SpendingPlan {
+    let mut counts = vec![0; supply.len()];
+    for _ in 0..regular {
+        let mut emptiest: Option<usize> = None;
+        for (index, domain) in supply.iter().enumerate() {
+            if counts[index] >= domain.regular {
+                continue;
+            }
+            let total = counts[index] + reclaimable[index];
+            if emptiest.is_none_or(|other| total < counts[other] + reclaimable[other]) {
+                emptiest = Some(index);
+            }
+        }
+        let Some(index) = emptiest else {
+            break;
+        };
+        counts[index] += 1;
+    }
+    let placed: u32 = counts.iter().sum();
+    let cheap: u32 = reclaimable.iter().sum();
+    SpendingPlan {
+        surviving: surviving_reclaimable(&reclaimable) + placed,
+        cost_milli_per_hour: u64::from(cheap) * prices.reclaimable_milli_per_hour
+            + u64::from(placed) * prices.regular_milli_per_hour,
+        reclaimable,
+        regular: counts,
+    }
+}
+
+fn allowed(plan: &SpendingPlan, limits: &SpendingLimits) -> bool {
+    limits.max_targets.is_none_or(|most| plan.targets() <= most)
+        && limits
+            .max_cost_milli_per_hour
+            .is_none_or(|most| plan.cost_milli_per_hour <= most)
+}
+
+/// Orders plans: most survivors up to the need, then least cost, then most
+/// targets.
+fn rank(plan: &SpendingPlan, needed: u32) -> (u32, Reverse<u64>, u32) {
+    (
+        plan.surviving.min(needed),
+        Reverse(plan.cost_milli_per_hour),
+        plan.targets(),
+    )
+}
--- /dev/null
+++ b/tests/target_spending.rs
@@ -0,0 +1,195 @@
+//! Orders for targets: what survives a reclaim, and at what cost.
+
+use arbtest::{
+    arbitrary::{Result, Unstructured},
+    arbtest,
+};
+use lavenderwind::policy::spending::{
+    DomainSupply, NeedWindow, SpendingLimits, SpendingPlan, SpendingPrices, needed_targets, plan,
+    release,
+};
+
+const SEEDS: [u64; 6] = [
+    0x5eed_0051_0000_4000,
+    0x5eed_0052_0000_4000,
+    0x5eed_0053_0000_4000,
+    0x5eed_0054_0000_4000,
+    0x5eed_0055_0000_4000,
+    0x5eed_0056_0000_4000,
+];
+const PRICES: SpendingPrices = SpendingPrices {
+    reclaimable_milli_per_hour: 300,
+    regular_milli_per_hour: 1_000,
+};
+
+fn check_seeds<F>(mut property: F)
+where
+    F: FnMut(&mut Unstructured<'_>) -> Result<()>,
+{
+    for seed in SEEDS {
+        arbtest(&mut property).seed(seed).run();
+    }
+}
+
+fn domain(index: usize, reclaimable: u32, regular: u32) -> DomainSupply {
+    DomainSupply {
+        failure_domain: format!("domain-{index}").into(),
+        reclaimable,
+        reclaimable_live: reclaimable,
+        regular,
+    }
+}
+
+fn four(reclaimable: u32, regular: u32) -> Vec<DomainSupply> {
+    (0..4)
+        .map(|index| domain(index, reclaimable, regular))
+        .collect()
+}
+
+/// Returns what is left when the reclaimable targets of one domain go.
+fn left_without(plan: &SpendingPlan, lost: usize) -> u32 {
+    let mut left = 0;
+    for index in 0..plan.regular.len() {
+        left += plan.regular[index];
+        if index != lost {
+            left += plan.reclaimable[index];
+        }
+    }
+    left
+}
+
+/// Finds the least cost by trying every count of every domain.
+fn least_cost(needed: u32, supply: &[DomainSupply]) -> Option<u64> {
+    let mut least = None;
+    let regular: u32 = supply.iter().map(|domain| domain.regular).sum();
+    let mut counts = vec![0; supply.len()];
+    'counts: loop {
+        let cheap: u32 = counts.iter().sum();
+        let survivors = cheap - counts.iter().max().unwrap();
+        let rest = needed.saturating_sub(survivors);
+        if rest <= regular {
+            let cost = u64::from(cheap) * 300 + u64::from(rest) * 1_000;
+            least = Some(least.map_or(cost, |least: u64| least.min(cost)));
+        }
+        for (count, domain) in counts.iter_mut().zip(supply) {
+            if *count < domain.reclaimable {
+                *count += 1;
+                continue 'counts;
+            }
+            *count = 0;
+        }
+        return least;
+    }
+}
+
+#[test]
+fn any_domain_may_go() {
+    let (mut enough, mut short, mut cheap) = (0, 0, 0);
+    check_seeds(|u| {
+        for _ in 0..60 {
+            let mut supply = Vec::new();
+            for index in 0..u.int_in_range(1..=4)? {
+                supply.push(domain(
+                    index,
+                    u.int_in_range(0..=4)?,
+                    u.int_in_range(0..=3)?,
+                ));
+            }
+            let needed = u.int_in_range(0..=9)?;
+            let plan = plan(needed, &supply, &PRICES, &SpendingLimits::default());
+            for (index, domain) in supply.iter().enumerate() {
+                assert!(plan.reclaimable[index] <= domain.reclaimable);
+                assert!(plan.regular[index] <= domain.regular);
+            }
+            cheap += u32::from(plan.reclaimable.iter().sum::<u32>() > 0);
+            let Some(cost) = least_cost(needed, &supply) else {
+                short += 1;
+                continue;
+            };
+            enough += 1;
+            for lost in 0..supply.len() {
+                assert!(
+                    left_without(&plan, lost) >= needed,
+                    "{needed} {supply:?} {plan:?}"
+                );
+            }
+            assert_eq!(
+                plan.cost_milli_per_hour, cost,
+                "{needed} {supply:?} {plan:?}"
+            );
+        }
+        Ok(())
+    });
+    assert!(
+        enough > 50 && short > 20 && cheap > 50,
+        "{enough} {short} {cheap}"
+    );
+}
+
+#[test]
+fn plan_cases() {
+    let none = SpendingLimits::default();
+    let cost = |cost| SpendingLimits {
+        max_cost_milli_per_hour: Some(cost),
+        ..none
+    };
+    let targets = |most| SpendingLimits {
+        max_targets: Some(most),
+        ..none
+    };
+    let least = SpendingLimits {
+        min_targets: 4,
+        ..none
+    };
+    let cases = [
+        // Needed, reclaimable and regular in each domain, limits: cheap, regular, surviving.
+        (9, 4, 4, none, 12, 0, 9),
+        (9, 0, 4, none, 0, 9, 9),
+        (9, 1, 4, none, 4, 6, 9),
+        (9, 4, 0, none, 12, 0, 9),
+        (9, 1, 0, none, 4, 0, 3),
+        (9, 4, 4, cost(1_500), 4, 0, 3),
+        (9, 4, 4, cost(2_100), 7, 0, 5),
+        (9, 4, 4, targets(9), 0, 9, 9),
+        (0, 4, 4, none, 0, 0, 0),
+        (0, 4, 4, least, 6, 0, 4),
+    ];
+    for (needed, reclaimable, regular, limits, cheap, rest, surviving) in cases {
+        let plan = plan(needed, &four(reclaimable, regular), &PRICES, &limits);
+        let sums: [u32; 2] = [plan.reclaimable.iter().sum(), plan.regular.iter().sum()];
+        assert_eq!(
+            (sums, plan.surviving),
+            ([cheap, rest], surviving),
+            "{plan:?}"
+        );
+    }
+}
+
+#[test]
+fn release_waits_for_cheap() {
+    let mut supply = four(4, 4);
+    let planned = plan(9, &supply, &PRICES, &SpendingLimits::default());
+    for domain in &mut supply {
+        domain.reclaimable_live = 1;
+    }
+    // Three of four survive a reclaim; six regular ones have to stay.
+    let kept = release(&planned, 9, &[3, 2, 2, 2], &supply);
+    assert_eq!(kept.iter().sum::<u32>(), 6);
+    for domain in &mut supply {
+        domain.reclaimable_live = 3;
+    }
+    let kept = release(&planned, 9, &kept, &supply);
+    assert_eq!(kept.iter().sum::<u32>(), 0);
+}
+
+#[test]
+fn need_falls_late() {
+    let mut window = NeedWindow::new(60_000);
+    assert_eq!(window.observe(needed_targets(6.3, 0.7), 0), 9);
+    assert_eq!(window.observe(4, 10_000), 9);
+    assert_eq!(window.observe(11, 20_000), 11);
+    assert_eq!(window.observe(3, 60_001), 11);
+    assert_eq!(window.observe(5, 79_999), 11);
+    assert_eq!(window.observe(4, 80_000), 5);
+    assert_eq!(window.observe(2, 500_000), 2);
+}
