--- a/src/policy/routing/choose.rs
+++ b/src/policy/routing/choose.rs
@@ -79,9 +79,10 @@
         }
         let mut candidates = Vec::with_capacity(1 + MAX_HOLDERS + self.settings.samples);
         candidates.extend(self.home(request, group));
-        for name in self.prefixes.holders(request.prefix_blocks, MAX_HOLDERS) {
+        let prefixes = &self.prefixes;
+        prefixes.for_each_holder(request.prefix_blocks, MAX_HOLDERS, |name| {
             candidates.extend(self.targets.get_index_of(name));
-        }
+        });
         for _ in 0..self.settings.samples {
             let sample = rng.next_u64() % group.len() as u64;
             candidates.push(group[sample as usize]);
