--- /dev/null
+++ b/src/ledger/checkpoint.rs
@@ -0,0 +1,67 @@
+//! Checkpoints: the encoded ledger as of a mark, in chunks.
+//!
+//! [`CheckpointGatherer`](crate::log::CheckpointGatherer) puts the chunks
+//! together again.
+
+use bytes::Bytes;
+use sha2::{Digest, Sha256};
+
+use super::Rejection;
+use crate::log::{Offset, records::CheckpointChunk};
+
+/// Largest piece of an encoded ledger in one record, in bytes.
+pub const CHUNK_BYTES: usize = 64 << 10;
+
+/// The encoded ledger as of the last accepted mark.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CheckpointEntry {
+    /// Offset of the mark.
+    pub offset: Offset,
+    /// Epoch of the checkpoint duty.
+    pub epoch: u64,
+    /// SHA-256 of the encoded ledger.
+    pub digest: [u8; 32],
+    /// The encoded ledger.
+    pub data: Bytes,
+}
+
+impl CheckpointEntry {
+    pub(super) fn new(offset: Offset, epoch: u64, data: Vec<u8>) -> Self {
+        Self {
+            offset,
+            epoch,
+            digest: sha256(&data),
+            data: data.into(),
+        }
+    }
+
+    /// Cuts the encoded ledger into records.
+    pub fn chunks(&self) -> Vec<CheckpointChunk> {
+        let count = self.data.len().div_ceil(CHUNK_BYTES);
+        let mut chunks = Vec::with_capacity(count);
+        for (index, data) in self.data.chunks(CHUNK_BYTES).enumerate() {
+            chunks.push(CheckpointChunk {
+                epoch: self.epoch,
+                mark_offset: self.offset.0,
+                index: u32::try_from(index).unwrap_or(u32::MAX),
+                count: u32::try_from(count).unwrap_or(u32::MAX),
+                digest: self.digest.to_vec(),
+                data: data.to_vec(),
+            });
+        }
+        chunks
+    }
+
+    /// Compares a published chunk's digest with that of this ledger.
+    pub(super) fn compare(&self, chunk: &CheckpointChunk) -> Result<(), Rejection> {
+        let comparable = self.offset.0 == chunk.mark_offset && self.epoch == chunk.epoch;
+        if comparable && *chunk.digest != self.digest {
+            return Err(Rejection::CheckpointMismatch(chunk.mark_offset));
+        }
+        Ok(())
+    }
+}
+
+pub(super) fn sha256(data: &[u8]) -> [u8; 32] {
+    Sha256::digest(data).into()
+}
