--- a/src/policy/queue/fair.rs
+++ b/src/policy/queue/fair.rs
@@ -117,6 +117,15 @@
         Ok(ticket)
     }
 
+    /// Returns the request that [`Self::pop`] takes next, so that a caller can
+    /// look for room before its account is charged.
+    #[must_use]
+    pub fn peek(&self) -> Option<&T> {
+        let &(_, index) = self.backlogged.first()?;
+        let queued = self.accounts[index].requests.front()?;
+        Some(&queued.item)
+    }
+
     /// Takes the next request to dispatch and charges its account the estimate.
     ///
     /// Call [`Self::expire`] first, so that no late request is dispatched.
