--- /dev/null
+++ b/src/instance/status.rs
@@ -0,0 +1,199 @@
+//! What an instance reports about itself on its admin interface.
+
+use std::sync::Arc;
+
+use displaydoc::Display;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    Settings,
+    ledger::LedgerHandle,
+    log::{TailStatus, records::Duty},
+    target::table::{TargetTable, TargetView},
+};
+
+/// Duties with the names that operators see.
+const DUTY_NAMES: [(Duty, &str); 3] = [
+    (Duty::Fleet, "fleet"),
+    (Duty::Usage, "usage"),
+    (Duty::Checkpoint, "checkpoint"),
+];
+
+/// Status of one instance, as `GET /status` answers it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct InstanceStatus {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Incarnation, new with each start.
+    pub incarnation: u64,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Reasons why the instance is not ready; empty if it is.
+    pub not_ready: Vec<NotReady>,
+    /// Last offset folded into the ledger.
+    pub applied_offset: u64,
+    /// Offset of the newest accepted configuration.
+    pub configured_offset: u64,
+    /// Claims of non-repeatable requests in the ledger.
+    pub request_claims: usize,
+    /// Whether the last read of the log succeeded.
+    pub log_live: bool,
+    /// Whether the instance may serve keyed requests.
+    pub fresh: bool,
+    /// Holders of the duties.
+    pub duties: Vec<DutyStatus>,
+    /// Targets as this instance sees them.
+    pub targets: Vec<TargetStatus>,
+    /// Peers as this instance sees them.
+    pub peers: Vec<PeerStatus>,
+}
+
+/// Why an instance is not ready.
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum NotReady {
+    /// it has not folded the log to its end since it started
+    Starting,
+    /// the retained log holds no complete ledger
+    LedgerIncomplete,
+    /// it cannot show that it knows the newest configuration
+    Stale,
+    /// it is stopping
+    Stopping,
+}
+
+/// Holder of a duty.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct DutyStatus {
+    /// Name of the duty.
+    pub duty: Arc<str>,
+    /// Instance that holds or last held it.
+    pub holder: Arc<str>,
+    /// Fencing number.
+    pub epoch: u64,
+    /// Whether the holder resigned.
+    pub resigned: bool,
+}
+
+/// A target as one instance sees it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct TargetStatus {
+    /// Name of the target.
+    pub name: Arc<str>,
+    /// Kind of target.
+    pub kind: Arc<str>,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// State at the platform and health, for people to read.
+    pub state: Arc<str>,
+    /// Requests that decode; 0 for a plain service.
+    pub running: u32,
+    /// Requests that wait for prefill; 0 for a plain service.
+    pub waiting: u32,
+    /// Blocks of KV cache in use.
+    pub used_blocks: u32,
+    /// Blocks of KV cache in all.
+    pub total_blocks: u32,
+}
+
+/// A peer as one instance sees it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct PeerStatus {
+    /// Name of the peer.
+    pub name: Arc<str>,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Offset that it reported as applied.
+    pub applied_offset: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// Sources of an instance's status.
+#[derive(Clone, Debug)]
+pub(super) struct StatusSources {
+    pub(super) settings: Arc<Settings>,
+    pub(super) incarnation: u64,
+    pub(super) ledger: LedgerHandle,
+    pub(super) tail: watch::Receiver<TailStatus>,
+    pub(super) targets: TargetTable,
+    /// Cancelled as the instance begins to stop.
+    pub(super) stopping: CancellationToken,
+}
+
+impl StatusSources {
+    /// Collects the status as of now.
+    pub(super) fn collect(&self) -> InstanceStatus {
+        let tail = *self.tail.borrow();
+        InstanceStatus {
+            name: Arc::clone(&self.settings.name),
+            incarnation: self.incarnation,
+            failure_domain: Arc::clone(&self.settings.failure_domain),
+            not_ready: self.not_ready(tail),
+            applied_offset: self.ledger.applied().0,
+            configured_offset: self.ledger.read(|ledger| ledger.configured_at().0),
+            request_claims: self.ledger.read(|ledger| ledger.claim_count()),
+            log_live: tail.live,
+            fresh: true,
+            duties: self.duties(),
+            targets: self.targets(),
+            peers: Vec::new(),
+        }
+    }
+
+    fn not_ready(&self, tail: TailStatus) -> Vec<NotReady> {
+        let mut reasons = Vec::new();
+        if !tail.complete {
+            reasons.push(NotReady::Starting);
+        }
+        if self.stopping.is_cancelled() {
+            reasons.push(NotReady::Stopping);
+        }
+        reasons
+    }
+
+    fn duties(&self) -> Vec<DutyStatus> {
+        let mut duties = Vec::new();
+        for (duty, name) in DUTY_NAMES {
+            let entry = self.ledger.read(|ledger| ledger.duty(duty).cloned());
+            let Some(entry) = entry else {
+                continue;
+            };
+            duties.push(DutyStatus {
+                duty: name.into(),
+                holder: entry.holder,
+                epoch: entry.epoch,
+                resigned: entry.resigned,
+            });
+        }
+        duties
+    }
+
+    fn targets(&self) -> Vec<TargetStatus> {
+        let mut targets = Vec::new();
+        for view in self.targets.snapshot().iter() {
+            targets.push(TargetStatus::from(view));
+        }
+        targets
+    }
+}
+
+impl From<&TargetView> for TargetStatus {
+    fn from(view: &TargetView) -> Self {
+        let engine = view.engine.as_ref();
+        Self {
+            name: Arc::clone(&view.name),
+            kind: Arc::clone(&view.kind),
+            failure_domain: Arc::clone(&view.failure_domain),
+            state: format!("{:?}, {:?}", view.state, view.health)
+                .to_lowercase()
+                .into(),
+            running: engine.map_or(0, |engine| engine.running),
+            waiting: engine.map_or(0, |engine| engine.waiting),
+            used_blocks: engine.map_or(0, |engine| engine.used_blocks),
+            total_blocks: engine.map_or(0, |engine| engine.total_blocks),
+        }
+    }
+}
