--- a/tests/ledger_fold.rs
+++ b/tests/ledger_fold.rs
@@ -6,9 +6,9 @@
 
 use arbtest::{arbitrary, arbitrary::Unstructured, arbtest};
 use lavenderwind::{
-    ledger::{ClaimState, Ledger, Verdict},
+    ledger::{ClaimState, Ledger, Rebuilder, Verdict},
     log::{
-        CheckpointGatherer, Offset,
+        Offset,
         records::{Duty, Record, UsageLine, record::Body},
     },
 };
@@ -324,7 +324,7 @@
             Body::CheckpointMark(mark) => {
                 counts.checkpoints += 1;
                 self.check_holder(Duty::Checkpoint.into(), mark.epoch, record);
-                self.check_checkpoint(offset);
+                self.check_checkpoint(offset, record);
             }
             Body::CrashSuspect(suspect) => {
                 let quarantined = self
@@ -383,18 +383,26 @@
         }
     }
 
-    /// A checkpoint in chunks, in another order, gives the same ledger.
-    fn check_checkpoint(&self, offset: Offset) {
+    /// A ledger rebuilt from the mark and its chunks, which come in another
+    /// order, equals the one that was folded from the start.
+    fn check_checkpoint(&self, offset: Offset, record: &Record) {
         let checkpoint = self.reference.checkpoint().unwrap();
         assert_eq!(checkpoint.offset, offset);
-        let mut gatherer = CheckpointGatherer::new();
+        let mut writer = Writer::new(&record.writer);
+        writer.incarnation = record.incarnation;
+        writer.sequence = record.sequence;
+        let mut folded = self.reference.clone();
+        let mut rebuilder = Rebuilder::new(offset);
+        rebuilder.push(record.clone());
         for chunk in checkpoint.chunks().into_iter().rev() {
-            gatherer.add(chunk);
+            assert!(!rebuilder.is_complete() || offset == Offset(1));
+            let record = writer.record(Body::CheckpointChunk(chunk));
+            folded.apply(rebuilder.next_offset(), &record);
+            rebuilder.push(record);
         }
-        let gathered = gatherer.take(offset).unwrap();
-        let rebuilt = Ledger::decode(&gathered.data).unwrap();
-        assert_eq!(rebuilt.applied(), offset);
-        assert_eq!(rebuilt.digest(), checkpoint.digest);
+        let rebuilt = rebuilder.finish().unwrap();
+        assert_eq!(rebuilt.applied(), folded.applied());
+        assert_eq!(rebuilt.digest(), folded.digest());
     }
 
     /// All instances that read the whole log have the same ledger, and so has
