Add the open-loop load generator

Goodput, fairness and latency have to be measured on real processes. Each account is its own Poisson process with its own seed, so that one account's arrivals stay the same while another floods. Times count from the scheduled arrival: a slow system cannot hide its delay by slowing the generator. An answer is good if its first token and 95 of 100 gaps keep their deadlines, which is the entry's own definition.

The parser of server-sent events is now shared with the engine client.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod key;
+mod load;
 mod operator;
 mod service;
 mod standin;
@@ -33,6 +34,8 @@
     Service(crate::service::Error),
     /// {0}
     Standin(standin::Error),
+    /// {0}
+    Load(load::Error),
     /// log: {0}
     Log(crate::log::Error),
     /// platform: {0}
@@ -88,6 +91,7 @@
         .subcommand(service::command())
         .subcommand(key::command())
         .subcommand(status::command())
+        .subcommand(load::command())
         .subcommand(standin::command())
 }
 
@@ -112,6 +116,11 @@
         "service" => service::run(matches).await,
         "key" => key::run(matches).await,
         "status" => status::run(matches).await,
+        "load" => {
+            start_logging(&Logging::default());
+            load::run(matches).await?;
+            Ok(ExitCode::SUCCESS)
+        }
         _ => {
             start_logging(&Logging::default());
             standin::run(matches).await?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod entry;
 pub mod instance;
 pub mod ledger;
+pub mod load;
 pub mod log;
 pub mod peer;
 pub mod platform;
--- /dev/null
+++ b/src/load/client.rs
@@ -0,0 +1,333 @@
+//! One request of a run, from its arrival to its end.
+
+use std::time::Duration;
+
+use reqwest::{RequestBuilder, Response};
+use serde::Deserialize;
+use tokio::time::{Instant, timeout};
+
+use super::{
+    plan::{LoadPlan, PlainCall},
+    schedule::Arrival,
+};
+use crate::{
+    standin::engine::Answer,
+    target::{sse::SseBuffer, tokens::TOKEN_BYTES},
+};
+
+/// Header that says what became of a request without a whole answer.
+const OUTCOME_HEADER: &str = "lavenderwind-outcome";
+/// Share of an answer's gaps between tokens that may be late, in percent.
+const MAX_LATE_GAPS_PERCENT: u64 = 5;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ending {
+    /// Whole, within both deadlines.
+    Good,
+    /// Whole, but late.
+    Late,
+    /// Answered with a status that is not a success.
+    Refused,
+    /// Cut, timed out or not sent at all.
+    Failed,
+    /// Whole, but not the answer to the request.
+    Wrong,
+}
+
+/// What a request's answer says of its fate.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ToldOutcome {
+    /// Nothing was said.
+    #[default]
+    None,
+    /// No target ran it.
+    NotRun,
+    /// A target ran it.
+    Ran,
+    /// A target may have run it.
+    Unknown,
+}
+
+/// What was measured of one request.
+#[derive(Clone, Debug)]
+pub struct Sample {
+    /// How it ended.
+    pub ending: Ending,
+    /// What its answer said of its fate.
+    pub told: ToldOutcome,
+    /// Time from the arrival to the first token or the whole plain answer.
+    pub first_token: Option<Duration>,
+    /// Times between tokens.
+    pub gaps: Vec<Duration>,
+    /// Tokens received.
+    pub tokens: u64,
+    /// Time from the arrival to the end.
+    pub total: Duration,
+}
+
+/// Sends the requests of one run.
+#[derive(Debug)]
+pub(super) struct LoadClient {
+    plan: LoadPlan,
+    http: reqwest::Client,
+}
+
+/// Chunk of a streamed chat answer.
+#[derive(Debug, Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<ChunkChoice>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChunkChoice {
+    #[serde(default)]
+    delta: Delta,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Delta {
+    #[serde(default)]
+    content: Option<String>,
+}
+
+/// An answer as it arrives.
+#[derive(Debug)]
+struct Progress {
+    arrived_at: Instant,
+    first_at: Option<Instant>,
+    last_at: Instant,
+    gaps: Vec<Duration>,
+    text: String,
+    whole: bool,
+}
+
+impl LoadClient {
+    pub(super) fn new(plan: LoadPlan, http: reqwest::Client) -> Self {
+        Self { plan, http }
+    }
+
+    /// Sends one request and measures its answer from `arrived_at` on.
+    pub(super) async fn run(&self, arrival: &Arrival, arrived_at: Instant) -> Sample {
+        let mut progress = Progress::new(arrived_at);
+        let mut told = ToldOutcome::None;
+        let limit = Duration::from_millis(self.plan.timeout_ms);
+        let exchange = self.exchange(arrival, &mut progress, &mut told);
+        let ending = timeout(limit, exchange).await.unwrap_or(Ending::Failed);
+        let first_at = progress.first_at;
+        Sample {
+            ending,
+            told,
+            first_token: first_at.map(|at| at.saturating_duration_since(arrived_at)),
+            tokens: progress.text.len().div_ceil(TOKEN_BYTES) as u64,
+            gaps: progress.gaps,
+            total: arrived_at.elapsed(),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        arrival: &Arrival,
+        progress: &mut Progress,
+        told: &mut ToldOutcome,
+    ) -> Ending {
+        let content = self.content(arrival);
+        let request = match &self.plan.plain {
+            Some(call) => self.plain_request(call, arrival, &content),
+            None => self.chat_request(arrival, &content),
+        };
+        let Ok(mut response) = request.send().await else {
+            return Ending::Failed;
+        };
+        *told = told_outcome(&response);
+        if !response.status().is_success() {
+            return Ending::Refused;
+        }
+        if self.plan.plain.is_some() {
+            return self.read_plain(response, &content, progress).await;
+        }
+        if !progress.read_stream(&mut response).await {
+            return Ending::Failed;
+        }
+        self.judge(arrival, &content, progress)
+    }
+
+    fn chat_request(&self, arrival: &Arrival, content: &str) -> RequestBuilder {
+        let body = serde_json::json!({
+            "model": self.plan.model,
+            "messages": [{ "role": "user", "content": content }],
+            "max_tokens": arrival.output_tokens,
+            "stream": true,
+        });
+        let url = format!("{}/v1/chat/completions", self.url(arrival));
+        self.authorize(self.http.post(url), arrival).json(&body)
+    }
+
+    fn plain_request(&self, call: &PlainCall, arrival: &Arrival, content: &str) -> RequestBuilder {
+        let url = format!("{}{}", self.url(arrival), call.path);
+        let method = call.method.parse().unwrap_or(reqwest::Method::GET);
+        let idempotent = method == reqwest::Method::GET;
+        let request = self.authorize(self.http.request(method, url), arrival);
+        if idempotent {
+            return request;
+        }
+        let key = format!("load-{}-{}", self.plan.seed, arrival.number);
+        request
+            .header("idempotency-key", key)
+            .body(content.to_owned())
+    }
+
+    fn authorize(&self, request: RequestBuilder, arrival: &Arrival) -> RequestBuilder {
+        let key = &self.plan.accounts[arrival.account].key;
+        if key.is_empty() {
+            return request;
+        }
+        request.bearer_auth(key)
+    }
+
+    fn url(&self, arrival: &Arrival) -> &str {
+        self.plan.urls[arrival.entry].trim_end_matches('/')
+    }
+
+    /// Returns a prompt: what the account's requests share, then its own text.
+    fn content(&self, arrival: &Arrival) -> String {
+        let account = &self.plan.accounts[arrival.account];
+        let bytes = arrival.prompt_tokens as usize * TOKEN_BYTES;
+        let shared_tokens = account.shared_prefix_tokens.min(arrival.prompt_tokens);
+        let mut content = Answer::new(&account.name).text(shared_tokens);
+        let number = format!("{}.{} ", self.plan.seed, arrival.number);
+        let own = Answer::new(&number);
+        content.push_str(&number);
+        let mut index = 0;
+        while content.len() < bytes {
+            content.push_str(&own.token(index));
+            index += 1;
+        }
+        content
+    }
+
+    async fn read_plain(
+        &self,
+        response: Response,
+        content: &str,
+        progress: &mut Progress,
+    ) -> Ending {
+        let Ok(body) = response.bytes().await else {
+            return Ending::Failed;
+        };
+        progress.token_arrived();
+        let sent_body = self
+            .plan
+            .plain
+            .as_ref()
+            .is_some_and(|c| &*c.method != "GET");
+        let body = String::from_utf8_lossy(&body);
+        if self.plan.verify && sent_body && !body.contains(content) {
+            return Ending::Wrong;
+        }
+        self.ending_in_time(progress)
+    }
+
+    fn judge(&self, arrival: &Arrival, content: &str, progress: &Progress) -> Ending {
+        if self.plan.verify {
+            let expected = Answer::new(&chat_prompt(content)).text(arrival.output_tokens);
+            if progress.text != expected {
+                return Ending::Wrong;
+            }
+        }
+        self.ending_in_time(progress)
+    }
+
+    fn ending_in_time(&self, progress: &Progress) -> Ending {
+        let first_limit = Duration::from_millis(self.plan.first_token_ms);
+        let gap_limit = Duration::from_millis(self.plan.between_tokens_ms);
+        if progress.keeps(first_limit, gap_limit) {
+            Ending::Good
+        } else {
+            Ending::Late
+        }
+    }
+}
+
+impl Progress {
+    fn new(arrived_at: Instant) -> Self {
+        Self {
+            arrived_at,
+            first_at: None,
+            last_at: arrived_at,
+            gaps: Vec::new(),
+            text: String::new(),
+            whole: false,
+        }
+    }
+
+    fn token_arrived(&mut self) {
+        let now = Instant::now();
+        if self.first_at.is_none() {
+            self.first_at = Some(now);
+        } else {
+            self.gaps.push(now.saturating_duration_since(self.last_at));
+        }
+        self.last_at = now;
+    }
+
+    /// Reads a streamed answer and returns whether it is whole.
+    async fn read_stream(&mut self, response: &mut Response) -> bool {
+        let mut buffer = SseBuffer::default();
+        while let Ok(Some(bytes)) = response.chunk().await {
+            if !buffer.push(&bytes) {
+                return false;
+            }
+            while let Some(data) = buffer.take_data() {
+                if !self.take_data(&data) {
+                    return false;
+                }
+            }
+        }
+        self.whole
+    }
+
+    fn take_data(&mut self, data: &[u8]) -> bool {
+        let data = data.trim_ascii();
+        if data == b"[DONE]" {
+            self.whole = true;
+            return true;
+        }
+        let Ok(chunk) = serde_json::from_slice::<Chunk>(data) else {
+            return false;
+        };
+        for choice in chunk.choices {
+            let text = choice.delta.content.unwrap_or_default();
+            if text.is_empty() {
+                continue;
+            }
+            self.token_arrived();
+            self.text.push_str(&text);
+        }
+        true
+    }
+
+    fn keeps(&self, first_limit: Duration, gap_limit: Duration) -> bool {
+        let first = self.first_at;
+        let first = first.map(|at| at.saturating_duration_since(self.arrived_at));
+        let late = self.gaps.iter().filter(|gap| **gap > gap_limit).count() as u64;
+        let in_time = first.is_some_and(|first| first <= first_limit);
+        in_time && late * 100 <= self.gaps.len() as u64 * MAX_LATE_GAPS_PERCENT
+    }
+}
+
+fn told_outcome(response: &Response) -> ToldOutcome {
+    let value = response.headers().get(OUTCOME_HEADER);
+    match value.map(|value| value.as_bytes()) {
+        Some(b"not-run") => ToldOutcome::NotRun,
+        Some(b"ran") => ToldOutcome::Ran,
+        Some(b"unknown") => ToldOutcome::Unknown,
+        _ => ToldOutcome::None,
+    }
+}
+
+/// Returns the prompt that an engine gets for one user message.
+fn chat_prompt(content: &str) -> String {
+    format!("<|user|>\n{content}\n<|assistant|>\n")
+}
--- /dev/null
+++ b/src/load/mod.rs
@@ -0,0 +1,161 @@
+//! Open-loop load generator.
+//!
+//! Arrivals are a Poisson process for each account and do not wait for answers.
+//! Times count from the scheduled arrival, so that a slow system or a slow
+//! generator cannot hide its own delay.
+
+mod client;
+mod plan;
+mod report;
+mod schedule;
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep_until},
+};
+
+use self::{client::LoadClient, report::Tally};
+pub use self::{
+    client::{Ending, Sample, ToldOutcome},
+    plan::{LoadAccount, LoadPlan, Phase, PlainCall, PlanError},
+    report::{Counts, LoadReport, Quantiles, Summary},
+    schedule::{Arrival, arrivals},
+};
+use crate::target::http_client;
+
+/// How far a run has come.
+#[derive(Clone, Copy, Debug)]
+pub struct RunProgress {
+    /// Time since the start.
+    pub elapsed: Duration,
+    /// Requests sent.
+    pub sent: u64,
+    /// Requests in flight.
+    pub in_flight: usize,
+}
+
+/// A sample with its place in the run.
+type Finished = (Arrival, Option<Sample>);
+
+/// Tallies of a run.
+#[derive(Debug)]
+struct Collector {
+    first_token_limit: Duration,
+    total: Tally,
+    accounts: Vec<Tally>,
+    phases: Vec<Tally>,
+}
+
+/// Runs a plan and reports what was measured.
+///
+/// The run ends at the latest `timeout_ms` after its last arrival. `observe` is
+/// told of every request that is sent.
+///
+/// # Errors
+///
+/// Fails if the HTTP client cannot be built.
+pub async fn run<F>(plan: LoadPlan, mut observe: F) -> reqwest::Result<LoadReport>
+where
+    F: FnMut(RunProgress),
+{
+    let schedule = arrivals(&plan);
+    let client = Arc::new(LoadClient::new(plan.clone(), http_client()?));
+    let in_flight = Arc::new(AtomicUsize::new(0));
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let collector = tokio::spawn(Collector::new(&plan).collect(receiver));
+    let started_at = Instant::now();
+    let mut max_send_lag = Duration::ZERO;
+    for arrival in schedule {
+        let arrived_at = started_at + arrival.at;
+        sleep_until(arrived_at).await;
+        max_send_lag = max_send_lag.max(arrived_at.elapsed());
+        if in_flight.load(Ordering::Relaxed) >= plan.max_in_flight {
+            let _ = sender.send((arrival, None));
+            continue;
+        }
+        let flying = in_flight.fetch_add(1, Ordering::Relaxed) + 1;
+        let (client, in_flight) = (Arc::clone(&client), Arc::clone(&in_flight));
+        let sender = sender.clone();
+        tokio::spawn(async move {
+            let sample = client.run(&arrival, arrived_at).await;
+            in_flight.fetch_sub(1, Ordering::Relaxed);
+            let _ = sender.send((arrival, Some(sample)));
+        });
+        observe(RunProgress {
+            elapsed: started_at.elapsed(),
+            sent: arrival.number + 1,
+            in_flight: flying,
+        });
+    }
+    sleep_until(started_at + Duration::from_millis(plan.duration_ms())).await;
+    let duration = started_at.elapsed();
+    drop(sender);
+    let collector = collector.await.expect("the collector does not panic");
+    Ok(collector.report(&plan, duration, max_send_lag))
+}
+
+impl Collector {
+    fn new(plan: &LoadPlan) -> Self {
+        Self {
+            first_token_limit: Duration::from_millis(plan.first_token_ms),
+            total: Tally::new(),
+            accounts: plan.accounts.iter().map(|_| Tally::new()).collect(),
+            phases: plan.phases.iter().map(|_| Tally::new()).collect(),
+        }
+    }
+
+    async fn collect(mut self, mut finished: mpsc::UnboundedReceiver<Finished>) -> Self {
+        while let Some((arrival, sample)) = finished.recv().await {
+            let tallies = [
+                &mut self.total,
+                &mut self.accounts[arrival.account],
+                &mut self.phases[arrival.phase],
+            ];
+            for tally in tallies {
+                match &sample {
+                    Some(sample) => tally.record(sample, self.first_token_limit),
+                    None => tally.hold_back(),
+                }
+            }
+        }
+        self
+    }
+
+    fn report(&self, plan: &LoadPlan, duration: Duration, max_send_lag: Duration) -> LoadReport {
+        let mut accounts = Vec::with_capacity(self.accounts.len());
+        for (account, tally) in plan.accounts.iter().zip(&self.accounts) {
+            accounts.push(tally.summary(Arc::clone(&account.name)));
+        }
+        let mut phases = Vec::with_capacity(self.phases.len());
+        for (index, tally) in self.phases.iter().enumerate() {
+            phases.push(tally.summary(format!("phase {}", index + 1).into()));
+        }
+        let total = self.total.summary("all".into());
+        let duration_s = duration.as_secs_f64();
+        let busy = accounts
+            .iter()
+            .filter(|a| a.counts.sent + a.counts.held_back > 0);
+        let worst = busy.min_by(|a, b| a.good_share.total_cmp(&b.good_share));
+        LoadReport {
+            seed: plan.seed,
+            duration_s,
+            goodput_per_s: total.counts.good as f64 / duration_s,
+            goodput_tokens_per_s: total.counts.good_tokens as f64 / duration_s,
+            tokens_per_s: total.counts.tokens as f64 / duration_s,
+            max_send_lag_ms: max_send_lag.as_secs_f64() * 1_000.0,
+            worst_account: worst.map_or("".into(), |worst| Arc::clone(&worst.name)),
+            worst_good_share: worst.map_or(0.0, |worst| worst.good_share),
+            total,
+            accounts,
+            phases,
+        }
+    }
+}
--- /dev/null
+++ b/src/load/report.rs
@@ -0,0 +1,234 @@
+//! What a run measured, by account and phase.
+
+use std::{sync::Arc, time::Duration};
+
+use comfy_table::{CellAlignment, Table, presets::UTF8_FULL_CONDENSED};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use super::client::{Ending, Sample, ToldOutcome};
+
+/// Significant digits of recorded times.
+const HISTOGRAM_DIGITS: u8 = 2;
+
+/// Counts and times of a part of the requests.
+#[derive(Clone, Debug)]
+pub(super) struct Tally {
+    counts: Counts,
+    first_token_us: Histogram<u64>,
+    gap_us: Histogram<u64>,
+}
+
+/// Requests by their ending.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Counts {
+    /// Sent.
+    pub sent: u64,
+    /// Not sent, since too many were in flight.
+    pub held_back: u64,
+    /// Whole, within both deadlines.
+    pub good: u64,
+    /// Whole, but late.
+    pub late: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Refused after the deadline of the first token.
+    pub refused_late: u64,
+    /// Cut, timed out or without an answer.
+    pub failed: u64,
+    /// Whole, but another answer than expected.
+    pub wrong: u64,
+    /// Said to be not run.
+    pub told_not_run: u64,
+    /// Said to have run.
+    pub told_ran: u64,
+    /// Said to be unknown.
+    pub told_unknown: u64,
+    /// Tokens received.
+    pub tokens: u64,
+    /// Tokens of good answers.
+    pub good_tokens: u64,
+}
+
+/// Quantiles of recorded times, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Quantiles {
+    /// Median.
+    pub p50_ms: f64,
+    /// 95th percentile.
+    pub p95_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+    /// Largest.
+    pub max_ms: f64,
+}
+
+/// Figures of an account, a phase or the whole run.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Summary {
+    /// Account or phase.
+    pub name: Arc<str>,
+    /// Requests by their ending.
+    pub counts: Counts,
+    /// Share of good answers in all arrivals.
+    pub good_share: f64,
+    /// Time to the first token or to a whole plain answer.
+    pub first_token: Quantiles,
+    /// Time between tokens.
+    pub between_tokens: Quantiles,
+}
+
+/// Result of a run.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Length of the run, the wait for the last answers left out, in seconds.
+    pub duration_s: f64,
+    /// Good answers a second.
+    pub goodput_per_s: f64,
+    /// Tokens of good answers a second.
+    pub goodput_tokens_per_s: f64,
+    /// Tokens received a second.
+    pub tokens_per_s: f64,
+    /// Largest delay of a send behind its arrival, in milliseconds.
+    pub max_send_lag_ms: f64,
+    /// Account with the smallest share of good answers.
+    pub worst_account: Arc<str>,
+    /// That share.
+    pub worst_good_share: f64,
+    /// All requests.
+    pub total: Summary,
+    /// By account.
+    pub accounts: Vec<Summary>,
+    /// By phase.
+    pub phases: Vec<Summary>,
+}
+
+impl Tally {
+    pub(super) fn new() -> Self {
+        Self {
+            counts: Counts::default(),
+            first_token_us: new_histogram(),
+            gap_us: new_histogram(),
+        }
+    }
+
+    pub(super) fn hold_back(&mut self) {
+        self.counts.held_back += 1;
+    }
+
+    pub(super) fn record(&mut self, sample: &Sample, first_token_limit: Duration) {
+        let counts = &mut self.counts;
+        counts.sent += 1;
+        counts.tokens += sample.tokens;
+        match sample.ending {
+            Ending::Good => {
+                counts.good += 1;
+                counts.good_tokens += sample.tokens;
+            }
+            Ending::Late => counts.late += 1,
+            Ending::Refused => {
+                counts.refused += 1;
+                counts.refused_late += u64::from(sample.total > first_token_limit);
+            }
+            Ending::Failed => counts.failed += 1,
+            Ending::Wrong => counts.wrong += 1,
+        }
+        match sample.told {
+            ToldOutcome::None => {}
+            ToldOutcome::NotRun => counts.told_not_run += 1,
+            ToldOutcome::Ran => counts.told_ran += 1,
+            ToldOutcome::Unknown => counts.told_unknown += 1,
+        }
+        if let Some(first_token) = sample.first_token {
+            record_us(&mut self.first_token_us, first_token);
+        }
+        for gap in &sample.gaps {
+            record_us(&mut self.gap_us, *gap);
+        }
+    }
+
+    pub(super) fn summary(&self, name: Arc<str>) -> Summary {
+        let arrivals = self.counts.sent + self.counts.held_back;
+        Summary {
+            name,
+            counts: self.counts,
+            good_share: self.counts.good as f64 / arrivals.max(1) as f64,
+            first_token: quantiles(&self.first_token_us),
+            between_tokens: quantiles(&self.gap_us),
+        }
+    }
+}
+
+impl LoadReport {
+    /// Returns the report as a table for a terminal.
+    pub fn to_table(&self) -> String {
+        let mut table = Table::new();
+        table.load_style(UTF8_FULL_CONDENSED);
+        table.set_header([
+            "",
+            "sent",
+            "good",
+            "late",
+            "refused",
+            "failed",
+            "wrong",
+            "good %",
+            "TTFT p50 ms",
+            "TTFT p95 ms",
+            "ITL p50 ms",
+            "ITL p95 ms",
+        ]);
+        for summary in self.phases.iter().chain(&self.accounts) {
+            table.add_row(row(summary));
+        }
+        table.add_row(row(&self.total));
+        for column in table.column_iter_mut().skip(1) {
+            column.set_cell_alignment(CellAlignment::Right);
+        }
+        format!(
+            "{table}\ngoodput {:.1} answers/s, {:.0} tokens/s; worst account {} ({:.1} % good)\n",
+            self.goodput_per_s,
+            self.goodput_tokens_per_s,
+            self.worst_account,
+            self.worst_good_share * 100.0,
+        )
+    }
+}
+
+fn row(summary: &Summary) -> [String; 12] {
+    let counts = &summary.counts;
+    [
+        summary.name.to_string(),
+        (counts.sent + counts.held_back).to_string(),
+        counts.good.to_string(),
+        counts.late.to_string(),
+        counts.refused.to_string(),
+        (counts.failed + counts.held_back).to_string(),
+        counts.wrong.to_string(),
+        format!("{:.1}", summary.good_share * 100.0),
+        format!("{:.1}", summary.first_token.p50_ms),
+        format!("{:.1}", summary.first_token.p95_ms),
+        format!("{:.1}", summary.between_tokens.p50_ms),
+        format!("{:.1}", summary.between_tokens.p95_ms),
+    ]
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new(HISTOGRAM_DIGITS).expect("a valid number of digits")
+}
+
+fn record_us(histogram: &mut Histogram<u64>, time: Duration) {
+    histogram.saturating_record(time.as_micros() as u64);
+}
+
+fn quantiles(histogram: &Histogram<u64>) -> Quantiles {
+    let quantile_ms = |quantile| histogram.value_at_quantile(quantile) as f64 / 1_000.0;
+    Quantiles {
+        p50_ms: quantile_ms(0.5),
+        p95_ms: quantile_ms(0.95),
+        p99_ms: quantile_ms(0.99),
+        max_ms: histogram.max() as f64 / 1_000.0,
+    }
+}
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -8,6 +8,7 @@
 mod http;
 mod plain;
 pub mod protocol;
+pub(crate) mod sse;
 mod stream;
 pub mod table;
 pub mod tokens;
--- a/src/target/stream.rs
+++ b/src/target/stream.rs
@@ -2,19 +2,14 @@
 
 use std::sync::Arc;
 
-use bytes::{Buf, BytesMut};
 use reqwest::Response;
 
 use super::{
     Error, Result,
     protocol::{GenerateEvent, GenerateRequest},
+    sse::{MAX_EVENT_BYTES, SseBuffer},
 };
 
-/// Largest event of a stream, in bytes.
-const MAX_EVENT_BYTES: usize = 1 << 20;
-/// Start of a line that carries data.
-const DATA_PREFIX: &[u8] = b"data:";
-
 /// Events of one attempt; dropping it cancels the attempt.
 #[derive(Debug)]
 pub struct EventStream {
@@ -24,7 +19,7 @@
     next_index: u32,
     ended: bool,
     response: Response,
-    buffer: BytesMut,
+    buffer: SseBuffer,
 }
 
 impl EventStream {
@@ -36,7 +31,7 @@
             next_index: request.resume_tokens,
             ended: false,
             response,
-            buffer: BytesMut::new(),
+            buffer: SseBuffer::default(),
         }
     }
 
@@ -62,7 +57,7 @@
 
     /// Returns whether a whole event has arrived that was not read yet.
     pub fn is_buffered(&self) -> bool {
-        !self.ended && self.buffer.contains(&b'\n')
+        !self.ended && self.buffer.has_line()
     }
 
     async fn fill(&mut self) -> Result<()> {
@@ -73,31 +68,24 @@
                 address: Arc::clone(&self.address),
             });
         };
-        if self.buffer.len() + chunk.len() > MAX_EVENT_BYTES {
-            return Err(Error::TooLarge {
-                address: Arc::clone(&self.address),
-                max_bytes: MAX_EVENT_BYTES,
-            });
+        if self.buffer.push(&chunk) {
+            return Ok(());
         }
-        self.buffer.extend_from_slice(&chunk);
-        Ok(())
+        Err(Error::TooLarge {
+            address: Arc::clone(&self.address),
+            max_bytes: MAX_EVENT_BYTES,
+        })
     }
 
     fn take_event(&mut self) -> Result<Option<GenerateEvent>> {
-        while let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
-            let mut line = self.buffer.split_to(end);
-            self.buffer.advance(1);
-            if !line.starts_with(DATA_PREFIX) {
-                continue;
-            }
-            line.advance(DATA_PREFIX.len());
-            let event = serde_json::from_slice(&line).map_err(|cause| Error::Decode {
-                address: Arc::clone(&self.address),
-                cause,
-            })?;
-            return Ok(Some(event));
-        }
-        Ok(None)
+        let Some(data) = self.buffer.take_data() else {
+            return Ok(None);
+        };
+        let event = serde_json::from_slice(&data).map_err(|cause| Error::Decode {
+            address: Arc::clone(&self.address),
+            cause,
+        })?;
+        Ok(Some(event))
     }
 
     fn check(&mut self, event: &GenerateEvent) -> Result<()> {
