cli: add `report burn`

Asks every live instance for its samples and prints the burn by service and client account as a table or JSON; `--html` writes the page. Instances that do not answer are named and make the exit code 1; a wrong objective is 2.

Seen by hand against `standin platform` and a fixed /burn answer: table, page with plot, exit codes 0 and 2.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod key;
 mod load;
 mod operator;
+mod report;
 mod service;
 mod standin;
 mod status;
@@ -91,6 +92,7 @@
         .subcommand(service::command())
         .subcommand(key::command())
         .subcommand(status::command())
+        .subcommand(report::command())
         .subcommand(load::command())
         .subcommand(standin::command())
 }
@@ -116,6 +118,7 @@
         "service" => service::run(matches).await,
         "key" => key::run(matches).await,
         "status" => status::run(matches).await,
+        "report" => report::run(matches).await,
         "load" => {
             start_logging(&Logging::default());
             load::run(matches).await?;
