--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,7 +2,9 @@
 
 mod check;
 mod key;
+mod load;
 mod operator;
+mod report;
 mod serve;
 mod service;
 mod standin;
@@ -36,6 +38,8 @@
     Standin(standin::Error),
     /// {0}
     Instance(crate::instance::Error),
+    /// {0}
+    Load(load::Error),
     /// log: {0}
     Log(crate::log::Error),
     /// platform: {0}
@@ -92,6 +96,8 @@
         .subcommand(service::command())
         .subcommand(key::command())
         .subcommand(status::command())
+        .subcommand(report::command())
+        .subcommand(load::command())
         .subcommand(standin::command())
 }
 
@@ -117,6 +123,12 @@
         "service" => service::run(matches).await,
         "key" => key::run(matches).await,
         "status" => status::run(matches).await,
+        "report" => report::run(matches).await,
+        "load" => {
+            start_logging(&Logging::default());
+            load::run(matches).await?;
+            Ok(ExitCode::SUCCESS)
+        }
         _ => {
             start_logging(&Logging::default());
             standin::run(matches).await?;
--- /dev/null
+++ b/src/instance/burn.rs
@@ -0,0 +1,68 @@
+//! Samples the results of requests for the burn report.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::{
+    entry::EntryContext,
+    report::{BurnHistory, BurnSample, ResultCounts},
+    supervisor::Supervisor,
+};
+
+/// Time between two looks at the counts.
+const SAMPLE_PERIOD: Duration = Duration::from_secs(1);
+
+/// History of the results of this instance's requests.
+#[derive(Clone, Debug)]
+pub(super) struct BurnSampler {
+    history: Arc<Mutex<BurnHistory>>,
+    started_at: Instant,
+    context: EntryContext,
+}
+
+impl BurnSampler {
+    /// Starts the sampler as a child of a supervisor.
+    pub(super) fn start(supervisor: &Supervisor, context: &EntryContext) -> Self {
+        let sampler = Self {
+            history: Arc::default(),
+            started_at: Instant::now(),
+            context: context.clone(),
+        };
+        let running = sampler.clone();
+        supervisor.spawn("burn", move |stop| {
+            let sampler = running.clone();
+            async move {
+                while !stop.is_cancelled() {
+                    sampler.observe();
+                    let _ = tokio::time::timeout(SAMPLE_PERIOD, stop.cancelled()).await;
+                }
+                Ok::<(), super::Error>(())
+            }
+        });
+        sampler
+    }
+
+    /// Returns the samples up to now.
+    pub(super) fn samples(&self) -> Vec<BurnSample> {
+        self.observe();
+        let history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        history.samples(self.now_s())
+    }
+
+    fn observe(&self) {
+        let now_s = self.now_s();
+        let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        for counts in self.context.burn().counts() {
+            let results = ResultCounts::from(&counts);
+            history.observe(&counts.service, &counts.account, results, now_s);
+        }
+    }
+
+    fn now_s(&self) -> u64 {
+        self.started_at.elapsed().as_secs()
+    }
+}
--- a/src/instance/status.rs
+++ b/src/instance/status.rs
@@ -11,6 +11,7 @@
     Settings,
     ledger::LedgerHandle,
     log::{TailStatus, records::Duty},
+    peer::PeerHandle,
     target::table::{TargetTable, TargetView},
 };
 
@@ -119,6 +120,7 @@
     pub(super) ledger: LedgerHandle,
     pub(super) tail: watch::Receiver<TailStatus>,
     pub(super) targets: TargetTable,
+    pub(super) peers: PeerHandle,
     /// Cancelled as the instance begins to stop.
     pub(super) stopping: CancellationToken,
 }
@@ -136,10 +138,10 @@
             configured_offset: self.ledger.read(|ledger| ledger.configured_at().0),
             request_claims: self.ledger.read(|ledger| ledger.claim_count()),
             log_live: tail.live,
-            fresh: true,
+            fresh: self.peers.may_serve_keyed(),
             duties: self.duties(),
             targets: self.targets(),
-            peers: Vec::new(),
+            peers: self.peers(),
         }
     }
 
@@ -148,6 +150,9 @@
         if !tail.complete {
             reasons.push(NotReady::Starting);
         }
+        if !self.peers.may_serve_keyed() {
+            reasons.push(NotReady::Stale);
+        }
         if self.stopping.is_cancelled() {
             reasons.push(NotReady::Stopping);
         }
@@ -171,6 +176,19 @@
         duties
     }
 
+    fn peers(&self) -> Vec<PeerStatus> {
+        let mut peers = Vec::new();
+        for peer in self.peers.live() {
+            peers.push(PeerStatus {
+                name: peer.name,
+                failure_domain: peer.failure_domain,
+                applied_offset: peer.applied_offset.0,
+                leaving: peer.leaving,
+            });
+        }
+        peers
+    }
+
     fn targets(&self) -> Vec<TargetStatus> {
         let mut targets = Vec::new();
         for view in self.targets.snapshot().iter() {
