--- a/src/ledger/checkpoint.rs
+++ b/src/ledger/checkpoint.rs
@@ -1,7 +1,6 @@
 //! Checkpoints: the encoded ledger as of a mark, in chunks.
 //!
-//! [`CheckpointGatherer`](crate::log::CheckpointGatherer) puts the chunks
-//! together again.
+//! [`Rebuilder`](crate::log::Rebuilder) puts the chunks together again.
 
 use bytes::Bytes;
 use sha2::{Digest, Sha256};
--- a/src/log/tailer.rs
+++ b/src/log/tailer.rs
@@ -10,11 +10,11 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    Error, LogClient, Offset, RecentEntries, Result, appender::FoldReport, backoff::Backoff,
-    records::Record,
+    Error, LogClient, Offset, Rebuilder, RecentEntries, Result, appender::FoldReport,
+    backoff::Backoff, records::Record,
 };
 use crate::{
-    ledger::{LedgerHandle, Rebuilder},
+    ledger::LedgerHandle,
     platform::protocol::{LogEntry, ReadResponse},
 };
 
