--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -97,6 +97,7 @@
             ledger: shared.ledger.clone(),
             tail: parts.log.status.clone(),
             targets: parts.targets.clone(),
+            targets_known: parts.targets_known.clone(),
             peers: parts.peers.clone(),
             stopping: callers.stop_token(),
         };
--- a/src/instance/parts.rs
+++ b/src/instance/parts.rs
@@ -60,6 +60,8 @@
     pub(super) log: Log,
     pub(super) peers: PeerHandle,
     pub(super) targets: TargetTable,
+    /// Whether the targets were polled since the ledger is complete.
+    pub(super) targets_known: watch::Receiver<bool>,
     live_instances: watch::Receiver<usize>,
     identity: (Arc<str>, u64),
 }
@@ -89,8 +91,10 @@
         };
         let peers = peer::spawn(inputs, &stop).map_err(Error::Listen)?;
         watch_tasks(platform, "peers", peers.tasks, shared);
+        let (known_sender, targets_known) = watch::channel(false);
         Ok(Self {
-            targets: start_targets(shared, platform),
+            targets: start_targets(shared, &log, platform, known_sender),
+            targets_known,
             peers: peers.handle,
             live_instances,
             identity: (Arc::clone(&settings.name), shared.incarnation),
@@ -155,7 +159,13 @@
     Ok(())
 }
 
-fn start_targets(shared: &Shared, platform: &Supervisor) -> TargetTable {
+/// Polls the targets, first of all once the ledger tells what they run.
+fn start_targets(
+    shared: &Shared,
+    log: &Log,
+    platform: &Supervisor,
+    known: watch::Sender<bool>,
+) -> TargetTable {
     let table = TargetTable::new();
     let settings = &shared.settings;
     let http = &shared.http;
@@ -165,11 +175,17 @@
     let poll = Duration::from_millis(settings.timing.poll_ms);
     let ledger = shared.ledger.clone();
     let polled = table.clone();
+    let tail = log.status.clone();
     platform.spawn("targets", move |stop| {
         let ledger = ledger.clone();
         let role_of = move |kind: &str| kind_role(&ledger, kind);
         let poller = TargetPoller::new(polled.clone(), client.clone(), engines.clone(), role_of);
+        let mut tail = tail.clone();
+        let known = known.clone();
         async move {
+            let _ = tail.wait_for(|status| status.complete).await;
+            poller.refresh().await;
+            known.send_replace(true);
             poller.with_poll(poll).run(stop).await;
             Ok::<(), Error>(())
         }
--- a/src/instance/status.rs
+++ b/src/instance/status.rs
@@ -57,6 +57,8 @@
 pub enum NotReady {
     /// it has not folded the log to its end since it started
     Starting,
+    /// it has not polled the targets yet
+    TargetsUnknown,
     /// the retained log holds no complete ledger
     LedgerIncomplete,
     /// it cannot show that it knows the newest configuration
@@ -120,6 +122,7 @@
     pub(super) ledger: LedgerHandle,
     pub(super) tail: watch::Receiver<TailStatus>,
     pub(super) targets: TargetTable,
+    pub(super) targets_known: watch::Receiver<bool>,
     pub(super) peers: PeerHandle,
     /// Cancelled as the instance begins to stop.
     pub(super) stopping: CancellationToken,
@@ -149,6 +152,8 @@
         let mut reasons = Vec::new();
         if !tail.complete {
             reasons.push(NotReady::Starting);
+        } else if !*self.targets_known.borrow() {
+            reasons.push(NotReady::TargetsUnknown);
         }
         if !self.peers.may_serve_keyed() {
             reasons.push(NotReady::Stale);
--- a/tests/ledger_fold.rs
+++ b/tests/ledger_fold.rs
@@ -8,7 +8,7 @@
 use lavenderwind::{
     ledger::{ClaimState, Ledger, Verdict},
     log::{
-        CheckpointGatherer, Offset,
+        Offset, Rebuilder,
         records::{Duty, Record, UsageLine, record::Body},
     },
 };
@@ -333,14 +333,25 @@
     fn check_checkpoint(&self, offset: Offset) {
         let checkpoint = self.reference.checkpoint().unwrap();
         assert_eq!(checkpoint.offset, offset);
-        let mut gatherer = CheckpointGatherer::new();
-        for chunk in checkpoint.chunks().into_iter().rev() {
-            gatherer.add(chunk);
+        assert_eq!(self.reference.applied(), offset);
+        assert_eq!(self.reference.digest(), checkpoint.digest);
+        let holder = self.reference.duty(Duty::Checkpoint).unwrap().clone();
+        let mut expected = self.reference.clone();
+        let mut rebuilder = Rebuilder::new(Offset(offset.0 + 1));
+        for (index, chunk) in checkpoint.chunks().into_iter().rev().enumerate() {
+            let number = index as u64 + 1;
+            let record = Record {
+                writer: holder.holder.to_string(),
+                incarnation: holder.incarnation,
+                sequence: (1 << 40) + number,
+                body: Some(Body::CheckpointChunk(chunk)),
+            };
+            expected.apply(Offset(offset.0 + number), &record);
+            rebuilder.push(record);
         }
-        let gathered = gatherer.take(offset).unwrap();
-        let rebuilt = Ledger::decode(&gathered.data).unwrap();
-        assert_eq!(rebuilt.applied(), offset);
-        assert_eq!(rebuilt.digest(), checkpoint.digest);
+        let rebuilt = rebuilder.finish().unwrap();
+        assert_eq!(rebuilt.applied(), expected.applied());
+        assert_eq!(rebuilt.digest(), expected.digest());
     }
 
     /// All instances that read the whole log have the same ledger, and so has
