--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,6 +6,7 @@
 //! authority is lost.
 
 mod authority;
+mod checkpoint;
 mod clock;
 mod duty;
 mod error;
@@ -14,9 +15,14 @@
 mod preference;
 mod runner;
 mod settlement;
+mod settler;
+mod slices;
+mod usage;
+mod windows;
 
 pub use self::{
     authority::{Authority, OrderPermit},
+    checkpoint::{CheckpointRunner, ExpiryClock},
     clock::Clock,
     duty::{DutyRules, DutySituation, DutyStep, Identity},
     error::{Error, Result},
@@ -25,4 +31,8 @@
     preference::{Member, rank},
     runner::DutyRunner,
     settlement::{AbsenceClock, IntentSituation, Settlement, settlement},
+    settler::Settler,
+    slices::SliceBuffer,
+    usage::{UsageFlusher, UsageRecorder},
+    windows::{CloseSituation, WindowCloser, may_close, ordered_report, window_report},
 };
--- /dev/null
+++ b/src/control/settler.rs
@@ -0,0 +1,112 @@
+//! Settles the intents that other holders left open.
+
+use std::{future::Future, sync::Arc, time::Duration};
+
+use futures_util::{StreamExt, stream};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    AbsenceClock, Error, Identity, Member, Observation, OrderSender, Result, SentOrder,
+    WriteOutcome,
+};
+use crate::ledger::IntentEntry;
+
+/// Time between two looks at the open intents.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Intents that are settled at a time.
+const MAX_CONCURRENT: usize = 16;
+
+/// Settles open intents of one duty. `members` lists the live instances, this
+/// one included; `checks_fencing` tells whether a target refuses old fencing
+/// numbers.
+#[derive(Debug)]
+pub struct Settler<W, R, M, C> {
+    sender: Arc<OrderSender<W, R>>,
+    absence: AbsenceClock,
+    grace_ms: u64,
+    members: M,
+    checks_fencing: C,
+}
+
+impl<W, R, WF, RF, M, C> Settler<W, R, M, C>
+where
+    W: Fn(SentOrder) -> WF,
+    WF: Future<Output = WriteOutcome>,
+    R: Fn(Arc<str>) -> RF,
+    RF: Future<Output = Observation>,
+    M: Fn() -> Vec<Member>,
+    C: Fn(&str) -> bool,
+{
+    /// Returns a settler; an instance is gone once it has been missing from the
+    /// live list for `grace_ms`.
+    pub fn new(
+        sender: Arc<OrderSender<W, R>>,
+        grace_ms: u64,
+        members: M,
+        checks_fencing: C,
+    ) -> Self {
+        Self {
+            sender,
+            absence: AbsenceClock::new(),
+            grace_ms,
+            members,
+            checks_fencing,
+        }
+    }
+
+    /// Runs until `stop` is cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the appender has stopped.
+    pub async fn run(mut self, stop: CancellationToken) -> Result<()> {
+        while !stop.is_cancelled() {
+            self.settle_all(&stop).await?;
+            tokio::time::sleep(TICK).await;
+        }
+        Ok(())
+    }
+
+    async fn settle_all(&mut self, stop: &CancellationToken) -> Result<()> {
+        let intents = self.sender.open_intents();
+        let now_ms = self.sender.authority().clock().now_ms();
+        let awaited: Vec<_> = intents.iter().map(announcer).collect();
+        self.absence.observe(&awaited, &(self.members)(), now_ms);
+        if self.sender.authority().epoch().is_none() {
+            return Ok(());
+        }
+        let this = &*self;
+        let settled = stream::iter(&intents)
+            .map(|intent| this.settle(intent, now_ms))
+            .buffer_unordered(MAX_CONCURRENT)
+            .collect::<Vec<_>>();
+        let results = tokio::select! {
+            () = stop.cancelled() => return Ok(()),
+            results = settled => results,
+        };
+        for result in results {
+            match result {
+                Ok(()) | Err(Error::NotHolder | Error::Rejected(_)) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    async fn settle(&self, intent: &IntentEntry, now_ms: u64) -> Result<()> {
+        let checks_fencing = (self.checks_fencing)(&intent.target);
+        let gone = self
+            .absence
+            .is_gone(&announcer(intent), self.grace_ms, now_ms);
+        self.sender.settle(intent, checks_fencing, gone).await?;
+        Ok(())
+    }
+}
+
+fn announcer(intent: &IntentEntry) -> Identity {
+    Identity {
+        name: intent.holder.clone(),
+        incarnation: intent.incarnation,
+    }
+}
--- /dev/null
+++ b/src/control/windows.rs
@@ -0,0 +1,199 @@
+//! Closes usage windows and reports them to the platform.
+
+use std::{future::Future, sync::Arc, time::Duration};
+
+use tokio_util::sync::CancellationToken;
+
+use super::{Clock, Error, Identity, Member, OrderOutcome, OrderSender, Result, SentOrder};
+use crate::{
+    ledger::{Ledger, LedgerHandle},
+    log::{
+        Appender,
+        records::{UsageOrder, WindowAcknowledged, WindowClose, order_intent::Order, record::Body},
+    },
+    platform::protocol::{UsageFigure, UsageReport},
+    settings::Timing,
+};
+
+/// Time between two looks at the windows.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Delay before a report is sent again.
+const RETRY_PERIOD: Duration = Duration::from_secs(1);
+
+/// What is known of the open window.
+#[derive(Clone, Copy, Debug)]
+pub struct CloseSituation {
+    /// Time for which the window has been the open one, in milliseconds.
+    pub open_ms: u64,
+    /// Whether all live sources have nothing more for it.
+    pub sources_done: bool,
+}
+
+/// Decides whether to close the open window: after its length, once all live
+/// sources are done with it or have had half of its length for that.
+pub fn may_close(situation: &CloseSituation, window_ms: u64) -> bool {
+    if situation.open_ms < window_ms {
+        return false;
+    }
+    situation.sources_done || situation.open_ms >= window_ms + window_ms / 2
+}
+
+/// Makes the report of a closed window; it is the same at any time and on any
+/// instance, but for the fencing number.
+pub fn window_report(ledger: &Ledger, window: u64, epoch: u64) -> Option<UsageReport> {
+    let mut windows = ledger.windows_unacknowledged();
+    let entry = windows.find(|entry| entry.window == window)?;
+    let mut figures = Vec::new();
+    for (service, accounts) in &entry.services {
+        for (account, counts) in accounts {
+            figures.push(UsageFigure {
+                service: service.clone(),
+                account: account.clone(),
+                requests: counts.requests,
+                prompt_tokens: counts.prompt_tokens,
+                output_tokens: counts.output_tokens,
+            });
+        }
+    }
+    Some(UsageReport {
+        window,
+        epoch,
+        figures,
+    })
+}
+
+/// Returns the report that an order stands for.
+pub fn ordered_report(ledger: &LedgerHandle, sent: &SentOrder) -> Option<UsageReport> {
+    let Order::Usage(order) = &sent.order else {
+        return None;
+    };
+    ledger.read(|ledger| window_report(ledger, order.window, sent.epoch))
+}
+
+/// Closes windows under the usage duty.
+#[derive(Debug)]
+pub struct WindowCloser<W, R, M> {
+    sender: Arc<OrderSender<W, R>>,
+    appender: Appender,
+    ledger: LedgerHandle,
+    members: M,
+    clock: Clock,
+    window_ms: u64,
+    open: u64,
+    open_since_ms: u64,
+}
+
+impl<W, R, WF, RF, M> WindowCloser<W, R, M>
+where
+    W: Fn(SentOrder) -> WF,
+    WF: Future<Output = super::WriteOutcome>,
+    R: Fn(Arc<str>) -> RF,
+    RF: Future<Output = super::Observation>,
+    M: Fn() -> Vec<Member>,
+{
+    /// Returns a closer; reports go through `sender`, and `members` lists the
+    /// live instances, this one included.
+    pub fn new(
+        sender: Arc<OrderSender<W, R>>,
+        appender: Appender,
+        ledger: LedgerHandle,
+        timing: &Timing,
+        members: M,
+    ) -> Self {
+        Self {
+            sender,
+            appender,
+            ledger,
+            members,
+            clock: Clock::start(),
+            window_ms: timing.usage_window_ms,
+            open: 0,
+            open_since_ms: 0,
+        }
+    }
+
+    /// Runs until `stop` is cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the appender has stopped.
+    pub async fn run(mut self, stop: CancellationToken) -> Result<()> {
+        while !stop.is_cancelled() {
+            let now_ms = self.clock.now_ms();
+            self.observe(now_ms);
+            if let Some(epoch) = self.sender.authority().epoch() {
+                self.close(epoch, now_ms).await?;
+                self.report().await?;
+            }
+            tokio::time::sleep(TICK).await;
+        }
+        Ok(())
+    }
+
+    fn observe(&mut self, now_ms: u64) {
+        let open = self.ledger.read(Ledger::window_open);
+        if open != self.open {
+            self.open = open;
+            self.open_since_ms = now_ms;
+        }
+    }
+
+    async fn close(&self, epoch: u64, now_ms: u64) -> Result<()> {
+        let situation = CloseSituation {
+            open_ms: now_ms.saturating_sub(self.open_since_ms),
+            sources_done: self.sources_done(),
+        };
+        if !may_close(&situation, self.window_ms) {
+            return Ok(());
+        }
+        let close = WindowClose {
+            window: self.open,
+            epoch,
+        };
+        self.appender.append(Body::WindowClose(close)).await?;
+        Ok(())
+    }
+
+    fn sources_done(&self) -> bool {
+        let members = (self.members)();
+        self.ledger.read(|ledger| {
+            members.iter().all(|member| {
+                let Identity { name, incarnation } = &member.identity;
+                ledger.watermark(name, *incarnation) >= self.open
+            })
+        })
+    }
+
+    /// Reports the oldest closed window; it is reported again, in a further
+    /// order, until the platform acknowledges it.
+    async fn report(&self) -> Result<()> {
+        let window = self.ledger.read(|ledger| {
+            let mut windows = ledger.windows_unacknowledged();
+            windows.find_map(|entry| {
+                let target = report_target(entry.window);
+                ledger.intent(&target).is_none().then_some(entry.window)
+            })
+        });
+        let Some(window) = window else {
+            return Ok(());
+        };
+        let target = report_target(window);
+        let order = Order::Usage(UsageOrder { window });
+        match self.sender.send(&target, order).await {
+            Ok(OrderOutcome::Applied) => {
+                let body = Body::WindowAcknowledged(WindowAcknowledged { window });
+                self.appender.append(body).await?;
+            }
+            Ok(OrderOutcome::NotApplied) => tokio::time::sleep(RETRY_PERIOD).await,
+            Err(Error::Log(error)) => return Err(error.into()),
+            Err(error) => tracing::debug!("control: window {window} not reported: {error}"),
+        }
+        Ok(())
+    }
+}
+
+/// Name under which a window's report is announced.
+fn report_target(window: u64) -> Arc<str> {
+    format!("usage/{window}").into()
+}
--- a/src/instance/admin.rs
+++ b/src/instance/admin.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{Error, Result, status::InstanceStatus};
+use crate::report::BurnSample;
 
 /// Longest wait for admin requests in progress as the interface stops.
 const STOP_BOUND: Duration = Duration::from_secs(1);
@@ -20,6 +21,8 @@
 pub(super) struct AdminSources {
     /// Collects the instance's status.
     pub(super) status: Arc<dyn Fn() -> InstanceStatus + Send + Sync>,
+    /// Collects the samples of the burn report.
+    pub(super) burn: Arc<dyn Fn() -> Vec<BurnSample> + Send + Sync>,
     /// Renders the metrics.
     pub(super) metrics: PrometheusHandle,
 }
@@ -52,7 +55,8 @@
         .push(Router::with_path("healthz").get(Health))
         .push(Router::with_path("readyz").get(Readiness(sources.clone())))
         .push(Router::with_path("metrics").get(Metrics(sources.clone())))
-        .push(Router::with_path("status").get(Status(sources)))
+        .push(Router::with_path("status").get(Status(sources.clone())))
+        .push(Router::with_path("burn").get(Burn(sources)))
 }
 
 struct Health;
@@ -101,3 +105,12 @@
         response.render(Json((self.0.status)()));
     }
 }
+
+struct Burn(AdminSources);
+
+#[handler]
+impl Burn {
+    async fn handle(&self, response: &mut Response) {
+        response.render(Json((self.0.burn)()));
+    }
+}
--- a/src/instance/status.rs
+++ b/src/instance/status.rs
@@ -11,6 +11,7 @@
     Settings,
     ledger::LedgerHandle,
     log::{TailStatus, records::Duty},
+    peer::PeerHandle,
     target::table::{TargetTable, TargetView},
 };
 
@@ -56,6 +57,8 @@
 pub enum NotReady {
     /// it has not folded the log to its end since it started
     Starting,
+    /// it has not polled the targets yet
+    TargetsUnknown,
     /// the retained log holds no complete ledger
     LedgerIncomplete,
     /// it cannot show that it knows the newest configuration
@@ -119,6 +122,8 @@
     pub(super) ledger: LedgerHandle,
     pub(super) tail: watch::Receiver<TailStatus>,
     pub(super) targets: TargetTable,
+    pub(super) targets_known: watch::Receiver<bool>,
+    pub(super) peers: PeerHandle,
     /// Cancelled as the instance begins to stop.
     pub(super) stopping: CancellationToken,
 }
@@ -136,10 +141,10 @@
             configured_offset: self.ledger.read(|ledger| ledger.configured_at().0),
             request_claims: self.ledger.read(|ledger| ledger.claim_count()),
             log_live: tail.live,
-            fresh: true,
+            fresh: self.peers.may_serve_keyed(),
             duties: self.duties(),
             targets: self.targets(),
-            peers: Vec::new(),
+            peers: self.peers(),
         }
     }
 
@@ -147,6 +152,11 @@
         let mut reasons = Vec::new();
         if !tail.complete {
             reasons.push(NotReady::Starting);
+        } else if !*self.targets_known.borrow() {
+            reasons.push(NotReady::TargetsUnknown);
+        }
+        if !self.peers.may_serve_keyed() {
+            reasons.push(NotReady::Stale);
         }
         if self.stopping.is_cancelled() {
             reasons.push(NotReady::Stopping);
@@ -171,6 +181,19 @@
         duties
     }
 
+    fn peers(&self) -> Vec<PeerStatus> {
+        let mut peers = Vec::new();
+        for peer in self.peers.live() {
+            peers.push(PeerStatus {
+                name: peer.name,
+                failure_domain: peer.failure_domain,
+                applied_offset: peer.applied_offset.0,
+                leaving: peer.leaving,
+            });
+        }
+        peers
+    }
+
     fn targets(&self) -> Vec<TargetStatus> {
         let mut targets = Vec::new();
         for view in self.targets.snapshot().iter() {
--- a/src/ledger/checkpoint.rs
+++ b/src/ledger/checkpoint.rs
@@ -1,4 +1,10 @@
+<<<<<<< HEAD
 //! Checkpoints: the ledger as of a mark, in chunks, and its rebuild.
+=======
+//! Checkpoints: the encoded ledger as of a mark, in chunks.
+//!
+//! [`Rebuilder`](crate::log::Rebuilder) puts the chunks together again.
+>>>>>>> main
 
 use bytes::Bytes;
 use indexmap::IndexMap;
