--- a/tests/peer_frames.rs
+++ b/tests/peer_frames.rs
@@ -9,8 +9,8 @@
     peer::{
         MAX_FRAME_BYTES,
         frames::{
-            Frame, Heartbeat, Hello, LoadChange, LogRequest, LogTail, NameDefinition, UsageCopy,
-            frame::Body,
+            Frame, Heartbeat, Hello, LoadChange, LogRequest, LogTail, NameDefinition,
+            QuarantineNotice, UsageCopy, frame::Body,
         },
     },
     standin::platform::PlatformFaults,
@@ -20,6 +20,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    time::sleep,
 };
 
 /// Incarnation of the peer that the tests play.
@@ -98,62 +99,97 @@
         let found: Option<()> = self.find(|_| None).await;
         assert_eq!(found, None);
     }
+
+    /// Sends heartbeats until the connection ends.
+    async fn beat_until_closed(&mut self) {
+        let beat = encode(Body::Heartbeat(heartbeat()));
+        let beats = async {
+            while self.stream.write_all(&beat).await.is_ok() {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        within("end of connection", beats).await;
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Then {
+    Beats,
+    IsSilent,
 }
 
 struct Case {
     name: &'static str,
-    /// What the peer sends, in order; then it is silent.
+    /// What the peer sends, in order.
     sent: fn() -> Vec<Vec<u8>>,
+    /// What it does then.
+    then: Then,
 }
 
 const CASES: &[Case] = &[
     Case {
         name: "nothing at all",
         sent: Vec::new,
+        then: Then::IsSilent,
     },
     Case {
         name: "half a length",
         sent: || vec![vec![0, 0]],
+        then: Then::IsSilent,
     },
     Case {
         name: "half a frame",
         sent: || vec![hello("b", INCARNATION)[..6].to_vec()],
+        then: Then::IsSilent,
     },
     Case {
         name: "a frame over the size limit",
         sent: || {
-            let mut frame = hello("b", INCARNATION);
-            frame.extend((MAX_FRAME_BYTES as u32 + 1).to_be_bytes());
-            vec![frame]
+            let notice = QuarantineNotice {
+                account: "a".repeat(MAX_FRAME_BYTES),
+                body_digest: vec![1],
+            };
+            vec![
+                hello("b", INCARNATION),
+                encode(Body::QuarantineNotice(notice)),
+            ]
         },
+        then: Then::Beats,
     },
     Case {
         name: "garbage in place of the first frame",
         sent: || vec![with_length(&[0xff; 40])],
+        then: Then::Beats,
     },
     Case {
         name: "garbage after the first frame",
         sent: || vec![hello("b", INCARNATION), with_length(&[0xff; 40])],
+        then: Then::Beats,
     },
     Case {
         name: "a frame without a body",
         sent: || vec![hello("b", INCARNATION), encode_frame(&Frame { body: None })],
+        then: Then::Beats,
     },
     Case {
         name: "a heartbeat in place of the first frame",
         sent: || vec![encode(Body::Heartbeat(heartbeat()))],
+        then: Then::IsSilent,
     },
     Case {
         name: "two first frames",
         sent: || vec![hello("b", INCARNATION), hello("b", INCARNATION)],
+        then: Then::Beats,
     },
     Case {
         name: "an outdated incarnation",
         sent: || vec![hello("b", INCARNATION - 1)],
+        then: Then::Beats,
     },
     Case {
         name: "this instance's own name",
         sent: || vec![hello("a", INCARNATION)],
+        then: Then::Beats,
     },
     Case {
         name: "a load of a target that has no name",
@@ -165,6 +201,7 @@
             });
             vec![hello("b", INCARNATION), encode(Body::Heartbeat(heartbeat))]
         },
+        then: Then::Beats,
     },
     Case {
         name: "a usage slice of another instance",
@@ -179,6 +216,7 @@
             };
             vec![hello("b", INCARNATION), encode(Body::UsageCopy(copy))]
         },
+        then: Then::Beats,
     },
     Case {
         name: "a connection that goes silent",
@@ -188,6 +226,7 @@
                 encode(Body::Heartbeat(heartbeat())),
             ]
         },
+        then: Then::IsSilent,
     },
 ];
 
@@ -205,7 +244,10 @@
         for bytes in (case.sent)() {
             peer.send(&bytes).await;
         }
-        peer.wait_closed().await;
+        match case.then {
+            Then::Beats => peer.beat_until_closed().await,
+            Then::IsSilent => peer.wait_closed().await,
+        }
         eventually(case.name, || a.handle.connected().is_empty()).await;
         // A sound connection works afterwards.
         let mut peer = RawPeer::connect(&a).await;
@@ -224,9 +266,12 @@
     let mut old = RawPeer::connect(&a).await;
     old.send(&hello("b", INCARNATION)).await;
     a.wait_connected(1).await;
+    let mut same = RawPeer::connect(&a).await;
+    same.send(&hello("b", INCARNATION)).await;
+    old.beat_until_closed().await;
     let mut new = RawPeer::connect(&a).await;
     new.send(&hello("b", INCARNATION + 1)).await;
-    old.wait_closed().await;
+    same.beat_until_closed().await;
     let echo = new.find(|body| matches!(body, Body::Heartbeat(_)).then_some(()));
     assert!(echo.await.is_some());
     assert_eq!(a.handle.connected().len(), 1);
