--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,7 +2,10 @@
 
 mod check;
 mod key;
+mod load;
 mod operator;
+mod report;
+mod serve;
 mod service;
 mod standin;
 mod status;
@@ -33,6 +36,10 @@
     Service(crate::service::Error),
     /// {0}
     Standin(standin::Error),
+    /// {0}
+    Instance(crate::instance::Error),
+    /// {0}
+    Load(load::Error),
     /// log: {0}
     Log(crate::log::Error),
     /// platform: {0}
@@ -84,10 +91,13 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(serve::command())
         .subcommand(check::command())
         .subcommand(service::command())
         .subcommand(key::command())
         .subcommand(status::command())
+        .subcommand(report::command())
+        .subcommand(load::command())
         .subcommand(standin::command())
 }
 
@@ -108,10 +118,17 @@
         return Ok(ExitCode::from(EXIT_INVALID));
     };
     match name {
+        "serve" => serve::run(matches).await,
         "check" => check::run(matches),
         "service" => service::run(matches).await,
         "key" => key::run(matches).await,
         "status" => status::run(matches).await,
+        "report" => report::run(matches).await,
+        "load" => {
+            start_logging(&Logging::default());
+            load::run(matches).await?;
+            Ok(ExitCode::SUCCESS)
+        }
         _ => {
             start_logging(&Logging::default());
             standin::run(matches).await?;
