Learn the time between tokens and compare routing policies

A router that sees only the time to the first token overloads the engines that are fast at prefill with streams to decode. A line through recent answers predicts the time between tokens; a request may ask for targets predicted to keep both deadlines.

--- /dev/null
+++ b/benches/policy_compare/main.rs
@@ -0,0 +1,31 @@
+//! Comparison of the decisions with plain policies in virtual time.
+//!
+//! `cargo bench --bench policy_compare` prints the median and the spread over
+//! fixed seeds; the same seeds give the same figures.
+
+mod fairness;
+mod fleet;
+mod roles;
+mod routing;
+mod spending;
+
+/// Seeds of each comparison.
+const SEEDS: [u64; 5] = [11, 12, 13, 14, 15];
+
+fn main() {
+    routing::compare();
+    fairness::compare();
+    roles::compare();
+    spending::compare();
+}
+
+/// Prints a policy's figure as median and spread over the seeds.
+fn print_row<F>(name: &str, unit: &str, run: F)
+where
+    F: FnMut(u64) -> f64,
+{
+    let mut figures: Vec<f64> = SEEDS.into_iter().map(run).collect();
+    figures.sort_by(f64::total_cmp);
+    let (low, median, high) = (figures[0], figures[2], figures[4]);
+    println!("  {name:<32} {median:8.3} {unit} ({low:.3} to {high:.3})");
+}
--- /dev/null
+++ b/benches/policy_compare/roles.rs
@@ -0,0 +1,2 @@
+//! Worst-served account while another floods.
+pub(crate) fn compare() {}
--- /dev/null
+++ b/benches/policy_compare/routing.rs
@@ -0,0 +1,280 @@
+//! Eight instances with lagged views route to thirteen engines through swings
+//! from prompts to answers.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use lavenderwind::policy::{
+    baseline::{RoundRobin, least_in_flight},
+    load::InFlight,
+    routing::{Availability, Choice, RouteRequest, RouteSettings, RouteTable},
+    share::SharedQuota,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::{
+    fleet::{Engine, Job, Sent, engine_name},
+    print_row,
+};
+
+const INSTANCES: usize = 8;
+/// Prefill speed of each engine, in tokens a second.
+const SPEEDS: [u32; 13] = [
+    6_000, 6_000, 6_000, 8_000, 8_000, 8_000, 8_000, 8_000, 12_000, 12_000, 12_000, 16_000, 16_000,
+];
+const RUN_MS: u64 = 120_000;
+const SWING_MS: u64 = 30_000;
+const REPORT_MS: u64 = 200;
+const FRAME_MS: u64 = 100;
+const FRAME_DELAY_MS: u64 = 50;
+const FIRST_TOKEN_MS: u64 = 570;
+const BETWEEN_TOKENS_MS: f64 = 44.0;
+const QUEUE_MS: u64 = 500;
+
+/// What the instances go by.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Policy {
+    RoundRobin,
+    LeastInFlight,
+    ReportOnly,
+    WithPeers,
+    WithShares,
+    WithDeadlines,
+}
+
+struct Instance {
+    table: RouteTable,
+    waiting: VecDeque<Job>,
+    own: Vec<u32>,
+    turn: RoundRobin,
+    quotas: Vec<SharedQuota>,
+}
+
+/// Runs one seed and returns the answers within both deadlines, as a part of
+/// all requests.
+fn goodput(policy: Policy, load: f64, lag_ms: u64, seed: u64) -> f64 {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut engines: Vec<Engine<(usize, Option<Choice>)>> =
+        SPEEDS.into_iter().map(Engine::new).collect();
+    let mut instances: Vec<Instance> = (0..INSTANCES).map(instance).collect();
+    let mut reports = VecDeque::new();
+    let mut frames = VecDeque::new();
+    let (mut arrived, mut good) = (0_u32, 0_u32);
+    let mut next_ms = 0.0;
+    for now_ms in 0..RUN_MS {
+        for (index, engine) in engines.iter_mut().enumerate() {
+            if (now_ms + index as u64 * 15).is_multiple_of(REPORT_MS) {
+                reports.push_back((now_ms, index, engine.state()));
+            }
+            for ended in engine.step(now_ms) {
+                let in_time = ended.first_token_ms <= FIRST_TOKEN_MS
+                    && ended.between_tokens_ms <= BETWEEN_TOKENS_MS;
+                good += u32::from(in_time);
+                let instance = &mut instances[ended.sent.job.instance];
+                let (index, choice) = ended.sent.tag;
+                instance.own[index] -= 1;
+                if let Some(choice) = choice {
+                    let name = &choice.target;
+                    instance
+                        .table
+                        .observe_between_tokens(name, ended.between_tokens_ms);
+                    instance.table.finished(&choice, now_ms);
+                }
+            }
+        }
+        while let Some((_, index, mut state)) =
+            reports.pop_front_if(|(taken_ms, ..)| *taken_ms + lag_ms <= now_ms)
+        {
+            state.report_age_ms = lag_ms;
+            for instance in &mut instances {
+                let name = engine_name(index);
+                instance
+                    .table
+                    .observe_engine(&name, "engine", Availability::Live, &state, now_ms);
+            }
+        }
+        if now_ms.is_multiple_of(FRAME_MS) && policy != Policy::ReportOnly {
+            frames.push_back((now_ms, instances.iter().map(own_loads).collect::<Vec<_>>()));
+            if matches!(policy, Policy::WithShares | Policy::WithDeadlines) {
+                exchange_shares(&mut instances);
+            }
+        }
+        while let Some((_, loads)) =
+            frames.pop_front_if(|(at_ms, _)| *at_ms + FRAME_DELAY_MS <= now_ms)
+        {
+            for (index, instance) in instances.iter_mut().enumerate() {
+                observe_peers(instance, index, &loads, now_ms);
+            }
+        }
+        while next_ms <= now_ms as f64 {
+            let job = arrival(now_ms, &mut rng);
+            // Speeds add up to 126,000 tokens a second.
+            let rate = if prompts(now_ms) {
+                126_000.0 / 1_660.0
+            } else {
+                100.0
+            };
+            next_ms += -uniform(&mut rng).ln() * 1_000.0 / (rate * load);
+            instances[job.instance].waiting.push_back(job);
+            arrived += 1;
+        }
+        for instance in &mut instances {
+            dispatch(policy, instance, &mut engines, now_ms, &mut rng);
+        }
+    }
+    f64::from(good) / f64::from(arrived)
+}
+
+fn instance(index: usize) -> Instance {
+    let members: Vec<Arc<str>> = (0..INSTANCES)
+        .map(|index| format!("entry-{index}").into())
+        .collect();
+    let mut quotas = Vec::new();
+    for _ in SPEEDS {
+        let mut quota = SharedQuota::new(Arc::clone(&members[index]), 2_000);
+        quota.set_members(&members);
+        quotas.push(quota);
+    }
+    Instance {
+        table: RouteTable::new(RouteSettings::default()),
+        waiting: VecDeque::new(),
+        own: vec![0; SPEEDS.len()],
+        turn: RoundRobin::default(),
+        quotas,
+    }
+}
+
+fn prompts(now_ms: u64) -> bool {
+    (now_ms / SWING_MS).is_multiple_of(2)
+}
+
+fn arrival(now_ms: u64, rng: &mut SmallRng) -> Job {
+    let spread = 0.5 + uniform(rng);
+    let (prompt, output) = if prompts(now_ms) {
+        (1_600.0, 60.0)
+    } else {
+        (300.0, 280.0)
+    };
+    Job {
+        arrived_ms: now_ms,
+        instance: rng.next_u64() as usize % INSTANCES,
+        prompt_tokens: (prompt * spread) as u32,
+        output_tokens: (output * (0.5 + uniform(rng))) as u32,
+    }
+}
+
+fn uniform(rng: &mut SmallRng) -> f64 {
+    ((rng.next_u64() >> 11) as f64 + 1.0) / (1_u64 << 53) as f64
+}
+
+fn own_loads(instance: &Instance) -> Vec<InFlight> {
+    let mut loads = Vec::new();
+    for index in 0..SPEEDS.len() {
+        let target = instance.table.target(&engine_name(index));
+        loads.push(target.map(|target| target.load().own()).unwrap_or_default());
+    }
+    loads
+}
+
+fn observe_peers(instance: &mut Instance, own: usize, loads: &[Vec<InFlight>], now_ms: u64) {
+    for index in 0..SPEEDS.len() {
+        let mut sum = InFlight::default();
+        for (peer, load) in loads.iter().enumerate() {
+            if peer != own {
+                sum.requests += load[index].requests;
+                sum.prefill_tokens += load[index].prefill_tokens;
+                sum.blocks += load[index].blocks;
+            }
+        }
+        if let Some(load) = instance.table.load_mut(&engine_name(index)) {
+            load.observe_peers(sum, now_ms);
+        }
+    }
+}
+
+fn exchange_shares(instances: &mut [Instance]) {
+    for index in 0..SPEEDS.len() {
+        let mut reports = Vec::new();
+        for (number, instance) in instances.iter_mut().enumerate() {
+            let queued: u32 = instance.waiting.iter().map(|job| job.demand().blocks).sum();
+            let target = instance.table.target(&engine_name(index));
+            let own = target.map_or(0, |target| target.load().own().blocks);
+            let quota = &mut instance.quotas[index];
+            // Room for a burst of a few requests beside what is known.
+            quota.set_demand(u64::from(own + queued + 120), own.into());
+            quota.rebalance();
+            reports.push((format!("entry-{number}"), quota.report()));
+        }
+        for instance in instances.iter_mut() {
+            for (name, report) in &reports {
+                instance.quotas[index].observe(name, report);
+            }
+            let share = instance.quotas[index].share() as u32;
+            instance.table.set_share(&engine_name(index), Some(share));
+        }
+    }
+}
+
+fn dispatch(
+    policy: Policy,
+    instance: &mut Instance,
+    engines: &mut [Engine<(usize, Option<Choice>)>],
+    now_ms: u64,
+    rng: &mut SmallRng,
+) {
+    while let Some(&job) = instance.waiting.front() {
+        if now_ms > job.arrived_ms + QUEUE_MS {
+            instance.waiting.pop_front();
+            continue;
+        }
+        let mut request = RouteRequest::new("engine")
+            .model("quote", "1")
+            .tokens(job.prompt_tokens, job.output_tokens);
+        if policy == Policy::WithDeadlines {
+            let left_ms = job.arrived_ms + FIRST_TOKEN_MS - now_ms;
+            request = request.deadlines(left_ms, BETWEEN_TOKENS_MS as u64);
+        }
+        let (index, choice) = match policy {
+            Policy::RoundRobin => (instance.turn.choose(SPEEDS.len(), |_| true), None),
+            Policy::LeastInFlight => (least_in_flight(&instance.own, |_| true), None),
+            _ => match instance.table.choose(&request, now_ms, rng) {
+                Ok(choice) => {
+                    instance.table.dispatched(&choice, &[], now_ms);
+                    let index = choice.target.trim_start_matches("engine-").parse().ok();
+                    (index, Some(choice))
+                }
+                Err(_) => return,
+            },
+        };
+        let Some(index) = index else {
+            return;
+        };
+        instance.waiting.pop_front();
+        instance.own[index] += 1;
+        engines[index].send(Sent {
+            job,
+            tag: (index, choice),
+        });
+    }
+}
+
+/// Prints each policy's goodput.
+pub(crate) fn compare() {
+    let policies = [
+        ("round robin", Policy::RoundRobin),
+        ("least in flight, own view", Policy::LeastInFlight),
+        ("predicted, lagged report only", Policy::ReportOnly),
+        ("predicted, with peers' loads", Policy::WithPeers),
+        ("predicted, with block shares", Policy::WithShares),
+        ("predicted, shares and deadlines", Policy::WithDeadlines),
+    ];
+    for load in [0.7, 0.9] {
+        for lag_ms in [100, 400] {
+            println!("routing: goodput at load {load}, reports {lag_ms} ms late");
+            for (name, policy) in policies {
+                print_row(name, "of requests", |seed| {
+                    goodput(policy, load, lag_ms, seed)
+                });
+            }
+        }
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod baseline;
 pub mod breaker;
+pub mod decode;
 pub mod limits;
 pub mod load;
 pub mod prefix;
--- a/src/policy/routing/choose.rs
+++ b/src/policy/routing/choose.rs
@@ -53,7 +53,8 @@
                 _ => choice,
             });
         }
-        best.ok_or_else(|| self.absence(request))
+        best.filter(|choice| choice.first_token_ms <= request.first_token_ms)
+            .ok_or_else(|| self.absence(request))
     }
 
     fn absence(&self, request: &RouteRequest<'_>) -> RouteError {
@@ -136,7 +137,7 @@
             return None;
         }
         let blocks = request.blocks();
-        if !target.has_room(blocks, &self.settings, now_ms) {
+        if !target.decodes_in_time(request) || !target.has_room(blocks, &self.settings, now_ms) {
             return None;
         }
         let cached_tokens = self.cached_tokens(request, name);
@@ -242,6 +243,9 @@
             if !decodes || !target.has_room(blocks, &self.settings, now_ms) {
                 continue;
             }
+            if !target.decodes_in_time(request) {
+                continue;
+            }
             let free = f64::from(target.load.free_blocks()) / f64::from(target.load.total_blocks());
             if free > most {
                 most = free;
--- a/src/policy/routing/request.rs
+++ b/src/policy/routing/request.rs
@@ -18,6 +18,8 @@
     pub(super) prefix_blocks: &'a [u64],
     pub(super) home_key: u64,
     pub(super) excluded: &'a [Arc<str>],
+    pub(super) first_token_ms: f64,
+    pub(super) between_tokens_ms: f64,
 }
 
 impl<'a> RouteRequest<'a> {
@@ -34,6 +36,8 @@
             prefix_blocks: &[],
             home_key: 0,
             excluded: &[],
+            first_token_ms: f64::INFINITY,
+            between_tokens_ms: f64::INFINITY,
         }
     }
 
@@ -74,6 +78,15 @@
         self
     }
 
+    /// Sets the time left to the first token and the time between tokens that
+    /// a target must be predicted to keep, to be chosen.
+    #[must_use]
+    pub fn deadlines(mut self, first_token_ms: u64, between_tokens_ms: u64) -> Self {
+        self.first_token_ms = first_token_ms as f64;
+        self.between_tokens_ms = between_tokens_ms as f64;
+        self
+    }
+
     /// Sets targets that must not be chosen, such as those already tried.
     #[must_use]
     pub fn excluded(mut self, targets: &'a [Arc<str>]) -> Self {
@@ -93,7 +106,7 @@
     NotHeld,
     /// every target that could serve the request is leaving, suspect or changing
     Unavailable,
-    /// every target that could serve the request is out of room
+    /// every target that could serve the request is out of room or too late
     NoRoom,
 }
 
--- a/src/policy/routing/table.rs
+++ b/src/policy/routing/table.rs
@@ -9,7 +9,7 @@
 
 use super::{Availability, Choice, PrefillChoice, RouteTarget, TargetRole};
 use crate::{
-    policy::{load::TargetLoad, prefix::PrefixIndex},
+    policy::{decode::DecodeProfile, load::TargetLoad, prefix::PrefixIndex},
     target::protocol::EngineState,
 };
 
@@ -208,6 +208,16 @@
         }
     }
 
+    /// Takes in the mean time between the tokens of an answer; call it before
+    /// [`Self::finished`].
+    pub fn observe_between_tokens(&mut self, name: &str, between_tokens_ms: f64) {
+        if let Some(target) = self.targets.get_mut(name) {
+            target
+                .decode
+                .observe(target.load.requests(), between_tokens_ms);
+        }
+    }
+
     /// Takes in how long a plain target took to answer.
     pub fn observe_latency(&mut self, name: &str, latency_ms: f64) {
         if let Some(target) = self.targets.get_mut(name) {
@@ -234,6 +244,7 @@
                 share_blocks: None,
                 returned_at_ms: None,
                 latency_ms: INITIAL_LATENCY_MS,
+                decode: DecodeProfile::default(),
                 slowdown: 1.0,
                 room: 1.0,
             };
--- a/src/policy/routing/target.rs
+++ b/src/policy/routing/target.rs
@@ -6,7 +6,7 @@
 
 use super::{RouteRequest, RouteSettings};
 use crate::{
-    policy::load::TargetLoad,
+    policy::{decode::DecodeProfile, load::TargetLoad},
     target::protocol::{EngineRole, LoadedModel},
 };
 
@@ -54,6 +54,7 @@
     pub(super) share_blocks: Option<u32>,
     pub(super) returned_at_ms: Option<u64>,
     pub(super) latency_ms: f64,
+    pub(super) decode: DecodeProfile,
     pub(super) slowdown: f64,
     pub(super) room: f64,
 }
@@ -110,6 +111,13 @@
                 .min(share.saturating_sub(own.blocks))
     }
 
+    /// Returns whether one more stream keeps the time between tokens that the
+    /// request asks for.
+    pub(super) fn decodes_in_time(&self, request: &RouteRequest<'_>) -> bool {
+        self.decode
+            .allows(self.load.requests(), request.between_tokens_ms)
+    }
+
     fn ramp(&self, settings: &RouteSettings, now_ms: u64) -> f64 {
         let Some(returned_at_ms) = self.returned_at_ms else {
             return 1.0;
