--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod load;
 mod operator;
 mod report;
+mod serve;
 mod service;
 mod standin;
 mod status;
@@ -36,6 +37,8 @@
     /// {0}
     Standin(standin::Error),
     /// {0}
+    Instance(crate::instance::Error),
+    /// {0}
     Load(load::Error),
     /// log: {0}
     Log(crate::log::Error),
@@ -88,6 +91,7 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(serve::command())
         .subcommand(check::command())
         .subcommand(service::command())
         .subcommand(key::command())
@@ -114,6 +118,7 @@
         return Ok(ExitCode::from(EXIT_INVALID));
     };
     match name {
+        "serve" => serve::run(matches).await,
         "check" => check::run(matches),
         "service" => service::run(matches).await,
         "key" => key::run(matches).await,
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -27,7 +27,7 @@
 pub use client::LogClient;
 pub use error::{Error, Result};
 pub use queue::Receipt;
-pub use rebuild::{Checkpoint, CheckpointGatherer};
+pub use rebuild::Rebuilder;
 pub use recent::RecentEntries;
 pub use spawn::{Log, LogOptions, spawn};
 pub use tailer::{RelayedEntries, TailStatus};
