load: record times beyond the histogram's first range

A histogram that resizes itself does so on `record` only; `saturating_record` kept every time at 2 us, so that all quantiles were printed as 0.0 ms. The tests of whole runs now check the quantiles against a service that takes 30 ms.

--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -220,7 +220,8 @@
 }
 
 fn record_us(histogram: &mut Histogram<u64>, time: Duration) {
-    histogram.saturating_record(time.as_micros() as u64);
+    // The histogram resizes itself; only a lack of memory could stop it.
+    let _ = histogram.record(time.as_micros() as u64);
 }
 
 fn quantiles(histogram: &Histogram<u64>) -> Quantiles {
--- a/tests/load_run.rs
+++ b/tests/load_run.rs
@@ -108,7 +108,11 @@
 
 #[tokio::test]
 async fn plain_run() {
-    let service = PlainService::start(loopback(), PlainFaults::default())
+    let faults = PlainFaults {
+        latency_ms: 30,
+        ..PlainFaults::default()
+    };
+    let service = PlainService::start(loopback(), faults)
         .await
         .expect("service");
     let plan = plan(&format!(
@@ -130,6 +134,10 @@
     assert!(sent > 0);
     assert_eq!(report.total.counts.good, sent);
     assert_eq!(service.executions().len() as u64, sent);
+    let times = report.total.first_token;
+    // The histogram keeps two digits.
+    assert!(times.p50_ms >= 29.5, "{times:?}");
+    assert!(times.p50_ms <= times.p95_ms && times.p99_ms <= times.max_ms);
 }
 
 fn chat_plan(url: &str, requests: u64) -> LoadPlan {
@@ -172,6 +180,8 @@
     assert_eq!(total.good_tokens, (60 - strangers) * 12);
     assert_eq!(&*report.worst_account, "stranger");
     assert_eq!(report.accounts[0].good_share, 1.0);
+    assert!(report.total.first_token.p50_ms > 0.0);
+    assert!(report.total.between_tokens.p95_ms > 0.0);
     assert!(report.to_table().contains("stranger"));
 }
 
