Test the entry under faults; close the listener first at a stop

Found by them and mended: at a graceful stop the server stopped accepting but kept its listener, so that new connections hung in the backlog; the entry now has its own acceptor, which takes what waits, closes the listener, and also turns Nagle's algorithm off. Resumed attempts kept the deadline of the first token and so were refused; an attempt that brought tokens now counts as progress.

--- /dev/null
+++ b/src/entry/acceptor.rs
@@ -0,0 +1,109 @@
+//! Acceptance of connections until a graceful stop.
+
+use std::{io, time::Duration};
+
+use salvo::{
+    ConnCtrl,
+    conn::{Accepted, Acceptor, Holding, StraightStream, tcp::TcpCoupler},
+    fuse::{ArcFusePolicy, FuseConfig},
+    http::{Version, uri::Scheme},
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+/// Accepts connections until it is told to close its listener.
+#[derive(Debug)]
+pub(super) struct EntryAcceptor {
+    listener: Option<TcpListener>,
+    holdings: Vec<Holding>,
+    fuse: FuseConfig,
+    closing: CancellationToken,
+    closed: CancellationToken,
+}
+
+/// Closes the listener of an [`EntryAcceptor`].
+#[derive(Clone, Debug)]
+pub(super) struct CloseHandle {
+    closing: CancellationToken,
+    closed: CancellationToken,
+}
+
+impl CloseHandle {
+    /// Asks for the listener to be closed once no connection waits in it.
+    pub(super) fn close(&self) {
+        self.closing.cancel();
+    }
+
+    /// Waits until the listener is closed.
+    pub(super) async fn closed(&self) {
+        self.closed.cancelled().await;
+    }
+}
+
+impl EntryAcceptor {
+    /// Accepts from a listener; requests' headers must arrive within `read`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the listener has no address.
+    pub(super) fn new(listener: TcpListener, read: Duration) -> io::Result<(Self, CloseHandle)> {
+        let holding = Holding {
+            local_addr: listener.local_addr()?.into(),
+            http_versions: vec![Version::HTTP_11],
+            http_scheme: Scheme::HTTP,
+        };
+        let handle = CloseHandle {
+            closing: CancellationToken::new(),
+            closed: CancellationToken::new(),
+        };
+        let acceptor = Self {
+            listener: Some(listener),
+            holdings: vec![holding],
+            fuse: FuseConfig::default().with_http1_header_timeout(read),
+            closing: handle.closing.clone(),
+            closed: handle.closed.clone(),
+        };
+        Ok((acceptor, handle))
+    }
+
+    async fn accept_stream(&mut self) -> io::Result<(TcpStream, std::net::SocketAddr)> {
+        if let Some(listener) = &self.listener {
+            tokio::select! {
+                biased;
+                accepted = listener.accept() => return accepted,
+                () = self.closing.cancelled() => {}
+            }
+            self.listener = None;
+            self.closed.cancel();
+        }
+        std::future::pending().await
+    }
+}
+
+impl Acceptor for EntryAcceptor {
+    type Coupler = TcpCoupler<Self::Stream>;
+    type Stream = StraightStream<TcpStream>;
+
+    fn holdings(&self) -> &[Holding] {
+        &self.holdings
+    }
+
+    async fn accept(
+        &mut self,
+        _policy: Option<ArcFusePolicy>,
+    ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
+        let (stream, remote_addr) = self.accept_stream().await?;
+        // Tokens go out one by one; they must not wait for acknowledgements.
+        stream.set_nodelay(true)?;
+        let conn_ctrl = ConnCtrl::new();
+        Ok(Accepted {
+            coupler: TcpCoupler::new(),
+            stream: StraightStream::new(stream, Some(self.fuse), conn_ctrl.clone(), None),
+            fuse_config: Some(self.fuse),
+            conn_ctrl,
+            local_addr: self.holdings[0].local_addr.clone(),
+            remote_addr: remote_addr.into(),
+            http_scheme: Scheme::HTTP,
+        })
+    }
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -90,7 +90,7 @@
         failed: &[Arc<str>],
     ) -> Result<Self> {
         loop {
-            let suspect = context.suspects().is_suspect(call);
+            let suspect = is_suspect(context, call);
             let mut excluded = failed.to_vec();
             if suspect {
                 excluded.extend(context.suspects().occupied());
@@ -238,13 +238,14 @@
             request = &*call.id,
             "entry: target {name} crashed with the request in flight"
         );
+        let recorded = recorded_crashes(context, call);
         context.append_later(Body::CrashSuspect(CrashSuspect {
             account: call.account.full_name.to_string(),
             body_digest: call.digest.to_vec(),
             target: name.to_string(),
             target_boot: boot.to_owned(),
         }));
-        let quarantined = context.suspects().record_crash(call);
+        let quarantined = context.suspects().record_crash(call, recorded);
         if quarantined {
             (context.peers().notify_quarantine)(&call.account.full_name, &call.digest);
         }
@@ -267,6 +268,19 @@
     }
 }
 
+/// Whether a request was in flight at a crash, on any instance.
+fn is_suspect(context: &EntryContext, call: &Call) -> bool {
+    context.suspects().is_suspect(call) || recorded_crashes(context, call) > 0
+}
+
+fn recorded_crashes(context: &EntryContext, call: &Call) -> u32 {
+    let account = &call.account.full_name;
+    let crashes = context
+        .ledger()
+        .read(|ledger| ledger.crashes(account, &call.digest));
+    u32::try_from(crashes).unwrap_or(u32::MAX)
+}
+
 fn is_leaving(context: &EntryContext, name: &str) -> bool {
     let snapshot = context.targets().snapshot();
     let view = snapshot.iter().find(|view| &*view.name == name);
--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -145,8 +145,14 @@
     let offset = entry.offset;
     let instance = Arc::clone(&entry.instance);
     let incarnation = entry.incarnation;
-    let Some(state) = wait_for_outcome(context, call, key, offset).await else {
-        let live = (context.peers().is_live)(&instance, incarnation);
+    let live = (context.peers().is_live)(&instance, incarnation);
+    let wait = if live {
+        OUTCOME_TIMEOUT.min(call.remaining())
+    } else {
+        Duration::ZERO
+    };
+    let outcome = wait_for_outcome(context, call, key, offset);
+    let Ok(state) = timeout(wait, outcome).await else {
         return Err(if live {
             Error::InProgress
         } else {
@@ -171,13 +177,13 @@
 
 /// Waits until a claim's outcome is recorded or the claim is released.
 ///
-/// Returns nothing if it is still running at the end of a bounded wait.
+/// Returns nothing if the claim was released.
 async fn wait_for_outcome(
     context: &EntryContext,
     call: &Call,
     key: &str,
     offset: Offset,
-) -> Option<Option<ClaimState>> {
+) -> Option<ClaimState> {
     let account = &call.account.full_name;
     let outcome = context.ledger().wait_for(|ledger| {
         let entry = ledger.claim(account, key);
@@ -187,8 +193,7 @@
             None => Some(None),
         }
     });
-    let wait = OUTCOME_TIMEOUT.min(call.remaining());
-    timeout(wait, outcome).await.ok()
+    outcome.await
 }
 
 /// Appends a claim; returns nothing if another claim was first.
--- a/src/entry/error.rs
+++ b/src/entry/error.rs
@@ -72,8 +72,6 @@
     },
     /// this instance cannot show that it knows the newest keys; try another instance
     Stale,
-    /// this instance is stopping; try another instance
-    Stopping,
     /// the request's headers exceed {limit} bytes
     HeadersTooLarge {
         /// Bound, in bytes.
@@ -196,7 +194,6 @@
             Self::DeadlineExceeded { .. } => StatusCode::GATEWAY_TIMEOUT,
             Self::Internal { .. } => StatusCode::INTERNAL_SERVER_ERROR,
             Self::Stale
-            | Self::Stopping
             | Self::QueueFull
             | Self::Overloaded { .. }
             | Self::NoTarget
@@ -213,7 +210,6 @@
             Self::InvalidKey => "invalid_api_key",
             Self::WrongService { .. } => "permission_denied",
             Self::Stale => "configuration_stale",
-            Self::Stopping => "instance_stopping",
             Self::HeadersTooLarge { .. } => "headers_too_large",
             Self::BodyTooLarge { .. } => "body_too_large",
             Self::ReadTimeout { .. } => "request_timeout",
@@ -257,7 +253,6 @@
                 Some(*retry_after_ms)
             }
             Self::Stale
-            | Self::Stopping
             | Self::QueueFull
             | Self::NoTarget
             | Self::LogUnavailable
@@ -274,7 +269,6 @@
                 | Self::ReadTimeout { .. }
                 | Self::BodyRead { .. }
                 | Self::HeadersTooLarge { .. }
-                | Self::Stopping
         )
     }
 
--- a/src/entry/generation.rs
+++ b/src/entry/generation.rs
@@ -22,7 +22,10 @@
 };
 
 /// Most attempts of one request at which a target may have run it.
-const MAX_ATTEMPTS: u32 = 4;
+const MAX_ATTEMPTS: u32 = 8;
+
+/// Most attempts in a row that bring no token.
+const MAX_FRUITLESS: u32 = 3;
 
 /// Most targets that are tried in vain before a request is refused.
 const MAX_REFUSALS: u32 = 8;
@@ -74,6 +77,8 @@
     /// Event that was read ahead of its turn.
     early: Option<std::result::Result<Event, AttemptError>>,
     refusals: u32,
+    /// Failed attempts since the last token.
+    fruitless: u32,
     /// Targets that failed this request.
     failed: Vec<Arc<str>>,
     /// Whether a target may have run the request.
@@ -126,6 +131,7 @@
             current: None,
             early: None,
             refusals: 0,
+            fruitless: 0,
             failed: Vec::new(),
             written: false,
             finish: None,
@@ -250,6 +256,7 @@
     fn take_token(&mut self, text: &str) {
         self.request.resume_tokens += 1;
         self.request.resume_text.push_str(text);
+        self.fruitless = 0;
         self.pace.token();
     }
 
@@ -281,8 +288,9 @@
             }
             return Ok(());
         }
-        let may_retry = self.call.is_idempotent() && self.request.attempt < MAX_ATTEMPTS;
-        if may_retry && self.context.allow_retry(&self.call) {
+        self.fruitless += 1;
+        if self.may_retry() && self.context.allow_retry(&self.call) {
+            Arc::make_mut(&mut self.demand).deadline = Some(self.call.deadline());
             return Ok(());
         }
         Err(Error::TargetFailed {
@@ -291,6 +299,12 @@
         })
     }
 
+    fn may_retry(&self) -> bool {
+        self.call.is_idempotent()
+            && self.request.attempt < MAX_ATTEMPTS
+            && self.fruitless < MAX_FRUITLESS
+    }
+
     /// Turns a refusal into a failure if an earlier attempt may have run.
     fn after_earlier(&self, error: Error) -> Error {
         if !self.written {
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -77,9 +77,6 @@
         let context = &self.context;
         let received_at = Instant::now();
         check_headers(request.headers())?;
-        if context.is_stopping() {
-            return Err(Error::Stopping);
-        }
         let digest = key_digest(request.headers())?;
         let key = digest.and_then(|digest| find_key(context.ledger(), &digest));
         let table = context.router().table(context.ledger());
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 //! dispatch; its answer is relayed whole or as a stream. Every refusal and
 //! failure says in the [`OUTCOME_HEADER`] what became of the request.
 
+mod acceptor;
 mod answer;
 mod attempt;
 mod auth;
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -2,15 +2,23 @@
 
 use std::{io, time::Duration};
 
-use salvo::{Router, Server, conn::tcp::TcpAcceptor, fuse::FuseConfig};
-use tokio::{net::TcpListener, time::MissedTickBehavior};
+use salvo::{Router, Server};
+use tokio::{
+    net::TcpListener,
+    time::{Instant, MissedTickBehavior, timeout_at},
+};
 use tokio_util::sync::CancellationToken;
 
-use crate::entry::{body::MAX_HEADER_BYTES, context::EntryContext, handler::EntryHandler};
+use crate::entry::{
+    acceptor::EntryAcceptor, body::MAX_HEADER_BYTES, context::EntryContext, handler::EntryHandler,
+};
 
 /// Time between two looks at the targets for queued requests.
 const TICK: Duration = Duration::from_millis(10);
 
+/// Shortest time for records to be appended at the end of a stop.
+const MIN_BACKGROUND: Duration = Duration::from_secs(1);
+
 /// Serves callers until `stop` is cancelled, then ends what is in flight.
 ///
 /// # Errors
@@ -28,9 +36,8 @@
         context: context.clone(),
     };
     let router = Router::with_path("{**path}").goal(handler);
-    let acceptor = TcpAcceptor::try_from(listener)?;
-    let mut server =
-        Server::new(acceptor).fuse_config(FuseConfig::default().with_http1_header_timeout(read));
+    let (acceptor, close) = EntryAcceptor::new(listener, read)?;
+    let mut server = Server::new(acceptor);
     server.http1_mut().max_buf_size(4 * MAX_HEADER_BYTES);
     let handle = server.handle();
     let serving = server.try_serve(router);
@@ -40,12 +47,16 @@
     loop {
         tokio::select! {
             result = &mut serving => return result,
-            () = stop.cancelled() => break,
+            () = close.closed() => break,
+            () = stop.cancelled(), if !context.is_stopping() => {
+                tracing::info!("entry: stopping; in-flight requests end first");
+                context.begin_stop();
+                close.close();
+            }
             _ = tick.tick() => context.scheduler().tick(),
         }
     }
-    tracing::info!("entry: stopping; in-flight requests end first");
-    context.begin_stop();
+    let drained_by = Instant::now() + drain;
     handle.stop_graceful(drain);
     let ended = async {
         loop {
@@ -57,7 +68,8 @@
     };
     let result = ended.await;
     context.tasks().close();
-    if tokio::time::timeout(drain, context.tasks().wait())
+    let background_by = drained_by.max(Instant::now() + MIN_BACKGROUND);
+    if timeout_at(background_by, context.tasks().wait())
         .await
         .is_err()
     {
--- a/src/entry/suspect.rs
+++ b/src/entry/suspect.rs
@@ -49,18 +49,19 @@
 impl Suspects {
     /// Counts a crash of a target while it ran a request.
     ///
-    /// Returns whether the request is to be quarantined.
-    pub(super) fn record_crash(&self, call: &Call) -> bool {
+    /// Returns whether the request is to be quarantined. `recorded` is the
+    /// number of such crashes that the ledger shows.
+    pub(super) fn record_crash(&self, call: &Call, recorded: u32) -> bool {
         let mut state = self.lock();
         if state.crashes.len() >= MAX_SUSPECTS {
             state.crashes.shift_remove_index(0);
         }
-        let crashes = state.crashes.entry(fingerprint(call)).or_default();
+        let crashes = state.crashes.entry(fingerprint(call)).or_insert(recorded);
         *crashes += 1;
         *crashes >= MAX_CRASHES
     }
 
-    /// Whether a request was in flight at a crash.
+    /// Whether a request was in flight at a crash that this instance saw.
     pub(super) fn is_suspect(&self, call: &Call) -> bool {
         let state = self.lock();
         !state.crashes.is_empty() && state.crashes.contains_key(&fingerprint(call))
--- /dev/null
+++ b/tests/crash_quarantine.rs
@@ -0,0 +1,93 @@
+//! Requests that crash targets are stopped; others survive the crashes.
+
+mod entry_support;
+
+use entry_support::{
+    Entry, MILL_KEY, MemoryLog, PRESS_KEY, Streamed, Targets, chat_prompt, document,
+    engine_options, error_code, expected_text, outcome, send_chat, start_entry, wait_until,
+};
+use lavenderwind::log::records::record::Body;
+
+const POISON: &str = "poison";
+const QUESTION: &str = "tag this listing";
+
+struct Bench {
+    log: MemoryLog,
+    _targets: Targets,
+    first: Entry,
+    second: Entry,
+}
+
+impl Bench {
+    async fn start(engines: usize) -> Self {
+        let log = MemoryLog::new();
+        let mut targets = Targets::default();
+        for index in 0..engines {
+            let mut options = engine_options(index).with_crash_marker(POISON);
+            options.restart_ms = 100;
+            targets.add_engine(options).await;
+        }
+        let first = start_entry(&log, "entry-1", &targets).await;
+        let second = start_entry(&log, "entry-2", &targets).await;
+        log.publish(0, &document(false));
+        Self {
+            log,
+            _targets: targets,
+            first,
+            second,
+        }
+    }
+
+    fn crashes(&self) -> usize {
+        let records = self.log.records();
+        let suspects = records.iter().filter_map(|body| match body {
+            Body::CrashSuspect(suspect) if suspect.account == "desk/mill" => Some(suspect),
+            _ => None,
+        });
+        suspects.count()
+    }
+}
+
+#[tokio::test]
+async fn crashing_request_is_quarantined_on_all_instances() {
+    let bench = Bench::start(3).await;
+    let answer = send_chat(&bench.first, MILL_KEY, POISON, 8, false).await;
+    assert_eq!(answer.status(), 422);
+    assert_eq!(outcome(&answer), "unknown");
+    assert_eq!(error_code(answer).await, "request_quarantined");
+    wait_until("both crashes are recorded", || bench.crashes() == 2).await;
+    for entry in [&bench.first, &bench.second] {
+        let again = send_chat(entry, MILL_KEY, POISON, 8, false).await;
+        assert_eq!(again.status(), 422);
+        assert_eq!(outcome(&again), "not-run");
+    }
+    assert_eq!(bench.crashes(), 2);
+    let other = send_chat(&bench.second, MILL_KEY, QUESTION, 8, false).await;
+    assert_eq!(other.status(), 200);
+}
+
+#[tokio::test]
+async fn other_requests_survive_the_crashes() {
+    let bench = Bench::start(3).await;
+    let mut streams = Vec::new();
+    for index in 0..9 {
+        let question = format!("{QUESTION} {index}");
+        let response = send_chat(&bench.first, PRESS_KEY, &question, 150, true).await;
+        streams.push((question, response));
+    }
+    let poison = send_chat(&bench.first, MILL_KEY, POISON, 8, false);
+    let reads = streams.into_iter().map(async |(question, response)| {
+        let streamed = Streamed::read(response).await;
+        (question, streamed)
+    });
+    let (poison, reads) = tokio::join!(poison, futures_util::future::join_all(reads));
+    assert_eq!(poison.status(), 422);
+    for (question, streamed) in reads {
+        assert!(
+            streamed.is_done(),
+            "{question}: {:?}",
+            streamed.events.last()
+        );
+        assert_eq!(streamed.text(), expected_text(&chat_prompt(&question), 150));
+    }
+}
--- /dev/null
+++ b/tests/entry_stop.rs
@@ -0,0 +1,160 @@
+//! Graceful stop, slow callers and connections that are used again.
+
+mod entry_support;
+
+use std::time::Duration;
+
+use entry_support::{
+    Entry, MILL_KEY, MemoryLog, Streamed, Targets, chat_prompt, document, engine_options,
+    expected_text, send_chat, settings, start_entry, start_entry_with,
+};
+use lavenderwind::standin::engine::EngineFaults;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+const QUESTION: &str = "when is the tender due?";
+
+/// Longest wait; only there against hanging.
+const HANG: Duration = Duration::from_secs(30);
+
+async fn connect(entry: &Entry) -> TcpStream {
+    let address = entry.url.strip_prefix("http://").unwrap();
+    TcpStream::connect(address).await.unwrap()
+}
+
+async fn read_to_end(connection: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let read = connection.read_to_end(&mut bytes);
+    let _ = tokio::time::timeout(HANG, read).await.expect("hangs");
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+#[tokio::test]
+async fn graceful_stop_ends_what_is_in_flight() {
+    let log = MemoryLog::new();
+    let targets = Targets::start(1, 0).await;
+    let mut entry = start_entry(&log, "entry-1", &targets).await;
+    log.publish(0, &document(false));
+    let engine = &targets.engines[0];
+    let response = send_chat(&entry, MILL_KEY, QUESTION, 40, true).await;
+    engine.set_faults(EngineFaults {
+        hang: true,
+        ..EngineFaults::default()
+    });
+    entry.stop.cancel();
+    let refused = async {
+        let address = entry.url.strip_prefix("http://").unwrap();
+        while TcpStream::connect(address).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(HANG, refused)
+        .await
+        .expect("accepts new connections");
+    engine.set_faults(EngineFaults::default());
+    let streamed = Streamed::read(response).await;
+    assert!(streamed.is_done());
+    assert_eq!(streamed.text(), expected_text(&chat_prompt(QUESTION), 40));
+    let serving = entry.serving.take().unwrap();
+    let stopped = tokio::time::timeout(HANG, serving)
+        .await
+        .expect("does not stop");
+    stopped.unwrap().unwrap();
+    assert_eq!(entry.usage.lock().unwrap()[0].output_tokens, 40);
+}
+
+#[tokio::test]
+async fn stop_is_bounded_by_the_settings() {
+    let log = MemoryLog::new();
+    let targets = Targets::start(1, 0).await;
+    let settings = settings("entry-1", "timing: {drain_ms: 300}");
+    let mut entry = start_entry_with(&log, settings, &targets).await;
+    log.publish(0, &document(false));
+    let response = send_chat(&entry, MILL_KEY, QUESTION, 40, true).await;
+    targets.engines[0].set_faults(EngineFaults {
+        hang: true,
+        ..EngineFaults::default()
+    });
+    entry.stop.cancel();
+    let serving = entry.serving.take().unwrap();
+    let stopped = tokio::time::timeout(HANG, serving)
+        .await
+        .expect("does not stop");
+    stopped.unwrap().unwrap();
+    assert!(!Streamed::read(response).await.is_done());
+}
+
+#[tokio::test]
+async fn slow_body_gets_408() {
+    let log = MemoryLog::new();
+    let targets = Targets::start(1, 0).await;
+    let settings = settings("entry-1", "limits: {request_read_ms: 200}");
+    let entry = start_entry_with(&log, settings, &targets).await;
+    log.publish(0, &document(false));
+    let mut connection = connect(&entry).await;
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {MILL_KEY}\r\ncontent-length: 100\r\n\r\n{{\"mo"
+    );
+    connection.write_all(head.as_bytes()).await.unwrap();
+    let answer = read_to_end(&mut connection).await;
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("lavenderwind-outcome: not-run"), "{answer}");
+    assert!(answer.contains("\"code\":\"request_timeout\""), "{answer}");
+}
+
+#[tokio::test]
+async fn slow_headers_are_cut() {
+    let log = MemoryLog::new();
+    let targets = Targets::start(1, 0).await;
+    let settings = settings("entry-1", "limits: {request_read_ms: 200}");
+    let entry = start_entry_with(&log, settings, &targets).await;
+    let mut connection = connect(&entry).await;
+    connection.write_all(b"GET /v1/models HT").await.unwrap();
+    let answer = read_to_end(&mut connection).await;
+    assert!(!answer.contains("200 OK"), "{answer}");
+}
+
+#[tokio::test]
+async fn large_headers_are_refused() {
+    let log = MemoryLog::new();
+    let targets = Targets::start(1, 0).await;
+    let entry = start_entry(&log, "entry-1", &targets).await;
+    log.publish(0, &document(false));
+    let mut connection = connect(&entry).await;
+    let filler = "f".repeat(40 << 10);
+    let head = format!("GET /v1/models HTTP/1.1\r\nhost: x\r\nx-filler: {filler}\r\n\r\n");
+    connection.write_all(head.as_bytes()).await.unwrap();
+    let answer = read_to_end(&mut connection).await;
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+    assert!(answer.contains("lavenderwind-outcome: not-run"), "{answer}");
+}
+
+#[tokio::test]
+async fn pipelined_requests_are_answered_in_order() {
+    let log = MemoryLog::new();
+    let mut targets = Targets::start(0, 1).await;
+    targets.add_engine(engine_options(0)).await;
+    let entry = start_entry(&log, "entry-1", &targets).await;
+    log.publish(0, &document(false));
+    let mut connection = connect(&entry).await;
+    let mut requests = String::new();
+    for index in 0..3 {
+        let close = if index == 2 {
+            "connection: close\r\n"
+        } else {
+            ""
+        };
+        requests.push_str(&format!(
+            "GET /status/{index} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {MILL_KEY}\r\n{close}\r\n"
+        ));
+    }
+    connection.write_all(requests.as_bytes()).await.unwrap();
+    let answer = read_to_end(&mut connection).await;
+    let places: Vec<usize> = (0..3)
+        .map(|index| answer.find(&format!("/status/{index}")).unwrap())
+        .collect();
+    assert!(places.is_sorted(), "{answer}");
+    assert_eq!(answer.matches("HTTP/1.1 200").count(), 3);
+}
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -402,3 +402,104 @@
     let value = response.headers().get("lavenderwind-outcome");
     value.map_or(String::new(), |v| v.to_str().unwrap().to_owned())
 }
+
+/// What a caller saw of a streamed answer.
+#[derive(Debug, Default)]
+pub(crate) struct Streamed {
+    /// Events' data, in order.
+    pub(crate) events: Vec<String>,
+    /// Whether the connection ended without an error.
+    pub(crate) ended_whole: bool,
+}
+
+impl Streamed {
+    /// Reads a streamed answer to its end.
+    pub(crate) async fn read(mut response: reqwest::Response) -> Self {
+        let mut text = String::new();
+        let ended_whole = loop {
+            match response.chunk().await {
+                Ok(Some(chunk)) => text.push_str(std::str::from_utf8(&chunk).unwrap()),
+                Ok(None) => break true,
+                Err(_) => break false,
+            }
+        };
+        let mut events = Vec::new();
+        for event in text.split("\n\n") {
+            if let Some(data) = event.strip_prefix("data: ") {
+                events.push(data.to_owned());
+            }
+        }
+        Self {
+            events,
+            ended_whole,
+        }
+    }
+
+    /// Returns the events that are JSON.
+    pub(crate) fn bodies(&self) -> Vec<serde_json::Value> {
+        let bodies = self.events.iter().filter(|data| *data != "[DONE]");
+        bodies
+            .map(|data| serde_json::from_str(data).unwrap())
+            .collect()
+    }
+
+    /// Returns the text of all deltas.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        for body in self.bodies() {
+            let choice = &body["choices"][0];
+            let piece = choice["delta"]["content"].as_str();
+            text.push_str(piece.or(choice["text"].as_str()).unwrap_or_default());
+        }
+        text
+    }
+
+    /// Whether the stream ended as a whole answer ends.
+    pub(crate) fn is_done(&self) -> bool {
+        self.events.last().is_some_and(|data| data == "[DONE]")
+    }
+}
+
+/// Sends a chat request.
+pub(crate) async fn send_chat(
+    entry: &Entry,
+    key: &str,
+    text: &str,
+    max_tokens: u32,
+    stream: bool,
+) -> reqwest::Response {
+    let body = serde_json::json!({
+        "model": MODEL,
+        "messages": [{"role": "user", "content": text}],
+        "max_tokens": max_tokens,
+        "stream": stream,
+    });
+    let request = caller().post(format!("{}/v1/chat/completions", entry.url));
+    request.bearer_auth(key).json(&body).send().await.unwrap()
+}
+
+/// Sends a non-repeatable order.
+pub(crate) async fn send_order(
+    entry: &Entry,
+    path: &str,
+    idempotency_key: Option<&str>,
+    body: &str,
+) -> reqwest::Response {
+    let mut request = caller().post(format!("{}{path}", entry.url));
+    if let Some(idempotency_key) = idempotency_key {
+        request = request.header("idempotency-key", idempotency_key);
+    }
+    let request = request.bearer_auth(MILL_KEY).body(body.to_owned());
+    request.send().await.unwrap()
+}
+
+/// Returns the code in an error's body, after checking its form.
+pub(crate) async fn error_code(response: reqwest::Response) -> String {
+    let header = outcome(&response);
+    let body: serde_json::Value = response.json().await.unwrap();
+    let error = &body["error"];
+    assert!(error["message"].is_string(), "{body}");
+    assert!(error["type"].is_string(), "{body}");
+    assert_eq!(error["outcome"], header, "{body}");
+    error["code"].as_str().unwrap().to_owned()
+}
--- /dev/null
+++ b/tests/stream_resume.rs
@@ -0,0 +1,231 @@
+//! Streamed answers, cut and resumed.
+
+mod entry_support;
+
+use std::time::Duration;
+
+use entry_support::{
+    Entry, MILL_KEY, MODEL, MemoryLog, Streamed, Targets, caller, chat_prompt, document,
+    engine_options, error_code, expected_text, outcome, send_chat, start_entry, wait_until,
+};
+use lavenderwind::{
+    standin::{engine::EngineFaults, faults::InterfaceFaults},
+    target::{EngineClient, http_client},
+};
+use serde_json::json;
+
+const QUESTION: &str = "which norm holds for tool boxes?";
+
+async fn start(engines: usize) -> (Targets, Entry) {
+    let log = MemoryLog::new();
+    let targets = Targets::start(engines, 0).await;
+    let entry = start_entry(&log, "entry-1", &targets).await;
+    log.publish(0, &document(false));
+    (targets, entry)
+}
+
+fn cut_after(tokens: u32) -> EngineFaults {
+    EngineFaults {
+        cut_after_tokens: tokens,
+        ..EngineFaults::default()
+    }
+}
+
+#[tokio::test]
+async fn stream_has_each_token_once() {
+    let (_targets, entry) = start(1).await;
+    let response = send_chat(&entry, MILL_KEY, QUESTION, 20, true).await;
+    assert_eq!(response.status(), 200);
+    assert_eq!(response.headers()["content-type"], "text/event-stream");
+    let streamed = Streamed::read(response).await;
+    assert!(streamed.ended_whole);
+    assert!(streamed.is_done());
+    assert_eq!(streamed.text(), expected_text(&chat_prompt(QUESTION), 20));
+    let bodies = streamed.bodies();
+    assert_eq!(bodies[0]["choices"][0]["delta"]["role"], "assistant");
+    let last = bodies.last().unwrap();
+    assert_eq!(last["choices"][0]["finish_reason"], "length");
+    assert!(last.get("usage").is_none());
+}
+
+#[tokio::test]
+async fn usage_event_comes_last_if_asked_for() {
+    let (_targets, entry) = start(1).await;
+    let request = caller().post(format!("{}/v1/completions", entry.url));
+    let body = json!({
+        "model": MODEL,
+        "prompt": QUESTION,
+        "max_tokens": 5,
+        "stream": true,
+        "stream_options": {"include_usage": true},
+    });
+    let response = request
+        .bearer_auth(MILL_KEY)
+        .json(&body)
+        .send()
+        .await
+        .unwrap();
+    let streamed = Streamed::read(response).await;
+    assert!(streamed.is_done());
+    assert_eq!(streamed.text(), expected_text(QUESTION, 5));
+    let bodies = streamed.bodies();
+    let last = bodies.last().unwrap();
+    assert_eq!(last["choices"], json!([]));
+    assert_eq!(last["usage"]["completion_tokens"], 5);
+    assert_eq!(last["object"], "text_completion");
+}
+
+#[tokio::test]
+async fn stop_sequence_ends_the_answer() {
+    let (_targets, entry) = start(1).await;
+    let whole = expected_text(&chat_prompt(QUESTION), 20);
+    let stop = &whole[26..31];
+    let expected = &whole[..whole.find(stop).unwrap()];
+    for stream in [false, true] {
+        let request = caller().post(format!("{}/v1/chat/completions", entry.url));
+        let body = json!({
+            "model": MODEL,
+            "messages": [{"role": "user", "content": QUESTION}],
+            "max_tokens": 20,
+            "stop": stop,
+            "stream": stream,
+        });
+        let response = request
+            .bearer_auth(MILL_KEY)
+            .json(&body)
+            .send()
+            .await
+            .unwrap();
+        if stream {
+            let streamed = Streamed::read(response).await;
+            assert_eq!(streamed.text(), expected);
+            assert!(streamed.is_done());
+            continue;
+        }
+        let body: serde_json::Value = response.json().await.unwrap();
+        assert_eq!(body["choices"][0]["message"]["content"], expected);
+        assert_eq!(body["choices"][0]["finish_reason"], "stop");
+    }
+}
+
+#[tokio::test]
+async fn cut_stream_is_resumed_with_each_token_once() {
+    let (targets, entry) = start(4).await;
+    for engine in &targets.engines {
+        engine.set_faults(cut_after(5));
+    }
+    let response = send_chat(&entry, MILL_KEY, QUESTION, 18, true).await;
+    let streamed = Streamed::read(response).await;
+    assert!(streamed.is_done());
+    assert_eq!(streamed.text(), expected_text(&chat_prompt(QUESTION), 18));
+    // The opening and the finish are the two events beside the tokens.
+    assert_eq!(streamed.bodies().len(), 20);
+
+    let response = send_chat(&entry, MILL_KEY, QUESTION, 18, false).await;
+    let body: serde_json::Value = response.json().await.unwrap();
+    let content = &body["choices"][0]["message"]["content"];
+    assert_eq!(content, &expected_text(&chat_prompt(QUESTION), 18));
+    assert_eq!(body["usage"]["completion_tokens"], 18);
+    wait_until("usage is recorded", || {
+        entry.usage.lock().unwrap().len() == 2
+    })
+    .await;
+    for used in entry.usage.lock().unwrap().iter() {
+        assert_eq!((used.requests, used.output_tokens), (1, 18));
+    }
+}
+
+#[tokio::test]
+async fn stream_that_cannot_be_finished_does_not_end_like_a_whole_one() {
+    let (targets, entry) = start(4).await;
+    for engine in &targets.engines {
+        engine.set_faults(cut_after(2));
+    }
+    let response = send_chat(&entry, MILL_KEY, QUESTION, 50, true).await;
+    assert_eq!(response.status(), 200);
+    let streamed = Streamed::read(response).await;
+    assert!(!streamed.ended_whole);
+    assert!(!streamed.is_done());
+    let bodies = streamed.bodies();
+    let error = &bodies.last().unwrap()["error"];
+    assert_eq!(error["outcome"], "ran");
+    let whole = expected_text(&chat_prompt(QUESTION), 50);
+    let text = streamed.text();
+    assert!(!text.is_empty() && whole.starts_with(&text));
+
+    let response = send_chat(&entry, MILL_KEY, QUESTION, 50, false).await;
+    assert_eq!(response.status(), 502);
+    assert_eq!(outcome(&response), "ran");
+    assert_eq!(error_code(response).await, "target_failed");
+}
+
+#[tokio::test]
+async fn crossed_answers_are_dropped() {
+    let (targets, entry) = start(2).await;
+    targets.engines[0].set_faults(EngineFaults {
+        wrong_request: true,
+        ..EngineFaults::default()
+    });
+    for index in 0..8 {
+        let question = format!("{QUESTION} {index}");
+        let response = send_chat(&entry, MILL_KEY, &question, 6, true).await;
+        assert_eq!(response.status(), 200);
+        let streamed = Streamed::read(response).await;
+        assert!(streamed.is_done());
+        assert_eq!(streamed.text(), expected_text(&chat_prompt(&question), 6));
+    }
+}
+
+#[tokio::test]
+async fn outage_of_an_engine_moves_requests_to_another() {
+    let (targets, entry) = start(2).await;
+    targets.engines[0].set_faults(EngineFaults {
+        http: InterfaceFaults {
+            outage: true,
+            ..InterfaceFaults::default()
+        },
+        ..EngineFaults::default()
+    });
+    for index in 0..8 {
+        let question = format!("{QUESTION} {index}");
+        let response = send_chat(&entry, MILL_KEY, &question, 6, false).await;
+        assert_eq!(response.status(), 200, "{:?}", response.text().await);
+    }
+}
+
+#[tokio::test]
+async fn hang_up_cancels_the_engine_stream() {
+    let log = MemoryLog::new();
+    let mut targets = Targets::default();
+    targets
+        .add_engine(engine_options(0).with_time_scale(1.0))
+        .await;
+    let entry = start_entry(&log, "entry-1", &targets).await;
+    log.publish(0, &document(false));
+    let max_tokens = 20_000;
+    let mut response = send_chat(&entry, MILL_KEY, QUESTION, max_tokens, true).await;
+    assert!(response.chunk().await.unwrap().is_some());
+    let client = EngineClient::new(http_client().unwrap());
+    let address = targets.engines[0].addr().to_string();
+    assert_eq!(client.state(&address).await.unwrap().running, 1);
+    drop(response);
+    let cancelled = async {
+        while client.state(&address).await.unwrap().running > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(30), cancelled)
+        .await
+        .unwrap();
+    wait_until("usage is recorded", || {
+        !entry.usage.lock().unwrap().is_empty()
+    })
+    .await;
+    let used = entry.usage.lock().unwrap()[0].clone();
+    assert_eq!(used.requests, 1);
+    assert!(
+        (1..u64::from(max_tokens)).contains(&used.output_tokens),
+        "{used:?}"
+    );
+    assert_eq!(entry.context.burn().counts()[0].cancelled, 1);
+}
