--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -25,6 +25,9 @@
 /// Longest wait for an engine to tell whether it was restarted.
 const STATE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest wait for a crash to be recorded before a suspect is retried.
+const SUSPECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Why an attempt failed.
 #[derive(Debug, Display)]
 pub(super) enum AttemptError {
@@ -51,6 +54,25 @@
     }
 }
 
+impl AttemptError {
+    /// Cause in words for callers, without addresses.
+    pub(super) const fn public_reason(&self) -> &'static str {
+        match self {
+            Self::Target(target::Error::Connect { .. }) => "it cannot be reached",
+            Self::Target(target::Error::WrongRequest { .. }) => {
+                "its answer belongs to another request"
+            }
+            Self::Target(target::Error::Status { .. }) | Self::Refused(_) => {
+                "it refused the request"
+            }
+            Self::Target(_) => "its answer was cut",
+            Self::Failed(_) => "it could not finish the answer",
+            Self::Stalled => "it sent nothing for too long",
+            Self::Gap => "its answer left out tokens",
+        }
+    }
+}
+
 /// A checked event of an attempt.
 #[derive(Debug)]
 pub(super) enum Event {
@@ -239,13 +261,17 @@
             "entry: target {name} crashed with the request in flight"
         );
         let recorded = recorded_crashes(context, call);
-        context.append_later(Body::CrashSuspect(CrashSuspect {
+        let appending = context.append_later(Body::CrashSuspect(CrashSuspect {
             account: call.account.full_name.to_string(),
             body_digest: call.digest.to_vec(),
             target: name.to_string(),
             target_boot: boot.to_owned(),
         }));
-        let quarantined = context.suspects().record_crash(call, recorded);
+        if recorded > 0 {
+            // This crash may be the one that quarantines the request.
+            let _ = timeout(SUSPECT_TIMEOUT, appending).await;
+        }
+        let quarantined = context.suspects().record_crash(call, boot);
         if quarantined {
             (context.peers().notify_quarantine)(&call.account.full_name, &call.digest);
         }
--- a/src/entry/generation.rs
+++ b/src/entry/generation.rs
@@ -294,7 +294,7 @@
             return Ok(());
         }
         Err(Error::TargetFailed {
-            reason: Arc::from(error.to_string()),
+            reason: Arc::from(error.public_reason()),
             outcome: self.outcome(),
         })
     }
--- a/src/instance/admin.rs
+++ b/src/instance/admin.rs
@@ -4,11 +4,7 @@
 
 use metrics_exporter_prometheus::PrometheusHandle;
 use salvo::{
-    Response, Router, Server,
-    conn::tcp::TcpAcceptor,
-    handler,
-    http::StatusCode,
-    prelude::Json,
+    Response, Router, Server, conn::tcp::TcpAcceptor, handler, http::StatusCode, prelude::Json,
     writing::Text,
 };
 use tokio::net::TcpListener;
@@ -48,7 +44,10 @@
         stop.cancelled().await;
         handle.stop_graceful(STOP_BOUND);
     });
-    server.try_serve(router(sources)).await.map_err(Error::Listen)
+    server
+        .try_serve(router(sources))
+        .await
+        .map_err(Error::Listen)
 }
 
 fn router(sources: AdminSources) -> Router {
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -1,3 +1,156 @@
 //! An entry instance: wires the parts together under a supervisor tree.
+//!
+//! [`Instance::start`] binds the listeners and starts the parts;
+//! [`Instance::stop`] stops them in order: callers first, then the duties, the
+//! exchange with peers and the platform, and the admin interface last.
 
+mod admin;
+mod burn;
+mod listeners;
+mod parts;
 pub mod status;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use displaydoc::Display;
+use tokio_util::sync::CancellationToken;
+
+pub use self::listeners::Addresses;
+use self::{
+    burn::BurnSampler,
+    listeners::Listeners,
+    parts::{PlatformParts, Shared},
+    status::StatusSources,
+};
+use crate::{
+    Settings, entry::EntryBuilder, ledger::LedgerHandle, peer::PeerHandle, platform::LiveClient,
+    supervisor::Supervisor,
+};
+
+/// Longest wait for one part other than the callers' listener to stop.
+const PART_STOP_BOUND: Duration = Duration::from_secs(5);
+
+/// A result of this module.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why an instance could not start or a part of it failed.
+#[derive(Debug, Display, derive_more::Error)]
+pub enum Error {
+    /// cannot listen on {address}: {source}
+    Bind {
+        /// Address of the settings.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// listener failed: {0}
+    Listen(std::io::Error),
+    /// HTTP client failed to start: {0}
+    Client(reqwest::Error),
+    /// metrics recorder failed to start: {0}
+    Metrics(metrics_exporter_prometheus::BuildError),
+}
+
+/// A running entry instance.
+pub struct Instance {
+    settings: Arc<Settings>,
+    addresses: Addresses,
+    callers: Supervisor,
+    platform: Supervisor,
+    admin: Supervisor,
+    live: LiveClient,
+    peers: PeerHandle,
+    status: StatusSources,
+    broken: CancellationToken,
+}
+
+impl Instance {
+    /// Binds the listeners and starts all parts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address is in use or a client cannot be built.
+    pub async fn start(settings: Settings) -> Result<Self> {
+        let settings = Arc::new(settings);
+        let listeners = Listeners::bind(&settings)?;
+        let addresses = listeners.addresses;
+        let root = Supervisor::new(&settings.name);
+        let callers = root.subtree("entry");
+        let platform = root.subtree("platform");
+        let admin = Supervisor::new(&settings.name);
+        let shared = Shared::new(&settings)?;
+        let parts = PlatformParts::start(&shared, &listeners, &platform)?;
+        let context = EntryBuilder::new(
+            Arc::clone(&settings),
+            shared.ledger.clone(),
+            parts.log.appender.clone(),
+            parts.targets.clone(),
+            shared.http.clone(),
+        )
+        .peers(parts.entry_peers())
+        .build();
+        parts::start_callers(&callers, listeners.entry, &context);
+        let burn = BurnSampler::start(&admin, &context);
+        let status = StatusSources {
+            settings: Arc::clone(&settings),
+            incarnation: shared.incarnation,
+            ledger: shared.ledger.clone(),
+            tail: parts.log.status.clone(),
+            targets: parts.targets.clone(),
+            peers: parts.peers.clone(),
+            stopping: callers.stop_token(),
+        };
+        parts::start_admin(&admin, listeners.admin, &status, burn)?;
+        tracing::info!(
+            "instance: {} listens for callers on {}",
+            settings.name,
+            addresses.entry
+        );
+        Ok(Self {
+            settings,
+            addresses,
+            callers,
+            platform,
+            admin,
+            live: shared.live,
+            peers: parts.peers,
+            status,
+            broken: shared.broken,
+        })
+    }
+
+    /// Returns the addresses that the instance listens on.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Returns whether the instance may serve callers.
+    pub fn is_ready(&self) -> bool {
+        self.status.collect().not_ready.is_empty()
+    }
+
+    /// Returns the ledger that the instance folds.
+    pub fn ledger(&self) -> &LedgerHandle {
+        &self.status.ledger
+    }
+
+    /// Waits until the instance cannot go on and must be replaced.
+    pub async fn broken(&self) {
+        self.broken.cancelled().await;
+    }
+
+    /// Stops all parts in order; returns whether all ended within their bounds.
+    pub async fn stop(self) -> bool {
+        tracing::info!("instance: {} is stopping", self.settings.name);
+        self.peers.announce_leaving();
+        let drain = Duration::from_millis(self.settings.timing.drain_ms);
+        let mut ended = self.callers.stop(drain + PART_STOP_BOUND).await;
+        ended &= self.platform.stop(PART_STOP_BOUND).await;
+        if let Err(error) = self.live.withdraw(&self.settings.name).await {
+            tracing::warn!("instance: not withdrawn from the live list: {error}");
+        }
+        ended &= self.admin.stop(PART_STOP_BOUND).await;
+        tracing::info!("instance: {} has stopped", self.settings.name);
+        ended
+    }
+}
--- a/src/ledger/duties.rs
+++ b/src/ledger/duties.rs
@@ -25,6 +25,8 @@
     pub incarnation: u64,
     /// Fencing number: the offset of the holder's claim.
     pub epoch: u64,
+    /// Epoch of the claim before this one; 0 if there was none.
+    pub after_epoch: u64,
     /// Offset of the last renewal, or of the claim before the first renewal.
     pub renewal: u64,
     /// Whether the holder gave the duty up.
@@ -55,6 +57,8 @@
     pub incarnation: u64,
     /// The order.
     pub order: Order,
+    /// Whether its holder resigned, after which it sends nothing.
+    pub resigned: bool,
 }
 
 /// Duties and open intents.
@@ -108,6 +112,7 @@
             holder: record.writer.as_str().into(),
             incarnation: record.incarnation,
             epoch: offset.0,
+            after_epoch: epoch,
             renewal: offset.0,
             resigned: false,
         };
@@ -139,6 +144,11 @@
         if let Some(entry) = self.holders.get_mut(&duty) {
             entry.resigned = true;
         }
+        for intent in self.intents.values_mut() {
+            if intent.duty == duty && intent.epoch == resignation.epoch {
+                intent.resigned = true;
+            }
+        }
         Ok(())
     }
 
@@ -168,6 +178,7 @@
             holder: record.writer.as_str().into(),
             incarnation: record.incarnation,
             order: order.clone(),
+            resigned: false,
         };
         self.intents.insert(target, entry);
         Ok(())
@@ -204,6 +215,7 @@
                 holder: entry.holder.to_string(),
                 incarnation: entry.incarnation,
                 epoch: entry.epoch,
+                after_epoch: entry.after_epoch,
                 renewal: entry.renewal,
                 resigned: entry.resigned,
             });
@@ -218,6 +230,7 @@
                 offset: entry.offset.0,
                 holder: entry.holder.to_string(),
                 incarnation: entry.incarnation,
+                resigned: entry.resigned,
                 intent: Some(OrderIntent {
                     target: entry.target.to_string(),
                     duty: i32::from(entry.duty),
@@ -237,6 +250,7 @@
                 holder: state.holder.into(),
                 incarnation: state.incarnation,
                 epoch: state.epoch,
+                after_epoch: state.after_epoch,
                 renewal: state.renewal,
                 resigned: state.resigned,
             };
@@ -272,5 +286,6 @@
         holder: state.holder.into(),
         incarnation: state.incarnation,
         order,
+        resigned: state.resigned,
     })
 }
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -91,6 +91,8 @@
     pub(super) renewal: u64,
     #[prost(bool, tag = "6")]
     pub(super) resigned: bool,
+    #[prost(uint64, tag = "7")]
+    pub(super) after_epoch: u64,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -103,6 +105,8 @@
     pub(super) incarnation: u64,
     #[prost(message, optional, tag = "4")]
     pub(super) intent: Option<OrderIntent>,
+    #[prost(bool, tag = "5")]
+    pub(super) resigned: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
