--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! The command line: one file a subcommand.
 
 mod check;
+mod demo;
 mod key;
 mod load;
 mod operator;
@@ -10,7 +11,7 @@
 mod standin;
 mod status;
 
-use std::process::ExitCode;
+use std::{io::IsTerminal, process::ExitCode};
 
 use clap::{Arg, ArgMatches, Command};
 use displaydoc::Display;
@@ -99,6 +100,7 @@
         .subcommand(report::command())
         .subcommand(load::command())
         .subcommand(standin::command())
+        .subcommand(demo::command())
 }
 
 /// Parses the arguments of the process and runs the command.
@@ -129,11 +131,12 @@
             load::run(matches).await?;
             Ok(ExitCode::SUCCESS)
         }
-        _ => {
+        "standin" => {
             start_logging(&Logging::default());
             standin::run(matches).await?;
             Ok(ExitCode::SUCCESS)
         }
+        _ => demo::run(matches).await,
     }
 }
 
@@ -147,6 +150,7 @@
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
+        .with_ansi(std::io::stderr().is_terminal())
         .with_writer(std::io::stderr);
     // A second call, as in tests, keeps the first subscriber.
     let _ = match logging.format {
--- a/src/cli/operator.rs
+++ b/src/cli/operator.rs
@@ -61,7 +61,11 @@
 impl Operator {
     /// Folds the retained log to its end.
     pub(super) async fn connect(matches: &ArgMatches) -> Result<Self> {
-        let url = string(matches, "platform");
+        Self::open(string(matches, "platform")).await
+    }
+
+    /// Folds the retained log of the platform at a base URL.
+    pub(super) async fn open(url: &str) -> Result<Self> {
         let http = reqwest::Client::builder()
             .timeout(ANSWER_TIMEOUT)
             .build()
--- a/src/cli/report.rs
+++ b/src/cli/report.rs
@@ -43,10 +43,7 @@
     };
     let objective = objective(matches)?;
     let collected = collect_samples(string(matches, "platform")).await?;
-    let report = BurnReport::new(&BurnInput {
-        objective,
-        ..BurnInput::new(collected.samples)
-    });
+    let report = burn_report(collected.samples, objective);
     if let Some(path) = matches.get_one::<String>("html") {
         write_page(&report, path)?;
     }
@@ -81,6 +78,19 @@
     )))
 }
 
+/// Collects a report from every live instance that answers.
+pub(super) async fn collect_burn(platform_url: &str, objective: f64) -> Result<BurnReport> {
+    let collected = collect_samples(platform_url).await?;
+    Ok(burn_report(collected.samples, objective))
+}
+
+fn burn_report(samples: Vec<BurnSample>, objective: f64) -> BurnReport {
+    BurnReport::new(&BurnInput {
+        objective,
+        ..BurnInput::new(samples)
+    })
+}
+
 async fn collect_samples(platform_url: &str) -> Result<Collected> {
     let http = reqwest::Client::builder()
         .timeout(ANSWER_TIMEOUT)
--- a/src/log/tailer.rs
+++ b/src/log/tailer.rs
@@ -134,10 +134,19 @@
         };
         ReadRequest {
             from,
-            wait: self.inputs.read_wait,
+            wait: self.read_wait(),
         }
     }
 
+    /// Returns how long a read may wait for the next record: not at all until
+    /// the log's end has been reached once.
+    fn read_wait(&self) -> Duration {
+        if self.status.borrow().complete {
+            return self.inputs.read_wait;
+        }
+        Duration::ZERO
+    }
+
     /// Takes a read's outcome and returns the delay before the next.
     fn take_outcome(&mut self, outcome: ReadOutcome) -> Duration {
         let response = match outcome.result {
