--- a/src/control/checkpoint.rs
+++ b/src/control/checkpoint.rs
@@ -81,6 +81,7 @@
     ledger: LedgerHandle,
     checkpoint_ms: u64,
     expiry: ExpiryClock,
+    published_ms: u64,
 }
 
 impl CheckpointRunner {
@@ -97,6 +98,7 @@
             ledger,
             checkpoint_ms: timing.checkpoint_ms,
             expiry: ExpiryClock::new(timing.dedup_window_ms),
+            published_ms: 0,
         }
     }
 
@@ -106,22 +108,34 @@
     ///
     /// Fails if the appender has stopped.
     pub async fn run(mut self, stop: CancellationToken) -> Result<()> {
-        let mut published_ms = self.authority.clock().now_ms();
-        while !stop.is_cancelled() {
-            let now_ms = self.authority.clock().now_ms();
-            self.expiry.observe(self.ledger.applied(), now_ms);
-            if let Some(epoch) = self.authority.epoch() {
-                self.expire(epoch, now_ms).await?;
-                if now_ms >= published_ms + self.checkpoint_ms {
-                    published_ms = now_ms;
-                    self.publish(epoch).await?;
-                }
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return Ok(()),
+                done = self.turn() => done?,
             }
-            tokio::time::sleep(TICK).await;
         }
+    }
+
+    async fn turn(&mut self) -> Result<()> {
+        let now_ms = self.authority.clock().now_ms();
+        self.expiry.observe(self.ledger.applied(), now_ms);
+        if let Some(epoch) = self.authority.epoch() {
+            self.expire(epoch, now_ms).await?;
+            self.publish_if_due(epoch, now_ms).await?;
+        }
+        tokio::time::sleep(TICK).await;
         Ok(())
     }
 
+    /// Publishes a checkpoint if none was marked for the checkpoint period.
+    async fn publish_if_due(&mut self, epoch: u64, now_ms: u64) -> Result<()> {
+        if now_ms < self.published_ms + self.checkpoint_ms {
+            return Ok(());
+        }
+        self.published_ms = now_ms;
+        self.publish(epoch).await
+    }
+
     async fn expire(&mut self, epoch: u64, now_ms: u64) -> Result<()> {
         let Some(up_to) = self.expiry.take_expired(now_ms) else {
             return Ok(());
--- a/src/control/settler.rs
+++ b/src/control/settler.rs
@@ -18,7 +18,7 @@
 const MAX_CONCURRENT: usize = 16;
 
 /// Settles open intents of one duty. `members` lists the live instances, this
-/// one included; `checks_fencing` tells whether a target refuses old fencing
+/// one included, or is `None` while the live list is not known; `checks_fencing` tells whether a target refuses old fencing
 /// numbers.
 #[derive(Debug)]
 pub struct Settler<W, R, M, C> {
@@ -35,7 +35,7 @@
     WF: Future<Output = WriteOutcome>,
     R: Fn(Arc<str>) -> RF,
     RF: Future<Output = Observation>,
-    M: Fn() -> Vec<Member>,
+    M: Fn() -> Option<Vec<Member>>,
     C: Fn(&str) -> bool,
 {
     /// Returns a settler; an instance is gone once it has been missing from the
@@ -72,7 +72,10 @@
         let intents = self.sender.open_intents();
         let now_ms = self.sender.authority().clock().now_ms();
         let awaited: Vec<_> = intents.iter().map(announcer).collect();
-        self.absence.observe(&awaited, &(self.members)(), now_ms);
+        match (self.members)() {
+            Some(members) => self.absence.observe(&awaited, &members, now_ms),
+            None => self.absence.reset(),
+        }
         if self.sender.authority().epoch().is_none() {
             return Ok(());
         }
--- a/src/control/windows.rs
+++ b/src/control/windows.rs
@@ -119,15 +119,22 @@
     ///
     /// Fails if the appender has stopped.
     pub async fn run(mut self, stop: CancellationToken) -> Result<()> {
-        while !stop.is_cancelled() {
-            let now_ms = self.clock.now_ms();
-            self.observe(now_ms);
-            if let Some(epoch) = self.sender.authority().epoch() {
-                self.close(epoch, now_ms).await?;
-                self.report().await?;
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return Ok(()),
+                done = self.turn() => done?,
             }
-            tokio::time::sleep(TICK).await;
         }
+    }
+
+    async fn turn(&mut self) -> Result<()> {
+        let now_ms = self.clock.now_ms();
+        self.observe(now_ms);
+        if let Some(epoch) = self.sender.authority().epoch() {
+            self.close(epoch, now_ms).await?;
+            self.report().await?;
+        }
+        tokio::time::sleep(TICK).await;
         Ok(())
     }
 
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -40,7 +40,7 @@
 use prost::Message;
 
 pub use self::{
-    checkpoint::{CHUNK_BYTES, CheckpointEntry, Rebuilder},
+    checkpoint::{CHUNK_BYTES, CheckpointEntry},
     claims::{ClaimEntry, ClaimState, MAX_IDEMPOTENCY_KEY_BYTES, MAX_OUTCOME_BYTES},
     duties::{DutyEntry, IntentEntry},
     error::{Error, Rejection, Result},
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -30,6 +30,11 @@
         self.shared.state().membership.live(Instant::now())
     }
 
+    /// Returns whether the live list was read at least once.
+    pub fn knows_live_list(&self) -> bool {
+        self.shared.state().membership.listed_once()
+    }
+
     /// Returns the names of the peers with an open connection.
     pub fn connected(&self) -> Vec<Arc<str>> {
         self.shared.state().links.keys().cloned().collect()
--- a/tests/ledger_fold.rs
+++ b/tests/ledger_fold.rs
@@ -6,9 +6,9 @@
 
 use arbtest::{arbitrary, arbitrary::Unstructured, arbtest};
 use lavenderwind::{
-    ledger::{ClaimState, Ledger, Rebuilder, Verdict},
+    ledger::{ClaimState, Ledger, Verdict},
     log::{
-        Offset,
+        Offset, Rebuilder,
         records::{Duty, Record, UsageLine, record::Body},
     },
 };
