Run the duties: fleet, usage and checkpoint

control::spawn starts, under a supervisor, one runner a duty, a settler of the intents that former holders left open, the usage recorder with slices and watermarks, the window closer with its reporter, the checkpoint publisher with expiry, and the fleet planner over policy::roles and policy::spending. A usage report goes through an intent as other orders do.

An order whose outcome can't be read within the settle time keeps its intent open; the settler closes it later, so that one unreachable engine doesn't hold up the others. Absences are counted only once the live list was read (PeerHandle::knows_live_list).

--- /dev/null
+++ b/src/control/fleet/demand.rs
@@ -0,0 +1,84 @@
+//! Demand of services, as the usage windows of the ledger show it.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use crate::{
+    ledger::{Ledger, UsageCounts, WindowEntry},
+    policy::roles::Demand,
+};
+
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1_000.0;
+
+/// Counts of one service within one window.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct CountKey {
+    window: u64,
+    service: Arc<str>,
+}
+
+/// Turns the counts of usage windows into rates.
+#[derive(Clone, Debug, Default)]
+pub struct DemandMeter {
+    counts: IndexMap<CountKey, UsageCounts>,
+    observed_ms: Option<u64>,
+}
+
+impl DemandMeter {
+    /// Returns a meter that has seen no usage.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the demand of each service since the last call.
+    pub fn observe(&mut self, ledger: &Ledger, now_ms: u64) -> IndexMap<Arc<str>, Demand> {
+        let counts = current_counts(ledger);
+        let before = std::mem::replace(&mut self.counts, counts);
+        let elapsed_ms = self
+            .observed_ms
+            .replace(now_ms)
+            .map_or(0, |observed_ms| now_ms.saturating_sub(observed_ms));
+        let mut demands: IndexMap<Arc<str>, Demand> = IndexMap::new();
+        if elapsed_ms == 0 {
+            return demands;
+        }
+        let elapsed_s = elapsed_ms as f64 / MS_PER_S;
+        for (key, counts) in &self.counts {
+            let known = before.get(key).copied().unwrap_or_default();
+            let prompt = counts.prompt_tokens.saturating_sub(known.prompt_tokens);
+            let output = counts.output_tokens.saturating_sub(known.output_tokens);
+            let demand = demands.entry(key.service.clone()).or_default();
+            demand.prefill_tokens_per_s += prompt as f64 / elapsed_s;
+            demand.decode_tokens_per_s += output as f64 / elapsed_s;
+        }
+        demands
+    }
+}
+
+/// Sums the counts of each service and window that the ledger still has.
+fn current_counts(ledger: &Ledger) -> IndexMap<CountKey, UsageCounts> {
+    let mut counts = IndexMap::new();
+    let open = ledger.window_open();
+    let opened = (open..=open + 1).filter_map(|window| ledger.window(window));
+    for entry in ledger.windows_unacknowledged().chain(opened) {
+        add_window(&mut counts, entry);
+    }
+    counts
+}
+
+fn add_window(counts: &mut IndexMap<CountKey, UsageCounts>, entry: &WindowEntry) {
+    for (service, accounts) in &entry.services {
+        let key = CountKey {
+            window: entry.window,
+            service: service.clone(),
+        };
+        let total = counts.entry(key).or_default();
+        for account in accounts.values() {
+            total.requests += account.requests;
+            total.prompt_tokens += account.prompt_tokens;
+            total.output_tokens += account.output_tokens;
+        }
+    }
+}
--- /dev/null
+++ b/src/control/fleet/engines.rs
@@ -0,0 +1,208 @@
+//! Model loads and role changes of the engines of one service.
+
+use std::sync::Arc;
+
+use crate::{
+    log::records::{
+        EngineOrder, EngineRole as RecordRole, LoadModel, SetRole, engine_order::Action,
+        order_intent::Order,
+    },
+    platform::protocol::TargetState,
+    policy::roles::{
+        Demand, LoadBudget, LoadWant, RolePlanner, RoleSettings, RoleTarget, choose_load,
+    },
+    service::{Document, TargetKind},
+    target::{
+        protocol::{EngineRole, EngineState, LoadedModel},
+        table::TargetView,
+    },
+};
+
+use super::PlannedOrder;
+
+/// Streams that an engine decodes at a time.
+pub(super) const ENGINE_STREAMS: f64 = 16.0;
+
+/// Time within which waiting prompts should be prefilled, in seconds.
+const BACKLOG_S: f64 = 5.0;
+
+/// Plans the orders to the engines of one service.
+#[derive(Clone, Debug)]
+pub struct EnginePlanner {
+    roles: RolePlanner,
+}
+
+impl Default for EnginePlanner {
+    fn default() -> Self {
+        Self {
+            roles: RolePlanner::new(RoleSettings::default()),
+        }
+    }
+}
+
+impl EnginePlanner {
+    /// Plans at most one load and one role change.
+    pub fn plan(
+        &mut self,
+        document: &Document,
+        views: &[TargetView],
+        demand: Demand,
+        budget: &mut LoadBudget,
+        now_ms: u64,
+    ) -> Vec<PlannedOrder> {
+        let engines = engines_of(document, views);
+        let mut orders = Vec::new();
+        let load = plan_load(document, &engines);
+        orders.extend(load.filter(|_| budget.withdraw(now_ms)));
+        let role = self.plan_role(&engines, demand, now_ms);
+        let loads = |order: &PlannedOrder| orders.iter().any(|load| load.target == order.target);
+        let role = role.filter(|order| !loads(order));
+        if let Some(order) = &role {
+            self.roles.record_change(&order.target, now_ms);
+        }
+        orders.extend(role);
+        orders
+    }
+
+    fn plan_role(
+        &mut self,
+        engines: &[Engine<'_>],
+        demand: Demand,
+        now_ms: u64,
+    ) -> Option<PlannedOrder> {
+        let mut backlog_tokens = 0.0;
+        let mut targets = Vec::with_capacity(engines.len());
+        for engine in engines {
+            backlog_tokens += engine.state.waiting_prefill_tokens as f64;
+            targets.push(engine.role_target());
+        }
+        let demand = Demand {
+            prefill_tokens_per_s: demand.prefill_tokens_per_s + backlog_tokens / BACKLOG_S,
+            ..demand
+        };
+        self.roles.observe(demand, now_ms);
+        let change = self.roles.plan(&targets, now_ms)?;
+        let role = SetRole {
+            role: record_role(change.role).into(),
+        };
+        Some(PlannedOrder {
+            target: change.target,
+            order: engine_order(Action::SetRole(role)),
+        })
+    }
+}
+
+/// An engine with its last report.
+struct Engine<'a> {
+    view: &'a TargetView,
+    state: &'a EngineState,
+}
+
+impl Engine<'_> {
+    fn role_target(&self) -> RoleTarget {
+        let streams = ENGINE_STREAMS;
+        RoleTarget {
+            name: self.view.name.clone(),
+            role: self.state.role,
+            available: self.view.is_available(),
+            changing: self.state.changing,
+            prefill_tokens_per_s: f64::from(self.state.prefill_tokens_per_s),
+            decode_tokens_per_s: f64::from(self.state.decode_tokens_per_s) * streams,
+        }
+    }
+
+    fn loaded(&self, model: &str, version: &str) -> Option<&LoadedModel> {
+        let mut models = self.state.models.iter();
+        models.find(|held| &*held.model == model && &*held.version == version)
+    }
+
+    fn holds(&self, want: &LoadWant) -> bool {
+        let Some(held) = self.loaded(&want.model, &want.version) else {
+            return false;
+        };
+        want.adapter.is_empty() || held.adapters.contains(&want.adapter)
+    }
+}
+
+fn engines_of<'a>(document: &Document, views: &'a [TargetView]) -> Vec<Engine<'a>> {
+    let mut engines = Vec::new();
+    for view in views {
+        let runs_service = document.kind(&view.kind).is_some_and(TargetKind::is_engine);
+        let Some(state) = &view.engine else {
+            continue;
+        };
+        if runs_service && view.state == TargetState::Live {
+            engines.push(Engine { view, state });
+        }
+    }
+    engines
+}
+
+/// Chooses the load that is missing most, and the engine with the fewest
+/// models to take it.
+fn plan_load(document: &Document, engines: &[Engine<'_>]) -> Option<PlannedOrder> {
+    let wants = load_wants(document, engines);
+    let want = choose_load(&wants)?;
+    let mut chosen: Option<&Engine<'_>> = None;
+    for engine in engines {
+        let has_model = engine.loaded(&want.model, &want.version).is_some();
+        let takes_adapter = want.adapter.is_empty() || has_model;
+        if !engine.view.is_available() || engine.holds(want) || !takes_adapter {
+            continue;
+        }
+        let models = engine.state.models.len();
+        if chosen.is_none_or(|other| models < other.state.models.len()) {
+            chosen = Some(engine);
+        }
+    }
+    let load = LoadModel {
+        model: want.model.to_string(),
+        version: want.version.to_string(),
+        adapter: want.adapter.to_string(),
+    };
+    Some(PlannedOrder {
+        target: chosen?.view.name.clone(),
+        order: engine_order(Action::LoadModel(load)),
+    })
+}
+
+fn load_wants(document: &Document, engines: &[Engine<'_>]) -> Vec<LoadWant> {
+    let available = engines.iter().filter(|engine| engine.view.is_available());
+    let available = u32::try_from(available.count()).unwrap_or(u32::MAX);
+    let models = u32::try_from(document.models.len()).unwrap_or(u32::MAX);
+    let wanted = (available / models.max(1)).clamp(1, available.max(1));
+    let mut wants = Vec::new();
+    for model in &document.models {
+        let base = std::iter::once(Arc::<str>::default());
+        for adapter in base.chain(model.adapters.iter().cloned()) {
+            let mut want = LoadWant {
+                model: model.name.clone(),
+                version: model.version.clone(),
+                adapter,
+                held_by: 0,
+                wanted,
+                unserved_per_s: 0.0,
+            };
+            for engine in engines {
+                let holds = engine.view.is_available() && engine.holds(&want);
+                want.held_by += u32::from(holds);
+            }
+            wants.push(want);
+        }
+    }
+    wants
+}
+
+fn engine_order(action: Action) -> Order {
+    Order::Engine(EngineOrder {
+        action: Some(action),
+    })
+}
+
+fn record_role(role: EngineRole) -> RecordRole {
+    match role {
+        EngineRole::Mixed => RecordRole::Mixed,
+        EngineRole::Prefill => RecordRole::Prefill,
+        EngineRole::Decode => RecordRole::Decode,
+    }
+}
--- /dev/null
+++ b/src/control/fleet/mod.rs
@@ -0,0 +1,192 @@
+//! The fleet duty: model loads, role changes and orders for targets.
+
+mod demand;
+mod engines;
+mod port;
+mod spending;
+
+use std::{future::Future, sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+use indexmap::IndexMap;
+use tokio_util::sync::CancellationToken;
+
+pub use self::{
+    demand::DemandMeter,
+    engines::EnginePlanner,
+    port::{FleetPort, fleet_target},
+    spending::{EngineSpeed, SpendingPlanner},
+};
+use super::{Error, Observation, OrderSender, Result, SentOrder, WriteOutcome};
+use crate::{
+    ledger::{Ledger, LedgerHandle, ServiceEntry},
+    log::records::order_intent::Order,
+    platform::protocol::TargetList,
+    policy::roles::LoadBudget,
+    target::table::TargetView,
+};
+
+/// Time between two plans.
+const PLAN_PERIOD: Duration = Duration::from_secs(1);
+
+/// Loads that may be ordered in a burst.
+const LOAD_BURST: u64 = 4;
+
+/// An order that is to be sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlannedOrder {
+    /// Target.
+    pub target: Arc<str>,
+    /// The order.
+    pub order: Order,
+}
+
+/// Plans the orders for all services.
+#[derive(Clone, Debug)]
+pub struct FleetPlanner {
+    demand: DemandMeter,
+    budget: LoadBudget,
+    engines: IndexMap<Arc<str>, EnginePlanner>,
+    spending: IndexMap<Arc<str>, SpendingPlanner>,
+}
+
+impl FleetPlanner {
+    /// Returns a planner that has seen no demand.
+    pub fn new(weight_fetches_per_min: u32) -> Self {
+        Self {
+            demand: DemandMeter::new(),
+            budget: LoadBudget::new(u64::from(weight_fetches_per_min), LOAD_BURST),
+            engines: IndexMap::new(),
+            spending: IndexMap::new(),
+        }
+    }
+
+    /// Plans from what the ledger, the targets and the platform show.
+    pub fn plan(
+        &mut self,
+        ledger: &Ledger,
+        views: &[TargetView],
+        list: &TargetList,
+        now_ms: u64,
+    ) -> Vec<PlannedOrder> {
+        let demands = self.demand.observe(ledger, now_ms);
+        let services: Vec<Arc<ServiceEntry>> = ledger.services().cloned().collect();
+        let mut orders: Vec<PlannedOrder> = Vec::new();
+        for entry in &services {
+            let document = &entry.document;
+            let name = &document.service;
+            let demand = demands.get(name).copied().unwrap_or_default();
+            let engines = self.engines.entry(name.clone()).or_default();
+            let planned = engines.plan(document, views, demand, &mut self.budget, now_ms);
+            let spending = self.spending.entry(name.clone()).or_default();
+            let speed = engine_speed(views);
+            let ordered = spending.plan(document, list, demand, speed, now_ms);
+            for order in planned.into_iter().chain(ordered) {
+                let busy = ledger.intent(&order.target).is_some();
+                let planned = orders.iter().any(|other| other.target == order.target);
+                if !busy && !planned {
+                    orders.push(order);
+                }
+            }
+        }
+        orders
+    }
+}
+
+/// Mean speed of the engines that reported.
+fn engine_speed(views: &[TargetView]) -> Option<EngineSpeed> {
+    let mut engines = 0.0;
+    let mut speed = EngineSpeed {
+        prefill_tokens_per_s: 0.0,
+        decode_tokens_per_s: 0.0,
+    };
+    for view in views {
+        let Some(state) = &view.engine else {
+            continue;
+        };
+        engines += 1.0;
+        speed.prefill_tokens_per_s += f64::from(state.prefill_tokens_per_s);
+        speed.decode_tokens_per_s += f64::from(state.decode_tokens_per_s) * engines::ENGINE_STREAMS;
+    }
+    if engines == 0.0 {
+        return None;
+    }
+    speed.prefill_tokens_per_s /= engines;
+    speed.decode_tokens_per_s /= engines;
+    Some(speed)
+}
+
+/// Carries out the plans under the fleet duty.
+#[derive(Debug)]
+pub struct FleetRunner<W, R> {
+    sender: Arc<OrderSender<W, R>>,
+    ledger: LedgerHandle,
+    port: FleetPort,
+    planner: FleetPlanner,
+}
+
+impl<W, R, WF, RF> FleetRunner<W, R>
+where
+    W: Fn(SentOrder) -> WF,
+    WF: Future<Output = WriteOutcome>,
+    R: Fn(Arc<str>) -> RF,
+    RF: Future<Output = Observation>,
+{
+    /// Returns a runner.
+    pub fn new(
+        sender: Arc<OrderSender<W, R>>,
+        ledger: LedgerHandle,
+        port: FleetPort,
+        planner: FleetPlanner,
+    ) -> Self {
+        Self {
+            sender,
+            ledger,
+            port,
+            planner,
+        }
+    }
+
+    /// Runs until `stop` is cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the appender has stopped.
+    pub async fn run(mut self, stop: CancellationToken) -> Result<()> {
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return Ok(()),
+                done = self.turn() => done?,
+            }
+        }
+    }
+
+    async fn turn(&mut self) -> Result<()> {
+        tokio::time::sleep(PLAN_PERIOD).await;
+        if self.sender.authority().epoch().is_none() {
+            return Ok(());
+        }
+        let Ok(list) = self.port.platform.list().await else {
+            return Ok(());
+        };
+        let now_ms = self.sender.authority().clock().now_ms();
+        let views = self.port.table.snapshot();
+        let planner = &mut self.planner;
+        let orders = self
+            .ledger
+            .read(|ledger| planner.plan(ledger, &views, &list, now_ms));
+        let sender = &self.sender;
+        let sends = orders.iter().map(|planned| async move {
+            let sent = sender.send(&planned.target, planned.order.clone()).await;
+            tracing::info!("control: order to {}: {sent:?}", planned.target);
+            sent
+        });
+        for sent in join_all(sends).await {
+            match sent {
+                Ok(_) | Err(Error::NotHolder | Error::Rejected(_)) => {}
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/control/fleet/port.rs
@@ -0,0 +1,178 @@
+//! Sends orders to engines and to the platform, and reads what they took.
+
+use std::sync::Arc;
+
+use super::super::{Observation, SentOrder, WriteOutcome};
+use crate::{
+    ledger::LedgerHandle,
+    log::records::{
+        EngineRole as RecordRole, FleetOrder, engine_order::Action, order_intent::Order,
+    },
+    platform::{
+        self, TargetsClient,
+        protocol::{TargetList, TargetOrder},
+    },
+    target::{
+        self, EngineClient,
+        protocol::{EngineAction, EngineOrderRequest, EngineRole},
+        table::TargetTable,
+    },
+};
+
+/// Start of the names of the platform's groups of targets.
+const PLATFORM_PREFIX: &str = "platform/";
+
+/// HTTP status of a refused fencing number.
+const CONFLICT: u16 = 409;
+
+/// Name under which the orders for a kind and failure domain are announced.
+pub fn fleet_target(kind: &str, failure_domain: &str) -> Arc<str> {
+    format!("{PLATFORM_PREFIX}{kind}/{failure_domain}").into()
+}
+
+/// Clients through which fleet orders go; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct FleetPort {
+    /// Targets that are known.
+    pub table: TargetTable,
+    /// Client for engines.
+    pub engines: EngineClient,
+    /// Client for target ordering.
+    pub platform: TargetsClient,
+}
+
+impl FleetPort {
+    /// Writes an order once.
+    pub async fn write(&self, sent: SentOrder) -> WriteOutcome {
+        match &sent.order {
+            Order::Engine(order) => match &order.action {
+                Some(action) => self.write_engine(&sent, action).await,
+                None => WriteOutcome::Refused,
+            },
+            Order::Fleet(order) => self.write_fleet(&sent, order).await,
+            Order::Usage(_) => WriteOutcome::Refused,
+        }
+    }
+
+    async fn write_engine(&self, sent: &SentOrder, action: &Action) -> WriteOutcome {
+        let Some(address) = self.address(&sent.target) else {
+            return WriteOutcome::Refused;
+        };
+        let request = EngineOrderRequest {
+            order_id: sent.order_id,
+            epoch: sent.epoch,
+            action: engine_action(action),
+        };
+        match self.engines.order(&address, &request).await {
+            Ok(()) => WriteOutcome::Taken,
+            Err(target::Error::Status { status, .. }) if status == CONFLICT => {
+                WriteOutcome::Refused
+            }
+            Err(error) if !error.written() => WriteOutcome::Refused,
+            Err(error) => {
+                let target = &sent.target;
+                tracing::warn!("control: order {} to {target}: {error}", sent.order_id);
+                WriteOutcome::Unknown
+            }
+        }
+    }
+
+    async fn write_fleet(&self, sent: &SentOrder, order: &FleetOrder) -> WriteOutcome {
+        let request = TargetOrder {
+            order_id: sent.order_id,
+            epoch: sent.epoch,
+            kind: order.kind.as_str().into(),
+            failure_domain: order.failure_domain.as_str().into(),
+            count: order.count,
+        };
+        match self.platform.order(&request).await {
+            Ok(()) => WriteOutcome::Taken,
+            Err(platform::Error::OldEpoch { .. }) => WriteOutcome::Refused,
+            Err(error) if !error.written() => WriteOutcome::Refused,
+            Err(error) => {
+                tracing::warn!("control: order {} to the platform: {error}", sent.order_id);
+                WriteOutcome::Unknown
+            }
+        }
+    }
+
+    /// Reads which order a target or the platform took last.
+    pub async fn observe(&self, target: Arc<str>) -> Observation {
+        if target.starts_with(PLATFORM_PREFIX) {
+            let list = self.platform.list().await;
+            return list.map_or(Observation::Unreachable, |list| {
+                Observation::LastOrder(last_fleet_order(&list, &target))
+            });
+        }
+        let Some(address) = self.address(&target) else {
+            return self.observe_unknown(&target).await;
+        };
+        let state = self.engines.state(&address).await;
+        state.map_or(Observation::Unreachable, |state| {
+            Observation::LastOrder(state.last_order_id)
+        })
+    }
+
+    /// A target that the table lacks is gone if the platform does not list it.
+    async fn observe_unknown(&self, target: &str) -> Observation {
+        let Ok(list) = self.platform.list().await else {
+            return Observation::Unreachable;
+        };
+        let listed = list.targets.iter().any(|known| &*known.name == target);
+        if listed {
+            Observation::Unreachable
+        } else {
+            Observation::Gone
+        }
+    }
+
+    /// Whether a target refuses orders with an old fencing number.
+    pub fn checks_fencing(&self, ledger: &LedgerHandle, target: &str) -> bool {
+        let views = self.table.snapshot();
+        let Some(view) = views.iter().find(|view| &*view.name == target) else {
+            return false;
+        };
+        ledger.read(|ledger| {
+            let mut services = ledger.services();
+            services.any(|entry| {
+                let kind = entry.document.kind(&view.kind);
+                kind.is_some_and(|kind| kind.checks_fencing)
+            })
+        })
+    }
+
+    fn address(&self, target: &str) -> Option<Arc<str>> {
+        let views = self.table.snapshot();
+        let view = views.iter().find(|view| &*view.name == target);
+        view.map(|view| view.address.clone())
+    }
+}
+
+fn last_fleet_order(list: &TargetList, target: &str) -> u64 {
+    for order in &list.orders {
+        if *fleet_target(&order.kind, &order.failure_domain) == *target {
+            return order.last_order_id;
+        }
+    }
+    0
+}
+
+fn engine_action(action: &Action) -> EngineAction {
+    match action {
+        Action::LoadModel(load) => EngineAction::LoadModel {
+            model: load.model.as_str().into(),
+            version: load.version.as_str().into(),
+            adapter: load.adapter.as_str().into(),
+        },
+        Action::UnloadModel(unload) => EngineAction::UnloadModel {
+            model: unload.model.as_str().into(),
+        },
+        Action::SetRole(set_role) => EngineAction::SetRole {
+            role: match set_role.role() {
+                RecordRole::Unspecified | RecordRole::Mixed => EngineRole::Mixed,
+                RecordRole::Prefill => EngineRole::Prefill,
+                RecordRole::Decode => EngineRole::Decode,
+            },
+        },
+    }
+}
--- /dev/null
+++ b/src/control/fleet/spending.rs
@@ -0,0 +1,205 @@
+//! Orders to the platform for the targets of one service.
+
+use std::sync::Arc;
+
+use indexmap::IndexSet;
+
+use super::{PlannedOrder, fleet_target};
+use crate::{
+    log::records::{FleetOrder, order_intent::Order},
+    platform::protocol::{TargetList, TargetState},
+    policy::{
+        roles::Demand,
+        spending::{
+            DomainSupply, NeedWindow, SpendingLimits, SpendingPrices, needed_targets, plan, release,
+        },
+    },
+    service::{Document, Spending, TargetKind},
+};
+
+/// Time for which targets are kept after their need has fallen, in
+/// milliseconds.
+const NEED_WINDOW_MS: u64 = 120_000;
+
+/// Part of the targets' capacity that is used at most.
+const UTILIZATION: f64 = 0.7;
+
+/// Tokens a second that one engine prefills or decodes.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineSpeed {
+    /// Prompt tokens a second.
+    pub prefill_tokens_per_s: f64,
+    /// Generated tokens a second over the whole batch.
+    pub decode_tokens_per_s: f64,
+}
+
+/// Plans the number of targets of one service.
+#[derive(Clone, Debug)]
+pub struct SpendingPlanner {
+    need: NeedWindow,
+}
+
+impl Default for SpendingPlanner {
+    fn default() -> Self {
+        Self {
+            need: NeedWindow::new(NEED_WINDOW_MS),
+        }
+    }
+}
+
+/// Kinds between which the spending is divided.
+struct Kinds<'a> {
+    reclaimable: Option<&'a TargetKind>,
+    regular: Option<&'a TargetKind>,
+}
+
+impl SpendingPlanner {
+    /// Plans orders where the wanted number differs from the standing order.
+    pub fn plan(
+        &mut self,
+        document: &Document,
+        list: &TargetList,
+        demand: Demand,
+        speed: Option<EngineSpeed>,
+        now_ms: u64,
+    ) -> Vec<PlannedOrder> {
+        if !document.spending.managed {
+            return Vec::new();
+        }
+        let load = speed.map_or(0.0, |speed| load(demand, speed));
+        let needed = needed_targets(load, UTILIZATION).max(document.spending.min_targets);
+        let needed = self.need.observe(needed, now_ms);
+        let kinds = kinds_of(document);
+        let supply = supply(&kinds, list, needed);
+        let prices = SpendingPrices {
+            reclaimable_milli_per_hour: cost(kinds.reclaimable),
+            regular_milli_per_hour: cost(kinds.regular),
+        };
+        let planned = plan(needed, &supply, &prices, &limits(&document.spending));
+        let regular_now = regular_now(&kinds, list, &supply);
+        let regular = release(&planned, needed, &regular_now, &supply);
+        let mut orders = Vec::new();
+        for (index, domain) in supply.iter().enumerate() {
+            let name = &domain.failure_domain;
+            let reclaimable = planned.reclaimable[index];
+            orders.extend(changed_order(kinds.reclaimable, name, reclaimable, list));
+            orders.extend(changed_order(kinds.regular, name, regular[index], list));
+        }
+        orders
+    }
+}
+
+/// Load in targets' worth of work.
+fn load(demand: Demand, speed: EngineSpeed) -> f64 {
+    demand.prefill_tokens_per_s / speed.prefill_tokens_per_s.max(1.0)
+        + demand.decode_tokens_per_s / speed.decode_tokens_per_s.max(1.0)
+}
+
+fn kinds_of(document: &Document) -> Kinds<'_> {
+    let mut kinds = document.target_kinds.iter();
+    let reclaimable = kinds.clone().find(|kind| kind.reclaimable);
+    let regular = kinds.find(|kind| !kind.reclaimable);
+    Kinds {
+        reclaimable,
+        regular,
+    }
+}
+
+fn cost(kind: Option<&TargetKind>) -> u64 {
+    kind.map_or(0, |kind| kind.cost_milli_per_hour)
+}
+
+fn limits(spending: &Spending) -> SpendingLimits {
+    SpendingLimits {
+        min_targets: spending.min_targets,
+        max_targets: (spending.max_targets > 0).then_some(spending.max_targets),
+        max_cost_milli_per_hour: (spending.max_cost_milli_per_hour > 0)
+            .then_some(spending.max_cost_milli_per_hour),
+    }
+}
+
+fn supply(kinds: &Kinds<'_>, list: &TargetList, needed: u32) -> Vec<DomainSupply> {
+    let mut domains: IndexSet<Arc<str>> = IndexSet::new();
+    domains.extend(
+        list.targets
+            .iter()
+            .map(|target| target.failure_domain.clone()),
+    );
+    domains.extend(list.orders.iter().map(|order| order.failure_domain.clone()));
+    domains.sort();
+    let mut supply = Vec::with_capacity(domains.len());
+    for domain in domains {
+        supply.push(DomainSupply {
+            reclaimable: obtainable(kinds.reclaimable, &domain, list, needed),
+            reclaimable_live: live(kinds.reclaimable, &domain, list),
+            regular: obtainable(kinds.regular, &domain, list, needed),
+            failure_domain: domain,
+        });
+    }
+    supply
+}
+
+/// Targets of a kind that can be had in a failure domain: as many as needed,
+/// unless a standing order shows that there are fewer.
+fn obtainable(kind: Option<&TargetKind>, domain: &str, list: &TargetList, needed: u32) -> u32 {
+    let Some(kind) = kind else {
+        return 0;
+    };
+    for order in &list.orders {
+        if order.kind != kind.name || &*order.failure_domain != domain {
+            continue;
+        }
+        if order.available < order.wanted {
+            return order.available;
+        }
+    }
+    needed
+}
+
+fn live(kind: Option<&TargetKind>, domain: &str, list: &TargetList) -> u32 {
+    let Some(kind) = kind else {
+        return 0;
+    };
+    let mut live = 0;
+    for target in &list.targets {
+        let counts = target.kind == kind.name
+            && &*target.failure_domain == domain
+            && target.state == TargetState::Live;
+        live += u32::from(counts);
+    }
+    live
+}
+
+fn regular_now(kinds: &Kinds<'_>, list: &TargetList, supply: &[DomainSupply]) -> Vec<u32> {
+    let mut counts = Vec::with_capacity(supply.len());
+    for domain in supply {
+        counts.push(live(kinds.regular, &domain.failure_domain, list));
+    }
+    counts
+}
+
+/// Returns an order if the standing one asks for another number.
+fn changed_order(
+    kind: Option<&TargetKind>,
+    domain: &str,
+    count: u32,
+    list: &TargetList,
+) -> Option<PlannedOrder> {
+    let kind = kind?;
+    let standing = list
+        .orders
+        .iter()
+        .find(|order| order.kind == kind.name && &*order.failure_domain == domain);
+    if standing.map_or(0, |order| order.wanted) == count {
+        return None;
+    }
+    let order = FleetOrder {
+        kind: kind.name.to_string(),
+        failure_domain: domain.to_owned(),
+        count,
+    };
+    Some(PlannedOrder {
+        target: fleet_target(&kind.name, domain),
+        order: Order::Fleet(order),
+    })
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod clock;
 mod duty;
 mod error;
+pub mod fleet;
 mod lease;
 mod orders;
 mod preference;
@@ -17,6 +18,7 @@
 mod settlement;
 mod settler;
 mod slices;
+mod spawn;
 mod usage;
 mod windows;
 
@@ -26,6 +28,7 @@
     clock::Clock,
     duty::{DutyRules, DutySituation, DutyStep, Identity},
     error::{Error, Result},
+    fleet::{FleetPlanner, FleetPort, FleetRunner},
     lease::{ChallengeClock, LeaseClock, LeaseTiming},
     orders::{Observation, OrderOutcome, OrderSender, SentOrder, WriteOutcome},
     preference::{Member, rank},
@@ -33,6 +36,7 @@
     settlement::{AbsenceClock, IntentSituation, Settlement, settlement},
     settler::Settler,
     slices::SliceBuffer,
+    spawn::{ControlInputs, spawn},
     usage::{UsageFlusher, UsageRecorder},
     windows::{CloseSituation, WindowCloser, may_close, ordered_report, window_report},
 };
--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -64,6 +64,8 @@
     Applied,
     /// The target did not take it.
     NotApplied,
+    /// It is not known yet, and the intent stays open.
+    Open,
 }
 
 /// Sends orders under one duty. `write` sends an order once, `observe` reads
@@ -162,20 +164,17 @@
         };
         let step = settlement(intent, &situation);
         let outcome = match step {
-            Settlement::Wait => None,
-            Settlement::Resolve => Some(self.read_outcome(&intent.target, order_id).await),
+            Settlement::Wait => OrderOutcome::Open,
+            Settlement::Resolve => self.read_outcome(&intent.target, order_id).await,
             Settlement::Adopt => self.adopt(intent, permit.epoch).await?,
         };
-        let Some(outcome) = outcome else {
-            return Ok(Settlement::Wait);
-        };
         self.resolve(&intent.target, intent.offset, outcome).await?;
         Ok(step)
     }
 
-    /// Sends a former holder's order under the own epoch. Returns `None` if
-    /// the target may still take it from a former holder.
-    async fn adopt(&self, intent: &IntentEntry, epoch: u64) -> Result<Option<OrderOutcome>> {
+    /// Sends a former holder's order under the own epoch. The intent stays open
+    /// if the target may still take it from a former holder.
+    async fn adopt(&self, intent: &IntentEntry, epoch: u64) -> Result<OrderOutcome> {
         let adoption = self.announcement(&intent.target, epoch, &intent.order);
         self.append(adoption).await?;
         let sent = SentOrder {
@@ -186,11 +185,11 @@
         };
         let outcome = self.write_once(sent).await;
         if outcome == WriteOutcome::Taken {
-            return Ok(Some(OrderOutcome::Applied));
+            return Ok(OrderOutcome::Applied);
         }
         let target = &intent.target;
         tracing::warn!("control: target {target} did not confirm an adopted order; leaving it");
-        Ok(None)
+        Ok(OrderOutcome::Open)
     }
 
     fn announcement(&self, target: &str, epoch: u64, order: &Order) -> Body {
@@ -218,26 +217,27 @@
     }
 
     /// Reads the target's state until it shows the order, or for the settle
-    /// time. A target that cannot be read is tried until it can be, or is gone.
+    /// time. The intent stays open if the state cannot be read.
     async fn read_outcome(&self, target: &Arc<str>, order_id: u64) -> OrderOutcome {
-        let mut readable_since = None;
+        let started_at = Instant::now();
         loop {
-            match (self.observe)(target.clone()).await {
+            let observed = (self.observe)(target.clone()).await;
+            let settled = started_at.elapsed() >= self.settle_time;
+            match observed {
                 Observation::LastOrder(last) if last == order_id => return OrderOutcome::Applied,
                 Observation::Gone => return OrderOutcome::NotApplied,
-                Observation::Unreachable => {}
-                Observation::LastOrder(_) => {
-                    let since = *readable_since.get_or_insert_with(Instant::now);
-                    if since.elapsed() >= self.settle_time {
-                        return OrderOutcome::NotApplied;
-                    }
-                }
+                Observation::LastOrder(_) if settled => return OrderOutcome::NotApplied,
+                Observation::Unreachable if settled => return OrderOutcome::Open,
+                Observation::LastOrder(_) | Observation::Unreachable => {}
             }
             tokio::time::sleep(OBSERVE_PERIOD).await;
         }
     }
 
     async fn resolve(&self, target: &str, intent: Offset, outcome: OrderOutcome) -> Result<()> {
+        if outcome == OrderOutcome::Open {
+            return Ok(());
+        }
         let resolved = OrderResolved {
             target: target.to_owned(),
             intent_offset: intent.0,
--- a/src/control/settler.rs
+++ b/src/control/settler.rs
@@ -2,7 +2,7 @@
 
 use std::{future::Future, sync::Arc, time::Duration};
 
-use futures_util::{StreamExt, stream};
+use futures_util::future::join_all;
 use tokio_util::sync::CancellationToken;
 
 use super::{
@@ -14,9 +14,6 @@
 /// Time between two looks at the open intents.
 const TICK: Duration = Duration::from_millis(200);
 
-/// Intents that are settled at a time.
-const MAX_CONCURRENT: usize = 16;
-
 /// Settles open intents of one duty. `members` lists the live instances, this
 /// one included, or is `None` while the live list is not known; `checks_fencing` tells whether a target refuses old fencing
 /// numbers.
@@ -79,11 +76,11 @@
         if self.sender.authority().epoch().is_none() {
             return Ok(());
         }
-        let this = &*self;
-        let settled = stream::iter(&intents)
-            .map(|intent| this.settle(intent, now_ms))
-            .buffer_unordered(MAX_CONCURRENT)
-            .collect::<Vec<_>>();
+        let mut settles = Vec::with_capacity(intents.len());
+        for intent in &intents {
+            settles.push(self.settle(intent, now_ms));
+        }
+        let settled = join_all(settles);
         let results = tokio::select! {
             () = stop.cancelled() => return Ok(()),
             results = settled => results,
--- /dev/null
+++ b/src/control/spawn.rs
@@ -0,0 +1,281 @@
+//! Starts the tasks of the duties under a supervisor.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::sync::watch;
+
+use super::{
+    Authority, CheckpointRunner, DutyRunner, FleetPlanner, FleetPort, FleetRunner, Identity,
+    LeaseClock, Member, Observation, OrderSender, SentOrder, Settler, UsageFlusher, UsageRecorder,
+    WindowCloser, WriteOutcome, ordered_report,
+};
+use crate::{
+    Settings,
+    ledger::LedgerHandle,
+    log::{Appender, TailStatus, records::Duty},
+    peer::PeerHandle,
+    platform::{self, TargetsClient, UsageClient},
+    supervisor::Supervisor,
+    target::{EngineClient, table::TargetTable},
+};
+
+/// Platform timeouts for which a target's state is read before an unanswered
+/// order counts as not taken.
+const SETTLE_TIMEOUTS: u32 = 3;
+
+/// What the duties need of the other parts; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct ControlInputs {
+    /// Settings of this instance.
+    pub settings: Arc<Settings>,
+    /// Ledger of this instance.
+    pub ledger: LedgerHandle,
+    /// Appends this instance's records.
+    pub appender: Appender,
+    /// What is known of the log's end.
+    pub tail: watch::Receiver<TailStatus>,
+    /// Peers of this instance.
+    pub peers: PeerHandle,
+    /// Targets that are known.
+    pub targets: TargetTable,
+    /// HTTP client for targets and the platform.
+    pub http: reqwest::Client,
+    /// Usage that the entry records.
+    pub recorder: UsageRecorder,
+}
+
+impl ControlInputs {
+    fn identity(&self) -> Identity {
+        Identity {
+            name: self.appender.writer().clone(),
+            incarnation: self.appender.incarnation(),
+        }
+    }
+
+    fn authority(&self, duty: Duty) -> Authority {
+        let lease = LeaseClock::new(self.settings.timing.lease_ms);
+        Authority::new(duty, self.identity(), self.ledger.clone(), lease)
+    }
+
+    fn timeout(&self) -> Duration {
+        Duration::from_millis(self.settings.timing.platform_timeout_ms)
+    }
+
+    /// The running instances, this one included.
+    fn members(&self) -> Vec<Member> {
+        let mut members = vec![Member {
+            identity: self.identity(),
+            leaving: false,
+        }];
+        for peer in self.peers.live() {
+            members.push(Member {
+                identity: Identity {
+                    name: peer.name,
+                    incarnation: peer.incarnation,
+                },
+                leaving: peer.leaving,
+            });
+        }
+        members
+    }
+
+    fn known_members(&self) -> Option<Vec<Member>> {
+        self.peers.knows_live_list().then(|| self.members())
+    }
+
+    fn sender<W, R>(&self, authority: &Authority, write: W, observe: R) -> Arc<OrderSender<W, R>>
+    where
+        W: Fn(SentOrder) -> WriteFuture + Send + Sync,
+        R: Fn(Arc<str>) -> ObserveFuture + Send + Sync,
+    {
+        Arc::new(OrderSender::new(
+            authority.clone(),
+            self.appender.clone(),
+            self.ledger.clone(),
+            self.timeout() * SETTLE_TIMEOUTS,
+            write,
+            observe,
+        ))
+    }
+}
+
+type WriteFuture = futures_util::future::BoxFuture<'static, WriteOutcome>;
+type ObserveFuture = futures_util::future::BoxFuture<'static, Observation>;
+
+/// Starts the duties. Their supervisor is to be stopped after the callers'
+/// listener and before the log, so that usage is flushed and duties resigned.
+pub fn spawn(inputs: &ControlInputs, supervisor: &Supervisor) {
+    spawn_recorder(inputs, supervisor);
+    spawn_fleet(inputs, supervisor);
+    spawn_usage(inputs, supervisor);
+    spawn_checkpoint(inputs, supervisor);
+}
+
+fn spawn_duty(inputs: &ControlInputs, authority: &Authority, name: &str, supervisor: &Supervisor) {
+    let inputs = inputs.clone();
+    let authority = authority.clone();
+    supervisor.spawn(name, move |stop| {
+        let members = inputs.clone();
+        let runner = DutyRunner::new(
+            authority.clone(),
+            inputs.appender.clone(),
+            inputs.ledger.clone(),
+            inputs.tail.clone(),
+            move || members.members(),
+            &inputs.settings.timing,
+        );
+        runner.run(stop)
+    });
+}
+
+fn spawn_recorder(inputs: &ControlInputs, supervisor: &Supervisor) {
+    let inputs = inputs.clone();
+    supervisor.spawn("usage-recorder", move |stop| {
+        let copies = inputs.peers.clone();
+        let flushes = inputs.peers.clone();
+        let flusher = UsageFlusher::new(
+            inputs.recorder.clone(),
+            inputs.appender.clone(),
+            inputs.ledger.clone(),
+            &inputs.settings.timing,
+            move |slice| copies.copy_usage(slice),
+            move |number| flushes.usage_flushed(number),
+        );
+        flusher.run(stop)
+    });
+}
+
+fn spawn_fleet(inputs: &ControlInputs, supervisor: &Supervisor) {
+    let authority = inputs.authority(Duty::Fleet);
+    let url = &inputs.settings.platform.targets_url;
+    let port = FleetPort {
+        table: inputs.targets.clone(),
+        engines: EngineClient::new(inputs.http.clone()),
+        platform: TargetsClient::new(inputs.http.clone(), url, inputs.timeout()),
+    };
+    let timeout = inputs.timeout();
+    let writer = port.clone();
+    let observer = port.clone();
+    let write = move |sent| -> WriteFuture {
+        let port = writer.clone();
+        Box::pin(async move {
+            let written = tokio::time::timeout(timeout, port.write(sent)).await;
+            written.unwrap_or(WriteOutcome::Unknown)
+        })
+    };
+    let observe = move |target| -> ObserveFuture {
+        let port = observer.clone();
+        Box::pin(async move {
+            let observed = tokio::time::timeout(timeout, port.observe(target)).await;
+            observed.unwrap_or(Observation::Unreachable)
+        })
+    };
+    let sender = inputs.sender(&authority, write, observe);
+    spawn_duty(inputs, &authority, "fleet-duty", supervisor);
+    let fencing = port.clone();
+    let ledger = inputs.ledger.clone();
+    spawn_settler(
+        inputs,
+        &sender,
+        "fleet-settler",
+        supervisor,
+        move |target| fencing.checks_fencing(&ledger, target),
+    );
+    let inputs = inputs.clone();
+    supervisor.spawn("fleet", move |stop| {
+        let planner = FleetPlanner::new(inputs.settings.limits.weight_fetches_per_min);
+        let ledger = inputs.ledger.clone();
+        FleetRunner::new(sender.clone(), ledger, port.clone(), planner).run(stop)
+    });
+}
+
+fn spawn_usage(inputs: &ControlInputs, supervisor: &Supervisor) {
+    let authority = inputs.authority(Duty::Usage);
+    let url = &inputs.settings.platform.usage_url;
+    let client = UsageClient::new(inputs.http.clone(), url, inputs.timeout());
+    let ledger = inputs.ledger.clone();
+    let write = move |sent: SentOrder| -> WriteFuture {
+        let client = client.clone();
+        let report = ordered_report(&ledger, &sent);
+        Box::pin(async move {
+            match report {
+                Some(report) => report_usage(&client, &report).await,
+                None => WriteOutcome::Refused,
+            }
+        })
+    };
+    // The platform does not show which reports it took. It takes each window
+    // once, so that a report that was not answered is sent again.
+    let observe = |_| -> ObserveFuture { Box::pin(async { Observation::LastOrder(0) }) };
+    let sender = inputs.sender(&authority, write, observe);
+    spawn_duty(inputs, &authority, "usage-duty", supervisor);
+    spawn_settler(inputs, &sender, "usage-settler", supervisor, |_| false);
+    let inputs = inputs.clone();
+    supervisor.spawn("usage", move |stop| {
+        let members = inputs.clone();
+        let closer = WindowCloser::new(
+            sender.clone(),
+            inputs.appender.clone(),
+            inputs.ledger.clone(),
+            &inputs.settings.timing,
+            move || members.members(),
+        );
+        closer.run(stop)
+    });
+}
+
+async fn report_usage(
+    client: &UsageClient,
+    report: &platform::protocol::UsageReport,
+) -> WriteOutcome {
+    match client.report(report).await {
+        Ok(()) => WriteOutcome::Taken,
+        Err(error @ platform::Error::Conflict { .. }) => {
+            tracing::error!("control: report of window {}: {error}", report.window);
+            WriteOutcome::Refused
+        }
+        Err(platform::Error::OldEpoch { .. }) => WriteOutcome::Refused,
+        Err(error) if !error.written() => WriteOutcome::Refused,
+        Err(_) => WriteOutcome::Unknown,
+    }
+}
+
+fn spawn_settler<W, R, C>(
+    inputs: &ControlInputs,
+    sender: &Arc<OrderSender<W, R>>,
+    name: &str,
+    supervisor: &Supervisor,
+    checks_fencing: C,
+) where
+    W: Fn(SentOrder) -> WriteFuture + Send + Sync + 'static,
+    R: Fn(Arc<str>) -> ObserveFuture + Send + Sync + 'static,
+    C: Fn(&str) -> bool + Clone + Send + Sync + 'static,
+{
+    let inputs = inputs.clone();
+    let sender = sender.clone();
+    supervisor.spawn(name, move |stop| {
+        let members = inputs.clone();
+        let settler = Settler::new(
+            sender.clone(),
+            inputs.settings.timing.grace_ms,
+            move || members.known_members(),
+            checks_fencing.clone(),
+        );
+        settler.run(stop)
+    });
+}
+
+fn spawn_checkpoint(inputs: &ControlInputs, supervisor: &Supervisor) {
+    let authority = inputs.authority(Duty::Checkpoint);
+    spawn_duty(inputs, &authority, "checkpoint-duty", supervisor);
+    let inputs = inputs.clone();
+    supervisor.spawn("checkpoint", move |stop| {
+        let runner = CheckpointRunner::new(
+            authority.clone(),
+            inputs.appender.clone(),
+            inputs.ledger.clone(),
+            &inputs.settings.timing,
+        );
+        runner.run(stop)
+    });
+}
--- a/src/control/windows.rs
+++ b/src/control/windows.rs
@@ -192,7 +192,9 @@
                 let body = Body::WindowAcknowledged(WindowAcknowledged { window });
                 self.appender.append(body).await?;
             }
-            Ok(OrderOutcome::NotApplied) => tokio::time::sleep(RETRY_PERIOD).await,
+            Ok(OrderOutcome::NotApplied | OrderOutcome::Open) => {
+                tokio::time::sleep(RETRY_PERIOD).await
+            }
             Err(Error::Log(error)) => return Err(error.into()),
             Err(error) => tracing::debug!("control: window {window} not reported: {error}"),
         }
