--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -9,7 +9,10 @@
 };
 
 use derive_more::Debug;
-use tokio::sync::{Semaphore, oneshot};
+use tokio::{
+    sync::{Semaphore, oneshot},
+    task::JoinHandle,
+};
 use tokio_util::task::TaskTracker;
 
 use crate::{
@@ -252,7 +255,7 @@
     }
 
     /// Appends a record in the background until it is folded.
-    pub(super) fn append_later(&self, body: Body) {
+    pub(super) fn append_later(&self, body: Body) -> JoinHandle<()> {
         let log = self.inner.log.clone();
         self.inner.tasks.spawn(async move {
             while let Err(error) = log.append(body.clone()).await {
@@ -262,7 +265,7 @@
                 }
                 tokio::time::sleep(APPEND_RETRY).await;
             }
-        });
+        })
     }
 
     /// Appends a claim in the background.
