Wire the duties into the instance

The control supervisor stops after the callers' listener and before the log, so that usage is flushed and duties are resigned. The incarnation is now the time of the start in microseconds instead of a random number: membership and the flush of a dead source's slices compare incarnations by order.

--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -56,6 +56,7 @@
     settings: Arc<Settings>,
     addresses: Addresses,
     callers: Supervisor,
+    control: Supervisor,
     platform: Supervisor,
     admin: Supervisor,
     live: LiveClient,
@@ -80,6 +81,8 @@
         let admin = Supervisor::new(&settings.name);
         let shared = Shared::new(&settings)?;
         let parts = PlatformParts::start(&shared, &listeners, &platform)?;
+        let control = root.subtree("control");
+        let recorder = parts.start_control(&shared, &control);
         let context = EntryBuilder::new(
             Arc::clone(&settings),
             shared.ledger.clone(),
@@ -88,6 +91,7 @@
             shared.http.clone(),
         )
         .peers(parts.entry_peers())
+        .usage(move |entry| parts::record_usage(&recorder, &entry))
         .build();
         parts::start_callers(&callers, listeners.entry, &context);
         let burn = BurnSampler::start(&admin, &context);
@@ -111,6 +115,7 @@
             settings,
             addresses,
             callers,
+            control,
             platform,
             admin,
             live: shared.live,
@@ -146,6 +151,8 @@
         self.peers.announce_leaving();
         let drain = Duration::from_millis(self.settings.timing.drain_ms);
         let mut ended = self.callers.stop(drain + PART_STOP_BOUND).await;
+        // The duties are resigned and usage is flushed while the log still runs.
+        ended &= self.control.stop(PART_STOP_BOUND).await;
         ended &= self.platform.stop(PART_STOP_BOUND).await;
         if let Err(error) = self.live.withdraw(&self.settings.name).await {
             tracing::warn!("instance: not withdrawn from the live list: {error}");
--- a/src/instance/parts.rs
+++ b/src/instance/parts.rs
@@ -1,6 +1,10 @@
 //! Starts the parts of an instance under their supervisors.
 
-use std::{net::TcpListener as StdListener, sync::Arc, time::Duration};
+use std::{
+    net::TcpListener as StdListener,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::{sync::watch, task::JoinSet};
@@ -15,8 +19,9 @@
 };
 use crate::{
     Settings,
-    entry::{self, EntryContext},
-    ledger::{Ledger, LedgerHandle},
+    control::{self, ControlInputs, Identity, UsageRecorder},
+    entry::{self, EntryContext, UsageEntry},
+    ledger::{Ledger, LedgerHandle, UsageCounts},
     log::{self, Log, LogOptions},
     peer::{self, PeerHandle, PeerInputs},
     platform::{LiveClient, TargetsClient},
@@ -46,7 +51,7 @@
         let timeout = Duration::from_millis(settings.timing.platform_timeout_ms);
         Ok(Self {
             settings: Arc::clone(settings),
-            incarnation: rand::random(),
+            incarnation: new_incarnation(),
             ledger: LedgerHandle::new(Ledger::new()),
             live: LiveClient::new(http.clone(), &settings.platform.live_url, timeout),
             http,
@@ -55,6 +60,13 @@
     }
 }
 
+/// Returns an incarnation that is above those of earlier starts.
+fn new_incarnation() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let micros = now.map_or(0, |elapsed| elapsed.as_micros());
+    u64::try_from(micros).unwrap_or(u64::MAX)
+}
+
 /// The parts that face the platform, the peers and the targets.
 pub(super) struct PlatformParts {
     pub(super) log: Log,
@@ -102,6 +114,27 @@
         })
     }
 
+    /// Starts the duties and returns the recorder of the entry's usage.
+    pub(super) fn start_control(&self, shared: &Shared, control: &Supervisor) -> UsageRecorder {
+        let source = Identity {
+            name: Arc::clone(&shared.settings.name),
+            incarnation: shared.incarnation,
+        };
+        let recorder = UsageRecorder::new(source, &shared.settings.timing);
+        let inputs = ControlInputs {
+            settings: Arc::clone(&shared.settings),
+            ledger: shared.ledger.clone(),
+            appender: self.log.appender.clone(),
+            tail: self.log.status.clone(),
+            peers: self.peers.clone(),
+            targets: self.targets.clone(),
+            http: shared.http.clone(),
+            recorder: recorder.clone(),
+        };
+        control::spawn(&inputs, control);
+        recorder
+    }
+
     /// Returns what the entry asks of the peers.
     pub(super) fn entry_peers(&self) -> entry::Peers {
         let live_instances = self.live_instances.clone();
@@ -255,3 +288,13 @@
     *handle = Some(installed.clone());
     Ok(installed)
 }
+
+/// Records what the entry counts.
+pub(super) fn record_usage(recorder: &UsageRecorder, entry: &UsageEntry) {
+    let counts = UsageCounts {
+        requests: entry.requests,
+        prompt_tokens: entry.prompt_tokens,
+        output_tokens: entry.output_tokens,
+    };
+    recorder.record(&entry.service, &entry.account, counts);
+}
