--- a/src/control/settler.rs
+++ b/src/control/settler.rs
@@ -2,7 +2,7 @@
 
 use std::{future::Future, sync::Arc, time::Duration};
 
-use futures_util::{StreamExt, stream};
+use futures_util::future::join_all;
 use tokio_util::sync::CancellationToken;
 
 use super::{
@@ -14,11 +14,8 @@
 /// Time between two looks at the open intents.
 const TICK: Duration = Duration::from_millis(200);
 
-/// Intents that are settled at a time.
-const MAX_CONCURRENT: usize = 16;
-
 /// Settles open intents of one duty. `members` lists the live instances, this
-/// one included; `checks_fencing` tells whether a target refuses old fencing
+/// one included, or is `None` while the live list is not known; `checks_fencing` tells whether a target refuses old fencing
 /// numbers.
 #[derive(Debug)]
 pub struct Settler<W, R, M, C> {
@@ -35,7 +32,7 @@
     WF: Future<Output = WriteOutcome>,
     R: Fn(Arc<str>) -> RF,
     RF: Future<Output = Observation>,
-    M: Fn() -> Vec<Member>,
+    M: Fn() -> Option<Vec<Member>>,
     C: Fn(&str) -> bool,
 {
     /// Returns a settler; an instance is gone once it has been missing from the
@@ -72,15 +69,18 @@
         let intents = self.sender.open_intents();
         let now_ms = self.sender.authority().clock().now_ms();
         let awaited: Vec<_> = intents.iter().map(announcer).collect();
-        self.absence.observe(&awaited, &(self.members)(), now_ms);
+        match (self.members)() {
+            Some(members) => self.absence.observe(&awaited, &members, now_ms),
+            None => self.absence.reset(),
+        }
         if self.sender.authority().epoch().is_none() {
             return Ok(());
         }
-        let this = &*self;
-        let settled = stream::iter(&intents)
-            .map(|intent| this.settle(intent, now_ms))
-            .buffer_unordered(MAX_CONCURRENT)
-            .collect::<Vec<_>>();
+        let mut settles = Vec::with_capacity(intents.len());
+        for intent in &intents {
+            settles.push(self.settle(intent, now_ms));
+        }
+        let settled = join_all(settles);
         let results = tokio::select! {
             () = stop.cancelled() => return Ok(()),
             results = settled => results,
