Withhold what a share has to give back

An instance at which one account floods kept its share for good: rebalance gave only what was free, and freed places were taken again before the next exchange. What is above the fair part is withheld from new work now and given as it is freed; a falling demand fades over eight exchanges.

--- a/src/policy/share/quota.rs
+++ b/src/policy/share/quota.rs
@@ -16,6 +16,9 @@
 
 use super::{Claimant, divide};
 
+/// Part by which a falling demand fades at each update.
+const DEMAND_FADE: u64 = 8;
+
 /// What an instance publishes about another member.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Grant {
@@ -69,8 +72,9 @@
     generation: u64,
     restarts: u64,
     in_use: u64,
+    withheld: u64,
     settled: bool,
-    share_before: u64,
+    held_before: u64,
     members: IndexMap<Arc<str>, Member>,
 }
 
@@ -84,8 +88,9 @@
             generation: 0,
             restarts: 0,
             in_use: 0,
+            withheld: 0,
             settled: false,
-            share_before: 0,
+            held_before: 0,
             members: IndexMap::new(),
         }
     }
@@ -100,7 +105,7 @@
         if sorted.iter().eq(self.members.keys()) {
             return;
         }
-        self.share_before = self.share();
+        self.held_before = self.held();
         let mut known = std::mem::take(&mut self.members);
         for name in sorted {
             let member = known.swap_remove(&name).unwrap_or_default();
@@ -114,16 +119,21 @@
         if total == self.total {
             return;
         }
-        self.share_before = self.share();
+        self.held_before = self.held();
         self.total = total;
         self.restart();
     }
 
-    /// Sets what this instance could use, and what of it can't be given away.
+    /// Sets what this instance could use now, and what of it is in use and
+    /// can't be given away yet.
+    ///
+    /// A demand that falls counts as falling by an eighth at a time, so that a
+    /// short lull gives nothing away.
     pub fn set_demand(&mut self, demand: u64, in_use: u64) {
         self.in_use = in_use;
         if let Some(own) = self.members.get_mut(&self.own) {
-            own.demand = demand.max(in_use);
+            let faded = own.demand - own.demand.div_ceil(DEMAND_FADE);
+            own.demand = demand.max(in_use).max(faded);
         }
     }
 
@@ -151,14 +161,23 @@
         self.settle();
     }
 
-    /// Returns this instance's part.
+    /// Returns the part that this instance may use.
+    ///
+    /// It can be less than what is in use: then nothing new may start.
     #[must_use]
     pub fn share(&self) -> u64 {
-        let held = self.held(&self.own);
+        self.held().saturating_sub(self.withheld)
+    }
+
+    /// Returns what this instance holds, including what it gives away as soon
+    /// as it is no longer in use.
+    #[must_use]
+    pub fn held(&self) -> u64 {
+        let held = self.held_by(&self.own);
         if self.settled {
             held
         } else {
-            held.min(self.share_before)
+            held.min(self.held_before)
         }
     }
 
@@ -202,18 +221,24 @@
         let parts = divide(self.total, &claimants);
         let mut surplus = 0;
         let mut own_surplus = 0;
+        let mut deficit = 0;
         let mut deficits = Vec::with_capacity(parts.len());
         for (name, part) in self.members.keys().zip(parts) {
-            let held = self.held(name);
+            let held = self.held_by(name);
             deficits.push(part.saturating_sub(held));
+            deficit += part.saturating_sub(held);
             surplus += held.saturating_sub(part);
             if *name == self.own {
-                own_surplus = held.saturating_sub(part.max(self.in_use));
+                own_surplus = held.saturating_sub(part);
             }
         }
-        if own_surplus > 0 {
-            self.give(own_surplus, surplus, &deficits);
+        // What is in use is withheld from new work, and given when it is free.
+        let free = self.held().saturating_sub(self.in_use);
+        let given = own_surplus.min(free);
+        if given > 0 {
+            self.give(given, surplus, &deficits);
         }
+        self.withheld = (own_surplus - given).min(deficit);
     }
 
     /// Covers this instance's part of the deficits, by its part of the surplus.
@@ -235,7 +260,7 @@
     }
 
     /// Returns what a member holds by the reports taken in.
-    fn held(&self, name: &str) -> u64 {
+    fn held_by(&self, name: &str) -> u64 {
         let Some((rank, _, member)) = self.members.get_full(name) else {
             return 0;
         };
@@ -264,6 +289,7 @@
         self.generation = hasher.finish();
         self.restarts += 1;
         self.settled = false;
+        self.withheld = 0;
         if let Some(own) = self.members.get_mut(&self.own) {
             own.generation = self.generation;
             own.given.clear();
