--- a/src/instance/status.rs
+++ b/src/instance/status.rs
@@ -199,6 +199,7 @@
         for view in self.targets.snapshot().iter() {
             targets.push(TargetStatus::from(view));
         }
+        targets.sort_by(|a: &TargetStatus, b| a.name.cmp(&b.name));
         targets
     }
 }
