--- /dev/null
+++ b/benches/peer.rs
@@ -0,0 +1,119 @@
+//! Cost of the frames between instances and of the topology.
+
+use std::{hint::black_box, sync::Arc};
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use indexmap::IndexMap;
+use lavenderwind::peer::{
+    digest::{DigestDecoder, DigestEncoder, TargetLoad},
+    frames::{Frame, Heartbeat, frame::Body},
+    topology::{Node, Topology},
+};
+use prost::Message;
+
+/// Bytes for changes in one heartbeat.
+const MAX_BYTES: usize = 1_024;
+
+type Loads = IndexMap<Arc<str>, TargetLoad>;
+
+fn loads(targets: usize, step: u64) -> Loads {
+    let mut loads = Loads::new();
+    for target in 0..targets {
+        let change = step.wrapping_mul(7919) + target as u64;
+        let load = TargetLoad {
+            requests: 1 + (change % 9) as u32,
+            tokens: change % 20_000,
+            blocks: change % 1_000,
+        };
+        loads.insert(format!("engine-{target}").into(), load);
+    }
+    loads
+}
+
+fn heartbeat() -> Heartbeat {
+    Heartbeat {
+        sequence: 70_000,
+        echo: 70_000,
+        applied_offset: 90_000_000,
+        known_age_ms: 400,
+        ..Heartbeat::default()
+    }
+}
+
+/// One heartbeat from encoder to decoder, with all loads changed.
+fn exchange(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("heartbeat");
+    for targets in [0, 18, 60, 600] {
+        let steps = [loads(targets, 1), loads(targets, 2)];
+        let mut encoder = DigestEncoder::default();
+        let mut decoder = DigestDecoder::default();
+        let mut step = 0;
+        group.bench_function(BenchmarkId::new("changed_targets", targets), |bencher| {
+            bencher.iter(|| {
+                step += 1;
+                let mut beat = heartbeat();
+                encoder.encode(&steps[step % 2], MAX_BYTES, &mut beat);
+                let frame = Frame {
+                    body: Some(Body::Heartbeat(beat)),
+                };
+                let bytes = frame.encode_to_vec();
+                let Ok(Frame {
+                    body: Some(Body::Heartbeat(beat)),
+                }) = Frame::decode(&*bytes)
+                else {
+                    return;
+                };
+                let _ = black_box(decoder.apply(&beat));
+            });
+        });
+    }
+    group.finish();
+}
+
+/// One heartbeat with tokens pending for many accounts.
+fn served(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("served");
+    for accounts in [8, 950, 9_500] {
+        let mut names: Vec<Arc<str>> = Vec::new();
+        for account in 0..accounts {
+            names.push(format!("service-1/account-{account}").into());
+        }
+        let mut encoder = DigestEncoder::default();
+        for name in &names {
+            encoder.add_served(name, 1);
+        }
+        let mut next = 0;
+        group.bench_function(BenchmarkId::new("pending_accounts", accounts), |bencher| {
+            bencher.iter(|| {
+                for _ in 0..8 {
+                    next = (next + 1) % names.len();
+                    encoder.add_served(&names[next], 50);
+                }
+                let mut beat = heartbeat();
+                encoder.encode(&Loads::new(), 64, &mut beat);
+                black_box(beat);
+            });
+        });
+    }
+    group.finish();
+}
+
+fn topology(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("topology");
+    for instances in [8, 64, 320] {
+        let mut nodes = Vec::new();
+        for index in 0..instances {
+            nodes.push(Node {
+                name: format!("entry-{index}").into(),
+                failure_domain: format!("domain-{}", index % 6).into(),
+            });
+        }
+        group.bench_function(BenchmarkId::new("instances", instances), |bencher| {
+            bencher.iter(|| black_box(Topology::new(&nodes).links("entry-0")));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, exchange, served, topology);
+criterion_main!(benches);
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -53,7 +53,8 @@
         incarnation: own.incarnation,
         failure_domain: own.failure_domain.to_string(),
     };
-    send(&mut sink, Body::Hello(hello), FRAME_TIMEOUT).await?;
+    let hello = Body::Hello(hello);
+    send(&mut sink, hello, FRAME_TIMEOUT, &shared.traffic).await?;
     let Body::Hello(hello) = receive(&mut source, FRAME_TIMEOUT).await? else {
         return Err(Error::UnexpectedFrame);
     };
@@ -97,7 +98,7 @@
                 () = sleep_until(next_heartbeat) => (),
                 () = self.shared.urgent.notified() => (),
                 Some(body) = queued.recv() => {
-                    send(sink, body, FRAME_TIMEOUT).await?;
+                    self.send(sink, body).await?;
                     continue;
                 }
             }
@@ -116,7 +117,11 @@
             Instant::now(),
         );
         let heartbeat = heartbeat.ok_or(Error::Replaced)?;
-        send(sink, Body::Heartbeat(heartbeat), FRAME_TIMEOUT).await
+        self.send(sink, Body::Heartbeat(heartbeat)).await
+    }
+
+    async fn send(&self, sink: &mut FrameSink, body: Body) -> Result<()> {
+        send(sink, body, FRAME_TIMEOUT, &self.shared.traffic).await
     }
 
     fn interval(&self) -> Duration {
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -1,6 +1,9 @@
 //! Encoding of frames on a connection.
 
-use std::time::Duration;
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{Sink, SinkExt, Stream, StreamExt};
@@ -16,6 +19,9 @@
 /// Largest frame that is accepted, in bytes.
 pub const MAX_FRAME_BYTES: usize = 1 << 20;
 
+/// Size of a frame's length, in bytes.
+const LENGTH_BYTES: usize = 4;
+
 /// A connection that carries frames.
 pub(super) type FramedStream = Framed<TcpStream, LengthDelimitedCodec>;
 
@@ -27,16 +33,56 @@
         .new_framed(stream)
 }
 
+/// Frames exchanged with all peers.
+#[derive(Debug, Default)]
+pub(super) struct Traffic {
+    sent_frames: AtomicU64,
+    sent_bytes: AtomicU64,
+}
+
+/// Number and size of frames, with their lengths.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SentFrames {
+    /// Number of frames.
+    pub frames: u64,
+    /// Size of these frames, in bytes.
+    pub bytes: u64,
+}
+
+impl Traffic {
+    /// Returns what was sent so far.
+    pub(super) fn sent(&self) -> SentFrames {
+        SentFrames {
+            frames: self.sent_frames.load(Ordering::Relaxed),
+            bytes: self.sent_bytes.load(Ordering::Relaxed),
+        }
+    }
+
+    fn count_sent(&self, frame_bytes: usize) {
+        let bytes = (frame_bytes + LENGTH_BYTES) as u64;
+        self.sent_frames.fetch_add(1, Ordering::Relaxed);
+        self.sent_bytes.fetch_add(bytes, Ordering::Relaxed);
+        metrics::counter!("peer_sent_bytes_total").increment(bytes);
+    }
+}
+
 /// Sends a frame within `limit`.
-pub(super) async fn send<S>(sink: &mut S, body: Body, limit: Duration) -> Result<()>
+pub(super) async fn send<S>(
+    sink: &mut S,
+    body: Body,
+    limit: Duration,
+    traffic: &Traffic,
+) -> Result<()>
 where
     S: Sink<Bytes, Error = std::io::Error> + Unpin,
 {
     let frame = Frame { body: Some(body) };
     let bytes = Bytes::from(frame.encode_to_vec());
-    metrics::counter!("peer_sent_bytes_total").increment(bytes.len() as u64 + 4);
+    let frame_bytes = bytes.len();
     let sent = tokio::time::timeout(limit, sink.send(bytes)).await;
-    Ok(sent.map_err(|_| Error::Stalled)??)
+    sent.map_err(|_| Error::Stalled)??;
+    traffic.count_sent(frame_bytes);
+    Ok(())
 }
 
 /// Receives a frame within `limit`.
@@ -48,6 +94,6 @@
     let bytes = received
         .map_err(|_| Error::Silent)?
         .ok_or(Error::Closed)??;
-    metrics::counter!("peer_received_bytes_total").increment(bytes.len() as u64 + 4);
+    metrics::counter!("peer_received_bytes_total").increment((bytes.len() + LENGTH_BYTES) as u64);
     Frame::decode(bytes)?.body.ok_or(Error::UnexpectedFrame)
 }
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -7,6 +7,7 @@
 
 use super::{
     digest::{Served, TargetLoad},
+    frame::SentFrames,
     freshness::Freshness,
     membership::PeerState,
     quarantine::QuarantinedRequest,
@@ -35,6 +36,11 @@
         self.shared.state().links.keys().cloned().collect()
     }
 
+    /// Returns the frames that were sent to peers so far.
+    pub fn sent_frames(&self) -> SentFrames {
+        self.shared.traffic.sent()
+    }
+
     /// Judges whether this instance knows the newest configuration.
     pub fn freshness(&self) -> Freshness {
         let log = self.shared.log_view();
--- a/src/peer/heartbeat.rs
+++ b/src/peer/heartbeat.rs
@@ -15,7 +15,7 @@
 pub const HEARTBEAT_BYTES_PER_S: usize = 2_048;
 
 /// Size of a heartbeat without changes, with its frame's length, in bytes.
-pub const BASE_BYTES: usize = 36;
+pub const BASE_BYTES: usize = 20;
 
 /// Bytes for changes that every heartbeat may carry.
 const MIN_CHANGE_BYTES: usize = 48;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -34,7 +34,7 @@
 
 pub use digest::{Served, TargetLoad};
 pub use error::{Error, Result};
-pub use frame::MAX_FRAME_BYTES;
+pub use frame::{MAX_FRAME_BYTES, SentFrames};
 pub use freshness::Freshness;
 pub use handle::PeerHandle;
 pub use heartbeat::{BASE_BYTES, HEARTBEAT_BYTES_PER_S, change_bytes, heartbeat_interval};
--- a/src/peer/shared.rs
+++ b/src/peer/shared.rs
@@ -11,6 +11,7 @@
 };
 
 use super::{
+    frame::Traffic,
     membership::Sender,
     state::{LogView, State},
 };
@@ -50,6 +51,8 @@
     pub(super) urgent: Notify,
     /// Number of live instances, this one included.
     pub(super) live_instances: watch::Sender<usize>,
+    /// Frames exchanged so far.
+    pub(super) traffic: Traffic,
 }
 
 impl Shared {
@@ -75,6 +78,7 @@
             heartbeat: Duration::from_millis(settings.timing.heartbeat_ms),
             urgent: Notify::new(),
             live_instances,
+            traffic: Traffic::default(),
         })
     }
 
