Consider a sample of more than six targets

Eight instances that each scan all thirteen targets pick the same one off the same lagged report. Above six targets the home, prefix holders and four samples are considered, and the whole group only if none of these will do. Requests without a home key have no home: they shared one before.

--- a/src/policy/routing/choose.rs
+++ b/src/policy/routing/choose.rs
@@ -40,12 +40,11 @@
         else {
             return Err(self.absence(request));
         };
-        let mut best: Option<Choice> = None;
-        for index in self.candidates(request, group, rng) {
-            let Some(choice) = self.single(request, index, now_ms) else {
-                continue;
-            };
-            best = Some(self.better(best, choice, rng));
+        let candidates = self.candidates(request, group, rng);
+        let mut best = self.best_single(request, &candidates, now_ms, rng);
+        if best.is_none() && candidates.len() < group.len() {
+            // None of the sample will do; one of the others may.
+            best = self.best_single(request, group, now_ms, rng);
         }
         if let Some(choice) = self.split(request, group, now_ms, rng) {
             best = Some(match best {
@@ -53,8 +52,27 @@
                 _ => choice,
             });
         }
-        best.filter(|choice| choice.first_token_ms <= request.first_token_ms)
-            .ok_or_else(|| self.absence(request))
+        best.ok_or_else(|| self.absence(request))
+    }
+
+    fn best_single<R>(
+        &self,
+        request: &RouteRequest<'_>,
+        candidates: &[usize],
+        now_ms: u64,
+        rng: &mut R,
+    ) -> Option<Choice>
+    where
+        R: Rng,
+    {
+        let mut best: Option<Choice> = None;
+        for &index in candidates {
+            let Some(choice) = self.single(request, index, now_ms) else {
+                continue;
+            };
+            best = Some(self.better(best, choice, rng));
+        }
+        best
     }
 
     fn absence(&self, request: &RouteRequest<'_>) -> RouteError {
@@ -79,7 +97,9 @@
             return group.to_vec();
         }
         let mut candidates = Vec::with_capacity(1 + MAX_HOLDERS + self.settings.samples);
-        candidates.extend(self.home(request, group));
+        if request.home_key != 0 {
+            candidates.extend(self.home(request, group));
+        }
         let prefixes = &self.prefixes;
         prefixes.for_each_holder(request.prefix_blocks, MAX_HOLDERS, |name| {
             candidates.extend(self.targets.get_index_of(name));
@@ -143,6 +163,10 @@
         let cached_tokens = self.cached_tokens(request, name);
         let prefill_tokens = u64::from(request.prompt_tokens - cached_tokens);
         let wait_ms = target.load.queue_ms(now_ms) + target.load.prefill_ms(prefill_tokens);
+        let first_token_ms = wait_ms * target.slowdown;
+        if first_token_ms > request.first_token_ms {
+            return None;
+        }
         Some(Choice {
             target: Arc::clone(name),
             demand: Demand {
@@ -151,7 +175,7 @@
             },
             prefill: None,
             cached_tokens,
-            first_token_ms: wait_ms * target.slowdown,
+            first_token_ms,
         })
     }
 
@@ -214,6 +238,9 @@
                 cached_tokens,
                 first_token_ms: wait_ms * target.slowdown + self.transfer_ms(blocks),
             };
+            if choice.first_token_ms > request.first_token_ms {
+                continue;
+            }
             best = Some(self.better(best, choice, rng));
         }
         best
--- a/src/policy/routing/request.rs
+++ b/src/policy/routing/request.rs
@@ -71,7 +71,7 @@
         self
     }
 
-    /// Sets what requests with the same home have in common.
+    /// Sets what requests with the same home have in common; 0 for no home.
     #[must_use]
     pub fn home_key(mut self, key: u64) -> Self {
         self.home_key = key;
--- a/src/policy/routing/table.rs
+++ b/src/policy/routing/table.rs
@@ -38,7 +38,7 @@
 impl Default for RouteSettings {
     fn default() -> Self {
         Self {
-            full_scan: 16,
+            full_scan: 6,
             samples: 4,
             home_load_percent: 125,
             transfer_blocks_per_s: 20_000,
