--- a/benches/policy_compare/spending.rs
+++ b/benches/policy_compare/spending.rs
@@ -1,2 +1,173 @@
-//! Worst-served account while another floods.
-pub(crate) fn compare() {}
+//! Cost and service while reclaimable targets go a whole domain at a time and
+//! can't always be had.
+
+use lavenderwind::policy::spending::{
+    DomainSupply, NeedWindow, SpendingLimits, SpendingPlan, SpendingPrices, plan, release,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::{print_row, routing::uniform};
+
+const DOMAINS: usize = 4;
+const RUN_S: u64 = 3_600;
+/// Time from an order to a target that takes work.
+const START_S: u64 = 30;
+/// Mean time between two reclaims of a domain.
+const RECLAIM_S: u64 = 300;
+/// Time for which a reclaimed domain offers nothing.
+const OUTAGE_S: u64 = 120;
+const RELEASE_MS: u64 = 120_000;
+const PRICES: SpendingPrices = SpendingPrices {
+    reclaimable_milli_per_hour: 300,
+    regular_milli_per_hour: 1_000,
+};
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Policy {
+    NoneCheap,
+    AllCheap,
+    Planned,
+}
+
+/// Targets of one kind in one domain.
+#[derive(Clone, Debug, Default)]
+struct Pool {
+    live: u32,
+    starting: Vec<u64>,
+}
+
+impl Pool {
+    fn ordered(&self) -> u32 {
+        self.live + self.starting.len() as u32
+    }
+
+    fn order(&mut self, wanted: u32, second: u64) {
+        while self.ordered() < wanted {
+            self.starting.push(second + START_S);
+        }
+        while self.ordered() > wanted {
+            if self.starting.pop().is_none() {
+                self.live -= 1;
+            }
+        }
+    }
+
+    fn start(&mut self, second: u64) {
+        let before = self.starting.len();
+        self.starting.retain(|ready_s| *ready_s > second);
+        self.live += (before - self.starting.len()) as u32;
+    }
+}
+
+/// What a run came to.
+#[derive(Clone, Copy, Debug, Default)]
+struct Run {
+    short_seconds: f64,
+    cost: f64,
+    cheap_work: f64,
+}
+
+fn run(policy: Policy, seed: u64) -> Run {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut cheap = vec![Pool::default(); DOMAINS];
+    let mut regular = vec![Pool::default(); DOMAINS];
+    let mut out_until = [0; DOMAINS];
+    let mut window = NeedWindow::new(RELEASE_MS);
+    let (mut short, mut cost, mut on_cheap, mut work) = (0_u64, 0_u64, 0.0, 0.0);
+    for second in 0..RUN_S + START_S {
+        if second > START_S && rng.next_u64().is_multiple_of(RECLAIM_S) {
+            let domain = rng.next_u64() as usize % DOMAINS;
+            cheap[domain] = Pool::default();
+            out_until[domain] = second + OUTAGE_S;
+        }
+        let mut supply = Vec::new();
+        for domain in 0..DOMAINS {
+            cheap[domain].start(second);
+            regular[domain].start(second);
+            supply.push(DomainSupply {
+                failure_domain: format!("domain-{domain}").into(),
+                reclaimable: if second < out_until[domain] { 0 } else { 6 },
+                reclaimable_live: cheap[domain].live,
+                regular: 9,
+            });
+        }
+        let phase = second as f64 / 900.0 * std::f64::consts::TAU;
+        let load = 6.5 + 2.5 * phase.sin() - 0.5 * uniform(&mut rng);
+        let needed = load.ceil() as u32;
+        let held = window.observe(needed, second * 1_000);
+        let (cheap_wanted, regular_wanted) = orders(policy, held, &supply, &regular);
+        for domain in 0..DOMAINS {
+            cheap[domain].order(cheap_wanted[domain], second);
+            regular[domain].order(regular_wanted[domain], second);
+        }
+        if second < START_S {
+            continue;
+        }
+        let live_cheap: u32 = cheap.iter().map(|pool| pool.live).sum();
+        let live = live_cheap + regular.iter().map(|pool| pool.live).sum::<u32>();
+        short += u64::from(live < needed);
+        on_cheap += load * f64::from(live_cheap) / f64::from(live.max(1));
+        work += load;
+        for (pools, price) in [
+            (&cheap, PRICES.reclaimable_milli_per_hour),
+            (&regular, PRICES.regular_milli_per_hour),
+        ] {
+            cost += price
+                * pools
+                    .iter()
+                    .map(|pool| u64::from(pool.ordered()))
+                    .sum::<u64>();
+        }
+    }
+    Run {
+        short_seconds: short as f64,
+        cost: cost as f64 / 1_000.0 / RUN_S as f64,
+        cheap_work: on_cheap / work,
+    }
+}
+
+fn orders(
+    policy: Policy,
+    needed: u32,
+    supply: &[DomainSupply],
+    regular: &[Pool],
+) -> (Vec<u32>, Vec<u32>) {
+    let even: Vec<u32> = (0..DOMAINS as u32)
+        .map(|domain| (needed + 3 - domain) / 4)
+        .collect();
+    match policy {
+        Policy::NoneCheap => (vec![0; DOMAINS], even),
+        Policy::AllCheap => {
+            let had = |(wanted, domain): (u32, &DomainSupply)| wanted.min(domain.reclaimable);
+            (
+                even.into_iter().zip(supply).map(had).collect(),
+                vec![0; DOMAINS],
+            )
+        }
+        Policy::Planned => {
+            let planned: SpendingPlan = plan(needed, supply, &PRICES, &SpendingLimits::default());
+            let now: Vec<u32> = regular.iter().map(Pool::ordered).collect();
+            let kept = release(&planned, needed, &now, supply);
+            (planned.reclaimable, kept)
+        }
+    }
+}
+
+/// Prints what each policy costs and how long it is short of targets.
+pub(crate) fn compare() {
+    let policies = [
+        ("none cheap", Policy::NoneCheap),
+        ("all cheap", Policy::AllCheap),
+        ("planned", Policy::Planned),
+    ];
+    println!("spending: an hour of load, reclaims of a domain every {RECLAIM_S} s");
+    for (name, policy) in policies {
+        print_row(name, "seconds short of targets", |seed| {
+            run(policy, seed).short_seconds
+        });
+        print_row("", "currency units an hour", |seed| run(policy, seed).cost);
+        print_row("", "of the work on cheap targets", |seed| {
+            run(policy, seed).cheap_work
+        });
+    }
+}
