--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,13 +1,17 @@
 //! The command line: one file a subcommand.
 
 mod check;
+mod demo;
 mod key;
+mod load;
 mod operator;
+mod report;
+mod serve;
 mod service;
 mod standin;
 mod status;
 
-use std::process::ExitCode;
+use std::{io::IsTerminal, process::ExitCode};
 
 use clap::{Arg, ArgMatches, Command};
 use displaydoc::Display;
@@ -33,6 +37,10 @@
     Service(crate::service::Error),
     /// {0}
     Standin(standin::Error),
+    /// {0}
+    Instance(crate::instance::Error),
+    /// {0}
+    Load(load::Error),
     /// log: {0}
     Log(crate::log::Error),
     /// platform: {0}
@@ -84,11 +92,15 @@
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(serve::command())
         .subcommand(check::command())
         .subcommand(service::command())
         .subcommand(key::command())
         .subcommand(status::command())
+        .subcommand(report::command())
+        .subcommand(load::command())
         .subcommand(standin::command())
+        .subcommand(demo::command())
 }
 
 /// Parses the arguments of the process and runs the command.
@@ -108,15 +120,23 @@
         return Ok(ExitCode::from(EXIT_INVALID));
     };
     match name {
+        "serve" => serve::run(matches).await,
         "check" => check::run(matches),
         "service" => service::run(matches).await,
         "key" => key::run(matches).await,
         "status" => status::run(matches).await,
-        _ => {
+        "report" => report::run(matches).await,
+        "load" => {
+            start_logging(&Logging::default());
+            load::run(matches).await?;
+            Ok(ExitCode::SUCCESS)
+        }
+        "standin" => {
             start_logging(&Logging::default());
             standin::run(matches).await?;
             Ok(ExitCode::SUCCESS)
         }
+        _ => demo::run(matches).await,
     }
 }
 
@@ -130,6 +150,7 @@
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
+        .with_ansi(std::io::stderr().is_terminal())
         .with_writer(std::io::stderr);
     // A second call, as in tests, keeps the first subscriber.
     let _ = match logging.format {
--- /dev/null
+++ b/src/control/checkpoint.rs
@@ -0,0 +1,179 @@
+//! Publishes checkpoints and drops what has expired.
+
+use std::{collections::VecDeque, time::Duration};
+
+use tokio_util::sync::CancellationToken;
+
+use super::{Authority, Result};
+use crate::{
+    ledger::{CheckpointEntry, LedgerHandle, Verdict},
+    log::{
+        Appender, Offset,
+        records::{CheckpointMark, Expire, record::Body},
+    },
+    settings::Timing,
+};
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(200);
+
+/// Ledger offsets that are sampled within the time of remembrance.
+const SAMPLES: u64 = 512;
+
+/// An offset and the time at which it was the last one.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    at_ms: u64,
+    applied: Offset,
+}
+
+/// Tells which offsets are older than the time of remembrance.
+///
+/// It counts on this process's monotonic clock and from its start, so that a
+/// wall clock that is wrong makes nothing expire early.
+#[derive(Clone, Debug)]
+pub struct ExpiryClock {
+    remember_ms: u64,
+    samples: VecDeque<Sample>,
+}
+
+impl ExpiryClock {
+    /// Returns a clock that has seen no offset.
+    pub fn new(remember_ms: u64) -> Self {
+        Self {
+            remember_ms,
+            samples: VecDeque::new(),
+        }
+    }
+
+    /// Notes the last applied offset.
+    pub fn observe(&mut self, applied: Offset, now_ms: u64) {
+        let period_ms = self.remember_ms.div_ceil(SAMPLES);
+        let last = self.samples.back();
+        if last.is_some_and(|last| now_ms < last.at_ms + period_ms) {
+            return;
+        }
+        self.samples.push_back(Sample {
+            at_ms: now_ms,
+            applied,
+        });
+    }
+
+    /// Takes the highest offset that has expired since the last call.
+    pub fn take_expired(&mut self, now_ms: u64) -> Option<Offset> {
+        let mut expired = None;
+        while let Some(sample) = self.samples.front() {
+            if now_ms < sample.at_ms + self.remember_ms {
+                break;
+            }
+            expired = Some(sample.applied);
+            self.samples.pop_front();
+        }
+        expired.filter(|offset| offset.0 > 0)
+    }
+}
+
+/// Runs the checkpoint duty of an instance.
+#[derive(Debug)]
+pub struct CheckpointRunner {
+    authority: Authority,
+    appender: Appender,
+    ledger: LedgerHandle,
+    checkpoint_ms: u64,
+    expiry: ExpiryClock,
+    published_ms: u64,
+}
+
+impl CheckpointRunner {
+    /// Returns a runner.
+    pub fn new(
+        authority: Authority,
+        appender: Appender,
+        ledger: LedgerHandle,
+        timing: &Timing,
+    ) -> Self {
+        Self {
+            authority,
+            appender,
+            ledger,
+            checkpoint_ms: timing.checkpoint_ms,
+            expiry: ExpiryClock::new(timing.dedup_window_ms),
+            published_ms: 0,
+        }
+    }
+
+    /// Runs until `stop` is cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the appender has stopped.
+    pub async fn run(mut self, stop: CancellationToken) -> Result<()> {
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => return Ok(()),
+                done = self.turn() => done?,
+            }
+        }
+    }
+
+    async fn turn(&mut self) -> Result<()> {
+        let now_ms = self.authority.clock().now_ms();
+        self.expiry.observe(self.ledger.applied(), now_ms);
+        if let Some(epoch) = self.authority.epoch() {
+            self.expire(epoch, now_ms).await?;
+            self.publish_if_due(epoch, now_ms).await?;
+        }
+        tokio::time::sleep(TICK).await;
+        Ok(())
+    }
+
+    /// Publishes a checkpoint if none was marked for the checkpoint period.
+    async fn publish_if_due(&mut self, epoch: u64, now_ms: u64) -> Result<()> {
+        if now_ms < self.published_ms + self.checkpoint_ms {
+            return Ok(());
+        }
+        self.published_ms = now_ms;
+        self.publish(epoch).await
+    }
+
+    async fn expire(&mut self, epoch: u64, now_ms: u64) -> Result<()> {
+        let Some(up_to) = self.expiry.take_expired(now_ms) else {
+            return Ok(());
+        };
+        let expire = Expire {
+            epoch,
+            up_to_offset: up_to.0,
+        };
+        self.appender.append(Body::Expire(expire)).await?;
+        Ok(())
+    }
+
+    /// Marks an offset and publishes the ledger as of it.
+    async fn publish(&self, epoch: u64) -> Result<()> {
+        let mark = CheckpointMark { epoch };
+        let receipt = self.appender.append(Body::CheckpointMark(mark)).await?;
+        if receipt.verdict != Verdict::Accepted {
+            return Ok(());
+        }
+        let Some(checkpoint) = self.checkpoint(receipt.offset) else {
+            return Ok(());
+        };
+        for chunk in checkpoint.chunks() {
+            self.appender.append(Body::CheckpointChunk(chunk)).await?;
+        }
+        let bytes = checkpoint.data.len();
+        metrics::gauge!("control_checkpoint_bytes").set(bytes as f64);
+        tracing::info!(
+            "control: published the ledger at {} in {bytes} bytes",
+            receipt.offset
+        );
+        Ok(())
+    }
+
+    fn checkpoint(&self, mark: Offset) -> Option<CheckpointEntry> {
+        self.ledger.read(|ledger| {
+            let checkpoint = ledger.checkpoint()?;
+            (checkpoint.offset == mark).then(|| checkpoint.clone())
+        })
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,23 +6,37 @@
 //! authority is lost.
 
 mod authority;
+mod checkpoint;
 mod clock;
 mod duty;
 mod error;
+pub mod fleet;
 mod lease;
 mod orders;
 mod preference;
 mod runner;
 mod settlement;
+mod settler;
+mod slices;
+mod spawn;
+mod usage;
+mod windows;
 
 pub use self::{
     authority::{Authority, OrderPermit},
+    checkpoint::{CheckpointRunner, ExpiryClock},
     clock::Clock,
     duty::{DutyRules, DutySituation, DutyStep, Identity},
     error::{Error, Result},
+    fleet::{FleetPlanner, FleetPort, FleetRunner},
     lease::{ChallengeClock, LeaseClock, LeaseTiming},
     orders::{Observation, OrderOutcome, OrderSender, SentOrder, WriteOutcome},
     preference::{Member, rank},
     runner::DutyRunner,
     settlement::{AbsenceClock, IntentSituation, Settlement, settlement},
+    settler::Settler,
+    slices::SliceBuffer,
+    spawn::{ControlInputs, spawn},
+    usage::{UsageFlusher, UsageRecorder},
+    windows::{CloseSituation, WindowCloser, may_close, ordered_report, window_report},
 };
--- a/src/control/settlement.rs
+++ b/src/control/settlement.rs
@@ -10,10 +10,9 @@
 pub enum Settlement {
     /// Reads the target's state and closes the intent.
     Resolve,
-    /// Unless the target already took the order, sends it once under the own
-    /// epoch, so that the target refuses the former holder, and then closes
-    /// the intent.
-    Refence,
+    /// Announces the same order under the own epoch, sends it once, so that the
+    /// target refuses former holders, and then closes the intent.
+    Adopt,
     /// Leaves the target as it is: the order may still be sent.
     Wait,
 }
@@ -21,27 +20,41 @@
 /// What is known of an intent beside its entry.
 #[derive(Clone, Copy, Debug)]
 pub struct IntentSituation {
-    /// Whether this process announced it, and no longer sends it.
+    /// Whether this process announced or last adopted it, and does not send
+    /// it at the moment.
     pub own: bool,
+    /// Epoch under which this process holds the duty.
+    pub epoch: u64,
     /// Whether the target refuses old fencing numbers.
     pub checks_fencing: bool,
-    /// Whether this process already sent it under its own epoch.
-    pub refenced: bool,
+    /// Whether the target's state shows that it took the order.
+    pub taken: bool,
     /// Whether the process that announced it is surely gone.
     pub announcer_gone: bool,
 }
 
 /// Decides what the holder of the duty does about an open intent.
+///
+/// Each process sends an order at most once an epoch, and only if it announced
+/// or adopted the intent under that epoch.
 pub fn settlement(intent: &IntentEntry, situation: &IntentSituation) -> Settlement {
-    if situation.own || intent.resigned {
-        return Settlement::Resolve;
-    }
-    if situation.checks_fencing && !situation.refenced {
-        return Settlement::Refence;
+    // Several processes may have sent an adopted order, or be about to do so:
+    // only a write under a later epoch shuts all of them out.
+    if intent.adopted {
+        let may_adopt = situation.checks_fencing && intent.epoch < situation.epoch;
+        return if may_adopt {
+            Settlement::Adopt
+        } else {
+            Settlement::Wait
+        };
     }
-    if situation.announcer_gone {
+    let settled = situation.taken || situation.announcer_gone;
+    if situation.own || intent.resigned || settled {
         return Settlement::Resolve;
     }
+    if situation.checks_fencing {
+        return Settlement::Adopt;
+    }
     Settlement::Wait
 }
 
--- /dev/null
+++ b/src/control/usage.rs
@@ -0,0 +1,182 @@
+//! Records usage and flushes it to the log in slices.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tokio::time::{Instant, timeout};
+use tokio_util::sync::CancellationToken;
+
+use super::{Clock, Identity, Result, slices::SliceBuffer};
+use crate::{
+    ledger::{LedgerHandle, UsageCounts},
+    log::{
+        Appender,
+        records::{UsageSlice, UsageWatermark, record::Body},
+    },
+    settings::Timing,
+};
+
+/// Time between two looks at what was recorded.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Longest time for which usage is held back from the log.
+const MAX_FLUSH_PERIOD: Duration = Duration::from_secs(1);
+
+/// Flushes within one window, at least.
+const FLUSHES_PER_WINDOW: u64 = 5;
+
+/// Records the usage that this instance measures; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct UsageRecorder {
+    buffer: Arc<Mutex<SliceBuffer>>,
+}
+
+impl UsageRecorder {
+    /// Returns a recorder for one start of an instance.
+    pub fn new(source: Identity, timing: &Timing) -> Self {
+        let buffer = SliceBuffer::new(source, timing.usage_window_ms);
+        Self {
+            buffer: Arc::new(Mutex::new(buffer)),
+        }
+    }
+
+    /// Adds to the usage of an account of a service.
+    pub fn record(&self, service: &Arc<str>, account: &Arc<str>, counts: UsageCounts) {
+        self.lock().add(service, account, counts);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, SliceBuffer> {
+        self.buffer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Flushes recorded usage to the log. `copy` gives a slice that is not in the
+/// log to a peer; `flushed` tells that all slices up to a number are in it.
+#[derive(Debug)]
+pub struct UsageFlusher<C, F> {
+    recorder: UsageRecorder,
+    appender: Appender,
+    ledger: LedgerHandle,
+    clock: Clock,
+    flush_period: Duration,
+    drain: Duration,
+    copied: Option<UsageSlice>,
+    watermark: u64,
+    copy: C,
+    flushed: F,
+}
+
+impl<C, F> UsageFlusher<C, F>
+where
+    C: Fn(UsageSlice),
+    F: Fn(u64),
+{
+    /// Returns a flusher of what a recorder records.
+    pub fn new(
+        recorder: UsageRecorder,
+        appender: Appender,
+        ledger: LedgerHandle,
+        timing: &Timing,
+        copy: C,
+        flushed: F,
+    ) -> Self {
+        let period = Duration::from_millis(timing.usage_window_ms / FLUSHES_PER_WINDOW);
+        Self {
+            recorder,
+            appender,
+            ledger,
+            clock: Clock::start(),
+            flush_period: period.min(MAX_FLUSH_PERIOD),
+            drain: Duration::from_millis(timing.drain_ms),
+            copied: None,
+            watermark: 0,
+            copy,
+            flushed,
+        }
+    }
+
+    /// Runs until `stop` is cancelled and what was recorded is flushed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the appender has stopped.
+    pub async fn run(mut self, stop: CancellationToken) -> Result<()> {
+        let mut flushed_at = Instant::now();
+        while !stop.is_cancelled() {
+            self.advance();
+            self.copy_growing();
+            if flushed_at.elapsed() >= self.flush_period {
+                flushed_at = Instant::now();
+                self.recorder.lock().cut();
+            }
+            tokio::select! {
+                () = stop.cancelled() => {}
+                flushed = self.flush() => flushed?,
+            }
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = tokio::time::sleep(TICK) => {}
+            }
+        }
+        self.recorder.lock().cut();
+        match timeout(self.drain, self.flush()).await {
+            Ok(flushed) => flushed,
+            Err(_) => {
+                tracing::warn!("control: usage was not flushed before the stop");
+                Ok(())
+            }
+        }
+    }
+
+    fn advance(&self) {
+        let open = self.ledger.read(|ledger| ledger.window_open());
+        self.recorder.lock().advance(open, self.clock.now_ms());
+    }
+
+    fn copy_growing(&mut self) {
+        let growing = self.recorder.lock().growing();
+        if growing.is_none() || growing == self.copied {
+            return;
+        }
+        self.copied.clone_from(&growing);
+        if let Some(slice) = growing {
+            (self.copy)(slice);
+        }
+    }
+
+    /// Appends all slices that were cut, and then the watermark.
+    async fn flush(&mut self) -> Result<()> {
+        loop {
+            let slice = self.recorder.lock().first_unflushed().cloned();
+            let Some(slice) = slice else {
+                break;
+            };
+            let number = slice.slice;
+            (self.copy)(slice.clone());
+            let receipt = self.appender.append(Body::UsageSlice(slice)).await?;
+            if let crate::ledger::Verdict::Rejected(rejection) = &receipt.verdict {
+                tracing::error!("control: usage slice {number} was refused: {rejection}");
+            }
+            self.recorder.lock().flushed(number);
+            (self.flushed)(number);
+        }
+        self.flush_watermark().await
+    }
+
+    async fn flush_watermark(&mut self) -> Result<()> {
+        let watermark = self.recorder.lock().watermark();
+        if watermark <= self.watermark {
+            return Ok(());
+        }
+        let body = Body::UsageWatermark(UsageWatermark {
+            source: self.appender.writer().to_string(),
+            source_incarnation: self.appender.incarnation(),
+            window: watermark,
+        });
+        self.appender.append(body).await?;
+        self.watermark = watermark;
+        Ok(())
+    }
+}
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -105,6 +105,8 @@
     pub(super) intent: Option<OrderIntent>,
     #[prost(bool, tag = "5")]
     pub(super) resigned: bool,
+    #[prost(bool, tag = "6")]
+    pub(super) adopted: bool,
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
