--- /dev/null
+++ b/src/control/slices.rs
@@ -0,0 +1,125 @@
+//! Usage that this instance measured and has not yet seen in the ledger.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::Identity;
+use crate::{
+    ledger::{AccountCounts, UsageCounts},
+    log::records::{UsageLine, UsageSlice},
+};
+
+/// Usage cut into numbered slices, each measured within one window.
+///
+/// A source measures for the open window until it has been open for the length
+/// of a window, and for the next one from then on.
+#[derive(Debug)]
+pub struct SliceBuffer {
+    source: Identity,
+    window_ms: u64,
+    open: u64,
+    open_since_ms: u64,
+    window: u64,
+    next_slice: u64,
+    services: IndexMap<Arc<str>, AccountCounts>,
+    unflushed: IndexMap<u64, UsageSlice>,
+}
+
+impl SliceBuffer {
+    /// Returns an empty buffer; windows last `window_ms`.
+    pub fn new(source: Identity, window_ms: u64) -> Self {
+        Self {
+            source,
+            window_ms,
+            open: 0,
+            open_since_ms: 0,
+            window: 0,
+            next_slice: 1,
+            services: IndexMap::new(),
+            unflushed: IndexMap::new(),
+        }
+    }
+
+    /// Adds to the counts of an account.
+    pub fn add(&mut self, service: &Arc<str>, account: &Arc<str>, counts: UsageCounts) {
+        let accounts = self.services.entry(service.clone()).or_default();
+        let total = accounts.entry(account.clone()).or_default();
+        total.requests = total.requests.saturating_add(counts.requests);
+        total.prompt_tokens = total.prompt_tokens.saturating_add(counts.prompt_tokens);
+        total.output_tokens = total.output_tokens.saturating_add(counts.output_tokens);
+    }
+
+    /// Takes in the lowest open window of the ledger, and starts another
+    /// window when it is time. What was measured before is cut.
+    pub fn advance(&mut self, open: u64, now_ms: u64) {
+        if open > self.open {
+            self.open = open;
+            self.open_since_ms = now_ms;
+        }
+        let over = now_ms.saturating_sub(self.open_since_ms) >= self.window_ms;
+        let window = if over { self.open + 1 } else { self.open };
+        if window <= self.window {
+            return;
+        }
+        if self.window > 0 {
+            self.cut();
+        }
+        self.window = window;
+    }
+
+    /// Cuts what was measured since the last cut into a slice.
+    pub fn cut(&mut self) {
+        let Some(slice) = self.growing() else {
+            return;
+        };
+        self.next_slice += 1;
+        self.services.clear();
+        self.unflushed.insert(slice.slice, slice);
+    }
+
+    /// The slice that would be cut now; `None` if there is nothing in it.
+    pub fn growing(&self) -> Option<UsageSlice> {
+        if self.services.is_empty() {
+            return None;
+        }
+        let mut lines = Vec::new();
+        for (service, accounts) in &self.services {
+            for (account, counts) in accounts {
+                lines.push(UsageLine {
+                    service: service.to_string(),
+                    account: account.to_string(),
+                    requests: counts.requests,
+                    prompt_tokens: counts.prompt_tokens,
+                    output_tokens: counts.output_tokens,
+                });
+            }
+        }
+        Some(UsageSlice {
+            source: self.source.name.to_string(),
+            source_incarnation: self.source.incarnation,
+            slice: self.next_slice,
+            window: self.window,
+            lines,
+        })
+    }
+
+    /// The oldest slice that is not known to be in the ledger.
+    pub fn first_unflushed(&self) -> Option<&UsageSlice> {
+        self.unflushed.values().next()
+    }
+
+    /// Drops a slice that is in the ledger.
+    pub fn flushed(&mut self, slice: u64) {
+        self.unflushed.shift_remove(&slice);
+    }
+
+    /// The last window for which nothing is left to flush.
+    pub fn watermark(&self) -> u64 {
+        let mut watermark = self.window.saturating_sub(1);
+        for slice in self.unflushed.values() {
+            watermark = watermark.min(slice.window.saturating_sub(1));
+        }
+        watermark
+    }
+}
