target: test that no damaged stream is taken for whole

Streams with a token left out, repeated or swapped, of another request or attempt, without their end, cut at any byte or with a wrong count must fail; bytes arrive in chunks of arbitrary lengths. And 200 calls over connections that the service closes right after each answer: none is sent twice.

The stand-in engine refuses options that are not positive, which panicked or hung before, and no longer overflows on huge token counts.

--- a/src/standin/engine/batch.rs
+++ b/src/standin/engine/batch.rs
@@ -24,6 +24,9 @@
 /// Factor by which a prefill engine decodes slower.
 const PREFILL_ROLE_DECODE_FACTOR: f64 = 4.0;
 
+/// Longest step, in seconds.
+const MAX_STEP_S: f64 = 60.0;
+
 /// One item of an answer's body; an error cuts the connection.
 pub(super) type BodyItem = Result<Bytes, std::io::Error>;
 
@@ -64,11 +67,12 @@
         } else {
             request.max_tokens
         };
-        let blocks = (prompt_tokens + output_tokens).div_ceil(BLOCK_TOKENS);
+        let tokens = prompt_tokens.saturating_add(output_tokens);
+        let blocks = tokens.div_ceil(BLOCK_TOKENS);
         Self {
             answer: Answer::new(&request.prompt),
             private_blocks: blocks - prefix.len() as u32,
-            prefill_left: prompt_tokens + request.resume_tokens,
+            prefill_left: prompt_tokens.saturating_add(request.resume_tokens),
             generated: request.resume_tokens,
             request,
             sender,
@@ -175,17 +179,17 @@
             chunk -= stream.prefill_share;
             prefill_tokens += stream.prefill_share;
         }
-        let prefill_s = f64::from(prefill_tokens) / f64::from(options.prefill_tokens_per_s.max(1));
+        let prefill_s = f64::from(prefill_tokens) / f64::from(options.prefill_tokens_per_s);
         let mut decode_s = 0.0;
         if decoding > 0 {
             let batch_factor = 1.0 + options.decode_batch_slope * f64::from(decoding - 1);
-            decode_s = batch_factor / f64::from(options.decode_tokens_per_s.max(1));
+            decode_s = batch_factor / f64::from(options.decode_tokens_per_s);
         }
         if role == EngineRole::Prefill {
             decode_s *= PREFILL_ROLE_DECODE_FACTOR;
         }
         let step_s = (prefill_s + decode_s) * faults.slow_factor / options.time_scale;
-        Some(Duration::from_secs_f64(step_s.max(0.0)))
+        Some(Duration::from_secs_f64(step_s.clamp(0.0, MAX_STEP_S)))
     }
 
     /// Applies the planned step: prefill advances, decoding streams get a token.
--- a/src/standin/engine/mod.rs
+++ b/src/standin/engine/mod.rs
@@ -46,8 +46,9 @@
     ///
     /// # Errors
     ///
-    /// Fails if the address cannot be bound.
+    /// Fails if an option is not valid or the address cannot be bound.
     pub async fn start(address: SocketAddr, options: EngineOptions) -> Result<Self> {
+        options.check()?;
         let service = EngineService::new(Core::new(options));
         let server = HttpServer::start(address, service.clone()).await?;
         let address = server.address();
--- a/src/standin/engine/options.rs
+++ b/src/standin/engine/options.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    standin::faults::InterfaceFaults,
+    standin::{Error, Result, faults::InterfaceFaults},
     target::protocol::{EngineRole, LoadedModel},
 };
 
@@ -106,6 +106,31 @@
         self
     }
 
+    /// Checks that the engine can run at all.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first option that is not positive.
+    pub(super) fn check(&self) -> Result<()> {
+        let positive = [
+            (
+                "time_scale",
+                self.time_scale.is_finite() && self.time_scale > 0.0,
+            ),
+            ("prefill_tokens_per_s", self.prefill_tokens_per_s > 0),
+            ("decode_tokens_per_s", self.decode_tokens_per_s > 0),
+            ("max_running", self.max_running > 0),
+            ("total_blocks", self.total_blocks > 0),
+            ("kv_blocks_per_s", self.kv_blocks_per_s > 0),
+        ];
+        for (field, valid) in positive {
+            if !valid {
+                return Err(Error::NotPositive { field });
+            }
+        }
+        Ok(())
+    }
+
     /// Sets whether orders with an old fencing number are refused.
     #[must_use]
     pub fn with_check_epoch(mut self, check_epoch: bool) -> Self {
--- a/src/standin/engine/service.rs
+++ b/src/standin/engine/service.rs
@@ -252,7 +252,7 @@
             return write_error(res, StatusCode::NOT_FOUND, "the source has no such blocks");
         };
         let options = self.lock().options.clone();
-        let blocks_per_s = f64::from(options.kv_blocks_per_s.max(1)) * options.time_scale;
+        let blocks_per_s = f64::from(options.kv_blocks_per_s) * options.time_scale;
         let transfer_s = exported.blocks.len() as f64 / blocks_per_s;
         sleep(Duration::from_secs_f64(transfer_s)).await;
         if !self.lock().import_blocks(&exported.blocks) {
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -26,6 +26,11 @@
         /// Cause from the operating system.
         cause: io::Error,
     },
+    /// {field}: must be positive
+    NotPositive {
+        /// Option at fault.
+        field: &'static str,
+    },
 }
 
 impl std::error::Error for Error {}
--- a/src/standin/platform/live.rs
+++ b/src/standin/platform/live.rs
@@ -8,7 +8,7 @@
 use crate::platform::protocol::LiveInstance;
 
 /// An entry and the last time it was announced.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Announced {
     instance: LiveInstance,
     at: Instant,
@@ -33,8 +33,11 @@
     pub(crate) fn announce(&mut self, instance: LiveInstance) {
         let name = Arc::clone(&instance.name);
         let at = Instant::now();
-        self.announced.insert(name, Announced { instance, at });
-        self.record();
+        let renewed = Announced { instance, at };
+        let known = self.announced.insert(name, renewed.clone());
+        if known.is_none_or(|known| known.instance != renewed.instance) {
+            self.record();
+        }
     }
 
     /// Removes an entry.
--- /dev/null
+++ b/tests/stream_checks.rs
@@ -0,0 +1,283 @@
+//! The engine client takes no answer for whole that is not the whole answer to
+//! its own request, however the bytes arrive.
+
+use std::{sync::Arc, time::Duration};
+
+use arbtest::{
+    arbitrary::{self, Unstructured},
+    arbtest,
+};
+use lavenderwind::target::{
+    EngineClient, Error, PlainClient, PlainRequest, Result, http_client,
+    protocol::{FinishReason, GenerateEvent, GenerateRequest},
+};
+use reqwest::{Method, header::HeaderMap};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    runtime::Runtime,
+    time::timeout,
+};
+
+/// Deadline against hanging.
+const HANG: Duration = Duration::from_secs(30);
+/// Fixed seeds; the low 32 bits are the size of the input.
+const SEEDS: [u64; 180] = {
+    let mut seeds = [0; 180];
+    let mut index = 0;
+    while index < seeds.len() {
+        seeds[index] = 0x5eed_0000_0100 + ((index as u64) << 48);
+        index += 1;
+    }
+    seeds
+};
+const TOKENS: u32 = 6;
+/// Number of variants of [`Damage`].
+const DAMAGE_KINDS: u32 = 9;
+
+/// What is done to a whole stream before it is sent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Damage {
+    None,
+    DropToken(u32),
+    RepeatToken(u32),
+    SwapTokens(u32),
+    OtherRequest,
+    OtherAttempt,
+    NoDone,
+    CutBytes,
+    FewerTokensTold,
+}
+
+impl Damage {
+    fn of_kind(kind: u32, u: &mut Unstructured<'_>) -> arbitrary::Result<Self> {
+        let token = u.int_in_range(0..=TOKENS - 1)?;
+        Ok(match kind {
+            0 => Self::None,
+            1 => Self::DropToken(token),
+            2 => Self::RepeatToken(token),
+            3 => Self::SwapTokens(token.min(TOKENS - 2)),
+            4 => Self::OtherRequest,
+            5 => Self::OtherAttempt,
+            6 => Self::NoDone,
+            7 => Self::CutBytes,
+            _ => Self::FewerTokensTold,
+        })
+    }
+}
+
+fn request() -> GenerateRequest {
+    GenerateRequest {
+        request_id: "r1".into(),
+        attempt: 2,
+        model: "adviser".into(),
+        adapter: "".into(),
+        prompt: "a prompt".into(),
+        resume_text: String::new(),
+        resume_tokens: 0,
+        max_tokens: TOKENS,
+        priority: 0,
+        prefix_blocks: Vec::new(),
+        prefill_only: false,
+    }
+}
+
+fn events(damage: Damage) -> Vec<GenerateEvent> {
+    let request_id: Arc<str> = match damage {
+        Damage::OtherRequest => "r2".into(),
+        _ => "r1".into(),
+    };
+    let attempt = if damage == Damage::OtherAttempt { 1 } else { 2 };
+    let mut tokens: Vec<GenerateEvent> = (0..TOKENS)
+        .map(|index| GenerateEvent::Token {
+            index,
+            text: format!("t{index} "),
+        })
+        .collect();
+    match damage {
+        Damage::DropToken(index) => drop(tokens.remove(index as usize)),
+        Damage::RepeatToken(index) => {
+            let token = tokens[index as usize].clone();
+            tokens.insert(index as usize, token);
+        }
+        Damage::SwapTokens(index) => tokens.swap(index as usize, index as usize + 1),
+        _ => {}
+    }
+    let mut events = vec![GenerateEvent::Accepted {
+        request_id: Arc::clone(&request_id),
+        attempt,
+        boot: "b1".into(),
+    }];
+    events.extend(tokens);
+    if damage != Damage::NoDone {
+        events.push(GenerateEvent::Done {
+            request_id,
+            attempt,
+            finish_reason: FinishReason::Length,
+            prompt_tokens: 2,
+            cached_tokens: 0,
+            output_tokens: TOKENS - u32::from(damage == Damage::FewerTokensTold),
+        });
+    }
+    events
+}
+
+/// Returns the stream's bytes in chunks of arbitrary lengths.
+fn chunks(u: &mut Unstructured<'_>, damage: Damage) -> arbitrary::Result<Vec<Vec<u8>>> {
+    let mut bytes = Vec::new();
+    for event in events(damage) {
+        let json = serde_json::to_string(&event).expect("json");
+        bytes.extend_from_slice(format!("data: {json}\n\n").as_bytes());
+    }
+    if damage == Damage::CutBytes {
+        // Leaves out at least the end of the last event's line.
+        let kept = u.int_in_range(0..=bytes.len() - 3)?;
+        bytes.truncate(kept);
+    }
+    let mut chunks = Vec::new();
+    while !bytes.is_empty() {
+        let length = u.int_in_range(1..=40)?.min(bytes.len());
+        chunks.push(bytes.drain(..length).collect());
+    }
+    Ok(chunks)
+}
+
+/// Reads a request's head and body, whose length the head gives.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut text = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        let read = stream.read(&mut buffer).await.ok()?;
+        if read == 0 {
+            return None;
+        }
+        text.extend_from_slice(&buffer[..read]);
+        let shown = String::from_utf8_lossy(&text);
+        let Some((head, body)) = shown.split_once("\r\n\r\n") else {
+            continue;
+        };
+        let mut lines = head.lines();
+        let length = lines.find_map(|line| line.strip_prefix("content-length: "));
+        let length: usize = length.map_or(0, |length| length.parse().expect("a number"));
+        if body.len() >= length {
+            return Some(head.to_owned());
+        }
+    }
+}
+
+async fn send_chunks(listener: TcpListener, chunks: Vec<Vec<u8>>) {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    read_request(&mut stream).await.expect("a request");
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    // The client may hang up as soon as it finds the damage.
+    let _ = stream.write_all(head.as_bytes()).await;
+    for chunk in chunks {
+        let mut framed = format!("{:x}\r\n", chunk.len()).into_bytes();
+        framed.extend_from_slice(&chunk);
+        framed.extend_from_slice(b"\r\n");
+        let _ = stream.write_all(&framed).await;
+    }
+    let _ = stream.write_all(b"0\r\n\r\n").await;
+}
+
+/// Returns the text of the answer if the client takes it for whole.
+async fn read_answer(chunks: Vec<Vec<u8>>) -> Result<String> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("address").to_string();
+    let server = tokio::spawn(send_chunks(listener, chunks));
+    let client = EngineClient::new(http_client().expect("client"));
+    let mut stream = client.generate(&address, &request()).await?;
+    let mut text = String::new();
+    while let Some(event) = stream.next().await? {
+        if let GenerateEvent::Token { text: token, .. } = event {
+            text.push_str(&token);
+        }
+    }
+    drop(stream);
+    server.await.expect("the server ends");
+    Ok(text)
+}
+
+#[test]
+fn damaged_streams() {
+    let runtime = Runtime::new().expect("runtime");
+    for (index, seed) in SEEDS.into_iter().enumerate() {
+        let kind = index as u32 % DAMAGE_KINDS;
+        arbtest(|u| {
+            let damage = Damage::of_kind(kind, u)?;
+            let chunks = chunks(u, damage)?;
+            let answer = runtime.block_on(async {
+                let reading = read_answer(chunks);
+                timeout(HANG, reading).await.expect("the answer ends")
+            });
+            match (damage, answer) {
+                (Damage::None, Ok(text)) => assert_eq!(text, "t0 t1 t2 t3 t4 t5 "),
+                (Damage::None, Err(error)) => panic!("whole, but {error}"),
+                (damage, Ok(text)) => panic!("{damage:?} was taken for whole: {text}"),
+                (_, Err(error)) => assert!(error.written(), "{error}"),
+            }
+            Ok(())
+        })
+        .seed(seed)
+        .run();
+    }
+}
+
+/// Answers one request on each connection and then closes it without notice.
+async fn close_after_answer(listener: TcpListener, calls: u32) -> Vec<String> {
+    let mut heads = Vec::new();
+    while heads.len() < calls as usize {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let Some(head) = read_request(&mut stream).await else {
+            continue;
+        };
+        heads.push(head);
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        stream.write_all(answer).await.expect("answered");
+    }
+    heads
+}
+
+/// A pooled connection that the service has closed must neither lose a call nor
+/// send it twice.
+#[tokio::test]
+async fn stale_connections() {
+    const CALLS: u32 = 200;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("address").to_string();
+    let server = tokio::spawn(close_after_answer(listener, CALLS));
+    let client = PlainClient::new(http_client().expect("client"));
+    let mut unanswered = 0;
+    for number in 0.. {
+        let request = PlainRequest {
+            method: Method::POST,
+            path_and_query: format!("/orders/{number}").into(),
+            headers: HeaderMap::new(),
+            request_id: format!("r{number}").into(),
+            idempotency_key: "".into(),
+            body: "two sheets".into(),
+        };
+        match timeout(HANG, client.call(&address, request)).await {
+            Ok(Ok(answer)) => assert_eq!(answer.status, 200),
+            Ok(Err(Error::Connect { .. })) => break,
+            Ok(Err(error)) => {
+                assert!(error.written(), "{error}");
+                unanswered += 1;
+            }
+            Err(_) => panic!("the call hangs"),
+        }
+        if server.is_finished() {
+            break;
+        }
+    }
+    let heads = server.await.expect("the server ends");
+    let mut paths: Vec<&str> = heads
+        .iter()
+        .filter_map(|head| head.lines().next())
+        .collect();
+    paths.sort_unstable();
+    let sent = paths.len();
+    paths.dedup();
+    assert_eq!(paths.len(), sent, "a call was sent twice");
+    assert!(unanswered < CALLS, "{unanswered} calls without an answer");
+}
