Enforce account limits and the retry budget; exchange loads with peers

Each account's limits are divided evenly between the live instances; what exceeds them is refused as not run, with Retry-After, before anything is claimed. Attempts after a failure come out of a budget of a fifth of what succeeds, unless the engine was told to leave. Loads go to the peers and theirs into the routing table ten times a second, and what peers served to an account counts in the fair queue.

Also: a claim that is refused again and again ends in request_in_progress and no longer loops, and a suspect that waits for a target cannot miss its release.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -73,6 +73,17 @@
     }
 }
 
+/// What the end of a failed attempt means for its request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum AttemptEnd {
+    /// Another attempt may be made within the retry budget.
+    Failed,
+    /// The engine was told to leave; another attempt may be made.
+    TargetLeft,
+    /// The request is quarantined because its engines crash.
+    Quarantined,
+}
+
 /// A checked event of an attempt.
 #[derive(Debug)]
 pub(super) enum Event {
@@ -235,24 +246,27 @@
 
     /// Ends the attempt after a failure.
     ///
-    /// Returns whether the request is to be quarantined because its targets
-    /// crash.
+    /// Returns what it means for the request.
     pub(super) async fn fail(
         self,
         context: &EntryContext,
         call: &Call,
         error: &AttemptError,
-    ) -> bool {
+    ) -> AttemptEnd {
         let name = Arc::clone(&self.permit.target.name);
         if !error.written() {
             context.targets().mark_failure(&name);
-            return false;
+            return AttemptEnd::Failed;
+        }
+        if is_leaving(context, &name) {
+            self.cancel(context, call);
+            return AttemptEnd::TargetLeft;
         }
         let crashed = matches!(error, AttemptError::Target(_)) && self.has_crashed(context).await;
         if !crashed {
             context.targets().mark_failure(&name);
             self.cancel(context, call);
-            return false;
+            return AttemptEnd::Failed;
         }
         context.targets().mark_crashed(&name);
         let boot = self.boot.as_deref().unwrap_or_default();
@@ -275,16 +289,15 @@
         if quarantined {
             (context.peers().notify_quarantine)(&call.account.full_name, &call.digest);
         }
-        quarantined
+        if quarantined {
+            return AttemptEnd::Quarantined;
+        }
+        AttemptEnd::Failed
     }
 
-    /// Whether the engine was restarted or accepts no connections, without
-    /// having been told to leave.
+    /// Whether the engine was restarted or accepts no connections.
     async fn has_crashed(&self, context: &EntryContext) -> bool {
         let target = &self.permit.target;
-        if is_leaving(context, &target.name) {
-            return false;
-        }
         let state = context.engine().state(&target.address);
         match timeout(STATE_TIMEOUT, state).await {
             Ok(Ok(state)) => self.boot.as_ref().is_some_and(|boot| *boot != state.boot),
--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -11,6 +11,7 @@
         auth::{KeyDigest, find_key},
         context::EntryContext,
         error::{Error, Outcome, Result},
+        limiter::LimitGuard,
         router::{AccountEntry, RouteEntry},
     },
     service::{Access, Repeat},
@@ -26,7 +27,7 @@
 pub(super) type BodyDigest = [u8; 32];
 
 /// A caller's request, checked and with its whole body.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(super) struct Call {
     /// Identifier of the request.
     pub(super) id: Arc<str>,
@@ -44,6 +45,8 @@
     pub(super) digest: BodyDigest,
     /// Body.
     pub(super) body: Bytes,
+    /// Counts the request against its account's limits.
+    pub(super) limit: Option<LimitGuard>,
 }
 
 impl Call {
--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -7,6 +7,7 @@
 use crate::{
     entry::{
         call::Call,
+        complete::result_of,
         context::EntryContext,
         error::{Error, Outcome, Result},
         reply::Reply,
@@ -25,6 +26,9 @@
 /// Longest wait for the outcome of a request that runs elsewhere.
 const OUTCOME_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Claims that are tried while others are made and released.
+const MAX_CLAIM_ATTEMPTS: u32 = 8;
+
 /// Content type that stands for an answer too large to be recorded.
 const OMITTED_CONTENT_TYPE: &str = "application/x-lavenderwind-omitted";
 
@@ -54,7 +58,7 @@
     let Some(key) = &call.idempotency_key else {
         return Ok(Admission::Run(None));
     };
-    loop {
+    for _ in 0..MAX_CLAIM_ATTEMPTS {
         if let Some(entry) = find_claim(context, call, key) {
             match resolve_claim(context, call, key, entry).await? {
                 Some(reply) => return Ok(Admission::Replay(reply)),
@@ -70,6 +74,7 @@
             Err(error) => return Err(error),
         }
     }
+    Err(Error::InProgress)
 }
 
 impl Claim {
@@ -242,9 +247,13 @@
 where
     F: Future<Output = Result<Reply>> + Send + 'static,
 {
-    let claim = match admit(context, call).await? {
-        Admission::Replay(reply) => return Ok(reply),
-        Admission::Run(claim) => claim,
+    let claim = match admit(context, call).await {
+        Ok(Admission::Run(claim)) => claim,
+        Ok(Admission::Replay(reply)) => return Ok(reply),
+        Err(error) => {
+            context.record_result(call, result_of(&error));
+            return Err(error);
+        }
     };
     let task_context = context.clone();
     let task = context.tasks().spawn(async move {
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -21,6 +21,7 @@
         burn::{BurnRecorder, RequestResult},
         call::Call,
         claim::Claim,
+        limiter::Limiter,
         log_writer::LogWriter,
         peers::Peers,
         router::Router,
@@ -29,9 +30,16 @@
     },
     ledger::{LedgerHandle, Verdict},
     log::{self, Offset, records::record::Body},
+    policy::{queue::cost_tokens, retry::RetryBudget},
     target::{EngineClient, PlainClient, table::TargetTable},
 };
 
+/// Retries that each whole answer allows, in thousandths.
+const RETRY_RATIO_MILLI: u64 = 200;
+
+/// Most retries that are allowed at once.
+const MAX_RETRIES: u64 = 256;
+
 /// Claims whose fate in the log is not yet known, at most.
 const MAX_PENDING_CLAIMS: usize = 1_024;
 
@@ -76,6 +84,8 @@
     router: Router,
     scheduler: Arc<Scheduler>,
     suspects: Arc<Suspects>,
+    limiter: Arc<Limiter>,
+    retries: Mutex<RetryBudget>,
     pending_claims: Arc<Semaphore>,
     tasks: TaskTracker,
     stopping: AtomicBool,
@@ -161,6 +171,8 @@
                 burn: self.burn,
                 router: Router::default(),
                 suspects: Arc::default(),
+                limiter: Arc::default(),
+                retries: Mutex::new(RetryBudget::new(RETRY_RATIO_MILLI, MAX_RETRIES)),
                 pending_claims: Arc::new(Semaphore::new(MAX_PENDING_CLAIMS)),
                 tasks: TaskTracker::new(),
                 stopping: AtomicBool::new(false),
@@ -240,18 +252,37 @@
             prompt_tokens: u64::from(prompt_tokens),
             output_tokens: u64::from(output_tokens),
         });
-        let tokens = u64::from(prompt_tokens) + u64::from(output_tokens);
+        let tokens = cost_tokens(prompt_tokens.into(), output_tokens.into());
+        if let Some(limit) = &call.limit {
+            limit.set_served(u64::from(prompt_tokens) + u64::from(output_tokens));
+        }
         (self.inner.peers.report_served)(&account.full_name, tokens);
     }
 
     /// Counts the result of a request.
     pub(super) fn record_result(&self, call: &Call, result: RequestResult) {
+        if matches!(result, RequestResult::Good | RequestResult::Late) {
+            self.retries().record_success();
+        }
         self.inner.burn.record(&call.account, result);
     }
 
-    /// Whether another attempt of a request may be made.
-    pub(super) fn allow_retry(&self, _call: &Call) -> bool {
-        true
+    /// Takes another attempt out of the retry budget, if there is one left.
+    pub(super) fn allow_retry(&self) -> bool {
+        let allowed = self.retries().withdraw();
+        if !allowed {
+            tracing::warn!("entry: retry budget is used up");
+        }
+        allowed
+    }
+
+    fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        let budget = self.inner.retries.lock();
+        budget.unwrap_or_else(|error| error.into_inner())
+    }
+
+    pub(super) fn limiter(&self) -> &Arc<Limiter> {
+        &self.inner.limiter
     }
 
     /// Appends a record in the background until it is folded.
--- /dev/null
+++ b/src/entry/exchange.rs
@@ -0,0 +1,51 @@
+//! Exchange of loads and service with the other instances.
+
+use std::sync::Arc;
+
+use crate::{
+    entry::{context::EntryContext, peers::Peers, router::RouteTable},
+    peer::TargetLoad,
+    policy::load::InFlight,
+};
+
+/// Tells the peers what this instance has in flight on each target, and takes
+/// in what they have in flight and have served.
+pub(super) fn exchange(context: &EntryContext) {
+    let peers = context.peers();
+    for view in context.targets().snapshot().iter() {
+        exchange_load(context, peers, &view.name);
+    }
+    let served = (peers.take_served)();
+    if served.is_empty() {
+        return;
+    }
+    let table = context.router().table(context.ledger());
+    for served in served {
+        let weight = weight_of(&table, &served.account);
+        let (account, tokens) = (&served.account, served.tokens);
+        context.scheduler().add_remote(account, weight, tokens);
+    }
+}
+
+fn exchange_load(context: &EntryContext, peers: &Peers, target: &Arc<str>) {
+    let load = (peers.peer_load)(target);
+    let theirs = InFlight {
+        requests: load.requests,
+        prefill_tokens: load.tokens,
+        blocks: u32::try_from(load.blocks).unwrap_or(u32::MAX),
+    };
+    let ours = context.scheduler().exchange_load(target, theirs);
+    let ours = TargetLoad {
+        requests: ours.requests,
+        tokens: ours.prefill_tokens,
+        blocks: u64::from(ours.blocks),
+    };
+    (peers.report_load)(target, ours);
+}
+
+fn weight_of(table: &RouteTable, account: &str) -> u32 {
+    let entry = account
+        .split_once('/')
+        .and_then(|(service, name)| table.account(service, name));
+    entry.map_or(1, |entry| entry.account.weight)
+}
--- a/src/entry/generation.rs
+++ b/src/entry/generation.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     entry::{
-        attempt::{Attempt, AttemptError, Event},
+        attempt::{Attempt, AttemptEnd, AttemptError, Event},
         call::Call,
         context::EntryContext,
         error::{Error, Outcome, Result},
@@ -272,11 +272,11 @@
             "entry: attempt {} on {target} failed: {error}",
             self.request.attempt,
         );
-        let quarantined = attempt.fail(&self.context, &self.call, &error).await;
+        let end = attempt.fail(&self.context, &self.call, &error).await;
         if !self.failed.contains(&target) {
             self.failed.push(target);
         }
-        if quarantined {
+        if end == AttemptEnd::Quarantined {
             return Err(Error::Quarantined {
                 outcome: self.outcome(),
             });
@@ -289,7 +289,8 @@
             return Ok(());
         }
         self.fruitless += 1;
-        if self.may_retry() && self.context.allow_retry(&self.call) {
+        let planned = end == AttemptEnd::TargetLeft;
+        if self.may_retry() && (planned || self.context.allow_retry()) {
             Arc::make_mut(&mut self.demand).deadline = Some(self.call.deadline());
             return Ok(());
         }
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -5,7 +5,7 @@
 use futures_util::FutureExt;
 use salvo::{
     Depot, FlowCtrl, Handler, Request, Response, async_trait,
-    http::{HeaderValue, header::CONNECTION},
+    http::{HeaderValue, Method, header::CONNECTION},
 };
 use tokio::time::Instant;
 
@@ -14,7 +14,8 @@
         auth::{find_key, key_digest},
         body::{check_headers, read_body},
         call::{Call, IDEMPOTENCY_KEY, check_fresh, check_idempotency_key, request_digest},
-        claim, complete,
+        claim,
+        complete::{self, result_of},
         context::EntryContext,
         error::{Error, Outcome, Result},
         models,
@@ -25,8 +26,8 @@
         stream,
     },
     ledger::KeyEntry,
-    service::{Access, KindRole},
-    target::REQUEST_ID,
+    service::{Access, KindRole, Repeat},
+    target::{REQUEST_ID, tokens::count_tokens},
 };
 
 /// Answers all requests of callers.
@@ -94,6 +95,12 @@
         let limits = &context.settings().limits;
         let limit = entry.route.max_body_bytes.min(limits.max_body_bytes);
         let body = read_body(request, limit, limits.request_read_ms).await?;
+        let work = self.parse(&entry, request, &body)?;
+        let instances = (context.peers().live_instances)();
+        let limit = context
+            .limiter()
+            .acquire(&account, instances, work.tokens())
+            .inspect_err(|error| context.burn().record(&account, result_of(error)))?;
         let path_and_query = path_and_query(request);
         let call = Arc::new(Call {
             id: Arc::clone(id),
@@ -104,78 +111,93 @@
             entry,
             account,
             body,
+            limit,
         });
         call.recheck(context)?;
-        match call.entry.role {
-            KindRole::Engine => self.complete(&call, request, response).await,
-            KindRole::Plain => {
-                let plain = PlainCall {
-                    method: request.method().clone(),
-                    path_and_query: Arc::from(path_and_query),
-                    headers: request.headers().clone(),
-                };
-                let reply = self.call_plain(&call, plain).await?;
-                reply.write(response);
-                Ok(())
-            }
-        }
+        self.run(&call, work, response).await
     }
 
-    async fn complete(
-        &self,
-        call: &Arc<Call>,
-        request: &Request,
-        response: &mut Response,
-    ) -> Result<()> {
+    /// Finds out what a request asks for.
+    fn parse(&self, entry: &RouteEntry, request: &Request, body: &[u8]) -> Result<Work> {
+        if entry.role == KindRole::Plain {
+            return Ok(Work::Plain(PlainCall {
+                method: request.method().clone(),
+                path_and_query: Arc::from(path_and_query(request)),
+                headers: request.headers().clone(),
+            }));
+        }
         let path = request.uri().path();
         let Some(interface) = Interface::of(path) else {
             return Err(Error::UnknownRoute {
                 path: path.to_owned(),
             });
         };
-        if request.method() != salvo::http::Method::POST {
+        if request.method() != Method::POST {
             return Err(Error::MethodNotAllowed {
                 path: path.to_owned(),
                 method: request.method().to_string(),
                 allow: "POST".to_owned(),
             });
         }
-        let completion = CompletionRequest::parse(interface, &call.body)?;
-        if completion.stream {
-            if !call.is_idempotent() && call.idempotency_key.is_some() {
-                return Err(Error::InvalidField {
-                    param: "stream",
-                    reason: "cannot be combined with an idempotency key here".to_owned(),
-                });
-            }
-            return stream::answer_stream(&self.context, call, &completion, response).await;
+        let completion = CompletionRequest::parse(interface, body)?;
+        let keyed = request.headers().contains_key(IDEMPOTENCY_KEY);
+        if completion.stream && keyed && entry.route.repeat != Repeat::Idempotent {
+            return Err(Error::InvalidField {
+                param: "stream",
+                reason: "cannot be combined with an idempotency key here".to_owned(),
+            });
+        }
+        Ok(Work::Completion(completion))
+    }
+
+    async fn run(&self, call: &Arc<Call>, work: Work, response: &mut Response) -> Result<()> {
+        let context = self.context.clone();
+        if let Work::Completion(completion) = &work
+            && completion.stream
+        {
+            return stream::answer_stream(&context, call, completion, response).await;
         }
         if call.is_idempotent() {
-            let reply = complete::answer_whole(&self.context, call, &completion).await?;
+            let reply = work.answer(&context, call).await?;
             reply.write(response);
             return Ok(());
         }
-        let context = self.context.clone();
         let run = {
-            let call = Arc::clone(call);
-            async move { complete::answer_whole(&context, &call, &completion).await }
+            let (context, call) = (context.clone(), Arc::clone(call));
+            async move { work.answer(&context, &call).await }
         };
-        claim::run_once(&self.context, call, run)
-            .await?
-            .write(response);
+        let reply = claim::run_once(&context, call, run).await?;
+        reply.write(response);
         Ok(())
     }
+}
 
-    async fn call_plain(&self, call: &Arc<Call>, plain: PlainCall) -> Result<Reply> {
-        if call.is_idempotent() {
-            return plain::answer(&self.context, call, &plain).await;
+/// What a request asks for.
+#[derive(Debug)]
+enum Work {
+    /// Text of an engine.
+    Completion(CompletionRequest),
+    /// A call of a plain service.
+    Plain(PlainCall),
+}
+
+impl Work {
+    /// Tokens that the request takes at most, by estimate.
+    fn tokens(&self) -> u64 {
+        match self {
+            Self::Completion(completion) => {
+                u64::from(count_tokens(&completion.prompt)) + u64::from(completion.max_tokens)
+            }
+            Self::Plain(_) => 0,
+        }
+    }
+
+    /// Waits for the whole answer.
+    async fn answer(&self, context: &EntryContext, call: &Arc<Call>) -> Result<Reply> {
+        match self {
+            Self::Completion(completion) => complete::answer_whole(context, call, completion).await,
+            Self::Plain(plain) => plain::answer(context, call, plain).await,
         }
-        let context = self.context.clone();
-        let run = {
-            let call = Arc::clone(call);
-            async move { plain::answer(&context, &call, &plain).await }
-        };
-        claim::run_once(&self.context, call, run).await
     }
 }
 
--- /dev/null
+++ b/src/entry/limiter.rs
@@ -0,0 +1,142 @@
+//! Limits of client accounts on this instance.
+
+use std::sync::{
+    Arc, Mutex, MutexGuard,
+    atomic::{AtomicU64, Ordering},
+};
+
+use indexmap::IndexMap;
+use tokio::time::Instant;
+
+use crate::{
+    entry::{
+        error::{Error, Result},
+        router::AccountEntry,
+    },
+    policy::limits::{AccountLimiter, AccountLimits, LimitError},
+};
+
+/// Wait that callers are told at the limit of requests in progress, in
+/// milliseconds.
+const CONCURRENT_RETRY_MS: u64 = 1_000;
+
+/// Enforces this instance's part of each account's limits.
+#[derive(Debug)]
+pub(super) struct Limiter {
+    started_at: Instant,
+    accounts: Mutex<IndexMap<Arc<str>, Account>>,
+}
+
+#[derive(Debug)]
+struct Account {
+    limits: AccountLimits,
+    limiter: AccountLimiter,
+}
+
+/// A request that counts against its account's limits until dropped.
+#[derive(Debug)]
+pub(super) struct LimitGuard {
+    limiter: Arc<Limiter>,
+    account: Arc<str>,
+    estimated_tokens: u64,
+    served_tokens: AtomicU64,
+}
+
+impl Default for Limiter {
+    fn default() -> Self {
+        Self {
+            started_at: Instant::now(),
+            accounts: Mutex::default(),
+        }
+    }
+}
+
+impl Limiter {
+    /// Counts a request against its account's limits, if it has any.
+    ///
+    /// The limits are divided evenly between the live instances.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::RateLimited`]
+    pub(super) fn acquire(
+        self: &Arc<Self>,
+        account: &AccountEntry,
+        live_instances: u32,
+        tokens: u64,
+    ) -> Result<Option<LimitGuard>> {
+        let limits = own_part(account, live_instances);
+        if limits == AccountLimits::default() {
+            return Ok(None);
+        }
+        let now_ms = self.started_at.elapsed().as_millis() as u64;
+        let mut accounts = self.lock();
+        let entry = accounts
+            .entry(Arc::clone(&account.full_name))
+            .or_insert_with(|| Account {
+                limits,
+                limiter: AccountLimiter::new(limits, now_ms),
+            });
+        if entry.limits != limits {
+            entry.limits = limits;
+            entry.limiter.set_limits(limits, now_ms);
+        }
+        entry.limiter.acquire(tokens, now_ms).map_err(refusal)?;
+        Ok(Some(LimitGuard {
+            limiter: Arc::clone(self),
+            account: Arc::clone(&account.full_name),
+            estimated_tokens: tokens,
+            served_tokens: AtomicU64::new(0),
+        }))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<Arc<str>, Account>> {
+        self.accounts
+            .lock()
+            .unwrap_or_else(|error| error.into_inner())
+    }
+}
+
+impl LimitGuard {
+    /// Sets the tokens that the account was really served.
+    pub(super) fn set_served(&self, tokens: u64) {
+        self.served_tokens.store(tokens, Ordering::Relaxed);
+    }
+}
+
+impl Drop for LimitGuard {
+    fn drop(&mut self) {
+        let served_tokens = self.served_tokens.load(Ordering::Relaxed);
+        if let Some(entry) = self.limiter.lock().get_mut(&self.account) {
+            entry.limiter.release(self.estimated_tokens, served_tokens);
+        }
+    }
+}
+
+fn own_part(account: &AccountEntry, live_instances: u32) -> AccountLimits {
+    let account = &account.account;
+    let whole = AccountLimits::new(
+        account.max_requests_per_s,
+        account.max_tokens_per_s,
+        account.max_concurrent,
+    );
+    let instances = u64::from(live_instances.max(1));
+    let part = |limit: Option<u64>| limit.map(|limit| limit.div_ceil(instances));
+    AccountLimits {
+        requests_milli_per_s: part(whole.requests_milli_per_s),
+        tokens_milli_per_s: part(whole.tokens_milli_per_s),
+        max_concurrent: part(whole.max_concurrent),
+    }
+}
+
+fn refusal(error: LimitError) -> Error {
+    let (limit, retry_after_ms) = match error {
+        LimitError::Requests { retry_after_ms } => ("request rate", retry_after_ms),
+        LimitError::Tokens { retry_after_ms } => ("token rate", retry_after_ms),
+        LimitError::Concurrent => ("number of requests in progress", CONCURRENT_RETRY_MS),
+    };
+    Error::RateLimited {
+        limit,
+        retry_after_ms,
+    }
+}
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -4,10 +4,15 @@
 
 use derive_more::Debug;
 
+use crate::peer::{Served, TargetLoad};
+
 type IsQuarantinedFn = dyn Fn(&str, &[u8]) -> bool + Send + Sync;
 type NotifyQuarantineFn = dyn Fn(&str, &[u8]) + Send + Sync;
 type IsLiveFn = dyn Fn(&str, u64) -> bool + Send + Sync;
 type ReportServedFn = dyn Fn(&str, u64) + Send + Sync;
+type TakeServedFn = dyn Fn() -> Vec<Served> + Send + Sync;
+type PeerLoadFn = dyn Fn(&str) -> TargetLoad + Send + Sync;
+type ReportLoadFn = dyn Fn(&str, TargetLoad) + Send + Sync;
 
 /// What the entry asks of the other instances.
 #[derive(Clone, Debug)]
@@ -30,6 +35,15 @@
     /// Reports tokens served to an account, `SERVICE/ACCOUNT`.
     #[debug(skip)]
     pub report_served: Arc<ReportServedFn>,
+    /// Takes the tokens that peers served since the last call.
+    #[debug(skip)]
+    pub take_served: Arc<TakeServedFn>,
+    /// What peers have in flight on a target.
+    #[debug(skip)]
+    pub peer_load: Arc<PeerLoadFn>,
+    /// Reports what this instance has in flight on a target.
+    #[debug(skip)]
+    pub report_load: Arc<ReportLoadFn>,
 }
 
 impl Peers {
@@ -42,6 +56,9 @@
             is_live: Arc::new(|_, _| true),
             live_instances: Arc::new(|| 1),
             report_served: Arc::new(|_, _| ()),
+            take_served: Arc::new(Vec::new),
+            peer_load: Arc::new(|_| TargetLoad::default()),
+            report_load: Arc::new(|_, _| ()),
         }
     }
 }
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -98,7 +98,7 @@
         }
         written = true;
         let may_retry = call.is_idempotent() && attempts < MAX_ATTEMPTS;
-        if !may_retry || !context.allow_retry(call) {
+        if !may_retry || !context.allow_retry() {
             return Err(error.into_error());
         }
     }
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -12,6 +12,7 @@
     entry::error::{Error, Result},
     platform::protocol::TargetState,
     policy::{
+        load::InFlight,
         queue::{FairQueue, Popped, QueueError, QueueRequest, QueueSettings, cost_tokens},
         routing::{Availability, Choice, RouteError, RouteRequest, RouteSettings, RouteTable},
     },
@@ -176,6 +177,25 @@
         }
     }
 
+    /// Takes in what peers have in flight on a target, and returns what this
+    /// instance has there.
+    pub(super) fn exchange_load(&self, target: &str, peers: InFlight) -> InFlight {
+        let now_ms = self.now_ms();
+        let mut state = self.lock();
+        let Some(load) = state.routes.load_mut(target) else {
+            return InFlight::default();
+        };
+        load.observe_peers(peers, now_ms);
+        load.own()
+    }
+
+    /// Charges an account for what peers served to it.
+    pub(super) fn add_remote(&self, account: &str, weight: u32, tokens: u64) {
+        for queue in self.lock().queues.values_mut() {
+            queue.waiting.add_remote(account, weight, tokens);
+        }
+    }
+
     /// Requests that wait for a target.
     pub(super) fn queued(&self) -> usize {
         self.lock().queues.values().map(Queue::len).sum()
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -10,12 +10,16 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::entry::{
-    acceptor::EntryAcceptor, body::MAX_HEADER_BYTES, context::EntryContext, handler::EntryHandler,
+    acceptor::EntryAcceptor, body::MAX_HEADER_BYTES, context::EntryContext, exchange::exchange,
+    handler::EntryHandler,
 };
 
 /// Time between two looks at the targets for queued requests.
 const TICK: Duration = Duration::from_millis(10);
 
+/// Time between two exchanges of loads with the peers.
+const EXCHANGE_PERIOD: Duration = Duration::from_millis(100);
+
 /// Shortest time for records to be appended at the end of a stop.
 const MIN_BACKGROUND: Duration = Duration::from_secs(1);
 
@@ -44,6 +48,8 @@
     tokio::pin!(serving);
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    let mut exchange_tick = tokio::time::interval(EXCHANGE_PERIOD);
+    exchange_tick.set_missed_tick_behavior(MissedTickBehavior::Skip);
     loop {
         tokio::select! {
             result = &mut serving => return result,
@@ -54,6 +60,7 @@
                 close.close();
             }
             _ = tick.tick() => context.scheduler().tick(),
+            _ = exchange_tick.tick() => exchange(&context),
         }
     }
     let drained_by = Instant::now() + drain;
@@ -63,6 +70,7 @@
             tokio::select! {
                 result = &mut serving => return result,
                 _ = tick.tick() => context.scheduler().tick(),
+                _ = exchange_tick.tick() => exchange(&context),
             }
         }
     };
--- a/src/entry/suspect.rs
+++ b/src/entry/suspect.rs
@@ -9,7 +9,7 @@
 };
 
 use indexmap::{IndexMap, IndexSet};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, futures::Notified};
 
 use crate::entry::{call::BodyDigest, call::Call};
 
@@ -95,8 +95,10 @@
     }
 
     /// Waits until a suspect has left its target.
-    pub(super) async fn released(&self) {
-        self.released.notified().await;
+    ///
+    /// The wait begins with the call, not with the first poll.
+    pub(super) fn released(&self) -> Notified<'_> {
+        self.released.notified()
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/src/instance/parts.rs
+++ b/src/instance/parts.rs
@@ -140,6 +140,7 @@
         let live_instances = self.live_instances.clone();
         let (name, incarnation) = self.identity.clone();
         let [fresh, known, notified, live, served] = [(); 5].map(|()| self.peers.clone());
+        let [taken, theirs, ours] = [(); 3].map(|()| self.peers.clone());
         entry::Peers {
             may_serve_keyed: Arc::new(move || fresh.may_serve_keyed()),
             quarantined: Arc::new(move |account, digest| known.quarantined(account, digest)),
@@ -159,6 +160,9 @@
                 u32::try_from(*live_instances.borrow()).unwrap_or(u32::MAX)
             }),
             report_served: Arc::new(move |account, tokens| served.report_served(account, tokens)),
+            take_served: Arc::new(move || taken.served_by_peers()),
+            peer_load: Arc::new(move |target| theirs.peer_loads(target)),
+            report_load: Arc::new(move |target, load| ours.report_load(target, load)),
         }
     }
 }
