Run prefill on another engine where the router says so

A choice with a prefill engine was sent to the decoding engine alone, and the load that it put on the prefill engine was never taken back. Now the prefill runs there, the KV cache is imported by the decoding engine, and the place is given back; a failure counts against the engine that worked at that moment. If the import fails, the decoding engine prefills for itself.

The scheduler is split into what a request needs and holds (permit), the queue of requests that wait (waiting), and the assignment.

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -11,14 +11,15 @@
         context::EntryContext,
         error::Result,
         generation::Finish,
-        scheduler::{Demand, Permit},
+        permit::{Demand, Permit},
         suspect::SuspectGuard,
     },
     log::records::{CrashSuspect, record::Body},
     platform::protocol::TargetState,
     target::{
         self, EventStream,
-        protocol::{GenerateEvent, GenerateRequest},
+        protocol::{GenerateEvent, GenerateRequest, KvTransfer},
+        table::TargetView,
     },
 };
 
@@ -106,6 +107,8 @@
     number: u32,
     boot: Option<Arc<str>>,
     permit: Permit,
+    /// Engine that works on the request now.
+    engine: TargetView,
     stream: Option<EventStream>,
     _guard: Option<SuspectGuard>,
 }
@@ -146,10 +149,12 @@
             } else {
                 None
             };
+            let engine = permit.prefill.as_ref().unwrap_or(&permit.target).clone();
             return Ok(Self {
                 number: 0,
-                boot: permit.target.engine.as_ref().map(|e| Arc::clone(&e.boot)),
+                boot: None,
                 permit,
+                engine,
                 stream: None,
                 _guard: guard,
             });
@@ -168,8 +173,14 @@
         wait: Duration,
     ) -> std::result::Result<Self, (Self, AttemptError)> {
         self.number = request.attempt;
+        if self.permit.prefill.is_some()
+            && let Err(error) = self.prefill(context, request, wait).await
+        {
+            return Err((self, error));
+        }
+        self.boot = boot_of(&self.engine);
         let engine = context.engine();
-        let address = Arc::clone(&self.permit.target.address);
+        let address = Arc::clone(&self.engine.address);
         match timeout(wait, engine.generate(&address, request)).await {
             Ok(Ok(stream)) => {
                 self.stream = Some(stream);
@@ -182,9 +193,49 @@
 }
 
 impl Attempt {
-    /// Name of the engine.
+    /// Name of the engine that works on the request.
     pub(super) fn target_name(&self) -> &Arc<str> {
-        &self.permit.target.name
+        &self.engine.name
+    }
+
+    /// Runs the prefill on its engine and moves the KV cache.
+    async fn prefill(
+        &mut self,
+        context: &EntryContext,
+        request: &GenerateRequest,
+        wait: Duration,
+    ) -> std::result::Result<(), AttemptError> {
+        self.boot = boot_of(&self.engine);
+        let mut prefill = request.clone();
+        prefill.prefill_only = true;
+        let generated = context.engine().generate(&self.engine.address, &prefill);
+        let generated = timeout(wait, generated)
+            .await
+            .map_err(|_| AttemptError::Stalled)?;
+        self.stream = Some(generated.map_err(AttemptError::Target)?);
+        loop {
+            let event = timeout(wait, self.next()).await;
+            match event.map_err(|_| AttemptError::Stalled)?? {
+                Event::Accepted => {}
+                Event::Token { .. } => return Err(AttemptError::Gap),
+                Event::Done(_) => break,
+            }
+        }
+        self.stream = None;
+        self.permit.end_prefill();
+        let source = std::mem::replace(&mut self.engine, self.permit.target.clone());
+        let transfer = KvTransfer {
+            request_id: Arc::clone(&request.request_id),
+            blocks: request.prefix_blocks.clone(),
+            source_address: source.address,
+        };
+        let imported = context.engine().kv_import(&self.engine.address, &transfer);
+        match timeout(wait, imported).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => tracing::warn!("entry: KV cache not moved: {error}"),
+            Err(_) => tracing::warn!("entry: KV cache not moved in time"),
+        }
+        Ok(())
     }
 
     /// Waits for the next event.
@@ -226,14 +277,14 @@
     pub(super) fn succeed(mut self, context: &EntryContext, call: &Call, finish: Finish) {
         self.permit
             .set_served(finish.prompt_tokens, finish.output_tokens);
-        context.targets().mark_success(&self.permit.target.name);
+        context.targets().mark_success(&self.engine.name);
         context.suspects().clear(call);
     }
 
     /// Cancels the attempt on the engine.
     pub(super) fn cancel(self, context: &EntryContext, call: &Call) {
         let engine = context.engine().clone();
-        let address = Arc::clone(&self.permit.target.address);
+        let address = Arc::clone(&self.engine.address);
         let id = Arc::clone(&call.id);
         let number = self.number;
         drop(self.stream);
@@ -253,7 +304,7 @@
         call: &Call,
         error: &AttemptError,
     ) -> AttemptEnd {
-        let name = Arc::clone(&self.permit.target.name);
+        let name = Arc::clone(&self.engine.name);
         if !error.written() {
             context.targets().mark_failure(&name);
             return AttemptEnd::Failed;
@@ -297,8 +348,7 @@
 
     /// Whether the engine was restarted or accepts no connections.
     async fn has_crashed(&self, context: &EntryContext) -> bool {
-        let target = &self.permit.target;
-        let state = context.engine().state(&target.address);
+        let state = context.engine().state(&self.engine.address);
         match timeout(STATE_TIMEOUT, state).await {
             Ok(Ok(state)) => self.boot.as_ref().is_some_and(|boot| *boot != state.boot),
             Ok(Err(error)) => !error.written() && !error.timed_out(),
@@ -307,6 +357,11 @@
     }
 }
 
+fn boot_of(engine: &TargetView) -> Option<Arc<str>> {
+    let state = engine.engine.as_ref()?;
+    Some(Arc::clone(&state.boot))
+}
+
 /// Whether a request was in flight at a crash, on any instance.
 fn is_suspect(context: &EntryContext, call: &Call) -> bool {
     context.suspects().is_suspect(call) || recorded_crashes(context, call) > 0
--- a/src/entry/generation.rs
+++ b/src/entry/generation.rs
@@ -13,7 +13,7 @@
         error::{Error, Outcome, Result},
         openai::CompletionRequest,
         pace::Pace,
-        scheduler::Demand,
+        permit::Demand,
     },
     target::{
         protocol::{FinishReason, GenerateRequest},
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,6 +26,7 @@
 mod openai;
 mod pace;
 mod peers;
+mod permit;
 mod plain;
 mod reply;
 mod router;
@@ -34,6 +35,7 @@
 mod stop;
 mod stream;
 mod suspect;
+mod waiting;
 
 pub use self::{
     burn::{BurnCounts, BurnRecorder},
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -12,8 +12,8 @@
         complete::result_of,
         context::EntryContext,
         error::{Error, Outcome, Result},
+        permit::{Demand, Permit},
         reply::Reply,
-        scheduler::{Demand, Permit},
     },
     target::{self, PlainRequest},
 };
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -9,57 +9,20 @@
 use tokio::{sync::oneshot, time::Instant};
 
 use crate::{
-    entry::error::{Error, Result},
+    entry::{
+        error::{Error, Result},
+        permit::{Demand, Permit, Returned},
+        waiting::{Grant, Queue, QueueKey, Waiter},
+    },
     platform::protocol::TargetState,
     policy::{
         load::InFlight,
-        queue::{FairQueue, Popped, QueueError, QueueRequest, QueueSettings, cost_tokens},
-        routing::{Availability, Choice, RouteError, RouteRequest, RouteSettings, RouteTable},
+        queue::{Popped, QueueSettings},
+        routing::{Availability, Choice, PrefillChoice, RouteError, RouteSettings, RouteTable},
     },
     target::table::{TargetTable, TargetView},
 };
 
-/// Wait that callers are told where no better estimate exists, in milliseconds.
-const RETRY_AFTER_MS: u64 = 1_000;
-
-/// What a request needs of a target.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Demand {
-    /// Kind of target.
-    pub(super) kind: Arc<str>,
-    /// Model; empty for a plain service.
-    pub(super) model: Arc<str>,
-    /// Version of the weights.
-    pub(super) version: Arc<str>,
-    /// Adapter; empty for none.
-    pub(super) adapter: Arc<str>,
-    /// Account, `SERVICE/ACCOUNT`.
-    pub(super) account: Arc<str>,
-    /// Weight of the account.
-    pub(super) weight: u32,
-    /// Estimated tokens of the prompt.
-    pub(super) prompt_tokens: u32,
-    /// Most tokens of the answer.
-    pub(super) output_tokens: u32,
-    /// Chained hashes of the prompt's blocks.
-    pub(super) prefix_blocks: Vec<u64>,
-    /// Instant by which the answer must begin.
-    pub(super) deadline: Option<Instant>,
-}
-
-/// A place on a target; given back when dropped.
-#[derive(Debug)]
-pub(super) struct Permit {
-    /// The target.
-    pub(super) target: TargetView,
-    scheduler: Arc<Scheduler>,
-    choice: Choice,
-    queue: QueueKey,
-    account: Arc<str>,
-    charged_tokens: u64,
-    served_tokens: u64,
-}
-
 /// Queues requests and assigns them to targets.
 #[derive(Debug)]
 pub(super) struct Scheduler {
@@ -69,34 +32,6 @@
     state: Mutex<State>,
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct QueueKey {
-    kind: Arc<str>,
-    model: Arc<str>,
-}
-
-#[derive(Debug)]
-struct Waiter {
-    demand: Arc<Demand>,
-    excluded: Arc<[Arc<str>]>,
-    deadline_ms: u64,
-    grant: oneshot::Sender<Result<Grant>>,
-}
-
-#[derive(Debug)]
-struct Grant {
-    target: TargetView,
-    choice: Choice,
-    charged_tokens: u64,
-}
-
-#[derive(Debug)]
-struct Queue {
-    waiting: FairQueue<Waiter>,
-    /// Request that left the queue and waits for room.
-    next: Option<Popped<Waiter>>,
-}
-
 #[derive(Debug)]
 struct State {
     routes: RouteTable,
@@ -152,15 +87,7 @@
             state.pump(&key, now_ms);
         }
         let grant = granted.await.unwrap_or(Err(Error::NoTarget))?;
-        Ok(Permit {
-            target: grant.target,
-            scheduler: Arc::clone(self),
-            choice: grant.choice,
-            queue: key,
-            account: Arc::clone(&demand.account),
-            charged_tokens: grant.charged_tokens,
-            served_tokens: grant.charged_tokens,
-        })
+        Ok(Permit::new(self, demand, grant))
     }
 
     /// Takes in changes of targets and the passing of time.
@@ -201,15 +128,29 @@
         self.lock().queues.values().map(Queue::len).sum()
     }
 
-    fn release(&self, permit: &Permit) {
+    /// Whether a target gets new work.
+    pub(super) fn is_live(&self, target: &str) -> bool {
+        let state = self.lock();
+        let target = state.routes.target(target);
+        target.is_some_and(|target| target.availability() == Availability::Live)
+    }
+
+    /// Takes the place of a prefill back.
+    pub(super) fn end_prefill(&self, prefill: &PrefillChoice) {
+        let now_ms = self.now_ms();
+        self.lock().routes.prefill_finished(prefill, now_ms);
+    }
+
+    /// Takes a place back and assigns it anew.
+    pub(super) fn release(&self, returned: &Returned<'_>) {
         let now_ms = self.now_ms();
         let mut state = self.lock();
-        state.routes.finished(&permit.choice, now_ms);
-        if let Some(queue) = state.queues.get_mut(&permit.queue) {
-            let (charged, served) = (permit.charged_tokens, permit.served_tokens);
-            queue.waiting.settle(&permit.account, charged, served);
+        state.routes.finished(returned.choice, now_ms);
+        if let Some(queue) = state.queues.get_mut(returned.queue) {
+            let (charged, served) = (returned.charged_tokens, returned.served_tokens);
+            queue.waiting.settle(returned.account, charged, served);
         }
-        state.pump(&permit.queue, now_ms);
+        state.pump(returned.queue, now_ms);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -225,113 +166,11 @@
     }
 }
 
-impl Demand {
-    fn queue_key(&self) -> QueueKey {
-        QueueKey {
-            kind: Arc::clone(&self.kind),
-            model: Arc::clone(&self.model),
-        }
-    }
-
-    fn route_request<'a>(&'a self, excluded: &'a [Arc<str>]) -> RouteRequest<'a> {
-        RouteRequest::new(&self.kind)
-            .model(&self.model, &self.version)
-            .adapter(&self.adapter)
-            .tokens(self.prompt_tokens, self.output_tokens)
-            .prefix_blocks(&self.prefix_blocks)
-            .home_key(self.prefix_blocks.first().copied().unwrap_or(0))
-            .excluded(excluded)
-    }
-
-    fn cost_tokens(&self) -> u64 {
-        cost_tokens(self.prompt_tokens.into(), self.output_tokens.into())
-    }
-}
-
-impl Permit {
-    /// Sets the tokens that the account was really served.
-    pub(super) fn set_served(&mut self, prompt_tokens: u32, output_tokens: u32) {
-        self.served_tokens = cost_tokens(prompt_tokens.into(), output_tokens.into());
-    }
-
-    /// Whether the target may still get new work.
-    pub(super) fn is_usable(&self) -> bool {
-        let state = self.scheduler.lock();
-        state
-            .routes
-            .target(&self.target.name)
-            .is_some_and(|target| target.availability() == Availability::Live)
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let scheduler = Arc::clone(&self.scheduler);
-        scheduler.release(self);
-    }
-}
-
-impl Queue {
-    fn len(&self) -> usize {
-        self.waiting.len() + usize::from(self.next.is_some())
-    }
-
-    fn push(&mut self, waiter: Waiter, now_ms: u64) -> Result<()> {
-        let demand = Arc::clone(&waiter.demand);
-        let deadline_ms = waiter.deadline_ms;
-        let request = QueueRequest::new(Arc::clone(&demand.account), waiter)
-            .weight(demand.weight)
-            .cost_tokens(demand.cost_tokens())
-            .deadline_ms(deadline_ms);
-        match self.waiting.push(request, now_ms) {
-            Ok(_) => Ok(()),
-            Err(QueueError::TooLate { wait_ms }) => Err(Error::Overloaded {
-                retry_after_ms: wait_ms.max(RETRY_AFTER_MS),
-            }),
-            Err(QueueError::Full | QueueError::AccountFull) => Err(Error::QueueFull),
-        }
-    }
-
-    /// Takes the next request whose caller still waits for it.
-    fn take_next(&mut self, now_ms: u64) -> Option<Popped<Waiter>> {
-        self.expire(now_ms);
-        loop {
-            let popped = self.next.take().or_else(|| self.waiting.pop(now_ms))?;
-            if !popped.item.grant.is_closed() {
-                return Some(popped);
-            }
-            self.waiting
-                .settle(&popped.account, popped.charged_tokens, 0);
-        }
-    }
-
-    fn expire(&mut self, now_ms: u64) {
-        let due = |popped: &mut Popped<Waiter>| popped.item.deadline_ms <= now_ms;
-        if let Some(popped) = self.next.take_if(due) {
-            self.waiting
-                .settle(&popped.account, popped.charged_tokens, 0);
-            popped.item.refuse_late();
-        }
-        while let Some(popped) = self.waiting.expire(now_ms) {
-            popped.item.refuse_late();
-        }
-    }
-}
-
-impl Waiter {
-    fn refuse_late(self) {
-        let _ = self.grant.send(Err(Error::Overloaded {
-            retry_after_ms: RETRY_AFTER_MS,
-        }));
-    }
-}
-
 impl State {
     fn queue(&mut self, key: &QueueKey, settings: &QueueSettings) -> &mut Queue {
-        self.queues.entry(key.clone()).or_insert_with(|| Queue {
-            waiting: FairQueue::new(*settings),
-            next: None,
-        })
+        self.queues
+            .entry(key.clone())
+            .or_insert_with(|| Queue::new(*settings))
     }
 
     /// Takes in the target table where it has changed.
@@ -360,41 +199,68 @@
 
     /// Assigns queued requests for as long as there is room.
     fn pump(&mut self, key: &QueueKey, now_ms: u64) {
-        let Some(queue) = self.queues.get_mut(key) else {
-            return;
-        };
-        while let Some(popped) = queue.take_next(now_ms) {
+        while let Some(popped) = self.take_next(key, now_ms) {
             let waiter = &popped.item;
             match choose(&self.routes, &waiter.demand, &waiter.excluded, now_ms) {
                 Ok(choice) => {
-                    let Some(target) = find_target(&self.snapshot, &choice.target) else {
-                        queue.next = Some(popped);
+                    if let Some(popped) = self.grant(popped, choice, now_ms) {
+                        self.put_back(key, popped);
                         return;
-                    };
-                    let blocks = &popped.item.demand.prefix_blocks;
-                    self.routes.dispatched(&choice, blocks, now_ms);
-                    let grant = Grant {
-                        target,
-                        choice,
-                        charged_tokens: popped.charged_tokens,
-                    };
-                    if let Err(Ok(grant)) = popped.item.grant.send(Ok(grant)) {
-                        self.routes.finished(&grant.choice, now_ms);
                     }
                 }
-                Err(RouteError::NotHeld) => {
-                    queue
-                        .waiting
-                        .settle(&popped.account, popped.charged_tokens, 0);
-                    let _ = popped.item.grant.send(Err(Error::NoTarget));
-                }
+                Err(RouteError::NotHeld) => self.refuse(key, popped),
                 Err(RouteError::Unavailable | RouteError::NoRoom) => {
-                    queue.next = Some(popped);
+                    self.put_back(key, popped);
                     return;
                 }
             }
         }
     }
+
+    fn take_next(&mut self, key: &QueueKey, now_ms: u64) -> Option<Popped<Waiter>> {
+        self.queues.get_mut(key)?.take_next(now_ms)
+    }
+
+    fn put_back(&mut self, key: &QueueKey, popped: Popped<Waiter>) {
+        if let Some(queue) = self.queues.get_mut(key) {
+            queue.next = Some(popped);
+        }
+    }
+
+    fn refuse(&mut self, key: &QueueKey, popped: Popped<Waiter>) {
+        if let Some(queue) = self.queues.get_mut(key) {
+            queue.refuse(popped, Error::NoTarget);
+        }
+    }
+
+    /// Gives a request its place; returns it if a target is not listed.
+    fn grant(
+        &mut self,
+        popped: Popped<Waiter>,
+        choice: Choice,
+        now_ms: u64,
+    ) -> Option<Popped<Waiter>> {
+        let Some(target) = find_target(&self.snapshot, &choice.target) else {
+            return Some(popped);
+        };
+        let prefill = choice.prefill.as_ref();
+        let prefill = prefill.and_then(|prefill| find_target(&self.snapshot, &prefill.target));
+        let blocks = &popped.item.demand.prefix_blocks;
+        self.routes.dispatched(&choice, blocks, now_ms);
+        let grant = Grant {
+            target,
+            prefill,
+            choice,
+            charged_tokens: popped.charged_tokens,
+        };
+        if let Err(Ok(grant)) = popped.item.grant.send(Ok(grant)) {
+            if let Some(prefill) = &grant.choice.prefill {
+                self.routes.prefill_finished(prefill, now_ms);
+            }
+            self.routes.finished(&grant.choice, now_ms);
+        }
+        None
+    }
 }
 
 /// Chooses a target, if need be one that was tried before.
