Test orders to engines with real processes; add the bench of the fold

An order is now sent only after the engine's own state, read at that moment, shows no change in progress; the polled state may be older than the last order.

--- /dev/null
+++ b/benches/fold.rs
@@ -0,0 +1,248 @@
+//! Cost of the fold, of a document's revision and of a rebuild.
+
+use std::{hint::black_box, time::Duration};
+
+use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
+use lavenderwind::{
+    ledger::Ledger,
+    log::{
+        Offset,
+        records::{
+            Duty, DutyClaim, DutyRenewal, EngineOrder, EngineRole, OrderIntent, Record,
+            RequestClaim, RequestOutcome, ServiceRevision, SetRole, UsageLine, UsageSlice,
+            engine_order::Action, order_intent::Order, record::Body,
+        },
+    },
+    service::Document,
+};
+use prost::Message;
+
+/// Client accounts at which costs are measured; the last is the largest that
+/// one document takes with a key for each.
+const ACCOUNTS: [usize; 4] = [8, 1_000, 3_000, 4_750];
+
+/// Records of one measured run.
+const RECORDS: u64 = 10_000;
+
+/// Length of a recorded answer, in bytes.
+const ANSWER_BYTES: usize = 512;
+
+struct Writer {
+    sequence: u64,
+}
+
+impl Writer {
+    fn record(&mut self, body: Body) -> Record {
+        self.sequence += 1;
+        Record {
+            writer: "entry-1".into(),
+            incarnation: 1_785_000_000_000_000,
+            sequence: self.sequence,
+            body: Some(body),
+        }
+    }
+}
+
+fn document(service: &str, accounts: usize) -> String {
+    let mut text = format!(
+        "service: {service}\nteam: desk\nroutes:\n- path: /{service}\n  access: keyed\n  \
+         repeat: once\n  target_kind: app\ntarget_kinds:\n- name: app\n  role: plain\naccounts:\n"
+    );
+    for account in 0..accounts {
+        let line = format!(
+            "- name: account-{account:05}\n  weight: 10\n  keys:\n  - id: key-{account:05}\n    \
+             sha256: {:0>64}\n",
+            format!("{service}{account}")
+                .bytes()
+                .map(|byte| format!("{byte:x}"))
+                .collect::<String>()
+        );
+        text.push_str(&line);
+    }
+    text
+}
+
+fn revision(service: &str, accounts: usize) -> Body {
+    Body::ServiceRevision(ServiceRevision {
+        service: service.into(),
+        base_revision: 0,
+        document: document(service, accounts),
+    })
+}
+
+fn claim(index: u64) -> Body {
+    Body::RequestClaim(RequestClaim {
+        account: format!("steel/account-{:05}", index % 9_500),
+        idempotency_key: format!("3f0c1e9a-0000-4000-8000-{index:012}"),
+        body_digest: vec![7; 32],
+    })
+}
+
+fn outcome(index: u64) -> Body {
+    Body::RequestOutcome(RequestOutcome {
+        account: format!("steel/account-{:05}", index % 9_500),
+        idempotency_key: format!("3f0c1e9a-0000-4000-8000-{index:012}"),
+        claim_offset: index + 1,
+        unknown: false,
+        status: 200,
+        content_type: "application/json".into(),
+        body: vec![b'a'; ANSWER_BYTES],
+    })
+}
+
+fn slice(index: u64, lines: u64) -> Body {
+    let mut usage = Vec::new();
+    for line in 0..lines {
+        usage.push(UsageLine {
+            service: "swaps".into(),
+            account: format!("account-{line:05}"),
+            requests: 3,
+            prompt_tokens: 4_000,
+            output_tokens: 900,
+        });
+    }
+    Body::UsageSlice(UsageSlice {
+        source: "entry-1".into(),
+        source_incarnation: 1_785_000_000_000_000,
+        slice: index + 1,
+        window: 1,
+        lines: usage,
+    })
+}
+
+fn duty_claim() -> Body {
+    Body::DutyClaim(DutyClaim {
+        duty: Duty::Fleet.into(),
+        after_epoch: 0,
+        after_renewal: 0,
+    })
+}
+
+fn renewal() -> Body {
+    Body::DutyRenewal(DutyRenewal {
+        duty: Duty::Fleet.into(),
+        epoch: 1,
+    })
+}
+
+fn intent(index: u64) -> Body {
+    Body::OrderIntent(OrderIntent {
+        target: format!("engine-{index:05}"),
+        duty: Duty::Fleet.into(),
+        epoch: 1,
+        order: Some(Order::Engine(EngineOrder {
+            action: Some(Action::SetRole(SetRole {
+                role: EngineRole::Prefill.into(),
+            })),
+        })),
+    })
+}
+
+fn fold(records: &[Record]) -> Ledger {
+    let mut ledger = Ledger::new();
+    for (index, record) in records.iter().enumerate() {
+        ledger.apply(Offset(index as u64 + 1), record);
+    }
+    ledger
+}
+
+fn records<F>(mut body: F) -> Vec<Record>
+where
+    F: FnMut(u64) -> Body,
+{
+    let mut writer = Writer { sequence: 0 };
+    let mut records = Vec::new();
+    for index in 0..RECORDS {
+        records.push(writer.record(body(index)));
+    }
+    records
+}
+
+/// Runs of 10,000 records of one kind.
+fn record_kinds(criterion: &mut Criterion) {
+    let with_holder = |index: u64, body: Body| if index == 0 { duty_claim() } else { body };
+    let kinds = [
+        ("request_claim", records(claim)),
+        (
+            "duty_renewal",
+            records(|index| with_holder(index, renewal())),
+        ),
+        (
+            "order_intent",
+            records(|index| with_holder(index, intent(index))),
+        ),
+        ("usage_slice_8", records(|index| slice(index, 8))),
+        ("usage_slice_64", records(|index| slice(index, 64))),
+    ];
+    let mut group = criterion.benchmark_group("fold");
+    group.throughput(Throughput::Elements(RECORDS));
+    for (name, records) in &kinds {
+        let bytes: usize = records.iter().map(Message::encoded_len).sum();
+        println!("fold/{name}: {} bytes a record", bytes / RECORDS as usize);
+        group.bench_function(*name, |bencher| bencher.iter(|| fold(black_box(records))));
+    }
+    group.finish();
+}
+
+/// Revisions of a document by the number of its accounts.
+fn revisions(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("revision");
+    for accounts in ACCOUNTS {
+        let text = document("swaps", accounts);
+        println!("revision/{accounts}: {} bytes", text.len());
+        assert!(Document::parse(&text).is_ok());
+        let mut writer = Writer { sequence: 0 };
+        let records = [writer.record(revision("swaps", accounts))];
+        group.bench_function(BenchmarkId::from_parameter(accounts), |bencher| {
+            bencher.iter(|| fold(black_box(&records)));
+        });
+    }
+    group.finish();
+}
+
+/// A ledger of two services that share the accounts, with claims and usage.
+fn full_ledger(accounts: usize, claims: u64) -> Ledger {
+    let mut writer = Writer { sequence: 0 };
+    let mut records = Vec::new();
+    for index in 0..claims {
+        records.push(writer.record(claim(index)));
+    }
+    for index in 0..claims {
+        records.push(writer.record(outcome(index)));
+    }
+    records.push(writer.record(revision("swaps", accounts / 2)));
+    records.push(writer.record(revision("steel", accounts - accounts / 2)));
+    records.push(writer.record(slice(0, accounts as u64)));
+    fold(&records)
+}
+
+/// Checkpoints by accounts and by remembered claims.
+fn checkpoints(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("checkpoint");
+    for (accounts, claims) in [(8, 0), (1_000, 0), (4_750, 0), (9_500, 0), (9_500, 20_000)] {
+        let ledger = full_ledger(accounts, claims);
+        let data = ledger.encode();
+        let size = format!("{accounts}_accounts_{claims}_claims");
+        println!("checkpoint/{size}: {} bytes", data.len());
+        group.bench_function(BenchmarkId::new("encode", &size), |bencher| {
+            bencher.iter(|| black_box(&ledger).encode());
+        });
+        group.bench_function(BenchmarkId::new("digest", &size), |bencher| {
+            bencher.iter(|| black_box(&ledger).digest());
+        });
+        group.bench_function(BenchmarkId::new("decode", &size), |bencher| {
+            bencher.iter(|| Ledger::decode(black_box(&data)).is_ok());
+        });
+    }
+    group.finish();
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default()
+        .sample_size(10)
+        .warm_up_time(Duration::from_millis(300))
+        .measurement_time(Duration::from_secs(1));
+    targets = record_kinds, revisions, checkpoints
+}
+criterion_main!(benches);
--- a/src/control/fleet/mod.rs
+++ b/src/control/fleet/mod.rs
@@ -9,6 +9,7 @@
 
 use futures_util::future::join_all;
 use indexmap::IndexMap;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
 pub use self::{
@@ -123,6 +124,7 @@
     ledger: LedgerHandle,
     port: FleetPort,
     planner: FleetPlanner,
+    read_timeout: Duration,
 }
 
 impl<W, R, WF, RF> FleetRunner<W, R>
@@ -132,18 +134,20 @@
     R: Fn(Arc<str>) -> RF,
     RF: Future<Output = Observation>,
 {
-    /// Returns a runner.
+    /// Returns a runner; a target's state is read within `read_timeout`.
     pub fn new(
         sender: Arc<OrderSender<W, R>>,
         ledger: LedgerHandle,
         port: FleetPort,
         planner: FleetPlanner,
+        read_timeout: Duration,
     ) -> Self {
         Self {
             sender,
             ledger,
             port,
             planner,
+            read_timeout,
         }
     }
 
@@ -175,18 +179,29 @@
         let orders = self
             .ledger
             .read(|ledger| planner.plan(ledger, &views, &list, now_ms));
-        let sender = &self.sender;
-        let sends = orders.iter().map(|planned| async move {
-            let sent = sender.send(&planned.target, planned.order.clone()).await;
-            tracing::info!("control: order to {}: {sent:?}", planned.target);
-            sent
-        });
+        let mut sends = Vec::with_capacity(orders.len());
+        for planned in &orders {
+            sends.push(self.send(planned));
+        }
         for sent in join_all(sends).await {
             match sent {
-                Ok(_) | Err(Error::NotHolder | Error::Rejected(_)) => {}
+                Ok(()) | Err(Error::NotHolder | Error::Rejected(_)) => {}
                 Err(error) => return Err(error),
             }
         }
         Ok(())
     }
+
+    /// Sends an order, unless the state of the target shows that it still
+    /// carries out another one; the polled state may be older.
+    async fn send(&self, planned: &PlannedOrder) -> Result<()> {
+        let target = &planned.target;
+        let busy = timeout(self.read_timeout, self.port.is_busy(target)).await;
+        if busy.unwrap_or(true) {
+            return Ok(());
+        }
+        let outcome = self.sender.send(target, planned.order.clone()).await?;
+        tracing::info!("control: order to {target}: {outcome:?}");
+        Ok(())
+    }
 }
--- a/src/control/fleet/port.rs
+++ b/src/control/fleet/port.rs
@@ -126,6 +126,19 @@
         }
     }
 
+    /// Whether an engine carries out an order or cannot be read at the moment.
+    /// The platform's groups of targets take orders at any time.
+    pub async fn is_busy(&self, target: &str) -> bool {
+        if target.starts_with(PLATFORM_PREFIX) {
+            return false;
+        }
+        let Some(address) = self.address(target) else {
+            return true;
+        };
+        let state = self.engines.state(&address).await;
+        state.map_or(true, |state| state.changing)
+    }
+
     /// Whether a target refuses orders with an old fencing number.
     pub fn checks_fencing(&self, ledger: &LedgerHandle, target: &str) -> bool {
         let views = self.table.snapshot();
--- a/src/control/spawn.rs
+++ b/src/control/spawn.rs
@@ -185,7 +185,7 @@
     supervisor.spawn("fleet", move |stop| {
         let planner = FleetPlanner::new(inputs.settings.limits.weight_fetches_per_min);
         let ledger = inputs.ledger.clone();
-        FleetRunner::new(sender.clone(), ledger, port.clone(), planner).run(stop)
+        FleetRunner::new(sender.clone(), ledger, port.clone(), planner, timeout).run(stop)
     });
 }
 
--- /dev/null
+++ b/tests/process_fleet.rs
@@ -0,0 +1,170 @@
+//! Orders to engines by real processes, through kills and pauses of the
+//! instance that sends them.
+
+mod common;
+
+use std::collections::HashMap;
+
+use common::{
+    cluster::{Cluster, ClusterOptions},
+    process::wait_until,
+};
+use serde_json::Value;
+
+const TIMING: &str = "  lease_ms: 1000\n  renew_ms: 300\n  drift_ms: 50\n  grace_ms: 200\n";
+
+fn options(check_epoch: bool) -> ClusterOptions {
+    ClusterOptions {
+        engines: 3,
+        plains: 1,
+        engine_options: format!("check_epoch: {check_epoch}\nload_ms: 300\n"),
+        timing: TIMING.to_owned(),
+        ..ClusterOptions::default()
+    }
+}
+
+/// The service `advice` with further models, which the engines have to load.
+fn document(models: &[&str], checks_fencing: bool) -> String {
+    let mut text = include_str!("common/model.yaml").replace(
+        "checks_fencing: true",
+        &format!("checks_fencing: {checks_fencing}"),
+    );
+    let mut lines = String::from("models:\n");
+    for model in models {
+        let line = format!("  - name: {model}\n    version: \"1\"\n");
+        lines.push_str(&line);
+    }
+    text = text.replace("models:\n  - name: norms-8b\n    version: \"1\"\n", &lines);
+    text
+}
+
+/// The last holder of the fleet duty, as an instance sees it.
+async fn fleet_duty(cluster: &Cluster, by: usize) -> Option<Value> {
+    let status = cluster.status(&cluster.instances[by]).await;
+    let duties = status["duties"].as_array()?.clone();
+    duties.into_iter().find(|duty| duty["duty"] == "fleet")
+}
+
+async fn wait_holder(cluster: &Cluster, by: usize) -> usize {
+    let held = || async {
+        let duty = fleet_duty(cluster, by).await;
+        duty.is_some_and(|duty| duty["resigned"] == false)
+    };
+    wait_until("the fleet duty is held", held).await;
+    let duty = fleet_duty(cluster, by).await.expect("a holder");
+    let name = duty["holder"].as_str().expect("a name");
+    name.trim_start_matches("entry-").parse().expect("an index")
+}
+
+async fn wait_other_holder(cluster: &Cluster, by: usize, former: usize) {
+    let former = format!("entry-{former}");
+    let taken_over = || async {
+        let duty = fleet_duty(cluster, by).await;
+        duty.is_some_and(|duty| duty["holder"] != *former && duty["resigned"] == false)
+    };
+    wait_until("another instance holds the fleet duty", taken_over).await;
+}
+
+/// Waits until some engine holds a model.
+async fn wait_model(cluster: &Cluster, model: &str) {
+    let loaded = || async {
+        for engine in &cluster.engines {
+            let state = cluster.standin_json(engine, "/state").await;
+            let models = state["models"].as_array().expect("a list").clone();
+            if models.iter().any(|held| held["model"] == *model) {
+                return true;
+            }
+        }
+        false
+    };
+    wait_until("an engine holds the model", loaded).await;
+}
+
+/// No engine got an order twice, under an older epoch than before, or while
+/// it still carried another one out.
+async fn check_orders(cluster: &Cluster) -> usize {
+    let mut total = 0;
+    for engine in &cluster.engines {
+        let received = cluster.standin_json(engine, "/orders").await;
+        let mut orders: HashMap<u64, Value> = HashMap::new();
+        let mut newest_epoch = 0;
+        for entry in received.as_array().expect("a list") {
+            if entry["accepted"] != true {
+                continue;
+            }
+            total += 1;
+            let epoch = entry["order"]["epoch"].as_u64().expect("an epoch");
+            let order_id = entry["order"]["order_id"].as_u64().expect("an id");
+            assert!(epoch >= newest_epoch, "a former holder's order: {entry}");
+            newest_epoch = epoch;
+            assert_eq!(entry["during_change"], false, "conflicting order: {entry}");
+            let earlier = orders.insert(order_id, entry["order"].clone());
+            assert!(earlier.is_none(), "an order was sent twice: {entry}");
+        }
+    }
+    total
+}
+
+#[tokio::test]
+async fn killed_sender() {
+    let mut cluster = Cluster::start("killed_sender", options(true)).await;
+    let killed = wait_holder(&cluster, 0).await;
+    let by = (killed + 1) % cluster.instances.len();
+    cluster
+        .publish("more", &document(&["norms-8b", "tenders-8b"], true))
+        .await;
+    wait_model(&cluster, "tenders-8b").await;
+    cluster.instances[killed].kill().await;
+    wait_other_holder(&cluster, by, killed).await;
+    let models = ["norms-8b", "tenders-8b", "catalogue-8b"];
+    let text = document(&models, true);
+    publish_to_live(&cluster, &text).await;
+    wait_model(&cluster, "catalogue-8b").await;
+    assert!(check_orders(&cluster).await >= 2);
+}
+
+/// Publishes without waiting for the instances that were killed.
+async fn publish_to_live(cluster: &Cluster, document: &str) {
+    let folder = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = folder.join("killed_sender.yaml");
+    std::fs::write(&path, document).expect("the document can be written");
+    let path = path.to_str().expect("the path is text").to_owned();
+    let output = cluster.operate(&["service", "publish", &path]).await;
+    assert!(output.0, "{}", output.1);
+}
+
+#[tokio::test]
+async fn paused_sender() {
+    let cluster = Cluster::start("paused_sender", options(false)).await;
+    let paused = wait_holder(&cluster, 0).await;
+    let by = (paused + 1) % cluster.instances.len();
+    cluster
+        .publish("more", &document(&["norms-8b", "tenders-8b"], false))
+        .await;
+    cluster.instances[paused].pause().await;
+    wait_other_holder(&cluster, by, paused).await;
+    wait_model(&cluster, "tenders-8b").await;
+    cluster.instances[paused].resume().await;
+    cluster
+        .wait_instance_ready(&cluster.instances[paused])
+        .await;
+    let models = ["norms-8b", "tenders-8b", "catalogue-8b"];
+    cluster.publish("yet-more", &document(&models, false)).await;
+    wait_model(&cluster, "catalogue-8b").await;
+    assert!(check_orders(&cluster).await >= 2);
+}
+
+#[tokio::test]
+async fn stopped_sender() {
+    let mut cluster = Cluster::start("stopped_sender", options(false)).await;
+    let stopped = wait_holder(&cluster, 0).await;
+    let by = (stopped + 1) % cluster.instances.len();
+    cluster
+        .publish("more", &document(&["norms-8b", "tenders-8b"], false))
+        .await;
+    cluster.instances[stopped].terminate().await;
+    assert!(cluster.instances[stopped].wait().await.success());
+    wait_other_holder(&cluster, by, stopped).await;
+    wait_model(&cluster, "tenders-8b").await;
+    assert!(check_orders(&cluster).await >= 1);
+}
