--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -119,8 +119,17 @@
                 queue.add_remote(&names[next % accounts], 1, 100);
             });
         });
+        let last = Arc::clone(&names[accounts - 1]);
+        queue.add_remote(&last, 1, 10_000_000);
+        group.bench_function(BenchmarkId::new("refuse_late", accounts), |b| {
+            // The account furthest ahead: every other one is served before it.
+            b.iter(|| {
+                let request = QueueRequest::new(Arc::clone(&last), 0).deadline_ms(1_000);
+                black_box(queue.push(request, 0)).is_err()
+            });
+        });
         group.bench_function(BenchmarkId::new("predicted_wait", accounts), |b| {
-            b.iter(|| black_box(queue.predicted_wait_ms(&names[3])));
+            b.iter(|| black_box(queue.predicted_wait_ms(&names[accounts - 1])));
         });
     }
     group.finish();
--- /dev/null
+++ b/benches/policy_memory.rs
@@ -0,0 +1,138 @@
+//! Memory of the decisions' state, as growth of the resident set.
+//!
+//! Prints bytes for each target, cached block, account and queued request.
+
+use std::{fs, mem, sync::Arc};
+
+use lavenderwind::{
+    policy::{
+        limits::{AccountLimiter, AccountLimits},
+        prefix::PrefixIndex,
+        queue::{FairQueue, QueueRequest, QueueSettings},
+        routing::{Availability, RouteSettings, RouteTable},
+        share::SharedQuota,
+    },
+    target::protocol::{EngineRole, EngineState, LoadedModel},
+};
+
+/// Bytes in a KiB.
+const KIB: u64 = 1_024;
+
+fn resident_bytes() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").expect("procfs is mounted");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1));
+    kib.and_then(|kib| kib.parse::<u64>().ok())
+        .expect("VmRSS is a number")
+        * KIB
+}
+
+/// Prints the growth while `build` makes `count` of something.
+fn measure<T, F>(name: &str, count: u64, build: F)
+where
+    F: FnOnce() -> T,
+{
+    let before = resident_bytes();
+    let built = build();
+    let grown = resident_bytes().saturating_sub(before);
+    println!("{name:<28} {:>8} bytes each, of {count}", grown / count);
+    // Kept, so that later figures don't reuse its memory.
+    mem::forget(built);
+}
+
+fn state() -> EngineState {
+    EngineState {
+        boot: "boot-1".into(),
+        report_age_ms: 100,
+        role: EngineRole::Mixed,
+        changing: false,
+        models: vec![LoadedModel {
+            model: "quote".into(),
+            version: "1".into(),
+            adapters: Vec::new(),
+        }],
+        running: 8,
+        waiting: 2,
+        waiting_prefill_tokens: 1_000,
+        used_blocks: 500,
+        total_blocks: 2_000,
+        prefill_tokens_per_s: 8_000,
+        decode_tokens_per_s: 40,
+        epoch: 0,
+        last_order_id: 0,
+    }
+}
+
+fn main() {
+    const TARGETS: u64 = 6_000;
+    const BLOCKS: u64 = 1_000_000;
+    const ACCOUNTS: u64 = 95_000;
+    const MEMBERS: u64 = 8;
+    let names: Vec<Arc<str>> = (0..ACCOUNTS)
+        .map(|index| format!("shop/{index}").into())
+        .collect();
+
+    measure("target", TARGETS, || {
+        let mut table = RouteTable::new(RouteSettings::default());
+        // Added as not live, so that the groups are built once.
+        for index in 0..TARGETS {
+            table.observe_plain(
+                &format!("engine-{index}"),
+                "engine",
+                Availability::Starting,
+                0,
+            );
+        }
+        table
+    });
+    measure("engine of 600", 600, || {
+        let mut table = RouteTable::new(RouteSettings::default());
+        for index in 0..600 {
+            let name = format!("engine-{index}");
+            table.observe_engine(&name, "engine", Availability::Live, &state(), 0);
+        }
+        table
+    });
+    measure("cached block, one holder", BLOCKS, || {
+        let mut index = PrefixIndex::default();
+        for target in 0..500 {
+            let blocks: Vec<u64> = (0..2_000).map(|block| target * 2_000 + block).collect();
+            index.insert(&format!("engine-{target}"), &blocks, 2_000);
+        }
+        index
+    });
+    measure("account in the queue", ACCOUNTS, || {
+        let mut queue: FairQueue<u64> = FairQueue::new(QueueSettings::default());
+        for name in &names {
+            queue.add_remote(name, 1, 100);
+        }
+        queue
+    });
+    measure("queued request", ACCOUNTS, || {
+        let mut queue = FairQueue::new(QueueSettings {
+            max_requests: ACCOUNTS as usize,
+            ..QueueSettings::default()
+        });
+        for (index, name) in names.iter().enumerate() {
+            let request = QueueRequest::new(Arc::clone(name), index as u64);
+            queue.push(request, 0).expect("the queue has room");
+        }
+        queue
+    });
+    measure("account's limiter", ACCOUNTS, || {
+        let limiter = |_| AccountLimiter::new(AccountLimits::new(10, 1_000, 4), 0);
+        (0..ACCOUNTS).map(limiter).collect::<Vec<_>>()
+    });
+    measure("quota of eight members", TARGETS, || {
+        let members: Vec<Arc<str>> = names[..MEMBERS as usize].to_vec();
+        let quota = |_| {
+            let mut quota = SharedQuota::new(Arc::clone(&members[0]), 2_000);
+            quota.set_members(&members);
+            for member in &members {
+                quota.observe(member, &quota.report());
+            }
+            quota
+        };
+        (0..TARGETS).map(quota).collect::<Vec<_>>()
+    });
+}
