Report a share to each member by itself

A report listed the grants to all members, and each member kept all of them: memory and frames were quadratic in the members. A report for one receiver carries six numbers; what the sender holds replaces the sum over grants. A check of the generation in that sum was dropped: no test could tell it off, since grants in another generation need the acknowledgement first.

With the mechanism off (scratch edits): grants counted one too many: sum_never_exceeds, left 901, right 902; nothing withheld: shares_follow_demand, left 1200, right 250.

--- a/benches/policy_compare/fairness.rs
+++ b/benches/policy_compare/fairness.rs
@@ -12,7 +12,11 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::{print_row, routing::uniform};
+use crate::{
+    fleet::{exchange, instance_name},
+    print_row,
+    routing::uniform,
+};
 
 const INSTANCES: usize = 8;
 const ACCOUNTS: usize = 8;
@@ -62,8 +66,8 @@
 
 impl Instance {
     fn new(index: usize, count: usize, places: u64) -> Self {
-        let members: Vec<Arc<str>> = (0..count).map(member).collect();
-        let mut quota = SharedQuota::new(member(index), places);
+        let members: Vec<Arc<str>> = (0..count).map(instance_name).collect();
+        let mut quota = SharedQuota::new(instance_name(index), places);
         quota.set_members(&members);
         Self {
             fair: FairQueue::new(QueueSettings {
@@ -112,10 +116,6 @@
     }
 }
 
-fn member(index: usize) -> Arc<str> {
-    format!("entry-{index}").into()
-}
-
 fn account(index: usize) -> Arc<str> {
     format!("shop/{index}").into()
 }
@@ -216,8 +216,8 @@
             *all += queued;
         }
     }
-    let mut reports = Vec::new();
-    for (index, instance) in instances.iter_mut().enumerate() {
+    let mut quotas = Vec::new();
+    for instance in instances.iter_mut() {
         let in_use = instance.ends_ms.len() as u64;
         let queued: u64 = instance.queued.iter().sum();
         let demand = match policy {
@@ -235,14 +235,9 @@
             _ => in_use + queued,
         };
         instance.quota.set_demand(demand, in_use);
-        instance.quota.rebalance();
-        reports.push((member(index), instance.quota.report()));
-    }
-    for instance in instances.iter_mut() {
-        for (name, report) in &reports {
-            instance.quota.observe(name, report);
-        }
+        quotas.push(&mut instance.quota);
     }
+    exchange(&mut quotas);
 }
 
 /// Prints the worst-served account of each policy.
--- a/benches/policy_compare/fleet.rs
+++ b/benches/policy_compare/fleet.rs
@@ -4,7 +4,7 @@
 use std::{collections::VecDeque, sync::Arc};
 
 use lavenderwind::{
-    policy::load::Demand,
+    policy::{load::Demand, share::SharedQuota},
     target::protocol::{BLOCK_TOKENS, EngineRole, EngineState, LoadedModel},
 };
 
@@ -156,6 +156,27 @@
     }
 }
 
+/// Returns the name of an instance.
+pub(crate) fn instance_name(index: usize) -> Arc<str> {
+    format!("entry-{index}").into()
+}
+
+/// Has the quotas of all instances give to and report to each other.
+pub(crate) fn exchange(quotas: &mut [&mut SharedQuota]) {
+    for quota in quotas.iter_mut() {
+        quota.rebalance();
+    }
+    for from in 0..quotas.len() {
+        for to in 0..quotas.len() {
+            if from == to {
+                continue;
+            }
+            let report = quotas[from].report_for(&instance_name(to));
+            quotas[to].observe(&instance_name(from), &report);
+        }
+    }
+}
+
 /// Returns the name of an engine.
 pub(crate) fn engine_name(index: usize) -> Arc<str> {
     format!("engine-{index}").into()
--- a/benches/policy_compare/routing.rs
+++ b/benches/policy_compare/routing.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::{
-    fleet::{Engine, Job, Sent, engine_name},
+    fleet::{Engine, Job, Sent, engine_name, exchange, instance_name},
     print_row,
 };
 
@@ -129,9 +129,7 @@
 }
 
 fn instance(index: usize) -> Instance {
-    let members: Vec<Arc<str>> = (0..INSTANCES)
-        .map(|index| format!("entry-{index}").into())
-        .collect();
+    let members: Vec<Arc<str>> = (0..INSTANCES).map(instance_name).collect();
     let mut quotas = Vec::new();
     for _ in SPEEDS {
         let mut quota = SharedQuota::new(Arc::clone(&members[index]), 2_000);
@@ -197,21 +195,18 @@
 
 fn exchange_shares(instances: &mut [Instance]) {
     for index in 0..SPEEDS.len() {
-        let mut reports = Vec::new();
-        for (number, instance) in instances.iter_mut().enumerate() {
+        let mut quotas = Vec::new();
+        for instance in instances.iter_mut() {
             let queued: u32 = instance.waiting.iter().map(|job| job.demand().blocks).sum();
             let target = instance.table.target(&engine_name(index));
             let own = target.map_or(0, |target| target.load().own().blocks);
             let quota = &mut instance.quotas[index];
             // Room for a burst of a few requests beside what is known.
             quota.set_demand(u64::from(own + queued + 120), own.into());
-            quota.rebalance();
-            reports.push((format!("entry-{number}"), quota.report()));
+            quotas.push(quota);
         }
+        exchange(&mut quotas);
         for instance in instances.iter_mut() {
-            for (name, report) in &reports {
-                instance.quotas[index].observe(name, report);
-            }
             let share = instance.quotas[index].share() as u32;
             instance.table.set_share(&engine_name(index), Some(share));
         }
--- a/benches/policy_memory.rs
+++ b/benches/policy_memory.rs
@@ -129,7 +129,7 @@
             let mut quota = SharedQuota::new(Arc::clone(&members[0]), 2_000);
             quota.set_members(&members);
             for member in &members {
-                quota.observe(member, &quota.report());
+                quota.observe(member, &quota.report_for(member));
             }
             quota
         };
--- a/src/policy/share/mod.rs
+++ b/src/policy/share/mod.rs
@@ -8,4 +8,4 @@
 mod quota;
 
 pub use divide::{AccountDemand, Claimant, divide, fair_demand};
-pub use quota::{Grant, ShareReport, SharedQuota};
+pub use quota::{ShareReport, SharedQuota};
--- a/src/policy/share/quota.rs
+++ b/src/policy/share/quota.rs
@@ -1,6 +1,6 @@
 //! A quota held in parts by several instances (a bounded counter).
 //!
-//! Each instance publishes how much it has given to each other member. These
+//! Each instance tells each other member how much it has given to it. These
 //! figures only rise, and a giver counts a grant before the receiver can see
 //! it, so that the parts never add up to more than the total, however late
 //! reports arrive. When the members or the total change, an instance restarts
@@ -19,38 +19,29 @@
 /// Part by which a falling demand fades at each update.
 const DEMAND_FADE: u64 = 8;
 
-/// What an instance publishes about another member.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Grant {
-    /// Member.
-    pub to: Arc<str>,
-    /// All that was given to it since the giver's last restart.
-    pub total: u64,
-    /// The member's number of restarts, as the giver knows it.
-    pub restarts: u64,
-}
-
-/// What an instance publishes of its part.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+/// What an instance tells another member of its part.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ShareReport {
     /// Digest of the members and the total that the report is about.
     pub generation: u64,
-    /// How often the instance changed its members or total.
+    /// How often the sender changed its members or total.
     pub restarts: u64,
-    /// How much the instance could use.
+    /// How often the receiver did so, as the sender knows it.
+    pub acknowledged: u64,
+    /// How much the sender could use.
     pub demand: u64,
-    /// One entry for each other member.
-    pub grants: Vec<Grant>,
+    /// How much the sender holds.
+    pub held: u64,
+    /// All that the sender gave to the receiver since its last restart.
+    pub given: u64,
 }
 
-#[derive(Clone, Debug, Default)]
+/// What is known of a member; nothing of this instance itself.
+#[derive(Clone, Copy, Debug, Default)]
 struct Member {
-    generation: u64,
-    restarts: u64,
-    // Own restarts, as the member knows them.
-    acknowledged: u64,
-    demand: u64,
-    given: IndexMap<Arc<str>, u64>,
+    report: ShareReport,
+    // What this instance gave to the member since its own last restart.
+    given: u64,
 }
 
 /// This instance's part of a common total.
@@ -71,6 +62,7 @@
     total: u64,
     generation: u64,
     restarts: u64,
+    demand: u64,
     in_use: u64,
     withheld: u64,
     settled: bool,
@@ -87,6 +79,7 @@
             total,
             generation: 0,
             restarts: 0,
+            demand: 0,
             in_use: 0,
             withheld: 0,
             settled: false,
@@ -131,10 +124,8 @@
     /// short lull gives nothing away.
     pub fn set_demand(&mut self, demand: u64, in_use: u64) {
         self.in_use = in_use;
-        if let Some(own) = self.members.get_mut(&self.own) {
-            let faded = own.demand - own.demand.div_ceil(DEMAND_FADE);
-            own.demand = demand.max(in_use).max(faded);
-        }
+        let faded = self.demand - self.demand.div_ceil(DEMAND_FADE);
+        self.demand = demand.max(in_use).max(faded);
     }
 
     /// Takes in a member's report.
@@ -145,19 +136,10 @@
         let Some(member) = self.members.get_mut(from) else {
             return;
         };
-        if member.restarts != report.restarts {
-            member.given.clear();
-        }
-        member.restarts = report.restarts;
-        member.generation = report.generation;
-        member.demand = report.demand;
-        for grant in &report.grants {
-            if grant.to == self.own {
-                member.acknowledged = grant.restarts;
-            }
-            let total = member.given.entry(Arc::clone(&grant.to)).or_default();
-            *total = grant.total.max(*total);
+        if report.restarts < member.report.restarts {
+            return;
         }
+        member.report = *report;
         self.settle();
     }
 
@@ -173,37 +155,26 @@
     /// as it is no longer in use.
     #[must_use]
     pub fn held(&self) -> u64 {
-        let held = self.held_by(&self.own);
+        let moved = self.moved();
         if self.settled {
-            held
+            moved
         } else {
-            held.min(self.held_before)
+            moved.min(self.held_before)
         }
     }
 
-    /// Returns what to publish to the other members.
+    /// Returns what to tell another member.
     #[must_use]
-    pub fn report(&self) -> ShareReport {
-        let mut report = ShareReport {
+    pub fn report_for(&self, to: &str) -> ShareReport {
+        let member = self.members.get(to).copied().unwrap_or_default();
+        ShareReport {
             generation: self.generation,
             restarts: self.restarts,
-            ..ShareReport::default()
-        };
-        let Some(own) = self.members.get(&self.own) else {
-            return report;
-        };
-        report.demand = own.demand;
-        for (name, member) in &self.members {
-            if *name == self.own {
-                continue;
-            }
-            report.grants.push(Grant {
-                to: Arc::clone(name),
-                total: own.given.get(name).copied().unwrap_or(0),
-                restarts: member.restarts,
-            });
+            acknowledged: member.report.restarts,
+            demand: self.demand,
+            held: self.held(),
+            given: member.given,
         }
-        report
     }
 
     /// Gives what this instance holds above its fair part to those below.
@@ -212,10 +183,15 @@
             return;
         }
         let mut claimants = Vec::with_capacity(self.members.len());
-        for member in self.members.values() {
+        for (name, member) in &self.members {
+            let own = *name == self.own;
             claimants.push(Claimant {
                 weight: 1,
-                demand: member.demand,
+                demand: if own {
+                    self.demand
+                } else {
+                    member.report.demand
+                },
             });
         }
         let parts = divide(self.total, &claimants);
@@ -223,12 +199,13 @@
         let mut own_surplus = 0;
         let mut deficit = 0;
         let mut deficits = Vec::with_capacity(parts.len());
-        for (name, part) in self.members.keys().zip(parts) {
-            let held = self.held_by(name);
+        for ((name, member), part) in self.members.iter().zip(parts) {
+            let own = *name == self.own;
+            let held = if own { self.held() } else { member.report.held };
             deficits.push(part.saturating_sub(held));
             deficit += part.saturating_sub(held);
             surplus += held.saturating_sub(part);
-            if *name == self.own {
+            if own {
                 own_surplus = held.saturating_sub(part);
             }
         }
@@ -243,41 +220,29 @@
 
     /// Covers this instance's part of the deficits, by its part of the surplus.
     fn give(&mut self, own_surplus: u64, surplus: u64, deficits: &[u64]) {
-        let names: Vec<Arc<str>> = self.members.keys().cloned().collect();
-        let Some(own) = self.members.get_mut(&self.own) else {
-            return;
-        };
         let mut left = own_surplus;
-        for (name, deficit) in names.into_iter().zip(deficits) {
+        for (member, deficit) in self.members.values_mut().zip(deficits) {
             let covered = u128::from(*deficit) * u128::from(own_surplus);
             let given = (covered.div_ceil(u128::from(surplus.max(1))) as u64).min(left);
-            if given == 0 {
-                continue;
-            }
             left -= given;
-            *own.given.entry(name).or_default() += given;
+            member.given += given;
         }
     }
 
-    /// Returns what a member holds by the reports taken in.
-    fn held_by(&self, name: &str) -> u64 {
-        let Some((rank, _, member)) = self.members.get_full(name) else {
+    /// Returns the even part, with what was given and received since.
+    fn moved(&self) -> u64 {
+        let count = self.members.len() as u64;
+        let Some(rank) = self.members.get_index_of(&self.own) else {
             return 0;
         };
-        let count = self.members.len() as u64;
-        let base = self.total / count + u64::from((rank as u64) < self.total % count);
-        let mut received = 0;
-        for giver in self.members.values() {
-            if giver.generation == self.generation {
-                received += giver.given.get(name).copied().unwrap_or(0);
-            }
+        let mut held = self.total / count + u64::from((rank as u64) < self.total % count);
+        let mut given = 0;
+        for member in self.members.values() {
+            given += member.given;
+            held += member.report.given;
         }
-        let given = match member.generation == self.generation {
-            true => member.given.values().sum(),
-            false => 0,
-        };
-        // A member's own grants can be known before those that it passed on.
-        (base + received).saturating_sub(given)
+        // What a member gave is gone if it has restarted since.
+        held.saturating_sub(given)
     }
 
     fn restart(&mut self) {
@@ -290,9 +255,8 @@
         self.restarts += 1;
         self.settled = false;
         self.withheld = 0;
-        if let Some(own) = self.members.get_mut(&self.own) {
-            own.generation = self.generation;
-            own.given.clear();
+        for member in self.members.values_mut() {
+            member.given = 0;
         }
         self.settle();
     }
@@ -302,7 +266,8 @@
             if *name == self.own {
                 continue;
             }
-            if member.generation != self.generation || member.acknowledged != self.restarts {
+            let report = &member.report;
+            if report.generation != self.generation || report.acknowledged != self.restarts {
                 return;
             }
         }
--- a/tests/shared_limits.rs
+++ b/tests/shared_limits.rs
@@ -92,7 +92,7 @@
             self.links
                 .entry(link)
                 .or_default()
-                .push_back(quota.report());
+                .push_back(quota.report_for(to));
         }
     }
 
