--- a/src/control/fleet/engines.rs
+++ b/src/control/fleet/engines.rs
@@ -12,6 +12,7 @@
         Demand, LoadBudget, LoadWant, RolePlanner, RoleSettings, RoleTarget, choose_load,
     },
     service::{Document, TargetKind},
+    settings::RoleControl,
     target::{
         protocol::{EngineRole, EngineState, LoadedModel},
         table::TargetView,
@@ -29,18 +30,19 @@
 /// Plans the orders to the engines of one service.
 #[derive(Clone, Debug)]
 pub struct EnginePlanner {
+    control: RoleControl,
     roles: RolePlanner,
 }
 
-impl Default for EnginePlanner {
-    fn default() -> Self {
+impl EnginePlanner {
+    /// Returns a planner that has seen no demand.
+    pub fn new(control: RoleControl) -> Self {
         Self {
+            control,
             roles: RolePlanner::new(RoleSettings::default()),
         }
     }
-}
 
-impl EnginePlanner {
     /// Plans at most one load and one role change.
     pub fn plan(
         &mut self,
@@ -70,6 +72,9 @@
         demand: Demand,
         now_ms: u64,
     ) -> Option<PlannedOrder> {
+        if self.control == RoleControl::Fixed {
+            return None;
+        }
         let mut backlog_tokens = 0.0;
         let mut targets = Vec::with_capacity(engines.len());
         for engine in engines {
--- a/src/control/fleet/mod.rs
+++ b/src/control/fleet/mod.rs
@@ -24,6 +24,7 @@
     log::records::order_intent::Order,
     platform::protocol::TargetList,
     policy::roles::LoadBudget,
+    settings::RoleControl,
     target::table::TargetView,
 };
 
@@ -45,6 +46,7 @@
 /// Plans the orders for all services.
 #[derive(Clone, Debug)]
 pub struct FleetPlanner {
+    roles: RoleControl,
     demand: DemandMeter,
     budget: LoadBudget,
     engines: IndexMap<Arc<str>, EnginePlanner>,
@@ -53,8 +55,9 @@
 
 impl FleetPlanner {
     /// Returns a planner that has seen no demand.
-    pub fn new(weight_fetches_per_min: u32) -> Self {
+    pub fn new(weight_fetches_per_min: u32, roles: RoleControl) -> Self {
         Self {
+            roles,
             demand: DemandMeter::new(),
             budget: LoadBudget::new(u64::from(weight_fetches_per_min), LOAD_BURST),
             engines: IndexMap::new(),
@@ -77,7 +80,8 @@
             let document = &entry.document;
             let name = &document.service;
             let demand = demands.get(name).copied().unwrap_or_default();
-            let engines = self.engines.entry(name.clone()).or_default();
+            let engines = self.engines.entry(name.clone());
+            let engines = engines.or_insert_with(|| EnginePlanner::new(self.roles));
             let planned = engines.plan(document, views, demand, &mut self.budget, now_ms);
             let spending = self.spending.entry(name.clone()).or_default();
             let speed = engine_speed(views);
--- a/src/control/spawn.rs
+++ b/src/control/spawn.rs
@@ -183,7 +183,10 @@
     );
     let inputs = inputs.clone();
     supervisor.spawn("fleet", move |stop| {
-        let planner = FleetPlanner::new(inputs.settings.limits.weight_fetches_per_min);
+        let planner = FleetPlanner::new(
+            inputs.settings.limits.weight_fetches_per_min,
+            inputs.settings.policy.roles,
+        );
         let ledger = inputs.ledger.clone();
         FleetRunner::new(sender.clone(), ledger, port.clone(), planner, timeout).run(stop)
     });
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -159,7 +159,7 @@
         let max_queued = self.settings.limits.max_queued;
         EntryContext {
             inner: Arc::new(Inner {
-                scheduler: Scheduler::new(self.targets.clone(), max_queued),
+                scheduler: Scheduler::new(self.targets.clone(), max_queued, self.settings.policy),
                 settings: self.settings,
                 ledger: self.ledger,
                 log: self.log,
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -20,6 +20,7 @@
         queue::{Popped, QueueSettings},
         routing::{Availability, Choice, PrefillChoice, RouteError, RouteSettings, RouteTable},
     },
+    settings::{Policy, QueueOrder},
     target::table::{TargetTable, TargetView},
 };
 
@@ -37,11 +38,12 @@
     routes: RouteTable,
     snapshot: Arc<Vec<TargetView>>,
     queues: IndexMap<QueueKey, Queue>,
+    order: QueueOrder,
 }
 
 impl Scheduler {
     /// Creates a scheduler over the targets of a table.
-    pub(super) fn new(targets: TargetTable, max_queued: u32) -> Arc<Self> {
+    pub(super) fn new(targets: TargetTable, max_queued: u32, policy: Policy) -> Arc<Self> {
         let settings = QueueSettings {
             max_requests: max_queued as usize,
             max_account_requests: max_queued as usize,
@@ -52,9 +54,13 @@
             targets,
             settings,
             state: Mutex::new(State {
-                routes: RouteTable::new(RouteSettings::default()),
+                routes: RouteTable::new(RouteSettings {
+                    method: policy.routing,
+                    ..RouteSettings::default()
+                }),
                 snapshot: Arc::default(),
                 queues: IndexMap::new(),
+                order: policy.queue,
             }),
         })
     }
@@ -170,7 +176,7 @@
     fn queue(&mut self, key: &QueueKey, settings: &QueueSettings) -> &mut Queue {
         self.queues
             .entry(key.clone())
-            .or_insert_with(|| Queue::new(*settings))
+            .or_insert_with(|| Queue::new(*settings, self.order))
     }
 
     /// Takes in the target table where it has changed.
--- a/src/entry/waiting.rs
+++ b/src/entry/waiting.rs
@@ -13,6 +13,7 @@
         queue::{FairQueue, Popped, QueueError, QueueRequest, QueueSettings},
         routing::Choice,
     },
+    settings::QueueOrder,
     target::table::TargetView,
 };
 
@@ -61,14 +62,16 @@
     pub(super) waiting: FairQueue<Waiter>,
     /// Request that left the queue and waits for room.
     pub(super) next: Option<Popped<Waiter>>,
+    order: QueueOrder,
 }
 
 impl Queue {
     /// Creates an empty queue.
-    pub(super) fn new(settings: QueueSettings) -> Self {
+    pub(super) fn new(settings: QueueSettings, order: QueueOrder) -> Self {
         Self {
             waiting: FairQueue::new(settings),
             next: None,
+            order,
         }
     }
 
@@ -85,7 +88,12 @@
     pub(super) fn push(&mut self, waiter: Waiter, now_ms: u64) -> Result<()> {
         let demand = Arc::clone(&waiter.demand);
         let deadline_ms = waiter.deadline_ms;
-        let request = QueueRequest::new(Arc::clone(&demand.account), waiter)
+        // Within one account the queue serves by arrival.
+        let account = match self.order {
+            QueueOrder::Fair => Arc::clone(&demand.account),
+            QueueOrder::FirstCome => Arc::default(),
+        };
+        let request = QueueRequest::new(account, waiter)
             .weight(demand.weight)
             .cost_tokens(demand.cost_tokens())
             .deadline_ms(deadline_ms);
--- a/src/policy/baseline.rs
+++ b/src/policy/baseline.rs
@@ -12,6 +12,11 @@
 }
 
 impl RoundRobin {
+    /// Starts with the target of an index.
+    pub fn starting_at(index: usize) -> Self {
+        Self { next: index }
+    }
+
     /// Returns the next usable target of `count`.
     pub fn choose<F>(&mut self, count: usize, mut usable: F) -> Option<usize>
     where
--- a/src/policy/routing/choose.rs
+++ b/src/policy/routing/choose.rs
@@ -5,8 +5,8 @@
 use rand::Rng;
 
 use super::{
-    Availability, Choice, PrefillChoice, RouteError, RouteRequest, RouteTable, RouteTarget,
-    TargetRole, table::group_key,
+    Availability, Choice, PrefillChoice, RouteError, RouteMethod, RouteRequest, RouteTable,
+    RouteTarget, TargetRole, table::group_key,
 };
 use crate::{
     policy::load::Demand,
@@ -40,6 +40,11 @@
         else {
             return Err(self.absence(request));
         };
+        match self.settings.method {
+            RouteMethod::Predicted => {}
+            RouteMethod::RoundRobin => return self.choose_in_turn(request, group),
+            RouteMethod::LeastInFlight => return self.choose_least(request, group),
+        }
         let candidates = self.candidates(request, group, rng);
         let mut best = self.best_single(request, &candidates, now_ms, rng);
         if best.is_none() && candidates.len() < group.len() {
@@ -75,7 +80,7 @@
         best
     }
 
-    fn absence(&self, request: &RouteRequest<'_>) -> RouteError {
+    pub(super) fn absence(&self, request: &RouteRequest<'_>) -> RouteError {
         let mut error = RouteError::NotHeld;
         for (name, target) in &self.targets {
             if !target.holds(request) {
@@ -135,7 +140,7 @@
         home
     }
 
-    fn usable(
+    pub(super) fn usable(
         &self,
         request: &RouteRequest<'_>,
         index: usize,
--- a/src/policy/routing/mod.rs
+++ b/src/policy/routing/mod.rs
@@ -7,10 +7,11 @@
 //! random sample.
 
 mod choose;
+mod plain;
 mod request;
 mod table;
 mod target;
 
 pub use request::{Choice, PrefillChoice, RouteError, RouteRequest};
-pub use table::{RouteSettings, RouteTable};
+pub use table::{RouteMethod, RouteSettings, RouteTable};
 pub use target::{Availability, RouteTarget, TargetRole};
--- /dev/null
+++ b/src/policy/routing/plain.rs
@@ -0,0 +1,74 @@
+//! Plain choices that the prediction is measured against.
+
+use super::{Choice, RouteError, RouteRequest, RouteTable, RouteTarget, TargetRole};
+use crate::{
+    policy::{
+        baseline::{RoundRobin, least_in_flight},
+        load::Demand,
+    },
+    target::protocol::EngineRole,
+};
+
+impl RouteTable {
+    /// Takes the usable targets of a group in turn.
+    pub(super) fn choose_in_turn(
+        &self,
+        request: &RouteRequest<'_>,
+        group: &[usize],
+    ) -> Result<Choice, RouteError> {
+        let mut turn = RoundRobin::starting_at(self.dispatched % group.len());
+        let chosen = turn.choose(group.len(), |index| {
+            self.runs_whole(request, group[index]).is_some()
+        });
+        self.unpredicted(request, group, chosen)
+    }
+
+    /// Takes the usable target with the fewest requests of this instance.
+    pub(super) fn choose_least(
+        &self,
+        request: &RouteRequest<'_>,
+        group: &[usize],
+    ) -> Result<Choice, RouteError> {
+        let mut in_flight = Vec::with_capacity(group.len());
+        for &index in group {
+            in_flight.push(self.targets[index].load.own().requests);
+        }
+        let chosen = least_in_flight(&in_flight, |index| {
+            self.runs_whole(request, group[index]).is_some()
+        });
+        self.unpredicted(request, group, chosen)
+    }
+
+    fn runs_whole(&self, request: &RouteRequest<'_>, index: usize) -> Option<&RouteTarget> {
+        let (_, target) = self.usable(request, index)?;
+        let whole = matches!(
+            target.role,
+            TargetRole::Plain | TargetRole::Engine(EngineRole::Mixed)
+        );
+        whole.then_some(target)
+    }
+
+    fn unpredicted(
+        &self,
+        request: &RouteRequest<'_>,
+        group: &[usize],
+        chosen: Option<usize>,
+    ) -> Result<Choice, RouteError> {
+        let found = chosen.and_then(|chosen| self.targets.get_index(group[chosen]));
+        let Some((name, target)) = found else {
+            return Err(self.absence(request));
+        };
+        let mut demand = Demand::default();
+        if target.role != TargetRole::Plain {
+            demand.prefill_tokens = u64::from(request.prompt_tokens);
+            demand.blocks = request.blocks();
+        }
+        Ok(Choice {
+            target: name.clone(),
+            demand,
+            prefill: None,
+            cached_tokens: 0,
+            first_token_ms: 0.0,
+        })
+    }
+}
--- a/src/policy/routing/table.rs
+++ b/src/policy/routing/table.rs
@@ -6,6 +6,7 @@
 };
 
 use indexmap::IndexMap;
+use serde::Deserialize;
 
 use super::{Availability, Choice, PrefillChoice, RouteTarget, TargetRole};
 use crate::{
@@ -21,6 +22,8 @@
 /// Settings of the router.
 #[derive(Clone, Copy, Debug)]
 pub struct RouteSettings {
+    /// How a target is chosen among those that may take the request.
+    pub method: RouteMethod,
     /// Largest group of targets that is considered whole.
     pub full_scan: usize,
     /// Random targets considered of a larger group.
@@ -38,6 +41,7 @@
 impl Default for RouteSettings {
     fn default() -> Self {
         Self {
+            method: RouteMethod::Predicted,
             full_scan: 6,
             samples: 4,
             home_load_percent: 125,
@@ -48,6 +52,19 @@
     }
 }
 
+/// How a target is chosen among those that may take a request.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum RouteMethod {
+    /// By predicted time to first token.
+    #[default]
+    Predicted,
+    /// In turn, whatever the load.
+    RoundRobin,
+    /// By the fewest requests that this instance itself has in flight there.
+    LeastInFlight,
+}
+
 /// The targets that an instance routes to.
 ///
 /// ```
@@ -68,6 +85,8 @@
     pub(super) targets: IndexMap<Arc<str>, RouteTarget>,
     pub(super) groups: IndexMap<u64, Vec<usize>>,
     pub(super) prefixes: PrefixIndex,
+    /// Requests dispatched so far, for the choice in turn.
+    pub(super) dispatched: usize,
 }
 
 impl RouteTable {
@@ -79,6 +98,7 @@
             targets: IndexMap::new(),
             groups: IndexMap::new(),
             prefixes: PrefixIndex::default(),
+            dispatched: 0,
         }
     }
 
@@ -179,6 +199,7 @@
 
     /// Counts a request that is sent to the chosen targets.
     pub fn dispatched(&mut self, choice: &Choice, prefix_blocks: &[u64], now_ms: u64) {
+        self.dispatched = self.dispatched.wrapping_add(1);
         if let Some(target) = self.targets.get_mut(&*choice.target) {
             target.load.dispatched(choice.demand, now_ms);
             self.prefixes
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -10,6 +10,8 @@
 use indexmap::IndexMap;
 use serde::Deserialize;
 
+use crate::policy::routing::RouteMethod;
+
 /// Longest lease that the settings accept, in milliseconds.
 const MAX_LEASE_MS: u64 = 60_000;
 
@@ -38,6 +40,9 @@
     /// Bounds on callers.
     #[serde(default)]
     pub limits: Limits,
+    /// How requests are placed and engines are given roles.
+    #[serde(default)]
+    pub policy: Policy,
     /// Log output.
     #[serde(default)]
     pub logging: Logging,
@@ -138,6 +143,43 @@
     }
 }
 
+/// How requests are placed and engines are given roles.
+///
+/// The values other than the defaults are the plain policies that the
+/// decisions are measured against.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Policy {
+    /// Choice of a target.
+    pub routing: RouteMethod,
+    /// Order in which waiting requests are served.
+    pub queue: QueueOrder,
+    /// Changes of engines' roles.
+    pub roles: RoleControl,
+}
+
+/// Order in which waiting requests are served.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum QueueOrder {
+    /// By weighted tokens served to the client accounts.
+    #[default]
+    Fair,
+    /// By arrival.
+    FirstCome,
+}
+
+/// Changes of engines' roles.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum RoleControl {
+    /// Where the gain exceeds the cost.
+    #[default]
+    Planned,
+    /// None.
+    Fixed,
+}
+
 /// Form of the log output.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "kebab-case")]
