--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -11,14 +11,15 @@
         context::EntryContext,
         error::Result,
         generation::Finish,
-        scheduler::{Demand, Permit},
+        permit::{Demand, Permit},
         suspect::SuspectGuard,
     },
     log::records::{CrashSuspect, record::Body},
     platform::protocol::TargetState,
     target::{
         self, EventStream,
-        protocol::{GenerateEvent, GenerateRequest},
+        protocol::{GenerateEvent, GenerateRequest, KvTransfer},
+        table::TargetView,
     },
 };
 
@@ -73,6 +74,17 @@
     }
 }
 
+/// What the end of a failed attempt means for its request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum AttemptEnd {
+    /// Another attempt may be made within the retry budget.
+    Failed,
+    /// The engine was told to leave; another attempt may be made.
+    TargetLeft,
+    /// The request is quarantined because its engines crash.
+    Quarantined,
+}
+
 /// A checked event of an attempt.
 #[derive(Debug)]
 pub(super) enum Event {
@@ -95,6 +107,8 @@
     number: u32,
     boot: Option<Arc<str>>,
     permit: Permit,
+    /// Engine that works on the request now.
+    engine: TargetView,
     stream: Option<EventStream>,
     _guard: Option<SuspectGuard>,
 }
@@ -135,10 +149,12 @@
             } else {
                 None
             };
+            let engine = permit.prefill.as_ref().unwrap_or(&permit.target).clone();
             return Ok(Self {
                 number: 0,
-                boot: permit.target.engine.as_ref().map(|e| Arc::clone(&e.boot)),
+                boot: None,
                 permit,
+                engine,
                 stream: None,
                 _guard: guard,
             });
@@ -157,8 +173,14 @@
         wait: Duration,
     ) -> std::result::Result<Self, (Self, AttemptError)> {
         self.number = request.attempt;
+        if self.permit.prefill.is_some()
+            && let Err(error) = self.prefill(context, request, wait).await
+        {
+            return Err((self, error));
+        }
+        self.boot = boot_of(&self.engine);
         let engine = context.engine();
-        let address = Arc::clone(&self.permit.target.address);
+        let address = Arc::clone(&self.engine.address);
         match timeout(wait, engine.generate(&address, request)).await {
             Ok(Ok(stream)) => {
                 self.stream = Some(stream);
@@ -171,9 +193,49 @@
 }
 
 impl Attempt {
-    /// Name of the engine.
+    /// Name of the engine that works on the request.
     pub(super) fn target_name(&self) -> &Arc<str> {
-        &self.permit.target.name
+        &self.engine.name
+    }
+
+    /// Runs the prefill on its engine and moves the KV cache.
+    async fn prefill(
+        &mut self,
+        context: &EntryContext,
+        request: &GenerateRequest,
+        wait: Duration,
+    ) -> std::result::Result<(), AttemptError> {
+        self.boot = boot_of(&self.engine);
+        let mut prefill = request.clone();
+        prefill.prefill_only = true;
+        let generated = context.engine().generate(&self.engine.address, &prefill);
+        let generated = timeout(wait, generated)
+            .await
+            .map_err(|_| AttemptError::Stalled)?;
+        self.stream = Some(generated.map_err(AttemptError::Target)?);
+        loop {
+            let event = timeout(wait, self.next()).await;
+            match event.map_err(|_| AttemptError::Stalled)?? {
+                Event::Accepted => {}
+                Event::Token { .. } => return Err(AttemptError::Gap),
+                Event::Done(_) => break,
+            }
+        }
+        self.stream = None;
+        self.permit.end_prefill();
+        let source = std::mem::replace(&mut self.engine, self.permit.target.clone());
+        let transfer = KvTransfer {
+            request_id: Arc::clone(&request.request_id),
+            blocks: request.prefix_blocks.clone(),
+            source_address: source.address,
+        };
+        let imported = context.engine().kv_import(&self.engine.address, &transfer);
+        match timeout(wait, imported).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => tracing::warn!("entry: KV cache not moved: {error}"),
+            Err(_) => tracing::warn!("entry: KV cache not moved in time"),
+        }
+        Ok(())
     }
 
     /// Waits for the next event.
@@ -215,14 +277,14 @@
     pub(super) fn succeed(mut self, context: &EntryContext, call: &Call, finish: Finish) {
         self.permit
             .set_served(finish.prompt_tokens, finish.output_tokens);
-        context.targets().mark_success(&self.permit.target.name);
+        context.targets().mark_success(&self.engine.name);
         context.suspects().clear(call);
     }
 
     /// Cancels the attempt on the engine.
     pub(super) fn cancel(self, context: &EntryContext, call: &Call) {
         let engine = context.engine().clone();
-        let address = Arc::clone(&self.permit.target.address);
+        let address = Arc::clone(&self.engine.address);
         let id = Arc::clone(&call.id);
         let number = self.number;
         drop(self.stream);
@@ -235,24 +297,27 @@
 
     /// Ends the attempt after a failure.
     ///
-    /// Returns whether the request is to be quarantined because its targets
-    /// crash.
+    /// Returns what it means for the request.
     pub(super) async fn fail(
         self,
         context: &EntryContext,
         call: &Call,
         error: &AttemptError,
-    ) -> bool {
-        let name = Arc::clone(&self.permit.target.name);
+    ) -> AttemptEnd {
+        let name = Arc::clone(&self.engine.name);
         if !error.written() {
             context.targets().mark_failure(&name);
-            return false;
+            return AttemptEnd::Failed;
+        }
+        if is_leaving(context, &name) {
+            self.cancel(context, call);
+            return AttemptEnd::TargetLeft;
         }
         let crashed = matches!(error, AttemptError::Target(_)) && self.has_crashed(context).await;
         if !crashed {
             context.targets().mark_failure(&name);
             self.cancel(context, call);
-            return false;
+            return AttemptEnd::Failed;
         }
         context.targets().mark_crashed(&name);
         let boot = self.boot.as_deref().unwrap_or_default();
@@ -275,17 +340,15 @@
         if quarantined {
             (context.peers().notify_quarantine)(&call.account.full_name, &call.digest);
         }
-        quarantined
+        if quarantined {
+            return AttemptEnd::Quarantined;
+        }
+        AttemptEnd::Failed
     }
 
-    /// Whether the engine was restarted or accepts no connections, without
-    /// having been told to leave.
+    /// Whether the engine was restarted or accepts no connections.
     async fn has_crashed(&self, context: &EntryContext) -> bool {
-        let target = &self.permit.target;
-        if is_leaving(context, &target.name) {
-            return false;
-        }
-        let state = context.engine().state(&target.address);
+        let state = context.engine().state(&self.engine.address);
         match timeout(STATE_TIMEOUT, state).await {
             Ok(Ok(state)) => self.boot.as_ref().is_some_and(|boot| *boot != state.boot),
             Ok(Err(error)) => !error.written() && !error.timed_out(),
@@ -294,6 +357,11 @@
     }
 }
 
+fn boot_of(engine: &TargetView) -> Option<Arc<str>> {
+    let state = engine.engine.as_ref()?;
+    Some(Arc::clone(&state.boot))
+}
+
 /// Whether a request was in flight at a crash, on any instance.
 fn is_suspect(context: &EntryContext, call: &Call) -> bool {
     context.suspects().is_suspect(call) || recorded_crashes(context, call) > 0
