--- a/benches/policy_compare/fairness.rs
+++ b/benches/policy_compare/fairness.rs
@@ -120,9 +120,17 @@
     format!("shop/{index}").into()
 }
 
-/// Runs one seed and returns the least part of its requests that any account
-/// but the flooding one is served in time.
-fn worst_served(policy: Policy, entry: Entry, seed: u64) -> f64 {
+/// What a run came to.
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    /// Least part of its requests that any account but the flooding one is
+    /// served in time.
+    worst_served: f64,
+    /// Part of the places that were idle while a request could have used them.
+    idle: f64,
+}
+
+fn run(policy: Policy, entry: Entry, seed: u64) -> Run {
     let mut arrivals = SmallRng::seed_from_u64(seed);
     let mut rng = SmallRng::seed_from_u64(!seed);
     let mut instances: Vec<Instance> = (0..INSTANCES)
@@ -132,6 +140,7 @@
     let mut next_ms = [0.0; ACCOUNTS];
     let (mut offered, mut served) = ([0_u32; ACCOUNTS], [0_u32; ACCOUNTS]);
     let mut frames = VecDeque::new();
+    let mut idle = 0;
     for now_ms in 0..RUN_MS {
         for index in 0..ACCOUNTS {
             while next_ms[index] <= now_ms as f64 {
@@ -199,14 +208,29 @@
                 served[request.account] += 1;
             }
         }
+        idle += idle_places(&instances);
     }
-    let mut worst = 1.0_f64;
+    let mut worst_served = 1.0_f64;
     for index in 0..ACCOUNTS {
         if index != FLOOD {
-            worst = worst.min(f64::from(served[index]) / f64::from(offered[index]));
+            worst_served = worst_served.min(f64::from(served[index]) / f64::from(offered[index]));
         }
     }
-    worst
+    Run {
+        worst_served,
+        idle: idle as f64 / (PLACES * RUN_MS) as f64,
+    }
+}
+
+/// Returns the idle places that queued requests could use.
+fn idle_places(instances: &[Instance]) -> u64 {
+    let mut used = 0;
+    let mut queued = 0;
+    for instance in instances {
+        used += instance.ends_ms.len() as u64;
+        queued += instance.queued.iter().sum::<u64>();
+    }
+    PLACES.saturating_sub(used).min(queued)
 }
 
 fn exchange_shares(policy: Policy, instances: &mut [Instance]) {
@@ -257,7 +281,10 @@
         println!("fairness: worst-served account, {title}");
         for (name, policy) in policies {
             print_row(name, "of its requests", |seed| {
-                worst_served(policy, entry, seed)
+                run(policy, entry, seed).worst_served
+            });
+            print_row("", "of the places idle", |seed| {
+                run(policy, entry, seed).idle
             });
         }
     }
