standin: send small writes at once

The stand-ins' connections were without TCP_NODELAY: an engine's first token follows its `accepted` event as a second small write, which then waits up to 40 ms for the delayed acknowledgement of the first. Listeners now set the option, which connections take over.

--- a/src/standin/http.rs
+++ b/src/standin/http.rs
@@ -15,12 +15,18 @@
 };
 use serde::{Serialize, de::DeserializeOwned};
 use sha2::{Digest, Sha256};
-use tokio::{net::TcpListener, task::JoinHandle, time::sleep};
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    task::JoinHandle,
+    time::sleep,
+};
 
 use super::{Error, Result};
 
 /// Largest body that a stand-in reads, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
+/// Connections that may wait to be accepted.
+const LISTEN_BACKLOG: u32 = 1_024;
 /// Time between two tries to bind an address again, in milliseconds.
 const REBIND_MS: u64 = 20;
 
@@ -42,10 +48,9 @@
     where
         H: Handler,
     {
-        let listener = TcpListener::bind(address)
-            .await
-            .map_err(|cause| Error::Listen { address, cause })?;
-        Self::listen(listener, handler).map_err(|cause| Error::Listen { address, cause })
+        bind(address)
+            .and_then(|listener| Self::listen(listener, handler))
+            .map_err(|cause| Error::Listen { address, cause })
     }
 
     /// Starts a server on an address that was bound before, trying again until
@@ -98,6 +103,20 @@
     }
 }
 
+/// Binds a listener whose connections send small writes at once: they take
+/// `TCP_NODELAY` over from it.
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
 /// Reads a whole body.
 pub(crate) async fn read_body(request: &mut Request) -> Option<Bytes> {
     request
