--- a/src/target/table/mod.rs
+++ b/src/target/table/mod.rs
@@ -344,7 +344,8 @@
         self
     }
 
-    /// Sets the time between two polls of each engine's state.
+    /// Sets the time between two polls of each engine's state; a large fleet is
+    /// polled less often, to bound the polls a second.
     #[must_use]
     pub fn with_state_poll(mut self, poll: Duration) -> Self {
         self.poller.state_period = poll;
--- a/src/target/table/poll.rs
+++ b/src/target/table/poll.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use futures_util::{StreamExt, stream};
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout};
 
 use super::TargetTable;
 use crate::{
@@ -12,6 +12,8 @@
     target::{EngineClient, Result, protocol::EngineState},
 };
 
+/// Most state polls in a second; a larger fleet is polled less often.
+const MAX_POLLS_PER_S: f64 = 400.0;
 /// Engines whose state is polled at the same time.
 const MAX_CONCURRENT_POLLS: usize = 32;
 /// Longest wait for an engine's state, in milliseconds.
@@ -78,14 +80,19 @@
     }
 
     async fn run_states(&self) {
-        let mut ticks = interval(self.state_period);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
-            self.poll_states().await;
+            let started_at = Instant::now();
+            let polled = self.poll_states().await;
+            sleep_until(started_at + self.period_of(polled)).await;
         }
     }
 
+    /// Returns the time from one round of `engines` polls to the next.
+    fn period_of(&self, engines: usize) -> Duration {
+        let least = Duration::from_secs_f64(engines as f64 / MAX_POLLS_PER_S);
+        self.state_period.max(least)
+    }
+
     /// Polls the list once; the known targets stay if it cannot be read.
     pub(super) async fn poll_list(&self) {
         match self.targets.list().await {
@@ -94,12 +101,14 @@
         }
     }
 
-    /// Polls the state of each engine once.
-    pub(super) async fn poll_states(&self) {
+    /// Polls the state of each engine once and returns their number.
+    pub(super) async fn poll_states(&self) -> usize {
         let engines = self.table.engines(&self.instance, self.subset);
         let polls = stream::iter(engines).map(|target| self.poll_state(target));
         let polled: Vec<Polled> = polls.buffer_unordered(MAX_CONCURRENT_POLLS).collect().await;
+        let engines = polled.len();
         self.take_states(polled);
+        engines
     }
 
     async fn poll_state(&self, target: PlatformTarget) -> Polled {
