--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,14 +16,17 @@
 mod complete;
 mod context;
 mod error;
+mod exchange;
 mod fields;
 mod generation;
 mod handler;
+mod limiter;
 mod log_writer;
 mod models;
 mod openai;
 mod pace;
 mod peers;
+mod permit;
 mod plain;
 mod reply;
 mod router;
@@ -32,6 +35,7 @@
 mod stop;
 mod stream;
 mod suspect;
+mod waiting;
 
 pub use self::{
     burn::{BurnCounts, BurnRecorder},
