peer: heartbeats keep within their bytes, and long names pass

Found while reading: a name longer than a heartbeat's bytes was never sent, and what sorted behind it waited for ever. The first piece may now exceed the bytes; later heartbeats make up for it.

--- a/src/peer/digest.rs
+++ b/src/peer/digest.rs
@@ -78,18 +78,33 @@
     names: IndexSet<Arc<str>>,
     sent: IndexMap<Arc<str>, TargetLoad>,
     served: IndexMap<Arc<str>, u64>,
+    /// Bytes by which earlier heartbeats were too large.
+    excess_bytes: i64,
 }
 
 /// Bytes that may still be added to a heartbeat.
+///
+/// The first piece may be larger, so that a long name finds its way; later
+/// heartbeats make up for it.
 struct Allowance {
-    bytes: usize,
+    bytes: i64,
+    untouched: bool,
 }
 
 impl Allowance {
+    fn new(bytes: i64) -> Self {
+        Self {
+            bytes,
+            untouched: bytes > 0,
+        }
+    }
+
     fn take(&mut self, bytes: usize) -> bool {
-        let Some(rest) = self.bytes.checked_sub(bytes) else {
+        let rest = self.bytes - bytes as i64;
+        if rest < 0 && !self.untouched {
             return false;
-        };
+        }
+        self.untouched = false;
         self.bytes = rest;
         true
     }
@@ -115,15 +130,19 @@
         max_bytes: usize,
         heartbeat: &mut Heartbeat,
     ) {
+        let max_bytes = max_bytes as i64;
         let load_bytes = if self.served.is_empty() {
             max_bytes
         } else {
             max_bytes / 2
         };
-        let mut allowance = Allowance { bytes: load_bytes };
-        self.encode_loads(loads, &mut allowance, heartbeat);
-        allowance.bytes += max_bytes - load_bytes;
-        self.encode_served(&mut allowance, heartbeat);
+        let mut for_loads = Allowance::new(load_bytes.min(max_bytes - self.excess_bytes));
+        let loads_granted = for_loads.bytes;
+        self.encode_loads(loads, &mut for_loads, heartbeat);
+        let loads_used = loads_granted - for_loads.bytes;
+        let mut for_served = Allowance::new(max_bytes - self.excess_bytes - loads_used);
+        self.encode_served(&mut for_served, heartbeat);
+        self.excess_bytes = (-for_served.bytes).max(0);
     }
 
     /// Returns the number of accounts with tokens to be reported.
--- a/src/peer/heartbeat.rs
+++ b/src/peer/heartbeat.rs
@@ -22,10 +22,10 @@
 
 /// Returns the time between two heartbeats on each of `links` connections.
 ///
-/// It is at least `shortest`, and so long that heartbeats without changes take
-/// at most half of the bytes.
+/// It is at least `shortest`, and so long that all heartbeats keep within
+/// [`HEARTBEAT_BYTES_PER_S`] with room for changes in each.
 pub fn heartbeat_interval(links: usize, shortest: Duration) -> Duration {
-    let bytes = (links * BASE_BYTES * 2) as f64;
+    let bytes = (links * (BASE_BYTES + MIN_CHANGE_BYTES)) as f64;
     let needed = Duration::from_secs_f64(bytes / HEARTBEAT_BYTES_PER_S as f64);
     needed.max(shortest)
 }
--- a/tests/peer_digest.rs
+++ b/tests/peer_digest.rs
@@ -141,3 +141,36 @@
         assert!(matches!(refusal, Error::UnknownName { index: 3 }));
     }
 }
+
+/// A name longer than a heartbeat's bytes blocks nothing, and later heartbeats
+/// make up for its bytes.
+#[test]
+fn long_names_pass() {
+    let mut run = Run::new();
+    let mut bytes = 0;
+    let mut heartbeats = 0;
+    for index in 0..5 {
+        let target: Arc<str> = format!("{index}{}", "t".repeat(100)).into();
+        let load = TargetLoad {
+            requests: 1,
+            tokens: 2,
+            blocks: 3,
+        };
+        run.loads.insert(target, load);
+        let account: Arc<str> = format!("{index}{}", "a".repeat(100)).into();
+        run.encoder.add_served(&account, 7);
+        run.served.insert(account, 7);
+    }
+    while run.received != run.served || *run.decoder.loads() != run.loads {
+        let mut heartbeat = Heartbeat::default();
+        run.encoder.encode(&run.loads, MAX_BYTES, &mut heartbeat);
+        bytes += heartbeat.encoded_len();
+        heartbeats += 1;
+        for served in run.decoder.apply(&heartbeat).unwrap() {
+            *run.received.entry(served.account).or_insert(0) += served.tokens;
+        }
+        assert!(heartbeats < 100, "not all names passed: {:?}", run.received);
+        // The excess of one heartbeat is at most two long names.
+        assert!(bytes <= heartbeats * MAX_BYTES + 2 * 104, "{bytes} bytes");
+    }
+}
--- /dev/null
+++ b/tests/peer_pace.rs
@@ -0,0 +1,35 @@
+//! How often heartbeats go out, and how much they carry.
+
+use std::time::Duration;
+
+use lavenderwind::peer::{
+    BASE_BYTES, HEARTBEAT_BYTES_PER_S, change_bytes, heartbeat_interval, list_interval,
+};
+
+const SHORTEST: Duration = Duration::from_millis(250);
+
+#[test]
+fn bytes_are_bounded() {
+    for links in 1..=512 {
+        let interval = heartbeat_interval(links, SHORTEST);
+        assert!(interval >= SHORTEST);
+        let bytes = links * (BASE_BYTES + change_bytes(links, interval));
+        let bytes_per_s = bytes as f64 / interval.as_secs_f64();
+        // A byte a link is the rounding.
+        let bound = HEARTBEAT_BYTES_PER_S as f64 + links as f64 / interval.as_secs_f64();
+        assert!(bytes_per_s <= bound, "{links} links: {bytes_per_s} bytes/s");
+    }
+}
+
+#[test]
+fn mesh_of_eight_keeps_pace() {
+    assert_eq!(heartbeat_interval(7, SHORTEST), SHORTEST);
+}
+
+#[test]
+fn long_list_is_read_less() {
+    let poll = Duration::from_millis(500);
+    assert_eq!(list_interval(0, poll), poll);
+    assert_eq!(list_interval(16, poll), poll);
+    assert_eq!(list_interval(320, poll), poll * 20);
+}
