--- a/examples/start.sh
+++ b/examples/start.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # Starts an example deployment as separate processes and runs until Ctrl-C.
 # Usage: examples/start.sh association|sanobato
+# POLICY, if set, is the value of the instances' `policy` setting; LOGS names
+# the folder for the logs.
 set -euo pipefail
 cd "$(dirname "$0")"
 
@@ -22,7 +24,7 @@
 folder=$1
 binary=${LAVENDERWIND:-../target/release/lavenderwind}
 export LAVENDERWIND_PLATFORM=http://127.0.0.1:$port
-logs=$(mktemp -d)
+logs=${LOGS:-$(mktemp -d)}
 options=$logs/engine.yaml
 pids=()
 
@@ -76,6 +78,10 @@
 done
 for settings in "$folder"/entry-*.yaml; do
 	name=$(basename "$settings" .yaml)
+	if [ -n "${POLICY:-}" ]; then
+		{ cat "$settings"; echo "policy: $POLICY"; } >"$logs/$name.yaml"
+		settings=$logs/$name.yaml
+	fi
 	"$binary" serve --settings "$settings" >"$logs/$name.out" 2>"$logs/$name.log" &
 	entries+=($!)
 done
