--- a/src/control/slices.rs
+++ b/src/control/slices.rs
@@ -104,9 +104,9 @@
         })
     }
 
-    /// The oldest slice that is not known to be in the ledger.
-    pub fn first_unflushed(&self) -> Option<&UsageSlice> {
-        self.unflushed.values().next()
+    /// The slices that are not known to be in the ledger, oldest first.
+    pub fn unflushed(&self) -> Vec<UsageSlice> {
+        self.unflushed.values().cloned().collect()
     }
 
     /// Drops a slice that is in the ledger.
@@ -114,12 +114,9 @@
         self.unflushed.shift_remove(&slice);
     }
 
-    /// The last window for which nothing is left to flush.
+    /// The last window for which there is nothing more, once the slices of
+    /// [`SliceBuffer::unflushed`] are in the log.
     pub fn watermark(&self) -> u64 {
-        let mut watermark = self.window.saturating_sub(1);
-        for slice in self.unflushed.values() {
-            watermark = watermark.min(slice.window.saturating_sub(1));
-        }
-        watermark
+        self.window.saturating_sub(1)
     }
 }
--- a/src/control/usage.rs
+++ b/src/control/usage.rs
@@ -5,12 +5,13 @@
     time::Duration,
 };
 
+use futures_util::future::join_all;
 use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::{Clock, Identity, Result, slices::SliceBuffer};
 use crate::{
-    ledger::{LedgerHandle, UsageCounts},
+    ledger::{LedgerHandle, UsageCounts, Verdict},
     log::{
         Appender,
         records::{UsageSlice, UsageWatermark, record::Body},
@@ -146,29 +147,44 @@
         }
     }
 
-    /// Appends all slices that were cut, and then the watermark.
+    /// Appends all slices that were cut, and the watermark behind them, so
+    /// that they can share a batch.
     async fn flush(&mut self) -> Result<()> {
-        loop {
-            let slice = self.recorder.lock().first_unflushed().cloned();
-            let Some(slice) = slice else {
-                break;
-            };
-            let number = slice.slice;
+        let (slices, watermark) = {
+            let buffer = self.recorder.lock();
+            (buffer.unflushed(), buffer.watermark())
+        };
+        let mut appends = Vec::with_capacity(slices.len());
+        for slice in &slices {
             (self.copy)(slice.clone());
-            let receipt = self.appender.append(Body::UsageSlice(slice)).await?;
-            if let crate::ledger::Verdict::Rejected(rejection) = &receipt.verdict {
-                tracing::error!("control: usage slice {number} was refused: {rejection}");
-            }
-            self.recorder.lock().flushed(number);
-            (self.flushed)(number);
+            appends.push(self.flush_slice(slice));
+        }
+        let slices = join_all(appends);
+        let watermark = self.flush_watermark(watermark);
+        let (slices, watermark) = tokio::join!(biased; slices, watermark);
+        for flushed in slices {
+            flushed?;
+        }
+        self.watermark = watermark?;
+        Ok(())
+    }
+
+    async fn flush_slice(&self, slice: &UsageSlice) -> Result<()> {
+        let number = slice.slice;
+        let body = Body::UsageSlice(slice.clone());
+        let receipt = self.appender.append(body).await?;
+        if let Verdict::Rejected(rejection) = &receipt.verdict {
+            tracing::error!("control: usage slice {number} was refused: {rejection}");
         }
-        self.flush_watermark().await
+        self.recorder.lock().flushed(number);
+        (self.flushed)(number);
+        Ok(())
     }
 
-    async fn flush_watermark(&mut self) -> Result<()> {
-        let watermark = self.recorder.lock().watermark();
+    /// Appends a watermark if it is higher than the last; returns the last.
+    async fn flush_watermark(&self, watermark: u64) -> Result<u64> {
         if watermark <= self.watermark {
-            return Ok(());
+            return Ok(self.watermark);
         }
         let body = Body::UsageWatermark(UsageWatermark {
             source: self.appender.writer().to_string(),
@@ -176,7 +192,6 @@
             window: watermark,
         });
         self.appender.append(body).await?;
-        self.watermark = watermark;
-        Ok(())
+        Ok(watermark)
     }
 }
