--- /dev/null
+++ b/tests/duty_rules.rs
@@ -0,0 +1,283 @@
+//! When an instance claims, renews and resigns a duty.
+
+mod records;
+
+use lavenderwind::{
+    control::{
+        ChallengeClock, DutyRules, DutySituation, DutyStep, Identity, LeaseClock, LeaseTiming,
+        Member, rank,
+    },
+    ledger::{DutyEntry, Ledger, LedgerHandle},
+    log::records::{Duty, DutyClaim, DutyRenewal, DutyResignation},
+};
+use records::{Fold, Writer, claim_duty, renew, resign};
+
+const TIMING: LeaseTiming = LeaseTiming {
+    lease_ms: 3_000,
+    drift_ms: 100,
+    grace_ms: 500,
+};
+const RENEW_MS: u64 = 1_000;
+const DUTIES: [Duty; 3] = [Duty::Fleet, Duty::Usage, Duty::Checkpoint];
+
+fn identity(name: &str) -> Identity {
+    Identity {
+        name: name.into(),
+        incarnation: 1,
+    }
+}
+
+fn rules(name: &str) -> DutyRules {
+    DutyRules::new(Duty::Fleet, identity(name), TIMING, RENEW_MS)
+}
+
+fn entry(holder: &str, resigned: bool) -> DutyEntry {
+    DutyEntry {
+        holder: holder.into(),
+        incarnation: 1,
+        epoch: 7,
+        renewal: 9,
+        resigned,
+    }
+}
+
+fn situation(entry: Option<&DutyEntry>, now_ms: u64) -> DutySituation<'_> {
+    DutySituation {
+        entry,
+        tail_live: true,
+        rank: 0,
+        stopping: false,
+        idle: true,
+        now_ms,
+    }
+}
+
+fn claim(after_epoch: u64, after_renewal: u64) -> DutyStep {
+    DutyStep::Claim(DutyClaim {
+        duty: Duty::Fleet.into(),
+        after_epoch,
+        after_renewal,
+    })
+}
+
+#[test]
+fn free_duty() {
+    assert_eq!(rules("a").step(&situation(None, 0)), claim(0, 0));
+    let resigned = entry("b", true);
+    assert_eq!(rules("a").step(&situation(Some(&resigned), 0)), claim(7, 9));
+}
+
+#[test]
+fn turns_by_rank() {
+    let mut rules = rules("a");
+    let behind = |now_ms| DutySituation {
+        rank: 2,
+        ..situation(None, now_ms)
+    };
+    assert_eq!(rules.step(&behind(0)), DutyStep::Wait);
+    assert_eq!(rules.step(&behind(999)), DutyStep::Wait);
+    assert_eq!(rules.step(&behind(1_000)), claim(0, 0));
+}
+
+#[test]
+fn lapsed_holder() {
+    let mut rules = rules("a");
+    let mut held = entry("b", false);
+    assert_eq!(rules.step(&situation(Some(&held), 0)), DutyStep::Wait);
+    assert_eq!(rules.step(&situation(Some(&held), 3_599)), DutyStep::Wait);
+    held.renewal = 12;
+    assert_eq!(rules.step(&situation(Some(&held), 3_600)), DutyStep::Wait);
+    assert_eq!(rules.step(&situation(Some(&held), 7_199)), DutyStep::Wait);
+    assert_eq!(rules.step(&situation(Some(&held), 7_200)), claim(7, 12));
+}
+
+#[test]
+fn outage_restarts_count() {
+    let mut rules = rules("a");
+    let held = entry("b", false);
+    assert_eq!(rules.step(&situation(Some(&held), 0)), DutyStep::Wait);
+    let cut_off = DutySituation {
+        tail_live: false,
+        ..situation(Some(&held), 3_000)
+    };
+    assert_eq!(rules.step(&cut_off), DutyStep::Wait);
+    assert_eq!(rules.step(&situation(Some(&held), 4_000)), DutyStep::Wait);
+    assert_eq!(rules.step(&situation(Some(&held), 7_599)), DutyStep::Wait);
+    assert_eq!(rules.step(&situation(Some(&held), 7_600)), claim(7, 9));
+}
+
+#[test]
+fn holder_renews() {
+    let mut rules = rules("a");
+    let held = entry("a", false);
+    let renewal = DutyStep::Renew(DutyRenewal {
+        duty: Duty::Fleet.into(),
+        epoch: 7,
+    });
+    assert_eq!(rules.step(&situation(Some(&held), 0)), renewal);
+    assert_eq!(rules.step(&situation(Some(&held), 999)), DutyStep::Wait);
+    assert_eq!(rules.step(&situation(Some(&held), 1_000)), renewal);
+}
+
+#[test]
+fn holder_resigns() {
+    let resignation = DutyStep::Resign(DutyResignation {
+        duty: Duty::Fleet.into(),
+        epoch: 7,
+    });
+    let held = entry("a", false);
+    let mut rules = rules("a");
+    let busy = DutySituation {
+        stopping: true,
+        idle: false,
+        ..situation(Some(&held), 0)
+    };
+    assert_ne!(rules.step(&busy), resignation);
+    let idle = DutySituation { idle: true, ..busy };
+    assert_eq!(rules.step(&idle), resignation);
+    // A resignation that may have been sent is sent until it is folded.
+    let unsure = situation(Some(&held), 10);
+    assert_eq!(rules.step(&unsure), resignation);
+}
+
+#[test]
+fn handover() {
+    let mut rules = rules("a");
+    let held = entry("a", false);
+    let unpreferred = |now_ms| DutySituation {
+        rank: 1,
+        ..situation(Some(&held), now_ms)
+    };
+    rules.step(&unpreferred(0));
+    assert!(!matches!(
+        rules.step(&unpreferred(8_999)),
+        DutyStep::Resign(_)
+    ));
+    assert!(matches!(
+        rules.step(&unpreferred(9_000)),
+        DutyStep::Resign(_)
+    ));
+}
+
+#[test]
+fn preference_spreads() {
+    let mut members = Vec::new();
+    for number in 0..8 {
+        members.push(Member {
+            identity: identity(&format!("entry-{number}")),
+            leaving: false,
+        });
+    }
+    for duty in DUTIES {
+        let mut ranks = Vec::new();
+        for member in &members {
+            ranks.push(rank(duty, &member.identity.name, &members, None));
+        }
+        ranks.sort_unstable();
+        assert_eq!(ranks, (0..8).collect::<Vec<_>>());
+    }
+    let first = |duty: Duty, members: &[Member]| {
+        let mut names = members.iter().map(|member| &member.identity.name);
+        names
+            .find(|name| rank(duty, name, members, None) == 0)
+            .cloned()
+    };
+    let preferred = first(Duty::Fleet, &members);
+    for member in &mut members {
+        member.leaving = Some(&member.identity.name) == preferred.as_ref();
+    }
+    let staying: Vec<_> = members
+        .iter()
+        .filter(|member| !member.leaving)
+        .cloned()
+        .collect();
+    assert_ne!(first(Duty::Fleet, &staying), preferred);
+}
+
+#[test]
+fn lease_counts_from_send() {
+    let mut lease = LeaseClock::new(3_000);
+    assert_eq!(lease.epoch(0), None);
+    lease.confirm(7, 100);
+    assert_eq!(lease.epoch(3_099), Some(7));
+    assert_eq!(lease.epoch(3_100), None);
+    lease.confirm(7, 50);
+    assert_eq!(lease.epoch(3_099), Some(7));
+    lease.confirm(9, 0);
+    assert_eq!(lease.epoch(2_999), Some(9));
+    assert_eq!(lease.epoch(3_000), None);
+    lease.give_up(9);
+    lease.confirm(9, 5_000);
+    assert_eq!(lease.epoch(5_001), None);
+}
+
+#[test]
+fn challenge_counts_unchanged() {
+    let mut challenge = ChallengeClock::new();
+    let held = entry("b", false);
+    challenge.observe(Some(&held), true, 100);
+    assert_eq!(challenge.unchanged_ms(600), 500);
+    challenge.observe(Some(&entry("b", true)), true, 700);
+    assert_eq!(challenge.unchanged_ms(700), 0);
+    challenge.observe(None, false, 800);
+    assert_eq!(challenge.unchanged_ms(9_000), 0);
+}
+
+/// What the fold makes of duty records, one after the other.
+#[test]
+fn fold_of_duties() {
+    let mut fold = Fold::default();
+    let mut first = Writer::new("a");
+    let mut second = Writer::new("b");
+    let unread = claim_duty(&fold.ledger, Duty::Fleet);
+    let epoch = fold.take_over(&mut first, Duty::Fleet);
+    assert!(!fold.push(&mut second, unread).is_accepted());
+    let stale = claim_duty(&fold.ledger, Duty::Fleet);
+    fold.accept(&mut first, renew(Duty::Fleet, epoch));
+    assert!(!fold.push(&mut second, stale).is_accepted());
+    assert!(
+        !fold
+            .push(&mut second, renew(Duty::Fleet, epoch))
+            .is_accepted()
+    );
+    assert!(
+        !fold
+            .push(&mut second, resign(Duty::Fleet, epoch))
+            .is_accepted()
+    );
+    let later = fold.take_over(&mut second, Duty::Fleet);
+    assert!(later > epoch);
+    assert!(
+        !fold
+            .push(&mut first, renew(Duty::Fleet, epoch))
+            .is_accepted()
+    );
+    fold.accept(&mut second, resign(Duty::Fleet, later));
+    assert!(
+        !fold
+            .push(&mut second, renew(Duty::Fleet, later))
+            .is_accepted()
+    );
+    // Another start of the same instance does not hold what the first held.
+    let epoch = fold.take_over(&mut first, Duty::Fleet);
+    first.restart();
+    assert!(
+        !fold
+            .push(&mut first, renew(Duty::Fleet, epoch))
+            .is_accepted()
+    );
+}
+
+#[tokio::test]
+async fn handle_wakes_readers() {
+    let handle = LedgerHandle::new(Ledger::new());
+    let reader = handle.clone();
+    let waiting = tokio::spawn(async move {
+        let held = |ledger: &Ledger| ledger.duty(Duty::Usage).cloned();
+        reader.wait_for(held).await
+    });
+    let mut writer = Writer::new("a");
+    let record = writer.record(handle.read(|ledger| claim_duty(ledger, Duty::Usage)));
+    handle.apply(lavenderwind::log::Offset(1), &record);
+    assert_eq!(&*waiting.await.unwrap().holder, "a");
+}
