Order targets also where none runs yet; bound the last flush

Failure domains to order in are now those of targets, standing orders and instances; with targets and orders alone nothing could be ordered for an empty fleet. The last flush of usage before a stop takes 3 s at most, so that a stop in a log outage stays within the supervisor's bound; a peer holds the copy.

--- a/src/control/fleet/mod.rs
+++ b/src/control/fleet/mod.rs
@@ -16,13 +16,12 @@
     demand::DemandMeter,
     engines::EnginePlanner,
     port::{FleetPort, fleet_target},
-    spending::{EngineSpeed, SpendingPlanner},
+    spending::{EngineSpeed, FleetSupply, SpendingPlanner},
 };
 use super::{Error, Observation, OrderSender, Result, SentOrder, WriteOutcome};
 use crate::{
     ledger::{Ledger, LedgerHandle, ServiceEntry},
     log::records::order_intent::Order,
-    platform::protocol::TargetList,
     policy::roles::LoadBudget,
     settings::RoleControl,
     target::table::TargetView,
@@ -70,7 +69,7 @@
         &mut self,
         ledger: &Ledger,
         views: &[TargetView],
-        list: &TargetList,
+        supply: &FleetSupply<'_>,
         now_ms: u64,
     ) -> Vec<PlannedOrder> {
         let demands = self.demand.observe(ledger, now_ms);
@@ -84,8 +83,7 @@
             let engines = engines.or_insert_with(|| EnginePlanner::new(self.roles));
             let planned = engines.plan(document, views, demand, &mut self.budget, now_ms);
             let spending = self.spending.entry(name.clone()).or_default();
-            let speed = engine_speed(views);
-            let ordered = spending.plan(document, list, demand, speed, now_ms);
+            let ordered = spending.plan(document, supply, demand, now_ms);
             for order in planned.into_iter().chain(ordered) {
                 let busy = ledger.intent(&order.target).is_some();
                 let planned = orders.iter().any(|other| other.target == order.target);
@@ -123,28 +121,32 @@
 
 /// Carries out the plans under the fleet duty.
 #[derive(Debug)]
-pub struct FleetRunner<W, R> {
+pub struct FleetRunner<W, R, D> {
     sender: Arc<OrderSender<W, R>>,
     ledger: LedgerHandle,
     port: FleetPort,
     planner: FleetPlanner,
     read_timeout: Duration,
+    failure_domains: D,
 }
 
-impl<W, R, WF, RF> FleetRunner<W, R>
+impl<W, R, WF, RF, D> FleetRunner<W, R, D>
 where
     W: Fn(SentOrder) -> WF,
     WF: Future<Output = WriteOutcome>,
     R: Fn(Arc<str>) -> RF,
     RF: Future<Output = Observation>,
+    D: Fn() -> Vec<Arc<str>>,
 {
-    /// Returns a runner; a target's state is read within `read_timeout`.
+    /// Returns a runner; a target's state is read within `read_timeout`, and
+    /// `failure_domains` lists those of the instances.
     pub fn new(
         sender: Arc<OrderSender<W, R>>,
         ledger: LedgerHandle,
         port: FleetPort,
         planner: FleetPlanner,
         read_timeout: Duration,
+        failure_domains: D,
     ) -> Self {
         Self {
             sender,
@@ -152,6 +154,7 @@
             port,
             planner,
             read_timeout,
+            failure_domains,
         }
     }
 
@@ -179,10 +182,15 @@
         };
         let now_ms = self.sender.authority().clock().now_ms();
         let views = self.port.table.snapshot();
+        let supply = FleetSupply {
+            list: &list,
+            failure_domains: &(self.failure_domains)(),
+            speed: engine_speed(&views),
+        };
         let planner = &mut self.planner;
         let orders = self
             .ledger
-            .read(|ledger| planner.plan(ledger, &views, &list, now_ms));
+            .read(|ledger| planner.plan(ledger, &views, &supply, now_ms));
         let mut sends = Vec::with_capacity(orders.len());
         for planned in &orders {
             sends.push(self.send(planned));
--- a/src/control/fleet/spending.rs
+++ b/src/control/fleet/spending.rs
@@ -33,6 +33,17 @@
     pub decode_tokens_per_s: f64,
 }
 
+/// What there is to order from.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetSupply<'a> {
+    /// Targets and standing orders of the platform.
+    pub list: &'a TargetList,
+    /// Failure domains of the instances, which targets may run in also.
+    pub failure_domains: &'a [Arc<str>],
+    /// Mean speed of the engines; `None` if none reported.
+    pub speed: Option<EngineSpeed>,
+}
+
 /// Plans the number of targets of one service.
 #[derive(Clone, Debug)]
 pub struct SpendingPlanner {
@@ -58,19 +69,19 @@
     pub fn plan(
         &mut self,
         document: &Document,
-        list: &TargetList,
+        supply: &FleetSupply<'_>,
         demand: Demand,
-        speed: Option<EngineSpeed>,
         now_ms: u64,
     ) -> Vec<PlannedOrder> {
         if !document.spending.managed {
             return Vec::new();
         }
-        let load = speed.map_or(0.0, |speed| load(demand, speed));
+        let list = supply.list;
+        let load = supply.speed.map_or(0.0, |speed| load(demand, speed));
         let needed = needed_targets(load, UTILIZATION).max(document.spending.min_targets);
         let needed = self.need.observe(needed, now_ms);
         let kinds = kinds_of(document);
-        let supply = supply(&kinds, list, needed);
+        let supply = domain_supply(&kinds, supply, needed);
         let prices = SpendingPrices {
             reclaimable_milli_per_hour: cost(kinds.reclaimable),
             regular_milli_per_hour: cost(kinds.regular),
@@ -118,8 +129,9 @@
     }
 }
 
-fn supply(kinds: &Kinds<'_>, list: &TargetList, needed: u32) -> Vec<DomainSupply> {
-    let mut domains: IndexSet<Arc<str>> = IndexSet::new();
+fn domain_supply(kinds: &Kinds<'_>, supply: &FleetSupply<'_>, needed: u32) -> Vec<DomainSupply> {
+    let list = supply.list;
+    let mut domains: IndexSet<Arc<str>> = supply.failure_domains.iter().cloned().collect();
     domains.extend(
         list.targets
             .iter()
@@ -127,16 +139,16 @@
     );
     domains.extend(list.orders.iter().map(|order| order.failure_domain.clone()));
     domains.sort();
-    let mut supply = Vec::with_capacity(domains.len());
+    let mut supplies = Vec::with_capacity(domains.len());
     for domain in domains {
-        supply.push(DomainSupply {
+        supplies.push(DomainSupply {
             reclaimable: obtainable(kinds.reclaimable, &domain, list, needed),
             reclaimable_live: live(kinds.reclaimable, &domain, list),
             regular: obtainable(kinds.regular, &domain, list, needed),
             failure_domain: domain,
         });
     }
-    supply
+    supplies
 }
 
 /// Targets of a kind that can be had in a failure domain: as many as needed,
--- a/src/control/spawn.rs
+++ b/src/control/spawn.rs
@@ -79,6 +79,15 @@
         members
     }
 
+    /// Failure domains of the running instances.
+    fn failure_domains(&self) -> Vec<Arc<str>> {
+        let mut domains = vec![self.settings.failure_domain.clone()];
+        for peer in self.peers.live() {
+            domains.push(peer.failure_domain);
+        }
+        domains
+    }
+
     fn known_members(&self) -> Option<Vec<Member>> {
         self.peers.knows_live_list().then(|| self.members())
     }
@@ -188,7 +197,16 @@
             inputs.settings.policy.roles,
         );
         let ledger = inputs.ledger.clone();
-        FleetRunner::new(sender.clone(), ledger, port.clone(), planner, timeout).run(stop)
+        let domains = inputs.clone();
+        let runner = FleetRunner::new(
+            sender.clone(),
+            ledger,
+            port.clone(),
+            planner,
+            timeout,
+            move || domains.failure_domains(),
+        );
+        runner.run(stop)
     });
 }
 
--- a/src/control/usage.rs
+++ b/src/control/usage.rs
@@ -25,6 +25,9 @@
 /// Longest time for which usage is held back from the log.
 const MAX_FLUSH_PERIOD: Duration = Duration::from_secs(1);
 
+/// Longest time for the last flush before a stop; a peer holds a copy.
+const MAX_STOP_FLUSH: Duration = Duration::from_secs(3);
+
 /// Flushes within one window, at least.
 const FLUSHES_PER_WINDOW: u64 = 5;
 
@@ -62,7 +65,7 @@
     ledger: LedgerHandle,
     clock: Clock,
     flush_period: Duration,
-    drain: Duration,
+    stop_flush: Duration,
     copied: Option<UsageSlice>,
     watermark: u64,
     copy: C,
@@ -90,7 +93,7 @@
             ledger,
             clock: Clock::start(),
             flush_period: period.min(MAX_FLUSH_PERIOD),
-            drain: Duration::from_millis(timing.drain_ms),
+            stop_flush: Duration::from_millis(timing.drain_ms).min(MAX_STOP_FLUSH),
             copied: None,
             watermark: 0,
             copy,
@@ -122,7 +125,7 @@
             }
         }
         self.recorder.lock().cut();
-        match timeout(self.drain, self.flush()).await {
+        match timeout(self.stop_flush, self.flush()).await {
             Ok(flushed) => flushed,
             Err(_) => {
                 tracing::warn!("control: usage was not flushed before the stop");
--- /dev/null
+++ b/tests/interleaving/bodies.rs
@@ -0,0 +1,94 @@
+use arbtest::arbitrary::Unstructured;
+use lavenderwind::{
+    ledger::Ledger,
+    log::records::{Duty, EngineRole, record::Body},
+};
+
+use super::{Arbitrary, Instance};
+use crate::records::{
+    KeyLine, acknowledged, claim_duty, claim_request, close, document, expire, intent, mark,
+    outcome, release, renew, resign, resolved, revise, slice, suspect,
+};
+
+const DUTIES: [Duty; 3] = [Duty::Fleet, Duty::Usage, Duty::Checkpoint];
+const SERVICES: [&str; 2] = ["swaps", "steel"];
+const TARGETS: [&str; 2] = ["engine-1", "engine-2"];
+
+/// Picks a record that the instance may write, from what it knows.
+pub(super) fn arbitrary_body(u: &mut Unstructured<'_>, instance: &mut Instance) -> Arbitrary<Body> {
+    let duty = *u.choose(&DUTIES)?;
+    let epoch = |duty| instance.ledger.duty(duty).map_or(0, |entry| entry.epoch);
+    let target = *u.choose(&TARGETS)?;
+    let key = format!("order-{}", u.int_in_range(0..=5)?);
+    let claim = instance.ledger.claim("steel/nave", &key);
+    let claim_offset = claim.map_or(0, |entry| entry.offset.0);
+    Ok(match u.int_in_range(0..=18)? {
+        0 | 1 => claim_duty(&instance.ledger, duty),
+        2 => renew(duty, epoch(duty)),
+        3 => resign(duty, epoch(duty)),
+        4 | 17 => {
+            let role = *u.choose(&[EngineRole::Prefill, EngineRole::Decode])?;
+            intent(target, epoch(Duty::Fleet), role)
+        }
+        5 => {
+            let open = instance.ledger.intent(target);
+            resolved(target, open.map_or(0, |entry| entry.offset.0), true)
+        }
+        6 | 7 => claim_request("steel/nave", &key, &[u.int_in_range(0..=1)?]),
+        8 => release("steel/nave", &key, claim_offset),
+        9 => outcome("steel/nave", &key, claim_offset, "done"),
+        10 | 11 => arbitrary_revision(u, &instance.ledger)?,
+        12 | 13 => arbitrary_slice(u, instance)?,
+        14 => close(instance.ledger.window_open(), epoch(Duty::Usage)),
+        15 => acknowledged(u.int_in_range(1..=instance.ledger.window_open())?),
+        16 => {
+            let applied = instance.ledger.applied().0;
+            let up_to = u.int_in_range(0..=applied)?;
+            if u.ratio(1, 3)? {
+                expire(epoch(Duty::Checkpoint), up_to / 2)
+            } else {
+                mark(epoch(Duty::Checkpoint))
+            }
+        }
+        _ => suspect("swaps/pokhara", &[7], target, "boot-1"),
+    })
+}
+
+fn arbitrary_revision(u: &mut Unstructured<'_>, ledger: &Ledger) -> Arbitrary<Body> {
+    let service = *u.choose(&SERVICES)?;
+    let mut keys = Vec::new();
+    for id in 0..u.int_in_range(0..=2)? {
+        // The two services draw from separate secrets most of the time.
+        let shift = if service == "steel" { 4 } else { 0 };
+        let secret = u.int_in_range(1..=5)? + shift;
+        if keys.iter().any(|key: &KeyLine| key.secret == secret) {
+            continue;
+        }
+        keys.push(KeyLine {
+            id,
+            secret,
+            revoked: u.ratio(1, 4)?,
+        });
+    }
+    let base = ledger.service(service).map_or(0, |entry| entry.revision);
+    Ok(revise(service, base, &document(service, &keys)))
+}
+
+fn arbitrary_slice(u: &mut Unstructured<'_>, instance: &mut Instance) -> Arbitrary<Body> {
+    let fresh = u.ratio(3, 4)? || instance.slices == 0;
+    if fresh {
+        instance.slices += 1;
+    }
+    let number = if fresh {
+        instance.slices
+    } else {
+        u.int_in_range(1..=instance.slices)?
+    };
+    let window = instance.ledger.window_open();
+    let requests = u.int_in_range(1..=9)?;
+    let Body::UsageSlice(mut slice) = slice(&instance.writer.name, number, window, requests) else {
+        unreachable!();
+    };
+    slice.source_incarnation = instance.writer.incarnation;
+    Ok(Body::UsageSlice(slice))
+}
--- /dev/null
+++ b/tests/interleaving/mod.rs
@@ -0,0 +1,146 @@
+//! Arbitrary interleavings of the records of several instances.
+
+mod bodies;
+mod checks;
+
+use arbtest::{arbitrary, arbitrary::Unstructured};
+use lavenderwind::{
+    ledger::Ledger,
+    log::{Offset, records::Record},
+};
+
+use self::{bodies::arbitrary_body, checks::Oracle};
+use crate::records::Writer;
+
+pub(crate) type Arbitrary<T> = arbitrary::Result<T>;
+
+/// How often interesting states were reached.
+#[derive(Debug, Default)]
+pub(crate) struct Counts {
+    pub(crate) duties_taken: u32,
+    pub(crate) duties_refused: u32,
+    pub(crate) intents: u32,
+    pub(crate) intents_refused: u32,
+    pub(crate) adoptions: u32,
+    pub(crate) claims_won: u32,
+    pub(crate) claims_lost: u32,
+    pub(crate) releases: u32,
+    pub(crate) revisions: u32,
+    pub(crate) conflicts: u32,
+    pub(crate) revived_keys_refused: u32,
+    pub(crate) duplicates: u32,
+    pub(crate) windows_closed: u32,
+    pub(crate) late_slices: u64,
+    pub(crate) checkpoints: u32,
+    pub(crate) expiries: u32,
+    pub(crate) quarantines: u32,
+    pub(crate) restarts: u32,
+}
+
+/// An instance with its own copy of the ledger, which may lag.
+pub(super) struct Instance {
+    pub(super) writer: Writer,
+    pub(super) ledger: Ledger,
+    pub(super) last: Option<Record>,
+    pub(super) slices: u64,
+}
+
+pub(crate) struct World {
+    log: Vec<Record>,
+    reference: Ledger,
+    instances: Vec<Instance>,
+    oracle: Oracle,
+}
+
+impl World {
+    pub(crate) fn new() -> Self {
+        let mut instances = Vec::new();
+        for name in ["entry-1", "entry-2", "entry-3"] {
+            instances.push(Instance {
+                writer: Writer::new(name),
+                ledger: Ledger::new(),
+                last: None,
+                slices: 0,
+            });
+        }
+        Self {
+            log: Vec::new(),
+            reference: Ledger::new(),
+            instances,
+            oracle: Oracle::default(),
+        }
+    }
+
+    pub(crate) fn step(&mut self, u: &mut Unstructured<'_>, counts: &mut Counts) -> Arbitrary<()> {
+        let index = u.choose_index(self.instances.len())?;
+        match u.int_in_range(0..=9)? {
+            0..=2 => self.read(u, index)?,
+            3 if u.ratio(1, 4)? => {
+                counts.restarts += 1;
+                self.instances[index].writer.restart();
+                self.instances[index].slices = 0;
+            }
+            3 => {
+                // An append whose answer was lost is repeated.
+                let Some(record) = self.instances[index].last.clone() else {
+                    return Ok(());
+                };
+                self.append(record, counts);
+            }
+            _ => {
+                let instance = &mut self.instances[index];
+                let body = arbitrary_body(u, instance)?;
+                let record = instance.writer.record(body);
+                instance.last = Some(record.clone());
+                self.append(record, counts);
+            }
+        }
+        Ok(())
+    }
+
+    /// Folds some of the records that an instance has not read.
+    fn read(&mut self, u: &mut Unstructured<'_>, index: usize) -> Arbitrary<()> {
+        let instance = &mut self.instances[index];
+        let unread = self.log.len() - instance.ledger.applied().0 as usize;
+        let count = u.int_in_range(0..=unread.min(20))?;
+        for _ in 0..count {
+            let offset = instance.ledger.applied().0 + 1;
+            instance
+                .ledger
+                .apply(Offset(offset), &self.log[offset as usize - 1]);
+        }
+        Ok(())
+    }
+
+    fn append(&mut self, record: Record, counts: &mut Counts) {
+        let offset = Offset(self.log.len() as u64 + 1);
+        let before = self.reference.clone();
+        let verdict = self.reference.apply(offset, &record);
+        self.log.push(record.clone());
+        self.check(&before, offset, &record, &verdict, counts);
+    }
+
+    /// All instances that read the whole log have the same ledger, and so has
+    /// one that was rebuilt from any prefix.
+    pub(crate) fn finish(&mut self, u: &mut Unstructured<'_>) -> Arbitrary<()> {
+        let cut = u.int_in_range(0..=self.log.len())?;
+        let mut prefix = Ledger::new();
+        for (index, record) in self.log[..cut].iter().enumerate() {
+            prefix.apply(Offset(index as u64 + 1), record);
+        }
+        let mut rebuilt = Ledger::decode(&prefix.encode()).unwrap();
+        for (index, record) in self.log.iter().enumerate().skip(cut) {
+            rebuilt.apply(Offset(index as u64 + 1), record);
+        }
+        assert_eq!(rebuilt.encode(), self.reference.encode());
+        for instance in &mut self.instances {
+            let ledger = &mut instance.ledger;
+            for (index, record) in self.log.iter().enumerate() {
+                ledger.apply(Offset(index as u64 + 1), record);
+            }
+            assert_eq!(ledger.digest(), self.reference.digest());
+        }
+        self.check_usage_sum();
+        Ok(())
+    }
+}
--- a/tests/walk/instance.rs
+++ b/tests/walk/instance.rs
@@ -1,18 +1,17 @@
 use arbtest::arbitrary::{Result, Unstructured};
 use lavenderwind::{
     control::{
-        AbsenceClock, DutyRules, DutySituation, DutyStep, Identity, IntentSituation, LeaseClock,
-        Member, Settlement, rank, settlement,
+        AbsenceClock, DutyRules, DutySituation, DutyStep, Identity, LeaseClock, Member, rank,
     },
-    ledger::{IntentEntry, Ledger, Verdict},
+    ledger::{Ledger, Verdict},
     log::{
         Offset,
-        records::{Duty, EngineRole, OrderIntent, Record, record::Body},
+        records::{Duty, Record, record::Body},
     },
 };
 
 use super::{Counts, Log, RENEW_MS, TIMING, Target};
-use crate::records::{Writer, resolved, set_role};
+use crate::records::Writer;
 
 /// Time after which an append without a folded record is sent again.
 const RESEND_MS: u64 = 400;
@@ -22,19 +21,19 @@
 
 /// A clock that runs at its own rate.
 #[derive(Clone, Copy)]
-struct DriftingClock {
+pub(super) struct DriftingClock {
     offset_ms: u64,
     rate_ppm: u64,
 }
 
 impl DriftingClock {
-    fn ms(self, now_ms: u64) -> u64 {
+    pub(super) fn ms(self, now_ms: u64) -> u64 {
         self.offset_ms + now_ms * self.rate_ppm / 1_000_000
     }
 }
 
 /// A record that was sent and not yet folded.
-struct Pending {
+pub(super) struct Pending {
     record: Record,
     /// Local time before the first send.
     sent_ms: u64,
@@ -43,16 +42,16 @@
 
 /// An order that passed the check of the lease and is not yet written.
 #[derive(Clone)]
-struct Checked {
-    target: usize,
-    order_id: u64,
-    epoch: u64,
+pub(super) struct Checked {
+    pub(super) target: usize,
+    pub(super) order_id: u64,
+    pub(super) epoch: u64,
     /// Whether another instance announced the order.
-    adopted: bool,
+    pub(super) adopted: bool,
 }
 
 /// How far the order in progress is.
-enum Progress {
+pub(super) enum Progress {
     /// There is none.
     Idle,
     /// The record that announces or closes it is being appended.
@@ -75,18 +74,18 @@
 
 /// One process.
 pub(crate) struct Instance {
-    writer: Writer,
-    identity: Identity,
-    clock: DriftingClock,
-    ledger: Ledger,
-    rules: DutyRules,
-    lease: LeaseClock,
-    absence: AbsenceClock,
-    pending: Option<Pending>,
-    progress: Progress,
-    paused_until_ms: u64,
-    cut_until_ms: u64,
-    stopping: bool,
+    pub(super) writer: Writer,
+    pub(super) identity: Identity,
+    pub(super) clock: DriftingClock,
+    pub(super) ledger: Ledger,
+    pub(super) rules: DutyRules,
+    pub(super) lease: LeaseClock,
+    pub(super) absence: AbsenceClock,
+    pub(super) pending: Option<Pending>,
+    pub(super) progress: Progress,
+    pub(super) paused_until_ms: u64,
+    pub(super) cut_until_ms: u64,
+    pub(super) stopping: bool,
 }
 
 impl Instance {
@@ -233,7 +232,7 @@
         }
     }
 
-    fn append(
+    pub(super) fn append(
         &mut self,
         u: &mut Unstructured<'_>,
         around: &mut Surroundings<'_>,
@@ -309,167 +308,6 @@
         self.append(u, around, body)?;
         Ok(true)
     }
-
-    fn take_order_step(
-        &mut self,
-        u: &mut Unstructured<'_>,
-        around: &mut Surroundings<'_>,
-        counts: &mut Counts,
-    ) -> Result<()> {
-        match std::mem::replace(&mut self.progress, Progress::Idle) {
-            Progress::Idle => self.start_order(u, around, counts)?,
-            Progress::Appending => self.progress = Progress::Idle,
-            Progress::Announced(checked) => self.check(u, checked, around, counts)?,
-            Progress::Checked(checked) => self.write(checked, around, counts),
-            Progress::Written(checked) => self.close(u, &checked, around)?,
-        }
-        Ok(())
-    }
-
-    /// Checks the lease; a pause may follow before the write.
-    fn check(
-        &mut self,
-        u: &mut Unstructured<'_>,
-        checked: Checked,
-        around: &Surroundings<'_>,
-        counts: &mut Counts,
-    ) -> Result<()> {
-        let name = around.targets[checked.target].name;
-        let announced = self.ledger.intent(name).is_some_and(|intent| {
-            intent.offset.0 == checked.order_id && intent.epoch == checked.epoch
-        });
-        if !announced || self.authority(around.now_ms) != Some(checked.epoch) {
-            counts.lapsed_checks += 1;
-            if !checked.adopted {
-                self.progress = Progress::Written(checked);
-            }
-            return Ok(());
-        }
-        self.progress = Progress::Checked(checked);
-        if u.ratio(1, 12)? {
-            counts.pauses_before_write += 1;
-            self.paused_until_ms = around.now_ms + u.int_in_range(1_000..=12_000)?;
-        }
-        Ok(())
-    }
-
-    /// The one write of an order.
-    fn write(&mut self, checked: Checked, around: &mut Surroundings<'_>, counts: &mut Counts) {
-        let lapsed = self.authority(around.now_ms) != Some(checked.epoch);
-        let taken = around.targets[checked.target].write(
-            checked.order_id,
-            checked.epoch,
-            &around.log.ledger,
-            lapsed,
-            counts,
-        );
-        // An adopted order that was refused stays open.
-        if taken || !checked.adopted {
-            self.progress = Progress::Written(checked);
-        } else {
-            self.progress = Progress::Idle;
-        }
-    }
-
-    fn close(
-        &mut self,
-        u: &mut Unstructured<'_>,
-        checked: &Checked,
-        around: &mut Surroundings<'_>,
-    ) -> Result<()> {
-        let target = &around.targets[checked.target];
-        let applied = target.last_order_id == checked.order_id;
-        let body = resolved(target.name, checked.order_id, applied);
-        self.progress = Progress::Appending;
-        self.append(u, around, body)
-    }
-
-    fn start_order(
-        &mut self,
-        u: &mut Unstructured<'_>,
-        around: &mut Surroundings<'_>,
-        counts: &mut Counts,
-    ) -> Result<()> {
-        let now_ms = self.clock.ms(around.now_ms);
-        let awaited: Vec<_> = self.ledger.intents().map(announcer).collect();
-        self.absence.observe(&awaited, around.members, now_ms);
-        let closing = self.rules.is_closing(self.stopping, now_ms);
-        let Some(epoch) = self.authority(around.now_ms).filter(|_| !closing) else {
-            return Ok(());
-        };
-        let index = u.choose_index(around.targets.len())?;
-        let name = around.targets[index].name;
-        if let Some(intent) = self.ledger.intent(name).cloned() {
-            return self.settle(u, &intent, index, epoch, around, counts);
-        }
-        self.announce(u, name, epoch, around)
-    }
-
-    /// Does what the rules allow about an open intent.
-    fn settle(
-        &mut self,
-        u: &mut Unstructured<'_>,
-        intent: &IntentEntry,
-        index: usize,
-        epoch: u64,
-        around: &mut Surroundings<'_>,
-        counts: &mut Counts,
-    ) -> Result<()> {
-        let target = &around.targets[index];
-        let announcer = announcer(intent);
-        let now_ms = self.clock.ms(around.now_ms);
-        let situation = IntentSituation {
-            own: announcer == self.identity,
-            epoch,
-            checks_fencing: target.checks_fencing,
-            taken: target.last_order_id == intent.offset.0,
-            announcer_gone: self.absence.is_gone(&announcer, TIMING.grace_ms, now_ms),
-        };
-        match settlement(intent, &situation) {
-            Settlement::Wait => {
-                counts.waits += 1;
-                Ok(())
-            }
-            Settlement::Adopt => {
-                counts.adoptions += 1;
-                self.announce(u, &intent.target, epoch, around)
-            }
-            Settlement::Resolve => {
-                counts.settled += 1;
-                let checked = Checked {
-                    target: index,
-                    order_id: intent.offset.0,
-                    epoch,
-                    adopted: false,
-                };
-                self.close(u, &checked, around)
-            }
-        }
-    }
-
-    fn announce(
-        &mut self,
-        u: &mut Unstructured<'_>,
-        target: &str,
-        epoch: u64,
-        around: &mut Surroundings<'_>,
-    ) -> Result<()> {
-        let body = Body::OrderIntent(OrderIntent {
-            target: target.into(),
-            duty: Duty::Fleet.into(),
-            epoch,
-            order: Some(set_role(EngineRole::Prefill)),
-        });
-        self.progress = Progress::Appending;
-        self.append(u, around, body)
-    }
-}
-
-fn announcer(intent: &IntentEntry) -> Identity {
-    Identity {
-        name: intent.holder.clone(),
-        incarnation: intent.incarnation,
-    }
 }
 
 fn target_index(name: &str) -> usize {
--- a/tests/walk/mod.rs
+++ b/tests/walk/mod.rs
@@ -6,6 +6,7 @@
 
 mod instance;
 mod log;
+mod orders;
 mod target;
 
 use arbtest::arbitrary::{Result, Unstructured};
