Test what an order comes to; measure the takeover of a duty

tests/order_sender.rs: answers to the one write of an order, intents that a predecessor left open by kind of target and by what is known of it, and a sender without the duty, as tables over a real appender and the platform's stand-in.

--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -155,6 +155,10 @@
         let identity = self.authority.identity();
         let order_id = intent.offset.0;
         let observed = (self.observe)(intent.target.clone()).await;
+        if observed == Observation::Unreachable {
+            // An order that is adopted now would not be confirmed.
+            return Ok(Settlement::Wait);
+        }
         let situation = IntentSituation {
             own: intent.holder == identity.name && intent.incarnation == identity.incarnation,
             epoch: permit.epoch,
--- /dev/null
+++ b/tests/order_sender.rs
@@ -0,0 +1,358 @@
+//! What an order comes to, by the answers that its one write gets.
+
+mod records;
+
+use std::{
+    future::{Ready, ready},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use lavenderwind::{
+    control::{
+        Authority, Error, Identity, LeaseClock, Observation, OrderOutcome, OrderSender, SentOrder,
+        Settlement, WriteOutcome,
+    },
+    ledger::{Ledger, LedgerHandle},
+    log::{
+        self, Appender, LogOptions,
+        records::{Duty, EngineRole, OrderIntent, record::Body},
+    },
+    standin::{
+        loopback,
+        platform::{Platform, PlatformFaults},
+    },
+};
+use records::{claim_duty, resign, set_role};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Deadline against hanging.
+const HANG: Duration = Duration::from_secs(20);
+/// Length of the leases, in milliseconds; no test waits for one to lapse.
+const LEASE_MS: u64 = 600_000;
+const TARGET: &str = "engine-1";
+
+/// An instance with the log, and without anything else.
+struct Node {
+    appender: Appender,
+    ledger: LedgerHandle,
+    authority: Authority,
+    stop: CancellationToken,
+}
+
+impl Node {
+    fn start(platform: &Platform, incarnation: u64) -> Self {
+        let ledger = LedgerHandle::new(Ledger::new());
+        let stop = CancellationToken::new();
+        let (_, live_instances) = watch::channel(1);
+        let options = LogOptions::for_operator(&platform.url(), incarnation, HANG);
+        let mut log = log::spawn(&options, ledger.clone(), live_instances, &stop);
+        log.tasks.detach_all();
+        let identity = Identity {
+            name: log.appender.writer().clone(),
+            incarnation,
+        };
+        let lease = LeaseClock::new(LEASE_MS);
+        Self {
+            authority: Authority::new(Duty::Fleet, identity, ledger.clone(), lease),
+            appender: log.appender,
+            ledger,
+            stop,
+        }
+    }
+
+    /// Takes the duty over, as a runner does.
+    async fn take_over(&self) -> u64 {
+        loop {
+            let claim = self.ledger.read(|ledger| claim_duty(ledger, Duty::Fleet));
+            let receipt = self.appender.append(claim).await.expect("the log runs");
+            if !receipt.verdict.is_accepted() {
+                continue;
+            }
+            let sent_ms = self.authority.clock().ms(receipt.sent_at);
+            self.authority.confirm(receipt.offset.0, sent_ms);
+            return receipt.offset.0;
+        }
+    }
+
+    /// Announces an order without sending it, as if paused before the write.
+    async fn announce(&self, epoch: u64) -> u64 {
+        let intent = Body::OrderIntent(OrderIntent {
+            target: TARGET.into(),
+            duty: Duty::Fleet.into(),
+            epoch,
+            order: Some(set_role(EngineRole::Decode)),
+        });
+        let receipt = self.appender.append(intent).await.expect("the log runs");
+        assert!(receipt.verdict.is_accepted());
+        receipt.offset.0
+    }
+
+    fn is_open(&self) -> bool {
+        self.ledger.read(|ledger| ledger.intent(TARGET).is_some())
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+/// A target whose one write gets a set answer.
+#[derive(Clone)]
+struct Target {
+    outcome: WriteOutcome,
+    takes: bool,
+    reachable: bool,
+    writes: Arc<AtomicUsize>,
+    last_order: Arc<AtomicU64>,
+}
+
+impl Target {
+    fn new(outcome: WriteOutcome, takes: bool) -> Self {
+        Self {
+            outcome,
+            takes,
+            reachable: true,
+            writes: Arc::default(),
+            last_order: Arc::default(),
+        }
+    }
+
+    fn write(&self, sent: &SentOrder) -> WriteOutcome {
+        self.writes.fetch_add(1, Ordering::SeqCst);
+        if self.takes {
+            self.last_order.store(sent.order_id, Ordering::SeqCst);
+        }
+        self.outcome
+    }
+
+    fn observe(&self) -> Observation {
+        if !self.reachable {
+            return Observation::Unreachable;
+        }
+        Observation::LastOrder(self.last_order.load(Ordering::SeqCst))
+    }
+
+    fn writes(&self) -> usize {
+        self.writes.load(Ordering::SeqCst)
+    }
+}
+
+fn sender(
+    node: &Node,
+    target: &Target,
+) -> OrderSender<impl Fn(SentOrder) -> Ready<WriteOutcome>, impl Fn(Arc<str>) -> Ready<Observation>>
+{
+    let writer = target.clone();
+    let observer = target.clone();
+    OrderSender::new(
+        node.authority.clone(),
+        node.appender.clone(),
+        node.ledger.clone(),
+        Duration::from_millis(50),
+        move |sent: SentOrder| ready(writer.write(&sent)),
+        move |_| ready(observer.observe()),
+    )
+}
+
+async fn platform() -> Platform {
+    Platform::start(loopback(), PlatformFaults::default())
+        .await
+        .expect("the platform starts")
+}
+
+#[tokio::test]
+async fn write_answers() {
+    struct Case {
+        name: &'static str,
+        answer: WriteOutcome,
+        takes: bool,
+        reachable: bool,
+        outcome: OrderOutcome,
+    }
+    let case = |name, answer, takes, reachable, outcome| Case {
+        name,
+        answer,
+        takes,
+        reachable,
+        outcome,
+    };
+    let cases = [
+        case(
+            "taken",
+            WriteOutcome::Taken,
+            true,
+            true,
+            OrderOutcome::Applied,
+        ),
+        case(
+            "refused",
+            WriteOutcome::Refused,
+            false,
+            true,
+            OrderOutcome::NotApplied,
+        ),
+        case(
+            "lost answer",
+            WriteOutcome::Unknown,
+            true,
+            true,
+            OrderOutcome::Applied,
+        ),
+        case(
+            "lost order",
+            WriteOutcome::Unknown,
+            false,
+            true,
+            OrderOutcome::NotApplied,
+        ),
+        case(
+            "unreachable",
+            WriteOutcome::Unknown,
+            true,
+            false,
+            OrderOutcome::Open,
+        ),
+    ];
+    for case in cases {
+        let platform = platform().await;
+        let node = Node::start(&platform, 1);
+        node.take_over().await;
+        let mut target = Target::new(case.answer, case.takes);
+        target.reachable = case.reachable;
+        let sender = sender(&node, &target);
+        let sent = sender
+            .send(&TARGET.into(), set_role(EngineRole::Prefill))
+            .await;
+        assert_eq!(sent.expect(case.name), case.outcome, "{}", case.name);
+        assert_eq!(target.writes(), 1, "{}", case.name);
+        let open = case.outcome == OrderOutcome::Open;
+        assert_eq!(node.is_open(), open, "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn without_duty() {
+    let platform = platform().await;
+    let node = Node::start(&platform, 1);
+    let target = Target::new(WriteOutcome::Taken, true);
+    let sender = sender(&node, &target);
+    let sent = sender
+        .send(&TARGET.into(), set_role(EngineRole::Prefill))
+        .await;
+    assert!(matches!(sent, Err(Error::NotHolder)));
+    let epoch = node.take_over().await;
+    node.authority.give_up(epoch);
+    let sent = sender
+        .send(&TARGET.into(), set_role(EngineRole::Prefill))
+        .await;
+    assert!(matches!(sent, Err(Error::NotHolder)));
+    assert_eq!(target.writes(), 0);
+}
+
+/// What a successor does about an intent that its predecessor left open.
+#[tokio::test]
+async fn left_intents() {
+    struct Case {
+        name: &'static str,
+        checks_fencing: bool,
+        taken: bool,
+        resigned: bool,
+        gone: bool,
+        step: Settlement,
+        writes: usize,
+    }
+    let case = |name, [checks_fencing, taken, resigned, gone]: [bool; 4], step, writes| Case {
+        name,
+        checks_fencing,
+        taken,
+        resigned,
+        gone,
+        step,
+        writes,
+    };
+    let cases = [
+        case("paused", [false; 4], Settlement::Wait, 0),
+        case(
+            "paused, taken",
+            [false, true, false, false],
+            Settlement::Resolve,
+            0,
+        ),
+        case(
+            "resigned",
+            [false, false, true, false],
+            Settlement::Resolve,
+            0,
+        ),
+        case("gone", [false, false, false, true], Settlement::Resolve, 0),
+        case("fenced", [true, false, false, false], Settlement::Adopt, 1),
+        case(
+            "fenced, taken",
+            [true, true, false, false],
+            Settlement::Resolve,
+            0,
+        ),
+        case(
+            "fenced, resigned",
+            [true, false, true, false],
+            Settlement::Resolve,
+            0,
+        ),
+    ];
+    for case in cases {
+        let platform = platform().await;
+        let former = Node::start(&platform, 1);
+        let successor = Node::start(&platform, 2);
+        let epoch = former.take_over().await;
+        let order_id = former.announce(epoch).await;
+        if case.resigned {
+            let resigned = former.appender.append(resign(Duty::Fleet, epoch)).await;
+            assert!(resigned.expect("the log runs").verdict.is_accepted());
+        }
+        let announced = |ledger: &Ledger| ledger.intent(TARGET).cloned();
+        successor.ledger.wait_for(announced).await;
+        successor.take_over().await;
+        let intent = successor.ledger.wait_for(announced).await;
+        let target = Target::new(WriteOutcome::Taken, true);
+        if case.taken {
+            target.last_order.store(order_id, Ordering::SeqCst);
+        }
+        let sender = sender(&successor, &target);
+        let settled = sender.settle(&intent, case.checks_fencing, case.gone).await;
+        assert_eq!(settled.expect(case.name), case.step, "{}", case.name);
+        assert_eq!(target.writes(), case.writes, "{}", case.name);
+        let open = case.step == Settlement::Wait;
+        assert_eq!(successor.is_open(), open, "{}", case.name);
+    }
+}
+
+/// A process that wakes up after its successor took over writes nothing.
+#[tokio::test]
+async fn lapsed_sender() {
+    let platform = platform().await;
+    let former = Node::start(&platform, 1);
+    let successor = Node::start(&platform, 2);
+    former.take_over().await;
+    let held = |ledger: &Ledger| ledger.duty(Duty::Fleet).cloned();
+    successor.ledger.wait_for(held).await;
+    let epoch = successor.take_over().await;
+    let folded = |ledger: &Ledger| {
+        let entry = ledger.duty(Duty::Fleet)?;
+        (entry.epoch == epoch).then_some(())
+    };
+    former.ledger.wait_for(folded).await;
+    let target = Target::new(WriteOutcome::Taken, true);
+    let sender = sender(&former, &target);
+    let sent = sender
+        .send(&TARGET.into(), set_role(EngineRole::Prefill))
+        .await;
+    assert!(matches!(sent, Err(Error::NotHolder)));
+    assert_eq!(target.writes(), 0);
+}
