Hand the duty over where an adopted order stays unconfirmed

An adopted order is sent once an epoch, since copies of an earlier write may still arrive; without a confirmation its target would keep its state for as long as the holder lives. After 5 s the holder now resigns, and the next claim adopts the order under a new epoch.

--- a/src/control/authority.rs
+++ b/src/control/authority.rs
@@ -24,6 +24,7 @@
 struct Shared {
     lease: Mutex<LeaseClock>,
     closing: AtomicBool,
+    handover: AtomicBool,
     orders: Arc<RwLock<()>>,
 }
 
@@ -46,6 +47,7 @@
             shared: Arc::new(Shared {
                 lease: Mutex::new(lease),
                 closing: AtomicBool::new(false),
+                handover: AtomicBool::new(false),
                 orders: Arc::default(),
             }),
         }
@@ -107,6 +109,22 @@
         self.shared.closing.store(closing, Ordering::Release);
     }
 
+    /// Asks for the duty to be resigned, so that the next claim gets a new
+    /// epoch.
+    pub fn request_handover(&self) {
+        self.shared.handover.store(true, Ordering::Release);
+    }
+
+    /// Whether the duty is to be resigned.
+    pub fn wants_handover(&self) -> bool {
+        self.shared.handover.load(Ordering::Acquire)
+    }
+
+    /// Notes that the duty is not held any more.
+    pub fn end_handover(&self) {
+        self.shared.handover.store(false, Ordering::Release);
+    }
+
     /// Whether no order is in progress.
     pub fn is_idle(&self) -> bool {
         self.shared.orders.try_write().is_ok()
--- a/src/control/runner.rs
+++ b/src/control/runner.rs
@@ -68,7 +68,10 @@
         let period = Duration::from_millis((self.timing.renew_ms / STEPS_PER_RENEWAL).max(1));
         loop {
             let stopping = stop.is_cancelled();
-            let step = self.next_step(stopping);
+            if !self.holds() {
+                self.authority.end_handover();
+            }
+            let step = self.next_step(stopping || self.authority.wants_handover());
             self.take_step(step).await?;
             let resigned = matches!(step, DutyStep::Resign(_));
             if stopping && (resigned || !self.holds()) {
--- a/src/control/settler.rs
+++ b/src/control/settler.rs
@@ -14,6 +14,10 @@
 /// Time between two looks at the open intents.
 const TICK: Duration = Duration::from_millis(200);
 
+/// Time after which the duty is handed over if an adopted order is not
+/// confirmed: it can be sent again only under a later epoch.
+const UNCONFIRMED_MS: u64 = 5_000;
+
 /// Settles open intents of one duty. `members` lists the live instances, this
 /// one included, or is `None` while the live list is not known; `checks_fencing` tells whether a target refuses old fencing
 /// numbers.
@@ -21,6 +25,7 @@
 pub struct Settler<W, R, M, C> {
     sender: Arc<OrderSender<W, R>>,
     absence: AbsenceClock,
+    unconfirmed_since_ms: Option<u64>,
     grace_ms: u64,
     members: M,
     checks_fencing: C,
@@ -46,6 +51,7 @@
         Self {
             sender,
             absence: AbsenceClock::new(),
+            unconfirmed_since_ms: None,
             grace_ms,
             members,
             checks_fencing,
@@ -91,9 +97,31 @@
                 Err(error) => return Err(error),
             }
         }
+        self.watch_unconfirmed(now_ms);
         Ok(())
     }
 
+    /// Hands the duty over if an order that was adopted under its epoch stays
+    /// unconfirmed.
+    fn watch_unconfirmed(&mut self, now_ms: u64) {
+        let authority = self.sender.authority();
+        let epoch = authority.epoch();
+        let intents = self.sender.open_intents();
+        let unconfirmed = intents
+            .iter()
+            .any(|intent| intent.adopted && Some(intent.epoch) == epoch);
+        if !unconfirmed {
+            self.unconfirmed_since_ms = None;
+            return;
+        }
+        let since_ms = *self.unconfirmed_since_ms.get_or_insert(now_ms);
+        if now_ms.saturating_sub(since_ms) >= UNCONFIRMED_MS {
+            tracing::warn!("control: an adopted order is not confirmed; handing the duty over");
+            self.unconfirmed_since_ms = None;
+            authority.request_handover();
+        }
+    }
+
     async fn settle(&self, intent: &IntentEntry, now_ms: u64) -> Result<()> {
         let checks_fencing = (self.checks_fencing)(&intent.target);
         let gone = self
--- a/tests/order_sender.rs
+++ b/tests/order_sender.rs
@@ -333,6 +333,36 @@
     }
 }
 
+/// An adopted order is sent once an epoch, and closed once it is confirmed.
+#[tokio::test]
+async fn unconfirmed_adoption() {
+    let platform = platform().await;
+    let former = Node::start(&platform, 1);
+    let successor = Node::start(&platform, 2);
+    let epoch = former.take_over().await;
+    former.announce(epoch).await;
+    let announced = |ledger: &Ledger| ledger.intent(TARGET).cloned();
+    successor.ledger.wait_for(announced).await;
+    successor.take_over().await;
+    let deaf = Target::new(WriteOutcome::Unknown, true);
+    for _ in 0..2 {
+        let intent = successor.ledger.wait_for(announced).await;
+        let sender = sender(&successor, &deaf);
+        let settled = sender.settle(&intent, true, false).await;
+        assert!(settled.is_ok());
+        assert!(successor.is_open());
+    }
+    assert_eq!(deaf.writes(), 1);
+    successor.take_over().await;
+    let intent = successor.ledger.wait_for(announced).await;
+    let target = Target::new(WriteOutcome::Taken, true);
+    let sender = sender(&successor, &target);
+    let settled = sender.settle(&intent, true, false).await;
+    assert_eq!(settled.expect("the log runs"), Settlement::Adopt);
+    assert_eq!(target.writes(), 1);
+    assert!(!successor.is_open());
+}
+
 /// A process that wakes up after its successor took over writes nothing.
 #[tokio::test]
 async fn lapsed_sender() {
