--- a/src/ledger/checkpoint.rs
+++ b/src/ledger/checkpoint.rs
@@ -34,11 +34,16 @@
         }
     }
 
-    /// Cuts the encoded ledger into records.
+    /// Cuts the encoded ledger into records of up to [`CHUNK_BYTES`] each.
     pub fn chunks(&self) -> Vec<CheckpointChunk> {
-        let count = self.data.len().div_ceil(CHUNK_BYTES);
+        self.chunks_of(CHUNK_BYTES)
+    }
+
+    /// Cuts the encoded ledger into records of up to `chunk_bytes` each.
+    pub fn chunks_of(&self, chunk_bytes: usize) -> Vec<CheckpointChunk> {
+        let count = self.data.len().div_ceil(chunk_bytes);
         let mut chunks = Vec::with_capacity(count);
-        for (index, data) in self.data.chunks(CHUNK_BYTES).enumerate() {
+        for (index, data) in self.data.chunks(chunk_bytes).enumerate() {
             chunks.push(CheckpointChunk {
                 epoch: self.epoch,
                 mark_offset: self.offset.0,
--- a/tests/interleaving/checks.rs
+++ b/tests/interleaving/checks.rs
@@ -9,7 +9,7 @@
     service::Document,
 };
 
-use super::{Counts, World};
+use super::{CHUNK_BYTES, Counts, World};
 use crate::records::{Writer, key_digest};
 
 const DUTIES: [Duty; 3] = [Duty::Fleet, Duty::Usage, Duty::Checkpoint];
@@ -282,7 +282,7 @@
         let mut folded = self.reference.clone();
         let mut rebuilder = Rebuilder::new(offset);
         rebuilder.push(record.clone());
-        for chunk in checkpoint.chunks().into_iter().rev() {
+        for chunk in checkpoint.chunks_of(CHUNK_BYTES).into_iter().rev() {
             assert!(!rebuilder.is_complete() || offset == Offset(1));
             let record = writer.record(Body::CheckpointChunk(chunk));
             folded.apply(rebuilder.next_offset(), &record);
--- a/tests/interleaving/mod.rs
+++ b/tests/interleaving/mod.rs
@@ -6,7 +6,10 @@
 use arbtest::{arbitrary, arbitrary::Unstructured};
 use lavenderwind::{
     ledger::Ledger,
-    log::{Offset, records::Record},
+    log::{
+        Offset, Rebuilder,
+        records::{Record, record::Body},
+    },
 };
 
 use self::{bodies::arbitrary_body, checks::Oracle};
@@ -14,6 +17,9 @@
 
 pub(crate) type Arbitrary<T> = arbitrary::Result<T>;
 
+/// Length of the pieces of a checkpoint, so that it has several.
+const CHUNK_BYTES: usize = 700;
+
 /// How often interesting states were reached.
 #[derive(Debug, Default)]
 pub(crate) struct Counts {
@@ -35,6 +41,8 @@
     pub(crate) expiries: u32,
     pub(crate) quarantines: u32,
     pub(crate) restarts: u32,
+    pub(crate) rebuilt: u32,
+    pub(crate) incomplete: u32,
 }
 
 /// An instance with its own copy of the ledger, which may lag.
@@ -90,9 +98,13 @@
             _ => {
                 let instance = &mut self.instances[index];
                 let body = arbitrary_body(u, instance)?;
+                let is_mark = matches!(body, Body::CheckpointMark(_));
                 let record = instance.writer.record(body);
                 instance.last = Some(record.clone());
                 self.append(record, counts);
+                if is_mark {
+                    self.publish(u, index, counts)?;
+                }
             }
         }
         Ok(())
@@ -120,9 +132,61 @@
         self.check(&before, offset, &record, &verdict, counts);
     }
 
+    /// Appends the pieces of the last checkpoint; some are repeated, and now
+    /// and then the publisher stops half-way.
+    fn publish(
+        &mut self,
+        u: &mut Unstructured<'_>,
+        index: usize,
+        counts: &mut Counts,
+    ) -> Arbitrary<()> {
+        let offset = Offset(self.log.len() as u64);
+        let checkpoint = self.reference.checkpoint().cloned();
+        let Some(checkpoint) = checkpoint.filter(|known| known.offset == offset) else {
+            return Ok(());
+        };
+        for chunk in checkpoint.chunks_of(CHUNK_BYTES) {
+            if u.ratio(1, 24)? {
+                return Ok(());
+            }
+            let body = Body::CheckpointChunk(chunk);
+            let record = self.instances[index].writer.record(body);
+            if u.ratio(1, 8)? {
+                self.append(record.clone(), counts);
+            }
+            self.append(record, counts);
+        }
+        Ok(())
+    }
+
+    /// A ledger that is rebuilt after older records have expired, if it can be,
+    /// is the same.
+    fn check_retained(&self, u: &mut Unstructured<'_>, counts: &mut Counts) -> Arbitrary<()> {
+        for _ in 0..4 {
+            let oldest = u.int_in_range(2..=self.log.len().max(2))?;
+            let mut rebuilder = Rebuilder::new(Offset(oldest as u64));
+            for record in self.log.iter().skip(oldest - 1) {
+                rebuilder.push(record.clone());
+            }
+            let Some(rebuilt) = rebuilder.finish() else {
+                counts.incomplete += 1;
+                continue;
+            };
+            counts.rebuilt += 1;
+            assert_eq!(rebuilt.applied(), self.reference.applied());
+            assert_eq!(rebuilt.digest(), self.reference.digest());
+        }
+        Ok(())
+    }
+
     /// All instances that read the whole log have the same ledger, and so has
     /// one that was rebuilt from any prefix.
-    pub(crate) fn finish(&mut self, u: &mut Unstructured<'_>) -> Arbitrary<()> {
+    pub(crate) fn finish(
+        &mut self,
+        u: &mut Unstructured<'_>,
+        counts: &mut Counts,
+    ) -> Arbitrary<()> {
+        self.check_retained(u, counts)?;
         let cut = u.int_in_range(0..=self.log.len())?;
         let mut prefix = Ledger::new();
         for (index, record) in self.log[..cut].iter().enumerate() {
--- a/tests/ledger_fold.rs
+++ b/tests/ledger_fold.rs
@@ -23,10 +23,10 @@
     for seed in 0..SEEDS {
         arbtest(|u| {
             let mut world = World::new();
-            while u.len() > 16 {
+            while u.len() > 32 {
                 world.step(u, &mut counts)?;
             }
-            world.finish(u)
+            world.finish(u, &mut counts)
         })
         .seed((0x5eed_0000 + seed) << 32 | SEED_SIZE);
     }
@@ -49,6 +49,8 @@
         counts.expiries,
         counts.quarantines,
         counts.restarts,
+        counts.rebuilt,
+        counts.incomplete,
     ] {
         assert!(reached >= 100, "a state is rarely reached: {counts:?}");
     }
