--- /dev/null
+++ b/tests/request_claims.rs
@@ -0,0 +1,163 @@
+//! Claims of non-repeatable requests, and requests that crash targets.
+
+mod records;
+
+use lavenderwind::ledger::{ClaimState, MAX_IDEMPOTENCY_KEY_BYTES, MAX_OUTCOME_BYTES, Verdict};
+use records::{Fold, Writer, claim_request, outcome, release, suspect, unknown_outcome};
+
+const ACCOUNT: &str = "steel/nave";
+const KEY: &str = "order-1";
+
+struct Claimed {
+    fold: Fold,
+    claimant: Writer,
+    other: Writer,
+    offset: u64,
+}
+
+fn claimed() -> Claimed {
+    let mut fold = Fold::default();
+    let mut claimant = Writer::new("entry-1");
+    let offset = fold.accept(&mut claimant, claim_request(ACCOUNT, KEY, &[1]));
+    Claimed {
+        fold,
+        claimant,
+        other: Writer::new("entry-2"),
+        offset,
+    }
+}
+
+impl Claimed {
+    fn state(&self) -> Option<&ClaimState> {
+        self.fold
+            .ledger
+            .claim(ACCOUNT, KEY)
+            .map(|entry| &entry.state)
+    }
+}
+
+#[test]
+fn first_claim() {
+    let mut claimed = claimed();
+    let again = claim_request(ACCOUNT, KEY, &[1]);
+    assert!(!claimed.fold.push(&mut claimed.other, again).is_accepted());
+    let entry = claimed.fold.ledger.claim(ACCOUNT, KEY).unwrap();
+    assert_eq!(&*entry.instance, "entry-1");
+    // The same key of another account is another request.
+    claimed
+        .fold
+        .accept(&mut claimed.other, claim_request("steel/norte", KEY, &[1]));
+    assert_eq!(claimed.fold.ledger.claim_count(), 2);
+}
+
+#[test]
+fn release_by_claimant() {
+    let mut claimed = claimed();
+    let offset = claimed.offset;
+    let cases = [
+        release(ACCOUNT, KEY, offset + 1),
+        release(ACCOUNT, "order-2", offset),
+        release("steel/norte", KEY, offset),
+    ];
+    for case in cases {
+        assert!(!claimed.fold.push(&mut claimed.claimant, case).is_accepted());
+    }
+    let foreign = release(ACCOUNT, KEY, offset);
+    assert!(
+        !claimed
+            .fold
+            .push(&mut claimed.other, foreign.clone())
+            .is_accepted()
+    );
+    claimed.fold.accept(&mut claimed.claimant, foreign);
+    assert_eq!(claimed.state(), None);
+    claimed
+        .fold
+        .accept(&mut claimed.other, claim_request(ACCOUNT, KEY, &[2]));
+    // A late copy of the release does not reach the new claim.
+    let late = release(ACCOUNT, KEY, offset);
+    assert!(!claimed.fold.push(&mut claimed.claimant, late).is_accepted());
+    assert_eq!(claimed.state(), Some(&ClaimState::Running));
+}
+
+#[test]
+fn final_outcome() {
+    let mut claimed = claimed();
+    let offset = claimed.offset;
+    let forged = outcome(ACCOUNT, KEY, offset, "forged");
+    assert!(!claimed.fold.push(&mut claimed.other, forged).is_accepted());
+    claimed.fold.accept(
+        &mut claimed.claimant,
+        outcome(ACCOUNT, KEY, offset, "ten sheets"),
+    );
+    let finished = ClaimState::Finished {
+        status: 200,
+        content_type: "text/plain".into(),
+        body: "ten sheets".into(),
+    };
+    let later = [
+        outcome(ACCOUNT, KEY, offset, "other"),
+        unknown_outcome(ACCOUNT, KEY, offset),
+        release(ACCOUNT, KEY, offset),
+    ];
+    for body in later {
+        assert!(!claimed.fold.push(&mut claimed.claimant, body).is_accepted());
+        assert_eq!(claimed.state(), Some(&finished));
+    }
+}
+
+#[test]
+fn unknown_outcome_resolved() {
+    let mut claimed = claimed();
+    let offset = claimed.offset;
+    claimed
+        .fold
+        .accept(&mut claimed.other, unknown_outcome(ACCOUNT, KEY, offset));
+    assert_eq!(claimed.state(), Some(&ClaimState::Unknown));
+    let again = claim_request(ACCOUNT, KEY, &[1]);
+    assert!(!claimed.fold.push(&mut claimed.other, again).is_accepted());
+    claimed
+        .fold
+        .accept(&mut claimed.claimant, outcome(ACCOUNT, KEY, offset, "done"));
+    assert!(matches!(claimed.state(), Some(ClaimState::Finished { .. })));
+}
+
+#[test]
+fn malformed_claims() {
+    let long = "k".repeat(MAX_IDEMPOTENCY_KEY_BYTES + 1);
+    let cases = [
+        claim_request("", KEY, &[1]),
+        claim_request(ACCOUNT, "", &[1]),
+        claim_request(ACCOUNT, &long, &[1]),
+        claim_request(ACCOUNT, KEY, &[]),
+        claim_request(ACCOUNT, KEY, &[0; 65]),
+    ];
+    let mut fold = Fold::default();
+    let mut writer = Writer::new("entry-1");
+    for case in cases {
+        assert!(matches!(fold.push(&mut writer, case), Verdict::Rejected(_)));
+    }
+    assert_eq!(fold.ledger.claim_count(), 0);
+    let mut claimed = claimed();
+    let body = "x".repeat(MAX_OUTCOME_BYTES + 1);
+    let long = outcome(ACCOUNT, KEY, claimed.offset, &body);
+    assert!(!claimed.fold.push(&mut claimed.claimant, long).is_accepted());
+    assert_eq!(claimed.state(), Some(&ClaimState::Running));
+}
+
+#[test]
+fn quarantine_after_two_boots() {
+    let mut fold = Fold::default();
+    let mut writer = Writer::new("entry-1");
+    let mut crash = |target, boot| {
+        fold.accept(&mut writer, suspect(ACCOUNT, &[7], target, boot));
+        fold.ledger.quarantined(ACCOUNT, &[7])
+    };
+    assert!(!crash("engine-1", "boot-1"));
+    // Another instance reports the same crash.
+    assert!(!crash("engine-1", "boot-1"));
+    assert!(crash("engine-1", "boot-2"));
+    assert!(!fold.ledger.quarantined(ACCOUNT, &[8]));
+    assert!(!fold.ledger.quarantined("steel/norte", &[7]));
+    assert_eq!(fold.ledger.crashes(ACCOUNT, &[7]), 2);
+}
