--- /dev/null
+++ b/examples/measure_memory.rs
@@ -0,0 +1,152 @@
+//! Measures the memory of a ledger and of the changes kept for one link.
+//!
+//! `cargo run --release --example measure_memory`
+
+use std::{error::Error, fs, sync::Arc};
+
+use lavenderwind::{
+    ledger::Ledger,
+    log::{
+        Offset,
+        records::{Record, RequestClaim, RequestOutcome, ServiceRevision, record::Body},
+    },
+    peer::{
+        digest::{DigestDecoder, DigestEncoder},
+        frames::Heartbeat,
+    },
+};
+
+/// Size of a recorded answer, in bytes.
+const ANSWER_BYTES: usize = 512;
+
+/// Copies of a link's state, so that one shows.
+const LINKS: usize = 40;
+
+type Result<T> = std::result::Result<T, Box<dyn Error>>;
+
+/// A ledger that is filled record by record.
+struct Filling {
+    ledger: Ledger,
+    offset: u64,
+}
+
+impl Filling {
+    fn apply(&mut self, body: Body) -> u64 {
+        self.offset += 1;
+        let record = Record {
+            writer: "entry-1".into(),
+            incarnation: 1,
+            sequence: self.offset,
+            body: Some(body),
+        };
+        self.ledger.apply(Offset(self.offset), &record);
+        self.offset
+    }
+}
+
+fn main() -> Result<()> {
+    println!("what count bytes_each");
+    let mut filling = Filling {
+        ledger: Ledger::new(),
+        offset: 0,
+    };
+    for service in ["quotes", "swaps"] {
+        let before = rss_bytes()?;
+        filling.apply(revision(service, 4_750));
+        print("account with a key", 4_750, before)?;
+    }
+    for _ in 0..3 {
+        let before = rss_bytes()?;
+        for _ in 0..50_000 {
+            run_claim(&mut filling);
+        }
+        print("claim with its answer", 50_000, before)?;
+    }
+    let before = rss_bytes()?;
+    let links = links(9_500);
+    print("account on a link, both ways", 9_500 * LINKS, before)?;
+    drop(links);
+    assert_eq!(filling.ledger.claim_count(), 150_000);
+    Ok(())
+}
+
+fn revision(service: &str, accounts: usize) -> Body {
+    let mut document = format!(
+        "service: {service}\nteam: desk\nroutes:\n- path: /{service}\n  access: keyed\n  \
+         repeat: once\n  target_kind: app\ntarget_kinds:\n- name: app\n  role: plain\naccounts:\n"
+    );
+    for account in 0..accounts {
+        let id = format!("{service}{account}");
+        let digest: String = id.bytes().map(|byte| format!("{byte:x}")).collect();
+        document.push_str(&format!(
+            "- name: account-{account:05}\n  weight: 10\n  keys:\n  - id: key-{account:05}\n    \
+             sha256: {digest:0>64}\n"
+        ));
+    }
+    Body::ServiceRevision(ServiceRevision {
+        service: service.into(),
+        base_revision: 0,
+        document,
+    })
+}
+
+fn run_claim(filling: &mut Filling) {
+    let account = format!("swaps/account-{:05}", filling.offset % 4_750);
+    let idempotency_key = format!("3f0c1e9a-0000-4000-8000-{:012}", filling.offset);
+    let claim_offset = filling.apply(Body::RequestClaim(RequestClaim {
+        account: account.clone(),
+        idempotency_key: idempotency_key.clone(),
+        body_digest: vec![7; 32],
+    }));
+    filling.apply(Body::RequestOutcome(RequestOutcome {
+        account,
+        idempotency_key,
+        claim_offset,
+        unknown: false,
+        status: 200,
+        content_type: "application/json".into(),
+        body: vec![b'a'; ANSWER_BYTES],
+    }));
+}
+
+/// Makes links over which all accounts went once.
+fn links(accounts: usize) -> Vec<(DigestEncoder, DigestDecoder)> {
+    let mut names: Vec<Arc<str>> = Vec::new();
+    for account in 0..accounts {
+        names.push(format!("swaps/account-{account:05}").into());
+    }
+    let mut links = Vec::new();
+    for _ in 0..LINKS {
+        let mut encoder = DigestEncoder::default();
+        let mut decoder = DigestDecoder::default();
+        for name in &names {
+            encoder.add_served(name, 1);
+        }
+        while encoder.pending_accounts() > 0 {
+            let mut heartbeat = Heartbeat::default();
+            encoder.encode(&Default::default(), 1 << 20, &mut heartbeat);
+            let _ = decoder.apply(&heartbeat);
+        }
+        links.push((encoder, decoder));
+    }
+    links
+}
+
+fn print(what: &str, count: usize, before: u64) -> Result<()> {
+    let grown = rss_bytes()?.saturating_sub(before);
+    println!("{what}: {count} {:.0}", grown as f64 / count as f64);
+    Ok(())
+}
+
+/// Returns the resident memory of this process, in bytes.
+fn rss_bytes() -> Result<u64> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    for line in status.lines() {
+        let Some(value) = line.strip_prefix("VmRSS:") else {
+            continue;
+        };
+        let kilobytes: u64 = value.trim_end_matches("kB").trim().parse()?;
+        return Ok(kilobytes << 10);
+    }
+    Err("no VmRSS in /proc/self/status".into())
+}
