--- a/examples/measure_peers.rs
+++ b/examples/measure_peers.rs
@@ -143,22 +143,28 @@
 }
 
 async fn measure_appends(counts: &[usize]) -> Result<()> {
-    println!("writers linger_ms records/s appends/s records/append p50_ms p99_ms");
+    println!(
+        "writers linger_ms records/s appends/s records/append p50_ms p99_ms \
+         cpu_us_a_record_and_instance"
+    );
     for linger_ms in [0, 2, 10] {
         for &writers in counts {
             let (platform, instances) = start(writers, linger_ms).await?;
             let before = instances[0].ledger.applied();
+            let cpu_before_s = cpu_s()?;
             let latency_us = append_for(&instances, MEASURE).await?;
+            let cpu_used_s = cpu_s()? - cpu_before_s;
             let last = instances[0].ledger.applied();
             let appends = count_appends(&platform, before, last).await?;
             let records = latency_us.len() as f64;
             println!(
-                "{writers:7} {linger_ms:9} {:9.0} {:9.0} {:14.1} {:6.1} {:6.1}",
+                "{writers:7} {linger_ms:9} {:9.0} {:9.0} {:14.1} {:6.1} {:6.1} {:6.1}",
                 records / MEASURE.as_secs_f64(),
                 appends as f64 / MEASURE.as_secs_f64(),
                 records / appends as f64,
                 latency_us.value_at_quantile(0.5) as f64 / 1e3,
                 latency_us.value_at_quantile(0.99) as f64 / 1e3,
+                cpu_used_s * 1e6 / records / writers as f64,
             );
         }
     }
