log: an answer that ends before the ledger is no proof of freshness

A lagging log (or another one) that ends before what this instance has folded was taken as its end, so the instance counted itself complete and fresh. Trial with the old comparison: lagging_log_is_no_end FAILED (log_tail.rs:435).

--- a/src/log/tailer.rs
+++ b/src/log/tailer.rs
@@ -192,7 +192,8 @@
     fn fold_response(&mut self, response: ReadResponse, sent_at: Instant) {
         let end_offset = Offset(response.next_offset.saturating_sub(1));
         self.fold_entries(response.entries);
-        let reached_end = self.inputs.ledger.applied() >= end_offset;
+        // An answer that ends before the ledger comes from a log that lags.
+        let reached_end = self.inputs.ledger.applied() == end_offset;
         self.status.send_modify(|status| {
             if !status.live {
                 tracing::info!("log: reading at offset {end_offset}");
--- a/tests/log_tail.rs
+++ b/tests/log_tail.rs
@@ -38,6 +38,10 @@
 
 impl Instance {
     fn start(name: &str, log_url: &str, timeout_ms: u64) -> Self {
+        Self::with_ledger(name, log_url, timeout_ms, Ledger::new())
+    }
+
+    fn with_ledger(name: &str, log_url: &str, timeout_ms: u64, ledger: Ledger) -> Self {
         let text = format!(
             "name: {name}
 failure_domain: d1
@@ -54,7 +58,7 @@
 "
         );
         let settings = Settings::parse(&text, Path::new("entry.yaml")).unwrap();
-        let ledger = LedgerHandle::new(Ledger::new());
+        let ledger = LedgerHandle::new(ledger);
         let stop = CancellationToken::new();
         let (sender, live_instances) = watch::channel(1);
         let options = LogOptions::new(&settings, 1);
@@ -406,3 +410,29 @@
     assert_eq!(receipt.offset, Offset(3));
     assert_eq!(receipt.verdict, Verdict::Accepted);
 }
+
+/// A log that ends before what was folded says nothing on what is newest.
+#[tokio::test]
+async fn lagging_log_is_no_end() {
+    let platform = platform().await;
+    let client = LogClient::new(&platform.url(), DEADLINE);
+    let mut ledger = Ledger::new();
+    let mut records = Vec::new();
+    for number in 1..=5 {
+        let record = Record {
+            writer: "w".into(),
+            incarnation: 1,
+            sequence: number,
+            body: Some(claim(number as usize)),
+        };
+        ledger.apply(Offset(number), &record);
+        records.push(Bytes::from(record.encode_to_vec()));
+    }
+    client.append(records[..2].to_vec()).await.unwrap();
+    let mut instance = Instance::with_ledger("a", &platform.url(), 1_000, ledger);
+    let live = instance.log.status.wait_for(|status| status.live);
+    let status = *timeout(DEADLINE, live).await.unwrap().unwrap();
+    assert!(!status.complete);
+    client.append(records[2..].to_vec()).await.unwrap();
+    instance.wait_complete().await;
+}
