--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -116,8 +116,7 @@
             self.shared.heartbeat,
             Instant::now(),
         );
-        let heartbeat = heartbeat.ok_or(Error::Replaced)?;
-        self.send(sink, Body::Heartbeat(heartbeat)).await
+        self.send(sink, Body::Heartbeat(heartbeat?)).await
     }
 
     async fn send(&self, sink: &mut FrameSink, body: Body) -> Result<()> {
--- a/src/peer/digest.rs
+++ b/src/peer/digest.rs
@@ -145,6 +145,12 @@
         self.excess_bytes = (-for_served.bytes).max(0);
     }
 
+    /// Returns whether no further name can be defined; only a new connection
+    /// helps then.
+    pub fn is_full(&self) -> bool {
+        self.names.len() >= MAX_NAMES
+    }
+
     /// Returns the number of accounts with tokens to be reported.
     pub fn pending_accounts(&self) -> usize {
         self.served.len()
@@ -231,7 +237,7 @@
         if let Some(index) = self.names.get_index_of(name) {
             return u32::try_from(index).ok();
         }
-        if self.names.len() >= MAX_NAMES {
+        if self.is_full() {
             return None;
         }
         let definition = NameDefinition {
--- a/src/peer/error.rs
+++ b/src/peer/error.rs
@@ -42,6 +42,8 @@
     },
     /// peer has the name of this instance
     SameName,
+    /// connection has no room for new names
+    NamesExhausted,
     /// a newer connection to the same peer took over
     Replaced,
     /// address {address} is not IP:PORT
--- a/src/peer/heartbeat.rs
+++ b/src/peer/heartbeat.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use super::{
+    Error, Result,
     frames::Heartbeat,
     state::{LogView, State},
     topology::LinkKind,
@@ -47,7 +48,11 @@
 }
 
 impl State {
-    /// Returns the next heartbeat for a connection; `None` if it was replaced.
+    /// Returns the next heartbeat for a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection was replaced, or has no room for new names.
     pub(super) fn heartbeat(
         &mut self,
         name: &str,
@@ -55,7 +60,7 @@
         log: &LogView,
         shortest: Duration,
         now: Instant,
-    ) -> Option<Heartbeat> {
+    ) -> Result<Heartbeat> {
         let kind = self.kind(name);
         let interval = heartbeat_interval(self.links.len(), shortest);
         let max_bytes = change_bytes(self.links.len(), interval);
@@ -65,11 +70,15 @@
         }
         self.cover(name, kind, &mut heartbeat, now);
         self.loads.refresh(&self.kinds, &self.links);
-        let link = self.links.get_mut(name).filter(|link| link.id == id)?;
+        let link = self.links.get_mut(name).filter(|link| link.id == id);
+        let link = link.ok_or(Error::Replaced)?;
+        if link.encoder.is_full() {
+            return Err(Error::NamesExhausted);
+        }
         let loads = self.loads.outgoing(kind, link);
         link.encoder.encode(&loads, max_bytes, &mut heartbeat);
         link.number(&mut heartbeat, now);
-        Some(heartbeat)
+        Ok(heartbeat)
     }
 
     fn log_heartbeat(&self, log: &LogView, now: Instant) -> Heartbeat {
--- a/tests/peer_digest.rs
+++ b/tests/peer_digest.rs
@@ -5,8 +5,8 @@
 use arbtest::arbtest;
 use indexmap::IndexMap;
 use lavenderwind::peer::{
-    digest::{DigestDecoder, DigestEncoder, Error, TargetLoad},
-    frames::{Heartbeat, LoadChange, ServedTokens},
+    digest::{DigestDecoder, DigestEncoder, Error, MAX_NAMES, TargetLoad},
+    frames::{Heartbeat, LoadChange, NameDefinition, ServedTokens},
 };
 use prost::Message;
 
@@ -174,3 +174,24 @@
         assert!(bytes <= heartbeats * MAX_BYTES + 2 * 104, "{bytes} bytes");
     }
 }
+
+/// A connection on which all names were defined asks for a new one.
+#[test]
+fn names_run_out() {
+    let mut encoder = DigestEncoder::default();
+    let mut decoder = DigestDecoder::default();
+    for index in 0..MAX_NAMES {
+        assert!(!encoder.is_full(), "{index} names");
+        encoder.add_served(&format!("s/{index}").into(), 1);
+        let mut heartbeat = Heartbeat::default();
+        encoder.encode(&IndexMap::new(), MAX_BYTES, &mut heartbeat);
+        decoder.apply(&heartbeat).unwrap();
+    }
+    assert!(encoder.is_full());
+    let one_more = Heartbeat {
+        names: vec![NameDefinition { name: "x".into() }],
+        ..Heartbeat::default()
+    };
+    let refusal = decoder.apply(&one_more).unwrap_err();
+    assert!(matches!(refusal, Error::TooManyNames { .. }));
+}
