peer: two instances that dial each other keep one connection

An instance that cannot read the live list dials its seeds, while these dial it by the list: each new connection replaced the other for ever.

--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -74,7 +74,9 @@
         id: opened.id,
     };
     tokio::select! {
-        () = opened.closed.cancelled() => Err(Error::Replaced),
+        () = opened.closed.cancelled() => Err(Error::Replaced {
+            name: connection.peer.name.clone(),
+        }),
         outcome = connection.send_frames(&mut sink, queued) => outcome,
         outcome = connection.receive_frames(&mut source) => outcome,
     }
--- a/src/peer/dial.rs
+++ b/src/peer/dial.rs
@@ -121,7 +121,9 @@
         match open(&address).await {
             Ok(stream) => {
                 let opened_at = Instant::now();
-                report(connection::run(shared.clone(), stream).await);
+                let outcome = connection::run(shared.clone(), stream).await;
+                wait_for_successor(&shared, &outcome).await;
+                report(outcome);
                 if opened_at.elapsed() > MAX_REDIAL {
                     backoff.reset();
                 }
@@ -132,6 +134,17 @@
     }
 }
 
+/// Waits while the connection that took over is open, so that two instances
+/// that dial each other keep one.
+async fn wait_for_successor(shared: &Shared, outcome: &Result<()>) {
+    let Err(Error::Replaced { name }) = outcome else {
+        return;
+    };
+    while shared.state().links.contains_key(name) {
+        sleep(REVIEW_INTERVAL).await;
+    }
+}
+
 async fn open(address: &Arc<str>) -> Result<TcpStream> {
     let parsed: SocketAddr = address.parse().map_err(|_| Error::Address {
         address: address.clone(),
@@ -146,7 +159,9 @@
     };
     metrics::counter!("peer_connections_closed_total").increment(1);
     match error {
-        Error::Closed | Error::Replaced => tracing::debug!("peer: connection ended: {error}"),
+        Error::Closed | Error::Replaced { .. } => {
+            tracing::debug!("peer: connection ended: {error}")
+        }
         error => tracing::info!("peer: connection ended: {error}"),
     }
 }
--- a/src/peer/error.rs
+++ b/src/peer/error.rs
@@ -44,8 +44,11 @@
     SameName,
     /// connection has no room for new names
     NamesExhausted,
-    /// a newer connection to the same peer took over
-    Replaced,
+    /// a newer connection to {name} took over
+    Replaced {
+        /// Name of the peer.
+        name: Arc<str>,
+    },
     /// address {address} is not IP:PORT
     Address {
         /// Address from the live list.
--- a/src/peer/heartbeat.rs
+++ b/src/peer/heartbeat.rs
@@ -71,7 +71,7 @@
         self.cover(name, kind, &mut heartbeat, now);
         self.loads.refresh(&self.kinds, &self.links);
         let link = self.links.get_mut(name).filter(|link| link.id == id);
-        let link = link.ok_or(Error::Replaced)?;
+        let link = link.ok_or_else(|| Error::Replaced { name: name.into() })?;
         if link.encoder.is_full() {
             return Err(Error::NamesExhausted);
         }
--- a/src/peer/state.rs
+++ b/src/peer/state.rs
@@ -154,7 +154,10 @@
             return Err(outdated(peer));
         }
         let link = self.links.get_mut(&peer.name);
-        let link = link.filter(|link| link.id == id).ok_or(Error::Replaced)?;
+        let link = link.filter(|link| link.id == id);
+        let link = link.ok_or_else(|| Error::Replaced {
+            name: peer.name.clone(),
+        })?;
         let served = link.receive(heartbeat)?;
         if !heartbeat.loads.is_empty() {
             self.loads.invalidate();
--- a/tests/peer_exchange.rs
+++ b/tests/peer_exchange.rs
@@ -5,9 +5,13 @@
 use lavenderwind::{
     log::records::{RequestClaim, UsageLine, UsageSlice, record::Body},
     peer::{Freshness, TargetLoad},
+    platform::{
+        LiveClient,
+        protocol::{LiveInstance, LiveState},
+    },
     standin::platform::PlatformFaults,
 };
-use peer_net::{Cut, Instance, Options, eventually, platform};
+use peer_net::{Cut, DEADLINE, Instance, Options, eventually, platform};
 
 fn claim(number: usize) -> Body {
     Body::RequestClaim(RequestClaim {
@@ -79,6 +83,7 @@
         incarnation: 1,
         log_url: format!("http://{}", cut.address),
         live_url: platform.url(),
+        seed_peers: Vec::new(),
         extra: "  platform_timeout_ms: 200",
     })
     .await;
@@ -199,3 +204,41 @@
     .await;
     assert!(b.ledger.read(|ledger| ledger.has_slice("a", 1, 1)));
 }
+
+/// An instance that cannot read the live list dials its seeds, while these
+/// dial it by the list: one of the two connections stays.
+#[tokio::test]
+async fn seed_without_list() {
+    let platform = platform(PlatformFaults {
+        live_ttl_ms: 60_000,
+        ..PlatformFaults::default()
+    })
+    .await;
+    let a = Instance::start("a", &platform).await;
+    let seed = Cut::start(a.peer_address).await;
+    let b = Instance::with(Options {
+        name: "b",
+        incarnation: 1,
+        log_url: platform.url(),
+        live_url: "http://127.0.0.1:9".into(),
+        seed_peers: vec![seed.address],
+        extra: "",
+    })
+    .await;
+    a.wait_connected(1).await;
+    let entry = LiveInstance {
+        name: "b".into(),
+        incarnation: 1,
+        failure_domain: "d-b".into(),
+        peer_address: b.peer_address.to_string().into(),
+        admin_address: "127.0.0.1:1".into(),
+        state: LiveState::Live,
+    };
+    let client = LiveClient::new(reqwest::Client::new(), &platform.url(), DEADLINE);
+    client.announce(&entry).await.unwrap();
+    eventually("listed", || a.handle.live().iter().any(|peer| peer.listed)).await;
+    let sent = a.handle.sent_frames().frames;
+    eventually("heartbeats", || a.handle.sent_frames().frames > sent + 60).await;
+    let dials = seed.accepted();
+    assert!(dials <= 2, "b dialed its seed {dials} times");
+}
--- a/tests/peer_net/mod.rs
+++ b/tests/peer_net/mod.rs
@@ -6,7 +6,10 @@
     future::Future,
     net::SocketAddr,
     path::Path,
-    sync::{Arc, atomic::AtomicBool, atomic::Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -63,6 +66,7 @@
 pub struct Cut {
     pub address: SocketAddr,
     cut: Arc<AtomicBool>,
+    accepted: Arc<AtomicUsize>,
     task: JoinHandle<()>,
 }
 
@@ -71,17 +75,35 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let cut = Arc::new(AtomicBool::new(false));
-        let task = tokio::spawn(Self::relay(listener, to, cut.clone()));
-        Self { address, cut, task }
+        let accepted = Arc::new(AtomicUsize::new(0));
+        let relay = Self::relay(listener, to, cut.clone(), accepted.clone());
+        let task = tokio::spawn(relay);
+        Self {
+            address,
+            cut,
+            accepted,
+            task,
+        }
+    }
+
+    /// Number of connections that were accepted so far.
+    pub fn accepted(&self) -> usize {
+        self.accepted.load(Ordering::SeqCst)
     }
 
     pub fn set(&self, cut: bool) {
         self.cut.store(cut, Ordering::SeqCst);
     }
 
-    async fn relay(listener: TcpListener, to: SocketAddr, cut: Arc<AtomicBool>) {
+    async fn relay(
+        listener: TcpListener,
+        to: SocketAddr,
+        cut: Arc<AtomicBool>,
+        accepted: Arc<AtomicUsize>,
+    ) {
         loop {
             let (mut inbound, _) = listener.accept().await.unwrap();
+            accepted.fetch_add(1, Ordering::SeqCst);
             let cut = cut.clone();
             if cut.load(Ordering::SeqCst) {
                 continue;
@@ -125,6 +147,7 @@
     pub incarnation: u64,
     pub log_url: String,
     pub live_url: String,
+    pub seed_peers: Vec<SocketAddr>,
     pub extra: &'a str,
 }
 
@@ -135,6 +158,7 @@
             incarnation: 1,
             log_url: platform.url(),
             live_url: platform.url(),
+            seed_peers: Vec::new(),
             extra: "",
         })
         .await
@@ -145,6 +169,7 @@
             name,
             log_url,
             live_url,
+            seed_peers,
             extra,
             incarnation,
         } = options;
@@ -165,7 +190,8 @@
 {extra}
 "
         );
-        let settings = Settings::parse(&text, Path::new("entry.yaml")).unwrap();
+        let mut settings = Settings::parse(&text, Path::new("entry.yaml")).unwrap();
+        settings.seed_peers = seed_peers;
         let ledger = LedgerHandle::new(Ledger::new());
         let stop = CancellationToken::new();
         let (live_sender, live_instances) = watch::channel(1);
