--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -74,7 +74,9 @@
         id: opened.id,
     };
     tokio::select! {
-        () = opened.closed.cancelled() => Err(Error::Replaced),
+        () = opened.closed.cancelled() => Err(Error::Replaced {
+            name: connection.peer.name.clone(),
+        }),
         outcome = connection.send_frames(&mut sink, queued) => outcome,
         outcome = connection.receive_frames(&mut source) => outcome,
     }
@@ -116,8 +118,7 @@
             self.shared.heartbeat,
             Instant::now(),
         );
-        let heartbeat = heartbeat.ok_or(Error::Replaced)?;
-        self.send(sink, Body::Heartbeat(heartbeat)).await
+        self.send(sink, Body::Heartbeat(heartbeat?)).await
     }
 
     async fn send(&self, sink: &mut FrameSink, body: Body) -> Result<()> {
--- a/src/peer/error.rs
+++ b/src/peer/error.rs
@@ -42,8 +42,13 @@
     },
     /// peer has the name of this instance
     SameName,
-    /// a newer connection to the same peer took over
-    Replaced,
+    /// connection has no room for new names
+    NamesExhausted,
+    /// a newer connection to {name} took over
+    Replaced {
+        /// Name of the peer.
+        name: Arc<str>,
+    },
     /// address {address} is not IP:PORT
     Address {
         /// Address from the live list.
