--- a/benches/policy_compare/main.rs
+++ b/benches/policy_compare/main.rs
@@ -38,5 +38,5 @@
     let mut figures: Vec<f64> = SEEDS.into_iter().map(run).collect();
     figures.sort_by(f64::total_cmp);
     let (low, median, high) = (figures[0], figures[2], figures[4]);
-    println!("  {name:<32} {median:8.3} {unit} ({low:.3} to {high:.3})");
+    println!("  {name:<36} {median:8.3} {unit} ({low:.3} to {high:.3})");
 }
--- a/benches/policy_compare/routing.rs
+++ b/benches/policy_compare/routing.rs
@@ -39,10 +39,21 @@
     LeastInFlight,
     ReportOnly,
     WithPeers,
-    WithShares,
+    MovedShares,
+    EvenShares,
     WithDeadlines,
 }
 
+/// A workload and how late reports are.
+#[derive(Clone, Copy, Debug)]
+struct Scenario {
+    /// Work relative to what the engines can do.
+    load: f64,
+    lag_ms: u64,
+    /// Part of the requests that enter by the first instance beyond its share.
+    skew: f64,
+}
+
 struct Instance {
     table: RouteTable,
     waiting: VecDeque<Job>,
@@ -53,13 +64,17 @@
 
 /// Runs one seed and returns the answers within both deadlines, as a part of
 /// all requests.
-fn goodput(policy: Policy, load: f64, lag_ms: u64, seed: u64) -> f64 {
+fn goodput(policy: Policy, scenario: Scenario, seed: u64) -> f64 {
+    let lag_ms = scenario.lag_ms;
     // The arrivals of a seed are the same for every policy.
     let mut arrivals = SmallRng::seed_from_u64(seed);
     let mut rng = SmallRng::seed_from_u64(!seed);
     let mut engines: Vec<Engine<(usize, Option<Choice>)>> =
         SPEEDS.into_iter().map(Engine::new).collect();
     let mut instances: Vec<Instance> = (0..INSTANCES).map(instance).collect();
+    if policy == Policy::EvenShares {
+        set_even_shares(&mut instances);
+    }
     let mut reports = VecDeque::new();
     let mut frames = VecDeque::new();
     let (mut arrived, mut good) = (0_u32, 0_u32);
@@ -98,7 +113,7 @@
         }
         if now_ms.is_multiple_of(FRAME_MS) && policy != Policy::ReportOnly {
             frames.push_back((now_ms, instances.iter().map(own_loads).collect::<Vec<_>>()));
-            if matches!(policy, Policy::WithShares | Policy::WithDeadlines) {
+            if matches!(policy, Policy::MovedShares | Policy::WithDeadlines) {
                 exchange_shares(&mut instances);
             }
         }
@@ -110,14 +125,14 @@
             }
         }
         while next_ms <= now_ms as f64 && now_ms < RUN_MS {
-            let job = arrival(now_ms, &mut arrivals);
+            let job = arrival(now_ms, scenario.skew, &mut arrivals);
             // Speeds add up to 126,000 tokens a second.
             let rate = if prompts(now_ms) {
                 126_000.0 / 1_660.0
             } else {
                 100.0
             };
-            next_ms += -uniform(&mut arrivals).ln() * 1_000.0 / (rate * load);
+            next_ms += -uniform(&mut arrivals).ln() * 1_000.0 / (rate * scenario.load);
             instances[job.instance].waiting.push_back(job);
             arrived += 1;
         }
@@ -149,8 +164,9 @@
     (now_ms / SWING_MS).is_multiple_of(2)
 }
 
-fn arrival(now_ms: u64, rng: &mut SmallRng) -> Job {
+fn arrival(now_ms: u64, skew: f64, rng: &mut SmallRng) -> Job {
     let spread = 0.5 + uniform(rng);
+    let any = rng.next_u64() as usize % INSTANCES;
     let (prompt, output) = if prompts(now_ms) {
         (1_600.0, 60.0)
     } else {
@@ -158,7 +174,7 @@
     };
     Job {
         arrived_ms: now_ms,
-        instance: rng.next_u64() as usize % INSTANCES,
+        instance: if uniform(rng) < skew { 0 } else { any },
         prompt_tokens: (prompt * spread) as u32,
         output_tokens: (output * (0.5 + uniform(rng))) as u32,
     }
@@ -193,6 +209,20 @@
     }
 }
 
+fn set_even_shares(instances: &mut [Instance]) {
+    for instance in instances {
+        for (index, speed) in SPEEDS.into_iter().enumerate() {
+            let name = engine_name(index);
+            let state = Engine::<()>::new(speed).state();
+            instance
+                .table
+                .observe_engine(&name, "engine", Availability::Live, &state, 0);
+            let share = state.total_blocks / INSTANCES as u32;
+            instance.table.set_share(&name, Some(share));
+        }
+    }
+}
+
 fn exchange_shares(instances: &mut [Instance]) {
     for index in 0..SPEEDS.len() {
         let mut quotas = Vec::new();
@@ -228,7 +258,7 @@
         let mut request = RouteRequest::new("engine")
             .model("quote", "1")
             .tokens(job.prompt_tokens, job.output_tokens);
-        if policy == Policy::WithDeadlines {
+        if matches!(policy, Policy::EvenShares | Policy::WithDeadlines) {
             let left_ms = job.arrived_ms + FIRST_TOKEN_MS - now_ms;
             request = request.deadlines(left_ms, BETWEEN_TOKENS_MS as u64);
         }
@@ -263,16 +293,18 @@
         ("least in flight, own view", Policy::LeastInFlight),
         ("predicted, lagged report only", Policy::ReportOnly),
         ("predicted, with peers' loads", Policy::WithPeers),
-        ("predicted, with block shares", Policy::WithShares),
-        ("predicted, shares and deadlines", Policy::WithDeadlines),
+        ("predicted, moved shares", Policy::MovedShares),
+        ("predicted, even shares, deadlines", Policy::EvenShares),
+        ("predicted, moved shares, deadlines", Policy::WithDeadlines),
     ];
     for load in [0.7, 0.9] {
-        for lag_ms in [100, 400] {
-            println!("routing: goodput at load {load}, reports {lag_ms} ms late");
+        for (lag_ms, skew) in [(100, 0.0), (400, 0.0), (400, 0.5)] {
+            println!(
+                "routing: goodput at load {load}, reports {lag_ms} ms late, {skew} by one instance"
+            );
+            let scenario = Scenario { load, lag_ms, skew };
             for (name, policy) in policies {
-                print_row(name, "of requests", |seed| {
-                    goodput(policy, load, lag_ms, seed)
-                });
+                print_row(name, "of requests", |seed| goodput(policy, scenario, seed));
             }
         }
     }
