Count a repeated report from when it was received

The scheduler took in every engine's last state whenever any target's row changed, as if it had just been received: the queue no longer decayed, and what was dispatched since the real report was taken as reported and dropped. With 13 targets that report in turn a dispatch was forgotten within a tick.

This touches src/entry/scheduler.rs, where the fault was.

--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -87,7 +87,7 @@
         let key = demand.queue_key();
         {
             let mut state = self.lock();
-            state.observe(&self.targets, now_ms);
+            state.observe(&self.targets, self.started_at, now_ms);
             let queue = state.queue(&key, &self.settings);
             queue.push(waiter, now_ms)?;
             state.pump(&key, now_ms);
@@ -100,7 +100,7 @@
     pub(super) fn tick(&self) {
         let now_ms = self.now_ms();
         let mut state = self.lock();
-        state.observe(&self.targets, now_ms);
+        state.observe(&self.targets, self.started_at, now_ms);
         for index in 0..state.queues.len() {
             let Some((key, _)) = state.queues.get_index(index) else {
                 continue;
@@ -180,7 +180,7 @@
     }
 
     /// Takes in the target table where it has changed.
-    fn observe(&mut self, targets: &TargetTable, now_ms: u64) {
+    fn observe(&mut self, targets: &TargetTable, started_at: Instant, now_ms: u64) {
         let snapshot = targets.snapshot();
         if Arc::ptr_eq(&snapshot, &self.snapshot) {
             return;
@@ -190,8 +190,12 @@
             match &view.engine {
                 Some(engine) => {
                     let (name, kind) = (&view.name, &view.kind);
+                    // Another target's report may have changed the table: this
+                    // one counts from when it was received.
+                    let received_at = view.reported_at.saturating_duration_since(started_at);
+                    let received_at_ms = received_at.as_millis() as u64;
                     self.routes
-                        .observe_engine(name, kind, availability, engine, now_ms);
+                        .observe_engine(name, kind, availability, engine, received_at_ms);
                 }
                 None => self
                     .routes
--- a/src/policy/routing/table.rs
+++ b/src/policy/routing/table.rs
@@ -102,24 +102,27 @@
         }
     }
 
-    /// Takes in an engine's state that was received at `now_ms`.
+    /// Takes in an engine's state that was received at `received_at_ms`.
+    ///
+    /// A state may be taken in again, with the instant at which it was
+    /// received: what was sent since still counts.
     pub fn observe_engine(
         &mut self,
         name: &str,
         kind: &str,
         availability: Availability,
         state: &EngineState,
-        now_ms: u64,
+        received_at_ms: u64,
     ) {
         let availability = match availability {
             Availability::Live if state.changing => Availability::Changing,
             other => other,
         };
         let role = TargetRole::from(state.role);
-        let index = self.observe(name, kind, role, availability, now_ms);
+        let index = self.observe(name, kind, role, availability, received_at_ms);
         self.prefixes.observe_boot(name, &state.boot);
         let target = &mut self.targets[index];
-        target.load.observe_report(state, now_ms);
+        target.load.observe_report(state, received_at_ms);
         if target.models != state.models {
             target.models.clone_from(&state.models);
             self.rebuild_groups();
--- a/tests/routing_choice.rs
+++ b/tests/routing_choice.rs
@@ -199,6 +199,21 @@
     assert_eq!(load.free_blocks(), 2_000 - 60);
 }
 
+#[test]
+fn repeated_report_hides_nothing() {
+    let mut table = table();
+    let mut busy = state();
+    busy.waiting_prefill_tokens = 4_000;
+    table.observe_engine("a", "engine", Availability::Live, &busy, 1_000);
+    let choice = table.choose(&request(), 1_100, &mut rng()).unwrap();
+    table.dispatched(&choice, &[], 1_100);
+    table.observe_engine("a", "engine", Availability::Live, &busy, 1_000);
+    let load = table.target("a").unwrap().load();
+    // 4,000 tokens less 200 ms of prefill, and 800 sent since the report.
+    assert_eq!(load.queued_tokens(1_200), 3_200.0);
+    assert_eq!(load.free_blocks(), 2_000 - 60);
+}
+
 #[test]
 fn cached_prefix_wins() {
     let mut table = table();
