Estimate a share from what peers have in flight

Moved shares need a report to each peer and target in every frame. An instance that divides a target's blocks by what its peers are known to use needs none.

--- a/benches/policy_compare/routing.rs
+++ b/benches/policy_compare/routing.rs
@@ -7,7 +7,7 @@
     baseline::{RoundRobin, least_in_flight},
     load::InFlight,
     routing::{Availability, Choice, RouteRequest, RouteSettings, RouteTable},
-    share::SharedQuota,
+    share::{KnownUse, SharedQuota, estimate_share},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -31,6 +31,8 @@
 const FIRST_TOKEN_MS: u64 = 570;
 const BETWEEN_TOKENS_MS: f64 = 44.0;
 const QUEUE_MS: u64 = 500;
+/// Blocks for a burst of a request or two beside what is known.
+const BURST_BLOCKS: u64 = 120;
 
 /// What the instances go by.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -41,6 +43,7 @@
     WithPeers,
     MovedShares,
     EvenShares,
+    EstimatedShares,
     WithDeadlines,
 }
 
@@ -121,7 +124,7 @@
             frames.pop_front_if(|(at_ms, _)| *at_ms + FRAME_DELAY_MS <= now_ms)
         {
             for (index, instance) in instances.iter_mut().enumerate() {
-                observe_peers(instance, index, &loads, now_ms);
+                observe_peers(policy, instance, index, &loads, now_ms);
             }
         }
         while next_ms <= now_ms as f64 && now_ms < RUN_MS {
@@ -193,7 +196,14 @@
     loads
 }
 
-fn observe_peers(instance: &mut Instance, own: usize, loads: &[Vec<InFlight>], now_ms: u64) {
+fn observe_peers(
+    policy: Policy,
+    instance: &mut Instance,
+    own: usize,
+    loads: &[Vec<InFlight>],
+    now_ms: u64,
+) {
+    let queued: u32 = instance.waiting.iter().map(|job| job.demand().blocks).sum();
     for index in 0..SPEEDS.len() {
         let mut sum = InFlight::default();
         for (peer, load) in loads.iter().enumerate() {
@@ -203,9 +213,22 @@
                 sum.blocks += load[index].blocks;
             }
         }
-        if let Some(load) = instance.table.load_mut(&engine_name(index)) {
-            load.observe_peers(sum, now_ms);
+        let name = engine_name(index);
+        let Some(load) = instance.table.load_mut(&name) else {
+            continue;
+        };
+        load.observe_peers(sum, now_ms);
+        if policy != Policy::EstimatedShares {
+            continue;
         }
+        let known = KnownUse {
+            own_demand: u64::from(load.own().blocks + queued),
+            peers_in_use: sum.blocks.into(),
+            instances: INSTANCES as u32,
+            burst: BURST_BLOCKS,
+        };
+        let share = estimate_share(load.total_blocks().into(), &known);
+        instance.table.set_share(&name, Some(share as u32));
     }
 }
 
@@ -231,8 +254,8 @@
             let target = instance.table.target(&engine_name(index));
             let own = target.map_or(0, |target| target.load().own().blocks);
             let quota = &mut instance.quotas[index];
-            // Room for a burst of a few requests beside what is known.
-            quota.set_demand(u64::from(own + queued + 120), own.into());
+            let demand = u64::from(own + queued) + BURST_BLOCKS;
+            quota.set_demand(demand, own.into());
             quotas.push(quota);
         }
         exchange(&mut quotas);
@@ -258,7 +281,10 @@
         let mut request = RouteRequest::new("engine")
             .model("quote", "1")
             .tokens(job.prompt_tokens, job.output_tokens);
-        if matches!(policy, Policy::EvenShares | Policy::WithDeadlines) {
+        if matches!(
+            policy,
+            Policy::EvenShares | Policy::EstimatedShares | Policy::WithDeadlines
+        ) {
             let left_ms = job.arrived_ms + FIRST_TOKEN_MS - now_ms;
             request = request.deadlines(left_ms, BETWEEN_TOKENS_MS as u64);
         }
@@ -295,6 +321,7 @@
         ("predicted, with peers' loads", Policy::WithPeers),
         ("predicted, moved shares", Policy::MovedShares),
         ("predicted, even shares, deadlines", Policy::EvenShares),
+        ("predicted, estimated, deadlines", Policy::EstimatedShares),
         ("predicted, moved shares, deadlines", Policy::WithDeadlines),
     ];
     for load in [0.7, 0.9] {
--- a/src/policy/share/divide.rs
+++ b/src/policy/share/divide.rs
@@ -41,6 +41,40 @@
     parts
 }
 
+/// What one instance knows of the use of a common total.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KnownUse {
+    /// What this instance uses and could use now.
+    pub own_demand: u64,
+    /// What all peers together use.
+    pub peers_in_use: u64,
+    /// Live instances, this one included.
+    pub instances: u32,
+    /// What any instance may take up beyond what is known of it.
+    pub burst: u64,
+}
+
+/// Estimates this instance's part of a total from what peers use, for where
+/// parts are not exchanged (see [`super::SharedQuota`]).
+///
+/// The parts of all instances add up to the total only as far as they know the
+/// same; a part is never below an even one that the instance could use.
+#[must_use]
+pub fn estimate_share(total: u64, known: &KnownUse) -> u64 {
+    let peers = u64::from(known.instances.max(1)) - 1;
+    let mut claimants = vec![Claimant {
+        weight: 1,
+        demand: known.own_demand.saturating_add(known.burst),
+    }];
+    for _ in 0..peers {
+        claimants.push(Claimant {
+            weight: 1,
+            demand: (known.peers_in_use / peers).saturating_add(known.burst),
+        });
+    }
+    divide(total, &claimants)[0]
+}
+
 /// Returns what one instance should demand of `total`, so that every account
 /// gets its weighted max-min part of the whole, by whichever instances its
 /// requests enter.
--- a/src/policy/share/mod.rs
+++ b/src/policy/share/mod.rs
@@ -7,5 +7,5 @@
 mod divide;
 mod quota;
 
-pub use divide::{AccountDemand, Claimant, divide, fair_demand};
+pub use divide::{AccountDemand, Claimant, KnownUse, divide, estimate_share, fair_demand};
 pub use quota::{ShareReport, SharedQuota};
--- a/tests/shared_limits.rs
+++ b/tests/shared_limits.rs
@@ -9,7 +9,10 @@
 use indexmap::IndexMap;
 use lavenderwind::policy::{
     limits::{AccountLimiter, AccountLimits, LimitError},
-    share::{AccountDemand, Claimant, ShareReport, SharedQuota, divide, fair_demand},
+    share::{
+        AccountDemand, Claimant, KnownUse, ShareReport, SharedQuota, divide, estimate_share,
+        fair_demand,
+    },
 };
 
 const SEEDS: [u64; 8] = [
@@ -245,6 +248,27 @@
     }
 }
 
+#[test]
+fn estimated_share_cases() {
+    let cases = [
+        // Own demand, peers' use, instances, burst: share of 2,000.
+        (1_500, 0, 8, 100, 1_300),
+        (5_000, 14_000, 8, 100, 250),
+        (0, 14_000, 8, 100, 100),
+        (0, 0, 8, 100, 250),
+        (10, 0, 1, 100, 2_000),
+    ];
+    for (own_demand, peers_in_use, instances, burst, share) in cases {
+        let known = KnownUse {
+            own_demand,
+            peers_in_use,
+            instances,
+            burst,
+        };
+        assert_eq!(estimate_share(2_000, &known), share, "{known:?}");
+    }
+}
+
 #[test]
 fn flood_gains_no_share() {
     let flood = |own| AccountDemand {
