load: report each account within each phase

Fairness while one account floods is a matter of that phase and of the other accounts; the totals mix both. The JSON report now has the counts and the share of good answers by phase and account.

--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -26,7 +26,7 @@
 pub use self::{
     client::{Ending, Sample, ToldOutcome},
     plan::{LoadAccount, LoadPlan, Phase, PlainCall, PlanError},
-    report::{Counts, LoadReport, Quantiles, Summary},
+    report::{Counts, LoadReport, PhaseAccount, Quantiles, Summary},
     schedule::{Arrival, arrivals},
 };
 use crate::target::http_client;
@@ -52,6 +52,8 @@
     total: Tally,
     accounts: Vec<Tally>,
     phases: Vec<Tally>,
+    /// By phase, then by account.
+    phase_accounts: Vec<Vec<Counts>>,
 }
 
 /// Runs a plan and reports what was measured.
@@ -109,11 +111,17 @@
             total: Tally::new(),
             accounts: plan.accounts.iter().map(|_| Tally::new()).collect(),
             phases: plan.phases.iter().map(|_| Tally::new()).collect(),
+            phase_accounts: vec![vec![Counts::default(); plan.accounts.len()]; plan.phases.len()],
         }
     }
 
     async fn collect(mut self, mut finished: mpsc::UnboundedReceiver<Finished>) -> Self {
         while let Some((arrival, sample)) = finished.recv().await {
+            let counts = &mut self.phase_accounts[arrival.phase][arrival.account];
+            match &sample {
+                Some(sample) => counts.record(sample, self.first_token_limit),
+                None => counts.hold_back(),
+            }
             let tallies = [
                 &mut self.total,
                 &mut self.accounts[arrival.account],
@@ -156,6 +164,22 @@
             total,
             accounts,
             phases,
+            phase_accounts: self.phase_accounts(plan),
+        }
+    }
+
+    fn phase_accounts(&self, plan: &LoadPlan) -> Vec<PhaseAccount> {
+        let mut all = Vec::new();
+        for (phase, accounts) in self.phase_accounts.iter().enumerate() {
+            for (account, counts) in plan.accounts.iter().zip(accounts) {
+                all.push(PhaseAccount {
+                    phase: phase + 1,
+                    account: Arc::clone(&account.name),
+                    counts: *counts,
+                    good_share: counts.good_share(),
+                });
+            }
         }
+        all
     }
 }
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -81,6 +81,19 @@
     pub between_tokens: Quantiles,
 }
 
+/// Requests of an account within a phase.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct PhaseAccount {
+    /// Number of the phase, from 1.
+    pub phase: usize,
+    /// Account.
+    pub account: Arc<str>,
+    /// Requests by their ending.
+    pub counts: Counts,
+    /// Share of good answers in all arrivals.
+    pub good_share: f64,
+}
+
 /// Result of a run.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct LoadReport {
@@ -106,6 +119,44 @@
     pub accounts: Vec<Summary>,
     /// By phase.
     pub phases: Vec<Summary>,
+    /// By account within each phase.
+    pub phase_accounts: Vec<PhaseAccount>,
+}
+
+impl Counts {
+    pub(super) fn hold_back(&mut self) {
+        self.held_back += 1;
+    }
+
+    pub(super) fn record(&mut self, sample: &Sample, first_token_limit: Duration) {
+        self.sent += 1;
+        self.tokens += sample.tokens;
+        match sample.ending {
+            Ending::Good => {
+                self.good += 1;
+                self.good_tokens += sample.tokens;
+            }
+            Ending::Late => self.late += 1,
+            Ending::Refused => {
+                self.refused += 1;
+                self.refused_late += u64::from(sample.total > first_token_limit);
+            }
+            Ending::Failed => self.failed += 1,
+            Ending::Wrong => self.wrong += 1,
+        }
+        match sample.told {
+            ToldOutcome::None => {}
+            ToldOutcome::NotRun => self.told_not_run += 1,
+            ToldOutcome::Ran => self.told_ran += 1,
+            ToldOutcome::Unknown => self.told_unknown += 1,
+        }
+    }
+
+    /// Returns the share of good answers in all arrivals.
+    pub fn good_share(&self) -> f64 {
+        let arrivals = self.sent + self.held_back;
+        self.good as f64 / arrivals.max(1) as f64
+    }
 }
 
 impl Tally {
@@ -119,32 +170,11 @@
     }
 
     pub(super) fn hold_back(&mut self) {
-        self.counts.held_back += 1;
+        self.counts.hold_back();
     }
 
     pub(super) fn record(&mut self, sample: &Sample, first_token_limit: Duration) {
-        let counts = &mut self.counts;
-        counts.sent += 1;
-        counts.tokens += sample.tokens;
-        match sample.ending {
-            Ending::Good => {
-                counts.good += 1;
-                counts.good_tokens += sample.tokens;
-            }
-            Ending::Late => counts.late += 1,
-            Ending::Refused => {
-                counts.refused += 1;
-                counts.refused_late += u64::from(sample.total > first_token_limit);
-            }
-            Ending::Failed => counts.failed += 1,
-            Ending::Wrong => counts.wrong += 1,
-        }
-        match sample.told {
-            ToldOutcome::None => {}
-            ToldOutcome::NotRun => counts.told_not_run += 1,
-            ToldOutcome::Ran => counts.told_ran += 1,
-            ToldOutcome::Unknown => counts.told_unknown += 1,
-        }
+        self.counts.record(sample, first_token_limit);
         if let Some(first_token) = sample.first_token {
             record_us(&mut self.first_token_us, first_token);
         }
@@ -157,11 +187,10 @@
     }
 
     pub(super) fn summary(&self, name: Arc<str>) -> Summary {
-        let arrivals = self.counts.sent + self.counts.held_back;
         Summary {
             name,
             counts: self.counts,
-            good_share: self.counts.good as f64 / arrivals.max(1) as f64,
+            good_share: self.counts.good_share(),
             first_token: quantiles(&self.first_token_us),
             first_token_from_send: quantiles(&self.from_send_us),
             between_tokens: quantiles(&self.gap_us),
--- a/tests/load_run.rs
+++ b/tests/load_run.rs
@@ -185,6 +185,10 @@
     assert!(report.total.first_token.p50_ms > 0.0);
     assert!(report.total.between_tokens.p95_ms > 0.0);
     assert!(report.to_table().contains("stranger"));
+    let by_phase: u64 = report.phase_accounts.iter().map(|a| a.counts.good).sum();
+    assert_eq!(by_phase, total.good);
+    assert_eq!(&*report.phase_accounts[2].account, "stranger");
+    assert_eq!(report.phase_accounts[2].counts.refused, strangers);
 }
 
 #[tokio::test]
