--- a/examples/start.sh
+++ b/examples/start.sh
@@ -30,8 +30,10 @@
 	trap - EXIT INT TERM
 	echo "stopping; logs stay in $logs"
 	# Instances end first, so that they can flush their usage.
-	kill -TERM "${entries[@]}" 2>/dev/null || true
-	wait "${entries[@]}" 2>/dev/null || true
+	if ((${#entries[@]})); then
+		kill -TERM "${entries[@]}" 2>/dev/null || true
+		wait "${entries[@]}" 2>/dev/null || true
+	fi
 	kill -TERM "${pids[@]}" 2>/dev/null || true
 	wait 2>/dev/null || true
 }
@@ -60,6 +62,14 @@
 }
 
 start platform standin platform --listen 127.0.0.1:$port
+# The address may belong to another deployment, which must not be touched.
+until grep -q ready "$logs/platform.out"; do
+	if ! kill -0 "${pids[0]}" 2>/dev/null; then
+		cat "$logs/platform.log" >&2
+		exit 1
+	fi
+	sleep 0.1
+done
 wait_ready "$binary" service list
 for index in 0 1 2 3 4 5 6 7 8; do
 	start "$engine-$index" standin engine --platform "$LAVENDERWIND_PLATFORM" \
--- a/tests/load_run.rs
+++ b/tests/load_run.rs
@@ -7,12 +7,14 @@
 use entry_support::{MILL_KEY, MODEL, MemoryLog, PRESS_KEY, Targets, document, start_entry};
 use lavenderwind::{
     load::{LoadPlan, arrivals, run},
+    service::Document,
     standin::{
         engine::EngineFaults,
         loopback,
         plain::{PlainFaults, PlainService},
     },
 };
+use sha2::{Digest, Sha256};
 use tokio::time::timeout;
 
 /// Deadline against hanging.
@@ -212,3 +214,25 @@
     assert_eq!(report.total.counts.failed, 5, "{:?}", report.total.counts);
     assert_eq!(report.worst_good_share, 0.0);
 }
+
+#[test]
+fn example_plans() {
+    for (plan, document) in [
+        ("load-association.yaml", "association/advice.yaml"),
+        ("load-sanobato.yaml", "sanobato/quotes.yaml"),
+    ] {
+        let examples = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("examples");
+        let text = std::fs::read_to_string(examples.join(plan)).expect(plan);
+        let plan = LoadPlan::parse(&text).expect(plan);
+        let document = std::fs::read_to_string(examples.join(document)).expect(document);
+        let document: Document = serde_yaml_ng::from_str(&document).expect("a document");
+        assert!(document.models.iter().any(|model| model.name == plan.model));
+        let named = plan.accounts.iter().map(|account| &account.name);
+        assert!(named.eq(document.accounts.iter().map(|account| &account.name)));
+        for (account, known) in plan.accounts.iter().zip(&document.accounts) {
+            let digest = hex::encode(Sha256::digest(account.key.as_bytes()));
+            assert!(known.keys.iter().any(|key| *key.sha256 == *digest));
+        }
+        assert_eq!(plan.urls.len(), 8);
+    }
+}
