Hand sampling to engines; let answers teach the router

Temperature, top_p, penalties and seed were checked and dropped, since the engines' interface had no place for them; it has one now. The router gets the deadlines of the route, and learns from whole answers: time between tokens, cached prompt tokens, and the time of plain answers. A caller that takes nothing for 30 s is cut off. Metrics: time to the first token, retries, queued requests.

New tests: a stalled stream is resumed elsewhere, and a completion on a non-repeatable route is recorded, replayed, and unknown once it was cut.

--- a/src/entry/acceptor.rs
+++ b/src/entry/acceptor.rs
@@ -11,6 +11,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+/// Longest wait for a caller to take what is written to it.
+const WRITE_STALL: Duration = Duration::from_secs(30);
+
 /// Accepts connections until it is told to close its listener.
 #[derive(Debug)]
 pub(super) struct EntryAcceptor {
@@ -59,7 +62,9 @@
         let acceptor = Self {
             listener: Some(listener),
             holdings: vec![holding],
-            fuse: FuseConfig::default().with_http1_header_timeout(read),
+            fuse: FuseConfig::default()
+                .with_http1_header_timeout(read)
+                .with_write_stall_timeout(WRITE_STALL),
             closing: handle.closing.clone(),
             closed: handle.closed.clone(),
         };
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use displaydoc::Display;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::{
     entry::{
@@ -11,7 +11,7 @@
         context::EntryContext,
         error::Result,
         generation::Finish,
-        permit::{Demand, Permit},
+        permit::{Demand, Measured, Permit},
         suspect::SuspectGuard,
     },
     log::records::{CrashSuspect, record::Body},
@@ -110,6 +110,8 @@
     /// Engine that works on the request now.
     engine: TargetView,
     stream: Option<EventStream>,
+    first_token_at: Option<Instant>,
+    tokens: u32,
     _guard: Option<SuspectGuard>,
 }
 
@@ -156,6 +158,8 @@
                 permit,
                 engine,
                 stream: None,
+                first_token_at: None,
+                tokens: 0,
                 _guard: guard,
             });
         }
@@ -252,7 +256,11 @@
                 self.boot = Some(boot);
                 Ok(Event::Accepted)
             }
-            Some(GenerateEvent::Token { index, text }) => Ok(Event::Token { index, text }),
+            Some(GenerateEvent::Token { index, text }) => {
+                self.tokens += 1;
+                self.first_token_at.get_or_insert_with(Instant::now);
+                Ok(Event::Token { index, text })
+            }
             Some(GenerateEvent::Done {
                 finish_reason,
                 prompt_tokens,
@@ -277,10 +285,22 @@
     pub(super) fn succeed(mut self, context: &EntryContext, call: &Call, finish: Finish) {
         self.permit
             .set_served(finish.prompt_tokens, finish.output_tokens);
+        self.permit.set_measured(Measured {
+            between_tokens_ms: self.between_tokens_ms(),
+            cached_tokens: Some(finish.cached_tokens),
+            latency_ms: None,
+        });
         context.targets().mark_success(&self.engine.name);
         context.suspects().clear(call);
     }
 
+    /// Mean time between this attempt's tokens.
+    fn between_tokens_ms(&self) -> Option<f64> {
+        let elapsed = self.first_token_at?.elapsed();
+        let gaps = self.tokens.checked_sub(1).filter(|gaps| *gaps > 0)?;
+        Some(elapsed.as_secs_f64() * 1_000.0 / f64::from(gaps))
+    }
+
     /// Cancels the attempt on the engine.
     pub(super) fn cancel(self, context: &EntryContext, call: &Call) {
         let engine = context.engine().clone();
--- a/src/entry/burn.rs
+++ b/src/entry/burn.rs
@@ -65,6 +65,7 @@
         self.lock().values().cloned().collect()
     }
 
+    /// Counts a request's result.
     pub(super) fn record(&self, account: &AccountEntry, result: RequestResult) {
         metrics::counter!(
             "entry_requests_total",
--- a/src/entry/complete.rs
+++ b/src/entry/complete.rs
@@ -129,7 +129,11 @@
     }
 
     fn record_end(&mut self) {
-        let good = self.generation.pace().is_good(&self.call.entry.route);
+        let pace = self.generation.pace();
+        if let Some(first_token) = pace.first_token() {
+            metrics::histogram!("entry_first_token_seconds").record(first_token);
+        }
+        let good = pace.is_good(&self.call.entry.route);
         self.record(if good {
             RequestResult::Good
         } else {
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -270,6 +270,7 @@
     /// Takes another attempt out of the retry budget, if there is one left.
     pub(super) fn allow_retry(&self) -> bool {
         let allowed = self.retries().withdraw();
+        metrics::counter!("entry_retries_total").increment(u64::from(allowed));
         if !allowed {
             tracing::warn!("entry: retry budget is used up");
         }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -12,6 +12,7 @@
 /// in what they have in flight and have served.
 pub(super) fn exchange(context: &EntryContext) {
     let peers = context.peers();
+    metrics::gauge!("entry_queued_requests").set(context.queued() as f64);
     for view in context.targets().snapshot().iter() {
         exchange_load(context, peers, &view.name);
     }
--- a/src/entry/fields.rs
+++ b/src/entry/fields.rs
@@ -79,14 +79,14 @@
         Ok(Some(number))
     }
 
-    /// Checks that a field, if present, is a number within a range.
-    pub(super) fn check_number(
+    /// Returns a number within a range.
+    pub(super) fn number(
         &self,
         param: &'static str,
         range: RangeInclusive<f64>,
-    ) -> Result<()> {
+    ) -> Result<Option<f64>> {
         let Some(value) = self.get(param) else {
-            return Ok(());
+            return Ok(None);
         };
         let Some(number) = value.as_f64() else {
             return Err(wrong_type(param, "a number", value));
@@ -95,7 +95,7 @@
             let reason = format!("must be from {} to {}", range.start(), range.end());
             return Err(invalid(param, reason));
         }
-        Ok(())
+        Ok(Some(number))
     }
 
     /// Refuses a field unless it is absent, false, or empty.
--- a/src/entry/generation.rs
+++ b/src/entry/generation.rs
@@ -109,6 +109,7 @@
             output_tokens: request.max_tokens,
             prefix_blocks: block_hashes(&request.prompt),
             deadline: Some(call.first_token_deadline()),
+            between_tokens_ms: route.between_tokens_ms,
         };
         let request = GenerateRequest {
             request_id: Arc::clone(&call.id),
@@ -122,6 +123,7 @@
             priority: 0,
             prefix_blocks: demand.prefix_blocks.clone(),
             prefill_only: false,
+            sampling: request.sampling,
         };
         Self {
             context: context.clone(),
--- a/src/entry/openai.rs
+++ b/src/entry/openai.rs
@@ -4,9 +4,12 @@
 
 use serde_json::Value;
 
-use crate::entry::{
-    error::Result,
-    fields::{Fields, invalid, wrong_type},
+use crate::{
+    entry::{
+        error::Result,
+        fields::{Fields, invalid, wrong_type},
+    },
+    target::protocol::Sampling,
 };
 
 /// Most tokens that a caller may ask for.
@@ -54,6 +57,8 @@
     pub(super) max_tokens: u32,
     /// Texts at which the answer ends.
     pub(super) stop: Vec<String>,
+    /// How tokens are drawn.
+    pub(super) sampling: Sampling,
     /// Whether tokens are sent as they are generated.
     pub(super) stream: bool,
     /// Whether the stream ends with a usage chunk.
@@ -75,7 +80,7 @@
             Interface::Text => text_prompt(fields.take("prompt"))?,
         };
         let stream = fields.boolean("stream")?;
-        check_sampling(&fields)?;
+        fields.check_string("user")?;
         check_unsupported(&fields)?;
         Ok(Self {
             interface,
@@ -83,6 +88,7 @@
             prompt: Arc::from(prompt),
             max_tokens: max_tokens(&fields, interface)?,
             stop: stop_sequences(&fields)?,
+            sampling: sampling(&fields)?,
             stream,
             include_usage: include_usage(&fields, stream)?,
         })
@@ -105,13 +111,14 @@
     Ok(given.unwrap_or(default))
 }
 
-fn check_sampling(fields: &Fields) -> Result<()> {
-    fields.check_number("temperature", 0.0..=2.0)?;
-    fields.check_number("top_p", 0.0..=1.0)?;
-    fields.check_number("presence_penalty", -2.0..=2.0)?;
-    fields.check_number("frequency_penalty", -2.0..=2.0)?;
-    fields.integer("seed", i64::MIN..=i64::MAX)?;
-    fields.check_string("user")
+fn sampling(fields: &Fields) -> Result<Sampling> {
+    Ok(Sampling {
+        temperature: fields.number("temperature", 0.0..=2.0)?,
+        top_p: fields.number("top_p", 0.0..=1.0)?,
+        presence_penalty: fields.number("presence_penalty", -2.0..=2.0)?,
+        frequency_penalty: fields.number("frequency_penalty", -2.0..=2.0)?,
+        seed: fields.integer("seed", i64::MIN..=i64::MAX)?,
+    })
 }
 
 fn check_unsupported(fields: &Fields) -> Result<()> {
--- a/src/entry/permit.rs
+++ b/src/entry/permit.rs
@@ -39,6 +39,9 @@
     pub(super) prefix_blocks: Vec<u64>,
     /// Instant by which the answer must begin.
     pub(super) deadline: Option<Instant>,
+    /// Time between tokens that the target must keep, in milliseconds; 0 for
+    /// a plain service.
+    pub(super) between_tokens_ms: u64,
 }
 
 /// A place on a target; given back when dropped.
@@ -54,6 +57,18 @@
     account: Arc<str>,
     charged_tokens: u64,
     served_tokens: u64,
+    measured: Measured,
+}
+
+/// What an answer showed of its target.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Measured {
+    /// Mean time between tokens, in milliseconds.
+    pub(super) between_tokens_ms: Option<f64>,
+    /// Prompt tokens found in the cache.
+    pub(super) cached_tokens: Option<u32>,
+    /// Time to a plain answer, in milliseconds.
+    pub(super) latency_ms: Option<f64>,
 }
 
 /// What a permit gives back.
@@ -69,6 +84,8 @@
     pub(super) charged_tokens: u64,
     /// Tokens that the account was served.
     pub(super) served_tokens: u64,
+    /// What the answer showed of the target.
+    pub(super) measured: Measured,
 }
 
 impl Demand {
@@ -80,15 +97,19 @@
         }
     }
 
-    /// Returns the request for the router.
-    pub(super) fn route_request<'a>(&'a self, excluded: &'a [Arc<str>]) -> RouteRequest<'a> {
-        RouteRequest::new(&self.kind)
+    /// Returns the request for the router, with the time left until the answer
+    /// must begin.
+    pub(super) fn route_request(&self, left_ms: u64) -> RouteRequest<'_> {
+        let request = RouteRequest::new(&self.kind)
             .model(&self.model, &self.version)
             .adapter(&self.adapter)
             .tokens(self.prompt_tokens, self.output_tokens)
             .prefix_blocks(&self.prefix_blocks)
-            .home_key(self.prefix_blocks.first().copied().unwrap_or(0))
-            .excluded(excluded)
+            .home_key(self.prefix_blocks.first().copied().unwrap_or(0));
+        if self.between_tokens_ms == 0 {
+            return request;
+        }
+        request.deadlines(left_ms, self.between_tokens_ms)
     }
 
     /// Returns the cost of the request in the fair queue.
@@ -109,6 +130,7 @@
             account: Arc::clone(&demand.account),
             charged_tokens: grant.charged_tokens,
             served_tokens: grant.charged_tokens,
+            measured: Measured::default(),
         }
     }
 
@@ -117,6 +139,11 @@
         self.served_tokens = cost_tokens(prompt_tokens.into(), output_tokens.into());
     }
 
+    /// Sets what the answer showed of the target.
+    pub(super) fn set_measured(&mut self, measured: Measured) {
+        self.measured = measured;
+    }
+
     /// Whether all its targets may still get new work.
     pub(super) fn is_usable(&self) -> bool {
         let prefill = self.prefill.iter().map(|target| &target.name);
@@ -141,6 +168,7 @@
             account: &self.account,
             charged_tokens: self.charged_tokens,
             served_tokens: self.served_tokens,
+            measured: self.measured,
         });
     }
 }
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use salvo::http::{HeaderMap, Method, StatusCode, header::CONTENT_LENGTH};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::{
     entry::{
@@ -12,7 +12,7 @@
         complete::result_of,
         context::EntryContext,
         error::{Error, Outcome, Result},
-        permit::{Demand, Permit},
+        permit::{Demand, Measured, Permit},
         reply::Reply,
     },
     target::{self, PlainRequest},
@@ -50,6 +50,7 @@
 ) -> Result<Reply> {
     let result = attempt_all(context, call, plain).await;
     let first_byte_ms = call.received_at.elapsed().as_millis() as u64;
+    metrics::histogram!("entry_plain_seconds").record(call.received_at.elapsed());
     let result_kind = match &result {
         Ok(_) if first_byte_ms <= call.entry.route.first_token_ms => RequestResult::Good,
         Ok(_) => RequestResult::Late,
@@ -74,11 +75,18 @@
     let mut written = false;
     loop {
         let placed = place(context, call, &demand, &failed).await;
-        let permit = placed.map_err(|error| after_earlier(written, error))?;
+        let mut permit = placed.map_err(|error| after_earlier(written, error))?;
         let name = Arc::clone(&permit.target.name);
         attempts += 1;
+        let sent_at = Instant::now();
         let error = match attempt(context, call, plain, &permit).await {
-            Ok(reply) => return Ok(reply),
+            Ok(reply) => {
+                permit.set_measured(Measured {
+                    latency_ms: Some(sent_at.elapsed().as_secs_f64() * 1_000.0),
+                    ..Measured::default()
+                });
+                return Ok(reply);
+            }
             Err(error) => error,
         };
         tracing::warn!(
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -11,7 +11,7 @@
 use crate::{
     entry::{
         error::{Error, Result},
-        permit::{Demand, Permit, Returned},
+        permit::{Demand, Measured, Permit, Returned},
         waiting::{Grant, Queue, QueueKey, Waiter},
     },
     platform::protocol::TargetState,
@@ -145,6 +145,7 @@
     pub(super) fn release(&self, returned: &Returned<'_>) {
         let now_ms = self.now_ms();
         let mut state = self.lock();
+        learn(&mut state.routes, returned.choice, &returned.measured);
         state.routes.finished(returned.choice, now_ms);
         if let Some(queue) = state.queues.get_mut(returned.queue) {
             let (charged, served) = (returned.charged_tokens, returned.served_tokens);
@@ -200,8 +201,7 @@
     /// Assigns queued requests for as long as there is room.
     fn pump(&mut self, key: &QueueKey, now_ms: u64) {
         while let Some(popped) = self.take_next(key, now_ms) {
-            let waiter = &popped.item;
-            match choose(&self.routes, &waiter.demand, &waiter.excluded, now_ms) {
+            match choose(&self.routes, &popped.item, now_ms) {
                 Ok(choice) => {
                     if let Some(popped) = self.grant(popped, choice, now_ms) {
                         self.put_back(key, popped);
@@ -266,19 +266,37 @@
 /// Chooses a target, if need be one that was tried before.
 fn choose(
     routes: &RouteTable,
-    demand: &Demand,
-    excluded: &[Arc<str>],
+    waiter: &Waiter,
     now_ms: u64,
 ) -> std::result::Result<Choice, RouteError> {
     let mut rng = rand::rng();
-    match routes.choose(&demand.route_request(excluded), now_ms, &mut rng) {
-        Err(RouteError::Unavailable) if !excluded.is_empty() => {
-            routes.choose(&demand.route_request(&[]), now_ms, &mut rng)
+    let request = waiter.demand.route_request(waiter.left_ms(now_ms));
+    let tried = request.clone().excluded(&waiter.excluded);
+    match routes.choose(&tried, now_ms, &mut rng) {
+        Err(RouteError::Unavailable) if !waiter.excluded.is_empty() => {
+            routes.choose(&request, now_ms, &mut rng)
         }
         other => other,
     }
 }
 
+/// Takes in what an answer showed of its target.
+fn learn(routes: &mut RouteTable, choice: &Choice, measured: &Measured) {
+    let target = &choice.target;
+    if let Some(between_tokens_ms) = measured.between_tokens_ms {
+        routes.observe_between_tokens(target, between_tokens_ms);
+    }
+    if let Some(latency_ms) = measured.latency_ms {
+        routes.observe_latency(target, latency_ms);
+    }
+    if let Some(cached_tokens) = measured.cached_tokens
+        && choice.prefill.is_none()
+    {
+        let prefixes = routes.prefixes_mut();
+        prefixes.observe_answer(target, choice.cached_tokens, cached_tokens);
+    }
+}
+
 fn find_target(snapshot: &[TargetView], name: &str) -> Option<TargetView> {
     snapshot.iter().find(|view| &*view.name == name).cloned()
 }
--- a/src/entry/waiting.rs
+++ b/src/entry/waiting.rs
@@ -132,6 +132,11 @@
 }
 
 impl Waiter {
+    /// Time left until the answer must begin, in milliseconds.
+    pub(super) fn left_ms(&self, now_ms: u64) -> u64 {
+        self.deadline_ms.saturating_sub(now_ms)
+    }
+
     fn refuse_late(self) {
         let _ = self.grant.send(Err(Error::Overloaded {
             retry_after_ms: RETRY_AFTER_MS,
--- a/src/target/protocol.rs
+++ b/src/target/protocol.rs
@@ -48,6 +48,25 @@
     /// Runs prefill only and keeps the KV cache for export.
     #[serde(default)]
     pub prefill_only: bool,
+    /// How tokens are drawn.
+    #[serde(default)]
+    pub sampling: Sampling,
+}
+
+/// How tokens are drawn; what is `None` is left to the engine.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Sampling {
+    /// Temperature, from 0 to 2.
+    pub temperature: Option<f64>,
+    /// Probability mass of the tokens to draw from.
+    pub top_p: Option<f64>,
+    /// Penalty on tokens that occurred, from -2 to 2.
+    pub presence_penalty: Option<f64>,
+    /// Penalty on tokens by how often they occurred, from -2 to 2.
+    pub frequency_penalty: Option<f64>,
+    /// Seed of the random numbers.
+    pub seed: Option<i64>,
 }
 
 /// Why a stream ended.
--- a/tests/engine_orders.rs
+++ b/tests/engine_orders.rs
@@ -85,6 +85,7 @@
         priority: 0,
         prefix_blocks: Vec::new(),
         prefill_only: false,
+        sampling: lavenderwind::target::protocol::Sampling::default(),
     }
 }
 
--- a/tests/order_once.rs
+++ b/tests/order_once.rs
@@ -5,10 +5,13 @@
 use std::{net::TcpListener, time::Duration};
 
 use entry_support::{
-    Entry, MILL_KEY, MemoryLog, Targets, any_address, caller, document, error_code, outcome,
+    Entry, MILL_KEY, MODEL, MemoryLog, Targets, any_address, caller, document, error_code, outcome,
     send_order, start_entry, wait_until,
 };
-use lavenderwind::{ledger::ClaimState, standin::plain::PlainFaults};
+use lavenderwind::{
+    ledger::ClaimState,
+    standin::{engine::EngineFaults, plain::PlainFaults},
+};
 
 struct Bench {
     log: MemoryLog,
@@ -281,3 +284,29 @@
     assert_eq!(error_code(again).await, "outcome_not_recorded");
     assert_eq!(bench.executions(), 1);
 }
+
+#[tokio::test]
+async fn completion_of_a_non_repeatable_route_is_recorded() {
+    let bench = Bench::start(Targets::start(1, 0).await).await;
+    let body = serde_json::json!({"model": MODEL, "prompt": "confirm swap 7", "max_tokens": 6});
+    let body = body.to_string();
+    let answer = send_order(&bench.first, "/once/v1/completions", Some("k-1"), &body).await;
+    assert_eq!(answer.status(), 200);
+    let text = answer.text().await.unwrap();
+    let again = send_order(&bench.second, "/once/v1/completions", Some("k-1"), &body).await;
+    assert_eq!(again.status(), 200);
+    assert_eq!(again.headers()["lavenderwind-replayed"], "true");
+    assert_eq!(again.text().await.unwrap(), text);
+
+    bench.targets.engines[0].set_faults(EngineFaults {
+        cut_after_tokens: 2,
+        ..EngineFaults::default()
+    });
+    let cut = send_order(&bench.first, "/once/v1/completions", Some("k-2"), &body).await;
+    assert_eq!(cut.status(), 502);
+    assert_ne!(outcome(&cut), "not-run");
+    bench.targets.engines[0].set_faults(EngineFaults::default());
+    let again = send_order(&bench.second, "/once/v1/completions", Some("k-2"), &body).await;
+    assert_eq!(again.status(), 502);
+    assert_eq!(outcome(&again), "unknown");
+}
--- a/tests/stream_checks.rs
+++ b/tests/stream_checks.rs
@@ -79,6 +79,7 @@
         priority: 0,
         prefix_blocks: Vec::new(),
         prefill_only: false,
+        sampling: lavenderwind::target::protocol::Sampling::default(),
     }
 }
 
--- a/tests/stream_resume.rs
+++ b/tests/stream_resume.rs
@@ -229,3 +229,23 @@
     );
     assert_eq!(entry.context.burn().counts()[0].cancelled, 1);
 }
+
+#[tokio::test]
+async fn stalled_stream_is_resumed_on_another_engine() {
+    let (targets, entry) = start(2).await;
+    let response = send_chat(&entry, MILL_KEY, QUESTION, 300, true).await;
+    assert_eq!(response.status(), 200);
+    let client = EngineClient::new(http_client().unwrap());
+    for engine in &targets.engines {
+        let state = client.state(&engine.addr().to_string()).await.unwrap();
+        if state.running > 0 {
+            engine.set_faults(EngineFaults {
+                hang: true,
+                ..EngineFaults::default()
+            });
+        }
+    }
+    let streamed = Streamed::read(response).await;
+    assert!(streamed.is_done());
+    assert_eq!(streamed.text(), expected_text(&chat_prompt(QUESTION), 300));
+}
