Follow the cache events of engines; name the outcome of replays

An instance asks the engines that hold blocks of its requests for their cache events twice a second, so that it finds prefixes which other instances left there and forgets evicted ones. Engines that it sent nothing to are not asked: the exchange grows with the traffic, not with instances times engines.

Replayed answers say that the request ran.

tests/prefix_events.rs fails with the events ignored (timed out: the events have come), tests/order_once.rs with completions taken as idempotent (no entry found for key "lavenderwind-replayed"); with the code as it is both pass, three runs of three.

--- /dev/null
+++ b/src/entry/cache_events.rs
@@ -0,0 +1,48 @@
+//! Cache events of the engines that this instance sends work to.
+
+use std::{sync::Arc, time::Duration};
+
+use futures_util::{StreamExt, stream};
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use crate::{entry::context::EntryContext, target::table::TargetView};
+
+/// Time between two questions for an engine's events.
+const POLL_PERIOD: Duration = Duration::from_millis(500);
+
+/// Longest wait for an engine's events.
+const POLL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Engines that are asked at the same time.
+const MAX_POLLS: usize = 16;
+
+/// Asks for events until dropped.
+///
+/// Only engines that hold blocks of this instance's requests are asked, so
+/// that idle instances ask nothing.
+pub(super) async fn poll_cache_events(context: EntryContext) {
+    let mut tick = interval(POLL_PERIOD);
+    tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tick.tick().await;
+        let snapshot = context.targets().snapshot();
+        let mut engines = Vec::new();
+        for view in snapshot.iter() {
+            if context.scheduler().cached_blocks(&view.name) > 0 {
+                engines.push(view.clone());
+            }
+        }
+        let polls = stream::iter(engines).map(|view| poll_engine(context.clone(), view));
+        polls.buffer_unordered(MAX_POLLS).collect::<()>().await;
+    }
+}
+
+async fn poll_engine(context: EntryContext, view: TargetView) {
+    let name = Arc::clone(&view.name);
+    let from = context.scheduler().next_cache_event(&name);
+    let events = context.engine().cache_events(&view.address, from);
+    let Ok(Ok(events)) = timeout(POLL_TIMEOUT, events).await else {
+        return;
+    };
+    context.scheduler().observe_cache_events(&name, &events);
+}
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -233,6 +233,11 @@
         self.inner.scheduler.queued()
     }
 
+    /// Blocks that a target is thought to have cached.
+    pub fn cached_blocks(&self, target: &str) -> usize {
+        self.inner.scheduler.cached_blocks(target)
+    }
+
     /// Whether a graceful stop has begun.
     pub(super) fn is_stopping(&self) -> bool {
         self.inner.stopping.load(Ordering::Relaxed)
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod auth;
 mod body;
 mod burn;
+mod cache_events;
 mod call;
 mod claim;
 mod complete;
--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -9,7 +9,7 @@
     },
 };
 
-use crate::entry::error::{Error, Outcome, Result};
+use crate::entry::error::{Error, OUTCOME_HEADER, Outcome, Result};
 
 /// Header that marks a recorded answer.
 pub const REPLAYED_HEADER: &str = "lavenderwind-replayed";
@@ -54,6 +54,8 @@
         }
         let replayed = HeaderName::from_static(REPLAYED_HEADER);
         headers.insert(replayed, HeaderValue::from_static("true"));
+        let ran = HeaderValue::from_static(Outcome::Ran.as_str());
+        headers.insert(OUTCOME_HEADER, ran);
         Ok(Self {
             status,
             headers,
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -20,7 +20,10 @@
         queue::{Popped, QueueSettings},
         routing::{Availability, Choice, PrefillChoice, RouteError, RouteSettings, RouteTable},
     },
-    target::table::{TargetTable, TargetView},
+    target::{
+        protocol::CacheEventList,
+        table::{TargetTable, TargetView},
+    },
 };
 
 /// Queues requests and assigns them to targets.
@@ -123,6 +126,22 @@
         }
     }
 
+    /// Blocks that a target is thought to have cached.
+    pub(super) fn cached_blocks(&self, target: &str) -> usize {
+        self.lock().routes.prefixes_mut().blocks(target)
+    }
+
+    /// Sequence number from which to ask for a target's cache events.
+    pub(super) fn next_cache_event(&self, target: &str) -> u64 {
+        self.lock().routes.prefixes_mut().next_sequence(target)
+    }
+
+    /// Takes in a target's cache events.
+    pub(super) fn observe_cache_events(&self, target: &str, events: &CacheEventList) {
+        let mut state = self.lock();
+        state.routes.prefixes_mut().observe_events(target, events);
+    }
+
     /// Requests that wait for a target.
     pub(super) fn queued(&self) -> usize {
         self.lock().queues.values().map(Queue::len).sum()
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -7,11 +7,11 @@
     net::TcpListener,
     time::{Instant, MissedTickBehavior, timeout_at},
 };
-use tokio_util::sync::CancellationToken;
+use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
 
 use crate::entry::{
-    acceptor::EntryAcceptor, body::MAX_HEADER_BYTES, context::EntryContext, exchange::exchange,
-    handler::EntryHandler,
+    acceptor::EntryAcceptor, body::MAX_HEADER_BYTES, cache_events::poll_cache_events,
+    context::EntryContext, exchange::exchange, handler::EntryHandler,
 };
 
 /// Time between two looks at the targets for queued requests.
@@ -46,6 +46,7 @@
     let handle = server.handle();
     let serving = server.try_serve(router);
     tokio::pin!(serving);
+    let _cache_events = AbortOnDropHandle::new(tokio::spawn(poll_cache_events(context.clone())));
     let mut tick = tokio::time::interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Skip);
     let mut exchange_tick = tokio::time::interval(EXCHANGE_PERIOD);
--- a/tests/order_once.rs
+++ b/tests/order_once.rs
@@ -71,6 +71,7 @@
         let again = send_order(entry, "/orders", Some("k-1"), "3 sheets").await;
         assert_eq!(again.status(), 201);
         assert_eq!(again.headers()["lavenderwind-replayed"], "true");
+        assert_eq!(outcome(&again), "ran");
         assert_eq!(again.headers()["content-type"], "application/json");
         assert_eq!(again.text().await.unwrap(), body);
     }
--- /dev/null
+++ b/tests/prefix_events.rs
@@ -0,0 +1,66 @@
+//! Cached prefixes that another instance's requests left on an engine.
+
+mod entry_support;
+
+use entry_support::{
+    Entry, MILL_KEY, MODEL, MemoryLog, Targets, caller, document, start_entry, wait_until,
+};
+use lavenderwind::target::tokens::block_hashes;
+use serde_json::{Value, json};
+
+const PROMPTS: usize = 8;
+
+async fn cached_tokens(entry: &Entry, prompt: &str) -> u64 {
+    let request = caller().post(format!("{}/v1/completions", entry.url));
+    let body = json!({"model": MODEL, "prompt": prompt, "max_tokens": 2});
+    let response = request
+        .bearer_auth(MILL_KEY)
+        .json(&body)
+        .send()
+        .await
+        .unwrap();
+    let body: Value = response.json().await.unwrap();
+    body["usage"]["prompt_tokens_details"]["cached_tokens"]
+        .as_u64()
+        .unwrap()
+}
+
+#[tokio::test]
+async fn prefix_is_found_by_the_events_of_its_engine() {
+    let log = MemoryLog::new();
+    let targets = Targets::start(2, 0).await;
+    let first = start_entry(&log, "entry-1", &targets).await;
+    let second = start_entry(&log, "entry-2", &targets).await;
+    log.publish(0, &document(false));
+    let both_known = |entry: &Entry| {
+        let names = ["engine-0", "engine-1"];
+        names
+            .iter()
+            .all(|name| entry.context.cached_blocks(name) > 0)
+    };
+    // An instance asks only engines that it has sent work to.
+    let mut warm = 0;
+    while !both_known(&first) {
+        cached_tokens(&first, &format!("{warm} {}", "warm up ".repeat(20))).await;
+        warm += 1;
+    }
+    let known = |entry: &Entry| {
+        entry.context.cached_blocks("engine-0") + entry.context.cached_blocks("engine-1")
+    };
+    let before = known(&first);
+    let mut prompts = Vec::new();
+    for index in 0..PROMPTS {
+        prompts.push(format!("{index} {}", "listing of cosmetics ".repeat(100)));
+    }
+    for prompt in &prompts {
+        assert_eq!(cached_tokens(&second, prompt).await, 0);
+    }
+    let stored: usize = prompts
+        .iter()
+        .map(|prompt| block_hashes(prompt).len())
+        .sum();
+    wait_until("the events have come", || known(&first) >= before + stored).await;
+    for prompt in &prompts {
+        assert!(cached_tokens(&first, prompt).await > 0);
+    }
+}
