--- a/examples/measure.sh
+++ b/examples/measure.sh
@@ -28,5 +28,5 @@
 		phases: [.phases[] | {name, good_share, ttft_p95_ms: .first_token.p95_ms,
 			itl_p95_ms: .between_tokens.p95_ms}],
 		orders: $changes}' "$logs/load.json"
-	rm -r "$logs"
+	[ -n "${KEEP_LOGS:-}" ] && echo "logs: $logs" >&2 || rm -r "$logs"
 done
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -23,6 +23,7 @@
         claim::Claim,
         limiter::Limiter,
         log_writer::LogWriter,
+        partition::PartitionKeeper,
         peers::Peers,
         router::Router,
         scheduler::Scheduler,
@@ -83,6 +84,7 @@
     burn: BurnRecorder,
     router: Router,
     scheduler: Arc<Scheduler>,
+    partition: PartitionKeeper,
     suspects: Arc<Suspects>,
     limiter: Arc<Limiter>,
     retries: Mutex<RetryBudget>,
@@ -159,6 +161,7 @@
         let max_queued = self.settings.limits.max_queued;
         EntryContext {
             inner: Arc::new(Inner {
+                partition: PartitionKeeper::new(),
                 scheduler: Scheduler::new(self.targets.clone(), max_queued, self.settings.policy),
                 settings: self.settings,
                 ledger: self.ledger,
@@ -214,6 +217,10 @@
         &self.inner.scheduler
     }
 
+    pub(super) fn partition(&self) -> &PartitionKeeper {
+        &self.inner.partition
+    }
+
     pub(super) fn suspects(&self) -> &Arc<Suspects> {
         &self.inner.suspects
     }
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -11,6 +11,7 @@
 /// Tells the peers what this instance has in flight on each target, and takes
 /// in what they have in flight and have served.
 pub(super) fn exchange(context: &EntryContext) {
+    context.partition().update(context);
     let peers = context.peers();
     metrics::gauge!("entry_queued_requests").set(context.queued() as f64);
     for view in context.targets().snapshot().iter() {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,6 +26,7 @@
 mod models;
 mod openai;
 mod pace;
+mod partition;
 mod peers;
 mod permit;
 mod plain;
--- /dev/null
+++ b/src/entry/partition.rs
@@ -0,0 +1,157 @@
+//! Feeds the division of mixed engines with the demand that the ledger shows.
+
+use std::sync::{Mutex, PoisonError};
+
+use indexmap::IndexMap;
+use tokio::time::Instant;
+
+use crate::{
+    control::fleet::DemandMeter,
+    entry::{context::EntryContext, waiting::QueueKey},
+    platform::protocol::TargetState,
+    policy::routing::{PartitionDemand, PartitionEngines},
+    service::{Document, Model},
+    target::{
+        protocol::{EngineRole, EngineState},
+        table::TargetView,
+    },
+};
+
+/// Time between two looks at the demand, in milliseconds.
+const PERIOD_MS: u64 = 1_000;
+/// Time constant of the average demand, in seconds.
+const AVERAGE_S: f64 = 4.0;
+
+/// Averages the demand of the services.
+#[derive(Debug)]
+pub(super) struct PartitionKeeper {
+    started_at: Instant,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    meter: DemandMeter,
+    looked_ms: u64,
+    averages: IndexMap<QueueKey, Average>,
+}
+
+/// Average demand on the engines of one model.
+#[derive(Clone, Copy, Debug, Default)]
+struct Average {
+    prefill_tokens_per_s: f64,
+    decode_tokens_per_s: f64,
+}
+
+impl PartitionKeeper {
+    /// Creates a keeper that has seen no demand.
+    pub(super) fn new() -> Self {
+        Self {
+            started_at: Instant::now(),
+            state: Mutex::default(),
+        }
+    }
+
+    /// Divides the engines of each model by the demand, once in a period.
+    pub(super) fn update(&self, context: &EntryContext) {
+        let now_ms = self.started_at.elapsed().as_millis() as u64;
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let elapsed_ms = now_ms - state.looked_ms;
+        if elapsed_ms < PERIOD_MS {
+            return;
+        }
+        state.looked_ms = now_ms;
+        let gain = 1.0 - (-(elapsed_ms as f64) / 1_000.0 / AVERAGE_S).exp();
+        let (demands, services) = context.ledger().read(|ledger| {
+            let demands = state.meter.observe(ledger, now_ms);
+            let services: Vec<_> = ledger.services().cloned().collect();
+            (demands, services)
+        });
+        for entry in &services {
+            let document = &entry.document;
+            let Some(demand) = demands.get(&document.service) else {
+                continue;
+            };
+            // The ledger counts by service: its models are taken as equal.
+            let part = 1.0 / document.models.len().max(1) as f64;
+            for model in &document.models {
+                let Some(key) = queue_key(document, model) else {
+                    continue;
+                };
+                let average = state.averages.entry(key.clone()).or_default();
+                average.follow(gain, demand.prefill_tokens_per_s * part, |average| {
+                    &mut average.prefill_tokens_per_s
+                });
+                average.follow(gain, demand.decode_tokens_per_s * part, |average| {
+                    &mut average.decode_tokens_per_s
+                });
+                divide(context, &key, model, *average);
+            }
+        }
+    }
+}
+
+impl Average {
+    fn follow<F>(&mut self, gain: f64, value: f64, field: F)
+    where
+        F: Fn(&mut Self) -> &mut f64,
+    {
+        let field = field(self);
+        *field += gain * (value - *field);
+    }
+}
+
+/// Returns the queue of a model's chats; `None` if no route of the service
+/// leads to engines.
+fn queue_key(document: &Document, model: &Model) -> Option<QueueKey> {
+    let route = document.routes.iter().find(|route| {
+        let kinds = &document.target_kinds;
+        let kind = kinds.iter().find(|kind| kind.name == route.target_kind);
+        kind.is_some_and(|kind| kind.role == crate::service::KindRole::Engine)
+    })?;
+    Some(QueueKey {
+        kind: route.target_kind.clone(),
+        model: model.name.clone(),
+    })
+}
+
+fn divide(context: &EntryContext, key: &QueueKey, model: &Model, average: Average) {
+    let engines = mixed_engines(&context.targets().snapshot(), key, model);
+    let scheduler = context.scheduler();
+    let mix = scheduler.request_mix(key);
+    let demand = PartitionDemand {
+        prefill_tokens_per_s: average.prefill_tokens_per_s * mix.long_share,
+        waiting_tokens: scheduler.waiting_tokens(key, &model.version) * mix.long_share,
+        decode_tokens_per_s: average.decode_tokens_per_s,
+        blocks_per_request: mix.blocks_per_request,
+    };
+    scheduler.divide_engines(key, &model.version, &engines, &demand);
+}
+
+/// Sums up the live mixed engines that hold a model.
+fn mixed_engines(views: &[TargetView], key: &QueueKey, model: &Model) -> PartitionEngines {
+    let mut engines = PartitionEngines::default();
+    for view in views {
+        let Some(state) = &view.engine else {
+            continue;
+        };
+        let usable = view.kind == key.kind && view.state == TargetState::Live && !state.changing;
+        if !usable || state.role != EngineRole::Mixed || !holds(state, model) {
+            continue;
+        }
+        engines.count += 1;
+        engines.prefill_tokens_per_s += f64::from(state.prefill_tokens_per_s);
+        engines.decode_tokens_per_s += f64::from(state.decode_tokens_per_s);
+        engines.total_blocks += f64::from(state.total_blocks);
+    }
+    let count = engines.count.max(1) as f64;
+    engines.prefill_tokens_per_s /= count;
+    engines.decode_tokens_per_s /= count;
+    engines.total_blocks /= count;
+    engines
+}
+
+fn holds(state: &EngineState, model: &Model) -> bool {
+    let mut held = state.models.iter();
+    held.any(|held| held.model == model.name && held.version == model.version)
+}
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -18,9 +18,12 @@
     policy::{
         load::InFlight,
         queue::{Popped, QueueSettings},
-        routing::{Availability, Choice, PrefillChoice, RouteError, RouteSettings, RouteTable},
+        routing::{
+            Availability, Choice, PartitionDemand, PartitionEngines, PrefillChoice, RequestMix,
+            RouteError, RouteSettings, RouteTable,
+        },
     },
-    settings::{Policy, QueueOrder},
+    settings::{Division, Policy, QueueOrder},
     target::{
         protocol::CacheEventList,
         table::{TargetTable, TargetView},
@@ -42,6 +45,7 @@
     snapshot: Arc<Vec<TargetView>>,
     queues: IndexMap<QueueKey, Queue>,
     order: QueueOrder,
+    division: Division,
 }
 
 impl Scheduler {
@@ -64,6 +68,7 @@
                 snapshot: Arc::default(),
                 queues: IndexMap::new(),
                 order: policy.queue,
+                division: policy.division,
             }),
         })
     }
@@ -91,7 +96,12 @@
         {
             let mut state = self.lock();
             state.observe(&self.targets, self.started_at, now_ms);
+            let request = demand.route_request(u64::MAX);
+            let is_long = state.routes.is_long(&request);
             let queue = state.queue(&key, &self.settings);
+            queue
+                .mix
+                .observe(demand.prompt_tokens, request.blocks(), is_long);
             queue.push(waiter, now_ms)?;
             state.pump(&key, now_ms);
         }
@@ -148,6 +158,47 @@
         state.routes.prefixes_mut().observe_events(target, events);
     }
 
+    /// Lengths of the recent requests of a queue.
+    pub(super) fn request_mix(&self, key: &QueueKey) -> RequestMix {
+        let state = self.lock();
+        let queue = state.queues.get(key);
+        queue.map_or_else(RequestMix::default, |queue| queue.mix.mix())
+    }
+
+    /// Prompt tokens in flight on the engines that hold a model.
+    pub(super) fn waiting_tokens(&self, key: &QueueKey, version: &str) -> f64 {
+        let state = self.lock();
+        let (kind, model) = (&key.kind, &key.model);
+        state.routes.waiting_tokens(kind, model, version) as f64
+    }
+
+    /// Divides the mixed engines of a model by the demand.
+    pub(super) fn divide_engines(
+        &self,
+        key: &QueueKey,
+        version: &str,
+        engines: &PartitionEngines,
+        demand: &PartitionDemand,
+    ) {
+        let mut state = self.lock();
+        if state.division == Division::Whole {
+            return;
+        }
+        let routes = &mut state.routes;
+        let current = routes.prefill_engines(&key.kind, &key.model, version);
+        let planned = engines.prefill_engines(demand, current);
+        if planned == current {
+            return;
+        }
+        tracing::info!(
+            "entry: {planned} of {} engines prefill for {}",
+            engines.count,
+            key.model
+        );
+        metrics::counter!("entry_divisions_total").increment(1);
+        routes.set_prefill_engines(&key.kind, &key.model, version, planned);
+    }
+
     /// Requests that wait for a target.
     pub(super) fn queued(&self) -> usize {
         self.lock().queues.values().map(Queue::len).sum()
--- a/src/entry/waiting.rs
+++ b/src/entry/waiting.rs
@@ -11,7 +11,7 @@
     },
     policy::{
         queue::{FairQueue, Popped, QueueError, QueueRequest, QueueSettings},
-        routing::Choice,
+        routing::{Choice, MixMeter},
     },
     settings::QueueOrder,
     target::table::TargetView,
@@ -62,6 +62,8 @@
     pub(super) waiting: FairQueue<Waiter>,
     /// Request that left the queue and waits for room.
     pub(super) next: Option<Popped<Waiter>>,
+    /// Lengths of the requests.
+    pub(super) mix: MixMeter,
     order: QueueOrder,
 }
 
@@ -71,6 +73,7 @@
         Self {
             waiting: FairQueue::new(settings),
             next: None,
+            mix: MixMeter::default(),
             order,
         }
     }
--- a/src/policy/load.rs
+++ b/src/policy/load.rs
@@ -142,6 +142,12 @@
         self.own.requests + self.peers.requests
     }
 
+    /// Returns the prompt tokens in flight there from all instances.
+    #[must_use]
+    pub fn prefill_tokens(&self) -> u64 {
+        self.own.prefill_tokens + self.peers.prefill_tokens
+    }
+
     /// Estimates the prompt tokens that wait for prefill.
     #[must_use]
     pub fn queued_tokens(&self, now_ms: u64) -> f64 {
--- a/src/policy/routing/choose.rs
+++ b/src/policy/routing/choose.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Availability, Choice, PrefillChoice, RouteError, RouteMethod, RouteRequest, RouteTable,
-    RouteTarget, TargetRole, table::group_key,
+    RouteTarget, TargetRole, partition::Part, table::group_key,
 };
 use crate::{
     policy::load::Demand,
@@ -158,7 +158,7 @@
         if target.role == TargetRole::Plain {
             return self.plain(name, target, now_ms);
         }
-        if target.role != TargetRole::Engine(EngineRole::Mixed) {
+        if target.role != TargetRole::Engine(EngineRole::Mixed) || target.part == Part::Prefill {
             return None;
         }
         let blocks = request.blocks();
@@ -167,6 +167,9 @@
         }
         let cached_tokens = self.cached_tokens(request, name);
         let prefill_tokens = u64::from(request.prompt_tokens - cached_tokens);
+        if target.part == Part::Decode && target.stalls_streams(request, prefill_tokens) {
+            return None;
+        }
         let wait_ms = target.load.queue_ms(now_ms) + target.load.prefill_ms(prefill_tokens);
         let first_token_ms = wait_ms * target.slowdown;
         if first_token_ms > request.first_token_ms {
@@ -220,8 +223,7 @@
             let Some((name, target)) = self.usable(request, index) else {
                 continue;
             };
-            let prefills = target.role != TargetRole::Engine(EngineRole::Decode);
-            if !prefills || !target.has_room(blocks, &self.settings, now_ms) {
+            if !target.prefills_for_others() || !target.has_room(blocks, &self.settings, now_ms) {
                 continue;
             }
             let cached_tokens = self.cached_tokens(request, name);
@@ -271,8 +273,7 @@
             let Some((_, target)) = self.usable(request, index) else {
                 continue;
             };
-            let decodes = target.role == TargetRole::Engine(EngineRole::Decode);
-            if !decodes || !target.has_room(blocks, &self.settings, now_ms) {
+            if !target.decodes_for_others() || !target.has_room(blocks, &self.settings, now_ms) {
                 continue;
             }
             if !target.decodes_in_time(request) {
--- a/src/policy/routing/mod.rs
+++ b/src/policy/routing/mod.rs
@@ -7,11 +7,15 @@
 //! random sample.
 
 mod choose;
+mod mix;
+mod partition;
 mod plain;
 mod request;
 mod table;
 mod target;
 
+pub use mix::{MixMeter, RequestMix};
+pub use partition::{PartitionDemand, PartitionEngines};
 pub use request::{Choice, PrefillChoice, RouteError, RouteRequest};
 pub use table::{RouteMethod, RouteSettings, RouteTable};
 pub use target::{Availability, RouteTarget, TargetRole};
--- a/src/policy/routing/target.rs
+++ b/src/policy/routing/target.rs
@@ -4,7 +4,7 @@
 
 use derive_more::From;
 
-use super::{RouteRequest, RouteSettings};
+use super::{RouteRequest, RouteSettings, partition::Part};
 use crate::{
     policy::{decode::DecodeProfile, load::TargetLoad},
     target::protocol::{EngineRole, LoadedModel},
@@ -57,6 +57,7 @@
     pub(super) decode: DecodeProfile,
     pub(super) slowdown: f64,
     pub(super) room: f64,
+    pub(super) part: Part,
 }
 
 impl RouteTarget {
@@ -111,6 +112,30 @@
                 .min(share.saturating_sub(own.blocks))
     }
 
+    /// Whether the prefill of `tokens` would delay running streams by more than
+    /// half of the time between tokens that the request asks for.
+    pub(super) fn stalls_streams(&self, request: &RouteRequest<'_>, tokens: u64) -> bool {
+        self.load.prefill_ms(tokens) > request.between_tokens_ms / 2.0
+    }
+
+    /// Whether it runs the prefill of requests that decode elsewhere.
+    pub(super) fn prefills_for_others(&self) -> bool {
+        match self.role {
+            TargetRole::Engine(EngineRole::Prefill) => true,
+            TargetRole::Engine(EngineRole::Mixed) => self.part != Part::Decode,
+            TargetRole::Engine(EngineRole::Decode) | TargetRole::Plain => false,
+        }
+    }
+
+    /// Whether it decodes requests whose prefill ran elsewhere.
+    pub(super) fn decodes_for_others(&self) -> bool {
+        match self.role {
+            TargetRole::Engine(EngineRole::Decode) => true,
+            TargetRole::Engine(EngineRole::Mixed) => self.part == Part::Decode,
+            TargetRole::Engine(EngineRole::Prefill) | TargetRole::Plain => false,
+        }
+    }
+
     /// Returns whether one more stream keeps the time between tokens that the
     /// request asks for.
     pub(super) fn decodes_in_time(&self, request: &RouteRequest<'_>) -> bool {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -154,6 +154,8 @@
     pub routing: RouteMethod,
     /// Order in which waiting requests are served.
     pub queue: QueueOrder,
+    /// Division of mixed engines into those that prefill and those that decode.
+    pub division: Division,
     /// Changes of engines' roles.
     pub roles: RoleControl,
 }
@@ -169,6 +171,17 @@
     FirstCome,
 }
 
+/// Division of mixed engines into those that prefill and those that decode.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Division {
+    /// By the demand.
+    #[default]
+    Planned,
+    /// None: each engine runs whole requests.
+    Whole,
+}
+
 /// Changes of engines' roles.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "kebab-case")]
