--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -233,6 +233,11 @@
         self.inner.scheduler.queued()
     }
 
+    /// Blocks that a target is thought to have cached.
+    pub fn cached_blocks(&self, target: &str) -> usize {
+        self.inner.scheduler.cached_blocks(target)
+    }
+
     /// Whether a graceful stop has begun.
     pub(super) fn is_stopping(&self) -> bool {
         self.inner.stopping.load(Ordering::Relaxed)
@@ -270,6 +275,7 @@
     /// Takes another attempt out of the retry budget, if there is one left.
     pub(super) fn allow_retry(&self) -> bool {
         let allowed = self.retries().withdraw();
+        metrics::counter!("entry_retries_total").increment(u64::from(allowed));
         if !allowed {
             tracing::warn!("entry: retry budget is used up");
         }
