Close windows also while a report is not acknowledged

Closing and reporting ran in one loop, so that a report without an answer held up the close of the next window for the settle time of 3 s and more.

--- a/benches/fold.rs
+++ b/benches/fold.rs
@@ -27,6 +27,12 @@
 /// Length of a recorded answer, in bytes.
 const ANSWER_BYTES: usize = 512;
 
+/// Size of a page of memory, in bytes.
+const PAGE_BYTES: usize = 4_096;
+
+/// Ledgers whose memory is measured together.
+const MEMORY_LEDGERS: usize = 8;
+
 struct Writer {
     sequence: u64,
 }
@@ -216,6 +222,27 @@
     fold(&records)
 }
 
+/// Resident memory of this process, in bytes.
+fn resident_bytes() -> usize {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1);
+    pages.and_then(|pages| pages.parse().ok()).unwrap_or(0) * PAGE_BYTES
+}
+
+/// Resident memory of ledgers, by accounts and by remembered claims.
+fn memory(_: &mut Criterion) {
+    for (accounts, claims) in [(1_000, 0), (4_750, 0), (9_500, 0), (9_500, 20_000)] {
+        let data = full_ledger(accounts, claims).encode();
+        let before = resident_bytes();
+        let mut ledgers = Vec::new();
+        for _ in 0..MEMORY_LEDGERS {
+            ledgers.push(Ledger::decode(&data));
+        }
+        let bytes = resident_bytes().saturating_sub(before) / ledgers.len();
+        println!("memory/{accounts}_accounts_{claims}_claims: {bytes} bytes a ledger");
+    }
+}
+
 /// Checkpoints by accounts and by remembered claims.
 fn checkpoints(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("checkpoint");
@@ -243,6 +270,6 @@
         .sample_size(10)
         .warm_up_time(Duration::from_millis(300))
         .measurement_time(Duration::from_secs(1));
-    targets = record_kinds, revisions, checkpoints
+    targets = memory, record_kinds, revisions, checkpoints
 }
 criterion_main!(benches);
--- a/src/control/windows.rs
+++ b/src/control/windows.rs
@@ -80,8 +80,6 @@
     members: M,
     clock: Clock,
     window_ms: u64,
-    open: u64,
-    open_since_ms: u64,
 }
 
 impl<W, R, WF, RF, M> WindowCloser<W, R, M>
@@ -108,8 +106,6 @@
             members,
             clock: Clock::start(),
             window_ms: timing.usage_window_ms,
-            open: 0,
-            open_since_ms: 0,
         }
     }
 
@@ -118,56 +114,60 @@
     /// # Errors
     ///
     /// Fails if the appender has stopped.
-    pub async fn run(mut self, stop: CancellationToken) -> Result<()> {
-        loop {
-            tokio::select! {
-                () = stop.cancelled() => return Ok(()),
-                done = self.turn() => done?,
-            }
+    pub async fn run(self, stop: CancellationToken) -> Result<()> {
+        let work = async { tokio::try_join!(self.close_windows(), self.report_windows()) };
+        tokio::select! {
+            () = stop.cancelled() => Ok(()),
+            done = work => done.map(|_| ()),
         }
     }
 
-    async fn turn(&mut self) -> Result<()> {
-        let now_ms = self.clock.now_ms();
-        self.observe(now_ms);
-        if let Some(epoch) = self.sender.authority().epoch() {
-            self.close(epoch, now_ms).await?;
-            self.report().await?;
+    /// Closes windows, also while reports are not acknowledged.
+    async fn close_windows(&self) -> Result<()> {
+        let mut open = 0;
+        let mut open_since_ms = 0;
+        loop {
+            let now_ms = self.clock.now_ms();
+            let lowest = self.ledger.read(Ledger::window_open);
+            if lowest != open {
+                open = lowest;
+                open_since_ms = now_ms;
+            }
+            let situation = CloseSituation {
+                open_ms: now_ms.saturating_sub(open_since_ms),
+                sources_done: self.sources_done(open),
+            };
+            self.close(open, &situation).await?;
+            tokio::time::sleep(TICK).await;
         }
-        tokio::time::sleep(TICK).await;
-        Ok(())
     }
 
-    fn observe(&mut self, now_ms: u64) {
-        let open = self.ledger.read(Ledger::window_open);
-        if open != self.open {
-            self.open = open;
-            self.open_since_ms = now_ms;
+    async fn close(&self, window: u64, situation: &CloseSituation) -> Result<()> {
+        let Some(epoch) = self.sender.authority().epoch() else {
+            return Ok(());
+        };
+        if may_close(situation, self.window_ms) {
+            let close = WindowClose { window, epoch };
+            self.appender.append(Body::WindowClose(close)).await?;
         }
+        Ok(())
     }
 
-    async fn close(&self, epoch: u64, now_ms: u64) -> Result<()> {
-        let situation = CloseSituation {
-            open_ms: now_ms.saturating_sub(self.open_since_ms),
-            sources_done: self.sources_done(),
-        };
-        if !may_close(&situation, self.window_ms) {
-            return Ok(());
+    async fn report_windows(&self) -> Result<()> {
+        loop {
+            if self.sender.authority().epoch().is_some() {
+                self.report().await?;
+            }
+            tokio::time::sleep(TICK).await;
         }
-        let close = WindowClose {
-            window: self.open,
-            epoch,
-        };
-        self.appender.append(Body::WindowClose(close)).await?;
-        Ok(())
     }
 
-    fn sources_done(&self) -> bool {
+    fn sources_done(&self, window: u64) -> bool {
         let members = (self.members)();
         self.ledger.read(|ledger| {
             members.iter().all(|member| {
                 let Identity { name, incarnation } = &member.identity;
-                ledger.watermark(name, *incarnation) >= self.open
+                ledger.watermark(name, *incarnation) >= window
             })
         })
     }
