--- a/tests/peer_frames.rs
+++ b/tests/peer_frames.rs
@@ -7,15 +7,19 @@
 use bytes::{BufMut, BytesMut};
 use lavenderwind::{
     peer::{
-        MAX_FRAME_BYTES,
+        Freshness, MAX_FRAME_BYTES,
         frames::{
             Frame, Heartbeat, Hello, LoadChange, LogRequest, LogTail, NameDefinition,
             QuarantineNotice, UsageCopy, frame::Body,
         },
     },
+    platform::{
+        LiveClient,
+        protocol::{LiveInstance, LiveState},
+    },
     standin::platform::PlatformFaults,
 };
-use peer_net::{Instance, eventually, platform, within};
+use peer_net::{DEADLINE, Instance, eventually, platform, within};
 use prost::Message;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -100,6 +104,21 @@
         assert_eq!(found, None);
     }
 
+    /// Answers the next heartbeat; echoes it, or an earlier one.
+    async fn answer_heartbeat(&mut self, echo: Option<u64>) -> u64 {
+        let received = self.find(|body| match body {
+            Body::Heartbeat(heartbeat) => Some(heartbeat.sequence),
+            _ => None,
+        });
+        let received = received.await.unwrap();
+        let echo = echo.unwrap_or(received);
+        let mut answer = heartbeat();
+        answer.echo = echo;
+        answer.log_down = true;
+        self.send(&encode(Body::Heartbeat(answer))).await;
+        echo
+    }
+
     /// Sends heartbeats until the connection ends.
     async fn beat_until_closed(&mut self) {
         let beat = encode(Body::Heartbeat(heartbeat()));
@@ -332,3 +351,46 @@
     });
     tail.await.unwrap()
 }
+
+/// Only what a peer said after it got a heartbeat of this instance counts:
+/// frames that waited while this process was paused are not news.
+#[tokio::test]
+async fn answers_need_echo() {
+    let mut faults = PlatformFaults {
+        live_ttl_ms: 60_000,
+        ..PlatformFaults::default()
+    };
+    let platform = platform(faults.clone()).await;
+    let a = Instance::start("a", &platform).await;
+    let entry = LiveInstance {
+        name: "b".into(),
+        incarnation: INCARNATION,
+        failure_domain: "d2".into(),
+        peer_address: "127.0.0.1:9".into(),
+        admin_address: "127.0.0.1:9".into(),
+        state: LiveState::Live,
+    };
+    let client = LiveClient::new(reqwest::Client::new(), &platform.url(), DEADLINE);
+    client.announce(&entry).await.unwrap();
+    eventually("listed", || a.handle.live().iter().any(|peer| peer.listed)).await;
+    eventually("fresh", || a.handle.freshness() == Freshness::ByLog).await;
+    let mut peer = RawPeer::connect(&a).await;
+    peer.send(&hello("b", INCARNATION)).await;
+    faults.log.outage = true;
+    platform.set_faults(faults);
+
+    let mut echo = 0;
+    let echoes = async {
+        while a.handle.freshness() != Freshness::ByOutage {
+            echo = peer.answer_heartbeat(None).await;
+        }
+    };
+    within("fresh by outage", echoes).await;
+    let repeats = async {
+        while a.handle.may_serve_keyed() {
+            peer.answer_heartbeat(Some(echo)).await;
+        }
+    };
+    within("stale", repeats).await;
+    assert_eq!(a.handle.connected().len(), 1);
+}
