peer: a quarantine notice is acknowledged before the caller is answered

Cause: process_targets poisonous_request failed in 2 of 4 runs ("left: 3, right: 2" crashed engines, process_targets.rs:120; once in the whole suite, once in three single runs). The failing answer reached the caller before the notice reached the other instances, so a resend to one of these ran a third time. The log's record does not help there: others fold it later also.

Peers now acknowledge a notice, and the entry answers once those that are connected did, or after 500 ms.

The entry's seam notify_quarantine returns a future now (src/entry/peers.rs, attempt.rs, src/instance/parts.rs).

--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -358,7 +358,8 @@
         }
         let quarantined = context.suspects().record_crash(call, boot);
         if quarantined {
-            (context.peers().notify_quarantine)(&call.account.full_name, &call.digest);
+            let notify = &context.peers().notify_quarantine;
+            notify(&call.account.full_name, &call.digest).await;
         }
         if quarantined {
             return AttemptEnd::Quarantined;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 
 use derive_more::Debug;
+use futures_util::future::{BoxFuture, FutureExt, ready};
 
 use crate::peer::{Served, TargetLoad};
 
 type IsQuarantinedFn = dyn Fn(&str, &[u8]) -> bool + Send + Sync;
-type NotifyQuarantineFn = dyn Fn(&str, &[u8]) + Send + Sync;
+type NotifyQuarantineFn = dyn Fn(&str, &[u8]) -> BoxFuture<'static, ()> + Send + Sync;
 type IsLiveFn = dyn Fn(&str, u64) -> bool + Send + Sync;
 type ReportServedFn = dyn Fn(&str, u64) + Send + Sync;
 type TakeServedFn = dyn Fn() -> Vec<Served> + Send + Sync;
@@ -23,7 +24,7 @@
     /// Whether a peer announced that a request is quarantined.
     #[debug(skip)]
     pub quarantined: Arc<IsQuarantinedFn>,
-    /// Announces a quarantined request.
+    /// Announces a quarantined request, and waits until peers refuse it.
     #[debug(skip)]
     pub notify_quarantine: Arc<NotifyQuarantineFn>,
     /// Whether an incarnation of an instance is live.
@@ -52,7 +53,7 @@
         Self {
             may_serve_keyed: Arc::new(|| true),
             quarantined: Arc::new(|_, _| false),
-            notify_quarantine: Arc::new(|_, _| ()),
+            notify_quarantine: Arc::new(|_, _| ready(()).boxed()),
             is_live: Arc::new(|_, _| true),
             live_instances: Arc::new(|| 1),
             report_served: Arc::new(|_, _| ()),
--- a/src/instance/parts.rs
+++ b/src/instance/parts.rs
@@ -6,6 +6,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use futures_util::FutureExt;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::{sync::watch, task::JoinSet};
 use tokio_util::sync::CancellationToken;
@@ -145,7 +146,10 @@
             may_serve_keyed: Arc::new(move || fresh.may_serve_keyed()),
             quarantined: Arc::new(move |account, digest| known.quarantined(account, digest)),
             notify_quarantine: Arc::new(move |account, digest| {
-                notified.notify_quarantine(account, digest);
+                let peers = notified.clone();
+                let account = account.to_owned();
+                let digest = digest.to_vec();
+                async move { peers.notify_quarantine(&account, &digest).await }.boxed()
             }),
             is_live: Arc::new(move |peer, its_incarnation| {
                 if peer == &*name {
--- a/src/log/lavenderwind.records.rs
+++ b/src/log/lavenderwind.records.rs
@@ -154,7 +154,8 @@
 }
 /// Announces an order before it is sent; accepted only under the current
 /// epoch of the duty that sends it and while no other intent is open for the
-/// same target.
+/// same target. The same order under a later epoch adopts the open intent,
+/// which keeps its offset.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct OrderIntent {
     /// Target that the order goes to; "platform/KIND/DOMAIN" for a fleet order,
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -14,7 +14,7 @@
 use super::{
     Error, Result,
     frame::{FramedStream, framed, receive, send},
-    frames::{Hello, UsageCopy, frame::Body},
+    frames::{Hello, QuarantineAck, QuarantineNotice, UsageCopy, frame::Body},
     heartbeat::heartbeat_interval,
     membership::Sender,
     quarantine::QuarantinedRequest,
@@ -85,6 +85,7 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         self.shared.state().close_link(&self.peer.name, self.id);
+        self.shared.acknowledged.notify_waiters();
     }
 }
 
@@ -164,12 +165,11 @@
                 Ok(())
             }
             Body::QuarantineNotice(notice) => {
-                let request = QuarantinedRequest {
-                    account: notice.account.into(),
-                    body_digest: notice.body_digest.into(),
-                };
-                let mut state = self.shared.state();
-                state.quarantine(request, Some(&self.peer.name));
+                self.take_notice(notice);
+                Ok(())
+            }
+            Body::QuarantineAck(ack) => {
+                self.take_ack(ack);
                 Ok(())
             }
             Body::UsageCopy(copy) => self.take_usage_copy(&copy),
@@ -182,6 +182,30 @@
         }
     }
 
+    fn take_notice(&self, notice: QuarantineNotice) {
+        let request = QuarantinedRequest {
+            account: notice.account.into(),
+            body_digest: notice.body_digest.into(),
+        };
+        self.shared
+            .state()
+            .quarantine(request, Some(&self.peer.name));
+        if notice.number > 0 {
+            self.queue(Body::QuarantineAck(QuarantineAck {
+                number: notice.number,
+            }));
+        }
+    }
+
+    fn take_ack(&self, ack: QuarantineAck) {
+        let mut state = self.shared.state();
+        if let Some(link) = state.links.get_mut(&self.peer.name) {
+            link.acknowledged_notice = link.acknowledged_notice.max(ack.number);
+        }
+        drop(state);
+        self.shared.acknowledged.notify_waiters();
+    }
+
     fn take_usage_copy(&self, copy: &UsageCopy) -> Result<()> {
         let slice = UsageSlice::decode(&*copy.slice)?;
         let own_slice =
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -1,9 +1,9 @@
 //! What the other parts of an instance use of its peers.
 
-use std::sync::Arc;
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use super::{
     digest::{Served, TargetLoad},
@@ -12,9 +12,13 @@
     membership::PeerState,
     quarantine::QuarantinedRequest,
     shared::Shared,
+    state::SentNotice,
 };
 use crate::log::records::UsageSlice;
 
+/// Longest wait for peers to acknowledge a quarantine notice.
+const ACK_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Shared handle to the peers of an instance.
 #[derive(Clone, Debug)]
 pub struct PeerHandle {
@@ -89,10 +93,29 @@
         self.shared.urgent.notify_waiters();
     }
 
-    /// Tells all peers that a request was implicated in two crashes.
-    pub fn notify_quarantine(&self, account: &str, body_digest: &[u8]) {
+    /// Tells all peers that a request was implicated in two crashes, and waits
+    /// a bounded time until it is in force on those that are connected.
+    pub async fn notify_quarantine(&self, account: &str, body_digest: &[u8]) {
         let request = quarantined_request(account, body_digest);
-        self.shared.state().quarantine(request, None);
+        let notices = self.shared.state().quarantine(request, None);
+        // A peer that is too slow learns it from the log.
+        let _ = timeout(ACK_TIMEOUT, self.wait_acknowledged(&notices)).await;
+    }
+
+    async fn wait_acknowledged(&self, notices: &[SentNotice]) {
+        loop {
+            let mut acknowledged = pin!(self.shared.acknowledged.notified());
+            acknowledged.as_mut().enable();
+            if !self.awaits_any(notices) {
+                return;
+            }
+            acknowledged.await;
+        }
+    }
+
+    fn awaits_any(&self, notices: &[SentNotice]) -> bool {
+        let state = self.shared.state();
+        notices.iter().any(|notice| state.awaits_ack(notice))
     }
 
     /// Returns whether a peer reported a request as implicated in two crashes.
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -36,6 +36,8 @@
     pub(super) log_requested_at: Option<Instant>,
     /// Lowest offset that the peer could not relay.
     pub(super) missing_offset: Option<Offset>,
+    /// Number of the last quarantine notice that the peer acknowledged.
+    pub(super) acknowledged_notice: u64,
     last_received: u64,
     last_sent: u64,
     unechoed: VecDeque<SentHeartbeat>,
@@ -79,6 +81,7 @@
             decoder: DigestDecoder::default(),
             log_requested_at: None,
             missing_offset: None,
+            acknowledged_notice: 0,
             last_received: 0,
             last_sent: 0,
             unechoed: VecDeque::new(),
--- a/src/peer/shared.rs
+++ b/src/peer/shared.rs
@@ -49,6 +49,8 @@
     pub(super) heartbeat: Duration,
     /// Wakes connections to send a heartbeat at once.
     pub(super) urgent: Notify,
+    /// Wakes those who wait for peers to acknowledge a notice.
+    pub(super) acknowledged: Notify,
     /// Number of live instances, this one included.
     pub(super) live_instances: watch::Sender<usize>,
     /// Frames exchanged so far.
@@ -77,6 +79,7 @@
             ledger,
             heartbeat: Duration::from_millis(settings.timing.heartbeat_ms),
             urgent: Notify::new(),
+            acknowledged: Notify::new(),
             live_instances,
             traffic: Traffic::default(),
         })
--- a/src/peer/state.rs
+++ b/src/peer/state.rs
@@ -58,6 +58,7 @@
     /// Tokens served by peers since they were last taken.
     pub(super) served: IndexMap<Arc<str>, u64>,
     last_link_id: u64,
+    last_notice: u64,
 }
 
 impl State {
@@ -75,6 +76,7 @@
             loads: LoadTotals::default(),
             served: IndexMap::new(),
             last_link_id: 0,
+            last_notice: 0,
         }
     }
 
@@ -187,22 +189,45 @@
         }
     }
 
-    /// Keeps a quarantined request and passes it on if it is new.
-    pub(super) fn quarantine(&mut self, request: QuarantinedRequest, from: Option<&str>) {
+    /// Keeps a quarantined request, passes it on if it is new, and returns the
+    /// notices that were sent.
+    pub(super) fn quarantine(
+        &mut self,
+        request: QuarantinedRequest,
+        from: Option<&str>,
+    ) -> Vec<SentNotice> {
+        let mut sent = Vec::new();
         if !self.quarantine.insert(request.clone()) {
-            return;
+            return sent;
         }
+        self.last_notice += 1;
         let notice = QuarantineNotice {
             account: request.account.to_string(),
             body_digest: request.body_digest.to_vec(),
+            number: self.last_notice,
         };
         for (name, link) in &self.links {
             if from == Some(&**name) {
                 continue;
             }
+            let frame = Body::QuarantineNotice(notice.clone());
             // A full outbox loses the notice; the log has the record.
-            let _ = link.outbox.try_send(Body::QuarantineNotice(notice.clone()));
+            if link.outbox.try_send(frame).is_ok() {
+                sent.push(SentNotice {
+                    peer: name.clone(),
+                    link_id: link.id,
+                    number: self.last_notice,
+                });
+            }
         }
+        sent
+    }
+
+    /// Returns whether a notice is neither acknowledged nor lost.
+    pub(super) fn awaits_ack(&self, notice: &SentNotice) -> bool {
+        self.links.get(&notice.peer).is_some_and(|link| {
+            link.id == notice.link_id && link.acknowledged_notice < notice.number
+        })
     }
 
     /// Judges whether this instance knows the newest configuration.
@@ -283,6 +308,14 @@
     pub(super) closed: tokio_util::sync::CancellationToken,
 }
 
+/// A quarantine notice that was sent over a connection.
+#[derive(Debug)]
+pub(super) struct SentNotice {
+    peer: Arc<str>,
+    link_id: u64,
+    number: u64,
+}
+
 /// Returns a link's kind; a peer outside the topology gets no relayed changes.
 pub(super) fn kind_of(kinds: &IndexMap<Arc<str>, LinkKind>, name: &str) -> LinkKind {
     kinds.get(name).copied().unwrap_or(LinkKind::Backup)
--- a/tests/peer_frames.rs
+++ b/tests/peer_frames.rs
@@ -167,6 +167,7 @@
             let notice = QuarantineNotice {
                 account: "a".repeat(MAX_FRAME_BYTES),
                 body_digest: vec![1],
+                number: 1,
             };
             vec![
                 hello("b", INCARNATION),
