Let one request exceed a share

A request of more blocks than an instance's share found no room for as long as all instances contend, however empty the target was. One request of an instance at a time may exceed the share, within the free blocks (large_request_fits; with the exception off: Err(NoRoom)). That replaces the same exception of returning targets.

--- a/src/policy/routing/target.rs
+++ b/src/policy/routing/target.rs
@@ -60,6 +60,12 @@
 }
 
 impl RouteTarget {
+    /// Returns the kind of target.
+    #[must_use]
+    pub fn kind(&self) -> &Arc<str> {
+        &self.kind
+    }
+
     /// Returns the load as this instance estimates it.
     #[must_use]
     pub fn load(&self) -> &TargetLoad {
@@ -100,15 +106,9 @@
         let total = self.load.total_blocks();
         let share = self.share_blocks.unwrap_or(total);
         let offered = f64::from(share.min(total)) * part.min(1.0);
-        // One request at a time always fits, so that a small part can grow.
-        if part < 1.0 && own.requests > 0 && f64::from(own.blocks + blocks) > offered {
-            return false;
-        }
-        blocks
-            <= self
-                .load
-                .free_blocks()
-                .min(share.saturating_sub(own.blocks))
+        // One request at a time may exceed the part, so that a large one runs.
+        let fits = own.requests == 0 || f64::from(own.blocks + blocks) <= offered;
+        fits && blocks <= self.load.free_blocks()
     }
 
     /// Returns whether one more stream keeps the time between tokens that the
--- a/tests/routing_choice.rs
+++ b/tests/routing_choice.rs
@@ -273,6 +273,22 @@
     );
 }
 
+#[test]
+fn large_request_fits() {
+    let mut table = table();
+    table.observe_engine("a", "engine", Availability::Live, &state(), 0);
+    table.set_share("a", Some(250));
+    let large = request().tokens(8_000, 160);
+    let choice = table.choose(&large, 0, &mut rng()).unwrap();
+    table.dispatched(&choice, &[], 0);
+    assert_eq!(
+        table.choose(&request(), 0, &mut rng()),
+        Err(RouteError::NoRoom)
+    );
+    table.finished(&choice, 0);
+    assert!(table.choose(&request(), 0, &mut rng()).is_ok());
+}
+
 #[test]
 fn returning_target_ramps() {
     let mut table = table();
