Give each instance an estimated share of a target's blocks

Instances that see the same free room send more than fits until the next report. The scheduler sets this instance's share from its own use and queue and what its peers have in flight, each time that it exchanges loads.

Not measured on real processes.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -34,7 +34,9 @@
         prefill_tokens: load.tokens,
         blocks: u32::try_from(load.blocks).unwrap_or(u32::MAX),
     };
-    let ours = context.scheduler().exchange_load(target, theirs);
+    let instances = (peers.live_instances)();
+    let scheduler = context.scheduler();
+    let ours = scheduler.exchange_load(target, theirs, instances);
     let ours = TargetLoad {
         requests: ours.requests,
         tokens: ours.prefill_tokens,
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -19,11 +19,18 @@
         load::InFlight,
         queue::{Popped, QueueSettings},
         routing::{Availability, Choice, PrefillChoice, RouteError, RouteSettings, RouteTable},
+        share::{KnownUse, estimate_share},
     },
     settings::{Policy, QueueOrder},
-    target::table::{TargetTable, TargetView},
+    target::{
+        protocol::BLOCK_TOKENS,
+        table::{TargetTable, TargetView},
+    },
 };
 
+/// Blocks that an instance may take up on a target beyond what is known of it.
+const BURST_BLOCKS: u64 = 120;
+
 /// Queues requests and assigns them to targets.
 #[derive(Debug)]
 pub(super) struct Scheduler {
@@ -112,14 +119,27 @@
 
     /// Takes in what peers have in flight on a target, and returns what this
     /// instance has there.
-    pub(super) fn exchange_load(&self, target: &str, peers: InFlight) -> InFlight {
+    ///
+    /// This instance's share of the target's blocks follows from both.
+    pub(super) fn exchange_load(&self, target: &str, peers: InFlight, instances: u32) -> InFlight {
         let now_ms = self.now_ms();
         let mut state = self.lock();
+        let queued_blocks = state.queued_blocks(target);
         let Some(load) = state.routes.load_mut(target) else {
             return InFlight::default();
         };
         load.observe_peers(peers, now_ms);
-        load.own()
+        let own = load.own();
+        let known = KnownUse {
+            own_demand: u64::from(own.blocks) + queued_blocks,
+            peers_in_use: peers.blocks.into(),
+            instances,
+            burst: BURST_BLOCKS,
+        };
+        let share = estimate_share(load.total_blocks().into(), &known);
+        let share = u32::try_from(share).unwrap_or(u32::MAX);
+        state.routes.set_share(target, Some(share));
+        own
     }
 
     /// Charges an account for what peers served to it.
@@ -173,6 +193,20 @@
 }
 
 impl State {
+    /// Returns the blocks that queued requests may take on a target.
+    fn queued_blocks(&self, target: &str) -> u64 {
+        let Some(target) = self.routes.target(target) else {
+            return 0;
+        };
+        let mut tokens = 0;
+        for (key, queue) in &self.queues {
+            if key.kind == *target.kind() {
+                tokens += queue.waiting.queued_tokens();
+            }
+        }
+        tokens.div_ceil(BLOCK_TOKENS.into())
+    }
+
     fn queue(&mut self, key: &QueueKey, settings: &QueueSettings) -> &mut Queue {
         self.queues
             .entry(key.clone())
