--- a/src/standin/platform/fleet.rs
+++ b/src/standin/platform/fleet.rs
@@ -129,8 +129,7 @@
                 continue;
             };
             let count = counts.entry(group.clone()).or_default();
-            let available =
-                !self.reclaimed.contains(&group) && !unavailable_kinds.contains(&group.kind);
+            let available = is_startable(&group, &self.reclaimed, unavailable_kinds);
             match pooled.phase {
                 Phase::Live | Phase::Starting(_) if *count < order.count => *count += 1,
                 Phase::Live => pooled.phase = Phase::Leaving(now + notice),
@@ -213,6 +212,10 @@
     Some(target)
 }
 
+fn is_startable(group: &Group, reclaimed: &[Group], unavailable_kinds: &[Arc<str>]) -> bool {
+    !reclaimed.contains(group) && !unavailable_kinds.contains(&group.kind)
+}
+
 fn group_of_target(target: &PlatformTarget) -> Group {
     Group {
         kind: Arc::clone(&target.kind),
--- a/src/standin/platform/service.rs
+++ b/src/standin/platform/service.rs
@@ -60,20 +60,42 @@
     Weights,
 }
 
-/// Which answers of each interface are lost.
-#[derive(Debug, Default)]
-struct Losses {
-    log: AnswerLoss,
-    live: AnswerLoss,
-    targets: AnswerLoss,
-    usage: AnswerLoss,
-    weights: AnswerLoss,
+impl Interface {
+    const ALL: [Self; 5] = [
+        Self::Log,
+        Self::Live,
+        Self::Targets,
+        Self::Usage,
+        Self::Weights,
+    ];
+
+    fn of_path(path: &[&str]) -> Option<Self> {
+        match *path.first()? {
+            "log" => Some(Self::Log),
+            "live" => Some(Self::Live),
+            "targets" | "orders" => Some(Self::Targets),
+            "usage" => Some(Self::Usage),
+            "weights" => Some(Self::Weights),
+            _ => None,
+        }
+    }
+
+    fn faults(self, faults: &PlatformFaults) -> InterfaceFaults {
+        match self {
+            Self::Log => faults.log,
+            Self::Live => faults.live,
+            Self::Targets => faults.targets,
+            Self::Usage => faults.usage,
+            Self::Weights => faults.weights,
+        }
+    }
 }
 
 #[derive(Debug)]
 struct State {
     faults: PlatformFaults,
-    losses: Losses,
+    /// Which answers are lost, in the order of [`Interface::ALL`].
+    losses: [AnswerLoss; Interface::ALL.len()],
     log: LogStore,
     live: LiveList,
     fleet: Fleet,
@@ -95,13 +117,8 @@
         if path == ["faults"] {
             return self.replace_faults(req, res).await;
         }
-        let interface = match path.first() {
-            Some(&"log") => Interface::Log,
-            Some(&"live") => Interface::Live,
-            Some(&"targets" | &"orders") => Interface::Targets,
-            Some(&"usage") => Interface::Usage,
-            Some(&"weights") => Interface::Weights,
-            _ => return write_error(res, StatusCode::NOT_FOUND, "no such interface"),
+        let Some(interface) = Interface::of_path(&path) else {
+            return write_error(res, StatusCode::NOT_FOUND, "no such interface");
         };
         let faults = self.interface_faults(interface);
         if faults.slow_ms > 0 {
@@ -169,25 +186,11 @@
     }
 
     fn interface_faults(&self, interface: Interface) -> InterfaceFaults {
-        let state = self.lock();
-        match interface {
-            Interface::Log => state.faults.log,
-            Interface::Live => state.faults.live,
-            Interface::Targets => state.faults.targets,
-            Interface::Usage => state.faults.usage,
-            Interface::Weights => state.faults.weights,
-        }
+        interface.faults(&self.lock().faults)
     }
 
     fn lose_answer(&self, interface: Interface) -> bool {
-        let losses = &mut self.lock().losses;
-        match interface {
-            Interface::Log => losses.log.next(),
-            Interface::Live => losses.live.next(),
-            Interface::Targets => losses.targets.next(),
-            Interface::Usage => losses.usage.next(),
-            Interface::Weights => losses.weights.next(),
-        }
+        self.lock().losses[interface as usize].next()
     }
 
     async fn replace_faults(&self, req: &mut Request, res: &mut Response) {
@@ -351,14 +354,8 @@
     }
 }
 
-fn losses_of(faults: &PlatformFaults) -> Losses {
-    Losses {
-        log: AnswerLoss::new(&faults.log),
-        live: AnswerLoss::new(&faults.live),
-        targets: AnswerLoss::new(&faults.targets),
-        usage: AnswerLoss::new(&faults.usage),
-        weights: AnswerLoss::new(&faults.weights),
-    }
+fn losses_of(faults: &PlatformFaults) -> [AnswerLoss; Interface::ALL.len()] {
+    Interface::ALL.map(|interface| AnswerLoss::new(&interface.faults(faults)))
 }
 
 fn wall_clock_ms() -> u64 {
