--- a/src/control/usage.rs
+++ b/src/control/usage.rs
@@ -5,12 +5,13 @@
     time::Duration,
 };
 
+use futures_util::future::join_all;
 use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
 
 use super::{Clock, Identity, Result, slices::SliceBuffer};
 use crate::{
-    ledger::{LedgerHandle, UsageCounts},
+    ledger::{LedgerHandle, UsageCounts, Verdict},
     log::{
         Appender,
         records::{UsageSlice, UsageWatermark, record::Body},
@@ -21,9 +22,15 @@
 /// Time between two looks at what was recorded.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Time between two copies of a growing slice to a peer.
+const COPY_PERIOD: Duration = Duration::from_millis(500);
+
 /// Longest time for which usage is held back from the log.
 const MAX_FLUSH_PERIOD: Duration = Duration::from_secs(1);
 
+/// Longest time for the last flush before a stop; a peer holds a copy.
+const MAX_STOP_FLUSH: Duration = Duration::from_secs(3);
+
 /// Flushes within one window, at least.
 const FLUSHES_PER_WINDOW: u64 = 5;
 
@@ -61,7 +68,7 @@
     ledger: LedgerHandle,
     clock: Clock,
     flush_period: Duration,
-    drain: Duration,
+    stop_flush: Duration,
     copied: Option<UsageSlice>,
     watermark: u64,
     copy: C,
@@ -89,7 +96,7 @@
             ledger,
             clock: Clock::start(),
             flush_period: period.min(MAX_FLUSH_PERIOD),
-            drain: Duration::from_millis(timing.drain_ms),
+            stop_flush: Duration::from_millis(timing.drain_ms).min(MAX_STOP_FLUSH),
             copied: None,
             watermark: 0,
             copy,
@@ -104,9 +111,13 @@
     /// Fails if the appender has stopped.
     pub async fn run(mut self, stop: CancellationToken) -> Result<()> {
         let mut flushed_at = Instant::now();
+        let mut copied_at = Instant::now();
         while !stop.is_cancelled() {
             self.advance();
-            self.copy_growing();
+            if copied_at.elapsed() >= COPY_PERIOD {
+                copied_at = Instant::now();
+                self.copy_growing();
+            }
             if flushed_at.elapsed() >= self.flush_period {
                 flushed_at = Instant::now();
                 self.recorder.lock().cut();
@@ -121,7 +132,7 @@
             }
         }
         self.recorder.lock().cut();
-        match timeout(self.drain, self.flush()).await {
+        match timeout(self.stop_flush, self.flush()).await {
             Ok(flushed) => flushed,
             Err(_) => {
                 tracing::warn!("control: usage was not flushed before the stop");
@@ -146,29 +157,44 @@
         }
     }
 
-    /// Appends all slices that were cut, and then the watermark.
+    /// Appends all slices that were cut, and the watermark behind them, so
+    /// that they can share a batch.
     async fn flush(&mut self) -> Result<()> {
-        loop {
-            let slice = self.recorder.lock().first_unflushed().cloned();
-            let Some(slice) = slice else {
-                break;
-            };
-            let number = slice.slice;
+        let (slices, watermark) = {
+            let buffer = self.recorder.lock();
+            (buffer.unflushed(), buffer.watermark())
+        };
+        let mut appends = Vec::with_capacity(slices.len());
+        for slice in &slices {
             (self.copy)(slice.clone());
-            let receipt = self.appender.append(Body::UsageSlice(slice)).await?;
-            if let crate::ledger::Verdict::Rejected(rejection) = &receipt.verdict {
-                tracing::error!("control: usage slice {number} was refused: {rejection}");
-            }
-            self.recorder.lock().flushed(number);
-            (self.flushed)(number);
+            appends.push(self.flush_slice(slice));
+        }
+        let slices = join_all(appends);
+        let watermark = self.flush_watermark(watermark);
+        let (slices, watermark) = tokio::join!(biased; slices, watermark);
+        for flushed in slices {
+            flushed?;
         }
-        self.flush_watermark().await
+        self.watermark = watermark?;
+        Ok(())
     }
 
-    async fn flush_watermark(&mut self) -> Result<()> {
-        let watermark = self.recorder.lock().watermark();
+    async fn flush_slice(&self, slice: &UsageSlice) -> Result<()> {
+        let number = slice.slice;
+        let body = Body::UsageSlice(slice.clone());
+        let receipt = self.appender.append(body).await?;
+        if let Verdict::Rejected(rejection) = &receipt.verdict {
+            tracing::error!("control: usage slice {number} was refused: {rejection}");
+        }
+        self.recorder.lock().flushed(number);
+        (self.flushed)(number);
+        Ok(())
+    }
+
+    /// Appends a watermark if it is higher than the last; returns the last.
+    async fn flush_watermark(&self, watermark: u64) -> Result<u64> {
         if watermark <= self.watermark {
-            return Ok(());
+            return Ok(self.watermark);
         }
         let body = Body::UsageWatermark(UsageWatermark {
             source: self.appender.writer().to_string(),
@@ -176,7 +202,6 @@
             window: watermark,
         });
         self.appender.append(body).await?;
-        self.watermark = watermark;
-        Ok(())
+        Ok(watermark)
     }
 }
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -11,7 +11,7 @@
 use crate::{
     entry::{
         error::{Error, Result},
-        permit::{Demand, Permit, Returned},
+        permit::{Demand, Measured, Permit, Returned},
         waiting::{Grant, Queue, QueueKey, Waiter},
     },
     platform::protocol::TargetState,
@@ -21,7 +21,10 @@
         routing::{Availability, Choice, PrefillChoice, RouteError, RouteSettings, RouteTable},
     },
     settings::{Policy, QueueOrder},
-    target::table::{TargetTable, TargetView},
+    target::{
+        protocol::CacheEventList,
+        table::{TargetTable, TargetView},
+    },
 };
 
 /// Queues requests and assigns them to targets.
@@ -87,7 +90,7 @@
         let key = demand.queue_key();
         {
             let mut state = self.lock();
-            state.observe(&self.targets, now_ms);
+            state.observe(&self.targets, self.started_at, now_ms);
             let queue = state.queue(&key, &self.settings);
             queue.push(waiter, now_ms)?;
             state.pump(&key, now_ms);
@@ -100,7 +103,7 @@
     pub(super) fn tick(&self) {
         let now_ms = self.now_ms();
         let mut state = self.lock();
-        state.observe(&self.targets, now_ms);
+        state.observe(&self.targets, self.started_at, now_ms);
         for index in 0..state.queues.len() {
             let Some((key, _)) = state.queues.get_index(index) else {
                 continue;
@@ -129,6 +132,22 @@
         }
     }
 
+    /// Blocks that a target is thought to have cached.
+    pub(super) fn cached_blocks(&self, target: &str) -> usize {
+        self.lock().routes.prefixes_mut().blocks(target)
+    }
+
+    /// Sequence number from which to ask for a target's cache events.
+    pub(super) fn next_cache_event(&self, target: &str) -> u64 {
+        self.lock().routes.prefixes_mut().next_sequence(target)
+    }
+
+    /// Takes in a target's cache events.
+    pub(super) fn observe_cache_events(&self, target: &str, events: &CacheEventList) {
+        let mut state = self.lock();
+        state.routes.prefixes_mut().observe_events(target, events);
+    }
+
     /// Requests that wait for a target.
     pub(super) fn queued(&self) -> usize {
         self.lock().queues.values().map(Queue::len).sum()
@@ -151,6 +170,7 @@
     pub(super) fn release(&self, returned: &Returned<'_>) {
         let now_ms = self.now_ms();
         let mut state = self.lock();
+        learn(&mut state.routes, returned.choice, &returned.measured);
         state.routes.finished(returned.choice, now_ms);
         if let Some(queue) = state.queues.get_mut(returned.queue) {
             let (charged, served) = (returned.charged_tokens, returned.served_tokens);
@@ -180,7 +200,7 @@
     }
 
     /// Takes in the target table where it has changed.
-    fn observe(&mut self, targets: &TargetTable, now_ms: u64) {
+    fn observe(&mut self, targets: &TargetTable, started_at: Instant, now_ms: u64) {
         let snapshot = targets.snapshot();
         if Arc::ptr_eq(&snapshot, &self.snapshot) {
             return;
@@ -190,8 +210,12 @@
             match &view.engine {
                 Some(engine) => {
                     let (name, kind) = (&view.name, &view.kind);
+                    // Another target's report may have changed the table: this
+                    // one counts from when it was received.
+                    let received_at = view.reported_at.saturating_duration_since(started_at);
+                    let received_at_ms = received_at.as_millis() as u64;
                     self.routes
-                        .observe_engine(name, kind, availability, engine, now_ms);
+                        .observe_engine(name, kind, availability, engine, received_at_ms);
                 }
                 None => self
                     .routes
@@ -206,8 +230,7 @@
     /// Assigns queued requests for as long as there is room.
     fn pump(&mut self, key: &QueueKey, now_ms: u64) {
         while let Some(popped) = self.take_next(key, now_ms) {
-            let waiter = &popped.item;
-            match choose(&self.routes, &waiter.demand, &waiter.excluded, now_ms) {
+            match choose(&self.routes, &popped.item, now_ms) {
                 Ok(choice) => {
                     if let Some(popped) = self.grant(popped, choice, now_ms) {
                         self.put_back(key, popped);
@@ -272,19 +295,37 @@
 /// Chooses a target, if need be one that was tried before.
 fn choose(
     routes: &RouteTable,
-    demand: &Demand,
-    excluded: &[Arc<str>],
+    waiter: &Waiter,
     now_ms: u64,
 ) -> std::result::Result<Choice, RouteError> {
     let mut rng = rand::rng();
-    match routes.choose(&demand.route_request(excluded), now_ms, &mut rng) {
-        Err(RouteError::Unavailable) if !excluded.is_empty() => {
-            routes.choose(&demand.route_request(&[]), now_ms, &mut rng)
+    let request = waiter.demand.route_request(waiter.left_ms(now_ms));
+    let tried = request.clone().excluded(&waiter.excluded);
+    match routes.choose(&tried, now_ms, &mut rng) {
+        Err(RouteError::Unavailable) if !waiter.excluded.is_empty() => {
+            routes.choose(&request, now_ms, &mut rng)
         }
         other => other,
     }
 }
 
+/// Takes in what an answer showed of its target.
+fn learn(routes: &mut RouteTable, choice: &Choice, measured: &Measured) {
+    let target = &choice.target;
+    if let Some(between_tokens_ms) = measured.between_tokens_ms {
+        routes.observe_between_tokens(target, between_tokens_ms);
+    }
+    if let Some(latency_ms) = measured.latency_ms {
+        routes.observe_latency(target, latency_ms);
+    }
+    if let Some(cached_tokens) = measured.cached_tokens
+        && choice.prefill.is_none()
+    {
+        let prefixes = routes.prefixes_mut();
+        prefixes.observe_answer(target, choice.cached_tokens, cached_tokens);
+    }
+}
+
 fn find_target(snapshot: &[TargetView], name: &str) -> Option<TargetView> {
     snapshot.iter().find(|view| &*view.name == name).cloned()
 }
