--- a/src/entry/call.rs
+++ b/src/entry/call.rs
@@ -23,6 +23,9 @@
 /// Longest idempotency key, in bytes.
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 255;
 
+/// Wait for the answer to a claimed request beyond its deadline.
+const LATE_ANSWER: Duration = Duration::from_secs(60);
+
 /// SHA-256 of a request's method, path, query and body.
 pub(super) type BodyDigest = [u8; 32];
 
@@ -70,6 +73,18 @@
         self.deadline().saturating_duration_since(Instant::now())
     }
 
+    /// Time to wait for a whole answer.
+    ///
+    /// The answer to a claimed request is awaited beyond the deadline, so that
+    /// a resend of the request gets it.
+    pub(super) fn answer_wait(&self) -> Duration {
+        let claimed = !self.is_idempotent() && self.idempotency_key.is_some();
+        if claimed {
+            return self.remaining() + LATE_ANSWER;
+        }
+        self.remaining()
+    }
+
     /// Checks again, right before a dispatch, that the request may run.
     ///
     /// # Errors
--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -238,7 +238,8 @@
 
 /// Runs a non-repeatable request at most once.
 ///
-/// It goes on if the caller hangs up, so that its outcome is recorded.
+/// It goes on if the caller hangs up or the deadline passes, so that its
+/// outcome is recorded.
 ///
 /// # Errors
 ///
@@ -267,7 +268,12 @@
         claim.settle(&task_context, &result);
         result
     });
-    task.await.unwrap_or(Err(Error::Internal {
-        outcome: Outcome::Unknown,
-    }))
+    match timeout(call.remaining(), task).await {
+        Ok(answered) => answered.unwrap_or(Err(Error::Internal {
+            outcome: Outcome::Unknown,
+        })),
+        Err(_) => Err(Error::DeadlineExceeded {
+            outcome: Outcome::Unknown,
+        }),
+    }
 }
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -150,6 +150,11 @@
     loop {
         let permit = context.scheduler().acquire(demand, failed).await?;
         call.recheck(context)?;
+        if call.remaining().is_zero() {
+            return Err(Error::DeadlineExceeded {
+                outcome: Outcome::NotRun,
+            });
+        }
         if permit.is_usable() {
             return Ok(permit);
         }
@@ -171,7 +176,7 @@
         body: call.body.clone(),
     };
     let answer = context.plain().call(&permit.target.address, request);
-    let answer = match timeout(call.remaining(), answer).await {
+    let answer = match timeout(call.answer_wait(), answer).await {
         Ok(answer) => answer.map_err(CallError::Target)?,
         Err(_) => return Err(CallError::Deadline),
     };
--- a/tests/order_once.rs
+++ b/tests/order_once.rs
@@ -311,3 +311,28 @@
     assert_eq!(again.status(), 502);
     assert_eq!(outcome(&again), "unknown");
 }
+
+#[tokio::test]
+async fn late_answer_is_recorded_for_a_resend() {
+    let bench = Bench::start(Targets::start(0, 1).await).await;
+    let hasty = document(false).replace("max_body_bytes: 4096", "deadline_ms: 400");
+    let hasty = hasty.replace("first_token_ms: 20000", "first_token_ms: 300");
+    bench.log.publish(1, &hasty);
+    bench.set_faults(PlainFaults {
+        latency_ms: 1_000,
+        ..PlainFaults::default()
+    });
+    let answer = send_order(&bench.first, "/orders", Some("k-1"), "3 sheets").await;
+    assert_eq!(answer.status(), 504);
+    assert_eq!(outcome(&answer), "unknown");
+    let again = loop {
+        let again = send_order(&bench.second, "/orders", Some("k-1"), "3 sheets").await;
+        if again.status() != 409 {
+            break again;
+        }
+        assert_eq!(outcome(&again), "unknown");
+    };
+    assert_eq!(again.status(), 201);
+    assert_eq!(again.headers()["lavenderwind-replayed"], "true");
+    assert_eq!(bench.executions(), 1);
+}
