--- a/examples/start.sh
+++ b/examples/start.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # Starts an example deployment as separate processes and runs until Ctrl-C.
 # Usage: examples/start.sh association|sanobato
+# POLICY, if set, is the value of the instances' `policy` setting; LOGS names
+# the folder for the logs.
 set -euo pipefail
 cd "$(dirname "$0")"
 
@@ -22,7 +24,7 @@
 folder=$1
 binary=${LAVENDERWIND:-../target/release/lavenderwind}
 export LAVENDERWIND_PLATFORM=http://127.0.0.1:$port
-logs=$(mktemp -d)
+logs=${LOGS:-$(mktemp -d)}
 options=$logs/engine.yaml
 pids=()
 
@@ -30,8 +32,10 @@
 	trap - EXIT INT TERM
 	echo "stopping; logs stay in $logs"
 	# Instances end first, so that they can flush their usage.
-	kill -TERM "${entries[@]}" 2>/dev/null || true
-	wait "${entries[@]}" 2>/dev/null || true
+	if ((${#entries[@]})); then
+		kill -TERM "${entries[@]}" 2>/dev/null || true
+		wait "${entries[@]}" 2>/dev/null || true
+	fi
 	kill -TERM "${pids[@]}" 2>/dev/null || true
 	wait 2>/dev/null || true
 }
@@ -60,6 +64,14 @@
 }
 
 start platform standin platform --listen 127.0.0.1:$port
+# The address may belong to another deployment, which must not be touched.
+until grep -q ready "$logs/platform.out"; do
+	if ! kill -0 "${pids[0]}" 2>/dev/null; then
+		cat "$logs/platform.log" >&2
+		exit 1
+	fi
+	sleep 0.1
+done
 wait_ready "$binary" service list
 for index in 0 1 2 3 4 5 6 7 8; do
 	start "$engine-$index" standin engine --platform "$LAVENDERWIND_PLATFORM" \
@@ -76,6 +88,10 @@
 done
 for settings in "$folder"/entry-*.yaml; do
 	name=$(basename "$settings" .yaml)
+	if [ -n "${POLICY:-}" ]; then
+		{ cat "$settings"; echo "policy: $POLICY"; } >"$logs/$name.yaml"
+		settings=$logs/$name.yaml
+	fi
 	"$binary" serve --settings "$settings" >"$logs/$name.out" 2>"$logs/$name.log" &
 	entries+=($!)
 done
