--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -9,13 +9,12 @@
     entry::{
         call::Call,
         context::EntryContext,
+        crash::{has_crashed, is_leaving, is_suspect, record_crash},
         error::Result,
         generation::Finish,
         permit::{Demand, Measured, Permit},
         suspect::SuspectGuard,
     },
-    log::records::{CrashSuspect, record::Body},
-    platform::protocol::TargetState,
     target::{
         self, EventStream,
         protocol::{GenerateEvent, GenerateRequest, KvTransfer},
@@ -23,12 +22,6 @@
     },
 };
 
-/// Longest wait for an engine to tell whether it was restarted.
-const STATE_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Longest wait for a crash to be recorded before a suspect is retried.
-const SUSPECT_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Why an attempt failed.
 #[derive(Debug, Display)]
 pub(super) enum AttemptError {
@@ -333,70 +326,21 @@
             self.cancel(context, call);
             return AttemptEnd::TargetLeft;
         }
-        let crashed = matches!(error, AttemptError::Target(_)) && self.has_crashed(context).await;
-        if !crashed {
+        let boot = self.boot.as_deref();
+        let cut = matches!(error, AttemptError::Target(_));
+        if !cut || !has_crashed(context, &self.engine, boot).await {
             context.targets().mark_failure(&name);
             self.cancel(context, call);
             return AttemptEnd::Failed;
         }
-        context.targets().mark_crashed(&name);
-        let boot = self.boot.as_deref().unwrap_or_default();
-        tracing::warn!(
-            request = &*call.id,
-            "entry: target {name} crashed with the request in flight"
-        );
-        let recorded = recorded_crashes(context, call);
-        let appending = context.append_later(Body::CrashSuspect(CrashSuspect {
-            account: call.account.full_name.to_string(),
-            body_digest: call.digest.to_vec(),
-            target: name.to_string(),
-            target_boot: boot.to_owned(),
-        }));
-        if recorded > 0 {
-            // This crash may be the one that quarantines the request.
-            let _ = timeout(SUSPECT_TIMEOUT, appending).await;
-        }
-        let quarantined = context.suspects().record_crash(call, boot);
-        if quarantined {
-            (context.peers().notify_quarantine)(&call.account.full_name, &call.digest);
-        }
-        if quarantined {
+        if record_crash(context, call, &name, boot.unwrap_or_default()).await {
             return AttemptEnd::Quarantined;
         }
         AttemptEnd::Failed
     }
-
-    /// Whether the engine was restarted or accepts no connections.
-    async fn has_crashed(&self, context: &EntryContext) -> bool {
-        let state = context.engine().state(&self.engine.address);
-        match timeout(STATE_TIMEOUT, state).await {
-            Ok(Ok(state)) => self.boot.as_ref().is_some_and(|boot| *boot != state.boot),
-            Ok(Err(error)) => !error.written() && !error.timed_out(),
-            Err(_) => false,
-        }
-    }
 }
 
 fn boot_of(engine: &TargetView) -> Option<Arc<str>> {
     let state = engine.engine.as_ref()?;
     Some(Arc::clone(&state.boot))
 }
-
-/// Whether a request was in flight at a crash, on any instance.
-fn is_suspect(context: &EntryContext, call: &Call) -> bool {
-    context.suspects().is_suspect(call) || recorded_crashes(context, call) > 0
-}
-
-fn recorded_crashes(context: &EntryContext, call: &Call) -> u32 {
-    let account = &call.account.full_name;
-    let crashes = context
-        .ledger()
-        .read(|ledger| ledger.crashes(account, &call.digest));
-    u32::try_from(crashes).unwrap_or(u32::MAX)
-}
-
-fn is_leaving(context: &EntryContext, name: &str) -> bool {
-    let snapshot = context.targets().snapshot();
-    let view = snapshot.iter().find(|view| &*view.name == name);
-    view.is_none_or(|view| view.state == TargetState::Leaving)
-}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod claim;
 mod complete;
 mod context;
+mod crash;
 mod error;
 mod exchange;
 mod fields;
