Take in only targets that changed

Each state report publishes a new table of targets, and the scheduler took in every row of it and searched all names once for each: at 600 targets that are 360,000 comparisons a report. Only rows that changed are taken in now, and targets are dropped only where the names differ. The check right before a dispatch looks at the newest table instead of what the scheduler last took in, and a target that is changing fails it.

cargo test: all pass, the process tests included.

--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -3,7 +3,10 @@
 //! Requests for the same kind of target and model share one fair queue. A
 //! request leaves it as soon as the router finds a target with room for it.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::{
+    collections::HashSet,
+    sync::{Arc, Mutex, MutexGuard},
+};
 
 use indexmap::IndexMap;
 use tokio::{sync::oneshot, time::Instant};
@@ -153,11 +156,11 @@
         self.lock().queues.values().map(Queue::len).sum()
     }
 
-    /// Whether a target gets new work.
+    /// Whether a target gets new work, by the newest that is known of it.
     pub(super) fn is_live(&self, target: &str) -> bool {
-        let state = self.lock();
-        let target = state.routes.target(target);
-        target.is_some_and(|target| target.availability() == Availability::Live)
+        let snapshot = self.targets.snapshot();
+        let view = snapshot.iter().find(|view| &*view.name == target);
+        view.is_some_and(|view| availability(view) == Availability::Live)
     }
 
     /// Takes the place of a prefill back.
@@ -205,28 +208,34 @@
         if Arc::ptr_eq(&snapshot, &self.snapshot) {
             return;
         }
-        for view in snapshot.iter() {
-            let availability = availability(view);
-            match &view.engine {
-                Some(engine) => {
-                    let (name, kind) = (&view.name, &view.kind);
-                    // Another target's report may have changed the table: this
-                    // one counts from when it was received.
-                    let received_at = view.reported_at.saturating_duration_since(started_at);
-                    let received_at_ms = received_at.as_millis() as u64;
-                    self.routes
-                        .observe_engine(name, kind, availability, engine, received_at_ms);
-                }
-                None => self
-                    .routes
-                    .observe_plain(&view.name, &view.kind, availability, now_ms),
+        for (index, view) in snapshot.iter().enumerate() {
+            let known = self.snapshot.get(index);
+            if !known.is_some_and(|known| is_unchanged(known, view)) {
+                self.observe_target(view, started_at, now_ms);
             }
         }
-        self.routes
-            .retain(|name| snapshot.iter().any(|view| &*view.name == name));
+        if !has_same_names(&self.snapshot, &snapshot) {
+            let names: HashSet<&str> = snapshot.iter().map(|view| &*view.name).collect();
+            self.routes.retain(|name| names.contains(name));
+        }
         self.snapshot = snapshot;
     }
 
+    fn observe_target(&mut self, view: &TargetView, started_at: Instant, now_ms: u64) {
+        let (name, kind) = (&view.name, &view.kind);
+        let availability = availability(view);
+        let Some(engine) = &view.engine else {
+            let routes = &mut self.routes;
+            return routes.observe_plain(name, kind, availability, now_ms);
+        };
+        // Another target's report may have changed the table: this one counts
+        // from when it was received.
+        let received_at = view.reported_at.saturating_duration_since(started_at);
+        let received_at_ms = received_at.as_millis() as u64;
+        self.routes
+            .observe_engine(name, kind, availability, engine, received_at_ms);
+    }
+
     /// Assigns queued requests for as long as there is room.
     fn pump(&mut self, key: &QueueKey, now_ms: u64) {
         while let Some(popped) = self.take_next(key, now_ms) {
@@ -326,14 +335,29 @@
     }
 }
 
+/// Whether a target shows nothing new since the last snapshot.
+fn is_unchanged(known: &TargetView, view: &TargetView) -> bool {
+    known.name == view.name
+        && known.reported_at == view.reported_at
+        && known.state == view.state
+        && known.health == view.health
+}
+
+fn has_same_names(known: &[TargetView], snapshot: &[TargetView]) -> bool {
+    let mut pairs = known.iter().zip(snapshot);
+    known.len() == snapshot.len() && pairs.all(|(known, view)| known.name == view.name)
+}
+
 fn find_target(snapshot: &[TargetView], name: &str) -> Option<TargetView> {
     snapshot.iter().find(|view| &*view.name == name).cloned()
 }
 
 fn availability(view: &TargetView) -> Availability {
+    let changing = view.engine.as_ref().is_some_and(|engine| engine.changing);
     match view.state {
         TargetState::Starting => Availability::Starting,
         TargetState::Leaving => Availability::Leaving,
+        TargetState::Live if changing => Availability::Changing,
         TargetState::Live if view.is_available() => Availability::Live,
         TargetState::Live => Availability::Suspect,
     }
