--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,6 +7,7 @@
 
 mod acceptor;
 mod answer;
+mod assign;
 mod attempt;
 mod auth;
 mod body;
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -13,11 +13,11 @@
 
 use crate::{
     entry::{
+        assign::{availability, choose, find_target, has_same_names, is_unchanged, learn},
         error::{Error, Result},
-        permit::{Demand, Measured, Permit, Returned},
+        permit::{Demand, Permit, Returned},
         waiting::{Grant, Queue, QueueKey, Waiter},
     },
-    platform::protocol::TargetState,
     policy::{
         load::InFlight,
         queue::{Popped, QueueSettings},
@@ -382,65 +382,3 @@
         None
     }
 }
-
-/// Chooses a target, if need be one that was tried before.
-fn choose(
-    routes: &RouteTable,
-    waiter: &Waiter,
-    now_ms: u64,
-) -> std::result::Result<Choice, RouteError> {
-    let mut rng = rand::rng();
-    let request = waiter.demand.route_request(waiter.left_ms(now_ms));
-    let tried = request.clone().excluded(&waiter.excluded);
-    match routes.choose(&tried, now_ms, &mut rng) {
-        Err(RouteError::Unavailable) if !waiter.excluded.is_empty() => {
-            routes.choose(&request, now_ms, &mut rng)
-        }
-        other => other,
-    }
-}
-
-/// Takes in what an answer showed of its target.
-fn learn(routes: &mut RouteTable, choice: &Choice, measured: &Measured) {
-    let target = &choice.target;
-    if let Some(between_tokens_ms) = measured.between_tokens_ms {
-        routes.observe_between_tokens(target, between_tokens_ms);
-    }
-    if let Some(latency_ms) = measured.latency_ms {
-        routes.observe_latency(target, latency_ms);
-    }
-    if let Some(cached_tokens) = measured.cached_tokens
-        && choice.prefill.is_none()
-    {
-        let prefixes = routes.prefixes_mut();
-        prefixes.observe_answer(target, choice.cached_tokens, cached_tokens);
-    }
-}
-
-/// Whether a target shows nothing new since the last snapshot.
-fn is_unchanged(known: &TargetView, view: &TargetView) -> bool {
-    known.name == view.name
-        && known.reported_at == view.reported_at
-        && known.state == view.state
-        && known.health == view.health
-}
-
-fn has_same_names(known: &[TargetView], snapshot: &[TargetView]) -> bool {
-    let mut pairs = known.iter().zip(snapshot);
-    known.len() == snapshot.len() && pairs.all(|(known, view)| known.name == view.name)
-}
-
-fn find_target(snapshot: &[TargetView], name: &str) -> Option<TargetView> {
-    snapshot.iter().find(|view| &*view.name == name).cloned()
-}
-
-fn availability(view: &TargetView) -> Availability {
-    let changing = view.engine.as_ref().is_some_and(|engine| engine.changing);
-    match view.state {
-        TargetState::Starting => Availability::Starting,
-        TargetState::Leaving => Availability::Leaving,
-        TargetState::Live if changing => Availability::Changing,
-        TargetState::Live if view.is_available() => Availability::Live,
-        TargetState::Live => Availability::Suspect,
-    }
-}
--- a/src/policy/routing/partition.rs
+++ b/src/policy/routing/partition.rs
@@ -7,6 +7,9 @@
 //! engines by the same hash and counts the demand from the same ledger, so
 //! that they come to the same division without a message.
 
+use super::{RouteRequest, RouteTable, TargetRole, table::group_key};
+use crate::target::protocol::EngineRole;
+
 /// Streams that an engine decodes at a time.
 const ENGINE_STREAMS: f64 = 16.0;
 /// Load of long prefills below which the engines are not divided, in engines.
@@ -119,3 +122,80 @@
     /// Decoding, and whole requests with short prompts.
     Decode,
 }
+
+impl RouteTable {
+    /// Sets how many of the mixed engines that hold a model take the long
+    /// prefills; 0 leaves the engines undivided.
+    pub fn set_prefill_engines(&mut self, kind: &str, model: &str, version: &str, count: usize) {
+        let key = group_key(kind, model, version);
+        if self.partitions.insert(key, count) != Some(count) {
+            self.divide_engines();
+        }
+    }
+
+    /// Returns the prompt tokens in flight, of all instances, on the engines
+    /// that hold a model.
+    #[must_use]
+    pub fn waiting_tokens(&self, kind: &str, model: &str, version: &str) -> u64 {
+        let group = self.groups.get(&group_key(kind, model, version));
+        let mut tokens = 0;
+        for &index in group.into_iter().flatten() {
+            tokens += self.targets[index].load.prefill_tokens();
+        }
+        tokens
+    }
+
+    /// Whether the prefill of a request would delay the streams of the engines
+    /// that hold its model.
+    #[must_use]
+    pub fn is_long(&self, request: &RouteRequest<'_>) -> bool {
+        let key = group_key(request.kind, request.model, request.version);
+        let group = self.groups.get(&key);
+        let mut engines = group
+            .into_iter()
+            .flatten()
+            .map(|index| &self.targets[*index]);
+        let tokens = u64::from(request.prompt_tokens);
+        engines.any(|target| target.stalls_streams(request, tokens))
+    }
+
+    /// Returns how many of the mixed engines that hold a model take the long
+    /// prefills.
+    #[must_use]
+    pub fn prefill_engines(&self, kind: &str, model: &str, version: &str) -> usize {
+        let key = group_key(kind, model, version);
+        self.partitions.get(&key).copied().unwrap_or(0)
+    }
+
+    /// Gives the mixed engines of each divided group their parts, in the order
+    /// of their hashes, which is the same on all instances.
+    pub(super) fn divide_engines(&mut self) {
+        for target in self.targets.values_mut() {
+            target.part = Part::Whole;
+        }
+        for (key, &count) in &self.partitions {
+            let Some(group) = self.groups.get(key) else {
+                continue;
+            };
+            let mut engines = Vec::with_capacity(group.len());
+            for &index in group {
+                let target = &self.targets[index];
+                if target.role == TargetRole::Engine(EngineRole::Mixed) {
+                    engines.push((target.name_hash, index));
+                }
+            }
+            engines.sort_unstable();
+            if count == 0 || count >= engines.len() {
+                continue;
+            }
+            for (rank, (_, index)) in engines.into_iter().enumerate() {
+                let part = if rank < count {
+                    Part::Prefill
+                } else {
+                    Part::Decode
+                };
+                self.targets[index].part = part;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/checker.rs
@@ -0,0 +1,49 @@
+//! Checks of values, with errors that name the line.
+
+use std::path::{Path, PathBuf};
+
+use super::{Error, Result};
+
+/// Locates the field of a failed check in the text.
+pub(super) struct Checker<'a> {
+    text: &'a str,
+    path: PathBuf,
+}
+
+impl<'a> Checker<'a> {
+    /// Checks the settings in `text`; `path` is named in errors.
+    pub(super) fn new(text: &'a str, path: &Path) -> Self {
+        Self {
+            text,
+            path: path.to_owned(),
+        }
+    }
+
+    pub(super) fn require(&self, field: &'static str, holds: bool, reason: &str) -> Result<()> {
+        if holds {
+            return Ok(());
+        }
+        Err(self.error(field, reason.to_owned()))
+    }
+
+    pub(super) fn error(&self, field: &'static str, reason: String) -> Error {
+        Error::Invalid {
+            path: self.path.display().to_string(),
+            line: self.line_of(field),
+            field,
+            reason,
+        }
+    }
+
+    fn line_of(&self, field: &str) -> usize {
+        for (index, line) in self.text.lines().enumerate() {
+            let Some(rest) = line.trim_start().strip_prefix(field) else {
+                continue;
+            };
+            if rest.starts_with(':') {
+                return index + 1;
+            }
+        }
+        1
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,16 +1,16 @@
 //! An instance's settings, read from YAML and checked.
 
-use std::{
-    net::SocketAddr,
-    path::{Path, PathBuf},
-    sync::Arc,
-};
+mod checker;
+mod policy;
+
+use std::{net::SocketAddr, path::Path, sync::Arc};
 
 use displaydoc::Display;
 use indexmap::IndexMap;
 use serde::Deserialize;
 
-use crate::policy::routing::RouteMethod;
+use self::checker::Checker;
+pub use self::policy::{Division, Policy, QueueOrder, RoleControl};
 
 /// Longest lease that the settings accept, in milliseconds.
 const MAX_LEASE_MS: u64 = 60_000;
@@ -143,56 +143,6 @@
     }
 }
 
-/// How requests are placed and engines are given roles.
-///
-/// The values other than the defaults are the plain policies that the
-/// decisions are measured against.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Policy {
-    /// Choice of a target.
-    pub routing: RouteMethod,
-    /// Order in which waiting requests are served.
-    pub queue: QueueOrder,
-    /// Division of mixed engines into those that prefill and those that decode.
-    pub division: Division,
-    /// Changes of engines' roles.
-    pub roles: RoleControl,
-}
-
-/// Order in which waiting requests are served.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
-#[serde(rename_all = "kebab-case")]
-pub enum QueueOrder {
-    /// By weighted tokens served to the client accounts.
-    #[default]
-    Fair,
-    /// By arrival.
-    FirstCome,
-}
-
-/// Division of mixed engines into those that prefill and those that decode.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
-#[serde(rename_all = "kebab-case")]
-pub enum Division {
-    /// By the demand.
-    #[default]
-    Planned,
-    /// None: each engine runs whole requests.
-    Whole,
-}
-
-/// Changes of engines' roles.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
-#[serde(rename_all = "kebab-case")]
-pub enum RoleControl {
-    /// Where the gain exceeds the cost.
-    #[default]
-    Planned,
-    /// None.
-    Fixed,
-}
-
 /// Form of the log output.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "kebab-case")]
@@ -272,10 +222,7 @@
             path: path.display().to_string(),
             source,
         })?;
-        let checker = Checker {
-            text,
-            path: path.to_owned(),
-        };
+        let checker = Checker::new(text, path);
         settings.check(&checker)?;
         Ok(settings)
     }
@@ -376,39 +323,3 @@
         )
     }
 }
-
-/// Locates the field of a failed check in the text.
-struct Checker<'a> {
-    text: &'a str,
-    path: PathBuf,
-}
-
-impl Checker<'_> {
-    fn require(&self, field: &'static str, holds: bool, reason: &str) -> Result<()> {
-        if holds {
-            return Ok(());
-        }
-        Err(self.error(field, reason.to_owned()))
-    }
-
-    fn error(&self, field: &'static str, reason: String) -> Error {
-        Error::Invalid {
-            path: self.path.display().to_string(),
-            line: self.line_of(field),
-            field,
-            reason,
-        }
-    }
-
-    fn line_of(&self, field: &str) -> usize {
-        for (index, line) in self.text.lines().enumerate() {
-            let Some(rest) = line.trim_start().strip_prefix(field) else {
-                continue;
-            };
-            if rest.starts_with(':') {
-                return index + 1;
-            }
-        }
-        1
-    }
-}
