Sum the demand on a model over its services; divide before the first usage

A model that two services share was averaged, not summed, and engines were not divided until the first usage was counted, though prompts already waited.

--- a/examples/measure.sh
+++ b/examples/measure.sh
@@ -25,6 +25,7 @@
 		good: .total.counts.good, sent: .total.counts.sent,
 		late: .total.counts.late, refused: .total.counts.refused,
 		refused_late: .total.counts.refused_late, failed: .total.counts.failed,
+		accounts: [.accounts[] | {name, sent: .counts.sent, good_share}],
 		phases: [.phases[] | {name, good_share, ttft_p95_ms: .first_token.p95_ms,
 			itl_p95_ms: .between_tokens.p95_ms}],
 		orders: $changes}' "$logs/load.json"
--- a/src/entry/partition.rs
+++ b/src/entry/partition.rs
@@ -1,6 +1,6 @@
 //! Feeds the division of mixed engines with the demand that the ledger shows.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use indexmap::IndexMap;
 use tokio::time::Instant;
@@ -8,9 +8,13 @@
 use crate::{
     control::fleet::DemandMeter,
     entry::{context::EntryContext, waiting::QueueKey},
+    ledger::ServiceEntry,
     platform::protocol::TargetState,
-    policy::routing::{PartitionDemand, PartitionEngines},
-    service::{Document, Model},
+    policy::{
+        roles::Demand,
+        routing::{PartitionDemand, PartitionEngines},
+    },
+    service::{Document, KindRole, Model},
     target::{
         protocol::{EngineRole, EngineState},
         table::TargetView,
@@ -70,37 +74,54 @@
             let services: Vec<_> = ledger.services().cloned().collect();
             (demands, services)
         });
-        for entry in &services {
-            let document = &entry.document;
-            let Some(demand) = demands.get(&document.service) else {
+        for (key, wanted) in wanted_models(&services, &demands) {
+            let average = state.averages.entry(key.clone()).or_default();
+            average.observe(wanted.demand, gain);
+            divide(context, &key, &wanted.model, *average);
+        }
+    }
+}
+
+/// A model of one or more services, and what they ask of it.
+#[derive(Debug)]
+struct WantedModel {
+    model: Model,
+    demand: Demand,
+}
+
+/// Sums the demand on each model. The ledger counts by service: the models of
+/// a service are taken as equal.
+fn wanted_models(
+    services: &[Arc<ServiceEntry>],
+    demands: &IndexMap<Arc<str>, Demand>,
+) -> IndexMap<QueueKey, WantedModel> {
+    let mut wanted: IndexMap<QueueKey, WantedModel> = IndexMap::new();
+    for entry in services {
+        let document = &entry.document;
+        let demand = demands.get(&document.service);
+        let demand = demand.copied().unwrap_or_default();
+        let part = 1.0 / document.models.len().max(1) as f64;
+        for model in &document.models {
+            let Some(key) = queue_key(document, model) else {
                 continue;
             };
-            // The ledger counts by service: its models are taken as equal.
-            let part = 1.0 / document.models.len().max(1) as f64;
-            for model in &document.models {
-                let Some(key) = queue_key(document, model) else {
-                    continue;
-                };
-                let average = state.averages.entry(key.clone()).or_default();
-                average.follow(gain, demand.prefill_tokens_per_s * part, |average| {
-                    &mut average.prefill_tokens_per_s
-                });
-                average.follow(gain, demand.decode_tokens_per_s * part, |average| {
-                    &mut average.decode_tokens_per_s
-                });
-                divide(context, &key, model, *average);
-            }
+            let wanted = wanted.entry(key).or_insert_with(|| WantedModel {
+                model: model.clone(),
+                demand: Demand::default(),
+            });
+            wanted.demand.prefill_tokens_per_s += demand.prefill_tokens_per_s * part;
+            wanted.demand.decode_tokens_per_s += demand.decode_tokens_per_s * part;
         }
     }
+    wanted
 }
 
 impl Average {
-    fn follow<F>(&mut self, gain: f64, value: f64, field: F)
-    where
-        F: Fn(&mut Self) -> &mut f64,
-    {
-        let field = field(self);
-        *field += gain * (value - *field);
+    /// Takes in the demand since the last look.
+    fn observe(&mut self, demand: Demand, gain: f64) {
+        self.prefill_tokens_per_s +=
+            gain * (demand.prefill_tokens_per_s - self.prefill_tokens_per_s);
+        self.decode_tokens_per_s += gain * (demand.decode_tokens_per_s - self.decode_tokens_per_s);
     }
 }
 
@@ -110,7 +131,7 @@
     let route = document.routes.iter().find(|route| {
         let kinds = &document.target_kinds;
         let kind = kinds.iter().find(|kind| kind.name == route.target_kind);
-        kind.is_some_and(|kind| kind.role == crate::service::KindRole::Engine)
+        kind.is_some_and(|kind| kind.role == KindRole::Engine)
     })?;
     Some(QueueKey {
         kind: route.target_kind.clone(),
