--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -27,7 +27,7 @@
     }
     if bytes > MAX_HEADER_BYTES {
         return Err(Error::HeadersTooLarge {
-            limit: MAX_HEADER_BYTES,
+            limit_bytes: MAX_HEADER_BYTES,
         });
     }
     Ok(())
@@ -38,13 +38,17 @@
 /// # Errors
 ///
 /// [`Error::BodyTooLarge`], [`Error::ReadTimeout`] and [`Error::BodyRead`].
-pub(super) async fn read_body(request: &mut Request, limit: u64, limit_ms: u64) -> Result<Bytes> {
+pub(super) async fn read_body(
+    request: &mut Request,
+    limit_bytes: u64,
+    limit_ms: u64,
+) -> Result<Bytes> {
     let announced = content_length(request.headers());
-    if announced.is_some_and(|length| length > limit) {
-        return Err(Error::BodyTooLarge { limit });
+    if announced.is_some_and(|length| length > limit_bytes) {
+        return Err(Error::BodyTooLarge { limit_bytes });
     }
     let body = request.take_body();
-    match timeout(Duration::from_millis(limit_ms), collect(body, limit)).await {
+    match timeout(Duration::from_millis(limit_ms), collect(body, limit_bytes)).await {
         Ok(result) => result,
         Err(_) => Err(Error::ReadTimeout { limit_ms }),
     }
@@ -54,7 +58,7 @@
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
-async fn collect(mut body: ReqBody, limit: u64) -> Result<Bytes> {
+async fn collect(mut body: ReqBody, limit_bytes: u64) -> Result<Bytes> {
     let mut whole = BytesMut::new();
     let mut only = None;
     while let Some(frame) = body.next().await {
@@ -65,8 +69,8 @@
             continue;
         };
         let length = whole.len() + only.as_ref().map_or(0, Bytes::len) + data.len();
-        if length as u64 > limit {
-            return Err(Error::BodyTooLarge { limit });
+        if length as u64 > limit_bytes {
+            return Err(Error::BodyTooLarge { limit_bytes });
         }
         if whole.is_empty() && only.is_none() {
             only = Some(data);
--- a/src/entry/error.rs
+++ b/src/entry/error.rs
@@ -72,15 +72,15 @@
     },
     /// this instance cannot show that it knows the newest keys; try another instance
     Stale,
-    /// the request's headers exceed {limit} bytes
+    /// the request's headers exceed {limit_bytes} bytes
     HeadersTooLarge {
         /// Bound, in bytes.
-        limit: usize,
+        limit_bytes: usize,
     },
-    /// the request's body exceeds {limit} bytes
+    /// the request's body exceeds {limit_bytes} bytes
     BodyTooLarge {
         /// Bound, in bytes.
-        limit: u64,
+        limit_bytes: u64,
     },
     /// the request was not received whole within {limit_ms} ms
     ReadTimeout {
