--- a/tests/common/cluster.rs
+++ b/tests/common/cluster.rs
@@ -152,6 +152,21 @@
         assert!(output.0, "{}", output.1);
     }
 
+    /// Revokes [`KEY`] and waits until every instance has applied that.
+    pub async fn revoke_key(&self) {
+        let revoke = [
+            "key",
+            "revoke",
+            "--service",
+            "advice",
+            "--id",
+            "workshop-1",
+            "--wait",
+        ];
+        let (revoked, text) = self.operate(&revoke).await;
+        assert!(revoked, "{text}");
+    }
+
     /// Runs an operator's command; returns whether it succeeded and its output.
     pub async fn operate(&self, arguments: &[&str]) -> (bool, String) {
         let output = Command::new(env!("CARGO_BIN_EXE_lavenderwind"))
--- a/tests/process_config.rs
+++ b/tests/process_config.rs
@@ -55,17 +55,7 @@
         let answer = cluster.chat(instance, "hello", 2).send().await.unwrap();
         assert_eq!(answer.status(), 200);
     }
-    let revoke = [
-        "key",
-        "revoke",
-        "--service",
-        "advice",
-        "--id",
-        "workshop-1",
-        "--wait",
-    ];
-    let (revoked, text) = cluster.operate(&revoke).await;
-    assert!(revoked, "{text}");
+    cluster.revoke_key().await;
     for instance in &cluster.instances {
         let answer = cluster.chat(instance, "hello", 2).send().await.unwrap();
         assert_eq!(answer.status(), 401);
@@ -92,17 +82,7 @@
         let prompt = format!("queued {index}");
         queued.push(tokio::spawn(cluster.chat(instance, &prompt, 100).send()));
     }
-    let revoke = [
-        "key",
-        "revoke",
-        "--service",
-        "advice",
-        "--id",
-        "workshop-1",
-        "--wait",
-    ];
-    let (revoked, text) = cluster.operate(&revoke).await;
-    assert!(revoked, "{text}");
+    cluster.revoke_key().await;
     let late = cluster.chat(instance, "late", 2).send().await.unwrap();
     assert_eq!(late.status(), 401);
     running.abort();
--- a/tests/process_recovery.rs
+++ b/tests/process_recovery.rs
@@ -47,17 +47,7 @@
 async fn expired_records() {
     let mut cluster = Cluster::start("expired_records", options()).await;
     let body = place_order(&cluster, 0, "order-1").await;
-    let revoke = [
-        "key",
-        "revoke",
-        "--service",
-        "advice",
-        "--id",
-        "workshop-1",
-        "--wait",
-    ];
-    let (revoked, text) = cluster.operate(&revoke).await;
-    assert!(revoked, "{text}");
+    cluster.revoke_key().await;
     let before = applied(&cluster, 0).await;
     cluster
         .set_faults(&cluster.platform, json!({"retention_records": 60}))
