--- a/benches/target_table.rs
+++ b/benches/target_table.rs
@@ -4,7 +4,7 @@
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
 use lavenderwind::{
-    platform::protocol::{PlatformTarget, TargetState},
+    infra::protocol::{PlatformTarget, TargetState},
     service::KindRole,
     target::{
         protocol::{EngineRole, EngineState, LoadedModel},
--- a/examples/measure_entry.rs
+++ b/examples/measure_entry.rs
@@ -23,12 +23,12 @@
 use lavenderwind::{
     Settings,
     entry::{Appended, EntryBuilder, LogWriter, serve},
+    infra::protocol::{PlatformTarget, TargetState},
     ledger::{Ledger, LedgerHandle},
     log::{
         Offset,
         records::{Record, ServiceRevision, record::Body},
     },
-    platform::protocol::{PlatformTarget, TargetState},
     service::KindRole,
     standin::{
         engine::{Engine, EngineOptions},
--- a/examples/measure_peers.rs
+++ b/examples/measure_peers.rs
@@ -8,13 +8,13 @@
 use hdrhistogram::Histogram;
 use lavenderwind::{
     Settings,
+    infra::LiveClient,
     ledger::{Ledger, LedgerHandle},
     log::{
         self, Log, LogClient, LogOptions, Offset,
         records::{RequestClaim, record::Body},
     },
     peer::{self, PeerHandle, PeerInputs, Peers, TargetLoad},
-    platform::LiveClient,
     standin::platform::{Platform, PlatformFaults},
 };
 use tokio::{
--- a/src/cli/demo/deployment.rs
+++ b/src/cli/demo/deployment.rs
@@ -9,8 +9,8 @@
 use crate::{
     Settings,
     cli::{Error, Result, operator::Operator},
+    infra::protocol::{PlatformTarget, TargetState},
     instance::Instance,
-    platform::protocol::{PlatformTarget, TargetState},
     standin::{
         engine::{Engine, EngineOptions},
         plain::{PlainFaults, PlainService},
--- /dev/null
+++ b/src/cli/gateway.rs
@@ -0,0 +1,33 @@
+//! `gateway`: runs an instance on the users' platform.
+
+use std::{path::Path, process::ExitCode};
+
+use clap::{ArgMatches, Command};
+
+use super::{Result, option, serve::stop_signal, start_stdout_logging, string};
+use crate::{gateway, settings::GatewaySettings};
+
+/// Environment variable that names the settings file.
+const SETTINGS_VARIABLE: &str = "LAVENDERWIND_NODE_FILE";
+
+pub(super) fn command() -> Command {
+    Command::new("gateway")
+        .about("Forward callers' requests on the users' platform until SIGTERM or SIGINT")
+        .arg(
+            option("settings", "FILE", "Settings of the instance")
+                .env(SETTINGS_VARIABLE)
+                .required(true),
+        )
+}
+
+pub(super) async fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let settings = GatewaySettings::load(Path::new(string(matches, "settings")))?;
+    let _flush = start_stdout_logging(&settings.logging);
+    let signal = async {
+        if let Err(error) = stop_signal().await {
+            tracing::error!("gateway: cannot wait for signals: {error}");
+        }
+    };
+    gateway::run(settings, signal).await?;
+    Ok(ExitCode::SUCCESS)
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod demo;
+mod gateway;
 mod key;
 mod load;
 mod operator;
@@ -15,6 +16,8 @@
 
 use clap::{Arg, ArgMatches, Command};
 use displaydoc::Display;
+use tokio::runtime::Runtime;
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 use crate::settings::{LogFormat, Logging};
@@ -22,6 +25,9 @@
 /// Exit code for bad arguments, settings or documents.
 const EXIT_INVALID: u8 = 2;
 
+/// Log lines that wait for standard output; more are dropped.
+const MAX_BUFFERED_LINES: usize = 4_096;
+
 /// Log filter without a setting: our own events from `info` on.
 const DEFAULT_FILTER: &str = "warn,lavenderwind=info";
 
@@ -40,11 +46,13 @@
     /// {0}
     Instance(crate::instance::Error),
     /// {0}
+    Gateway(crate::gateway::Error),
+    /// {0}
     Load(load::Error),
     /// log: {0}
     Log(crate::log::Error),
     /// platform: {0}
-    Platform(crate::platform::Error),
+    Platform(crate::infra::Error),
     /// {path}: {source}
     #[from(ignore)]
     File {
@@ -93,6 +101,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(serve::command())
+        .subcommand(gateway::command())
         .subcommand(check::command())
         .subcommand(service::command())
         .subcommand(key::command())
@@ -104,9 +113,12 @@
 }
 
 /// Parses the arguments of the process and runs the command.
-pub async fn main() -> ExitCode {
+pub fn main() -> ExitCode {
     let matches = command().get_matches();
-    match dispatch(&matches).await {
+    let result = runtime(&matches)
+        .map_err(Error::from)
+        .and_then(|runtime| runtime.block_on(dispatch(&matches)));
+    match result {
         Ok(code) => code,
         Err(error) => {
             eprintln!("lavenderwind: {error}");
@@ -115,12 +127,23 @@
     }
 }
 
+/// Makes the runtime of a command. A gateway runs on one thread, as its
+/// instances have a part of a core.
+fn runtime(matches: &ArgMatches) -> std::io::Result<Runtime> {
+    let mut builder = match matches.subcommand_name() {
+        Some("gateway") => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    builder.enable_all().build()
+}
+
 async fn dispatch(matches: &ArgMatches) -> Result<ExitCode> {
     let Some((name, matches)) = matches.subcommand() else {
         return Ok(ExitCode::from(EXIT_INVALID));
     };
     match name {
         "serve" => serve::run(matches).await,
+        "gateway" => gateway::run(matches).await,
         "check" => check::run(matches),
         "service" => service::run(matches).await,
         "key" => key::run(matches).await,
@@ -142,14 +165,8 @@
 
 /// Sends logs to standard error in the chosen form.
 fn start_logging(logging: &Logging) {
-    let filter = if logging.filter.is_empty() {
-        DEFAULT_FILTER
-    } else {
-        &logging.filter
-    };
-    let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
     let builder = tracing_subscriber::fmt()
-        .with_env_filter(filter)
+        .with_env_filter(filter(logging))
         .with_ansi(std::io::stderr().is_terminal())
         .with_writer(std::io::stderr);
     // A second call, as in tests, keeps the first subscriber.
@@ -159,6 +176,35 @@
     };
 }
 
+/// Sends logs to standard output through a bounded buffer, whose lines are
+/// dropped and counted while nobody reads; the guard writes what is left.
+fn start_stdout_logging(logging: &Logging) -> WorkerGuard {
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(MAX_BUFFERED_LINES)
+        .finish(std::io::stdout());
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter(logging))
+        .with_ansi(false)
+        .with_target(false)
+        .with_writer(writer);
+    // A second call, as in tests, keeps the first subscriber.
+    let _ = match logging.format {
+        LogFormat::Plain => builder.try_init(),
+        LogFormat::Json => builder.json().flatten_event(true).try_init(),
+    };
+    guard
+}
+
+fn filter(logging: &Logging) -> EnvFilter {
+    let filter = if logging.filter.is_empty() {
+        DEFAULT_FILTER
+    } else {
+        &logging.filter
+    };
+    EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER))
+}
+
 /// Reads a string argument that the command declares as required.
 fn string<'a>(matches: &'a ArgMatches, name: &str) -> &'a str {
     matches.get_one::<String>(name).map_or("", String::as_str)
--- a/src/cli/operator.rs
+++ b/src/cli/operator.rs
@@ -9,13 +9,13 @@
 
 use super::{Error, Result, option, string};
 use crate::{
+    infra::{LiveClient, protocol::LiveInstance},
     instance::status::InstanceStatus,
     ledger::{Ledger, LedgerHandle, Verdict},
     log::{
         self, Log, LogOptions, Offset,
         records::{ServiceRevision, record::Body},
     },
-    platform::{LiveClient, protocol::LiveInstance},
     service::Document,
 };
 
--- a/src/cli/report.rs
+++ b/src/cli/report.rs
@@ -6,7 +6,7 @@
 
 use super::{Error, Result, operator, option, string};
 use crate::{
-    platform::{LiveClient, protocol::LiveInstance},
+    infra::{LiveClient, protocol::LiveInstance},
     report::{BurnInput, BurnReport, BurnSample},
 };
 
--- a/src/cli/standin.rs
+++ b/src/cli/standin.rs
@@ -8,7 +8,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::{
-    platform::protocol::{PlatformTarget, TargetState},
+    infra::protocol::{PlatformTarget, TargetState},
     standin::{
         self,
         engine::{Engine, EngineOptions},
--- a/src/control/fleet/engines.rs
+++ b/src/control/fleet/engines.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use crate::{
+    infra::protocol::TargetState,
     log::records::{
         EngineOrder, EngineRole as RecordRole, LoadModel, SetRole, engine_order::Action,
         order_intent::Order,
     },
-    platform::protocol::TargetState,
     policy::roles::{
         Demand, LoadBudget, LoadWant, RolePlanner, RoleSettings, RoleTarget, choose_load,
     },
--- a/src/control/fleet/port.rs
+++ b/src/control/fleet/port.rs
@@ -4,14 +4,14 @@
 
 use super::super::{Observation, SentOrder, WriteOutcome};
 use crate::{
+    infra::{
+        self, TargetsClient,
+        protocol::{TargetList, TargetOrder},
+    },
     ledger::LedgerHandle,
     log::records::{
         EngineRole as RecordRole, FleetOrder, engine_order::Action, order_intent::Order,
     },
-    platform::{
-        self, TargetsClient,
-        protocol::{TargetList, TargetOrder},
-    },
     target::{
         self, EngineClient,
         protocol::{EngineAction, EngineOrderRequest, EngineRole},
@@ -87,7 +87,7 @@
         };
         match self.platform.order(&request).await {
             Ok(()) => WriteOutcome::Taken,
-            Err(platform::Error::OldEpoch { .. }) => WriteOutcome::Refused,
+            Err(infra::Error::OldEpoch { .. }) => WriteOutcome::Refused,
             Err(error) if !error.written() => WriteOutcome::Refused,
             Err(error) => {
                 tracing::warn!("control: order {} to the platform: {error}", sent.order_id);
--- a/src/control/fleet/spending.rs
+++ b/src/control/fleet/spending.rs
@@ -6,8 +6,8 @@
 
 use super::{PlannedOrder, fleet_target};
 use crate::{
+    infra::protocol::{TargetList, TargetState},
     log::records::{FleetOrder, order_intent::Order},
-    platform::protocol::{TargetList, TargetState},
     policy::{
         roles::Demand,
         spending::{
--- a/src/control/spawn.rs
+++ b/src/control/spawn.rs
@@ -11,10 +11,10 @@
 };
 use crate::{
     Settings,
+    infra::{self, TargetsClient, UsageClient},
     ledger::LedgerHandle,
     log::{Appender, TailStatus, records::Duty},
     peer::PeerHandle,
-    platform::{self, TargetsClient, UsageClient},
     supervisor::Supervisor,
     target::{EngineClient, table::TargetTable},
 };
@@ -245,17 +245,14 @@
     });
 }
 
-async fn report_usage(
-    client: &UsageClient,
-    report: &platform::protocol::UsageReport,
-) -> WriteOutcome {
+async fn report_usage(client: &UsageClient, report: &infra::protocol::UsageReport) -> WriteOutcome {
     match client.report(report).await {
         Ok(()) => WriteOutcome::Taken,
-        Err(error @ platform::Error::Conflict { .. }) => {
+        Err(error @ infra::Error::Conflict { .. }) => {
             tracing::error!("control: report of window {}: {error}", report.window);
             WriteOutcome::Refused
         }
-        Err(platform::Error::OldEpoch { .. }) => WriteOutcome::Refused,
+        Err(infra::Error::OldEpoch { .. }) => WriteOutcome::Refused,
         Err(error) if !error.written() => WriteOutcome::Refused,
         Err(_) => WriteOutcome::Unknown,
     }
--- a/src/control/windows.rs
+++ b/src/control/windows.rs
@@ -6,12 +6,12 @@
 
 use super::{Clock, Error, Identity, Member, OrderOutcome, OrderSender, Result, SentOrder};
 use crate::{
+    infra::protocol::{UsageFigure, UsageReport},
     ledger::{Ledger, LedgerHandle},
     log::{
         Appender,
         records::{UsageOrder, WindowAcknowledged, WindowClose, order_intent::Order, record::Body},
     },
-    platform::protocol::{UsageFigure, UsageReport},
     settings::Timing,
 };
 
--- a/src/entry/assign.rs
+++ b/src/entry/assign.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     entry::{permit::Measured, waiting::Waiter},
-    platform::protocol::TargetState,
+    infra::protocol::TargetState,
     policy::routing::{Availability, Choice, RouteError, RouteTable},
     target::table::TargetView,
 };
--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     entry::{call::Call, context::EntryContext},
+    infra::protocol::TargetState,
     log::records::{CrashSuspect, record::Body},
-    platform::protocol::TargetState,
     target::table::TargetView,
 };
 
--- a/src/entry/partition.rs
+++ b/src/entry/partition.rs
@@ -8,8 +8,8 @@
 use crate::{
     control::fleet::DemandMeter,
     entry::{context::EntryContext, waiting::QueueKey},
+    infra::protocol::TargetState,
     ledger::ServiceEntry,
-    platform::protocol::TargetState,
     policy::{
         roles::Demand,
         routing::{PartitionDemand, PartitionEngines},
--- /dev/null
+++ b/src/gateway/admission.rs
@@ -0,0 +1,108 @@
+//! Admits requests: their route, their client account and their bounds.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::http::request::Parts;
+use tokio::time::Instant;
+
+use super::{reply::Refusal, state::State};
+use crate::{
+    call::Call,
+    catalog::{Account, Catalog, Route},
+    platform::CallerHead,
+};
+
+/// A route and the account whose key the caller gave.
+#[derive(Clone, Debug)]
+pub(super) struct Permission {
+    pub(super) route: Arc<Route>,
+    pub(super) account: Option<Arc<Account>>,
+}
+
+/// Finds the route of a request and checks the caller's key.
+///
+/// # Errors
+///
+/// Fails if no route leads there, or its callers need another key.
+pub(super) fn permit(
+    catalog: &Catalog,
+    head: &CallerHead,
+    path: &str,
+) -> Result<Permission, Refusal> {
+    let route = catalog.route(&head.host, path).ok_or(Refusal::NoRoute)?;
+    if !catalog.needs_key(route) {
+        return Ok(Permission {
+            route: route.clone(),
+            account: None,
+        });
+    }
+    let account = head.key.as_deref().and_then(|key| catalog.account(key));
+    Ok(Permission {
+        route: route.clone(),
+        account: Some(account.ok_or(Refusal::UnknownKey)?.clone()),
+    })
+}
+
+/// A request that has been read whole.
+#[derive(Debug)]
+pub(super) struct Received<'a> {
+    pub(super) head: &'a CallerHead,
+    pub(super) parts: &'a Parts,
+    pub(super) body: Bytes,
+    pub(super) at: Instant,
+}
+
+/// Admits a request under the newest configuration.
+///
+/// # Errors
+///
+/// Fails as [`permit`] does, or if the route leads to no service.
+pub(super) fn admit(state: &State, received: Received<'_>) -> Result<Call, Refusal> {
+    let catalog = state.catalog().ok_or(Refusal::NotReady)?;
+    let path = received.parts.uri.path();
+    let permission = permit(&catalog, received.head, path)?;
+    let Permission { route, account } = permission;
+    let service = route
+        .choose_service(rand::random())
+        .ok_or(Refusal::NoTarget)?;
+    let path_and_query = received.parts.uri.path_and_query();
+    let patience = received
+        .head
+        .deadline
+        .map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let priority = account
+        .as_ref()
+        .and_then(|account| account.priority)
+        .unwrap_or(route.priority);
+    Ok(Call {
+        id: received.head.id.clone(),
+        service: service.clone(),
+        account,
+        method: received.parts.method.clone(),
+        path: path_and_query.ok_or(Refusal::BadRequest)?.clone(),
+        headers: received.head.headers.clone(),
+        body: received.body,
+        prompt: received.head.prompt.clone().filter(|_| route.generates),
+        resume_after: received.head.resume_after.clone(),
+        priority,
+        received_at: received.at,
+        answer_by: received.at + patience,
+        route,
+    })
+}
+
+/// Returns whether a call is still allowed by the newest configuration.
+pub(super) fn is_still_permitted(state: &State, call: &Call, head: &CallerHead) -> bool {
+    let Some(catalog) = state.catalog() else {
+        return false;
+    };
+    match permit(&catalog, head, call.path.path()) {
+        Ok(permission) => {
+            permission.route.leads_to(&call.service)
+                && permission.account.as_ref().map(|account| &account.name)
+                    == call.account.as_ref().map(|account| &account.name)
+        }
+        Err(_) => false,
+    }
+}
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,263 @@
+//! One request to one target.
+
+use std::{fmt, sync::Arc};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{HeaderMap, Request, StatusCode, Uri, body::Incoming};
+use tokio::time::{Instant, timeout_at};
+
+use super::{
+    loads::Outcome,
+    pool::{self, Connection},
+    state::State,
+};
+use crate::{
+    call::Call,
+    platform::{AnswerHead, AttemptHead, attempt_headers, read_answer_head},
+    policy::retry::Failure,
+    roster::Target,
+};
+
+/// Most bytes of an answer that is kept until it is whole.
+const MAX_WHOLE_BYTES: usize = 16 << 20;
+
+/// A target's answer whose body is on its way.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) target: Arc<Target>,
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) head: AnswerHead,
+    pub(super) body: Incoming,
+    connection: Connection,
+}
+
+/// A target's whole answer.
+#[derive(Clone, Debug)]
+pub(super) struct WholeAnswer {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) head: AnswerHead,
+    pub(super) bytes: Bytes,
+}
+
+/// Why an attempt failed.
+#[derive(Debug)]
+pub(super) struct AttemptError {
+    pub(super) failure: Failure,
+    /// Whether the attempt ended here, so that it says nothing of the target.
+    is_local: bool,
+    cause: String,
+}
+
+impl AttemptError {
+    fn new<C>(failure: Failure, cause: C) -> Self
+    where
+        C: fmt::Display,
+    {
+        Self {
+            failure,
+            is_local: false,
+            cause: cause.to_string(),
+        }
+    }
+
+    /// The request was held back.
+    fn local<C>(cause: C) -> Self
+    where
+        C: fmt::Display,
+    {
+        Self {
+            is_local: true,
+            ..Self::new(Failure::NotWritten, cause)
+        }
+    }
+
+    /// The stream or answer was cut.
+    pub(super) fn cut<C>(cause: C) -> Self
+    where
+        C: fmt::Display,
+    {
+        Self::new(Failure::Cut, cause)
+    }
+
+    /// Nothing more came in time.
+    pub(super) fn timeout() -> Self {
+        Self::new(Failure::Timeout, "no answer in time")
+    }
+
+    /// Returns how the target fared.
+    fn outcome(&self) -> Outcome {
+        match self.failure {
+            Failure::NotWritten => Outcome::Unreachable,
+            Failure::Refused => Outcome::Refused,
+            Failure::Cut => Outcome::Failed,
+            Failure::Timeout => Outcome::Silent,
+        }
+    }
+}
+
+impl fmt::Display for AttemptError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}: {}", self.failure, self.cause)
+    }
+}
+
+/// Sends a call to a target and returns the head of the answer.
+///
+/// # Errors
+///
+/// Fails if the target did not run the call, or its answer is not one.
+pub(super) async fn send(
+    state: &Arc<State>,
+    call: &Call,
+    target: &Arc<Target>,
+    head: AttemptHead<'_>,
+    by: Instant,
+) -> Result<Answer, AttemptError> {
+    let sending = exchange(state, call, target, head);
+    let result = timeout_at(by, sending)
+        .await
+        .unwrap_or_else(|_| Err(AttemptError::timeout()));
+    if let Err(error) = &result {
+        record_failure(state, call, target, error);
+    }
+    result
+}
+
+/// Logs a failed attempt and counts it against its target.
+pub(super) fn record_failure(state: &State, call: &Call, target: &Target, error: &AttemptError) {
+    tracing::info!(
+        request = &*call.id,
+        target = &*target.id,
+        left_ms = call.time_left(Instant::now()).as_millis() as u64,
+        "gateway: attempt failed: {error}"
+    );
+    metrics::counter!("gateway_attempt_failures_total", "failure" => failure_label(error.failure))
+        .increment(1);
+    if error.is_local {
+        return;
+    }
+    let now_ms = state.now_ms();
+    state.loads().observe(&target.id, error.outcome(), now_ms);
+}
+
+impl Answer {
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the answer is cut, or not whole by `by`.
+    pub(super) async fn collect(
+        self,
+        state: &State,
+        call: &Call,
+        by: Instant,
+    ) -> Result<WholeAnswer, AttemptError> {
+        let limited = Limited::new(self.body, MAX_WHOLE_BYTES);
+        let result = match timeout_at(by, limited.collect()).await {
+            Err(_) => Err(AttemptError::timeout()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                Err(AttemptError::cut("answer is too long"))
+            }
+            Ok(Err(error)) => Err(AttemptError::cut(error)),
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+        };
+        match result {
+            Ok(bytes) => {
+                state.pool.put_back(&self.target, self.connection);
+                Ok(WholeAnswer {
+                    status: self.status,
+                    headers: self.headers,
+                    head: self.head,
+                    bytes,
+                })
+            }
+            Err(error) => {
+                record_failure(state, call, &self.target, &error);
+                Err(error)
+            }
+        }
+    }
+
+    /// Splits the answer into its body and the connection that carries it.
+    pub(super) fn into_stream(self) -> (Incoming, Connection) {
+        (self.body, self.connection)
+    }
+}
+
+async fn exchange(
+    state: &Arc<State>,
+    call: &Call,
+    target: &Arc<Target>,
+    mut head: AttemptHead<'_>,
+) -> Result<Answer, AttemptError> {
+    let max_connections = state.max_connections(&target.service);
+    let checkout = state.pool.checkout(target, max_connections).await;
+    let mut connection = checkout.map_err(|error| match error {
+        pool::Error::NoConnection => AttemptError::local(error),
+        _ => AttemptError::new(Failure::NotWritten, error),
+    })?;
+    // Connecting takes time, in which the target may have begun to leave.
+    if !state.is_ready_target(target) {
+        return Err(AttemptError::local("target no longer takes requests"));
+    }
+    head.target_id = &target.id;
+    head.time_left = call.time_left(Instant::now());
+    let request = build_request(call, &head)?;
+    let response = connection.send(request).await.map_err(|error| {
+        let failure = match error {
+            pool::Error::Broken(_) => Failure::Cut,
+            _ => Failure::NotWritten,
+        };
+        AttemptError::new(failure, error)
+    })?;
+    let (parts, body) = response.into_parts();
+    let answer_head = read_answer_head(&parts);
+    connection.idle_timeout = answer_head.idle_timeout;
+    check_head(call, parts.status, &answer_head)?;
+    Ok(Answer {
+        target: target.clone(),
+        status: parts.status,
+        headers: parts.headers,
+        head: answer_head,
+        body,
+        connection,
+    })
+}
+
+fn build_request(
+    call: &Call,
+    head: &AttemptHead<'_>,
+) -> Result<Request<Full<Bytes>>, AttemptError> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = Uri::from(call.path.clone());
+    *request.headers_mut() = attempt_headers(call, head);
+    Ok(request)
+}
+
+/// Checks that an answer belongs to the call and that the call was run.
+fn check_head(call: &Call, status: StatusCode, head: &AnswerHead) -> Result<(), AttemptError> {
+    if head.request_id.as_deref() != Some(&*call.id) {
+        return Err(AttemptError::cut("answer to another request"));
+    }
+    if head.is_not_run {
+        let cause = format!("target answered {status} without running the request");
+        return Err(AttemptError::new(Failure::Refused, cause));
+    }
+    if head.is_encoded {
+        return Err(AttemptError::cut("answer in an encoding"));
+    }
+    Ok(())
+}
+
+fn failure_label(failure: Failure) -> &'static str {
+    match failure {
+        Failure::NotWritten => "not-written",
+        Failure::Refused => "refused",
+        Failure::Cut => "cut",
+        Failure::Timeout => "timeout",
+    }
+}
--- /dev/null
+++ b/src/gateway/connection.rs
@@ -0,0 +1,227 @@
+//! One connection of a caller.
+
+use std::{
+    convert::Infallible,
+    io,
+    pin::{Pin, pin},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hyper::{
+    body::{Frame, SizeHint},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    time::{Instant, sleep_until},
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{front, reply::Body, state::State};
+use crate::catalog::CallerLimits;
+
+/// Least size of the buffer for a request's head.
+const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
+
+/// Factor of the head's bound, so that a head over it is read and refused.
+const HEAD_BUFFER_FACTOR: usize = 2;
+
+/// Time between two looks at a connection on which a request is in progress.
+const BUSY_PERIOD: Duration = Duration::from_secs(1);
+
+/// What a connection's caller has done.
+#[derive(Debug)]
+struct Activity {
+    in_request: AtomicBool,
+    times: Mutex<ReadTimes>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ReadTimes {
+    /// When the first byte of the next request arrived, if any did.
+    head_at: Option<Instant>,
+    /// When the last request ended.
+    idle_since: Instant,
+}
+
+impl Activity {
+    fn new() -> Self {
+        Self {
+            in_request: AtomicBool::new(false),
+            times: Mutex::new(ReadTimes {
+                head_at: None,
+                idle_since: Instant::now(),
+            }),
+        }
+    }
+
+    fn note_read(&self) {
+        self.lock().head_at.get_or_insert_with(Instant::now);
+    }
+
+    /// Returns when the connection is to be closed, if nothing happens.
+    fn closes_at(&self, limits: &CallerLimits) -> Instant {
+        if self.in_request.load(Ordering::Acquire) {
+            return Instant::now() + BUSY_PERIOD;
+        }
+        let times = *self.lock();
+        match times.head_at {
+            Some(head_at) => head_at + limits.header_timeout,
+            None => times.idle_since + limits.idle_timeout,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ReadTimes> {
+        self.times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Marks a connection as in a request until the answer's body is dropped.
+struct RequestGuard(Arc<Activity>);
+
+impl RequestGuard {
+    fn new(activity: &Arc<Activity>) -> Self {
+        activity.in_request.store(true, Ordering::Release);
+        Self(activity.clone())
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        *self.0.lock() = ReadTimes {
+            head_at: None,
+            idle_since: Instant::now(),
+        };
+        self.0.in_request.store(false, Ordering::Release);
+    }
+}
+
+/// The body of an answer, and the mark that it is on its way.
+struct GuardedBody {
+    body: Body,
+    _guard: RequestGuard,
+}
+
+impl hyper::body::Body for GuardedBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Serves a connection until it ends.
+///
+/// At `close` the connection ends after the request in progress.
+pub(super) async fn serve(state: Arc<State>, stream: TcpStream, close: CancellationToken) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!("gateway: caller's connection has ended: {error}");
+        return;
+    }
+    let limits = state
+        .catalog()
+        .map_or_else(CallerLimits::default, |catalog| *catalog.limits());
+    let activity = Arc::new(Activity::new());
+    let service = service_fn(|request| {
+        let guard = RequestGuard::new(&activity);
+        let answering = front::answer(state.clone(), request);
+        async move {
+            let response = answering.await;
+            Ok::<_, Infallible>(response.map(|body| GuardedBody {
+                body,
+                _guard: guard,
+            }))
+        }
+    });
+    let buffer_bytes = (HEAD_BUFFER_FACTOR * limits.max_header_bytes).max(MIN_HEAD_BUFFER_BYTES);
+    let watched = WatchedStream {
+        stream,
+        activity: activity.clone(),
+    };
+    let mut connection = pin!(
+        http1::Builder::new()
+            .max_buf_size(buffer_bytes)
+            .serve_connection(TokioIo::new(watched), service)
+    );
+    let mut closing = false;
+    loop {
+        let closes_at = activity.closes_at(&limits);
+        tokio::select! {
+            ended = &mut connection => {
+                if let Err(error) = ended {
+                    tracing::debug!("gateway: caller's connection broke: {error}");
+                }
+                return;
+            }
+            () = sleep_until(closes_at) => {
+                if activity.closes_at(&limits) <= Instant::now() {
+                    return;
+                }
+            }
+            () = close.cancelled(), if !closing => {
+                closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+/// A stream that notes when its caller sends.
+struct WatchedStream {
+    stream: TcpStream,
+    activity: Arc<Activity>,
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.activity.note_read();
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/src/gateway/front.rs
@@ -0,0 +1,211 @@
+//! The listener for callers: reads requests and answers them.
+
+use std::{io, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{
+    HeaderMap, Request, Response,
+    body::{Body as _, Incoming},
+};
+use tokio::{
+    net::TcpListener,
+    time::{Instant, timeout_at},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use super::{
+    admission::{Received, admit, permit},
+    connection, generation, plain,
+    reply::{Body, Refusal, close_connection},
+    state::{BodyMemory, State},
+};
+use crate::{
+    call::Call,
+    catalog::{CallerLimits, Catalog, RouteKind},
+    platform::{CallerHead, HeadError, read_caller_head},
+};
+
+/// Wait after a failed accept, such as for want of descriptors.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Longest wait for a request whose deadline is not known yet.
+const MAX_READ: Duration = Duration::from_secs(30);
+
+/// Bytes that a header line takes beyond its name and value.
+const HEADER_LINE_BYTES: usize = 4;
+
+/// Shortest and longest time after which a refused caller may come back.
+const RETRY_AFTER_RANGE_S: std::ops::Range<f64> = 0.15..0.6;
+
+/// Accepts callers until `close` is cancelled, and waits for their requests.
+///
+/// # Errors
+///
+/// Fails if the listener fails for good.
+pub(super) async fn serve(
+    state: Arc<State>,
+    listener: TcpListener,
+    close: CancellationToken,
+) -> io::Result<()> {
+    let connections = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = close.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                connections.spawn(connection::serve(state.clone(), stream, close.clone()));
+            }
+            Err(error) => {
+                tracing::warn!("gateway: cannot accept a caller: {error}");
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+    drop(listener);
+    connections.close();
+    connections.wait().await;
+    Ok(())
+}
+
+/// Answers one request.
+pub(super) async fn answer(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    let received_at = Instant::now();
+    let (parts, body) = request.into_parts();
+    let read = read_caller_head(&parts);
+    let id = read.as_ref().ok().map(|head| head.id.clone());
+    let result = match &read {
+        Ok(head) => {
+            let handled = handle(&state, head, &parts, body, received_at).await;
+            handled.map(|(response, call)| {
+                log_answer(&call, &response);
+                response
+            })
+        }
+        Err(error) => Err(refuse_head(*error)),
+    };
+    let mut response = result.unwrap_or_else(|refusal| {
+        log_refusal(&state, id.as_deref(), refusal, received_at);
+        refusal.reply(id.as_deref(), retry_after(refusal))
+    });
+    if state.is_stopping() {
+        close_connection(response.headers_mut());
+    }
+    response
+}
+
+async fn handle(
+    state: &Arc<State>,
+    head: &CallerHead,
+    parts: &hyper::http::request::Parts,
+    body: Incoming,
+    received_at: Instant,
+) -> Result<(Response<Body>, Arc<Call>), Refusal> {
+    let catalog = state.catalog().ok_or(Refusal::NotReady)?;
+    if !state.knows_targets() {
+        return Err(Refusal::NotReady);
+    }
+    check_head_size(&parts.headers, catalog.limits())?;
+    let permission = permit(&catalog, head, parts.uri.path())?;
+    let patience = head.deadline.unwrap_or(permission.route.timeout);
+    let read_by = received_at + patience.min(MAX_READ);
+    let (body, memory) = read_body(state, &catalog, body, read_by).await?;
+    let received = Received {
+        head,
+        parts,
+        body,
+        at: received_at,
+    };
+    let call = Arc::new(admit(state, received)?);
+    state.record_request(&call.service);
+    let response = match call.route.kind {
+        RouteKind::Stream { .. } => generation::forward(state, &call, head, memory).await?,
+        RouteKind::Idempotent | RouteKind::Once => plain::forward(state, &call, head).await?,
+    };
+    Ok((response, call))
+}
+
+fn check_head_size(headers: &HeaderMap, limits: &CallerLimits) -> Result<(), Refusal> {
+    let mut bytes = 0;
+    for (name, value) in headers {
+        bytes += name.as_str().len() + value.len() + HEADER_LINE_BYTES;
+    }
+    if bytes > limits.max_header_bytes {
+        return Err(Refusal::HeadTooLarge);
+    }
+    Ok(())
+}
+
+async fn read_body(
+    state: &Arc<State>,
+    catalog: &Catalog,
+    body: Incoming,
+    read_by: Instant,
+) -> Result<(Bytes, Option<BodyMemory>), Refusal> {
+    if body.is_end_stream() {
+        return Ok((Bytes::new(), None));
+    }
+    let max_bytes = catalog.limits().max_body_bytes;
+    let announced = body.size_hint().exact();
+    if announced.is_some_and(|bytes| bytes > max_bytes as u64) {
+        return Err(Refusal::BodyTooLarge);
+    }
+    let reserved = announced.map_or(max_bytes, |bytes| bytes as usize);
+    let memory = state.reserve_body(reserved).ok_or(Refusal::NoMemory)?;
+    let limited = Limited::new(body, max_bytes);
+    match timeout_at(read_by, limited.collect()).await {
+        Err(_) => Err(Refusal::ReadTimeout),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Ok(Err(_)) => Err(Refusal::BadRequest),
+        Ok(Ok(body)) => Ok((body.to_bytes(), Some(memory))),
+    }
+}
+
+fn refuse_head(error: HeadError) -> Refusal {
+    tracing::info!("gateway: request head refused: {error}");
+    Refusal::BadRequest
+}
+
+/// Returns when a caller whose request did not run may come back.
+fn retry_after(refusal: Refusal) -> Option<Duration> {
+    match refusal {
+        Refusal::NotReady
+        | Refusal::NoMemory
+        | Refusal::NoTarget
+        | Refusal::TargetsRefused
+        | Refusal::NotRunInTime => {
+            let delay_s = rand::random_range(RETRY_AFTER_RANGE_S);
+            Some(Duration::from_secs_f64(delay_s))
+        }
+        _ => None,
+    }
+}
+
+fn log_answer(call: &Call, response: &Response<Body>) {
+    tracing::info!(
+        request = &*call.id,
+        account = call.account_name(),
+        route = &*call.route.name,
+        service = &*call.service,
+        status = response.status().as_u16(),
+        elapsed_ms = call.received_at.elapsed().as_millis() as u64,
+        "gateway: request answered"
+    );
+    metrics::histogram!("gateway_answer_ms", "route" => call.route.name.to_string())
+        .record(call.received_at.elapsed().as_secs_f64() * 1_000.0);
+    metrics::counter!("gateway_answers_total", "status" => response.status().as_str().to_owned())
+        .increment(1);
+}
+
+fn log_refusal(state: &State, id: Option<&str>, refusal: Refusal, received_at: Instant) {
+    tracing::info!(
+        request = id.unwrap_or("-"),
+        status = refusal.status().as_u16(),
+        config_version = state.catalog().map_or(0, |catalog| catalog.version()),
+        elapsed_ms = received_at.elapsed().as_millis() as u64,
+        "gateway: request refused: {refusal}"
+    );
+    metrics::counter!("gateway_refusals_total", "reason" => format!("{refusal:?}")).increment(1);
+}
--- /dev/null
+++ b/src/gateway/loads.rs
@@ -0,0 +1,194 @@
+//! What is in flight on each target, and how targets fared.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::state::State;
+use crate::policy::{
+    breaker::{Breaker, BreakerSettings, Observation},
+    homes::CachedChains,
+};
+
+/// Weight of the newest outcome in a target's failure rate.
+const FAILURE_GAIN: f64 = 0.15;
+
+/// What is in flight on a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct InFlight {
+    /// Requests.
+    pub(crate) requests: u32,
+    /// Prompt tokens that wait for their prefill.
+    pub(crate) prefill_tokens: u64,
+}
+
+/// One target as this instance sees it.
+#[derive(Clone, Debug)]
+struct TargetCondition {
+    own: InFlight,
+    breaker: Breaker,
+    failure_rate: f64,
+}
+
+impl Default for TargetCondition {
+    fn default() -> Self {
+        Self {
+            own: InFlight::default(),
+            breaker: Breaker::new(BreakerSettings::default()),
+            failure_rate: 0.0,
+        }
+    }
+}
+
+/// All targets as this instance sees them.
+#[derive(Debug, Default)]
+pub(crate) struct Loads {
+    targets: IndexMap<Arc<str>, TargetCondition>,
+    peers: IndexMap<Arc<str>, InFlight>,
+    /// Prompt parts that engines have cached.
+    pub(super) chains: CachedChains,
+}
+
+impl Loads {
+    /// Returns what all instances have in flight on a target.
+    pub(super) fn in_flight(&self, target: &str) -> InFlight {
+        let own = self.own(target);
+        let peers = self.peers.get(target).copied().unwrap_or_default();
+        InFlight {
+            requests: own.requests + peers.requests,
+            prefill_tokens: own.prefill_tokens + peers.prefill_tokens,
+        }
+    }
+
+    /// Returns what this instance has in flight on a target.
+    pub(super) fn own(&self, target: &str) -> InFlight {
+        self.targets
+            .get(target)
+            .map_or_else(InFlight::default, |condition| condition.own)
+    }
+
+    /// Returns what this instance has in flight, by target.
+    pub(crate) fn own_loads(&self) -> Vec<(Arc<str>, InFlight)> {
+        let mut loads = Vec::new();
+        for (target, condition) in &self.targets {
+            if condition.own != InFlight::default() {
+                loads.push((target.clone(), condition.own));
+            }
+        }
+        loads
+    }
+
+    /// Takes what peers have in flight, by target.
+    pub(crate) fn set_peers(&mut self, peers: IndexMap<Arc<str>, InFlight>) {
+        self.peers = peers;
+    }
+
+    /// Returns the part of a target's newest answers that were failures.
+    pub(super) fn failure_rate(&self, target: &str) -> f64 {
+        self.targets
+            .get(target)
+            .map_or(0.0, |condition| condition.failure_rate)
+    }
+
+    /// Returns whether a request may be sent to a target.
+    pub(super) fn allows(&mut self, target: &Arc<str>, now_ms: u64) -> bool {
+        self.condition(target).breaker.allow(now_ms)
+    }
+
+    /// Notes how a request to a target went.
+    pub(super) fn observe(&mut self, target: &Arc<str>, outcome: Outcome, now_ms: u64) {
+        let jitter = rand::random();
+        let condition = self.condition(target);
+        let failed = if outcome == Outcome::Answered {
+            0.0
+        } else {
+            1.0
+        };
+        condition.failure_rate += FAILURE_GAIN * (failed - condition.failure_rate);
+        let observation = match outcome {
+            Outcome::Answered => Observation::Success {
+                predicted_ms: 0.0,
+                actual_ms: 0.0,
+            },
+            Outcome::Failed => return,
+            Outcome::Refused => Observation::Overload,
+            Outcome::Unreachable => Observation::Crash,
+            Outcome::Silent => Observation::Timeout,
+        };
+        condition.breaker.record(observation, now_ms, jitter);
+    }
+
+    /// Forgets targets of which `keep` is false.
+    pub(super) fn retain<F>(&mut self, mut keep: F)
+    where
+        F: FnMut(&str) -> bool,
+    {
+        let chains = &mut self.chains;
+        self.targets.retain(|target, condition| {
+            let kept = keep(target) || condition.own.requests > 0;
+            if !kept {
+                chains.forget(target);
+            }
+            kept
+        });
+    }
+
+    fn condition(&mut self, target: &Arc<str>) -> &mut TargetCondition {
+        self.targets.entry(target.clone()).or_default()
+    }
+}
+
+/// How a request to a target went.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Outcome {
+    /// It was answered.
+    Answered,
+    /// It was answered with a failure, or its answer was cut.
+    Failed,
+    /// It was refused without being run.
+    Refused,
+    /// The target could not be reached.
+    Unreachable,
+    /// The target did not answer in time.
+    Silent,
+}
+
+/// Counts a request as in flight on a target until it is dropped.
+#[derive(Debug)]
+pub(super) struct InFlightGuard {
+    state: Arc<State>,
+    target: Arc<str>,
+    prefill_tokens: u64,
+}
+
+impl InFlightGuard {
+    /// Counts a request whose prompt has `prefill_tokens` to read.
+    pub(super) fn new(state: &Arc<State>, target: &Arc<str>, prefill_tokens: u64) -> Self {
+        {
+            let mut loads = state.loads();
+            let own = &mut loads.condition(target).own;
+            own.requests += 1;
+            own.prefill_tokens += prefill_tokens;
+        }
+        Self {
+            state: state.clone(),
+            target: target.clone(),
+            prefill_tokens,
+        }
+    }
+
+    /// Notes that the prompt has been read.
+    pub(super) fn prefilled(&mut self) {
+        let mut loads = self.state.loads();
+        let own = &mut loads.condition(&self.target).own;
+        own.prefill_tokens -= std::mem::take(&mut self.prefill_tokens);
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.prefilled();
+        let mut loads = self.state.loads();
+        loads.condition(&self.target).own.requests -= 1;
+    }
+}
--- /dev/null
+++ b/src/gateway/plain.rs
@@ -0,0 +1,220 @@
+//! Forwards requests whose answers are kept until they are whole.
+
+use std::{sync::Arc, time::Duration};
+
+use hyper::{Response, StatusCode};
+use tokio::time::Instant;
+
+use super::{
+    admission::is_still_permitted,
+    attempt::{self, AttemptError, WholeAnswer},
+    loads::{InFlightGuard, Outcome},
+    reply::{Body, Refusal, whole},
+    state::State,
+};
+use crate::{
+    call::Call,
+    platform::{AttemptHead, CallerHead, caller_headers},
+    policy::{
+        retry::{FailedAttempt, Failure, RetryDecision, decide},
+        spread::{SpreadCandidate, SpreadWeights, choose_least_loaded},
+    },
+    roster::Target,
+    service::Repeat,
+};
+
+/// Latency objectives after which a target counts as silent, if another may
+/// answer.
+const SILENT_OBJECTIVES: u32 = 2;
+
+/// Least time left in which another attempt is worth while.
+const MIN_ATTEMPT: Duration = Duration::from_millis(20);
+
+const WEIGHTS: SpreadWeights = SpreadWeights {
+    far: 0.35,
+    failing: 3.0,
+};
+
+/// What became of a request's attempts so far.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
+    /// Targets that were tried.
+    pub(super) tried: Vec<Arc<str>>,
+    /// Requests that reached a target.
+    pub(super) attempts: u32,
+    /// Whether any of them may have run.
+    pub(super) may_have_run: bool,
+}
+
+impl Progress {
+    /// Notes a failed attempt and decides whether another is made.
+    pub(super) fn fail(&mut self, state: &State, call: &Call, failure: Failure) -> RetryDecision {
+        let reached = !failure.is_not_written();
+        self.attempts += u32::from(reached);
+        let attempt = FailedAttempt {
+            failure,
+            repeat: match call.route.is_repeatable() {
+                true => Repeat::Idempotent,
+                false => Repeat::Once,
+            },
+            attempts: self.attempts,
+            max_attempts: call.route.max_attempts,
+            ran_before: self.may_have_run,
+        };
+        self.may_have_run |= !(failure.is_not_written() || failure.is_refused());
+        // A request that reached no target is not an extra send.
+        decide(&attempt, || {
+            self.attempts == 0 || state.withdraw_retry(&call.service)
+        })
+    }
+
+    /// Returns the answer to the caller if no attempt succeeded.
+    pub(super) fn refusal(&self, last: Option<&AttemptError>) -> Refusal {
+        let timed_out = last.is_some_and(|error| error.failure == Failure::Timeout);
+        match (self.may_have_run, timed_out) {
+            (true, true) => Refusal::Timeout,
+            (true, false) => Refusal::AnswerLost,
+            (false, _) if self.attempts > 0 => Refusal::TargetsRefused,
+            (false, _) => Refusal::NoTarget,
+        }
+    }
+}
+
+/// Forwards a call and returns a target's whole answer.
+///
+/// # Errors
+///
+/// Fails if no target answered.
+pub(super) async fn forward(
+    state: &Arc<State>,
+    call: &Arc<Call>,
+    head: &CallerHead,
+) -> Result<Response<Body>, Refusal> {
+    let mut progress = Progress::default();
+    let mut last_error = None;
+    // A target's own failure, which is delivered if no other answer comes.
+    let mut failed_answer = None;
+    loop {
+        let now = Instant::now();
+        let exhausted = call.time_left(now) < MIN_ATTEMPT || !is_still_permitted(state, call, head);
+        let target = match exhausted {
+            true => None,
+            false => choose_target(state, call, &progress.tried),
+        };
+        let Some(target) = target else {
+            break;
+        };
+        progress.tried.push(target.id.clone());
+        let failure = match attempt_once(state, call, &target, &progress).await {
+            Ok(answer) if !is_retryable_failure(call, &answer) => {
+                return Ok(answered(answer));
+            }
+            Ok(answer) => {
+                failed_answer = Some(answer);
+                Failure::Cut
+            }
+            Err(error) => {
+                let failure = error.failure;
+                last_error = Some(error);
+                failure
+            }
+        };
+        if progress.fail(state, call, failure) != RetryDecision::Retry {
+            break;
+        }
+    }
+    match failed_answer {
+        Some(answer) => Ok(answered(answer)),
+        None => Err(progress.refusal(last_error.as_ref())),
+    }
+}
+
+async fn attempt_once(
+    state: &Arc<State>,
+    call: &Call,
+    target: &Arc<Target>,
+    progress: &Progress,
+) -> Result<WholeAnswer, AttemptError> {
+    let _in_flight = InFlightGuard::new(state, &target.id, 0);
+    let may_retry = call.route.is_repeatable() && progress.attempts + 1 < call.route.max_attempts;
+    let by = match may_retry {
+        true => {
+            let silent = Instant::now() + call.route.latency_objective * SILENT_OBJECTIVES;
+            silent.min(call.answer_by)
+        }
+        false => call.answer_by,
+    };
+    let answer = attempt::send(state, call, target, AttemptHead::default(), by).await?;
+    let answer = answer.collect(state, call, by).await?;
+    if answer.status.is_success() && !answer.head.is_signed {
+        let error = AttemptError::cut("answer without signature");
+        attempt::record_failure(state, call, target, &error);
+        return Err(error);
+    }
+    let outcome = match answer.status.is_server_error() {
+        true => Outcome::Failed,
+        false => Outcome::Answered,
+    };
+    let now_ms = state.now_ms();
+    state.loads().observe(&target.id, outcome, now_ms);
+    if let Some(account) = &call.account {
+        state.usage().record(&account.name);
+    }
+    Ok(answer)
+}
+
+fn choose_target(state: &State, call: &Call, tried: &[Arc<str>]) -> Option<Arc<Target>> {
+    let now_ms = state.now_ms();
+    let mut targets = state.ready_targets(&call.service);
+    targets.retain(|target| !tried.contains(&target.id));
+    let mut loads = state.loads();
+    let mut allowed = Vec::new();
+    for target in &targets {
+        if loads.allows(&target.id, now_ms) {
+            allowed.push(target.clone());
+        }
+    }
+    // A target that failed before is better than none.
+    if allowed.is_empty() {
+        allowed = targets;
+    }
+    let mut candidates = Vec::with_capacity(allowed.len());
+    for target in &allowed {
+        candidates.push(SpreadCandidate {
+            in_flight: loads.in_flight(&target.id).requests,
+            slots: target.slots,
+            is_near: target.failure_domain == state.settings.failure_domain,
+            failure_rate: loads.failure_rate(&target.id),
+        });
+    }
+    let index = choose_least_loaded(&candidates, &WEIGHTS, rand::random())?;
+    Some(allowed.swap_remove(index))
+}
+
+/// Returns whether another target may do better than this failure.
+pub(super) fn is_retryable_failure(call: &Call, answer: &WholeAnswer) -> bool {
+    answer.status.is_server_error() && call.route.is_repeatable()
+}
+
+/// Turns a target's whole answer into that to the caller.
+pub(super) fn answered(answer: WholeAnswer) -> Response<Body> {
+    let unsigned_promise = !answer.head.is_signed && promises_not_run(answer.status);
+    if unsigned_promise {
+        return Refusal::AnswerLost.reply(answer.head.request_id.as_deref(), None);
+    }
+    let mut response = Response::new(whole(answer.bytes));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = caller_headers(&answer.headers);
+    response
+}
+
+/// Returns whether callers take a status as a promise that nothing ran.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
--- /dev/null
+++ b/src/gateway/prefill.rs
@@ -0,0 +1,183 @@
+//! Has a prompt prefilled at an engine, whose KV cache another engine takes.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, Uri};
+use tokio::time::{Instant, timeout};
+
+use super::{
+    attempt::{self, AttemptError},
+    loads::{InFlightGuard, Outcome},
+    state::State,
+};
+use crate::{
+    call::{Call, Prompt},
+    platform::{AttemptHead, KvSource, Prefilled, prefill_release_path},
+    policy::homes::{PrefillCandidate, choose_prefill},
+    roster::Target,
+    target::protocol::EngineRole,
+};
+
+/// Engines that are asked to prefill one prompt.
+const MAX_PREFILL_ATTEMPTS: usize = 2;
+
+/// Part of the time left that one prefill may take.
+const PREFILL_TIME_SHARE: u32 = 2;
+
+/// Tokens as which a failing engine counts, at a failure rate of one.
+const FAILING_TOKENS: f64 = 200_000.0;
+
+/// Longest time for the release of a KV cache.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A KV cache that an engine holds for a decode, released unless taken.
+#[derive(Debug)]
+pub(super) struct PrefillHandle {
+    pub(super) source: KvSource,
+    pub(super) target: Arc<Target>,
+    state: Arc<State>,
+    taken: bool,
+}
+
+impl PrefillHandle {
+    /// Notes that an engine has taken the KV cache, or may have.
+    pub(super) fn take(mut self) {
+        self.taken = true;
+    }
+}
+
+impl Drop for PrefillHandle {
+    fn drop(&mut self) {
+        if self.taken {
+            return;
+        }
+        let releasing = release(
+            self.state.clone(),
+            self.target.clone(),
+            self.source.handle.clone(),
+        );
+        tokio::spawn(releasing);
+    }
+}
+
+/// Has the prompt of a call prefilled; `None` if no engine did so.
+pub(super) async fn prefill(
+    state: &Arc<State>,
+    call: &Arc<Call>,
+    prompt: &Prompt,
+) -> Option<PrefillHandle> {
+    let mut tried = Vec::new();
+    while tried.len() < MAX_PREFILL_ATTEMPTS {
+        let (target, uncached_tokens) = choose(state, call, prompt, &tried)?;
+        tried.push(target.id.clone());
+        match attempt_once(state, call, prompt, &target, uncached_tokens).await {
+            Ok(handle) => return Some(handle),
+            Err(error) => {
+                let is_extra = !error.failure.is_not_written();
+                if is_extra && !state.withdraw_retry(&call.service) {
+                    return None;
+                }
+            }
+        }
+    }
+    None
+}
+
+async fn attempt_once(
+    state: &Arc<State>,
+    call: &Arc<Call>,
+    prompt: &Prompt,
+    target: &Arc<Target>,
+    uncached_tokens: u32,
+) -> Result<PrefillHandle, AttemptError> {
+    let _in_flight = InFlightGuard::new(state, &target.id, u64::from(uncached_tokens));
+    let started_at = Instant::now();
+    let by = started_at + call.time_left(started_at) / PREFILL_TIME_SHARE;
+    let head = AttemptHead {
+        prefill_only: true,
+        ..AttemptHead::default()
+    };
+    let answer = attempt::send(state, call, target, head, by).await?;
+    let answer = answer.collect(state, call, by).await?;
+    let now_ms = state.now_ms();
+    let prefilled = match (answer.status.is_success(), Prefilled::read(&answer.bytes)) {
+        (true, Ok(prefilled)) => prefilled,
+        (_, read) => {
+            let cause = read.err().map_or_else(
+                || format!("prefill answered {}", answer.status),
+                |error| format!("prefill answered {}: {error}", answer.status),
+            );
+            let error = AttemptError::cut(cause);
+            attempt::record_failure(state, call, target, &error);
+            return Err(error);
+        }
+    };
+    let mut loads = state.loads();
+    loads.observe(&target.id, Outcome::Answered, now_ms);
+    loads.chains.insert(&target.id, &prompt.parts, now_ms);
+    drop(loads);
+    metrics::histogram!("gateway_prefill_ms").record(started_at.elapsed().as_secs_f64() * 1_000.0);
+    tracing::debug!(
+        request = &*call.id,
+        target = &*target.id,
+        uncached_tokens,
+        elapsed_ms = started_at.elapsed().as_millis() as u64,
+        "gateway: prompt prefilled"
+    );
+    Ok(PrefillHandle {
+        source: KvSource {
+            address: target.address,
+            handle: prefilled.handle,
+        },
+        target: target.clone(),
+        state: state.clone(),
+        taken: false,
+    })
+}
+
+fn choose(
+    state: &State,
+    call: &Call,
+    prompt: &Prompt,
+    tried: &[Arc<str>],
+) -> Option<(Arc<Target>, u32)> {
+    let now_ms = state.now_ms();
+    let mut targets = state.ready_targets(&call.service);
+    targets
+        .retain(|target| target.role == Some(EngineRole::Prefill) && !tried.contains(&target.id));
+    let mut loads = state.loads();
+    targets.retain(|target| loads.allows(&target.id, now_ms));
+    let mut candidates = Vec::with_capacity(targets.len());
+    for target in &targets {
+        candidates.push(PrefillCandidate {
+            id: target.id.clone(),
+            queued_tokens: loads.in_flight(&target.id).prefill_tokens as f64,
+            penalty_tokens: FAILING_TOKENS * loads.failure_rate(&target.id),
+        });
+    }
+    let choice = choose_prefill(prompt, &candidates, &loads.chains, now_ms)?;
+    Some((targets.swap_remove(choice.index), choice.uncached_tokens))
+}
+
+/// Releases a KV cache that nobody takes.
+async fn release(state: Arc<State>, target: Arc<Target>, handle: Arc<str>) {
+    let releasing = async {
+        let max_connections = state.max_connections(&target.service);
+        let mut connection = state.pool.checkout(&target, max_connections).await.ok()?;
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.method_mut() = Method::DELETE;
+        *request.uri_mut() = prefill_release_path(&handle).parse::<Uri>().ok()?;
+        let host = target.address.to_string().parse().ok()?;
+        request.headers_mut().insert(hyper::header::HOST, host);
+        let response = connection.send(request).await.ok()?;
+        Some(response.status())
+    };
+    let released = timeout(RELEASE_TIMEOUT, releasing).await.ok().flatten();
+    tracing::info!(
+        target = &*target.id,
+        status = released.map_or(0, |status| status.as_u16()),
+        "gateway: unused KV cache released"
+    );
+}
--- /dev/null
+++ b/src/gateway/readiness.rs
@@ -0,0 +1,64 @@
+//! Tells the balancer whether the instance takes callers, and serves metrics.
+
+use std::{io, sync::Arc};
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use salvo::{
+    Response, Router, Server, conn::tcp::TcpAcceptor, handler, http::StatusCode, writing::Text,
+};
+use tokio::net::TcpListener;
+
+use super::state::State;
+
+/// Serves readiness on `listener`, until it fails.
+///
+/// # Errors
+///
+/// Fails if the listener fails.
+pub(super) async fn serve_readiness(state: Arc<State>, listener: TcpListener) -> io::Result<()> {
+    let router = Router::with_path("ready").get(Readiness(state));
+    serve(router, listener).await
+}
+
+/// Serves metrics on `listener`, until it fails.
+///
+/// # Errors
+///
+/// Fails if the listener fails.
+pub(super) async fn serve_metrics(
+    metrics: PrometheusHandle,
+    listener: TcpListener,
+) -> io::Result<()> {
+    let router = Router::with_path("metrics").get(Metrics(metrics));
+    serve(router, listener).await
+}
+
+async fn serve(router: Router, listener: TcpListener) -> io::Result<()> {
+    let acceptor = TcpAcceptor::try_from(listener)?;
+    Server::new(acceptor).try_serve(router).await
+}
+
+struct Readiness(Arc<State>);
+
+#[handler]
+impl Readiness {
+    async fn handle(&self, response: &mut Response) {
+        match self.0.not_ready_reason() {
+            None => response.render(Text::Plain("ready\n")),
+            Some(reason) => {
+                response.status_code(StatusCode::SERVICE_UNAVAILABLE);
+                response.render(Text::Plain(format!("not ready: {reason}\n")));
+            }
+        }
+    }
+}
+
+struct Metrics(PrometheusHandle);
+
+#[handler]
+impl Metrics {
+    async fn handle(&self, response: &mut Response) {
+        self.0.run_upkeep();
+        response.render(Text::Plain(self.0.render()));
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,243 @@
+//! Relays a stream to its caller, and resumes it at another engine.
+
+use std::{io, sync::Arc};
+
+use bytes::Bytes;
+use futures_util::{Stream, stream};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use super::{
+    attempt::{self, Answer, AttemptError},
+    decode,
+    events::EventSplitter,
+    loads::{InFlightGuard, Outcome},
+    plain::Progress,
+    pool::Connection,
+    state::{BodyMemory, State},
+};
+use crate::{call::Call, platform::AttemptHead, policy::retry::RetryDecision, roster::Target};
+
+/// The engine's stream that is being relayed.
+#[derive(Debug)]
+pub(super) struct Source {
+    target: Arc<Target>,
+    body: Incoming,
+    connection: Connection,
+    _in_flight: InFlightGuard,
+}
+
+impl Source {
+    pub(super) fn new(answer: Answer, in_flight: InFlightGuard) -> Self {
+        let target = answer.target.clone();
+        let (body, connection) = answer.into_stream();
+        Self {
+            target,
+            body,
+            connection,
+            _in_flight: in_flight,
+        }
+    }
+}
+
+/// A stream on its way to its caller.
+#[derive(Debug)]
+pub(super) struct Relay {
+    state: Arc<State>,
+    call: Arc<Call>,
+    source: Option<Source>,
+    splitter: EventSplitter,
+    progress: Progress,
+    last_event: Option<Arc<str>>,
+    events: usize,
+    ended: bool,
+    _memory: Option<BodyMemory>,
+}
+
+/// What came of waiting for more of a stream.
+enum Step {
+    Relay(Bytes),
+    End(Bytes),
+    Failed(AttemptError),
+}
+
+impl Relay {
+    pub(super) fn new(
+        state: Arc<State>,
+        call: Arc<Call>,
+        source: Source,
+        progress: Progress,
+        memory: Option<BodyMemory>,
+    ) -> Self {
+        let last_event = call.resume_after.clone();
+        Self {
+            state,
+            call,
+            source: Some(source),
+            splitter: EventSplitter::default(),
+            progress,
+            last_event,
+            events: 0,
+            ended: false,
+            _memory: memory,
+        }
+    }
+
+    /// Returns the bytes for the caller; an error breaks the connection off.
+    pub(super) fn into_stream(self) -> impl Stream<Item = io::Result<Bytes>> + Send {
+        stream::unfold(self, |mut relay| async move {
+            let item = relay.next().await?;
+            Some((item, relay))
+        })
+    }
+
+    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        while !self.ended {
+            match self.step().await {
+                Step::Relay(bytes) => return Some(Ok(bytes)),
+                Step::End(rest) => {
+                    self.finish();
+                    return (!rest.is_empty()).then_some(Ok(rest));
+                }
+                Step::Failed(error) => {
+                    if self.resume(&error).await {
+                        continue;
+                    }
+                    self.ended = true;
+                    return Some(Err(io::Error::other(error.to_string())));
+                }
+            }
+        }
+        None
+    }
+
+    async fn step(&mut self) -> Step {
+        let Some(source) = &mut self.source else {
+            return Step::Failed(AttemptError::cut("no engine is left"));
+        };
+        loop {
+            let frame = match timeout_at(self.call.answer_by, source.body.frame()).await {
+                Err(_) => return Step::Failed(AttemptError::timeout()),
+                Ok(Some(Err(error))) => return Step::Failed(AttemptError::cut(error)),
+                Ok(None) => return Step::End(self.splitter.take_rest()),
+                Ok(Some(Ok(frame))) => frame,
+            };
+            let Some(bytes) = frame.data_ref() else {
+                continue;
+            };
+            let Some(events) = self.splitter.push(bytes) else {
+                if self.splitter.is_overfull() {
+                    return Step::Failed(AttemptError::cut("event is too long"));
+                }
+                continue;
+            };
+            if self.events == 0 {
+                self.state.note_first_event(&self.call);
+            }
+            self.events += events.count;
+            if events.last_id.is_some() {
+                self.last_event = events.last_id;
+            }
+            return Step::Relay(events.bytes);
+        }
+    }
+
+    /// Ends a stream that came whole.
+    fn finish(&mut self) {
+        self.ended = true;
+        let Some(source) = self.source.take() else {
+            return;
+        };
+        let now_ms = self.state.now_ms();
+        let target = &source.target;
+        self.state
+            .loads()
+            .observe(&target.id, Outcome::Answered, now_ms);
+        self.state.pool.put_back(target, source.connection);
+        tracing::info!(
+            request = &*self.call.id,
+            target = &*target.id,
+            events = self.events,
+            elapsed_ms = self.call.received_at.elapsed().as_millis() as u64,
+            "gateway: stream ended"
+        );
+    }
+
+    /// Goes on at another engine after the last whole event, if that is
+    /// allowed.
+    async fn resume(&mut self, error: &AttemptError) -> bool {
+        let failed = self.source.take();
+        if let Some(source) = &failed {
+            attempt::record_failure(&self.state, &self.call, &source.target, error);
+            self.progress.tried.push(source.target.id.clone());
+        }
+        // The failed engine must stop before another goes on.
+        drop(failed);
+        self.splitter.take_rest();
+        let mut failure = error.failure;
+        loop {
+            let decision = self.progress.fail(&self.state, &self.call, failure);
+            if decision != RetryDecision::Retry {
+                break;
+            }
+            match self.resume_once().await {
+                Some(Ok(source)) => {
+                    self.source = Some(source);
+                    return true;
+                }
+                Some(Err(error)) => failure = error.failure,
+                None => break,
+            }
+        }
+        tracing::info!(
+            request = &*self.call.id,
+            events = self.events,
+            attempts = self.progress.attempts,
+            "gateway: stream broken off: {error}"
+        );
+        metrics::counter!("gateway_streams_broken_total").increment(1);
+        false
+    }
+
+    async fn resume_once(&mut self) -> Option<Result<Source, AttemptError>> {
+        let near = &self.state.settings.failure_domain;
+        let tried = &self.progress.tried;
+        let target = decode::choose(&self.state, &self.call, near, tried)?;
+        self.progress.tried.push(target.id.clone());
+        let in_flight = InFlightGuard::new(&self.state, &target.id, 0);
+        let head = AttemptHead {
+            resume_after: self.last_event.as_deref(),
+            ..AttemptHead::default()
+        };
+        let by = self.call.answer_by;
+        let sent = attempt::send(&self.state, &self.call, &target, head, by).await;
+        Some(sent.and_then(|answer| {
+            if !answer.status.is_success() || !answer.head.is_signed {
+                return Err(AttemptError::cut(format!(
+                    "resume answered {}",
+                    answer.status
+                )));
+            }
+            tracing::info!(
+                request = &*self.call.id,
+                target = &*target.id,
+                after = self.last_event.as_deref().unwrap_or("-"),
+                "gateway: stream resumed"
+            );
+            Ok(Source::new(answer, in_flight))
+        }))
+    }
+}
+
+impl State {
+    /// Notes that the first event of a call's stream has arrived.
+    fn note_first_event(&self, call: &Call) {
+        if let Some(account) = &call.account {
+            self.usage().record(&account.name);
+        }
+        let elapsed = Instant::now().saturating_duration_since(call.received_at);
+        metrics::histogram!("gateway_first_event_ms", "route" => call.route.name.to_string())
+            .record(elapsed.as_secs_f64() * 1_000.0);
+    }
+}
--- /dev/null
+++ b/src/gateway/reply.rs
@@ -0,0 +1,112 @@
+//! Answers to callers.
+
+use std::{convert::Infallible, io, time::Duration};
+
+use bytes::Bytes;
+use displaydoc::Display;
+use futures_util::Stream;
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::{HeaderMap, Response, StatusCode, body::Frame};
+
+use crate::platform::refusal_headers;
+
+/// Body of an answer; an error breaks the connection off.
+pub(super) type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// Why a request gets an answer of our own instead of a target's.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub(super) enum Refusal {
+    /// the request cannot be read
+    BadRequest,
+    /// no route leads there
+    NoRoute,
+    /// the key is missing or unknown
+    UnknownKey,
+    /// the request's head is too large
+    HeadTooLarge,
+    /// the request's body is too large
+    BodyTooLarge,
+    /// the request did not arrive in time
+    ReadTimeout,
+    /// the instance does not know the configuration
+    NotReady,
+    /// the instance has no memory left for the request
+    NoMemory,
+    /// no target can take the request now
+    NoTarget,
+    /// targets refused the request without running it
+    TargetsRefused,
+    /// the request may have run, and its answer is lost
+    AnswerLost,
+    /// the request was not answered in time and may have run
+    Timeout,
+    /// the request was not answered in time and did not run
+    NotRunInTime,
+}
+
+impl Refusal {
+    /// Returns the status that the caller gets.
+    ///
+    /// 408, 429 and 503 promise that the request did not run and will not.
+    pub(super) fn status(self) -> StatusCode {
+        match self {
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::ReadTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::NotReady
+            | Self::NoMemory
+            | Self::NoTarget
+            | Self::TargetsRefused
+            | Self::NotRunInTime => StatusCode::SERVICE_UNAVAILABLE,
+            Self::AnswerLost => StatusCode::BAD_GATEWAY,
+            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Returns whether the connection cannot carry another request.
+    fn ends_connection(self) -> bool {
+        matches!(
+            self,
+            Self::BadRequest | Self::HeadTooLarge | Self::BodyTooLarge | Self::ReadTimeout
+        )
+    }
+
+    /// Builds the answer.
+    pub(super) fn reply(self, id: Option<&str>, retry_after: Option<Duration>) -> Response<Body> {
+        let mut response = Response::new(whole(format!("{self}\n").into()));
+        *response.status_mut() = self.status();
+        *response.headers_mut() = refusal_headers(id, retry_after);
+        if self.ends_connection() {
+            close_connection(response.headers_mut());
+        }
+        response
+    }
+}
+
+/// Says that the connection ends with this answer.
+pub(super) fn close_connection(headers: &mut HeaderMap) {
+    headers.insert(
+        hyper::header::CONNECTION,
+        hyper::header::HeaderValue::from_static("close"),
+    );
+}
+
+/// Makes a body of bytes that are at hand.
+pub(super) fn whole(bytes: Bytes) -> Body {
+    Full::new(bytes)
+        .map_err(|never: Infallible| match never {})
+        .boxed_unsync()
+}
+
+/// Makes a body of bytes as they arrive.
+pub(super) fn streamed<S>(stream: S) -> Body
+where
+    S: Stream<Item = io::Result<Bytes>> + Send + 'static,
+{
+    use futures_util::StreamExt;
+
+    StreamBody::new(stream.map(|chunk| chunk.map(Frame::data))).boxed_unsync()
+}
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -8,6 +8,8 @@
 mod burn;
 mod listeners;
 mod parts;
+
+pub(crate) use parts::metrics_handle;
 pub mod status;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -23,7 +25,7 @@
     status::StatusSources,
 };
 use crate::{
-    Settings, entry::EntryBuilder, ledger::LedgerHandle, peer::PeerHandle, platform::LiveClient,
+    Settings, entry::EntryBuilder, infra::LiveClient, ledger::LedgerHandle, peer::PeerHandle,
     supervisor::Supervisor,
 };
 
--- a/src/instance/parts.rs
+++ b/src/instance/parts.rs
@@ -22,10 +22,10 @@
     Settings,
     control::{self, ControlInputs, Identity, UsageRecorder},
     entry::{self, EntryContext, UsageEntry},
+    infra::{LiveClient, TargetsClient},
     ledger::{Ledger, LedgerHandle, UsageCounts},
     log::{self, Log, LogOptions},
     peer::{self, PeerHandle, PeerInputs},
-    platform::{LiveClient, TargetsClient},
     service::KindRole,
     supervisor::Supervisor,
     target::{
@@ -282,7 +282,7 @@
 }
 
 /// Returns the process's metrics recorder; instances in one process share it.
-fn metrics_handle() -> Result<PrometheusHandle> {
+pub(crate) fn metrics_handle() -> Result<PrometheusHandle> {
     static HANDLE: std::sync::Mutex<Option<PrometheusHandle>> = std::sync::Mutex::new(None);
     let mut handle = HANDLE
         .lock()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,9 +14,13 @@
 //! assert!(error.to_string().contains("missing field"));
 //! ```
 
+pub mod call;
+pub mod catalog;
 pub mod cli;
 pub mod control;
 pub mod entry;
+pub mod gateway;
+pub mod infra;
 pub mod instance;
 pub mod ledger;
 pub mod load;
@@ -25,6 +29,7 @@
 pub mod platform;
 pub mod policy;
 pub mod report;
+pub mod roster;
 pub mod service;
 pub mod settings;
 pub mod standin;
--- a/src/log/client.rs
+++ b/src/log/client.rs
@@ -7,7 +7,7 @@
 use reqwest::{Response, StatusCode};
 
 use super::{Error, Offset, Result};
-use crate::platform::protocol::{AppendRequest, AppendResponse, ReadResponse, TrimmedResponse};
+use crate::infra::protocol::{AppendRequest, AppendResponse, ReadResponse, TrimmedResponse};
 
 /// Client of the platform's log, over HTTP with protobuf bodies.
 #[derive(Clone, Debug)]
--- a/src/log/recent.rs
+++ b/src/log/recent.rs
@@ -6,7 +6,7 @@
 };
 
 use super::Offset;
-use crate::platform::protocol::LogEntry;
+use crate::infra::protocol::LogEntry;
 
 /// Shared buffer of the newest records, in offset order without gaps.
 #[derive(Clone, Debug)]
--- a/src/log/tailer.rs
+++ b/src/log/tailer.rs
@@ -14,8 +14,8 @@
     backoff::Backoff, records::Record,
 };
 use crate::{
+    infra::protocol::{LogEntry, ReadResponse},
     ledger::LedgerHandle,
-    platform::protocol::{LogEntry, ReadResponse},
 };
 
 /// Most records that one read asks for.
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,6 @@
 
 use std::process::ExitCode;
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    lavenderwind::cli::main().await
+fn main() -> ExitCode {
+    lavenderwind::cli::main()
 }
--- a/src/peer/live_list.rs
+++ b/src/peer/live_list.rs
@@ -6,7 +6,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{shared::Shared, topology::MAX_MESH_INSTANCES};
-use crate::platform::{
+use crate::infra::{
     LiveClient,
     protocol::{LiveInstance, LiveState},
 };
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -6,8 +6,8 @@
 use tokio::time::Instant;
 
 use crate::{
+    infra::protocol::{LiveInstance, LiveState},
     log::Offset,
-    platform::protocol::{LiveInstance, LiveState},
 };
 
 /// What is known of another instance.
--- a/src/peer/relay.rs
+++ b/src/peer/relay.rs
@@ -11,8 +11,8 @@
     state::{LogView, State},
 };
 use crate::{
+    infra::protocol::LogEntry,
     log::{Offset, RelayedEntries},
-    platform::protocol::LogEntry,
 };
 
 /// Records in one answer, in bytes.
--- a/src/peer/spawn.rs
+++ b/src/peer/spawn.rs
@@ -6,12 +6,12 @@
 use super::{PeerHandle, dial, live_list, shared::Shared, upkeep};
 use crate::{
     Settings,
-    ledger::LedgerHandle,
-    log::Log,
-    platform::{
+    infra::{
         LiveClient,
         protocol::{LiveInstance, LiveState},
     },
+    ledger::LedgerHandle,
+    log::Log,
 };
 
 /// What the peer tasks need of the other parts.
--- a/src/peer/state.rs
+++ b/src/peer/state.rs
@@ -19,8 +19,8 @@
     usage_holder::UsageHolder,
 };
 use crate::{
+    infra::protocol::LiveInstance,
     log::{Offset, TailStatus},
-    platform::protocol::LiveInstance,
 };
 
 /// State of the log as it goes into heartbeats.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,14 +1,29 @@
-//! The platform's interfaces: log, live list, target ordering, usage reports
-//! and weight store.
+//! The users' platform: its store, its calls and its headers.
 //!
-//! [`protocol`] holds the bodies that go over HTTP; it is shared with the
-//! stand-ins.
+//! This folder alone knows the platform's names. It decodes what the platform
+//! says into the project's own types and encodes what goes out; it decides
+//! nothing.
 
-mod client;
-mod error;
-pub mod protocol;
+mod cloud;
+mod config;
+mod engine;
+mod request;
+mod store;
+mod workers;
 
-pub use self::{
-    client::{LiveClient, TargetsClient, UsageClient},
-    error::{Error, Result},
+pub use cloud::{CloudClient, CloudError, Holder, TargetCount};
+pub use config::read_catalog;
+pub use engine::{KvSource, LoadReport, Prefilled, RoleOrder, prefill_release_path};
+pub use request::{
+    AnswerHead, AttemptHead, CallerHead, HeadError, attempt_headers, caller_headers,
 };
+pub use request::{read_answer_head, read_caller_head, refusal_headers};
+pub use store::{Appended, KeyedRecord, Newest, ReadBatch, StoreClient, StoreError, Topic};
+pub use workers::read_target;
+
+/// Topic in which the operator keeps the configuration.
+pub const OPERATOR_TOPIC: Topic = Topic("keyed.op");
+/// Key of the configuration in [`OPERATOR_TOPIC`].
+pub const CONFIGURATION_KEY: &str = "config";
+/// Topic in which targets register.
+pub const TARGET_TOPIC: Topic = Topic("keyed.servers");
--- /dev/null
+++ b/src/platform/request.rs
@@ -0,0 +1,313 @@
+//! Headers of requests and answers, towards callers and towards targets.
+
+use std::{sync::Arc, time::Duration};
+
+use displaydoc::Display;
+use hyper::{
+    HeaderMap, StatusCode,
+    header::{
+        AUTHORIZATION, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderName, HeaderValue,
+        RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    },
+    http::{request, response},
+};
+
+use super::KvSource;
+use crate::call::{Call, Prompt, PromptPart};
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
+const DEADLINE: HeaderName = HeaderName::from_static("deadline-ms");
+const MODEL: HeaderName = HeaderName::from_static("model");
+const TOKEN_COUNT: HeaderName = HeaderName::from_static("token-count");
+const PROMPT_PREFIX: HeaderName = HeaderName::from_static("prompt-prefix");
+const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+// The platform's "tenant" is a client account.
+const TENANT: HeaderName = HeaderName::from_static("tenant");
+const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
+const REQUEST_PRIORITY: HeaderName = HeaderName::from_static("request-priority");
+const STAGE: HeaderName = HeaderName::from_static("stage");
+const KV_SOURCE: HeaderName = HeaderName::from_static("kv-source");
+const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
+// A worker's signature of its answer.
+const RESPONSE_SEAL: HeaderName = HeaderName::from_static("response-seal");
+
+/// Headers that are ours to set, whatever a caller sent.
+const SYSTEM_HEADERS: [HeaderName; 14] = [
+    DEADLINE,
+    LAST_EVENT_ID,
+    TENANT,
+    EXPECT_INSTANCE,
+    REQUEST_PRIORITY,
+    STAGE,
+    KV_SOURCE,
+    AUTHORIZATION,
+    HeaderName::from_static("expect-version"),
+    HeaderName::from_static("pin-ms"),
+    HeaderName::from_static("kv-hold"),
+    HeaderName::from_static("kv-backup"),
+    HeaderName::from_static("kv-fetch"),
+    HeaderName::from_static("not-executed"),
+];
+
+/// Headers that concern one connection.
+const CONNECTION_HEADERS: [HeaderName; 10] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    KEEP_ALIVE,
+    HeaderName::from_static("proxy-authenticate"),
+    HeaderName::from_static("proxy-authorization"),
+    HeaderName::from_static("proxy-connection"),
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Word that precedes a key in its header.
+const KEY_SCHEME: &str = "Token ";
+
+/// Least urgent priority that a target knows.
+const MAX_PRIORITY: u8 = 9;
+
+/// What a caller's request head says.
+#[derive(Clone, Debug)]
+pub struct CallerHead {
+    /// Identifier of the request.
+    pub id: Arc<str>,
+    /// Host that the caller names.
+    pub host: Arc<str>,
+    /// Time for which the caller waits.
+    pub deadline: Option<Duration>,
+    /// Key of a client account.
+    pub key: Option<Arc<str>>,
+    /// Prompt, where the request describes one.
+    pub prompt: Option<Prompt>,
+    /// Last event of a stream that the caller has.
+    pub resume_after: Option<Arc<str>>,
+    /// Headers that are passed on unchanged.
+    pub headers: HeaderMap,
+}
+
+/// Why a request head is refused.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq, derive_more::Error)]
+pub enum HeadError {
+    /// the request has no identifier
+    MissingId,
+    /// the request names no host
+    MissingHost,
+    /// the deadline is not a number of milliseconds
+    InvalidDeadline,
+}
+
+/// Decodes the head of a caller's request.
+///
+/// # Errors
+///
+/// Fails if the identifier or the host is missing, or a value cannot be read.
+pub fn read_caller_head(parts: &request::Parts) -> Result<CallerHead, HeadError> {
+    let headers = &parts.headers;
+    let id = text(headers, &REQUEST_ID).filter(|id| !id.is_empty());
+    let host = text(headers, &HOST).or_else(|| parts.uri.host());
+    Ok(CallerHead {
+        id: id.ok_or(HeadError::MissingId)?.into(),
+        host: without_port(host.ok_or(HeadError::MissingHost)?)
+            .to_ascii_lowercase()
+            .into(),
+        deadline: read_deadline(headers)?,
+        key: text(headers, &AUTHORIZATION)
+            .and_then(|value| value.strip_prefix(KEY_SCHEME))
+            .map(|key| key.trim().into()),
+        prompt: read_prompt(headers),
+        resume_after: text(headers, &LAST_EVENT_ID).map(Arc::from),
+        headers: passed_on(headers, &SYSTEM_HEADERS),
+    })
+}
+
+/// What a request to a target says beyond the call itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AttemptHead<'a> {
+    /// Target that may run the request; no other does.
+    pub target_id: &'a str,
+    /// Time that is left.
+    pub time_left: Duration,
+    /// Whether only the prompt is prefilled.
+    pub prefill_only: bool,
+    /// Where the KV cache of the prompt is.
+    pub kv_source: Option<&'a KvSource>,
+    /// Last event that the caller has, from an earlier attempt or its own.
+    pub resume_after: Option<&'a str>,
+}
+
+/// Encodes the headers of a request to a target.
+#[must_use]
+pub fn attempt_headers(call: &Call, head: &AttemptHead<'_>) -> HeaderMap {
+    let mut headers = call.headers.clone();
+    let left_ms = head.time_left.as_millis().max(1) as u64;
+    headers.insert(DEADLINE, HeaderValue::from(left_ms));
+    insert(&mut headers, EXPECT_INSTANCE, head.target_id);
+    if let Some(account) = &call.account {
+        insert(&mut headers, TENANT, &account.name);
+    }
+    if let Some(event) = head.resume_after {
+        insert(&mut headers, LAST_EVENT_ID, event);
+    }
+    if call.prompt.is_some() {
+        let priority = call.priority.min(MAX_PRIORITY);
+        headers.insert(REQUEST_PRIORITY, HeaderValue::from(u16::from(priority)));
+    }
+    if head.prefill_only {
+        headers.insert(STAGE, HeaderValue::from_static("prefill"));
+    }
+    if let Some(source) = head.kv_source {
+        insert(&mut headers, KV_SOURCE, &source.to_string());
+    }
+    headers
+}
+
+/// What a target's answer head says beyond its status.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AnswerHead {
+    /// Identifier of the request that is answered.
+    pub request_id: Option<Arc<str>>,
+    /// Whether the target signed the answer.
+    pub is_signed: bool,
+    /// Whether the target says that it did not run the request.
+    pub is_not_run: bool,
+    /// Whether the body is in an encoding that nobody asked for.
+    pub is_encoded: bool,
+    /// Time for which the target keeps the connection open when idle.
+    pub idle_timeout: Option<Duration>,
+}
+
+/// Decodes the head of a target's answer.
+#[must_use]
+pub fn read_answer_head(parts: &response::Parts) -> AnswerHead {
+    let headers = &parts.headers;
+    AnswerHead {
+        request_id: text(headers, &REQUEST_ID).map(Arc::from),
+        is_signed: headers.contains_key(RESPONSE_SEAL),
+        is_not_run: headers.contains_key(NOT_EXECUTED)
+            || parts.status == StatusCode::MISDIRECTED_REQUEST,
+        is_encoded: headers.contains_key(CONTENT_ENCODING),
+        idle_timeout: text(headers, &KEEP_ALIVE).and_then(read_keep_alive),
+    }
+}
+
+/// Returns the headers of a target's answer that its caller gets.
+#[must_use]
+pub fn caller_headers(headers: &HeaderMap) -> HeaderMap {
+    passed_on(headers, &[])
+}
+
+/// Encodes the headers of an answer of our own.
+#[must_use]
+pub fn refusal_headers(id: Option<&str>, retry_after: Option<Duration>) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    if let Some(id) = id {
+        insert(&mut headers, REQUEST_ID, id);
+    }
+    if let Some(delay) = retry_after {
+        insert(
+            &mut headers,
+            RETRY_AFTER,
+            &format!("{:.2}", delay.as_secs_f64()),
+        );
+    }
+    headers
+}
+
+/// Copies the headers that concern neither one connection nor `dropped`.
+fn passed_on(headers: &HeaderMap, dropped: &[HeaderName]) -> HeaderMap {
+    let mut named = Vec::new();
+    for value in headers.get_all(CONNECTION) {
+        let Ok(value) = value.to_str() else {
+            continue;
+        };
+        named.extend(
+            value
+                .split(',')
+                .map(|name| name.trim().to_ascii_lowercase()),
+        );
+    }
+    let mut kept = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        let concerns_connection =
+            CONNECTION_HEADERS.contains(name) || named.iter().any(|named| named == name.as_str());
+        if concerns_connection || dropped.contains(name) {
+            continue;
+        }
+        kept.append(name, value.clone());
+    }
+    kept
+}
+
+fn read_deadline(headers: &HeaderMap) -> Result<Option<Duration>, HeadError> {
+    let Some(value) = headers.get(DEADLINE) else {
+        return Ok(None);
+    };
+    let millis: f64 = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok())
+        .ok_or(HeadError::InvalidDeadline)?;
+    let deadline = Duration::try_from_secs_f64(millis / 1_000.0);
+    deadline.map(Some).map_err(|_| HeadError::InvalidDeadline)
+}
+
+/// Reads the description of a prompt; one that cannot be read is left to the
+/// target, which gets the headers unchanged.
+fn read_prompt(headers: &HeaderMap) -> Option<Prompt> {
+    let model = text(headers, &MODEL)?.into();
+    let (prompt_tokens, max_output_tokens) = text(headers, &TOKEN_COUNT)?.split_once(',')?;
+    let mut parts = Vec::new();
+    for entry in text(headers, &PROMPT_PREFIX).unwrap_or("").split(',') {
+        let Some((id, tokens)) = entry.trim().split_once(':') else {
+            continue;
+        };
+        parts.push(PromptPart {
+            id: u64::from_str_radix(id, 16).ok()?,
+            tokens: tokens.parse().ok()?,
+        });
+    }
+    Some(Prompt {
+        model,
+        prompt_tokens: prompt_tokens.trim().parse().ok()?,
+        max_output_tokens: max_output_tokens.trim().parse().ok()?,
+        parts,
+    })
+}
+
+fn read_keep_alive(value: &str) -> Option<Duration> {
+    for parameter in value.split(',') {
+        let Some((name, seconds)) = parameter.split_once('=') else {
+            continue;
+        };
+        if name.trim().eq_ignore_ascii_case("timeout") {
+            return seconds.trim().parse().ok().map(Duration::from_secs);
+        }
+    }
+    None
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok().map(str::trim)
+}
+
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
+
+/// Sets a header whose value comes from a checked source; a value that no
+/// header can carry is left out.
+fn insert(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    match HeaderValue::from_str(value) {
+        Ok(value) => {
+            headers.insert(name, value);
+        }
+        Err(error) => tracing::warn!("platform: header {name} cannot carry its value: {error}"),
+    }
+}
--- /dev/null
+++ b/src/platform/workers.rs
@@ -0,0 +1,83 @@
+//! Entries under which targets register in the store.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use serde::Deserialize;
+use tokio::time::Instant;
+
+use crate::{
+    roster::{Target, TargetState},
+    target::protocol::EngineRole,
+};
+
+/// An entry. Entries of other writers lack some of these fields.
+#[derive(Deserialize)]
+struct WireEntry {
+    service: Arc<str>,
+    address: SocketAddr,
+    zone: Arc<str>,
+    #[serde(rename = "version")]
+    _software_version: Arc<str>,
+    slots: u32,
+    state: WireState,
+    cold_left_ms: f64,
+    // Counts accepted orders, not the entry's revisions.
+    seq: u64,
+    // Unix time of the worker's start, in milliseconds.
+    born: u64,
+    stage: Option<WireStage>,
+    #[serde(default)]
+    spot: bool,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum WireState {
+    Ready,
+    Draining,
+}
+
+/// Role of an engine on the wire.
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub(super) enum WireStage {
+    Prefill,
+    Decode,
+    Both,
+}
+
+impl From<WireStage> for EngineRole {
+    fn from(stage: WireStage) -> Self {
+        match stage {
+            WireStage::Prefill => Self::Prefill,
+            WireStage::Decode => Self::Decode,
+            WireStage::Both => Self::Mixed,
+        }
+    }
+}
+
+/// Decodes the entry that was registered under `id`, read at `now`.
+///
+/// # Errors
+///
+/// Fails if the entry names no target, with the field and the cause.
+pub fn read_target(id: &str, bytes: &[u8], now: Instant) -> serde_json::Result<Target> {
+    let entry: WireEntry = serde_json::from_slice(bytes)?;
+    let cold = Duration::try_from_secs_f64(entry.cold_left_ms / 1_000.0).unwrap_or_default();
+    Ok(Target {
+        id: id.into(),
+        started_ms: entry.born,
+        service: entry.service,
+        address: entry.address,
+        failure_domain: entry.zone,
+        slots: entry.slots,
+        state: match entry.state {
+            WireState::Ready => TargetState::Ready,
+            WireState::Draining => TargetState::Draining,
+        },
+        cold_until: (!cold.is_zero()).then(|| now + cold),
+        role: entry.stage.map(EngineRole::from),
+        reclaimable: entry.spot,
+        orders: entry.seq,
+    })
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,13 +6,16 @@
 pub mod baseline;
 pub mod breaker;
 pub mod decode;
+pub mod homes;
 pub mod limits;
 pub mod load;
 pub mod prefix;
 pub mod queue;
 pub mod retry;
+pub mod retry_window;
 pub mod roles;
 pub mod routing;
 pub mod share;
 pub mod spending;
+pub mod spread;
 pub mod suspects;
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -6,8 +6,8 @@
 
 /// Thousandths of one retry.
 const MILLI: u64 = 1_000;
-/// Attempts of one request, the first included.
-const MAX_ATTEMPTS: u32 = 3;
+/// Attempts of one request, the first included, where its route names none.
+pub const MAX_ATTEMPTS: u32 = 3;
 /// Time to the first token relative to its prediction, after which a request
 /// is hedged.
 const HEDGE_FACTOR: f64 = 3.0;
@@ -93,6 +93,8 @@
     pub repeat: Repeat,
     /// Attempts made, this one included.
     pub attempts: u32,
+    /// Attempts that may be made, the first included.
+    pub max_attempts: u32,
     /// Whether any attempt so far may have run.
     pub ran_before: bool,
 }
@@ -106,15 +108,19 @@
     GiveUp(Outcome),
 }
 
-/// Decides whether a failed attempt is retried, and takes it from the budget.
-pub fn decide(attempt: &FailedAttempt, budget: &mut RetryBudget) -> RetryDecision {
+/// Decides whether a failed attempt is retried; `withdraw` takes a retry from
+/// the budget, and returns false if none is left.
+pub fn decide<W>(attempt: &FailedAttempt, withdraw: W) -> RetryDecision
+where
+    W: FnOnce() -> bool,
+{
     let not_run = attempt.failure.is_not_written() || attempt.failure.is_refused();
     let outcome = match not_run && !attempt.ran_before {
         true => Outcome::NotRun,
         false => Outcome::Unknown,
     };
     let repeatable = attempt.repeat == Repeat::Idempotent || outcome == Outcome::NotRun;
-    if !repeatable || attempt.attempts >= MAX_ATTEMPTS || !budget.withdraw() {
+    if !repeatable || attempt.attempts >= attempt.max_attempts || !withdraw() {
         return RetryDecision::GiveUp(outcome);
     }
     RetryDecision::Retry
--- /dev/null
+++ b/src/roster/mod.rs
@@ -0,0 +1,98 @@
+//! The targets that are known to run, by service.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use derive_more::IsVariant;
+use indexmap::IndexMap;
+use tokio::time::Instant;
+
+use crate::target::protocol::EngineRole;
+
+/// Whether a target takes new requests.
+#[derive(Clone, Copy, Debug, Eq, IsVariant, PartialEq)]
+pub enum TargetState {
+    /// Takes requests.
+    Ready,
+    /// Is about to leave.
+    Draining,
+}
+
+/// One start of a target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// Identifier, unique among the targets of its time.
+    pub id: Arc<str>,
+    /// When it was started, in milliseconds of Unix time; tells two starts
+    /// under one identifier apart.
+    pub started_ms: u64,
+    /// Service that it runs.
+    pub service: Arc<str>,
+    /// Address; may later be that of another target.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes requests.
+    pub state: TargetState,
+    /// Until when it is slow after its start.
+    pub cold_until: Option<Instant>,
+    /// Role of its engine, if it serves models.
+    pub role: Option<EngineRole>,
+    /// Whether the platform may reclaim it at short notice.
+    pub reclaimable: bool,
+    /// Number of orders that it has accepted.
+    pub orders: u64,
+}
+
+impl Target {
+    /// Returns whether both are the same start of the same target.
+    #[must_use]
+    pub fn is_same_start(&self, other: &Self) -> bool {
+        self.id == other.id && self.started_ms == other.started_ms && self.address == other.address
+    }
+}
+
+/// All known targets.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    targets: IndexMap<Arc<str>, Arc<Target>>,
+}
+
+impl Roster {
+    /// Adds a target or replaces what was known of it.
+    pub fn insert(&mut self, target: Target) {
+        self.targets.insert(target.id.clone(), Arc::new(target));
+    }
+
+    /// Removes a target; returns it if it was known.
+    pub fn remove(&mut self, id: &str) -> Option<Arc<Target>> {
+        self.targets.swap_remove(id)
+    }
+
+    /// Returns a target.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&Arc<Target>> {
+        self.targets.get(id)
+    }
+
+    /// Returns all targets.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Target>> {
+        self.targets.values()
+    }
+
+    /// Returns the targets of a service that take requests.
+    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Target>> {
+        self.targets
+            .values()
+            .filter(move |target| *target.service == *service && target.state.is_ready())
+    }
+
+    /// Returns whether the same start of a target still takes requests.
+    #[must_use]
+    pub fn is_ready(&self, target: &Target) -> bool {
+        self.targets
+            .get(&target.id)
+            .is_some_and(|known| known.is_same_start(target) && known.state.is_ready())
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! An instance's settings, read from YAML and checked.
 
 mod checker;
+mod gateway;
 mod policy;
 
 use std::{net::SocketAddr, path::Path, sync::Arc};
@@ -10,6 +11,7 @@
 use serde::Deserialize;
 
 use self::checker::Checker;
+pub use self::gateway::{Duties, GatewaySettings, GatewayTiming, InstanceLimits, RetryLimits};
 pub use self::policy::{Division, Policy, QueueOrder, RoleControl};
 
 /// Longest lease that the settings accept, in milliseconds.
--- a/src/standin/engine/service.rs
+++ b/src/standin/engine/service.rs
@@ -22,7 +22,7 @@
     options::EngineFaults,
 };
 use crate::{
-    platform::protocol::WeightFetch,
+    infra::protocol::WeightFetch,
     standin::{
         faults::AnswerLoss,
         http::{read_json, segments, write_error, write_json},
--- a/src/standin/platform/fleet.rs
+++ b/src/standin/platform/fleet.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{Duration, Instant};
 
-use crate::platform::protocol::{
+use crate::infra::protocol::{
     PlatformTarget, TargetList, TargetOrder, TargetOrderStatus, TargetState,
 };
 
--- a/src/standin/platform/live.rs
+++ b/src/standin/platform/live.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use tokio::time::{Duration, Instant};
 
-use crate::platform::protocol::LiveInstance;
+use crate::infra::protocol::LiveInstance;
 
 /// An entry and the last time it was announced.
 #[derive(Clone, Debug)]
--- a/src/standin/platform/log.rs
+++ b/src/standin/platform/log.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use crate::platform::protocol::{LogEntry, ReadResponse, TrimmedResponse};
+use crate::infra::protocol::{LogEntry, ReadResponse, TrimmedResponse};
 
 /// Records of the log that are retained.
 #[derive(Debug)]
--- a/src/standin/platform/mod.rs
+++ b/src/standin/platform/mod.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the platform: log, live list, target ordering, usage sink and
 //! weight store behind one address.
 //!
-//! Beside the interfaces of [`crate::platform::protocol`]: `PUT /faults`
+//! Beside the interfaces of [`crate::infra::protocol`]: `PUT /faults`
 //! replaces the [`PlatformFaults`]; `PUT /targets/{name}` registers a running
 //! target and `DELETE /targets/{name}` removes it; `POST /targets/reclaim` and
 //! `POST /targets/restore` withdraw and return a group; `GET /orders` and
--- a/src/standin/platform/service.rs
+++ b/src/standin/platform/service.rs
@@ -23,7 +23,7 @@
     usage::UsageSink,
 };
 use crate::{
-    platform::protocol::{
+    infra::protocol::{
         AppendRequest, AppendResponse, LiveInstance, PlatformTarget, TargetOrder, UsageReport,
         WeightFetch,
     },
--- a/src/standin/platform/usage.rs
+++ b/src/standin/platform/usage.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::platform::protocol::UsageReport;
+use crate::infra::protocol::UsageReport;
 
 /// What became of a report.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/src/target/table/mod.rs
+++ b/src/target/table/mod.rs
@@ -21,7 +21,7 @@
 use self::{health::HealthTracker, poll::Poller};
 use super::{EngineClient, protocol::EngineState};
 use crate::{
-    platform::{
+    infra::{
         TargetsClient,
         protocol::{PlatformTarget, TargetState},
     },
@@ -289,7 +289,7 @@
 /// use std::time::Duration;
 ///
 /// use lavenderwind::{
-///     platform::TargetsClient,
+///     infra::TargetsClient,
 ///     service::KindRole,
 ///     target::{
 ///         EngineClient, http_client,
--- a/src/target/table/poll.rs
+++ b/src/target/table/poll.rs
@@ -7,7 +7,7 @@
 
 use super::TargetTable;
 use crate::{
-    platform::{TargetsClient, protocol::PlatformTarget},
+    infra::{TargetsClient, protocol::PlatformTarget},
     service::KindRole,
     target::{EngineClient, Result, protocol::EngineState},
 };
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -13,12 +13,12 @@
 use lavenderwind::{
     Settings,
     entry::{Appended, EntryBuilder, EntryContext, LogWriter, Peers, UsageEntry, serve},
+    infra::protocol::{PlatformTarget, TargetState},
     ledger::{Ledger, LedgerHandle},
     log::{
         Offset,
         records::{Record, ServiceRevision, record::Body},
     },
-    platform::protocol::{PlatformTarget, TargetState},
     service::KindRole,
     standin::{
         engine::{Engine, EngineOptions},
--- a/tests/live_list.rs
+++ b/tests/live_list.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use lavenderwind::{
-    platform::{
+    infra::{
         LiveClient,
         protocol::{LiveInstance, LiveState},
     },
--- a/tests/log_service.rs
+++ b/tests/log_service.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use lavenderwind::{
-    platform::protocol::{AppendRequest, AppendResponse, ReadResponse, TrimmedResponse},
+    infra::protocol::{AppendRequest, AppendResponse, ReadResponse, TrimmedResponse},
     standin::{
         loopback,
         platform::{Platform, PlatformFaults},
--- a/tests/log_tail.rs
+++ b/tests/log_tail.rs
@@ -7,6 +7,7 @@
 use futures_util::future::join_all;
 use lavenderwind::{
     Settings,
+    infra::protocol::LogEntry,
     ledger::{Ledger, LedgerHandle, Verdict},
     log::{
         self, Log, LogClient, LogOptions, Offset, RelayedEntries,
@@ -14,7 +15,6 @@
             CheckpointChunk, CheckpointMark, Duty, DutyClaim, Record, RequestClaim, record::Body,
         },
     },
-    platform::protocol::LogEntry,
     standin::platform::{Platform, PlatformFaults},
 };
 use prost::Message;
--- a/tests/peer_exchange.rs
+++ b/tests/peer_exchange.rs
@@ -3,12 +3,12 @@
 mod peer_net;
 
 use lavenderwind::{
-    log::records::{RequestClaim, UsageLine, UsageSlice, record::Body},
-    peer::{Freshness, TargetLoad},
-    platform::{
+    infra::{
         LiveClient,
         protocol::{LiveInstance, LiveState},
     },
+    log::records::{RequestClaim, UsageLine, UsageSlice, record::Body},
+    peer::{Freshness, TargetLoad},
     standin::platform::PlatformFaults,
 };
 use peer_net::{Cut, DEADLINE, Instance, Options, eventually, platform};
--- a/tests/peer_frames.rs
+++ b/tests/peer_frames.rs
@@ -6,6 +6,10 @@
 
 use bytes::{BufMut, BytesMut};
 use lavenderwind::{
+    infra::{
+        LiveClient,
+        protocol::{LiveInstance, LiveState},
+    },
     peer::{
         Freshness, MAX_FRAME_BYTES,
         frames::{
@@ -13,10 +17,6 @@
             QuarantineNotice, UsageCopy, frame::Body,
         },
     },
-    platform::{
-        LiveClient,
-        protocol::{LiveInstance, LiveState},
-    },
     standin::platform::PlatformFaults,
 };
 use peer_net::{DEADLINE, Instance, eventually, platform, within};
--- a/tests/peer_membership.rs
+++ b/tests/peer_membership.rs
@@ -3,9 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use lavenderwind::{
+    infra::protocol::{LiveInstance, LiveState},
     log::Offset,
     peer::membership::{Membership, Sender},
-    platform::protocol::{LiveInstance, LiveState},
 };
 use tokio::time::Instant;
 
--- a/tests/peer_net/mod.rs
+++ b/tests/peer_net/mod.rs
@@ -15,10 +15,10 @@
 
 use lavenderwind::{
     Settings,
+    infra::LiveClient,
     ledger::{Ledger, LedgerHandle},
     log::{self, Log, LogOptions, Offset, Receipt, records::record::Body},
     peer::{self, PeerHandle, PeerInputs, Peers},
-    platform::LiveClient,
     standin::platform::{Platform, PlatformFaults},
 };
 use tokio::{
--- a/tests/retry_rules.rs
+++ b/tests/retry_rules.rs
@@ -10,7 +10,10 @@
 use lavenderwind::{
     policy::{
         breaker::{Breaker, BreakerSettings, Observation},
-        retry::{FailedAttempt, Failure, Outcome, RetryBudget, RetryDecision, decide, hedge},
+        retry::{
+            FailedAttempt, Failure, MAX_ATTEMPTS, Outcome, RetryBudget, RetryDecision, decide,
+            hedge,
+        },
         routing::Availability,
         suspects::{Fingerprint, SuspectTracker, assigned_targets},
     },
@@ -60,9 +63,10 @@
             failure,
             repeat,
             attempts,
+            max_attempts: MAX_ATTEMPTS,
             ran_before,
         };
-        let decision = decide(&attempt, &mut RetryBudget::new(100, 10));
+        let decision = decide(&attempt, || RetryBudget::new(100, 10).withdraw());
         assert_eq!(decision, expected, "{attempt:?}");
     }
 }
@@ -74,6 +78,7 @@
         failure: Failure::Cut,
         repeat: Repeat::Idempotent,
         attempts: 1,
+        max_attempts: MAX_ATTEMPTS,
         ran_before: true,
     };
     let mut sent = [0; 2];
@@ -82,7 +87,8 @@
             if !failing {
                 budget.record_success();
             }
-            sent[phase] += usize::from(decide(&attempt, &mut budget) == RetryDecision::Retry);
+            sent[phase] +=
+                usize::from(decide(&attempt, || budget.withdraw()) == RetryDecision::Retry);
         }
     }
     // The reserve while everything fails, then a tenth of the successes.
--- a/tests/target_order.rs
+++ b/tests/target_order.rs
@@ -3,14 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use lavenderwind::{
-    platform::{
+    infra::{
         Error, TargetsClient,
         protocol::{PlatformTarget, TargetList, TargetOrder, TargetState},
     },
     standin::{
+        infra::{Group, Platform, PlatformFaults, Reclaim},
         loopback,
         plain::{PlainFaults, PlainService},
-        platform::{Group, Platform, PlatformFaults, Reclaim},
     },
     target::http_client,
 };
--- a/tests/target_table.rs
+++ b/tests/target_table.rs
@@ -3,15 +3,15 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use lavenderwind::{
-    platform::{
+    infra::{
         TargetsClient,
         protocol::{PlatformTarget, TargetState},
     },
     service::KindRole,
     standin::{
         engine::{Engine, EngineOptions},
+        infra::{Group, Platform, PlatformFaults, Reclaim},
         loopback,
-        platform::{Group, Platform, PlatformFaults, Reclaim},
     },
     target::{
         EngineClient, http_client,
--- a/tests/usage_sink.rs
+++ b/tests/usage_sink.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lavenderwind::{
-    platform::{
+    infra::{
         Error, UsageClient,
         protocol::{UsageFigure, UsageReport},
     },
--- a/tests/weight_store.rs
+++ b/tests/weight_store.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lavenderwind::{
-    platform::protocol::WeightFetch,
+    infra::protocol::WeightFetch,
     standin::{
         engine::{Engine, EngineOptions},
         loopback,
