--- /dev/null
+++ b/src/gateway/catalog.rs
@@ -0,0 +1,172 @@
+//! Follows the configuration, in the platform's store and through peers.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+
+use bytes::Bytes;
+use tokio::{
+    sync::{mpsc, watch},
+    time::Instant,
+};
+
+use super::{
+    follower::{Follower, READ_WAIT, Update},
+    state::State,
+};
+use crate::{
+    infra::protocol::LogEntry,
+    log::{Offset, RecentEntries, RelayedEntries, TailStatus},
+    peer::PeerLog,
+    platform::{CONFIGURATION_KEY, KeyedRecord, OPERATOR_TOPIC, StoreClient, read_catalog},
+};
+
+/// Batches of relayed records that wait to be taken.
+const RELAY_CAPACITY: usize = 16;
+
+/// Configurations kept for peers, in bytes.
+const RECENT_BYTES: usize = 2 << 20;
+
+/// Follows the configuration.
+///
+/// Peers count offsets from 1, as those of the last applied record; the store
+/// counts from 0.
+#[derive(Debug)]
+pub(super) struct CatalogTail {
+    state: Arc<State>,
+    follower: Follower,
+    status: watch::Sender<TailStatus>,
+    relayed: mpsc::Receiver<RelayedEntries>,
+    recent: RecentEntries,
+    applied: Arc<AtomicU64>,
+}
+
+impl CatalogTail {
+    /// Returns the tail, and the log as peers see it.
+    pub(super) fn new(state: Arc<State>, store: StoreClient) -> (Self, PeerLog) {
+        let now = Instant::now();
+        let (status, status_receiver) = watch::channel(TailStatus {
+            live: false,
+            last_read_at: now,
+            known_at: now,
+            end_offset: Offset(0),
+            complete: false,
+            rebuilding: false,
+        });
+        let (relayed_sender, relayed) = mpsc::channel(RELAY_CAPACITY);
+        let recent = RecentEntries::compacted(RECENT_BYTES);
+        let applied = Arc::new(AtomicU64::new(0));
+        let applied_offset = applied.clone();
+        let log = PeerLog {
+            status: status_receiver,
+            relayed: relayed_sender,
+            recent: recent.clone(),
+            applied: Box::new(move || Offset(applied_offset.load(Ordering::Acquire))),
+            appender: None,
+        };
+        let tail = Self {
+            state,
+            follower: Follower::new(store, OPERATOR_TOPIC),
+            status,
+            relayed,
+            recent,
+            applied,
+        };
+        (tail, log)
+    }
+
+    /// Follows the configuration for ever.
+    pub(super) async fn run(mut self) {
+        loop {
+            let sent_at = Instant::now();
+            tokio::select! {
+                update = self.follower.next(READ_WAIT) => match update {
+                    Ok(update) => self.take_update(update, sent_at),
+                    Err(()) => {
+                        self.status.send_modify(|status| status.live = false);
+                    }
+                },
+                Some(relayed) = self.relayed.recv() => self.take_relayed(relayed),
+            }
+        }
+    }
+
+    fn take_update(&mut self, update: Update, sent_at: Instant) {
+        let (Update::Snapshot(records) | Update::Changes(records)) = update;
+        for record in records {
+            self.take_record(&record);
+        }
+        let Some(next_offset) = self.follower.next_offset() else {
+            return;
+        };
+        self.advance(next_offset);
+        self.status.send_modify(|status| {
+            status.live = true;
+            status.complete = true;
+            status.last_read_at = sent_at;
+            status.known_at = status.known_at.max(sent_at);
+            status.end_offset = status.end_offset.max(Offset(next_offset));
+        });
+        self.state.note_catalog_read(sent_at);
+    }
+
+    /// Takes configurations that a peer read from the store.
+    fn take_relayed(&mut self, relayed: RelayedEntries) {
+        for entry in &relayed.entries {
+            if entry.record.is_empty() || entry.offset <= self.applied.load(Ordering::Acquire) {
+                continue;
+            }
+            tracing::info!(
+                offset = entry.offset,
+                "gateway: configuration relayed by a peer"
+            );
+            self.take_configuration(entry.offset - 1, &entry.record);
+            self.recent.push(entry.clone());
+        }
+        let end = relayed.end_offset;
+        self.follower.skip_to(end.0);
+        self.advance(end.0);
+        self.status.send_modify(|status| {
+            status.known_at = status.known_at.max(relayed.known_at);
+            status.end_offset = status.end_offset.max(end);
+        });
+    }
+
+    fn take_record(&mut self, record: &KeyedRecord) {
+        let offset = record.offset;
+        let configuration = record
+            .value
+            .clone()
+            .filter(|_| *record.key == *CONFIGURATION_KEY);
+        match &configuration {
+            Some(value) => self.take_configuration(offset, value),
+            None => tracing::info!(
+                offset,
+                "gateway: operator's record {} is not used",
+                record.key
+            ),
+        }
+        self.recent.push(LogEntry {
+            offset: offset + 1,
+            appended_at_ms: 0,
+            record: configuration.unwrap_or_default(),
+        });
+    }
+
+    fn take_configuration(&self, offset: u64, value: &Bytes) {
+        match read_catalog(value) {
+            Ok(catalog) => {
+                let version = catalog.version();
+                if self.state.set_catalog(catalog) {
+                    tracing::info!(version, offset, "gateway: configuration taken");
+                }
+            }
+            Err(error) => tracing::error!(offset, "gateway: configuration refused: {error}"),
+        }
+    }
+
+    fn advance(&self, applied: u64) {
+        self.applied.fetch_max(applied, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/src/gateway/clock.rs
@@ -0,0 +1,73 @@
+//! Clocks that go on while a machine is suspended or its time of day jumps.
+
+use std::{
+    sync::{Mutex, PoisonError},
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Largest change of the time of day that is followed, in milliseconds.
+const MAX_DRIFT_MS: i64 = 150;
+
+/// Time after which a jump of the time of day counts as a correction, in
+/// milliseconds.
+const JUMP_TRUSTED_MS: u64 = 120_000;
+
+/// Returns the milliseconds since the machine started, suspension included.
+pub(super) fn boot_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
+
+/// Unix time that does not follow jumps of the time of day.
+#[derive(Debug)]
+pub(super) struct WallClock {
+    offset: Mutex<Offset>,
+}
+
+/// Difference between Unix time and the time since the machine's start.
+#[derive(Clone, Copy, Debug)]
+struct Offset {
+    offset_ms: i64,
+    jumped_at_ms: Option<u64>,
+}
+
+impl WallClock {
+    pub(super) fn new() -> Self {
+        Self {
+            offset: Mutex::new(Offset {
+                offset_ms: offset_ms(boot_ms()),
+                jumped_at_ms: None,
+            }),
+        }
+    }
+
+    /// Returns Unix time, in milliseconds.
+    pub(super) fn now_ms(&self) -> u64 {
+        let boot_ms = boot_ms();
+        let mut offset = self.offset.lock().unwrap_or_else(PoisonError::into_inner);
+        offset.observe(offset_ms(boot_ms), boot_ms);
+        (boot_ms as i64 + offset.offset_ms).max(0) as u64
+    }
+}
+
+impl Offset {
+    fn observe(&mut self, seen_ms: i64, boot_ms: u64) {
+        if (seen_ms - self.offset_ms).abs() <= MAX_DRIFT_MS {
+            self.offset_ms = seen_ms;
+            self.jumped_at_ms = None;
+            return;
+        }
+        let jumped_at_ms = *self.jumped_at_ms.get_or_insert(boot_ms);
+        if boot_ms.saturating_sub(jumped_at_ms) >= JUMP_TRUSTED_MS {
+            self.offset_ms = seen_ms;
+            self.jumped_at_ms = None;
+        }
+    }
+}
+
+fn offset_ms(boot_ms: u64) -> i64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.map_or(0, |elapsed| elapsed.as_millis() as i64) - boot_ms as i64
+}
--- /dev/null
+++ b/src/gateway/duty/reports.rs
@@ -0,0 +1,284 @@
+//! Reports each usage window once, with one figure.
+//!
+//! The figure of a window is written to the store before it is sent, on the
+//! condition that the topic ends where the holder has read it. A later holder
+//! sends the same figure again, and only then decides the next window's.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use super::{
+    slices::{SLICE_TOPIC, Slice},
+    tenure::Tenure,
+};
+use crate::{
+    gateway::{
+        follower::{Follower, Update},
+        state::State,
+        usage::Counts,
+    },
+    peer::PeerHandle,
+    platform::{CloudClient, CloudError, Holder, KeyedRecord, StoreClient, StoreError, Topic},
+};
+
+/// Topic of the figures.
+const FIGURE_TOPIC: Topic = Topic("keyed.usage-figures");
+
+/// Key of the newest figure.
+const FIGURE_KEY: &str = "figure";
+
+/// Wait of a read for the next slice.
+const READ_WAIT: Duration = Duration::from_millis(250);
+
+/// Time after a window's end at which its figure is decided without the
+/// slices that are missing, in milliseconds.
+const MISSING_SLICES_MS: i64 = 4_000;
+
+/// Delay before a report is sent again.
+const RESEND_DELAY: Duration = Duration::from_millis(300);
+
+/// Decided figure of a window.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct Figure {
+    window: u64,
+    counts: Counts,
+}
+
+/// Slices and the newest figure, as the store has them.
+#[derive(Debug, Default)]
+struct Books {
+    slices: IndexMap<Arc<str>, Slice>,
+    figure: Option<Figure>,
+    /// End of the topic of figures.
+    end_offset: u64,
+}
+
+impl Books {
+    fn take_slice(&mut self, record: &KeyedRecord) {
+        let Some(value) = &record.value else {
+            self.slices.swap_remove(&record.key);
+            return;
+        };
+        match serde_json::from_slice(value) {
+            Ok(slice) => {
+                self.slices.insert(record.key.clone(), slice);
+            }
+            Err(error) => tracing::warn!("usage: slice {} refused: {error}", record.key),
+        }
+    }
+
+    /// Returns the window whose figure is decided next.
+    fn next_window(&self) -> Option<u64> {
+        match &self.figure {
+            Some(figure) => Some(figure.window + 1),
+            None => self.slices.values().map(|slice| slice.window).min(),
+        }
+    }
+
+    fn closed_slices(&self, window: u64) -> usize {
+        self.slices
+            .values()
+            .filter(|slice| slice.window == window && slice.closed)
+            .count()
+    }
+
+    /// Sums a window over all slices; accounts without requests count 0.
+    fn figure_of(&self, window: u64, accounts: &[Arc<str>]) -> Figure {
+        let mut counts = Counts::new();
+        for account in accounts {
+            counts.insert(account.clone(), 0);
+        }
+        for slice in self.slices.values().filter(|slice| slice.window == window) {
+            for (account, count) in &slice.counts {
+                *counts.entry(account.clone()).or_insert(0) += count;
+            }
+        }
+        counts.retain(|_, count| *count > 0);
+        Figure { window, counts }
+    }
+}
+
+/// What the reporter works with.
+#[derive(Debug)]
+struct Reporter {
+    state: Arc<State>,
+    tenure: Arc<Tenure>,
+    store: StoreClient,
+    cloud: CloudClient,
+    peers: PeerHandle,
+}
+
+/// Reports usage windows while this instance holds the duties, for ever.
+pub(in crate::gateway) async fn report_usage(
+    state: Arc<State>,
+    tenure: Arc<Tenure>,
+    store: StoreClient,
+    cloud: CloudClient,
+    peers: PeerHandle,
+) {
+    let reporter = Reporter {
+        state,
+        tenure,
+        store,
+        cloud,
+        peers,
+    };
+    loop {
+        let Some(holder) = reporter.tenure.holder() else {
+            sleep(READ_WAIT).await;
+            continue;
+        };
+        reporter.report_under(holder.fence).await;
+    }
+}
+
+impl Reporter {
+    /// Reports windows for as long as the tenure lasts.
+    async fn report_under(&self, fence: u64) {
+        let mut books = Books::default();
+        let mut slices = Follower::new(self.store.clone(), SLICE_TOPIC);
+        if !self.read_figure(&mut books).await {
+            return;
+        }
+        if let Some(figure) = books.figure.clone() {
+            self.send(&figure, fence).await;
+        }
+        while self.holder(fence).is_some() {
+            let Ok(update) = slices.next(READ_WAIT).await else {
+                continue;
+            };
+            let (Update::Snapshot(records) | Update::Changes(records)) = update;
+            for record in &records {
+                books.take_slice(record);
+            }
+            let Some(window) = books.next_window() else {
+                continue;
+            };
+            if !self.is_due(&books, window) {
+                // Many slices arrive in a second; they can be read together.
+                sleep(READ_WAIT).await;
+                continue;
+            }
+            if !self.decide(&mut books, window).await {
+                return;
+            }
+            if let Some(figure) = books.figure.clone() {
+                self.send(&figure, fence).await;
+            }
+        }
+    }
+
+    fn holder(&self, fence: u64) -> Option<Holder> {
+        self.tenure.holder().filter(|holder| holder.fence == fence)
+    }
+
+    async fn read_figure(&self, books: &mut Books) -> bool {
+        match self.store.newest(FIGURE_TOPIC).await {
+            Ok(newest) => {
+                books.end_offset = newest.next_offset;
+                let record = newest
+                    .records
+                    .iter()
+                    .find(|record| *record.key == *FIGURE_KEY);
+                let value = record.and_then(|record| record.value.as_deref());
+                books.figure = match value.map(serde_json::from_slice).transpose() {
+                    Ok(figure) => figure,
+                    Err(error) => {
+                        tracing::error!("usage: figure cannot be read: {error}");
+                        return false;
+                    }
+                };
+                true
+            }
+            Err(error) => {
+                tracing::info!("usage: figures cannot be read: {error}");
+                sleep(RESEND_DELAY).await;
+                false
+            }
+        }
+    }
+
+    /// Whether the window has ended and all running instances have closed it,
+    /// or had the time to.
+    fn is_due(&self, books: &Books, window: u64) -> bool {
+        let since_end_ms = self.state.usage().ms_since_end(window);
+        if since_end_ms < 0 {
+            return false;
+        }
+        let running = self.peers.connected().len() + 1;
+        books.closed_slices(window) >= running || since_end_ms >= MISSING_SLICES_MS
+    }
+
+    /// Writes the figure of a window; false if another holder may have.
+    async fn decide(&self, books: &mut Books, window: u64) -> bool {
+        let accounts = match self.state.catalog() {
+            Some(catalog) => catalog.account_names(),
+            None => Vec::new(),
+        };
+        let figure = books.figure_of(window, &accounts);
+        let value = serde_json::to_vec(&figure).unwrap_or_default();
+        let at = Some(books.end_offset);
+        match self
+            .store
+            .append(FIGURE_TOPIC, FIGURE_KEY, &value, at)
+            .await
+        {
+            Ok(appended) => {
+                books.end_offset = appended.end_offset;
+                books.figure = Some(figure);
+                true
+            }
+            Err(error) => {
+                tracing::info!(window, "usage: figure not written: {error}");
+                if !matches!(error, StoreError::Moved { .. }) {
+                    sleep(RESEND_DELAY).await;
+                }
+                false
+            }
+        }
+    }
+
+    /// Sends a figure until the platform has taken it, or it is no longer due.
+    async fn send(&self, figure: &Figure, fence: u64) {
+        let due_ms = self.state.settings.timing.usage_due_ms as i64;
+        let window = figure.window;
+        let started_at = Instant::now();
+        while let Some(holder) = self.holder(fence) {
+            let result = self
+                .cloud
+                .report_usage(&holder, window, &figure.counts)
+                .await;
+            let elapsed_ms = started_at.elapsed().as_millis() as u64;
+            match result {
+                Ok(()) => {
+                    let requests: u64 = figure.counts.values().sum();
+                    tracing::info!(
+                        window,
+                        fence,
+                        requests,
+                        elapsed_ms,
+                        "usage: window reported"
+                    );
+                    return;
+                }
+                Err(CloudError::Conflict(reason)) => {
+                    tracing::warn!(window, fence, "usage: report refused: {reason}");
+                    self.tenure.give_up(fence);
+                    return;
+                }
+                Err(error) => tracing::info!(window, "usage: report failed: {error}"),
+            }
+            if self.state.usage().ms_since_end(window) > due_ms {
+                tracing::warn!(window, "usage: window not reported in time");
+                return;
+            }
+            sleep(RESEND_DELAY).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/duty/tenure.rs
@@ -0,0 +1,274 @@
+//! The lease under which one instance has all duties.
+//!
+//! Claims and renewals are records of one topic. Each is appended only if the
+//! topic ends where its writer has read it, so that of several claims one is
+//! taken. A claim's offset is the fencing number of the tenure.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::{
+    control::{
+        DutyRules, DutySituation, DutyStep, Identity, LeaseClock, LeaseTiming, Member, rank,
+    },
+    gateway::{
+        clock::boot_ms,
+        follower::{Follower, Update},
+        state::State,
+    },
+    ledger::DutyEntry,
+    log::records::Duty,
+    peer::PeerHandle,
+    platform::{Holder, KeyedRecord, StoreClient, StoreError, Topic},
+};
+
+/// Topic of claims and renewals.
+const DUTY_TOPIC: Topic = Topic("keyed.duties");
+
+/// Key of the claims and renewals.
+const DUTY_KEY: &str = "all";
+
+/// Duty by which instances are ranked; one lease covers all of them.
+const RANKED_DUTY: Duty = Duty::Fleet;
+
+/// Renewals in the time of a lease.
+const RENEWALS_PER_LEASE: u64 = 3;
+
+/// Part of a lease by which two clocks may differ over it.
+const DRIFT_DIVISOR: u64 = 30;
+
+/// Part of a lease for which the next in rank lets the one before it claim.
+const GRACE_DIVISOR: u64 = 8;
+
+/// Time between two decisions.
+const STEP_PERIOD: Duration = Duration::from_millis(100);
+
+/// Wait of a read for the next renewal.
+const READ_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Age of the last read at which the topic counts as unread, in milliseconds.
+const LIVE_FOR_MS: u64 = 2_000;
+
+/// A claim, or a renewal of one.
+#[derive(Debug, Deserialize, Serialize)]
+struct DutyRecord {
+    holder: Arc<str>,
+    incarnation: u64,
+    /// Fencing number of the claim that is renewed; 0 for a claim.
+    epoch: u64,
+}
+
+/// What this instance knows of the lease.
+#[derive(Debug)]
+pub(in crate::gateway) struct Tenure {
+    identity: Identity,
+    known: Mutex<Known>,
+}
+
+#[derive(Debug)]
+struct Known {
+    entry: Option<DutyEntry>,
+    next_offset: Option<u64>,
+    read_at_ms: u64,
+    lease: LeaseClock,
+}
+
+impl Tenure {
+    pub(in crate::gateway) fn new(identity: Identity, lease_ms: u64) -> Self {
+        Self {
+            identity,
+            known: Mutex::new(Known {
+                entry: None,
+                next_offset: None,
+                read_at_ms: 0,
+                lease: LeaseClock::new(lease_ms),
+            }),
+        }
+    }
+
+    /// Returns under which number this instance may act at this moment.
+    pub(in crate::gateway) fn holder(&self) -> Option<Holder> {
+        let known = self.lock();
+        let fence = known.lease.epoch(boot_ms())?;
+        let entry = known.entry.as_ref()?;
+        let held = entry.held_by(&self.identity.name, self.identity.incarnation);
+        (held && entry.epoch == fence).then(|| Holder {
+            name: self.identity.name.clone(),
+            fence,
+        })
+    }
+
+    /// Ends a tenure whose number was refused.
+    pub(in crate::gateway) fn give_up(&self, fence: u64) {
+        tracing::warn!(fence, "duty: a higher fencing number was used; giving up");
+        self.lock().lease.give_up(fence);
+    }
+
+    fn take_record(&self, record: &KeyedRecord) {
+        let Some(value) = &record.value else {
+            return;
+        };
+        match serde_json::from_slice::<DutyRecord>(value) {
+            Ok(claim) => self.apply(&claim, record.offset),
+            Err(error) => tracing::warn!("duty: record at {} refused: {error}", record.offset),
+        }
+    }
+
+    /// Applies a record that was appended at `offset`.
+    fn apply(&self, record: &DutyRecord, offset: u64) {
+        // Numbers begin at 1.
+        let number = offset + 1;
+        let mut known = self.lock();
+        if known
+            .entry
+            .as_ref()
+            .is_some_and(|entry| entry.renewal >= number)
+        {
+            return;
+        }
+        let epoch = match record.epoch {
+            0 => number,
+            epoch => epoch,
+        };
+        let changed = known
+            .entry
+            .as_ref()
+            .is_none_or(|entry| entry.epoch != epoch);
+        if changed {
+            tracing::info!(holder = &*record.holder, fence = epoch, "duty: new holder");
+        }
+        known.entry = Some(DutyEntry {
+            holder: record.holder.clone(),
+            incarnation: record.incarnation,
+            epoch,
+            renewal: number,
+            resigned: false,
+        });
+        known.next_offset = known.next_offset.max(Some(number));
+    }
+
+    fn note_read(&self, next_offset: u64) {
+        let mut known = self.lock();
+        known.next_offset = known.next_offset.max(Some(next_offset));
+        known.read_at_ms = boot_ms();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Follows the lease, and claims and renews it, for ever.
+pub(in crate::gateway) async fn hold(
+    state: Arc<State>,
+    tenure: Arc<Tenure>,
+    store: StoreClient,
+    peers: PeerHandle,
+) {
+    let following = follow(tenure.clone(), store.clone());
+    let claiming = claim(state, tenure, store, peers);
+    tokio::join!(following, claiming);
+}
+
+async fn follow(tenure: Arc<Tenure>, store: StoreClient) {
+    let mut follower = Follower::new(store, DUTY_TOPIC);
+    loop {
+        let Ok(update) = follower.next(READ_WAIT).await else {
+            continue;
+        };
+        let (Update::Snapshot(records) | Update::Changes(records)) = update;
+        for record in &records {
+            tenure.take_record(record);
+        }
+        if let Some(next_offset) = follower.next_offset() {
+            tenure.note_read(next_offset);
+        }
+    }
+}
+
+async fn claim(state: Arc<State>, tenure: Arc<Tenure>, store: StoreClient, peers: PeerHandle) {
+    let lease_ms = state.settings.timing.lease_ms;
+    let timing = LeaseTiming {
+        lease_ms,
+        drift_ms: lease_ms / DRIFT_DIVISOR,
+        grace_ms: lease_ms / GRACE_DIVISOR,
+    };
+    let renew_ms = lease_ms / RENEWALS_PER_LEASE;
+    let mut rules = DutyRules::new(RANKED_DUTY, tenure.identity.clone(), timing, renew_ms);
+    loop {
+        sleep(STEP_PERIOD).await;
+        // A stopping instance lets its lease lapse: a resignation would let
+        // holders take turns within one lease.
+        if state.is_stopping() {
+            continue;
+        }
+        let (step, at) = {
+            let known = tenure.lock();
+            let now_ms = boot_ms();
+            let situation = DutySituation {
+                entry: known.entry.as_ref(),
+                tail_live: now_ms.saturating_sub(known.read_at_ms) < LIVE_FOR_MS,
+                rank: own_rank(&tenure, known.entry.as_ref(), &peers),
+                stopping: false,
+                idle: false,
+                now_ms,
+            };
+            (rules.step(&situation), known.next_offset)
+        };
+        let Some(at) = at else {
+            continue;
+        };
+        match step {
+            DutyStep::Claim(_) => append(&tenure, &store, 0, at).await,
+            DutyStep::Renew(renewal) => append(&tenure, &store, renewal.epoch, at).await,
+            DutyStep::Wait | DutyStep::Resign(_) => {}
+        }
+    }
+}
+
+async fn append(tenure: &Tenure, store: &StoreClient, epoch: u64, at: u64) {
+    let record = DutyRecord {
+        holder: tenure.identity.name.clone(),
+        incarnation: tenure.identity.incarnation,
+        epoch,
+    };
+    let value = serde_json::to_vec(&record).unwrap_or_default();
+    let sent_ms = boot_ms();
+    match store.append(DUTY_TOPIC, DUTY_KEY, &value, Some(at)).await {
+        Ok(appended) => {
+            tenure.apply(&record, appended.offset);
+            let epoch = match epoch {
+                0 => appended.offset + 1,
+                epoch => epoch,
+            };
+            tenure.lock().lease.confirm(epoch, sent_ms);
+        }
+        Err(StoreError::Moved { end_offset }) => {
+            tracing::debug!(at, end_offset, "duty: another record was first");
+        }
+        Err(error) => tracing::info!(at, "duty: claim or renewal failed: {error}"),
+    }
+}
+
+/// Returns this instance's place among those that run.
+fn own_rank(tenure: &Tenure, entry: Option<&DutyEntry>, peers: &PeerHandle) -> u64 {
+    let name = &tenure.identity.name;
+    let mut members = Vec::new();
+    for peer in peers.live() {
+        members.push(Member {
+            identity: Identity {
+                name: peer.name,
+                incarnation: peer.incarnation,
+            },
+            leaving: peer.leaving || peer.heard_at.is_none(),
+        });
+    }
+    let holder = entry.map(|entry| &*entry.holder);
+    let lapsed = holder.filter(|holder| *holder != &**name);
+    rank(RANKED_DUTY, name, &members, lapsed)
+}
--- /dev/null
+++ b/src/gateway/engine_call.rs
@@ -0,0 +1,150 @@
+//! Calls of our own to engines, beside those for callers.
+
+use std::{fmt, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, StatusCode, Uri};
+use tokio::time::timeout;
+
+use super::{pool, state::State};
+use crate::{
+    platform::{Holder, LoadReport, RoleOrder, engine_headers, prefill_release_path},
+    roster::Target,
+    target::protocol::EngineRole,
+};
+
+/// Longest time for one call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Most bytes of an answer.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
+/// Why a call failed.
+#[derive(Debug)]
+pub(super) struct CallError {
+    may_have_run: bool,
+    cause: String,
+}
+
+impl CallError {
+    fn not_run<C>(cause: C) -> Self
+    where
+        C: fmt::Display,
+    {
+        Self {
+            may_have_run: false,
+            cause: cause.to_string(),
+        }
+    }
+
+    fn unknown<C>(cause: C) -> Self
+    where
+        C: fmt::Display,
+    {
+        Self {
+            may_have_run: true,
+            cause: cause.to_string(),
+        }
+    }
+
+    /// Returns whether the engine may have taken the call, or still may.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.cause)
+    }
+}
+
+/// Reads an engine's load report.
+///
+/// # Errors
+///
+/// Fails if the engine does not answer with a report.
+pub(super) async fn load_report(
+    state: &State,
+    target: &Arc<Target>,
+) -> Result<LoadReport, CallError> {
+    let (status, body) = call(state, target, Method::GET, LoadReport::PATH, Bytes::new()).await?;
+    if !status.is_success() {
+        return Err(CallError::not_run(format!("report answered {status}")));
+    }
+    LoadReport::read(&body).map_err(CallError::not_run)
+}
+
+/// Orders a change of role and returns the engine's status.
+///
+/// # Errors
+///
+/// Fails if the engine does not answer.
+pub(super) async fn order_role(
+    state: &State,
+    target: &Arc<Target>,
+    role: EngineRole,
+    holder: &Holder,
+    orders: u64,
+) -> Result<StatusCode, CallError> {
+    let order = RoleOrder::new(role, &holder.name, holder.fence, orders);
+    let body = order.to_bytes().into();
+    let (status, _) = call(state, target, Method::POST, RoleOrder::PATH, body).await?;
+    Ok(status)
+}
+
+/// Releases a KV cache that nobody takes.
+pub(super) async fn release_kv(state: Arc<State>, target: Arc<Target>, handle: Arc<str>) {
+    let path = prefill_release_path(&handle);
+    let released = call(&state, &target, Method::DELETE, &path, Bytes::new()).await;
+    let outcome = match released {
+        Ok((status, _)) => format!("answered {status}"),
+        Err(error) => format!("failed: {error}"),
+    };
+    tracing::info!(
+        target = &*target.id,
+        "gateway: release of an unused KV cache {outcome}"
+    );
+}
+
+async fn call(
+    state: &State,
+    target: &Arc<Target>,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let calling = exchange(state, target, method, path, body);
+    timeout(CALL_TIMEOUT, calling)
+        .await
+        .unwrap_or_else(|_| Err(CallError::unknown("no answer in time")))
+}
+
+async fn exchange(
+    state: &State,
+    target: &Arc<Target>,
+    method: Method,
+    path: &str,
+    body: Bytes,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let max_connections = state.max_connections(&target.service);
+    let checkout = state.pool.checkout(target, max_connections).await;
+    let mut connection = checkout.map_err(CallError::not_run)?;
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse::<Uri>().map_err(CallError::not_run)?;
+    *request.headers_mut() = engine_headers(&target.id, target.address);
+    let response = connection
+        .send(request)
+        .await
+        .map_err(|error| match error {
+            pool::Error::Broken(_) => CallError::unknown(error),
+            _ => CallError::not_run(error),
+        })?;
+    let status = response.status();
+    let limited = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    let body = limited.collect().await.map_err(CallError::unknown)?;
+    state.pool.put_back(target, connection);
+    Ok((status, body.to_bytes()))
+}
--- /dev/null
+++ b/src/gateway/follower.rs
@@ -0,0 +1,130 @@
+//! Follows a keyed topic of the platform's store.
+
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    log::backoff::Backoff,
+    platform::{KeyedRecord, StoreClient, StoreError, Topic},
+};
+
+/// Longest wait of a read for the next record. A connection that has gone
+/// silent is noticed after it and the client's timeout.
+pub(super) const READ_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Delay after a first failed read.
+const FIRST_RETRY: Duration = Duration::from_millis(50);
+
+/// Longest delay after a failed read.
+const MAX_RETRY: Duration = Duration::from_millis(400);
+
+/// Part of a delay that is waited for, so that instances spread out.
+const JITTER: std::ops::Range<f64> = 0.5..1.0;
+
+/// Records of a topic.
+#[derive(Debug)]
+pub(super) enum Update {
+    /// The newest record of each key, in place of all that was known.
+    Snapshot(Vec<KeyedRecord>),
+    /// Records after those.
+    Changes(Vec<KeyedRecord>),
+}
+
+/// Follows one topic.
+#[derive(Debug)]
+pub(super) struct Follower {
+    store: StoreClient,
+    topic: Topic,
+    next_offset: Option<u64>,
+    failed_since: Option<Instant>,
+    backoff: Backoff,
+}
+
+impl Follower {
+    pub(super) fn new(store: StoreClient, topic: Topic) -> Self {
+        Self {
+            store,
+            topic,
+            next_offset: None,
+            failed_since: None,
+            backoff: Backoff::new(FIRST_RETRY, MAX_RETRY),
+        }
+    }
+
+    /// Waits for the next records; `Err` after a failed read.
+    pub(super) async fn next(&mut self, wait: Duration) -> Result<Update, ()> {
+        let result = match self.next_offset {
+            None => self.read_newest().await,
+            Some(from) => self.read_changes(from, wait).await,
+        };
+        match result {
+            Ok(update) => {
+                self.note_success();
+                Ok(update)
+            }
+            Err(error) => {
+                self.note_failure(&error);
+                let delay = self.backoff.next_delay();
+                sleep(delay.mul_f64(rand::random_range(JITTER))).await;
+                Err(())
+            }
+        }
+    }
+
+    async fn read_newest(&mut self) -> Result<Update, StoreError> {
+        let newest = self.store.newest(self.topic).await?;
+        self.next_offset = Some(newest.next_offset);
+        Ok(Update::Snapshot(newest.records))
+    }
+
+    async fn read_changes(&mut self, from: u64, wait: Duration) -> Result<Update, StoreError> {
+        let batch = self.store.read(self.topic, from, wait).await?;
+        if batch.malformed > 0 {
+            let topic = self.topic;
+            let malformed = batch.malformed;
+            tracing::warn!("gateway: {malformed} records of {topic} from {from} cannot be read");
+        }
+        self.next_offset = Some(batch.next_offset);
+        Ok(Update::Changes(batch.records))
+    }
+
+    /// Returns the offset from which to read next, once the topic was read.
+    pub(super) fn next_offset(&self) -> Option<u64> {
+        self.next_offset
+    }
+
+    /// Skips records that are known from elsewhere.
+    pub(super) fn skip_to(&mut self, offset: u64) {
+        self.next_offset = self.next_offset.max(Some(offset));
+    }
+
+    /// Returns whether the last read failed.
+    pub(super) fn is_lost(&self) -> bool {
+        self.failed_since.is_some()
+    }
+
+    fn note_success(&mut self) {
+        self.backoff.reset();
+        if let Some(since) = self.failed_since.take() {
+            let outage_ms = since.elapsed().as_millis() as u64;
+            tracing::info!(outage_ms, "gateway: store regained for {}", self.topic);
+        }
+    }
+
+    fn note_failure(&mut self, error: &StoreError) {
+        if let StoreError::Trimmed { first_offset } = error {
+            tracing::info!(
+                first_offset,
+                "gateway: {} was trimmed; reading anew",
+                self.topic
+            );
+            self.next_offset = None;
+            return;
+        }
+        if self.failed_since.is_none() {
+            tracing::warn!("gateway: store lost for {}: {error}", self.topic);
+            self.failed_since = Some(Instant::now());
+        }
+    }
+}
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -104,7 +104,7 @@
     received_at: Instant,
 ) -> Result<(Response<Body>, Arc<Call>), Refusal> {
     let catalog = state.catalog().ok_or(Refusal::NotReady)?;
-    if !state.knows_targets() {
+    if !state.knows_targets() || state.is_stale() {
         return Err(Refusal::NotReady);
     }
     check_head_size(&parts.headers, catalog.limits())?;
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -5,9 +5,12 @@
 use indexmap::IndexMap;
 
 use super::state::State;
-use crate::policy::{
-    breaker::{Breaker, BreakerSettings, Observation},
-    homes::CachedChains,
+use crate::{
+    peer::{PeerHandle, TargetLoad},
+    policy::{
+        breaker::{Breaker, BreakerSettings, Observation},
+        homes::CachedChains,
+    },
 };
 
 /// Weight of the newest outcome in a target's failure rate.
@@ -15,11 +18,11 @@
 
 /// What is in flight on a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub(crate) struct InFlight {
+pub(super) struct InFlight {
     /// Requests.
-    pub(crate) requests: u32,
+    pub(super) requests: u32,
     /// Prompt tokens that wait for their prefill.
-    pub(crate) prefill_tokens: u64,
+    pub(super) prefill_tokens: u64,
 }
 
 /// One target as this instance sees it.
@@ -42,21 +45,29 @@
 
 /// All targets as this instance sees them.
 #[derive(Debug, Default)]
-pub(crate) struct Loads {
+pub(super) struct Loads {
     targets: IndexMap<Arc<str>, TargetCondition>,
-    peers: IndexMap<Arc<str>, InFlight>,
+    peers: Option<PeerHandle>,
     /// Prompt parts that engines have cached.
     pub(super) chains: CachedChains,
 }
 
 impl Loads {
+    /// Takes the handle that tells what peers have in flight.
+    pub(super) fn set_peers(&mut self, peers: PeerHandle) {
+        self.peers = Some(peers);
+    }
+
     /// Returns what all instances have in flight on a target.
     pub(super) fn in_flight(&self, target: &str) -> InFlight {
         let own = self.own(target);
-        let peers = self.peers.get(target).copied().unwrap_or_default();
+        let peers = match &self.peers {
+            Some(peers) => peers.peer_loads(target),
+            None => TargetLoad::default(),
+        };
         InFlight {
             requests: own.requests + peers.requests,
-            prefill_tokens: own.prefill_tokens + peers.prefill_tokens,
+            prefill_tokens: own.prefill_tokens + peers.tokens,
         }
     }
 
@@ -67,22 +78,6 @@
             .map_or_else(InFlight::default, |condition| condition.own)
     }
 
-    /// Returns what this instance has in flight, by target.
-    pub(crate) fn own_loads(&self) -> Vec<(Arc<str>, InFlight)> {
-        let mut loads = Vec::new();
-        for (target, condition) in &self.targets {
-            if condition.own != InFlight::default() {
-                loads.push((target.clone(), condition.own));
-            }
-        }
-        loads
-    }
-
-    /// Takes what peers have in flight, by target.
-    pub(crate) fn set_peers(&mut self, peers: IndexMap<Arc<str>, InFlight>) {
-        self.peers = peers;
-    }
-
     /// Returns the part of a target's newest answers that were failures.
     pub(super) fn failure_rate(&self, target: &str) -> f64 {
         self.targets
@@ -133,6 +128,23 @@
         });
     }
 
+    /// Changes what this instance has in flight on a target, and tells peers.
+    fn change<F>(&mut self, target: &Arc<str>, change: F)
+    where
+        F: FnOnce(&mut InFlight),
+    {
+        let own = &mut self.condition(target).own;
+        change(own);
+        let load = TargetLoad {
+            requests: own.requests,
+            tokens: own.prefill_tokens,
+            blocks: 0,
+        };
+        if let Some(peers) = &self.peers {
+            peers.report_load(target, load);
+        }
+    }
+
     fn condition(&mut self, target: &Arc<str>) -> &mut TargetCondition {
         self.targets.entry(target.clone()).or_default()
     }
@@ -166,9 +178,10 @@
     pub(super) fn new(state: &Arc<State>, target: &Arc<str>, prefill_tokens: u64) -> Self {
         {
             let mut loads = state.loads();
-            let own = &mut loads.condition(target).own;
-            own.requests += 1;
-            own.prefill_tokens += prefill_tokens;
+            loads.change(target, |own| {
+                own.requests += 1;
+                own.prefill_tokens += prefill_tokens;
+            });
         }
         Self {
             state: state.clone(),
@@ -179,9 +192,9 @@
 
     /// Notes that the prompt has been read.
     pub(super) fn prefilled(&mut self) {
+        let tokens = std::mem::take(&mut self.prefill_tokens);
         let mut loads = self.state.loads();
-        let own = &mut loads.condition(&self.target).own;
-        own.prefill_tokens -= std::mem::take(&mut self.prefill_tokens);
+        loads.change(&self.target, |own| own.prefill_tokens -= tokens);
     }
 }
 
@@ -189,6 +202,6 @@
     fn drop(&mut self) {
         self.prefilled();
         let mut loads = self.state.loads();
-        loads.condition(&self.target).own.requests -= 1;
+        loads.change(&self.target, |own| own.requests -= 1);
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,19 +1,25 @@
 //! Forwards callers' requests to targets.
 //!
-//! A request walks one way: [`front`](self) reads it and turns it into a
+//! A request walks one way: `front` reads it and turns it into a
 //! [`Call`](crate::call::Call); `plain` or `generation` chooses targets and
-//! makes attempts; `relay` brings a stream back. What it takes from outside,
-//! the configuration and the list of targets, is followed by `follow`.
+//! makes attempts; `relay` brings a stream back. `catalog`, `targets` and
+//! `members` follow what the store holds; `duty` does what one instance at a
+//! time has to do.
 
 mod admission;
 mod attempt;
+mod catalog;
+mod clock;
 mod connection;
 mod decode;
+mod duty;
+mod engine_call;
 mod events;
-mod follow;
+mod follower;
 mod front;
 mod generation;
 mod loads;
+mod members;
 mod plain;
 mod pool;
 mod prefill;
@@ -22,6 +28,7 @@
 mod reply;
 mod run;
 mod state;
+mod targets;
 mod usage;
 
 pub use events::{EventSplitter, Events};
--- a/src/gateway/prefill.rs
+++ b/src/gateway/prefill.rs
@@ -1,20 +1,18 @@
 //! Has a prompt prefilled at an engine, whose KV cache another engine takes.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::{Method, Request, Uri};
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use super::{
     attempt::{self, AttemptError},
+    engine_call,
     loads::{InFlightGuard, Outcome},
     state::State,
 };
 use crate::{
     call::{Call, Prompt},
-    platform::{AttemptHead, KvSource, Prefilled, prefill_release_path},
+    platform::{AttemptHead, KvSource, Prefilled},
     policy::homes::{PrefillCandidate, choose_prefill},
     roster::Target,
     target::protocol::EngineRole,
@@ -29,9 +27,6 @@
 /// Tokens as which a failing engine counts, at a failure rate of one.
 const FAILING_TOKENS: f64 = 200_000.0;
 
-/// Longest time for the release of a KV cache.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// A KV cache that an engine holds for a decode, released unless taken.
 #[derive(Debug)]
 pub(super) struct PrefillHandle {
@@ -53,7 +48,7 @@
         if self.taken {
             return;
         }
-        let releasing = release(
+        let releasing = engine_call::release_kv(
             self.state.clone(),
             self.target.clone(),
             self.source.handle.clone(),
@@ -160,24 +155,3 @@
     let choice = choose_prefill(prompt, &candidates, &loads.chains, now_ms)?;
     Some((targets.swap_remove(choice.index), choice.uncached_tokens))
 }
-
-/// Releases a KV cache that nobody takes.
-async fn release(state: Arc<State>, target: Arc<Target>, handle: Arc<str>) {
-    let releasing = async {
-        let max_connections = state.max_connections(&target.service);
-        let mut connection = state.pool.checkout(&target, max_connections).await.ok()?;
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.method_mut() = Method::DELETE;
-        *request.uri_mut() = prefill_release_path(&handle).parse::<Uri>().ok()?;
-        let host = target.address.to_string().parse().ok()?;
-        request.headers_mut().insert(hyper::header::HOST, host);
-        let response = connection.send(request).await.ok()?;
-        Some(response.status())
-    };
-    let released = timeout(RELEASE_TIMEOUT, releasing).await.ok().flatten();
-    tracing::info!(
-        target = &*target.id,
-        status = released.map_or(0, |status| status.as_u16()),
-        "gateway: unused KV cache released"
-    );
-}
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,23 +1,40 @@
 //! Starts the parts of an instance and stops them in order.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use displaydoc::Display;
 use tokio::{
     net::TcpListener,
+    sync::watch,
     time::{Instant, sleep, timeout},
 };
 use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
 
-use super::{follow, front, readiness, state::State};
+use super::{
+    catalog::CatalogTail,
+    duty::{self, Tenure},
+    front, members, readiness,
+    state::State,
+    targets,
+};
 use crate::{
-    instance::metrics_handle, platform::StoreClient, settings::GatewaySettings,
+    control::Identity,
+    instance::metrics_handle,
+    peer::{self, PeerHandle, PeerLog, PeerOptions, Peers, Quorum},
+    platform::{CloudClient, StoreClient},
+    settings::GatewaySettings,
     supervisor::Supervisor,
 };
 
 /// Longest wait for an answer of the store, beyond that which a read asks for.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Longest wait for an answer to an order or a report.
+const CLOUD_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Shortest time between two heartbeats to a peer.
+const PEER_HEARTBEAT: Duration = Duration::from_millis(100);
+
 /// Time without an acknowledgement after which a connection to the platform
 /// is dead.
 const PLATFORM_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -65,10 +82,21 @@
     let readiness = listen(settings.readiness_address).await?;
     let metrics_listener = listen(settings.metrics_address).await?;
     let client = platform_client().map_err(Error::Client)?;
-    let store = StoreClient::new(client, settings.store_address, STORE_TIMEOUT);
+    let store = StoreClient::new(client.clone(), settings.store_address, STORE_TIMEOUT);
+    let cloud = CloudClient::new(client, settings.cloud_address, CLOUD_TIMEOUT);
+    let peer_listener = listen(settings.peer_address).await?;
     let state = Arc::new(State::new(settings));
     let supervisor = Supervisor::new("gateway");
-    spawn_followers(&supervisor, &state, &store);
+    let parts = Parts {
+        state: state.clone(),
+        store,
+        cloud,
+    };
+    let peer_log = parts.spawn_followers(&supervisor);
+    let joining = parts
+        .clone()
+        .join(supervisor.subtree("peers"), peer_listener, peer_log);
+    let _joining = AbortOnDropHandle::new(tokio::spawn(joining));
     let _readiness = spawn_listener(readiness::serve_readiness(state.clone(), readiness));
     let _metrics = spawn_listener(readiness::serve_metrics(metrics, metrics_listener));
     let close = CancellationToken::new();
@@ -85,20 +113,135 @@
     Ok(())
 }
 
-fn spawn_followers(supervisor: &Supervisor, state: &Arc<State>, store: &StoreClient) {
-    let (catalog_state, catalog_store) = (state.clone(), store.clone());
-    supervisor.spawn("catalog", move |stop| {
-        let following = follow::follow_catalog(catalog_state.clone(), catalog_store.clone());
-        until(stop, following)
-    });
-    let (target_state, target_store) = (state.clone(), store.clone());
-    supervisor.spawn("targets", move |stop| {
-        let following = follow::follow_targets(target_state.clone(), target_store.clone());
-        until(stop, following)
+/// What the parts of an instance work with.
+#[derive(Clone, Debug)]
+struct Parts {
+    state: Arc<State>,
+    store: StoreClient,
+    cloud: CloudClient,
+}
+
+impl Parts {
+    /// Starts to follow the store; returns the configuration's log.
+    fn spawn_followers(&self, supervisor: &Supervisor) -> PeerLog {
+        let (tail, peer_log) = CatalogTail::new(self.state.clone(), self.store.clone());
+        let mut tail = Some(tail);
+        supervisor.spawn("catalog", move |stop| {
+            let tail = tail.take();
+            async move {
+                let Some(tail) = tail else {
+                    return Err("cannot follow the configuration again");
+                };
+                until(stop, tail.run()).await;
+                Ok(())
+            }
+        });
+        let parts = self.clone();
+        spawn_loop(supervisor, "targets", move || {
+            targets::follow(parts.state.clone(), parts.store.clone())
+        });
+        peer_log
+    }
+
+    /// Announces the instance and starts what it does with others.
+    async fn join(self, supervisor: Supervisor, listener: TcpListener, log: PeerLog) {
+        let settings = &self.state.settings;
+        let incarnation = members::next_incarnation(&self.store, &settings.name).await;
+        let member = members::member(&self.state, incarnation, settings.peer_address);
+        members::announce(&self.store, &member).await;
+        let options = PeerOptions {
+            name: settings.name.clone(),
+            incarnation,
+            failure_domain: settings.failure_domain.clone(),
+            max_age: settings.timing.freshness(),
+            heartbeat: PEER_HEARTBEAT,
+            quorum: Quorum::Majority,
+        };
+        let (live_instances, live) = watch::channel(1);
+        let stop = supervisor.stop_token();
+        let peers = peer::join(options, log, listener, live_instances, &stop);
+        self.state.set_peers(peers.handle.clone());
+        let identity = Identity {
+            name: settings.name.clone(),
+            incarnation,
+        };
+        self.spawn_duties(&supervisor, identity, &peers.handle);
+        let (store, handle) = (self.store.clone(), peers.handle.clone());
+        spawn_loop(&supervisor, "members", move || {
+            members::follow(store.clone(), handle.clone())
+        });
+        tracing::info!(incarnation, "gateway: joined the other instances");
+        self.count_instances(live, peers).await;
+    }
+
+    fn spawn_duties(&self, supervisor: &Supervisor, identity: Identity, peers: &PeerHandle) {
+        let timing = self.state.settings.timing;
+        let duties = self.state.settings.duties;
+        let incarnation = identity.incarnation;
+        let tenure = Arc::new(Tenure::new(identity, timing.lease_ms));
+        let (parts, held, handle) = (self.clone(), tenure.clone(), peers.clone());
+        spawn_loop(supervisor, "tenure", move || {
+            let (state, store) = (parts.state.clone(), parts.store.clone());
+            duty::hold(state, held.clone(), store, handle.clone())
+        });
+        if duties.usage {
+            let parts = self.clone();
+            spawn_loop(supervisor, "usage-slices", move || {
+                duty::flush_slices(parts.state.clone(), parts.store.clone(), incarnation)
+            });
+            let (parts, held, handle) = (self.clone(), tenure.clone(), peers.clone());
+            spawn_loop(supervisor, "usage-reports", move || {
+                let Parts {
+                    state,
+                    store,
+                    cloud,
+                } = parts.clone();
+                duty::report_usage(state, held.clone(), store, cloud, handle.clone())
+            });
+        }
+        if duties.roles {
+            let (parts, held) = (self.clone(), tenure.clone());
+            spawn_loop(supervisor, "roles", move || {
+                duty::keep_roles(parts.state.clone(), held.clone())
+            });
+        }
+        if duties.ordering {
+            let (parts, held) = (self.clone(), tenure);
+            spawn_loop(supervisor, "ordering", move || {
+                duty::keep_targets(parts.state.clone(), held.clone(), parts.cloud.clone())
+            });
+        }
+    }
+
+    /// Tells the number of live instances to those who share budgets.
+    async fn count_instances(&self, mut live: watch::Receiver<usize>, peers: Peers) {
+        loop {
+            let instances = *live.borrow_and_update();
+            self.state.set_instances(instances);
+            tracing::info!(instances, "gateway: budgets are shared");
+            if live.changed().await.is_err() {
+                drop(peers);
+                return;
+            }
+        }
+    }
+}
+
+fn spawn_loop<F, R>(supervisor: &Supervisor, name: &str, mut start: F)
+where
+    F: FnMut() -> R + Send + 'static,
+    R: Future<Output = ()> + Send + 'static,
+{
+    supervisor.spawn(name, move |stop| {
+        let work = start();
+        async move {
+            until(stop, work).await;
+            Ok::<_, Infallible>(())
+        }
     });
 }
 
-async fn until<F>(stop: CancellationToken, work: F) -> std::result::Result<(), io::Error>
+async fn until<F>(stop: CancellationToken, work: F)
 where
     F: Future<Output = ()>,
 {
@@ -106,7 +249,6 @@
         () = stop.cancelled() => {}
         () = work => {}
     }
-    Ok(())
 }
 
 async fn stop_gracefully(
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,11 +1,8 @@
 //! What all requests and tasks of an instance share.
 
-use std::{
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-    },
-    time::Duration,
+use std::sync::{
+    Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+    atomic::{AtomicBool, AtomicUsize, Ordering},
 };
 
 use indexmap::IndexMap;
@@ -14,6 +11,7 @@
 use super::{loads::Loads, pool::Pool, usage::UsageCounter};
 use crate::{
     catalog::Catalog,
+    peer::PeerHandle,
     policy::retry_window::{RetryWindow, WindowBounds},
     roster::{Roster, Target},
     settings::GatewaySettings,
@@ -35,7 +33,7 @@
 
 /// State of an instance.
 #[derive(Debug)]
-pub(crate) struct State {
+pub(super) struct State {
     pub(super) settings: GatewaySettings,
     pub(super) pool: Pool,
     catalog: Mutex<Option<Arc<Catalog>>>,
@@ -48,6 +46,7 @@
     stopping: AtomicBool,
     started_at: Instant,
     catalog_read_at: Mutex<Option<Instant>>,
+    peers: OnceLock<PeerHandle>,
 }
 
 impl State {
@@ -66,6 +65,7 @@
             stopping: AtomicBool::new(false),
             started_at: Instant::now(),
             catalog_read_at: Mutex::default(),
+            peers: OnceLock::new(),
         }
     }
 
@@ -74,13 +74,27 @@
         *lock(&self.catalog_read_at) = Some(at);
     }
 
-    /// Returns the age of what is known of the configuration.
-    pub(crate) fn catalog_age(&self) -> Option<Duration> {
-        lock(&self.catalog_read_at).map(|at| at.elapsed())
+    /// Takes the handle to the other instances.
+    pub(super) fn set_peers(&self, peers: PeerHandle) {
+        self.loads().set_peers(peers.clone());
+        if self.peers.set(peers).is_err() {
+            tracing::error!("gateway: peers are already known");
+        }
+    }
+
+    /// Returns whether this instance may have missed a newer configuration.
+    pub(super) fn is_stale(&self) -> bool {
+        let read_at = *lock(&self.catalog_read_at);
+        let bound = self.settings.timing.freshness();
+        if read_at.is_some_and(|read_at| read_at.elapsed() <= bound) {
+            return false;
+        }
+        let freshness = self.peers.get().map(PeerHandle::freshness);
+        freshness.is_none_or(|freshness| !freshness.may_serve_keyed())
     }
 
     /// Returns the configuration, once it is known.
-    pub(crate) fn catalog(&self) -> Option<Arc<Catalog>> {
+    pub(super) fn catalog(&self) -> Option<Arc<Catalog>> {
         lock(&self.catalog).clone()
     }
 
@@ -98,7 +112,7 @@
     }
 
     /// Calls `change` with the targets, which it may change.
-    pub(crate) fn with_roster<F, T>(&self, change: F) -> T
+    pub(super) fn with_roster<F, T>(&self, change: F) -> T
     where
         F: FnOnce(&mut Roster) -> T,
     {
@@ -111,7 +125,7 @@
     }
 
     /// Returns the targets of a service that take requests.
-    pub(crate) fn ready_targets(&self, service: &str) -> Vec<Arc<Target>> {
+    pub(super) fn ready_targets(&self, service: &str) -> Vec<Arc<Target>> {
         self.with_roster(|roster| roster.ready(service).cloned().collect())
     }
 
@@ -121,12 +135,12 @@
     }
 
     /// Returns the loads of targets.
-    pub(crate) fn loads(&self) -> MutexGuard<'_, Loads> {
+    pub(super) fn loads(&self) -> MutexGuard<'_, Loads> {
         lock(&self.loads)
     }
 
     /// Returns the usage of this instance.
-    pub(crate) fn usage(&self) -> MutexGuard<'_, UsageCounter> {
+    pub(super) fn usage(&self) -> MutexGuard<'_, UsageCounter> {
         lock(&self.usage)
     }
 
@@ -153,12 +167,12 @@
     }
 
     /// Returns the number of instances that share budgets, at least 1.
-    pub(crate) fn instances(&self) -> usize {
+    pub(super) fn instances(&self) -> usize {
         self.instances.load(Ordering::Relaxed).max(1)
     }
 
     /// Sets the number of instances that share budgets.
-    pub(crate) fn set_instances(&self, instances: usize) {
+    pub(super) fn set_instances(&self, instances: usize) {
         self.instances.store(instances, Ordering::Relaxed);
     }
 
@@ -208,11 +222,14 @@
         if !self.knows_targets() {
             return Some("targets not read");
         }
+        if self.is_stale() {
+            return Some("configuration may be outdated");
+        }
         None
     }
 
     /// Returns the time since the start, in milliseconds.
-    pub(crate) fn now_ms(&self) -> u64 {
+    pub(super) fn now_ms(&self) -> u64 {
         self.started_at.elapsed().as_millis() as u64
     }
 }
--- /dev/null
+++ b/src/gateway/targets.rs
@@ -0,0 +1,160 @@
+//! Follows the list of targets in the platform's store.
+
+use std::{sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use tokio::time::Instant;
+
+use super::{
+    follower::{Follower, READ_WAIT, Update},
+    state::State,
+};
+use crate::platform::{KeyedRecord, StoreClient, TARGET_TOPIC, read_target};
+
+/// Wait of a read while a target may come back.
+const SHORT_WAIT: Duration = Duration::from_millis(200);
+
+/// Follows the list of targets for ever.
+pub(super) async fn follow(state: Arc<State>, store: StoreClient) {
+    let mut follower = Follower::new(store, TARGET_TOPIC);
+    let mut removals = PendingRemovals::new(&state);
+    loop {
+        let was_lost = follower.is_lost();
+        let wait = match removals.is_empty() {
+            true => READ_WAIT,
+            false => SHORT_WAIT,
+        };
+        let update = follower.next(wait).await;
+        removals.apply_due(&state);
+        let Ok(update) = update else {
+            continue;
+        };
+        if was_lost {
+            removals.note_return();
+        }
+        match update {
+            Update::Snapshot(records) => replace_targets(&state, &mut removals, &records),
+            Update::Changes(records) => {
+                for record in &records {
+                    take_target(&state, &mut removals, record);
+                }
+            }
+        }
+        prune(&state);
+    }
+}
+
+fn replace_targets(state: &State, removals: &mut PendingRemovals, records: &[KeyedRecord]) {
+    for record in records {
+        take_target(state, removals, record);
+    }
+    let known: Vec<Arc<str>> =
+        state.with_roster(|roster| roster.iter().map(|target| target.id.clone()).collect());
+    for id in known {
+        if !records.iter().any(|record| record.key == id) {
+            removals.remove(state, &id);
+        }
+    }
+}
+
+fn take_target(state: &State, removals: &mut PendingRemovals, record: &KeyedRecord) {
+    let Some(value) = &record.value else {
+        removals.remove(state, &record.key);
+        return;
+    };
+    removals.cancel(&record.key);
+    match read_target(&record.key, value, Instant::now()) {
+        Ok(target) => {
+            let known = state.with_roster(|roster| roster.get(&target.id).cloned());
+            if known
+                .is_none_or(|known| !known.is_same_start(&target) || known.state != target.state)
+            {
+                tracing::info!(
+                    target = &*target.id,
+                    service = &*target.service,
+                    offset = record.offset,
+                    "gateway: target is {:?}, role {:?}",
+                    target.state,
+                    target.role
+                );
+            }
+            state.with_roster(|roster| roster.insert(target));
+        }
+        Err(error) => {
+            let offset = record.offset;
+            let key = &record.key;
+            tracing::warn!(offset, "gateway: entry {key} names no target: {error}");
+            state.with_roster(|roster| roster.remove(key));
+        }
+    }
+}
+
+/// Forgets what is kept about targets that are gone.
+fn prune(state: &State) {
+    let known = state.with_roster(|roster| roster.clone());
+    state
+        .pool
+        .expire(Instant::now(), |id| known.get(id).is_some());
+    state.loads().retain(|id| known.get(id).is_some());
+}
+
+/// Targets whose entries lapsed while the store was out, and that may come
+/// back.
+#[derive(Debug)]
+struct PendingRemovals {
+    return_time: Duration,
+    returned_at: Option<Instant>,
+    due: IndexMap<Arc<str>, Instant>,
+}
+
+impl PendingRemovals {
+    fn new(state: &State) -> Self {
+        Self {
+            return_time: Duration::from_millis(state.settings.timing.return_ms),
+            returned_at: None,
+            due: IndexMap::new(),
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.due.is_empty()
+    }
+
+    /// Notes that the store answers again.
+    fn note_return(&mut self) {
+        self.returned_at = Some(Instant::now());
+    }
+
+    /// Removes a target, at once unless the store has just come back.
+    fn remove(&mut self, state: &State, id: &Arc<str>) {
+        let due_at = self.returned_at.map(|at| at + self.return_time);
+        match due_at.filter(|due_at| *due_at > Instant::now()) {
+            Some(due_at) => {
+                tracing::info!(target = &**id, "gateway: target lapsed in an outage");
+                self.due.insert(id.clone(), due_at);
+            }
+            None => drop_target(state, id),
+        }
+    }
+
+    fn cancel(&mut self, id: &str) {
+        self.due.swap_remove(id);
+    }
+
+    fn apply_due(&mut self, state: &State) {
+        let now = Instant::now();
+        self.due.retain(|id, due_at| {
+            if *due_at > now {
+                return true;
+            }
+            drop_target(state, id);
+            false
+        });
+    }
+}
+
+fn drop_target(state: &State, id: &Arc<str>) {
+    if state.with_roster(|roster| roster.remove(id)).is_some() {
+        tracing::info!(target = &**id, "gateway: target is gone");
+    }
+}
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -1,18 +1,21 @@
 //! Counts the requests that began to run, by usage window and client account.
 
-use std::{
-    sync::Arc,
-    time::{SystemTime, UNIX_EPOCH},
-};
+use std::sync::Arc;
 
 use indexmap::IndexMap;
 
+use super::clock::WallClock;
+
+/// Windows that are kept.
+const MAX_WINDOWS: usize = 8;
+
 /// Requests by client account.
-pub(crate) type Counts = IndexMap<Arc<str>, u64>;
+pub(super) type Counts = IndexMap<Arc<str>, u64>;
 
-/// Requests that began to run and are not yet handed on.
+/// Requests of this instance that began to run.
 #[derive(Debug)]
-pub(crate) struct UsageCounter {
+pub(super) struct UsageCounter {
+    clock: WallClock,
     window_ms: u64,
     windows: IndexMap<u64, Counts>,
 }
@@ -20,6 +23,7 @@
 impl UsageCounter {
     pub(super) fn new(window_ms: u64) -> Self {
         Self {
+            clock: WallClock::new(),
             window_ms,
             windows: IndexMap::new(),
         }
@@ -30,31 +34,24 @@
         let window = self.current_window();
         let counts = self.windows.entry(window).or_default();
         *counts.entry(account.clone()).or_insert(0) += 1;
+        while self.windows.len() > MAX_WINDOWS {
+            self.windows.shift_remove_index(0);
+        }
     }
 
     /// Returns the window of this moment.
-    pub(crate) fn current_window(&self) -> u64 {
-        now_ms() / self.window_ms
+    pub(super) fn current_window(&self) -> u64 {
+        self.clock.now_ms() / self.window_ms
     }
 
-    /// Returns the time since the end of a window, in milliseconds.
-    pub(crate) fn ms_since_end(&self, window: u64) -> u64 {
-        now_ms().saturating_sub((window + 1) * self.window_ms)
+    /// Returns the time since the end of a window, in milliseconds; negative
+    /// before it.
+    pub(super) fn ms_since_end(&self, window: u64) -> i64 {
+        self.clock.now_ms() as i64 - ((window + 1) * self.window_ms) as i64
     }
 
-    /// Takes the counts of a window out.
-    pub(crate) fn take(&mut self, window: u64) -> Option<Counts> {
-        self.windows.swap_remove(&window)
+    /// Returns the counts of a window.
+    pub(super) fn counts(&self, window: u64) -> Counts {
+        self.windows.get(&window).cloned().unwrap_or_default()
     }
-
-    /// Returns the oldest window with counts.
-    pub(crate) fn oldest(&self) -> Option<u64> {
-        self.windows.keys().min().copied()
-    }
-}
-
-/// Unix time, in milliseconds.
-fn now_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
--- a/src/log/recent.rs
+++ b/src/log/recent.rs
@@ -13,6 +13,7 @@
 pub struct RecentEntries {
     entries: Arc<Mutex<Entries>>,
     max_bytes: usize,
+    compacted: bool,
 }
 
 #[derive(Debug, Default)]
@@ -27,6 +28,16 @@
         Self {
             entries: Arc::default(),
             max_bytes,
+            compacted: false,
+        }
+    }
+
+    /// Makes a buffer for a log in which the newest record stands for all
+    /// before it, so that what precedes the buffer is not missed.
+    pub fn compacted(max_bytes: usize) -> Self {
+        Self {
+            compacted: true,
+            ..Self::new(max_bytes)
         }
     }
 
@@ -55,7 +66,12 @@
     pub fn read(&self, from: Offset, max_bytes: usize) -> Option<Vec<LogEntry>> {
         let entries = self.lock();
         let first = entries.entries.front()?.offset;
-        let skipped = from.0.checked_sub(first)? as usize;
+        let from = if self.compacted {
+            from.0.max(first)
+        } else {
+            from.0
+        };
+        let skipped = from.checked_sub(first)? as usize;
         let mut bytes = 0;
         let mut found = Vec::new();
         for entry in entries.entries.iter().skip(skipped) {
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -160,7 +160,7 @@
                 let relayed = self.shared.state().take_log_tail(&self.peer.name, tail);
                 if let Some(relayed) = relayed {
                     // The tailer is behind with earlier records if it is full.
-                    let _ = self.shared.relayed.try_send(relayed);
+                    let _ = self.shared.log.relayed.try_send(relayed);
                 }
                 Ok(())
             }
--- a/src/peer/freshness.rs
+++ b/src/peer/freshness.rs
@@ -26,6 +26,27 @@
     }
 }
 
+/// Which of the listed instances must confirm an outage of the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Quorum {
+    /// All others.
+    All,
+    /// More than half of the others, where some may be gone that the list
+    /// still names.
+    Majority,
+}
+
+impl Quorum {
+    /// Returns how many of the other `listed` instances must confirm.
+    #[must_use]
+    pub fn of(self, listed: usize) -> usize {
+        match self {
+            Self::All => listed,
+            Self::Majority => listed.div_ceil(2),
+        }
+    }
+}
+
 /// A peer's answer to what it has read.
 #[derive(Clone, Debug)]
 pub struct PeerAnswer {
@@ -54,8 +75,9 @@
     pub known_at: Instant,
     /// Offset up to which this instance has folded the log.
     pub applied_offset: Offset,
-    /// Number of other instances on the live list; `None` if never read.
-    pub listed_instances: Option<usize>,
+    /// Number of other instances that must confirm an outage; `None` if the
+    /// live list was never read.
+    pub confirming_instances: Option<usize>,
     /// The latest answer of each linked peer.
     pub answers: &'a [PeerAnswer],
 }
@@ -78,10 +100,10 @@
         Freshness::Stale
     }
 
-    /// Whether every listed instance answered that nothing was read past this
+    /// Whether enough instances answered that nothing was read past this
     /// instance's offset. An instance without peers has nobody to confirm it.
     fn all_agree(&self) -> bool {
-        let Some(listed_instances) = self.listed_instances else {
+        let Some(confirming_instances) = self.confirming_instances else {
             return false;
         };
         let mut answered_instances = 0;
@@ -94,7 +116,7 @@
             }
             answered_instances += answer.instances;
         }
-        listed_instances > 0 && answered_instances >= listed_instances
+        confirming_instances > 0 && answered_instances >= confirming_instances
     }
 
     fn is_recent(&self, at: Instant) -> bool {
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -14,7 +14,7 @@
     shared::Shared,
     state::SentNotice,
 };
-use crate::log::records::UsageSlice;
+use crate::{infra::protocol::LiveInstance, log::records::UsageSlice};
 
 /// Longest wait for peers to acknowledge a quarantine notice.
 const ACK_TIMEOUT: Duration = Duration::from_millis(500);
@@ -40,6 +40,13 @@
         self.shared.state().membership.listed_once()
     }
 
+    /// Takes the list of instances that run.
+    pub fn apply_list(&self, list: &[LiveInstance]) {
+        let now = Instant::now();
+        self.shared.state().apply_list(list, now);
+        self.shared.count_live(now);
+    }
+
     /// Returns the names of the peers with an open connection.
     pub fn connected(&self) -> Vec<Arc<str>> {
         self.shared.state().links.keys().cloned().collect()
--- a/src/peer/relay.rs
+++ b/src/peer/relay.rs
@@ -102,7 +102,7 @@
         let entries = if from >= next {
             Some(Vec::new())
         } else {
-            self.recent.read(from, MAX_RELAY_BYTES)
+            self.log.recent.read(from, MAX_RELAY_BYTES)
         };
         let mut tail = LogTail {
             from_offset: from.0,
--- a/src/peer/shared.rs
+++ b/src/peer/shared.rs
@@ -12,14 +12,11 @@
 
 use super::{
     frame::Traffic,
+    freshness::Quorum,
     membership::Sender,
     state::{LogView, State},
 };
-use crate::{
-    Settings,
-    ledger::LedgerHandle,
-    log::{Appender, Log, RecentEntries, RelayedEntries, TailStatus},
-};
+use crate::log::{Appender, Offset, RecentEntries, RelayedEntries, TailStatus};
 
 /// Silence after which an instance that is not listed counts as gone.
 const SILENT_AFTER: Duration = Duration::from_secs(3);
@@ -30,21 +27,46 @@
 /// Shortest silence after which a connection counts as lost.
 const MIN_SILENCE: Duration = Duration::from_secs(1);
 
+/// Who an instance is to its peers, and how it judges them.
+#[derive(Clone, Debug)]
+pub struct PeerOptions {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Incarnation, new with each start.
+    pub incarnation: u64,
+    /// Failure domain of the instance.
+    pub failure_domain: Arc<str>,
+    /// Age at which knowledge of the log is too old.
+    pub max_age: Duration,
+    /// Usual time between two heartbeats.
+    pub heartbeat: Duration,
+    /// Peers that must confirm an outage of the log.
+    pub quorum: Quorum,
+}
+
+/// The log that peers compare and relay.
+#[derive(derive_more::Debug)]
+pub struct PeerLog {
+    /// State of the tail.
+    pub status: watch::Receiver<TailStatus>,
+    /// Takes relayed records.
+    pub relayed: mpsc::Sender<RelayedEntries>,
+    /// The newest records, for peers.
+    pub recent: RecentEntries,
+    /// Returns the offset up to which this instance has applied the log.
+    #[debug(skip)]
+    pub applied: Box<dyn Fn() -> Offset + Send + Sync>,
+    /// Appends slices on behalf of instances that are gone.
+    pub appender: Option<Appender>,
+}
+
 /// State and inputs of the peer tasks.
 #[derive(Debug)]
 pub(super) struct Shared {
     /// What is known of the peers.
     pub(super) state: Mutex<State>,
-    /// Appends slices on behalf of instances that are gone.
-    pub(super) appender: Appender,
-    /// State of the tail.
-    pub(super) status: watch::Receiver<TailStatus>,
-    /// Takes relayed records.
-    pub(super) relayed: mpsc::Sender<RelayedEntries>,
-    /// The newest records, for peers.
-    pub(super) recent: RecentEntries,
-    /// Ledger of this instance.
-    pub(super) ledger: LedgerHandle,
+    /// The log.
+    pub(super) log: PeerLog,
     /// Usual time between two heartbeats.
     pub(super) heartbeat: Duration,
     /// Wakes connections to send a heartbeat at once.
@@ -59,25 +81,20 @@
 
 impl Shared {
     pub(super) fn new(
-        settings: &Settings,
-        log: &Log,
-        ledger: LedgerHandle,
+        options: PeerOptions,
+        log: PeerLog,
         live_instances: watch::Sender<usize>,
     ) -> Arc<Self> {
         let own = Sender {
-            name: settings.name.clone(),
-            incarnation: log.appender.incarnation(),
-            failure_domain: settings.failure_domain.clone(),
+            name: options.name,
+            incarnation: options.incarnation,
+            failure_domain: options.failure_domain,
         };
-        let max_age = Duration::from_millis(settings.timing.freshness_ms);
+        let state = State::new(own, options.max_age, SILENT_AFTER, options.quorum);
         Arc::new(Self {
-            state: Mutex::new(State::new(own, max_age, SILENT_AFTER)),
-            appender: log.appender.clone(),
-            status: log.status.clone(),
-            relayed: log.relayed.clone(),
-            recent: log.recent.clone(),
-            ledger,
-            heartbeat: Duration::from_millis(settings.timing.heartbeat_ms),
+            state: Mutex::new(state),
+            log,
+            heartbeat: options.heartbeat,
             urgent: Notify::new(),
             acknowledged: Notify::new(),
             live_instances,
@@ -91,11 +108,11 @@
 
     /// Returns the state of the log as of now.
     pub(super) fn log_view(&self) -> LogView {
-        // The status first: what it says is folded is part of the ledger then.
-        let status = *self.status.borrow();
+        // The status first: what it says is folded is applied by then.
+        let status = *self.log.status.borrow();
         LogView {
             status,
-            applied_offset: self.ledger.applied(),
+            applied_offset: (self.log.applied)(),
         }
     }
 
--- a/src/peer/spawn.rs
+++ b/src/peer/spawn.rs
@@ -1,9 +1,15 @@
-use std::time::Duration;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{net::TcpListener, sync::watch, task::JoinSet};
 use tokio_util::sync::CancellationToken;
 
-use super::{PeerHandle, dial, live_list, shared::Shared, upkeep};
+use super::{
+    PeerHandle, dial,
+    freshness::Quorum,
+    live_list,
+    shared::{PeerLog, PeerOptions, Shared},
+    upkeep,
+};
 use crate::{
     Settings,
     infra::{
@@ -57,29 +63,72 @@
         admin_address: inputs.admin_address.to_string().into(),
         state: LiveState::Live,
     };
-    let shared = Shared::new(settings, inputs.log, inputs.ledger, inputs.live_instances);
+    let options = PeerOptions {
+        name: settings.name.clone(),
+        incarnation: inputs.log.appender.incarnation(),
+        failure_domain: settings.failure_domain.clone(),
+        max_age: Duration::from_millis(settings.timing.freshness_ms),
+        heartbeat: Duration::from_millis(settings.timing.heartbeat_ms),
+        quorum: Quorum::All,
+    };
+    let ledger = inputs.ledger;
+    let log = PeerLog {
+        status: inputs.log.status.clone(),
+        relayed: inputs.log.relayed.clone(),
+        recent: inputs.log.recent.clone(),
+        applied: Box::new(move || ledger.applied()),
+        appender: Some(inputs.log.appender.clone()),
+    };
+    let shared = Shared::new(options, log, inputs.live_instances);
+    let mut peers = start(
+        shared.clone(),
+        inputs.listener,
+        settings.seed_peers.clone(),
+        stop,
+    );
     let poll = Duration::from_millis(settings.timing.poll_ms);
     let client = inputs.live_client;
-    let seed_peers = settings.seed_peers.clone();
-    let mut tasks = JoinSet::new();
-    tasks.spawn(dial::accept(shared.clone(), inputs.listener, stop.clone()));
-    tasks.spawn(dial::connect(shared.clone(), seed_peers, stop.clone()));
-    tasks.spawn(upkeep::run(shared.clone(), stop.clone()));
-    tasks.spawn(live_list::follow(
+    peers.tasks.spawn(live_list::follow(
         shared.clone(),
         client.clone(),
         poll,
         stop.clone(),
     ));
-    tasks.spawn(live_list::announce(
+    peers.tasks.spawn(live_list::announce(
         shared.clone(),
         client,
         entry,
         poll,
         stop.clone(),
     ));
-    Ok(Peers {
+    Ok(peers)
+}
+
+/// Starts the tasks that talk to peers; the list of instances is told by
+/// [`PeerHandle::apply_list`].
+pub fn join(
+    options: PeerOptions,
+    log: PeerLog,
+    listener: TcpListener,
+    live_instances: watch::Sender<usize>,
+    stop: &CancellationToken,
+) -> Peers {
+    let shared = Shared::new(options, log, live_instances);
+    start(shared, listener, Vec::new(), stop)
+}
+
+fn start(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    seed_peers: Vec<SocketAddr>,
+    stop: &CancellationToken,
+) -> Peers {
+    let mut tasks = JoinSet::new();
+    tasks.spawn(dial::accept(shared.clone(), listener, stop.clone()));
+    tasks.spawn(dial::connect(shared.clone(), seed_peers, stop.clone()));
+    tasks.spawn(upkeep::run(shared.clone(), stop.clone()));
+    Peers {
         handle: PeerHandle::new(shared),
         tasks,
-    })
+    }
 }
--- a/src/peer/state.rs
+++ b/src/peer/state.rs
@@ -9,7 +9,7 @@
     Error, Result,
     digest::{Served, TargetLoad},
     frames::{Heartbeat, QuarantineNotice, frame::Body},
-    freshness::{Freshness, FreshnessInput, PeerAnswer},
+    freshness::{Freshness, FreshnessInput, PeerAnswer, Quorum},
     link::Link,
     load::LoadTotals,
     membership::{Membership, PeerState, Sender},
@@ -57,13 +57,20 @@
     pub(super) loads: LoadTotals,
     /// Tokens served by peers since they were last taken.
     pub(super) served: IndexMap<Arc<str>, u64>,
+    quorum: Quorum,
     last_link_id: u64,
     last_notice: u64,
 }
 
 impl State {
-    pub(super) fn new(own: Sender, max_age: Duration, silent_after: Duration) -> Self {
+    pub(super) fn new(
+        own: Sender,
+        max_age: Duration,
+        silent_after: Duration,
+        quorum: Quorum,
+    ) -> Self {
         Self {
+            quorum,
             membership: Membership::new(own.name.clone(), silent_after),
             own,
             max_age,
@@ -241,7 +248,10 @@
             last_read_at: log.status.last_read_at,
             known_at: log.status.known_at,
             applied_offset: log.applied_offset,
-            listed_instances: self.membership.listed_once().then_some(listed),
+            confirming_instances: self
+                .membership
+                .listed_once()
+                .then(|| self.quorum.of(listed)),
             answers: &answers,
         };
         input.judge()
--- a/src/peer/upkeep.rs
+++ b/src/peer/upkeep.rs
@@ -95,9 +95,12 @@
 ///
 /// The fold counts a slice once, whoever appends it.
 async fn flush_orphan(shared: Arc<Shared>, slice: UsageSlice, stop: CancellationToken) {
+    let Some(appender) = &shared.log.appender else {
+        return;
+    };
     let appended = tokio::select! {
         () = stop.cancelled() => return,
-        appended = shared.appender.append(Body::UsageSlice(slice.clone())) => appended,
+        appended = appender.append(Body::UsageSlice(slice.clone())) => appended,
     };
     match appended {
         Ok(_) => tracing::info!(
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -17,7 +17,7 @@
 pub use request::{
     AnswerHead, AttemptHead, CallerHead, HeadError, attempt_headers, caller_headers,
 };
-pub use request::{read_answer_head, read_caller_head, refusal_headers};
+pub use request::{engine_headers, read_answer_head, read_caller_head, refusal_headers};
 pub use store::{Appended, KeyedRecord, Newest, ReadBatch, StoreClient, StoreError, Topic};
 pub use workers::read_target;
 
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -1,13 +1,13 @@
 //! Headers of requests and answers, towards callers and towards targets.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use displaydoc::Display;
 use hyper::{
     HeaderMap, StatusCode,
     header::{
-        AUTHORIZATION, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderName, HeaderValue,
-        RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+        AUTHORIZATION, CONNECTION, CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, HOST,
+        HeaderName, HeaderValue, RETRY_AFTER, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
     },
     http::{request, response},
 };
@@ -217,6 +217,16 @@
     headers
 }
 
+/// Encodes the headers of a call of our own to an engine.
+#[must_use]
+pub fn engine_headers(target_id: &str, address: SocketAddr) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    insert(&mut headers, HOST, &address.to_string());
+    insert(&mut headers, EXPECT_INSTANCE, target_id);
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers
+}
+
 /// Copies the headers that concern neither one connection nor `dropped`.
 fn passed_on(headers: &HeaderMap, dropped: &[HeaderName]) -> HeaderMap {
     let mut named = Vec::new();
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,7 @@
 pub mod queue;
 pub mod retry;
 pub mod retry_window;
+pub mod role_split;
 pub mod roles;
 pub mod routing;
 pub mod share;
--- /dev/null
+++ b/src/policy/role_split.rs
@@ -0,0 +1,92 @@
+//! How many engines of a service prefill, and which one changes its role next.
+
+use std::sync::Arc;
+
+use crate::target::protocol::EngineRole;
+
+/// Part of the engines that prefill: reading prompts takes most of the work.
+const PREFILL_SHARE: f64 = 0.77;
+
+/// Fewest engines that decode, where there are more than that.
+const MIN_DECODE: usize = 2;
+
+/// An engine that runs and takes requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SplitEngine {
+    /// Its role, or that which it was ordered to take.
+    pub role: EngineRole,
+    /// Whether it is changing its role.
+    pub is_changing: bool,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Whether the platform may reclaim it.
+    pub is_reclaimable: bool,
+    /// Requests in flight on it.
+    pub in_flight: u32,
+}
+
+/// A change of one engine's role.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SplitChange {
+    /// Index of the engine.
+    pub index: usize,
+    /// New role.
+    pub role: EngineRole,
+}
+
+/// Returns how many of `engines` engines should prefill.
+#[must_use]
+pub fn prefill_engines(engines: usize) -> usize {
+    if engines < 2 {
+        return 0;
+    }
+    let wanted = (PREFILL_SHARE * engines as f64).round() as usize;
+    let most = engines.saturating_sub(MIN_DECODE).max(1);
+    wanted.clamp(1, most)
+}
+
+/// Returns the next change of a role, if one is needed.
+///
+/// Engines that decode are spread over failure domains and are kept among
+/// those that cannot be reclaimed.
+#[must_use]
+pub fn plan_change(engines: &[SplitEngine]) -> Option<SplitChange> {
+    let prefilling = count(engines, |engine| engine.role == EngineRole::Prefill);
+    let wanted = prefill_engines(engines.len());
+    let role = match prefilling.cmp(&wanted) {
+        std::cmp::Ordering::Less => EngineRole::Prefill,
+        std::cmp::Ordering::Greater => EngineRole::Decode,
+        std::cmp::Ordering::Equal => return None,
+    };
+    let mut best: Option<(Fitness, usize)> = None;
+    for (index, engine) in engines.iter().enumerate() {
+        if engine.is_changing || engine.role == role {
+            continue;
+        }
+        let fitness = fitness(engines, engine, role);
+        if best.as_ref().is_none_or(|(least, _)| fitness < *least) {
+            best = Some((fitness, index));
+        }
+    }
+    best.map(|(_, index)| SplitChange { index, role })
+}
+
+/// Order in which engines are chosen for a role; the least comes first.
+type Fitness = (bool, i64, u32);
+
+fn fitness(engines: &[SplitEngine], engine: &SplitEngine, role: EngineRole) -> Fitness {
+    let decoding = count(engines, |other| {
+        other.role != EngineRole::Prefill && other.failure_domain == engine.failure_domain
+    }) as i64;
+    match role {
+        EngineRole::Prefill => (!engine.is_reclaimable, -decoding, engine.in_flight),
+        _ => (engine.is_reclaimable, decoding, engine.in_flight),
+    }
+}
+
+fn count<F>(engines: &[SplitEngine], mut counts: F) -> usize
+where
+    F: FnMut(&SplitEngine) -> bool,
+{
+    engines.iter().filter(|engine| counts(engine)).count()
+}
--- a/tests/peer_freshness.rs
+++ b/tests/peer_freshness.rs
@@ -228,7 +228,7 @@
             last_read_at: ago(case.read_age_ms),
             known_at: ago(case.known_age_ms),
             applied_offset: Offset(case.applied_offset),
-            listed_instances: case.listed_instances,
+            confirming_instances: case.listed_instances,
             answers: &answers,
         };
         let found = input.judge();
