Read the configuration without cancelled polls; keep decodes in the budget

Cause: a relayed answer of a peer cancelled the instance's own long poll, so that peers were asked again and again: 230 reads of one topic in 25 s. Reads have their own task now. A prompt whose prefill failed was still sent to a decode engine when the budget was spent: that is a send too.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -1,8 +1,12 @@
 //! Follows the configuration, in the platform's store and through peers.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -12,7 +16,7 @@
 };
 
 use super::{
-    follower::{Follower, READ_WAIT, Update},
+    follower::{Follower, Update},
     state::State,
 };
 use crate::{
@@ -28,6 +32,14 @@
 /// Configurations kept for peers, in bytes.
 const RECENT_BYTES: usize = 2 << 20;
 
+/// Longest wait of a read for the next configuration. A read that waits says
+/// nothing of its time until it ends; peers are asked for what is older than
+/// half of the freshness bound.
+const READ_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Records that were read, and when the read was sent.
+type Read = (Result<Update, ()>, u64, Instant);
+
 /// Follows the configuration.
 ///
 /// Peers count offsets from 1, as those of the last applied record; the store
@@ -35,7 +47,7 @@
 #[derive(Debug)]
 pub(super) struct CatalogTail {
     state: Arc<State>,
-    follower: Follower,
+    store: StoreClient,
     status: watch::Sender<TailStatus>,
     relayed: mpsc::Receiver<RelayedEntries>,
     recent: RecentEntries,
@@ -67,7 +79,7 @@
         };
         let tail = Self {
             state,
-            follower: Follower::new(store, OPERATOR_TOPIC),
+            store,
             status,
             relayed,
             recent,
@@ -78,28 +90,27 @@
 
     /// Follows the configuration for ever.
     pub(super) async fn run(mut self) {
+        let (sender, mut reads) = mpsc::channel(1);
+        let follower = Follower::new(self.store.clone(), OPERATOR_TOPIC);
+        let mut reading = pin!(read(follower, sender));
         loop {
-            let sent_at = Instant::now();
             tokio::select! {
-                update = self.follower.next(READ_WAIT) => match update {
-                    Ok(update) => self.take_update(update, sent_at),
-                    Err(()) => {
-                        self.status.send_modify(|status| status.live = false);
-                    }
-                },
+                () = &mut reading => return,
+                Some(read) = reads.recv() => self.take_read(read),
                 Some(relayed) = self.relayed.recv() => self.take_relayed(relayed),
             }
         }
     }
 
-    fn take_update(&mut self, update: Update, sent_at: Instant) {
+    fn take_read(&mut self, (update, next_offset, sent_at): Read) {
+        let Ok(update) = update else {
+            self.status.send_modify(|status| status.live = false);
+            return;
+        };
         let (Update::Snapshot(records) | Update::Changes(records)) = update;
         for record in records {
             self.take_record(&record);
         }
-        let Some(next_offset) = self.follower.next_offset() else {
-            return;
-        };
         self.advance(next_offset);
         self.status.send_modify(|status| {
             status.live = true;
@@ -125,7 +136,6 @@
             self.recent.push(entry.clone());
         }
         let end = relayed.end_offset;
-        self.follower.skip_to(end.0);
         self.advance(end.0);
         self.status.send_modify(|status| {
             status.known_at = status.known_at.max(relayed.known_at);
@@ -170,3 +180,15 @@
         self.applied.fetch_max(applied, Ordering::AcqRel);
     }
 }
+
+/// Reads the topic for ever and hands on what it holds.
+async fn read(mut follower: Follower, reads: mpsc::Sender<Read>) {
+    loop {
+        let sent_at = Instant::now();
+        let update = follower.next(READ_WAIT).await;
+        let next_offset = follower.next_offset().unwrap_or(0);
+        if reads.send((update, next_offset, sent_at)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -94,11 +94,6 @@
         self.next_offset
     }
 
-    /// Skips records that are known from elsewhere.
-    pub(super) fn skip_to(&mut self, offset: u64) {
-        self.next_offset = self.next_offset.max(Some(offset));
-    }
-
     /// Returns whether the last read failed.
     pub(super) fn is_lost(&self) -> bool {
         self.failed_since.is_some()
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -171,11 +171,7 @@
 /// Returns when a caller whose request did not run may come back.
 fn retry_after(refusal: Refusal) -> Option<Duration> {
     match refusal {
-        Refusal::NotReady
-        | Refusal::NoMemory
-        | Refusal::NoTarget
-        | Refusal::TargetsRefused
-        | Refusal::NotRunInTime => {
+        Refusal::NotReady | Refusal::NoMemory | Refusal::NoTarget | Refusal::TargetsRefused => {
             let delay_s = rand::random_range(RETRY_AFTER_RANGE_S);
             Some(Duration::from_secs_f64(delay_s))
         }
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -11,7 +11,7 @@
     decode,
     loads::InFlightGuard,
     plain::{Progress, answered, is_retryable_failure},
-    prefill::{PrefillHandle, prefill},
+    prefill::{Prefill, PrefillHandle, prefill},
     relay::{Relay, Source},
     reply::{Body, Refusal, streamed},
     state::{BodyMemory, State},
@@ -44,7 +44,11 @@
     let mut progress = Progress::default();
     let mut last_error = None;
     let mut handle = match &call.prompt {
-        Some(prompt) => prefill(state, call, prompt).await,
+        Some(prompt) => match prefill(state, call, prompt).await {
+            Prefill::Done(handle) => Some(handle),
+            Prefill::Skipped => None,
+            Prefill::OverBudget => return Err(Refusal::TargetsRefused),
+        },
         None => None,
     };
     loop {
--- a/src/gateway/prefill.rs
+++ b/src/gateway/prefill.rs
@@ -1,6 +1,6 @@
 //! Has a prompt prefilled at an engine, whose KV cache another engine takes.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use tokio::time::Instant;
 
@@ -21,8 +21,8 @@
 /// Engines that are asked to prefill one prompt.
 const MAX_PREFILL_ATTEMPTS: usize = 2;
 
-/// Part of the time left that one prefill may take.
-const PREFILL_TIME_SHARE: u32 = 2;
+/// Time kept for the decode after the prefill.
+const DECODE_TIME: Duration = Duration::from_millis(200);
 
 /// Tokens as which a failing engine counts, at a failure rate of one.
 const FAILING_TOKENS: f64 = 200_000.0;
@@ -57,27 +57,39 @@
     }
 }
 
-/// Has the prompt of a call prefilled; `None` if no engine did so.
-pub(super) async fn prefill(
-    state: &Arc<State>,
-    call: &Arc<Call>,
-    prompt: &Prompt,
-) -> Option<PrefillHandle> {
+/// What came of the prefill of a prompt.
+#[derive(Debug)]
+pub(super) enum Prefill {
+    /// An engine holds the KV cache.
+    Done(PrefillHandle),
+    /// No engine did it; the prompt may be read where it is decoded.
+    Skipped,
+    /// Engines failed, and no further request may be sent.
+    OverBudget,
+}
+
+/// Has the prompt of a call prefilled.
+///
+/// A request that an engine refused or did not finish counts as a send, so
+/// that whatever is sent after it is taken out of the budget.
+pub(super) async fn prefill(state: &Arc<State>, call: &Arc<Call>, prompt: &Prompt) -> Prefill {
     let mut tried = Vec::new();
     while tried.len() < MAX_PREFILL_ATTEMPTS {
-        let (target, uncached_tokens) = choose(state, call, prompt, &tried)?;
+        let Some((target, uncached_tokens)) = choose(state, call, prompt, &tried) else {
+            break;
+        };
         tried.push(target.id.clone());
         match attempt_once(state, call, prompt, &target, uncached_tokens).await {
-            Ok(handle) => return Some(handle),
-            Err(error) => {
-                let is_extra = !error.failure.is_not_written();
-                if is_extra && !state.withdraw_retry(&call.service) {
-                    return None;
+            Ok(handle) => return Prefill::Done(handle),
+            Err(error) if error.failure.is_not_written() => {}
+            Err(_) => {
+                if !state.withdraw_retry(&call.service) {
+                    return Prefill::OverBudget;
                 }
             }
         }
     }
-    None
+    Prefill::Skipped
 }
 
 async fn attempt_once(
@@ -89,7 +101,7 @@
 ) -> Result<PrefillHandle, AttemptError> {
     let _in_flight = InFlightGuard::new(state, &target.id, u64::from(uncached_tokens));
     let started_at = Instant::now();
-    let by = started_at + call.time_left(started_at) / PREFILL_TIME_SHARE;
+    let by = started_at + call.time_left(started_at).saturating_sub(DECODE_TIME);
     let head = AttemptHead {
         prefill_only: true,
         ..AttemptHead::default()
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -40,8 +40,6 @@
     AnswerLost,
     /// the request was not answered in time and may have run
     Timeout,
-    /// the request was not answered in time and did not run
-    NotRunInTime,
 }
 
 impl Refusal {
@@ -56,11 +54,9 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::ReadTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::NotReady
-            | Self::NoMemory
-            | Self::NoTarget
-            | Self::TargetsRefused
-            | Self::NotRunInTime => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::NoMemory | Self::NoTarget | Self::TargetsRefused => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -155,6 +155,7 @@
     ) -> Result<Appended, StoreError> {
         let mut query = vec![("topic", topic.to_string()), ("part", "0".to_owned())];
         query.extend(at.map(|at| ("at", at.to_string())));
+        count_call("append", topic);
         let request = self
             .http
             .post(format!("{}/log-append", self.base_url))
@@ -188,6 +189,7 @@
             ("from", from.to_string()),
             ("wait_ms", wait.as_millis().to_string()),
         ];
+        count_call("read", topic);
         let request = self
             .http
             .get(format!("{}/log-read", self.base_url))
@@ -248,6 +250,7 @@
     ) -> Result<NewestPage, StoreError> {
         let mut query = vec![("topic", topic.to_string()), ("part", "0".to_owned())];
         query.extend(after.map(|after| ("after", after.to_owned())));
+        count_call("newest", topic);
         let request = self
             .http
             .get(format!("{}/log-newest", self.base_url))
@@ -266,6 +269,10 @@
     }
 }
 
+fn count_call(call: &'static str, topic: Topic) {
+    metrics::counter!("store_calls_total", "call" => call, "topic" => topic.0).increment(1);
+}
+
 async fn send(request: RequestBuilder) -> Result<Response, StoreError> {
     match request.send().await {
         Ok(response) => Ok(response),
