--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -21,13 +21,14 @@
 }
 
 pub(super) async fn run(matches: &ArgMatches) -> Result<ExitCode> {
-    let settings = GatewaySettings::load(Path::new(string(matches, "settings")))?;
+    let path = Path::new(string(matches, "settings"));
+    let settings = GatewaySettings::load(path)?;
     let _flush = start_stdout_logging(&settings.logging);
     let signal = async {
         if let Err(error) = stop_signal().await {
             tracing::error!("gateway: cannot wait for signals: {error}");
         }
     };
-    gateway::run(settings, signal).await?;
+    gateway::run(settings, path.to_owned(), signal).await?;
     Ok(ExitCode::SUCCESS)
 }
--- a/src/gateway/duty/reports.rs
+++ b/src/gateway/duty/reports.rs
@@ -246,7 +246,7 @@
 
     /// Sends a figure until the platform has taken it, or it is no longer due.
     async fn send(&self, figure: &Figure, fence: u64) {
-        let due_ms = self.state.settings.timing.usage_due_ms as i64;
+        let due_ms = self.state.tuning().timing.usage_due_ms as i64;
         let window = figure.window;
         let started_at = Instant::now();
         while let Some(holder) = self.holder(fence) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod prefill;
 mod readiness;
 mod relay;
+mod reload;
 mod reply;
 mod run;
 mod state;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,6 +1,6 @@
 //! Starts the parts of an instance and stops them in order.
 
-use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use displaydoc::Display;
 use tokio::{
@@ -13,7 +13,7 @@
 use super::{
     catalog::CatalogTail,
     duty::{self, Tenure},
-    front, members, readiness,
+    front, members, readiness, reload,
     state::State,
     targets,
 };
@@ -67,13 +67,13 @@
 
 impl std::error::Error for Error {}
 
-/// Runs an instance until `stop` completes and requests in progress have
+/// Runs an instance with the settings of `path` until `stop` completes and requests in progress have
 /// ended.
 ///
 /// # Errors
 ///
 /// Fails if an address cannot be used.
-pub async fn run<S>(settings: GatewaySettings, stop: S) -> Result<()>
+pub async fn run<S>(settings: GatewaySettings, path: PathBuf, stop: S) -> Result<()>
 where
     S: Future<Output = ()>,
 {
@@ -99,6 +99,10 @@
     let _joining = AbortOnDropHandle::new(tokio::spawn(joining));
     let _readiness = spawn_listener(readiness::serve_readiness(state.clone(), readiness));
     let _metrics = spawn_listener(readiness::serve_metrics(metrics, metrics_listener));
+    let watched = state.clone();
+    spawn_loop(&supervisor, "settings", move || {
+        reload::watch(watched.clone(), path.clone())
+    });
     let close = CancellationToken::new();
     let serving = tokio::spawn(front::serve(state.clone(), callers, close.clone()));
     tracing::info!(
@@ -256,7 +260,7 @@
     close: &CancellationToken,
     serving: tokio::task::JoinHandle<io::Result<()>>,
 ) {
-    let end_at = Instant::now() + state.settings.timing.stop().saturating_sub(STOP_MARGIN);
+    let end_at = Instant::now() + state.tuning().timing.stop().saturating_sub(STOP_MARGIN);
     tracing::info!("gateway: stopping; requests in progress end first");
     state.begin_stop();
     sleep(UNREADY_BEFORE_CLOSE).await;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,7 +14,7 @@
     peer::PeerHandle,
     policy::retry_window::{RetryWindow, WindowBounds},
     roster::{Roster, Target},
-    settings::GatewaySettings,
+    settings::{GatewaySettings, Tuning},
 };
 
 /// Part of the connections that a target accepts which instances share out.
@@ -36,6 +36,7 @@
 pub(super) struct State {
     pub(super) settings: GatewaySettings,
     pub(super) pool: Pool,
+    tuning: Mutex<Tuning>,
     catalog: Mutex<Option<Arc<Catalog>>>,
     roster: Mutex<Option<Roster>>,
     loads: Mutex<Loads>,
@@ -53,6 +54,7 @@
     pub(super) fn new(settings: GatewaySettings) -> Self {
         let usage = UsageCounter::new(settings.timing.usage_window_ms);
         Self {
+            tuning: Mutex::new(settings.tuning()),
             settings,
             pool: Pool::default(),
             catalog: Mutex::default(),
@@ -69,6 +71,16 @@
         }
     }
 
+    /// Returns the settings that may change.
+    pub(super) fn tuning(&self) -> Tuning {
+        *lock(&self.tuning)
+    }
+
+    /// Takes changed settings.
+    pub(super) fn set_tuning(&self, tuning: Tuning) {
+        *lock(&self.tuning) = tuning;
+    }
+
     /// Notes that the configuration is known as of an instant.
     pub(super) fn note_catalog_read(&self, at: Instant) {
         *lock(&self.catalog_read_at) = Some(at);
@@ -85,7 +97,7 @@
     /// Returns whether this instance may have missed a newer configuration.
     pub(super) fn is_stale(&self) -> bool {
         let read_at = *lock(&self.catalog_read_at);
-        let bound = self.settings.timing.freshness();
+        let bound = self.tuning().timing.freshness();
         if read_at.is_some_and(|read_at| read_at.elapsed() <= bound) {
             return false;
         }
@@ -154,7 +166,7 @@
 
     /// Takes an extra send to a service out of the budget.
     pub(super) fn withdraw_retry(&self, service: &Arc<str>) -> bool {
-        let limits = &self.settings.retries;
+        let limits = self.tuning().retries;
         let bounds = WindowBounds {
             ratio: limits.ratio,
             slack: limits.slack,
@@ -188,7 +200,7 @@
 
     /// Reserves memory for a body; `None` if too much is taken.
     pub(super) fn reserve_body(self: &Arc<Self>, bytes: usize) -> Option<BodyMemory> {
-        let bound = self.settings.limits.memory_mb * BYTES_PER_MB / BODY_MEMORY_SHARE;
+        let bound = self.tuning().limits.memory_mb * BYTES_PER_MB / BODY_MEMORY_SHARE;
         let reserved = self
             .body_bytes
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, |taken| {
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -128,7 +128,28 @@
     }
 }
 
+/// Settings that may change while an instance runs.
+#[derive(Clone, Copy, Debug)]
+pub struct Tuning {
+    /// Times.
+    pub timing: GatewayTiming,
+    /// Budget of sends beyond the first of each request.
+    pub retries: RetryLimits,
+    /// Bounds of the instance.
+    pub limits: InstanceLimits,
+}
+
 impl GatewaySettings {
+    /// Returns the settings that may change while an instance runs.
+    #[must_use]
+    pub fn tuning(&self) -> Tuning {
+        Tuning {
+            timing: self.timing,
+            retries: self.retries,
+            limits: self.limits,
+        }
+    }
+
     /// Reads and checks the settings in a file.
     ///
     /// # Errors
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -11,7 +11,9 @@
 use serde::Deserialize;
 
 use self::checker::Checker;
-pub use self::gateway::{Duties, GatewaySettings, GatewayTiming, InstanceLimits, RetryLimits};
+pub use self::gateway::{
+    Duties, GatewaySettings, GatewayTiming, InstanceLimits, RetryLimits, Tuning,
+};
 pub use self::policy::{Division, Policy, QueueOrder, RoleControl};
 
 /// Longest lease that the settings accept, in milliseconds.
