Fetch shared prompt parts from their home; settle targets before release

Cause: half of the shared tokens were read again, since an engine other than the home read what a fetch brings in milliseconds; and regular engines went as soon as reclaimable ones were listed, before these had their role.

--- a/src/gateway/duty/ordering.rs
+++ b/src/gateway/duty/ordering.rs
@@ -4,13 +4,14 @@
 use std::{sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep};
 
 use super::tenure::Tenure;
 use crate::{
     catalog::{Scaling, Service},
     gateway::state::State,
-    platform::{CloudClient, CloudError, TargetCount},
+    platform::{CloudClient, CloudError, StoreClient, TargetCount, Topic},
     policy::spending::{
         DomainSupply, NeedWindow, SpendingLimits, SpendingPrices, needed_targets, plan, release,
     },
@@ -22,13 +23,22 @@
 const PERIOD: Duration = Duration::from_millis(500);
 
 /// Utilization of prefilling engines up to which prompts hardly wait.
-const UTILIZATION: f64 = 0.45;
+const UTILIZATION: f64 = 0.6;
+
+/// Topic in which needs are kept, by service.
+const FLEET_TOPIC: Topic = Topic("keyed.fleet");
+
+/// Time in which the first holder counts the targets that were there before.
+const FIRST_COUNT: Duration = Duration::from_millis(3_500);
+
+/// Time beyond a change of role after which a new target carries its part.
+const SETTLE_MARGIN: Duration = Duration::from_secs(1);
 
 /// Time for which a need is remembered, so that a lull releases nothing.
 const NEED_WINDOW: Duration = Duration::from_secs(90);
 
 /// Weight of the newest sample in an engine's mean number of requests.
-const LOAD_GAIN: f64 = 0.25;
+const LOAD_GAIN: f64 = 0.12;
 
 /// Time after a refusal for which a failure domain counts as sold out.
 const SOLD_OUT: Duration = Duration::from_secs(5);
@@ -44,6 +54,7 @@
 pub(in crate::gateway) async fn keep_targets(
     state: Arc<State>,
     tenure: Arc<Tenure>,
+    store: StoreClient,
     cloud: CloudClient,
 ) {
     let mut fleets: IndexMap<Arc<str>, Fleet> = IndexMap::new();
@@ -60,10 +71,22 @@
             let Some(scaling) = &service.scaling else {
                 continue;
             };
-            let fleet = fleets
-                .entry(service.name.clone())
-                .or_insert_with(Fleet::new);
+            let name = &service.name;
+            if !fleets.contains_key(name) {
+                let Some(fleet) = start_fleet(&store, name).await else {
+                    continue;
+                };
+                fleets.insert(name.clone(), fleet);
+            }
+            let Some(fleet) = fleets.get_mut(name) else {
+                continue;
+            };
+            let kept = fleet.kept;
             let orders = fleet.orders(&state, service, scaling);
+            if fleet.kept != kept && !keep_need(&store, name, fleet.kept).await {
+                fleet.kept = kept;
+                continue;
+            }
             for order in orders {
                 fleet.send(&tenure, &cloud, order).await;
             }
@@ -71,6 +94,49 @@
     }
 }
 
+/// What later holders need to know of a service's targets.
+#[derive(Debug, Deserialize, Serialize)]
+struct KeptNeed {
+    /// Targets that must be left when a failure domain loses its reclaimable
+    /// ones.
+    needed: u32,
+}
+
+/// Reads what earlier holders kept; `None` if the store cannot tell.
+async fn start_fleet(store: &StoreClient, service: &str) -> Option<Fleet> {
+    let newest = match store.newest(FLEET_TOPIC).await {
+        Ok(newest) => newest,
+        Err(error) => {
+            tracing::info!("ordering: the kept need cannot be read: {error}");
+            return None;
+        }
+    };
+    let record = newest.records.iter().find(|record| *record.key == *service);
+    let value = record.and_then(|record| record.value.as_deref());
+    match value.map(serde_json::from_slice::<KeptNeed>).transpose() {
+        Ok(kept) => Some(Fleet::new(kept.map(|kept| kept.needed))),
+        Err(error) => {
+            tracing::error!("ordering: the kept need is not one: {error}");
+            Some(Fleet::new(None))
+        }
+    }
+}
+
+/// Keeps a need for later holders; false if the store did not take it.
+async fn keep_need(store: &StoreClient, service: &str, needed: Option<u32>) -> bool {
+    let Some(needed) = needed else {
+        return true;
+    };
+    let value = serde_json::to_vec(&KeptNeed { needed }).unwrap_or_default();
+    match store.append(FLEET_TOPIC, service, &value, None).await {
+        Ok(_) => true,
+        Err(error) => {
+            tracing::info!(needed, "ordering: need not kept: {error}");
+            false
+        }
+    }
+}
+
 /// A failure domain and a kind of target.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct Subject {
@@ -88,18 +154,23 @@
 #[derive(Debug)]
 struct Fleet {
     started_at: Instant,
+    /// Need of the last orders, which later holders go on from.
+    kept: Option<u32>,
     need: NeedWindow,
     loads: IndexMap<Arc<str>, f64>,
+    first_seen: IndexMap<Arc<str>, Instant>,
     ordered: IndexMap<Subject, Ordered>,
     sold_out: IndexMap<Subject, Instant>,
 }
 
 impl Fleet {
-    fn new() -> Self {
+    fn new(kept: Option<u32>) -> Self {
         Self {
             started_at: Instant::now(),
+            kept,
             need: NeedWindow::new(NEED_WINDOW.as_millis() as u64),
             loads: IndexMap::new(),
+            first_seen: IndexMap::new(),
             ordered: IndexMap::new(),
             sold_out: IndexMap::new(),
         }
@@ -114,8 +185,15 @@
         if targets.is_empty() {
             return Vec::new();
         }
-        let needed = self.needed(state, &targets, scaling);
-        let supply = self.supply(&targets, scaling);
+        let Some(needed) = self.needed(state, &targets, scaling) else {
+            return Vec::new();
+        };
+        self.kept = Some(needed);
+        let settle = service
+            .engine
+            .as_ref()
+            .map_or(Duration::ZERO, |engine| engine.role_change);
+        let supply = self.supply(&targets, scaling, settle + SETTLE_MARGIN);
         let prices = SpendingPrices {
             reclaimable_milli_per_hour: (reclaimable_price * PRICE_UNITS) as u64,
             regular_milli_per_hour: PRICE_UNITS as u64,
@@ -165,8 +243,8 @@
     }
 
     /// Returns how many targets must be left when any one failure domain
-    /// loses its reclaimable ones.
-    fn needed(&mut self, state: &State, targets: &[Arc<Target>], scaling: &Scaling) -> u32 {
+    /// loses its reclaimable ones; `None` while that is not known.
+    fn needed(&mut self, state: &State, targets: &[Arc<Target>], scaling: &Scaling) -> Option<u32> {
         let mut load = 0.0;
         let mut decoding = 0;
         for target in targets {
@@ -183,19 +261,28 @@
         self.loads
             .retain(|id, _| targets.iter().any(|target| target.id == *id));
         let by_load = needed_targets(load, UTILIZATION) + decoding;
-        // Without a history of the load, no fewer survivors than now.
-        let most = scaling.max_targets * scaling.domain_prices.len().max(1) as u32;
-        let by_now = surviving(targets).min(most);
-        let now_ms = self.started_at.elapsed().as_millis() as u64;
-        let needed = if self.started_at.elapsed() < NEED_WINDOW {
-            by_load.max(by_now)
-        } else {
-            by_load
+        // More than reclaimable targets alone can leave would be regular ones.
+        let other_domains = scaling.domain_prices.len().saturating_sub(1).max(1) as u32;
+        let most = scaling.max_targets * other_domains;
+        let elapsed = self.started_at.elapsed();
+        let needed = match self.kept {
+            // Without a history of the load, no fewer survivors than before.
+            Some(kept) if elapsed < NEED_WINDOW => by_load.max(kept),
+            Some(_) => by_load,
+            None if elapsed < FIRST_COUNT => return None,
+            None => by_load.max(surviving(targets)),
         };
-        self.need.observe(needed, now_ms)
+        let now_ms = elapsed.as_millis() as u64;
+        Some(self.need.observe(needed.min(most), now_ms))
     }
 
-    fn supply(&mut self, targets: &[Arc<Target>], scaling: &Scaling) -> Vec<DomainSupply> {
+    fn supply(
+        &mut self,
+        targets: &[Arc<Target>],
+        scaling: &Scaling,
+        settle: Duration,
+    ) -> Vec<DomainSupply> {
+        let settled = self.settled(targets, settle);
         self.sold_out.retain(|_, at| at.elapsed() < SOLD_OUT);
         let mut supply = Vec::with_capacity(scaling.domain_prices.len());
         for failure_domain in scaling.domain_prices.keys() {
@@ -204,22 +291,44 @@
                 reclaimable: true,
             };
             let live = running(targets, failure_domain, true);
+            // What was ordered before is not given back, so that it returns.
+            let ordered = self.ordered.get(&subject);
             let available = match self.sold_out.contains_key(&subject) {
-                true => live,
+                true => ordered.map_or(live, |ordered| ordered.count.max(live)),
                 false => scaling.max_targets,
             };
             supply.push(DomainSupply {
                 failure_domain: failure_domain.clone(),
                 reclaimable: available,
-                reclaimable_live: live,
+                reclaimable_live: running(&settled, failure_domain, true),
                 regular: scaling.max_targets,
             });
         }
         supply
     }
 
+    /// Returns the targets that have run long enough to have their role.
+    fn settled(&mut self, targets: &[Arc<Target>], settle: Duration) -> Vec<Arc<Target>> {
+        self.first_seen
+            .retain(|id, _| targets.iter().any(|target| target.id == *id));
+        let mut settled = Vec::with_capacity(targets.len());
+        for target in targets {
+            let seen_at = *self
+                .first_seen
+                .entry(target.id.clone())
+                .or_insert_with(Instant::now);
+            if seen_at.elapsed() >= settle {
+                settled.push(target.clone());
+            }
+        }
+        settled
+    }
+
     /// Whether an order says something new, or the last one had no effect.
     fn is_due(&self, subject: &Subject, count: u32, runs: u32, scaling: &Scaling) -> bool {
+        if self.sold_out.contains_key(subject) {
+            return false;
+        }
         let Some(ordered) = self.ordered.get(subject) else {
             return count != runs;
         };
--- a/src/gateway/prefill.rs
+++ b/src/gateway/prefill.rs
@@ -75,11 +75,11 @@
 pub(super) async fn prefill(state: &Arc<State>, call: &Arc<Call>, prompt: &Prompt) -> Prefill {
     let mut tried = Vec::new();
     while tried.len() < MAX_PREFILL_ATTEMPTS {
-        let Some((target, uncached_tokens)) = choose(state, call, prompt, &tried) else {
+        let Some(chosen) = choose(state, call, prompt, &tried) else {
             break;
         };
-        tried.push(target.id.clone());
-        match attempt_once(state, call, prompt, &target, uncached_tokens).await {
+        tried.push(chosen.target.id.clone());
+        match attempt_once(state, call, prompt, &chosen).await {
             Ok(handle) => return Prefill::Done(handle),
             Err(error) if error.failure.is_not_written() => {}
             Err(_) => {
@@ -92,18 +92,34 @@
     Prefill::Skipped
 }
 
+/// The engine that was chosen for a prefill.
+#[derive(Debug)]
+struct Chosen {
+    target: Arc<Target>,
+    uncached_tokens: u32,
+    /// Engine that has the shared parts of the prompt.
+    fetch_from: Option<Arc<Target>>,
+}
+
 async fn attempt_once(
     state: &Arc<State>,
     call: &Arc<Call>,
     prompt: &Prompt,
-    target: &Arc<Target>,
-    uncached_tokens: u32,
+    chosen: &Chosen,
 ) -> Result<PrefillHandle, AttemptError> {
+    let Chosen {
+        target,
+        uncached_tokens,
+        ..
+    } = chosen;
+    let uncached_tokens = *uncached_tokens;
+    let queued_tokens = state.loads().in_flight(&target.id).prefill_tokens;
     let _in_flight = InFlightGuard::new(state, &target.id, u64::from(uncached_tokens));
     let started_at = Instant::now();
     let by = started_at + call.time_left(started_at).saturating_sub(DECODE_TIME);
     let head = AttemptHead {
         prefill_only: true,
+        fetch_from: chosen.fetch_from.as_ref().map(|source| source.address),
         ..AttemptHead::default()
     };
     let answer = attempt::send(state, call, target, head, by).await?;
@@ -126,10 +142,13 @@
     loads.chains.insert(&target.id, &prompt.parts, now_ms);
     drop(loads);
     metrics::histogram!("gateway_prefill_ms").record(started_at.elapsed().as_secs_f64() * 1_000.0);
-    tracing::debug!(
+    tracing::info!(
         request = &*call.id,
         target = &*target.id,
+        prompt_tokens = prompt.prompt_tokens,
         uncached_tokens,
+        queued_tokens,
+        fetch_from = chosen.fetch_from.as_ref().map_or("-", |source| &source.id),
         elapsed_ms = started_at.elapsed().as_millis() as u64,
         "gateway: prompt prefilled"
     );
@@ -144,12 +163,7 @@
     })
 }
 
-fn choose(
-    state: &State,
-    call: &Call,
-    prompt: &Prompt,
-    tried: &[Arc<str>],
-) -> Option<(Arc<Target>, u32)> {
+fn choose(state: &State, call: &Call, prompt: &Prompt, tried: &[Arc<str>]) -> Option<Chosen> {
     let now_ms = state.now_ms();
     let mut targets = state.ready_targets(&call.service);
     targets
@@ -165,5 +179,9 @@
         });
     }
     let choice = choose_prefill(prompt, &candidates, &loads.chains, now_ms)?;
-    Some((targets.swap_remove(choice.index), choice.uncached_tokens))
+    Some(Chosen {
+        target: targets[choice.index].clone(),
+        uncached_tokens: choice.uncached_tokens,
+        fetch_from: choice.fetch_from.map(|index| targets[index].clone()),
+    })
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -212,7 +212,12 @@
         if duties.ordering {
             let (parts, held) = (self.clone(), tenure);
             spawn_loop(supervisor, "ordering", move || {
-                duty::keep_targets(parts.state.clone(), held.clone(), parts.cloud.clone())
+                let Parts {
+                    state,
+                    store,
+                    cloud,
+                } = parts.clone();
+                duty::keep_targets(state, held.clone(), store, cloud)
             });
         }
     }
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -28,6 +28,7 @@
 const REQUEST_PRIORITY: HeaderName = HeaderName::from_static("request-priority");
 const STAGE: HeaderName = HeaderName::from_static("stage");
 const KV_SOURCE: HeaderName = HeaderName::from_static("kv-source");
+const KV_FETCH: HeaderName = HeaderName::from_static("kv-fetch");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 // A worker's signature of its answer.
 const RESPONSE_SEAL: HeaderName = HeaderName::from_static("response-seal");
@@ -46,7 +47,7 @@
     HeaderName::from_static("pin-ms"),
     HeaderName::from_static("kv-hold"),
     HeaderName::from_static("kv-backup"),
-    HeaderName::from_static("kv-fetch"),
+    KV_FETCH,
     HeaderName::from_static("not-executed"),
 ];
 
@@ -135,6 +136,8 @@
     pub prefill_only: bool,
     /// Where the KV cache of the prompt is.
     pub kv_source: Option<&'a KvSource>,
+    /// Engine from which the shared parts of the prompt are fetched first.
+    pub fetch_from: Option<SocketAddr>,
     /// Last event that the caller has, from an earlier attempt or its own.
     pub resume_after: Option<&'a str>,
 }
@@ -159,6 +162,9 @@
     if head.prefill_only {
         headers.insert(STAGE, HeaderValue::from_static("prefill"));
     }
+    if let Some(address) = head.fetch_from {
+        insert(&mut headers, KV_FETCH, &address.to_string());
+    }
     if let Some(source) = head.kv_source {
         insert(&mut headers, KV_SOURCE, &source.to_string());
     }
--- a/src/policy/homes.rs
+++ b/src/policy/homes.rs
@@ -3,7 +3,7 @@
 //! Each chain of shared parts has a home by rendezvous hashing, which is the
 //! same on all instances without a message. A request goes to the engine that
 //! should have its prompt prefilled first: the home, unless its queue costs
-//! more than prefilling the shared parts elsewhere.
+//! more than fetching the shared parts to another engine.
 
 use std::{hash::Hasher, sync::Arc};
 
@@ -15,6 +15,12 @@
 /// milliseconds.
 const CACHED_FOR_MS: u64 = 15_000;
 
+/// Cost of a fetch of shared parts, in tokens that are read meanwhile.
+const FETCH_TOKENS: f64 = 1_500.0;
+
+/// The same at the home, which mostly has them already.
+const HOME_FETCH_TOKENS: f64 = 200.0;
+
 /// Chains that are remembered for one engine.
 const MAX_CHAINS: usize = 4_096;
 
@@ -30,12 +36,14 @@
 }
 
 /// Where a prompt is prefilled.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PrefillChoice {
     /// Index of the candidate.
     pub index: usize,
     /// Tokens that it has to read.
     pub uncached_tokens: u32,
+    /// Index of the candidate from which it fetches the shared parts first.
+    pub fetch_from: Option<usize>,
 }
 
 /// Which chains of shared parts each engine has cached, as far as this
@@ -82,7 +90,8 @@
 
 /// Chooses the engine that should finish the prefill of a prompt first.
 ///
-/// The home of the prompt's shared parts counts as having them cached.
+/// An engine that is not known to have the shared parts cached fetches them
+/// from one that is, or from their home.
 #[must_use]
 pub fn choose_prefill(
     prompt: &Prompt,
@@ -90,41 +99,96 @@
     cached: &CachedChains,
     now_ms: u64,
 ) -> Option<PrefillChoice> {
-    let shared = prompt.shared_parts();
-    let shared_tokens: u32 = shared.iter().map(|part| part.tokens).sum();
-    let home = home(shared, candidates);
+    let holders = Holders::new(prompt, candidates, cached, now_ms);
     let mut best: Option<(f64, u64, PrefillChoice)> = None;
     for (index, candidate) in candidates.iter().enumerate() {
-        let mut cached_tokens = cached.cached_tokens(&candidate.id, &prompt.parts, now_ms);
-        if home == Some(index) {
-            cached_tokens = cached_tokens.max(shared_tokens);
-        }
-        let uncached_tokens = prompt.prompt_tokens.saturating_sub(cached_tokens);
-        let cost = candidate.queued_tokens + candidate.penalty_tokens + f64::from(uncached_tokens);
-        let weight = rendezvous_weight(chain_hash(shared), &candidate.id);
+        let (choice, fetch_cost) = holders.choice(index);
+        let cost = candidate.queued_tokens
+            + candidate.penalty_tokens
+            + fetch_cost
+            + f64::from(choice.uncached_tokens);
+        let weight = holders.weights[index];
         let better = best.as_ref().is_none_or(|(least, heaviest, _)| {
             cost < *least || (cost == *least && weight > *heaviest)
         });
         if better {
-            let choice = PrefillChoice {
-                index,
-                uncached_tokens,
-            };
             best = Some((cost, weight, choice));
         }
     }
     best.map(|(_, _, choice)| choice)
 }
 
-/// Returns the candidate that is the home of a chain of shared parts.
-fn home(shared: &[PromptPart], candidates: &[PrefillCandidate]) -> Option<usize> {
-    if shared.is_empty() {
-        return None;
+/// Which candidates have the shared parts of one prompt.
+struct Holders<'a> {
+    prompt: &'a Prompt,
+    shared_tokens: u32,
+    /// Rendezvous weights of the candidates; the heaviest is the home.
+    weights: Vec<u64>,
+    /// Tokens that each candidate is known to have cached.
+    cached_tokens: Vec<u32>,
+}
+
+impl<'a> Holders<'a> {
+    fn new(
+        prompt: &'a Prompt,
+        candidates: &[PrefillCandidate],
+        cached: &CachedChains,
+        now_ms: u64,
+    ) -> Self {
+        let shared = prompt.shared_parts();
+        let key = chain_hash(shared);
+        let mut weights = Vec::with_capacity(candidates.len());
+        let mut cached_tokens = Vec::with_capacity(candidates.len());
+        for candidate in candidates {
+            weights.push(rendezvous_weight(key, &candidate.id));
+            cached_tokens.push(cached.cached_tokens(&candidate.id, &prompt.parts, now_ms));
+        }
+        Self {
+            prompt,
+            shared_tokens: shared.iter().map(|part| part.tokens).sum(),
+            weights,
+            cached_tokens,
+        }
+    }
+
+    /// Returns what a candidate would do, and the cost of its fetch in tokens.
+    fn choice(&self, index: usize) -> (PrefillChoice, f64) {
+        let known = self.cached_tokens[index];
+        let has_shared = known >= self.shared_tokens;
+        let fetch_from = match has_shared {
+            true => None,
+            false => self.source(index),
+        };
+        let cached = match fetch_from {
+            Some(_) => self.shared_tokens.max(known),
+            None => known,
+        };
+        let fetch_cost = match (fetch_from, self.home() == Some(index)) {
+            (None, _) => 0.0,
+            (Some(_), true) => HOME_FETCH_TOKENS,
+            (Some(_), false) => FETCH_TOKENS,
+        };
+        let choice = PrefillChoice {
+            index,
+            uncached_tokens: self.prompt.prompt_tokens.saturating_sub(cached),
+            fetch_from,
+        };
+        (choice, fetch_cost)
+    }
+
+    /// Returns another candidate that has the shared parts, or should: the
+    /// home, or the one that was home before a candidate came.
+    fn source(&self, index: usize) -> Option<usize> {
+        let others = (0..self.weights.len()).filter(|other| *other != index);
+        others.max_by_key(|&other| {
+            let holds = self.cached_tokens[other] >= self.shared_tokens;
+            (holds, self.weights[other])
+        })
+    }
+
+    fn home(&self) -> Option<usize> {
+        (0..self.weights.len()).max_by_key(|&index| self.weights[index])
     }
-    let key = chain_hash(shared);
-    let mut indexes: Vec<usize> = (0..candidates.len()).collect();
-    indexes.sort_unstable_by_key(|&index| rendezvous_weight(key, &candidates[index].id));
-    indexes.last().copied()
 }
 
 /// Returns the hash of a whole chain of parts.
--- a/src/policy/role_split.rs
+++ b/src/policy/role_split.rs
@@ -5,7 +5,7 @@
 use crate::target::protocol::EngineRole;
 
 /// Part of the engines that prefill: reading prompts takes most of the work.
-const PREFILL_SHARE: f64 = 0.77;
+const PREFILL_SHARE: f64 = 0.8;
 
 /// Fewest engines that decode, where there are more than that.
 const MIN_DECODE: usize = 2;
