Keep a copy of shared parts in another failure domain; spare targets

A lost domain was insured anew by regular targets, the dearest there are; calls to the store doubled each renewal.

--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -35,7 +35,7 @@
 /// Longest wait of a read for the next configuration. A read that waits says
 /// nothing of its time until it ends; peers are asked for what is older than
 /// half of the freshness bound.
-const READ_WAIT: Duration = Duration::from_millis(1_000);
+const READ_WAIT: Duration = Duration::from_millis(1_500);
 
 /// Records that were read, and when the read was sent.
 type Read = (Result<Update, ()>, u64, Instant);
--- a/src/gateway/duty/ordering.rs
+++ b/src/gateway/duty/ordering.rs
@@ -13,7 +13,8 @@
     gateway::state::State,
     platform::{CloudClient, CloudError, StoreClient, TargetCount, Topic},
     policy::spending::{
-        DomainSupply, NeedWindow, SpendingLimits, SpendingPrices, needed_targets, plan, release,
+        DomainSupply, NeedWindow, SpendingLimits, SpendingPrices, keep_regular, needed_targets,
+        plan,
     },
     roster::Target,
     target::protocol::EngineRole,
@@ -28,6 +29,9 @@
 /// Topic in which needs are kept, by service.
 const FLEET_TOPIC: Topic = Topic("keyed.fleet");
 
+/// Reclaimable targets that do the work of one regular target.
+const SPARE_FACTOR: f64 = 1.33;
+
 /// Time in which the first holder counts the targets that were there before.
 const FIRST_COUNT: Duration = Duration::from_millis(3_500);
 
@@ -185,10 +189,7 @@
         if targets.is_empty() {
             return Vec::new();
         }
-        let Some(needed) = self.needed(state, &targets, scaling) else {
-            return Vec::new();
-        };
-        self.kept = Some(needed);
+        let needed = self.needed(state, &targets, scaling);
         let settle = service
             .engine
             .as_ref()
@@ -203,7 +204,7 @@
         for domain in &supply {
             regular_now.push(running(&targets, &domain.failure_domain, false));
         }
-        let regular = release(&planned, needed, &regular_now, &supply);
+        let regular = keep_regular(&planned, needed, &regular_now, &supply);
         let mut orders = Vec::new();
         for (index, domain) in supply.iter().enumerate() {
             let reclaimable =
@@ -243,8 +244,8 @@
     }
 
     /// Returns how many targets must be left when any one failure domain
-    /// loses its reclaimable ones; `None` while that is not known.
-    fn needed(&mut self, state: &State, targets: &[Arc<Target>], scaling: &Scaling) -> Option<u32> {
+    /// loses its reclaimable ones.
+    fn needed(&mut self, state: &State, targets: &[Arc<Target>], scaling: &Scaling) -> u32 {
         let mut load = 0.0;
         let mut decoding = 0;
         for target in targets {
@@ -269,11 +270,14 @@
             // Without a history of the load, no fewer survivors than before.
             Some(kept) if elapsed < NEED_WINDOW => by_load.max(kept),
             Some(_) => by_load,
-            None if elapsed < FIRST_COUNT => return None,
-            None => by_load.max(surviving(targets)),
+            None => by_load.max(spare(regular(targets))),
         };
         let now_ms = elapsed.as_millis() as u64;
-        Some(self.need.observe(needed.min(most), now_ms))
+        let needed = self.need.observe(needed.min(most), now_ms);
+        if self.kept.is_some() || elapsed >= FIRST_COUNT {
+            self.kept = Some(needed);
+        }
+        needed
     }
 
     fn supply(
@@ -386,13 +390,13 @@
     count
 }
 
-/// Returns how many targets are left when the failure domain with most
-/// reclaimable ones loses them.
-fn surviving(targets: &[Arc<Target>]) -> u32 {
-    let mut by_domain: IndexMap<&str, u32> = IndexMap::new();
-    for target in targets.iter().filter(|target| target.reclaimable) {
-        *by_domain.entry(&target.failure_domain).or_insert(0) += 1;
-    }
-    let lost = by_domain.values().copied().max().unwrap_or(0);
-    (targets.len() as u32).saturating_sub(lost)
+/// Counts the running targets that cannot be reclaimed.
+fn regular(targets: &[Arc<Target>]) -> u32 {
+    targets.iter().filter(|target| !target.reclaimable).count() as u32
+}
+
+/// Returns how many reclaimable targets do the work of `regular` ones: they
+/// lose their caches now and then.
+fn spare(regular: u32) -> u32 {
+    (SPARE_FACTOR * f64::from(regular)).ceil() as u32
 }
--- a/src/gateway/duty/reports.rs
+++ b/src/gateway/duty/reports.rs
@@ -34,7 +34,10 @@
 const FIGURE_KEY: &str = "figure";
 
 /// Wait of a read for the next slice.
-const READ_WAIT: Duration = Duration::from_millis(250);
+const READ_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Time between two looks at what is due.
+const LOOK_PERIOD: Duration = Duration::from_millis(400);
 
 /// Time after a window's end at which its figure is decided without the
 /// slices that are missing, in milliseconds.
@@ -131,7 +134,7 @@
     };
     loop {
         let Some(holder) = reporter.tenure.holder() else {
-            sleep(READ_WAIT).await;
+            sleep(LOOK_PERIOD).await;
             continue;
         };
         reporter.report_under(holder.fence).await;
@@ -162,7 +165,7 @@
             };
             if !self.is_due(&books, window) {
                 // Many slices arrive in a second; they can be read together.
-                sleep(READ_WAIT).await;
+                sleep(LOOK_PERIOD).await;
                 continue;
             }
             if !self.decide(&mut books, window).await {
--- a/src/gateway/duty/slices.rs
+++ b/src/gateway/duty/slices.rs
@@ -18,7 +18,7 @@
 const KEPT_WINDOWS: u64 = 4;
 
 /// Time between two looks at what was counted.
-const FLUSH_PERIOD: Duration = Duration::from_millis(1_000);
+const FLUSH_PERIOD: Duration = Duration::from_millis(2_000);
 
 /// Time after a window's end at which its last slice is written, in
 /// milliseconds, so that requests that began in it are counted.
--- a/src/gateway/duty/tenure.rs
+++ b/src/gateway/duty/tenure.rs
@@ -48,11 +48,17 @@
 /// Time between two decisions.
 const STEP_PERIOD: Duration = Duration::from_millis(100);
 
-/// Wait of a read for the next renewal.
-const READ_WAIT: Duration = Duration::from_millis(1_000);
+/// Reads of the topic in the time of a lease.
+const READS_PER_LEASE: u64 = 2;
 
-/// Age of the last read at which the topic counts as unread, in milliseconds.
-const LIVE_FOR_MS: u64 = 2_000;
+/// Instances that are ready to claim at once; the others look more rarely.
+const CANDIDATES: u64 = 3;
+
+/// Factor of the time between two reads of an instance that is no candidate.
+const BYSTANDER_FACTOR: u32 = 4;
+
+/// Age of the last read at which the topic counts as unread, in leases.
+const LIVE_FOR_LEASES: u64 = 4;
 
 /// A claim, or a renewal of one.
 #[derive(Debug, Deserialize, Serialize)]
@@ -170,15 +176,27 @@
     store: StoreClient,
     peers: PeerHandle,
 ) {
-    let following = follow(tenure.clone(), store.clone());
+    let period = Duration::from_millis(state.settings.timing.lease_ms / READS_PER_LEASE);
+    let following = follow(tenure.clone(), store.clone(), peers.clone(), period);
     let claiming = claim(state, tenure, store, peers);
     tokio::join!(following, claiming);
 }
 
-async fn follow(tenure: Arc<Tenure>, store: StoreClient) {
+/// Reads the topic again and again: waiting reads would return at each
+/// renewal.
+async fn follow(tenure: Arc<Tenure>, store: StoreClient, peers: PeerHandle, period: Duration) {
     let mut follower = Follower::new(store, DUTY_TOPIC);
     loop {
-        let Ok(update) = follower.next(READ_WAIT).await else {
+        let entry = tenure.lock().entry.clone();
+        let factor = match own_rank(&tenure, entry.as_ref(), &peers) < CANDIDATES {
+            true => 1,
+            false => BYSTANDER_FACTOR,
+        };
+        match entry {
+            Some(_) => sleep(period * factor).await,
+            None => sleep(STEP_PERIOD).await,
+        }
+        let Ok(update) = follower.next(Duration::ZERO).await else {
             continue;
         };
         let (Update::Snapshot(records) | Update::Changes(records)) = update;
@@ -212,7 +230,7 @@
             let now_ms = boot_ms();
             let situation = DutySituation {
                 entry: known.entry.as_ref(),
-                tail_live: now_ms.saturating_sub(known.read_at_ms) < LIVE_FOR_MS,
+                tail_live: now_ms.saturating_sub(known.read_at_ms) < LIVE_FOR_LEASES * lease_ms,
                 rank: own_rank(&tenure, known.entry.as_ref(), &peers),
                 stopping: false,
                 idle: false,
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -9,10 +9,6 @@
     platform::{KeyedRecord, StoreClient, StoreError, Topic},
 };
 
-/// Longest wait of a read for the next record. A connection that has gone
-/// silent is noticed after it and the client's timeout.
-pub(super) const READ_WAIT: Duration = Duration::from_millis(1_500);
-
 /// Delay after a first failed read.
 const FIRST_RETRY: Duration = Duration::from_millis(50);
 
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use super::{
-    follower::{Follower, READ_WAIT, Update},
+    follower::{Follower, Update},
     state::State,
 };
 use crate::{
@@ -23,6 +23,12 @@
 /// Topic in which instances announce themselves, by name.
 const MEMBER_TOPIC: Topic = Topic("keyed.members");
 
+/// Longest wait of a read for the next announcement.
+const READ_WAIT: Duration = Duration::from_secs(8);
+
+/// Wait after announcements for others that one read can bring with them.
+const BATCH_WAIT: Duration = Duration::from_secs(1);
+
 /// Delay after a first failed announcement.
 const FIRST_RETRY: Duration = Duration::from_millis(100);
 
@@ -105,6 +111,7 @@
         let list: Vec<LiveInstance> = members.values().cloned().collect();
         tracing::info!(members = list.len(), "gateway: list of instances taken");
         peers.apply_list(&list);
+        sleep(BATCH_WAIT).await;
     }
 }
 
--- a/src/gateway/prefill.rs
+++ b/src/gateway/prefill.rs
@@ -13,7 +13,7 @@
 use crate::{
     call::{Call, Prompt},
     platform::{AttemptHead, KvSource, Prefilled},
-    policy::homes::{PrefillCandidate, choose_prefill},
+    policy::homes::{PrefillCandidate, chain_hash, choose_prefill},
     roster::Target,
     target::protocol::EngineRole,
 };
@@ -21,6 +21,10 @@
 /// Engines that are asked to prefill one prompt.
 const MAX_PREFILL_ATTEMPTS: usize = 2;
 
+/// Part of the prompts that go to the copy of their shared parts, so that it
+/// is there when their home is lost.
+const COPY_SHARE: f64 = 0.15;
+
 /// Time kept for the decode after the prefill.
 const DECODE_TIME: Duration = Duration::from_millis(200);
 
@@ -148,6 +152,7 @@
         prompt_tokens = prompt.prompt_tokens,
         uncached_tokens,
         queued_tokens,
+        chain = format!("{:016x}", chain_hash(prompt.shared_parts())),
         fetch_from = chosen.fetch_from.as_ref().map_or("-", |source| &source.id),
         elapsed_ms = started_at.elapsed().as_millis() as u64,
         "gateway: prompt prefilled"
@@ -165,20 +170,22 @@
 
 fn choose(state: &State, call: &Call, prompt: &Prompt, tried: &[Arc<str>]) -> Option<Chosen> {
     let now_ms = state.now_ms();
-    let mut targets = state.ready_targets(&call.service);
-    targets
-        .retain(|target| target.role == Some(EngineRole::Prefill) && !tried.contains(&target.id));
+    let mut targets = state.targets(&call.service);
+    targets.retain(|target| target.role == Some(EngineRole::Prefill));
     let mut loads = state.loads();
-    targets.retain(|target| loads.allows(&target.id, now_ms));
     let mut candidates = Vec::with_capacity(targets.len());
     for target in &targets {
+        let is_open = target.state.is_ready() && !tried.contains(&target.id);
         candidates.push(PrefillCandidate {
             id: target.id.clone(),
+            failure_domain: target.failure_domain.clone(),
+            is_leaving: !is_open || !loads.allows(&target.id, now_ms),
             queued_tokens: loads.in_flight(&target.id).prefill_tokens as f64,
             penalty_tokens: FAILING_TOKENS * loads.failure_rate(&target.id),
         });
     }
-    let choice = choose_prefill(prompt, &candidates, &loads.chains, now_ms)?;
+    let keeps_copy = rand::random_bool(COPY_SHARE);
+    let choice = choose_prefill(prompt, &candidates, &loads.chains, keeps_copy, now_ms)?;
     Some(Chosen {
         target: targets[choice.index].clone(),
         uncached_tokens: choice.uncached_tokens,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -141,6 +141,14 @@
         self.with_roster(|roster| roster.ready(service).cloned().collect())
     }
 
+    /// Returns all targets of a service, also those that are about to leave.
+    pub(super) fn targets(&self, service: &str) -> Vec<Arc<Target>> {
+        self.with_roster(|roster| {
+            let targets = roster.iter().filter(|target| *target.service == *service);
+            targets.cloned().collect()
+        })
+    }
+
     /// Returns whether a target still takes requests.
     pub(super) fn is_ready_target(&self, target: &Target) -> bool {
         self.with_roster(|roster| roster.is_ready(target))
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -3,14 +3,21 @@
 use std::{sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use super::{
-    follower::{Follower, READ_WAIT, Update},
+    follower::{Follower, Update},
     state::State,
 };
 use crate::platform::{KeyedRecord, StoreClient, TARGET_TOPIC, read_target};
 
+/// Longest wait of a read for the next record. A connection that has gone
+/// silent is noticed after it and the client's timeout.
+const READ_WAIT: Duration = Duration::from_millis(2_000);
+
+/// Wait after changes for others that one read can bring with them.
+const BATCH_WAIT: Duration = Duration::from_millis(250);
+
 /// Wait of a read while a target may come back.
 const SHORT_WAIT: Duration = Duration::from_millis(200);
 
@@ -38,6 +45,9 @@
                 for record in &records {
                     take_target(&state, &mut removals, record);
                 }
+                if !records.is_empty() {
+                    sleep(BATCH_WAIT).await;
+                }
             }
         }
         prune(&state);
--- a/src/policy/homes.rs
+++ b/src/policy/homes.rs
@@ -15,11 +15,15 @@
 /// milliseconds.
 const CACHED_FOR_MS: u64 = 15_000;
 
-/// Cost of a fetch of shared parts, in tokens that are read meanwhile.
-const FETCH_TOKENS: f64 = 1_500.0;
+/// Cost of the engine that holds the other copy of the shared parts, in tokens
+/// that are read meanwhile.
+const OTHER_COPY_TOKENS: f64 = 1_500.0;
 
-/// The same at the home, which mostly has them already.
-const HOME_FETCH_TOKENS: f64 = 200.0;
+/// Cost of an engine where a copy would take the place of other parts.
+const THIRD_COPY_TOKENS: f64 = 8_000.0;
+
+/// Shared tokens from which on a place has its full cost.
+const FULL_COST_TOKENS: f64 = 8_000.0;
 
 /// Chains that are remembered for one engine.
 const MAX_CHAINS: usize = 4_096;
@@ -29,6 +33,11 @@
 pub struct PrefillCandidate {
     /// Identifier.
     pub id: Arc<str>,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Whether it is about to leave: it takes no prompts, and others may still
+    /// fetch from it.
+    pub is_leaving: bool,
     /// Tokens that wait for their prefill there.
     pub queued_tokens: f64,
     /// Cost of choosing it beyond its queue, in tokens.
@@ -90,22 +99,36 @@
 
 /// Chooses the engine that should finish the prefill of a prompt first.
 ///
-/// An engine that is not known to have the shared parts cached fetches them
-/// from one that is, or from their home.
+/// Shared parts have a home and a copy in another failure domain, to which
+/// some requests go although the home is free, as `keeps_copy` says. An engine
+/// that is not known to have the parts fetches them from one that should.
 #[must_use]
 pub fn choose_prefill(
     prompt: &Prompt,
     candidates: &[PrefillCandidate],
     cached: &CachedChains,
+    keeps_copy: bool,
     now_ms: u64,
 ) -> Option<PrefillChoice> {
     let holders = Holders::new(prompt, candidates, cached, now_ms);
+    let (first, second) = match keeps_copy {
+        true => (holders.copy.or(holders.home), holders.home),
+        false => (holders.home, holders.copy),
+    };
     let mut best: Option<(f64, u64, PrefillChoice)> = None;
     for (index, candidate) in candidates.iter().enumerate() {
-        let (choice, fetch_cost) = holders.choice(index);
+        if candidate.is_leaving {
+            continue;
+        }
+        let place_tokens = match Some(index) {
+            place if place == first => 0.0,
+            place if place == second => OTHER_COPY_TOKENS,
+            _ => THIRD_COPY_TOKENS,
+        };
+        let choice = holders.choice(index);
         let cost = candidate.queued_tokens
             + candidate.penalty_tokens
-            + fetch_cost
+            + place_tokens * holders.place_weight()
             + f64::from(choice.uncached_tokens);
         let weight = holders.weights[index];
         let better = best.as_ref().is_none_or(|(least, heaviest, _)| {
@@ -121,17 +144,22 @@
 /// Which candidates have the shared parts of one prompt.
 struct Holders<'a> {
     prompt: &'a Prompt,
+    candidates: &'a [PrefillCandidate],
     shared_tokens: u32,
-    /// Rendezvous weights of the candidates; the heaviest is the home.
+    /// Rendezvous weights of the candidates.
     weights: Vec<u64>,
     /// Tokens that each candidate is known to have cached.
     cached_tokens: Vec<u32>,
+    /// Heaviest candidate that stays.
+    home: Option<usize>,
+    /// Heaviest one in another failure domain than the home.
+    copy: Option<usize>,
 }
 
 impl<'a> Holders<'a> {
     fn new(
         prompt: &'a Prompt,
-        candidates: &[PrefillCandidate],
+        candidates: &'a [PrefillCandidate],
         cached: &CachedChains,
         now_ms: u64,
     ) -> Self {
@@ -143,16 +171,26 @@
             weights.push(rendezvous_weight(key, &candidate.id));
             cached_tokens.push(cached.cached_tokens(&candidate.id, &prompt.parts, now_ms));
         }
+        let staying = (0..candidates.len()).filter(|&index| !candidates[index].is_leaving);
+        let home = staying.clone().max_by_key(|&index| weights[index]);
+        let copy = home.and_then(|home| {
+            let domain = &candidates[home].failure_domain;
+            let others = staying.filter(|&index| candidates[index].failure_domain != *domain);
+            others.max_by_key(|&index| weights[index])
+        });
         Self {
             prompt,
+            candidates,
             shared_tokens: shared.iter().map(|part| part.tokens).sum(),
             weights,
             cached_tokens,
+            home,
+            copy,
         }
     }
 
-    /// Returns what a candidate would do, and the cost of its fetch in tokens.
-    fn choice(&self, index: usize) -> (PrefillChoice, f64) {
+    /// Returns what a candidate would do.
+    fn choice(&self, index: usize) -> PrefillChoice {
         let known = self.cached_tokens[index];
         let has_shared = known >= self.shared_tokens;
         let fetch_from = match has_shared {
@@ -163,32 +201,30 @@
             Some(_) => self.shared_tokens.max(known),
             None => known,
         };
-        let fetch_cost = match (fetch_from, self.home() == Some(index)) {
-            (None, _) => 0.0,
-            (Some(_), true) => HOME_FETCH_TOKENS,
-            (Some(_), false) => FETCH_TOKENS,
-        };
-        let choice = PrefillChoice {
+        PrefillChoice {
             index,
             uncached_tokens: self.prompt.prompt_tokens.saturating_sub(cached),
             fetch_from,
-        };
-        (choice, fetch_cost)
+        }
+    }
+
+    /// Returns how much the place of a candidate matters, from 0 to 1.
+    fn place_weight(&self) -> f64 {
+        (f64::from(self.shared_tokens) / FULL_COST_TOKENS).min(1.0)
     }
 
-    /// Returns another candidate that has the shared parts, or should: the
-    /// home, or the one that was home before a candidate came.
+    /// Returns another candidate that has the shared parts, or should: one
+    /// that is known to, the home that leaves, the home or the copy.
     fn source(&self, index: usize) -> Option<usize> {
+        let home_weight = self.home.map_or(0, |home| self.weights[home]);
         let others = (0..self.weights.len()).filter(|other| *other != index);
         others.max_by_key(|&other| {
             let holds = self.cached_tokens[other] >= self.shared_tokens;
-            (holds, self.weights[other])
+            let was_home = self.candidates[other].is_leaving && self.weights[other] > home_weight;
+            let is_holder = [self.home, self.copy].contains(&Some(other));
+            (holds, was_home, is_holder, self.weights[other])
         })
     }
-
-    fn home(&self) -> Option<usize> {
-        (0..self.weights.len()).max_by_key(|&index| self.weights[index])
-    }
 }
 
 /// Returns the hash of a whole chain of parts.
--- a/src/policy/spending/mod.rs
+++ b/src/policy/spending/mod.rs
@@ -8,4 +8,6 @@
 mod plan;
 
 pub use need::{NeedWindow, needed_targets};
-pub use plan::{DomainSupply, SpendingLimits, SpendingPlan, SpendingPrices, plan, release};
+pub use plan::{
+    DomainSupply, SpendingLimits, SpendingPlan, SpendingPrices, keep_regular, plan, release,
+};
--- a/src/policy/spending/plan.rs
+++ b/src/policy/spending/plan.rs
@@ -111,6 +111,37 @@
     kept
 }
 
+/// Returns the regular targets to keep in each domain until the reclaimable
+/// ones that replace them run.
+///
+/// While a domain's reclaimable targets are away, those of the others carry
+/// the load: the loss is what they were spread for, and no regular target is
+/// ordered for it as long as `needed` targets are planned at all.
+#[must_use]
+pub fn keep_regular(
+    planned: &SpendingPlan,
+    needed: u32,
+    regular_now: &[u32],
+    supply: &[DomainSupply],
+) -> Vec<u32> {
+    let mut live: u32 = 0;
+    for (domain, wanted) in supply.iter().zip(&planned.reclaimable) {
+        live += domain.reclaimable_live.min(*wanted);
+    }
+    let ordered: u32 = planned.reclaimable.iter().sum();
+    let mut shortfall = needed.saturating_sub(ordered);
+    let mut missing = needed.saturating_sub(live);
+    let mut kept = Vec::with_capacity(supply.len());
+    for (wanted, now) in planned.regular.iter().zip(regular_now) {
+        let added = wanted.saturating_sub(*now).min(shortfall);
+        shortfall -= added;
+        let stays = (*now).min(missing);
+        missing -= stays;
+        kept.push(stays + added);
+    }
+    kept
+}
+
 /// Spreads the fewest reclaimable targets over the domains of which `needed`
 /// survive, as far as the supply goes.
 fn spread_reclaimable(needed: u32, supply: &[DomainSupply]) -> Vec<u32> {
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -81,7 +81,7 @@
             usage_window_ms: 5_000,
             usage_due_ms: 10_000,
             stop_ms: 7_000,
-            freshness_ms: 5_000,
+            freshness_ms: 6_500,
             return_ms: 1_800,
         }
     }
