Keep a KV cache that one engine refused for another; probe refusing targets

Cause: an engine that changes its role refuses requests for seconds while its entry still names the old role. With nothing in flight it looked the least loaded, so that all instances sent to it; each refusal released the KV cache, and the prompt was read anew at half speed where it was decoded.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -51,6 +51,7 @@
         },
         None => None,
     };
+    let mut refused_handle = false;
     loop {
         let exhausted = call.time_left(Instant::now()) < MIN_ATTEMPT;
         if exhausted || !is_still_permitted(state, call, head) {
@@ -90,7 +91,7 @@
                 failure
             }
         };
-        release_uncertain(&mut handle, failure);
+        give_up_handle(&mut handle, failure, &mut refused_handle);
         progress.tried.push(target.id.clone());
         if progress.fail(state, call, failure) != RetryDecision::Retry {
             break;
@@ -131,9 +132,10 @@
     now + call.time_left(now) / BEGIN_TIME_SHARE
 }
 
-/// Gives a KV cache up that an engine took, or may have taken.
-fn release_uncertain(handle: &mut Option<PrefillHandle>, failure: Failure) {
-    if failure.is_not_written() {
+/// Gives a KV cache up that an engine may have taken, or that two engines
+/// could not fetch.
+fn give_up_handle(handle: &mut Option<PrefillHandle>, failure: Failure, refused: &mut bool) {
+    if failure.is_not_written() || (failure.is_refused() && !std::mem::replace(refused, true)) {
         return;
     }
     if let Some(handle) = handle.take()
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -16,6 +16,15 @@
 /// Weight of the newest outcome in a target's failure rate.
 const FAILURE_GAIN: f64 = 0.15;
 
+/// Time for which a target is passed over after a first refusal.
+const FIRST_AVOIDED_MS: u64 = 100;
+
+/// Longest time for which a target is passed over after a refusal.
+const MAX_AVOIDED_MS: u64 = 1_000;
+
+/// Refusals after which that time is not doubled any more.
+const MAX_DOUBLINGS: u32 = 8;
+
 /// What is in flight on a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct InFlight {
@@ -31,6 +40,10 @@
     own: InFlight,
     breaker: Breaker,
     failure_rate: f64,
+    /// Refusals since the last answer.
+    refusals: u32,
+    /// Until when the target is passed over, as it refused requests.
+    avoided_until_ms: u64,
 }
 
 impl Default for TargetCondition {
@@ -39,10 +52,43 @@
             own: InFlight::default(),
             breaker: Breaker::new(BreakerSettings::default()),
             failure_rate: 0.0,
+            refusals: 0,
+            avoided_until_ms: 0,
         }
     }
 }
 
+impl TargetCondition {
+    /// Passes a target over for a time that doubles with each refusal: it is
+    /// full, changes its role, or leaves.
+    fn note_refusal(&mut self, refused: bool, now_ms: u64) {
+        if !refused {
+            self.refusals = 0;
+            return;
+        }
+        self.refusals += 1;
+        self.avoided_until_ms = now_ms + self.avoided_ms();
+    }
+
+    /// Returns whether a request may be sent; of those that come after the
+    /// target was passed over, one at a time.
+    fn may_try(&mut self, now_ms: u64) -> bool {
+        if self.refusals == 0 {
+            return true;
+        }
+        if now_ms < self.avoided_until_ms {
+            return false;
+        }
+        self.avoided_until_ms = now_ms + self.avoided_ms();
+        true
+    }
+
+    fn avoided_ms(&self) -> u64 {
+        let doubled = FIRST_AVOIDED_MS << (self.refusals - 1).min(MAX_DOUBLINGS);
+        doubled.min(MAX_AVOIDED_MS)
+    }
+}
+
 /// All targets as this instance sees them.
 #[derive(Debug, Default)]
 pub(super) struct Loads {
@@ -87,26 +133,23 @@
 
     /// Returns whether a request may be sent to a target.
     pub(super) fn allows(&mut self, target: &Arc<str>, now_ms: u64) -> bool {
-        self.condition(target).breaker.allow(now_ms)
+        let condition = self.condition(target);
+        condition.may_try(now_ms) && condition.breaker.allow(now_ms)
     }
 
     /// Notes how a request to a target went.
     pub(super) fn observe(&mut self, target: &Arc<str>, outcome: Outcome, now_ms: u64) {
         let jitter = rand::random();
         let condition = self.condition(target);
-        let failed = if outcome == Outcome::Answered {
-            0.0
-        } else {
-            1.0
-        };
+        condition.note_refusal(outcome == Outcome::Refused, now_ms);
+        let failed = f64::from(u8::from(outcome != Outcome::Answered));
         condition.failure_rate += FAILURE_GAIN * (failed - condition.failure_rate);
         let observation = match outcome {
             Outcome::Answered => Observation::Success {
                 predicted_ms: 0.0,
                 actual_ms: 0.0,
             },
-            Outcome::Failed => return,
-            Outcome::Refused => Observation::Overload,
+            Outcome::Failed | Outcome::Refused => return,
             Outcome::Unreachable => Observation::Crash,
             Outcome::Silent => Observation::Timeout,
         };
