Flush what a stand-in engine sent before it cuts a stream

Cause of the two known red tests of stream_resume: the stand-in hands a token and the cut to the server in one poll when it is late, and the server drops its write buffer on a body error. The entry then saw attempts without a token, gave up after three and truly said unknown. Ruled out: the entry's resume (it counts only attempts without progress). The body now has nothing ready once before the cut, so that the server flushes.

--- a/src/standin/engine/service.rs
+++ b/src/standin/engine/service.rs
@@ -178,6 +178,11 @@
             .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
         res.stream(stream::unfold(receiver, async |mut receiver| {
             let item = receiver.recv().await?;
+            if item.is_err() {
+                // The server flushes what was sent before only when the body
+                // has nothing ready; an error at once would drop it.
+                tokio::task::yield_now().await;
+            }
             Some((item, receiver))
         }));
     }
--- a/tests/key_revoked.rs
+++ b/tests/key_revoked.rs
@@ -8,7 +8,7 @@
     MILL_KEY, MemoryLog, PRESS_KEY, Targets, caller, chat_prompt, document, engine_options,
     error_code, expected_text, outcome, role_of, send_chat, send_order, start_entry, wait_until,
 };
-use lavenderwind::{platform::protocol::TargetState, standin::engine::EngineFaults};
+use lavenderwind::{infra::protocol::TargetState, standin::engine::EngineFaults};
 
 const QUESTION: &str = "is the quote still valid?";
 
--- a/tests/target_order.rs
+++ b/tests/target_order.rs
@@ -8,7 +8,7 @@
         protocol::{PlatformTarget, TargetList, TargetOrder, TargetState},
     },
     standin::{
-        infra::{Group, Platform, PlatformFaults, Reclaim},
+        platform::{Group, Platform, PlatformFaults, Reclaim},
         loopback,
         plain::{PlainFaults, PlainService},
     },
--- a/tests/target_table.rs
+++ b/tests/target_table.rs
@@ -10,7 +10,7 @@
     service::KindRole,
     standin::{
         engine::{Engine, EngineOptions},
-        infra::{Group, Platform, PlatformFaults, Reclaim},
+        platform::{Group, Platform, PlatformFaults, Reclaim},
         loopback,
     },
     target::{
