--- /dev/null
+++ b/tests/gateway_duties.rs
@@ -0,0 +1,74 @@
+//! Duties of gateways: one holder, one figure a usage window.
+
+mod platform_support;
+
+use std::time::Duration;
+
+use hyper::Method;
+use indexmap::{IndexMap, IndexSet};
+use platform_support::{Cloud, Gateway, Store, Worker, configuration, eventually, signed};
+
+#[tokio::test]
+async fn one_figure_a_window() {
+    let (store, cloud) = (Store::start().await, Cloud::start().await);
+    store.put("keyed.op", "config", &configuration(1));
+    let worker = Worker::start("i-0", |arrival| Some(signed(arrival, 200, ""))).await;
+    store.put("keyed.servers", "i-0", &worker.entry("desk", None));
+    let mut first = Gateway::start("entry-1", &store, &cloud).await;
+    let mut second = Gateway::start("entry-2", &store, &cloud).await;
+    first.ready().await;
+    second.ready().await;
+    for index in 0..20 {
+        let gateway = if index % 2 == 0 { &first } else { &second };
+        let request = gateway.request(Method::GET, "/look/", &format!("r-{index}"));
+        assert_eq!(request.send().await.unwrap().status(), 200);
+    }
+    let calls = cloud.calls.clone();
+    let total = |calls: &[platform_support::DutyCall]| -> u64 {
+        let mut figures = IndexMap::new();
+        for call in calls.iter().filter(|call| call.path == "/usage") {
+            let count = call.body["counts"]["mill"].as_u64().unwrap_or(0);
+            figures.insert(call.body["window"].as_u64().unwrap(), count);
+        }
+        figures.values().sum()
+    };
+    eventually("all requests are reported", || {
+        total(&calls.lock().unwrap()) == 20
+    })
+    .await;
+    // The holder, whichever it is, goes; the other takes over.
+    let holder = calls.lock().unwrap().last().unwrap().holder.clone();
+    match &*holder {
+        "entry-1" => first.stop(),
+        _ => second.stop(),
+    }
+    eventually("another holder reports", || {
+        calls
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|call| call.holder != holder)
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let calls = calls.lock().unwrap();
+    let mut figures = IndexMap::new();
+    let mut fences: IndexMap<u64, IndexSet<String>> = IndexMap::new();
+    let mut highest = 0;
+    for call in calls.iter() {
+        assert!(call.fence >= highest, "fencing numbers only grow");
+        highest = call.fence;
+        fences
+            .entry(call.fence)
+            .or_default()
+            .insert(call.holder.clone());
+        let window = call.body["window"].as_u64().unwrap();
+        let counts = call.body["counts"].clone();
+        let known = figures.entry(window).or_insert_with(|| counts.clone());
+        assert_eq!(*known, counts, "window {window}");
+    }
+    assert!(
+        fences.values().all(|holders| holders.len() == 1),
+        "{fences:?}"
+    );
+}
--- /dev/null
+++ b/tests/platform_config.rs
@@ -0,0 +1,152 @@
+//! Configurations and entries of targets, as the platform's store has them.
+
+mod platform_support;
+
+use std::{sync::Arc, time::Duration};
+
+use lavenderwind::{
+    catalog::RouteKind,
+    platform::{read_catalog, read_target},
+    target::protocol::EngineRole,
+};
+use platform_support::configuration;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+fn bytes(value: &Value) -> Vec<u8> {
+    value.to_string().into_bytes()
+}
+
+#[test]
+fn route_selection() {
+    let mut config = configuration(3);
+    let mut deeper = config["routes"][0].clone();
+    deeper["name"] = json!("deeper");
+    deeper["path_prefix"] = json!("/order/deep/");
+    config["routes"].as_array_mut().unwrap().push(deeper);
+    let catalog = read_catalog(&bytes(&config)).unwrap();
+    let cases = [
+        ("desk.example", "/order/1", Some("order")),
+        ("desk.example", "/order/deep/1", Some("deeper")),
+        ("desk.example", "/order", None),
+        ("desk.example", "/other/", None),
+        ("other.example", "/order/1", None),
+    ];
+    for (host, path, expected) in cases {
+        let found = catalog.route(host, path).map(|route| &*route.name);
+        assert_eq!(found, expected, "{host}{path}");
+    }
+    assert_eq!(catalog.version(), 3);
+    assert_eq!(catalog.limits().idle_timeout, Duration::from_secs(10));
+}
+
+#[test]
+fn kinds_of_routes() {
+    let cases = [
+        ("safe", false, RouteKind::Idempotent, true),
+        ("unsafe", false, RouteKind::Once, false),
+        (
+            "streaming",
+            true,
+            RouteKind::Stream { resumable: true },
+            true,
+        ),
+        (
+            "streaming",
+            false,
+            RouteKind::Stream { resumable: false },
+            false,
+        ),
+        ("unheard-of", true, RouteKind::Once, false),
+    ];
+    for (kind, resumable, expected, repeatable) in cases {
+        let mut config = configuration(1);
+        config["routes"][0]["kind"] = json!(kind);
+        config["routes"][0]["resumable"] = json!(resumable);
+        let catalog = read_catalog(&bytes(&config)).unwrap();
+        let route = catalog.route("desk.example", "/order/").unwrap();
+        assert_eq!(
+            (route.kind, route.is_repeatable()),
+            (expected, repeatable),
+            "{kind}"
+        );
+    }
+}
+
+#[test]
+fn shares_of_services() {
+    let mut config = configuration(1);
+    config["routes"][0]["traffic_split"] = json!([
+        {"service": "desk", "weight": 90}, {"service": "models", "weight": 10}, {"service": "gone", "weight": 0},
+    ]);
+    let catalog = read_catalog(&bytes(&config)).unwrap();
+    let route = catalog.route("desk.example", "/order/").unwrap();
+    for (point, expected) in [
+        (0.0, "desk"),
+        (0.89, "desk"),
+        (0.91, "models"),
+        (0.999, "models"),
+    ] {
+        assert_eq!(&**route.choose_service(point).unwrap(), expected, "{point}");
+    }
+    assert!(route.leads_to("models") && !route.leads_to("gone"));
+}
+
+#[test]
+fn keys_of_accounts() {
+    let mut config = configuration(1);
+    let catalog = read_catalog(&bytes(&config)).unwrap();
+    assert_eq!(&*catalog.account("key-1").unwrap().name, "mill");
+    assert!(catalog.account("key-2").is_none());
+    let route = catalog.route("desk.example", "/order/").unwrap();
+    assert!(catalog.needs_key(route));
+    config["routes"][0]["anonymous"] = json!(true);
+    let open = read_catalog(&bytes(&config)).unwrap();
+    assert!(!open.needs_key(open.route("desk.example", "/order/").unwrap()));
+    config.as_object_mut().unwrap().remove("tenants");
+    let keyless = read_catalog(&bytes(&config)).unwrap();
+    assert!(!keyless.needs_key(keyless.route("desk.example", "/look/").unwrap()));
+}
+
+#[test]
+fn unreadable_configuration() {
+    for text in ["", "{", "[]", "{\"version\": \"new\"}"] {
+        assert!(read_catalog(text.as_bytes()).is_err(), "{text}");
+    }
+}
+
+#[test]
+fn entries_of_targets() {
+    let entry = json!({
+        "service": "models", "address": "10.0.0.1:8080", "zone": "z1", "version": "v1",
+        "slots": 64, "state": "draining", "cold_left_ms": 0, "stage": "prefill",
+        "models": [], "seq": 4, "born": 1_700_000_000_000u64, "spot": true, "leaves_ms": 900,
+    });
+    let now = Instant::now();
+    let target = read_target("i-1", &bytes(&entry), now).unwrap();
+    assert_eq!(target.id, Arc::from("i-1"));
+    assert_eq!(target.role, Some(EngineRole::Prefill));
+    assert!(target.state.is_draining() && target.reclaimable);
+    assert_eq!((target.orders, target.cold_until), (4, None));
+    // Each change makes it an entry of another writer, which names no target.
+    let changes = [
+        ("service", Value::Null),
+        ("address", json!("somewhere")),
+        ("slots", json!("64")),
+        ("state", json!("resting")),
+        ("seq", json!(-1)),
+        ("born", json!(1.5)),
+        ("born", Value::Null),
+        ("zone", json!(7)),
+        ("stage", json!("asleep")),
+    ];
+    for (field, value) in changes {
+        let mut foreign = entry.clone();
+        foreign[field] = value;
+        assert!(
+            read_target("i-1", &bytes(&foreign), now).is_err(),
+            "{field}"
+        );
+    }
+    assert!(read_target("i-1", b"\xff\x00", now).is_err());
+}
--- /dev/null
+++ b/tests/platform_store.rs
@@ -0,0 +1,124 @@
+//! The client of the platform's store, against a stand-in.
+
+mod platform_support;
+
+use std::time::Duration;
+
+use lavenderwind::platform::{Appended, StoreClient, StoreError, Topic};
+use platform_support::{Store, StoreFault};
+
+const TOPIC: Topic = Topic("keyed.test");
+const WAIT: Duration = Duration::from_millis(50);
+
+async fn start() -> (Store, StoreClient) {
+    let store = Store::start().await;
+    let client = StoreClient::new(
+        reqwest::Client::new(),
+        store.address(),
+        Duration::from_millis(200),
+    );
+    (store, client)
+}
+
+#[tokio::test]
+async fn append_and_read() {
+    let (_store, client) = start().await;
+    let first = client.append(TOPIC, "a", b"1", None).await.unwrap();
+    assert_eq!(
+        first,
+        Appended {
+            offset: 0,
+            end_offset: 1
+        }
+    );
+    client.append(TOPIC, "a", b"", None).await.unwrap();
+    let batch = client.read(TOPIC, 0, WAIT).await.unwrap();
+    assert_eq!((batch.next_offset, batch.end_offset), (2, 2));
+    assert_eq!(batch.records[0].value.as_deref(), Some(&b"1"[..]));
+    assert_eq!(
+        batch.records[1].value, None,
+        "a key without a value is dropped"
+    );
+    let batch = client.read(TOPIC, 2, WAIT).await.unwrap();
+    assert!(batch.records.is_empty());
+}
+
+#[tokio::test]
+async fn condition_of_append() {
+    let (_store, client) = start().await;
+    client.append(TOPIC, "a", b"1", Some(0)).await.unwrap();
+    let refused = client.append(TOPIC, "a", b"2", Some(0)).await.unwrap_err();
+    assert!(matches!(refused, StoreError::Moved { end_offset: 1 }));
+    assert!(!refused.may_be_executed());
+}
+
+#[tokio::test]
+async fn newest_of_each_key() {
+    let (_store, client) = start().await;
+    for (key, value) in [
+        ("a", "1"),
+        ("b", "2"),
+        ("a", "3"),
+        ("c", "4"),
+        ("d", "5"),
+        ("b", ""),
+    ] {
+        client
+            .append(TOPIC, key, value.as_bytes(), None)
+            .await
+            .unwrap();
+    }
+    let newest = client.newest(TOPIC).await.unwrap();
+    let found: Vec<_> = newest
+        .records
+        .iter()
+        .map(|record| (&*record.key, record.offset))
+        .collect();
+    assert_eq!(found, [("a", 2), ("c", 3), ("d", 4)]);
+    assert_eq!(newest.next_offset, 6);
+}
+
+#[tokio::test]
+async fn trimmed_records() {
+    let (store, client) = start().await;
+    for _ in 0..3 {
+        client.append(TOPIC, "a", b"1", None).await.unwrap();
+    }
+    store.state.lock().unwrap().trim("keyed.test", 2);
+    let error = client.read(TOPIC, 0, WAIT).await.unwrap_err();
+    assert!(matches!(error, StoreError::Trimmed { first_offset: 2 }));
+}
+
+#[tokio::test]
+async fn faults_of_append() {
+    // Fault, whether the append may be executed, and whether it was.
+    let cases = [
+        (StoreFault::Status(429), false, false),
+        (StoreFault::Status(503), false, false),
+        (StoreFault::LostAnswer, true, true),
+        (StoreFault::Silent, true, false),
+        (StoreFault::Foreign, true, false),
+    ];
+    for (fault, may_be_executed, executed) in cases {
+        let (store, client) = start().await;
+        store.fault("append", fault.clone());
+        let error = client.append(TOPIC, "a", b"1", None).await.unwrap_err();
+        assert_eq!(error.may_be_executed(), may_be_executed, "{fault:?}");
+        let newest = client.newest(TOPIC).await.unwrap();
+        assert_eq!(!newest.records.is_empty(), executed, "{fault:?}");
+    }
+}
+
+#[tokio::test]
+async fn unreachable_store() {
+    let (store, client) = start().await;
+    drop(store);
+    let refused = StoreClient::new(
+        reqwest::Client::new(),
+        "127.0.0.1:1".parse().unwrap(),
+        Duration::from_millis(200),
+    );
+    let error = refused.append(TOPIC, "a", b"1", None).await.unwrap_err();
+    assert!(matches!(error, StoreError::NotSent(_)), "{error}");
+    drop(client);
+}
--- /dev/null
+++ b/tests/platform_support/mod.rs
@@ -0,0 +1,591 @@
+//! Stand-ins for the users' platform: its store, its interface for duties and
+//! its workers, over loopback.
+
+#![allow(dead_code, unreachable_pub)]
+
+use std::{
+    collections::VecDeque,
+    convert::Infallible,
+    net::SocketAddr,
+    path::Path,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, body::Frame, body::Incoming,
+    server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
+use lavenderwind::settings::GatewaySettings;
+use serde_json::{Value, json};
+use tokio::{
+    net::TcpListener,
+    sync::{Notify, oneshot},
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+/// Bound against hanging.
+pub const DEADLINE: Duration = Duration::from_secs(30);
+
+pub type AnswerBody = UnsyncBoxBody<Bytes, std::io::Error>;
+
+/// Waits until a condition holds.
+pub async fn eventually<F>(what: &str, mut holds: F)
+where
+    F: FnMut() -> bool,
+{
+    let poll = async {
+        while !holds() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    assert!(timeout(DEADLINE, poll).await.is_ok(), "never: {what}");
+}
+
+pub fn whole(bytes: impl Into<Bytes>) -> AnswerBody {
+    Full::new(bytes.into())
+        .map_err(|never: Infallible| match never {})
+        .boxed_unsync()
+}
+
+fn status(code: u16, body: impl Into<Bytes>) -> Response<AnswerBody> {
+    let mut response = Response::new(whole(body));
+    *response.status_mut() = StatusCode::from_u16(code).unwrap();
+    response
+}
+
+/// Serves HTTP by a function until it is dropped.
+pub struct Served {
+    pub address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Served {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+pub async fn serve<F, R>(answer: F) -> Served
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
+    R: Future<Output = Option<Response<AnswerBody>>> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let task = tokio::spawn(async move {
+        let mut connections = tokio::task::JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            let answer = answer.clone();
+            connections.spawn(async move {
+                let service = service_fn(move |request| {
+                    let answering = answer(request);
+                    // No answer breaks the connection off.
+                    async move { answering.await.ok_or(std::io::Error::other("no answer")) }
+                });
+                let _ = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
+    });
+    Served { address, task }
+}
+
+/// What the store does with the next calls.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreFault {
+    /// Answers a status and does nothing.
+    Status(u16),
+    /// Executes the call and breaks the connection off.
+    LostAnswer,
+    /// Never answers.
+    Silent,
+    /// Answers bytes that are no answer to the call.
+    Foreign,
+}
+
+#[derive(Debug, Default)]
+struct Topic {
+    records: Vec<Option<Bytes>>,
+    first: u64,
+}
+
+#[derive(Debug, Default)]
+pub struct StoreState {
+    topics: IndexMap<String, Topic>,
+    /// Faults of the next calls whose path contains the text.
+    pub faults: VecDeque<(&'static str, StoreFault)>,
+    pub calls: Vec<String>,
+}
+
+impl StoreState {
+    /// Appends a record; returns its offset.
+    pub fn put(&mut self, topic: &str, key: &str, value: &[u8]) -> u64 {
+        let mut record = BytesMut::new();
+        record.put_u8(key.len() as u8);
+        record.put_slice(key.as_bytes());
+        record.put_slice(value);
+        let topic = self.topics.entry(topic.to_owned()).or_default();
+        topic.records.push(Some(record.freeze()));
+        topic.records.len() as u64 - 1
+    }
+
+    /// Deletes the records of a topic before an offset, but for the newest of
+    /// each key.
+    pub fn trim(&mut self, topic: &str, before: u64) {
+        self.topics.get_mut(topic).unwrap().first = before;
+    }
+
+    pub fn newest(&self, topic: &str) -> IndexMap<String, (u64, Bytes)> {
+        let mut newest = IndexMap::new();
+        let Some(topic) = self.topics.get(topic) else {
+            return newest;
+        };
+        for (offset, record) in topic.records.iter().enumerate() {
+            let mut record = record.clone().unwrap();
+            let length = record.get_u8() as usize;
+            let key = String::from_utf8(record.split_to(length).to_vec()).unwrap();
+            if record.is_empty() {
+                newest.swap_remove(&key);
+            } else {
+                newest.insert(key, (offset as u64, record));
+            }
+        }
+        newest
+    }
+
+    fn end(&self, topic: &str) -> u64 {
+        self.topics
+            .get(topic)
+            .map_or(0, |topic| topic.records.len() as u64)
+    }
+}
+
+/// A store that speaks the platform's protocol.
+#[derive(Clone)]
+pub struct Store {
+    pub state: Arc<Mutex<StoreState>>,
+    changed: Arc<Notify>,
+    served: Arc<Served>,
+}
+
+impl Store {
+    pub async fn start() -> Self {
+        let state: Arc<Mutex<StoreState>> = Arc::default();
+        let changed = Arc::new(Notify::new());
+        let (answer_state, answer_changed) = (state.clone(), changed.clone());
+        let served = serve(move |request| {
+            answer_store(answer_state.clone(), answer_changed.clone(), request)
+        })
+        .await;
+        Self {
+            state,
+            changed,
+            served: Arc::new(served),
+        }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.served.address
+    }
+
+    pub fn put(&self, topic: &str, key: &str, value: &Value) {
+        let value = match value {
+            Value::Null => Vec::new(),
+            value => value.to_string().into_bytes(),
+        };
+        self.state.lock().unwrap().put(topic, key, &value);
+        self.changed.notify_waiters();
+    }
+
+    pub fn fault(&self, path: &'static str, fault: StoreFault) {
+        self.state.lock().unwrap().faults.push_back((path, fault));
+    }
+}
+
+async fn answer_store(
+    state: Arc<Mutex<StoreState>>,
+    changed: Arc<Notify>,
+    request: Request<Incoming>,
+) -> Option<Response<AnswerBody>> {
+    let path = request.uri().path().to_owned();
+    let query: IndexMap<String, String> = request
+        .uri()
+        .query()
+        .unwrap_or("")
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect();
+    let body = request.into_body().collect().await.ok()?.to_bytes();
+    let fault = {
+        let mut state = state.lock().unwrap();
+        state.calls.push(format!("{path}?{query:?}"));
+        match state.faults.front() {
+            Some((part, _)) if path.contains(part) => state.faults.pop_front(),
+            _ => None,
+        }
+    };
+    match fault.map(|(_, fault)| fault) {
+        Some(StoreFault::Status(code)) => return Some(status(code, "{}")),
+        Some(StoreFault::Foreign) => return Some(status(200, "<html>")),
+        Some(StoreFault::Silent) => std::future::pending().await,
+        Some(StoreFault::LostAnswer) => {
+            execute(&state, &path, &query, body);
+            changed.notify_waiters();
+            return None;
+        }
+        None => {}
+    }
+    if path == "/log-read" {
+        let wait_ms = query.get("wait_ms").map_or(0, |wait| wait.parse().unwrap());
+        let from: u64 = query["from"].parse().unwrap();
+        let topic = query["topic"].clone();
+        let arrival = async {
+            loop {
+                let notified = changed.notified();
+                if state.lock().unwrap().end(&topic) > from {
+                    return;
+                }
+                notified.await;
+            }
+        };
+        let _ = timeout(Duration::from_millis(wait_ms), arrival).await;
+    }
+    let response = execute(&state, &path, &query, body);
+    changed.notify_waiters();
+    Some(response)
+}
+
+fn execute(
+    state: &Mutex<StoreState>,
+    path: &str,
+    query: &IndexMap<String, String>,
+    mut body: Bytes,
+) -> Response<AnswerBody> {
+    let mut state = state.lock().unwrap();
+    let name = &query["topic"];
+    let end = state.end(name);
+    match path {
+        "/log-append" => {
+            if query.get("at").is_some_and(|at| *at != end.to_string()) {
+                return status(412, json!({"end_offset": end}).to_string());
+            }
+            let length = body.get_u32() as usize;
+            let record = body.split_to(length);
+            let topic = state.topics.entry(name.clone()).or_default();
+            topic.records.push(Some(record));
+            status(
+                200,
+                json!({"offset": end, "end_offset": end + 1}).to_string(),
+            )
+        }
+        "/log-read" => {
+            let from: u64 = query["from"].parse().unwrap();
+            let first = state.topics.get(name).map_or(0, |topic| topic.first);
+            if from < first {
+                return status(410, json!({"first_offset": first}).to_string());
+            }
+            let mut bytes = BytesMut::new();
+            bytes.put_u64(end);
+            bytes.put_u64(first);
+            let records = state
+                .topics
+                .get(name)
+                .map_or(&[][..], |topic| &topic.records);
+            for record in records.iter().skip(from as usize) {
+                let record = record.as_ref().unwrap();
+                bytes.put_u32(record.len() as u32);
+                bytes.put_slice(record);
+            }
+            status(200, bytes.freeze())
+        }
+        "/log-newest" => {
+            let after = query.get("after").cloned().unwrap_or_default();
+            let mut newest: Vec<_> = state.newest(name).into_iter().collect();
+            newest.sort();
+            newest.retain(|(key, _)| **key > *after);
+            // Pages of two show that all of them are read.
+            let more = newest.len() > 2;
+            newest.truncate(2);
+            let items: Vec<Value> = newest
+                .into_iter()
+                .map(|(key, (offset, value))| {
+                    json!({"key": key, "offset": offset, "value": STANDARD.encode(value)})
+                })
+                .collect();
+            let page = json!({"items": items, "more": more, "end_offset": end});
+            status(200, page.to_string())
+        }
+        _ => status(404, "{}"),
+    }
+}
+
+/// A call of a duty, as the platform received it.
+#[derive(Clone, Debug)]
+pub struct DutyCall {
+    pub path: String,
+    pub holder: String,
+    pub fence: u64,
+    pub body: Value,
+}
+
+/// Records the calls of duties.
+pub struct Cloud {
+    pub calls: Arc<Mutex<Vec<DutyCall>>>,
+    pub answer_code: Arc<Mutex<u16>>,
+    pub served: Served,
+}
+
+impl Cloud {
+    pub async fn start() -> Self {
+        let calls: Arc<Mutex<Vec<DutyCall>>> = Arc::default();
+        let answer_code = Arc::new(Mutex::new(200));
+        let (taken, code) = (calls.clone(), answer_code.clone());
+        let served = serve(move |request| {
+            let (taken, code) = (taken.clone(), code.clone());
+            async move {
+                let path = request.uri().path().to_owned();
+                let headers = request.headers().clone();
+                let text = |name: &str| headers[name].to_str().unwrap().to_owned();
+                let (holder, fence) = (text("duty-holder"), text("fencing-token"));
+                let body = request.into_body().collect().await.ok()?.to_bytes();
+                taken.lock().unwrap().push(DutyCall {
+                    path,
+                    holder,
+                    fence: fence.parse().unwrap(),
+                    body: serde_json::from_slice(&body).unwrap(),
+                });
+                let code = *code.lock().unwrap();
+                Some(status(code, "{}"))
+            }
+        })
+        .await;
+        Self {
+            calls,
+            answer_code,
+            served,
+        }
+    }
+}
+
+/// A request as a worker received it.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub method: Method,
+    pub path: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Arrival {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// What a worker answers.
+pub type WorkerAnswer = Option<Response<AnswerBody>>;
+
+/// A worker that answers by a function.
+pub struct Worker {
+    pub id: String,
+    pub arrivals: Arc<Mutex<Vec<Arrival>>>,
+    pub served: Served,
+}
+
+impl Worker {
+    pub async fn start<F>(id: &str, answer: F) -> Self
+    where
+        F: Fn(&Arrival) -> WorkerAnswer + Clone + Send + Sync + 'static,
+    {
+        let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
+        let taken = arrivals.clone();
+        let served = serve(move |request| {
+            let (taken, answer) = (taken.clone(), answer.clone());
+            async move {
+                let (parts, body) = request.into_parts();
+                let arrival = Arrival {
+                    method: parts.method,
+                    path: parts.uri.to_string(),
+                    headers: parts.headers,
+                    body: body.collect().await.ok()?.to_bytes(),
+                };
+                let response = answer(&arrival);
+                taken.lock().unwrap().push(arrival);
+                response
+            }
+        })
+        .await;
+        Self {
+            id: id.to_owned(),
+            arrivals,
+            served,
+        }
+    }
+
+    pub fn entry(&self, service: &str, role: Option<&str>) -> Value {
+        let mut entry = json!({
+            "service": service, "address": self.served.address.to_string(), "zone": "z1",
+            "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0, "seq": 0,
+            "born": 1_700_000_000_000u64,
+        });
+        if let Some(role) = role {
+            entry["stage"] = json!(role);
+        }
+        entry
+    }
+
+    pub fn count(&self) -> usize {
+        self.arrivals.lock().unwrap().len()
+    }
+}
+
+/// A signed answer to an arrival.
+pub fn signed(arrival: &Arrival, code: u16, body: &str) -> Response<AnswerBody> {
+    let mut response = status(code, body.to_owned());
+    let headers = response.headers_mut();
+    headers.insert("request-id", arrival.headers["request-id"].clone());
+    headers.insert("response-seal", "1.2.3".parse().unwrap());
+    response
+}
+
+/// An answer that says that the request was not run.
+pub fn not_run(arrival: &Arrival) -> Response<AnswerBody> {
+    let mut response = signed(arrival, 503, "");
+    response.headers_mut().remove("response-seal");
+    response
+        .headers_mut()
+        .insert("not-executed", "1".parse().unwrap());
+    response
+}
+
+/// A signed stream of chunks; an error cuts it.
+pub fn stream(arrival: &Arrival, chunks: Vec<Result<&'static str, ()>>) -> Response<AnswerBody> {
+    let chunks = futures_util::stream::unfold(chunks.into_iter(), async |mut chunks| {
+        let chunk = chunks.next()?;
+        // The server flushes what came before only if nothing is ready.
+        sleep(Duration::from_millis(5)).await;
+        let frame = match chunk {
+            Ok(text) => Ok(Frame::data(Bytes::from_static(text.as_bytes()))),
+            Err(()) => Err(std::io::Error::other("cut")),
+        };
+        Some((frame, chunks))
+    });
+    let mut response = signed(arrival, 200, "");
+    *response.body_mut() = StreamBody::new(chunks).boxed_unsync();
+    response
+}
+
+/// The configuration of the tests, with a route of each kind.
+pub fn configuration(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "host": "desk.example", "path_prefix": format!("/{name}/"),
+            "kind": kind, "timeout_ms": 3000, "target_latency_ms": 500, "priority": 2,
+            "service": service, "max_attempts": 2, "anonymous": false,
+            "sticky": kind == "streaming", "resumable": name == "chat",
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("order", "unsafe", "desk"), route("look", "safe", "desk"),
+            route("chat", "streaming", "models"), route("once", "streaming", "models"),
+        ],
+        "services": [
+            {"name": "desk", "health_path": "/health", "max_conns": 100},
+            {"name": "models", "health_path": "/health", "max_conns": 100,
+             "engine": {"slots": 64, "kv_tokens": 500_000, "switch_s": 3.0, "handle_ttl_s": 5.0}},
+        ],
+        "limits": {"max_header_bytes": 4096, "max_body_bytes": 65536,
+                   "header_timeout_ms": 2000, "idle_timeout_ms": 10_000},
+        "tenants": [{"name": "mill", "api_keys": ["key-1"]}],
+    })
+}
+
+/// A running gateway.
+pub struct Gateway {
+    pub url: String,
+    pub readiness_url: String,
+    stop: Option<oneshot::Sender<()>>,
+    pub task: JoinHandle<lavenderwind::gateway::Result<()>>,
+}
+
+impl Gateway {
+    pub async fn start(name: &str, store: &Store, cloud: &Cloud) -> Self {
+        let mut ports = Vec::new();
+        for _ in 0..4 {
+            ports.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+        }
+        let address = |index: usize| ports[index].local_addr().unwrap();
+        let text = format!(
+            "name: {name}\nfailure_domain: z1\ncaller_address: {}\nreadiness_address: {}\n\
+             peer_address: {}\nmetrics_address: {}\nstore_address: {}\ncloud_address: {}\n\
+             duties: {{usage: true}}\n\
+             timing: {{lease_ms: 900, usage_window_ms: 1000, stop_ms: 4000}}\n",
+            address(0),
+            address(1),
+            address(2),
+            address(3),
+            store.address(),
+            cloud.served.address
+        );
+        let path = Path::new("gateway.yaml");
+        let settings = GatewaySettings::parse(&text, path).unwrap();
+        let (url, readiness_url) = (
+            format!("http://{}", settings.caller_address),
+            format!("http://{}/ready", settings.readiness_address),
+        );
+        drop(ports);
+        let (stop, stopped) = oneshot::channel();
+        let running = lavenderwind::gateway::run(settings, path.to_owned(), async {
+            let _ = stopped.await;
+        });
+        let task = tokio::spawn(running);
+        Self {
+            url,
+            readiness_url,
+            stop: Some(stop),
+            task,
+        }
+    }
+
+    /// Waits until the gateway says that it is ready.
+    pub async fn ready(&self) {
+        let client = reqwest::Client::new();
+        let poll = async {
+            loop {
+                let asked = client.get(&self.readiness_url).send().await;
+                if asked.is_ok_and(|response| response.status().is_success()) {
+                    return;
+                }
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        assert!(timeout(DEADLINE, poll).await.is_ok(), "never ready");
+    }
+
+    pub fn stop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+    }
+
+    /// Makes a request of a caller with a key.
+    pub fn request(&self, method: Method, path: &str, id: &str) -> reqwest::RequestBuilder {
+        reqwest::Client::new()
+            .request(method, format!("{}{path}", self.url))
+            .header("host", "desk.example")
+            .header("request-id", id)
+            .header("deadline-ms", "3000")
+            .header("authorization", "Token key-1")
+    }
+}
--- /dev/null
+++ b/tests/role_split.rs
@@ -0,0 +1,75 @@
+//! How engines are divided between prefill and decode by orders.
+
+use lavenderwind::{
+    policy::role_split::{SplitEngine, plan_change, prefill_engines},
+    target::protocol::EngineRole,
+};
+
+fn engine(role: EngineRole, domain: usize) -> SplitEngine {
+    SplitEngine {
+        role,
+        is_changing: false,
+        failure_domain: format!("domain-{domain}").into(),
+        is_reclaimable: false,
+        in_flight: 0,
+    }
+}
+
+#[test]
+fn parts_of_a_fleet() {
+    let cases = [
+        (0, 0),
+        (1, 0),
+        (2, 1),
+        (3, 1),
+        (4, 2),
+        (9, 7),
+        (12, 10),
+        (16, 13),
+        (140, 112),
+    ];
+    for (engines, prefilling) in cases {
+        assert_eq!(prefill_engines(engines), prefilling, "{engines}");
+    }
+}
+
+#[test]
+fn changes_lead_to_the_split() {
+    let mut engines: Vec<_> = (0..9)
+        .map(|index| engine(EngineRole::Decode, index % 4))
+        .collect();
+    let mut changes = 0;
+    while let Some(change) = plan_change(&engines) {
+        engines[change.index].role = change.role;
+        changes += 1;
+        assert!(changes < 20, "the plan must settle");
+    }
+    assert_eq!(changes, 7);
+    let decoding: Vec<_> = engines
+        .iter()
+        .filter(|engine| engine.role == EngineRole::Decode)
+        .collect();
+    assert_ne!(decoding[0].failure_domain, decoding[1].failure_domain);
+}
+
+#[test]
+fn changing_engines_are_left() {
+    let mut engines = vec![
+        engine(EngineRole::Prefill, 0),
+        engine(EngineRole::Prefill, 1),
+    ];
+    engines[0].is_changing = true;
+    let change = plan_change(&engines).unwrap();
+    assert_eq!((change.index, change.role), (1, EngineRole::Decode));
+    engines[1].is_changing = true;
+    assert_eq!(plan_change(&engines), None);
+}
+
+#[test]
+fn idle_regular_engines_decode() {
+    let mut engines = vec![engine(EngineRole::Prefill, 0); 3];
+    engines[0].is_reclaimable = true;
+    engines[1].in_flight = 9;
+    let change = plan_change(&engines).unwrap();
+    assert_eq!((change.index, change.role), (2, EngineRole::Decode));
+}
--- a/tests/target_order.rs
+++ b/tests/target_order.rs
@@ -8,9 +8,9 @@
         protocol::{PlatformTarget, TargetList, TargetOrder, TargetState},
     },
     standin::{
-        platform::{Group, Platform, PlatformFaults, Reclaim},
         loopback,
         plain::{PlainFaults, PlainService},
+        platform::{Group, Platform, PlatformFaults, Reclaim},
     },
     target::http_client,
 };
--- /dev/null
+++ b/tests/target_spread.rs
@@ -0,0 +1,94 @@
+//! Spreading of requests over targets, and the budget of extra sends.
+
+use lavenderwind::policy::{
+    retry_window::{RetryWindow, WindowBounds},
+    spread::{SpreadCandidate, SpreadWeights, choose_least_loaded},
+};
+
+const WEIGHTS: SpreadWeights = SpreadWeights {
+    far: 0.35,
+    failing: 3.0,
+};
+
+fn candidate(in_flight: u32) -> SpreadCandidate {
+    SpreadCandidate {
+        in_flight,
+        slots: 6,
+        is_near: true,
+        failure_rate: 0.0,
+    }
+}
+
+#[test]
+fn least_loaded_first() {
+    let far = SpreadCandidate {
+        is_near: false,
+        ..candidate(0)
+    };
+    let failing = SpreadCandidate {
+        failure_rate: 0.5,
+        ..candidate(0)
+    };
+    let cases = [
+        (vec![candidate(2), candidate(1)], Some(1)),
+        (vec![candidate(1), far], Some(0)),
+        (vec![candidate(4), far], Some(1)),
+        (vec![candidate(6), failing], Some(0)),
+        (vec![], None),
+    ];
+    for (candidates, expected) in cases {
+        assert_eq!(
+            choose_least_loaded(&candidates, &WEIGHTS, 0.0),
+            expected,
+            "{candidates:?}"
+        );
+    }
+}
+
+#[test]
+fn equals_share() {
+    let candidates = [candidate(1), candidate(1), candidate(1)];
+    for (point, expected) in [(0.0, 0), (0.4, 1), (0.99, 2)] {
+        assert_eq!(
+            choose_least_loaded(&candidates, &WEIGHTS, point),
+            Some(expected)
+        );
+    }
+}
+
+#[test]
+fn budget_in_any_window() {
+    let bounds = WindowBounds {
+        ratio: 0.2,
+        slack: 56.0,
+        window_ms: 10_000,
+    };
+    let instances = 8;
+    let mut windows = vec![RetryWindow::default(); instances];
+    let mut requests = Vec::new();
+    let mut extra = Vec::new();
+    // All engines fail: each of 60 requests a second wants to be sent again.
+    for now_ms in (0..40_000).step_by(17) {
+        let window = &mut windows[now_ms as usize % instances];
+        window.record_request(now_ms);
+        requests.push(now_ms);
+        if window.withdraw(&bounds, instances, now_ms) {
+            extra.push(now_ms);
+        }
+    }
+    for end_ms in (10_000..40_000).step_by(500) {
+        let within = |times: &[u64]| {
+            times
+                .iter()
+                .filter(|&&time| time <= end_ms && time + 10_000 > end_ms)
+                .count() as f64
+        };
+        let allowed = bounds.ratio * within(&requests) + bounds.slack;
+        assert!(
+            within(&extra) <= allowed,
+            "{end_ms}: {} of {allowed}",
+            within(&extra)
+        );
+    }
+    assert!(extra.len() > 100, "the budget is used: {}", extra.len());
+}
--- a/tests/target_table.rs
+++ b/tests/target_table.rs
@@ -10,8 +10,8 @@
     service::KindRole,
     standin::{
         engine::{Engine, EngineOptions},
-        platform::{Group, Platform, PlatformFaults, Reclaim},
         loopback,
+        platform::{Group, Platform, PlatformFaults, Reclaim},
     },
     target::{
         EngineClient, http_client,
