Share one reader of settings; a file for attempts and for kept needs

Cause: the read-through found the reader twice and the attempts' decision in the file for whole answers.

--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -5,16 +5,17 @@
 use clap::{ArgGroup, ArgMatches, Command};
 
 use super::{Result, option, read_file};
-use crate::{Settings, service::Document};
+use crate::{Settings, service::Document, settings::GatewaySettings};
 
 pub(super) fn command() -> Command {
     Command::new("check")
         .about("Check settings or a service document, and start nothing")
         .arg(option("settings", "FILE", "Settings of an instance"))
+        .arg(option("gateway", "FILE", "Settings of a gateway"))
         .arg(option("service", "FILE", "Service document"))
         .group(
             ArgGroup::new("file")
-                .args(["settings", "service"])
+                .args(["settings", "gateway", "service"])
                 .required(true),
         )
 }
@@ -24,6 +25,10 @@
         let settings = Settings::load(Path::new(path))?;
         println!("{path}: settings of instance {} are valid", settings.name);
     }
+    if let Some(path) = matches.get_one::<String>("gateway") {
+        let settings = GatewaySettings::load(Path::new(path))?;
+        println!("{path}: settings of gateway {} are valid", settings.name);
+    }
     if let Some(path) = matches.get_one::<String>("service") {
         let document = Document::parse(&read_file(path)?)
             .map_err(|error| super::Error::Invalid(format!("{path}: {error}")))?;
--- a/src/gateway/duty/mod.rs
+++ b/src/gateway/duty/mod.rs
@@ -1,6 +1,7 @@
 //! Duties that one instance at a time has: usage reports, orders of targets
 //! and changes of engines' roles.
 
+mod kept_need;
 mod ordering;
 mod reports;
 mod roles;
--- a/src/gateway/duty/ordering.rs
+++ b/src/gateway/duty/ordering.rs
@@ -4,14 +4,13 @@
 use std::{sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep};
 
-use super::tenure::Tenure;
+use super::{kept_need, tenure::Tenure};
 use crate::{
     catalog::{Scaling, Service},
     gateway::state::State,
-    platform::{CloudClient, CloudError, StoreClient, TargetCount, Topic},
+    platform::{CloudClient, CloudError, StoreClient, TargetCount},
     policy::spending::{
         DomainSupply, NeedWindow, SpendingLimits, SpendingPrices, keep_regular, needed_targets,
         plan,
@@ -26,9 +25,6 @@
 /// Utilization of prefilling engines up to which prompts hardly wait.
 const UTILIZATION: f64 = 0.6;
 
-/// Topic in which needs are kept, by service.
-const FLEET_TOPIC: Topic = Topic("keyed.fleet");
-
 /// Reclaimable targets that do the work of one regular target.
 const SPARE_FACTOR: f64 = 1.33;
 
@@ -77,17 +73,17 @@
             };
             let name = &service.name;
             if !fleets.contains_key(name) {
-                let Some(fleet) = start_fleet(&store, name).await else {
+                let Some(kept) = kept_need::read(&store, name).await else {
                     continue;
                 };
-                fleets.insert(name.clone(), fleet);
+                fleets.insert(name.clone(), Fleet::new(kept.needed));
             }
             let Some(fleet) = fleets.get_mut(name) else {
                 continue;
             };
             let kept = fleet.kept;
             let orders = fleet.orders(&state, service, scaling);
-            if fleet.kept != kept && !keep_need(&store, name, fleet.kept).await {
+            if fleet.kept != kept && !kept_need::write(&store, name, fleet.kept).await {
                 fleet.kept = kept;
                 continue;
             }
@@ -98,49 +94,6 @@
     }
 }
 
-/// What later holders need to know of a service's targets.
-#[derive(Debug, Deserialize, Serialize)]
-struct KeptNeed {
-    /// Targets that must be left when a failure domain loses its reclaimable
-    /// ones.
-    needed: u32,
-}
-
-/// Reads what earlier holders kept; `None` if the store cannot tell.
-async fn start_fleet(store: &StoreClient, service: &str) -> Option<Fleet> {
-    let newest = match store.newest(FLEET_TOPIC).await {
-        Ok(newest) => newest,
-        Err(error) => {
-            tracing::info!("ordering: the kept need cannot be read: {error}");
-            return None;
-        }
-    };
-    let record = newest.records.iter().find(|record| *record.key == *service);
-    let value = record.and_then(|record| record.value.as_deref());
-    match value.map(serde_json::from_slice::<KeptNeed>).transpose() {
-        Ok(kept) => Some(Fleet::new(kept.map(|kept| kept.needed))),
-        Err(error) => {
-            tracing::error!("ordering: the kept need is not one: {error}");
-            Some(Fleet::new(None))
-        }
-    }
-}
-
-/// Keeps a need for later holders; false if the store did not take it.
-async fn keep_need(store: &StoreClient, service: &str, needed: Option<u32>) -> bool {
-    let Some(needed) = needed else {
-        return true;
-    };
-    let value = serde_json::to_vec(&KeptNeed { needed }).unwrap_or_default();
-    match store.append(FLEET_TOPIC, service, &value, None).await {
-        Ok(_) => true,
-        Err(error) => {
-            tracing::info!(needed, "ordering: need not kept: {error}");
-            false
-        }
-    }
-}
-
 /// A failure domain and a kind of target.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct Subject {
@@ -204,7 +157,7 @@
         for domain in &supply {
             regular_now.push(running(&targets, &domain.failure_domain, false));
         }
-        let regular = keep_regular(&planned, needed, &regular_now, &supply);
+        let regular = keep_regular(&planned, needed, scaling.max_targets, &regular_now, &supply);
         let mut orders = Vec::new();
         for (index, domain) in supply.iter().enumerate() {
             let reclaimable =
@@ -305,6 +258,7 @@
                 failure_domain: failure_domain.clone(),
                 reclaimable: available,
                 reclaimable_live: running(&settled, failure_domain, true),
+                is_sold_out: self.sold_out.contains_key(&subject),
                 regular: scaling.max_targets,
             });
         }
--- a/src/gateway/duty/reports.rs
+++ b/src/gateway/duty/reports.rs
@@ -23,7 +23,6 @@
         state::State,
         usage::Counts,
     },
-    peer::PeerHandle,
     platform::{CloudClient, CloudError, Holder, KeyedRecord, StoreClient, StoreError, Topic},
 };
 
@@ -114,7 +113,6 @@
     tenure: Arc<Tenure>,
     store: StoreClient,
     cloud: CloudClient,
-    peers: PeerHandle,
 }
 
 /// Reports usage windows while this instance holds the duties, for ever.
@@ -123,14 +121,12 @@
     tenure: Arc<Tenure>,
     store: StoreClient,
     cloud: CloudClient,
-    peers: PeerHandle,
 ) {
     let reporter = Reporter {
         state,
         tenure,
         store,
         cloud,
-        peers,
     };
     loop {
         let Some(holder) = reporter.tenure.holder() else {
@@ -214,7 +210,7 @@
         if since_end_ms < 0 {
             return false;
         }
-        let running = self.peers.connected().len() + 1;
+        let running = self.state.instances();
         books.closed_slices(window) >= running || since_end_ms >= MISSING_SLICES_MS
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod plain;
 mod pool;
 mod prefill;
+mod progress;
 mod readiness;
 mod relay;
 mod reload;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -9,6 +9,7 @@
     admission::is_still_permitted,
     attempt::{self, AttemptError, WholeAnswer},
     loads::{InFlightGuard, Outcome},
+    progress::Progress,
     reply::{Body, Refusal, whole},
     state::State,
 };
@@ -16,11 +17,10 @@
     call::Call,
     platform::{AttemptHead, CallerHead, caller_headers},
     policy::{
-        retry::{FailedAttempt, Failure, RetryDecision, decide},
+        retry::{Failure, RetryDecision},
         spread::{SpreadCandidate, SpreadWeights, choose_least_loaded},
     },
     roster::Target,
-    service::Repeat,
 };
 
 /// Latency objectives after which a target counts as silent, if another may
@@ -35,51 +35,6 @@
     failing: 3.0,
 };
 
-/// What became of a request's attempts so far.
-#[derive(Debug, Default)]
-pub(super) struct Progress {
-    /// Targets that were tried.
-    pub(super) tried: Vec<Arc<str>>,
-    /// Requests that reached a target.
-    pub(super) attempts: u32,
-    /// Whether any of them may have run.
-    pub(super) may_have_run: bool,
-}
-
-impl Progress {
-    /// Notes a failed attempt and decides whether another is made.
-    pub(super) fn fail(&mut self, state: &State, call: &Call, failure: Failure) -> RetryDecision {
-        let reached = !failure.is_not_written();
-        self.attempts += u32::from(reached);
-        let attempt = FailedAttempt {
-            failure,
-            repeat: match call.route.is_repeatable() {
-                true => Repeat::Idempotent,
-                false => Repeat::Once,
-            },
-            attempts: self.attempts,
-            max_attempts: call.route.max_attempts,
-            ran_before: self.may_have_run,
-        };
-        self.may_have_run |= !(failure.is_not_written() || failure.is_refused());
-        // A request that reached no target is not an extra send.
-        decide(&attempt, || {
-            self.attempts == 0 || state.withdraw_retry(&call.service)
-        })
-    }
-
-    /// Returns the answer to the caller if no attempt succeeded.
-    pub(super) fn refusal(&self, last: Option<&AttemptError>) -> Refusal {
-        let timed_out = last.is_some_and(|error| error.failure == Failure::Timeout);
-        match (self.may_have_run, timed_out) {
-            (true, true) => Refusal::Timeout,
-            (true, false) => Refusal::AnswerLost,
-            (false, _) if self.attempts > 0 => Refusal::TargetsRefused,
-            (false, _) => Refusal::NoTarget,
-        }
-    }
-}
-
 /// Forwards a call and returns a target's whole answer.
 ///
 /// # Errors
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,8 +13,8 @@
     decode,
     events::EventSplitter,
     loads::{InFlightGuard, Outcome},
-    plain::Progress,
     pool::Connection,
+    progress::Progress,
     state::{BodyMemory, State},
 };
 use crate::{call::Call, platform::AttemptHead, policy::retry::RetryDecision, roster::Target};
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -193,14 +193,14 @@
             spawn_loop(supervisor, "usage-slices", move || {
                 duty::flush_slices(parts.state.clone(), parts.store.clone(), incarnation)
             });
-            let (parts, held, handle) = (self.clone(), tenure.clone(), peers.clone());
+            let (parts, held) = (self.clone(), tenure.clone());
             spawn_loop(supervisor, "usage-reports", move || {
                 let Parts {
                     state,
                     store,
                     cloud,
                 } = parts.clone();
-                duty::report_usage(state, held.clone(), store, cloud, handle.clone())
+                duty::report_usage(state, held.clone(), store, cloud)
             });
         }
         if duties.roles {
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -16,7 +16,7 @@
 const READ_WAIT: Duration = Duration::from_millis(2_000);
 
 /// Wait after changes for others that one read can bring with them.
-const BATCH_WAIT: Duration = Duration::from_millis(250);
+const BATCH_WAIT: Duration = Duration::from_millis(500);
 
 /// Wait of a read while a target may come back.
 const SHORT_WAIT: Duration = Duration::from_millis(200);
--- a/src/policy/spending/plan.rs
+++ b/src/policy/spending/plan.rs
@@ -11,6 +11,8 @@
     pub reclaimable: u32,
     /// Reclaimable targets that run and take work.
     pub reclaimable_live: u32,
+    /// Whether the platform refused to give more reclaimable ones just now.
+    pub is_sold_out: bool,
     /// Other targets that run or can be had now.
     pub regular: u32,
 }
@@ -114,30 +116,49 @@
 /// Returns the regular targets to keep in each domain until the reclaimable
 /// ones that replace them run.
 ///
+/// A domain takes at most `max_targets` of both kinds, so that its regular
+/// targets go once all the reclaimable ones run for which they leave room.
 /// While a domain's reclaimable targets are away, those of the others carry
 /// the load: the loss is what they were spread for, and no regular target is
-/// ordered for it as long as `needed` targets are planned at all.
+/// ordered for it as long as `needed` targets can be expected at all.
 #[must_use]
 pub fn keep_regular(
     planned: &SpendingPlan,
     needed: u32,
+    max_targets: u32,
     regular_now: &[u32],
     supply: &[DomainSupply],
 ) -> Vec<u32> {
-    let mut live: u32 = 0;
+    let mut expected = 0;
     for (domain, wanted) in supply.iter().zip(&planned.reclaimable) {
-        live += domain.reclaimable_live.min(*wanted);
+        expected += match domain.is_sold_out {
+            true => domain.reclaimable_live.min(*wanted),
+            false => *wanted,
+        };
     }
-    let ordered: u32 = planned.reclaimable.iter().sum();
-    let mut shortfall = needed.saturating_sub(ordered);
-    let mut missing = needed.saturating_sub(live);
+    let mut shortfall = needed.saturating_sub(expected);
     let mut kept = Vec::with_capacity(supply.len());
-    for (wanted, now) in planned.regular.iter().zip(regular_now) {
-        let added = wanted.saturating_sub(*now).min(shortfall);
-        shortfall -= added;
-        let stays = (*now).min(missing);
-        missing -= stays;
-        kept.push(stays + added);
+    for (index, domain) in supply.iter().enumerate() {
+        let now = regular_now[index];
+        let room = max_targets.saturating_sub(now);
+        let replaced = domain.reclaimable_live >= planned.reclaimable[index].min(room);
+        let stays = if replaced { 0 } else { now };
+        shortfall = shortfall.saturating_sub(stays);
+        kept.push(stays);
+    }
+    // What is missing is spread evenly over the domains that have room.
+    let mut added = true;
+    while shortfall > 0 && added {
+        added = false;
+        for (index, domain) in supply.iter().enumerate() {
+            let has_room = kept[index] + domain.reclaimable_live < max_targets;
+            if shortfall == 0 || !has_room {
+                continue;
+            }
+            kept[index] += 1;
+            shortfall -= 1;
+            added = true;
+        }
     }
     kept
 }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use super::{Checker, Error, Logging, Result};
+use super::{Checker, Logging, Result, parse_yaml, read_text};
 
 /// Settings of an instance that forwards callers' requests to targets.
 #[derive(Clone, Debug, Deserialize)]
@@ -157,11 +157,7 @@
     /// Fails if the file cannot be read, is not valid YAML of this shape, or
     /// holds values that contradict each other.
     pub fn load(path: &Path) -> Result<Self> {
-        let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
-            path: path.display().to_string(),
-            source,
-        })?;
-        Self::parse(&text, path)
+        Self::parse(&read_text(path)?, path)
     }
 
     /// Parses and checks settings; `path` is named in errors.
@@ -170,10 +166,7 @@
     ///
     /// Fails as [`GatewaySettings::load`] does.
     pub fn parse(text: &str, path: &Path) -> Result<Self> {
-        let settings: Self = serde_yaml_ng::from_str(text).map_err(|source| Error::Parse {
-            path: path.display().to_string(),
-            source,
-        })?;
+        let settings: Self = parse_yaml(text, path)?;
         settings.check(&Checker::new(text, path))?;
         Ok(settings)
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -209,11 +209,7 @@
     /// Fails if the file cannot be read, is not valid YAML of this shape, or
     /// holds values that contradict each other.
     pub fn load(path: &Path) -> Result<Self> {
-        let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
-            path: path.display().to_string(),
-            source,
-        })?;
-        Self::parse(&text, path)
+        Self::parse(&read_text(path)?, path)
     }
 
     /// Parses and checks settings; `path` is named in errors.
@@ -222,10 +218,7 @@
     ///
     /// Fails as [`Settings::load`] does.
     pub fn parse(text: &str, path: &Path) -> Result<Self> {
-        let settings: Self = serde_yaml_ng::from_str(text).map_err(|source| Error::Parse {
-            path: path.display().to_string(),
-            source,
-        })?;
+        let settings: Self = parse_yaml(text, path)?;
         let checker = Checker::new(text, path);
         settings.check(&checker)?;
         Ok(settings)
@@ -279,6 +272,23 @@
     }
 }
 
+fn read_text(path: &Path) -> Result<String> {
+    std::fs::read_to_string(path).map_err(|source| Error::Read {
+        path: path.display().to_string(),
+        source,
+    })
+}
+
+fn parse_yaml<T>(text: &str, path: &Path) -> Result<T>
+where
+    T: serde::de::DeserializeOwned,
+{
+    serde_yaml_ng::from_str(text).map_err(|source| Error::Parse {
+        path: path.display().to_string(),
+        source,
+    })
+}
+
 impl Timing {
     fn check(&self, checker: &Checker<'_>) -> Result<()> {
         let lease_range = (100..=MAX_LEASE_MS).contains(&self.lease_ms);
--- a/tests/target_spending.rs
+++ b/tests/target_spending.rs
@@ -5,8 +5,8 @@
     arbtest,
 };
 use lavenderwind::policy::spending::{
-    DomainSupply, NeedWindow, SpendingLimits, SpendingPlan, SpendingPrices, needed_targets, plan,
-    release,
+    DomainSupply, NeedWindow, SpendingLimits, SpendingPlan, SpendingPrices, keep_regular,
+    needed_targets, plan, release,
 };
 
 const SEEDS: [u64; 6] = [
@@ -36,6 +36,7 @@
         failure_domain: format!("domain-{index}").into(),
         reclaimable,
         reclaimable_live: reclaimable,
+        is_sold_out: false,
         regular,
     }
 }
@@ -193,3 +194,47 @@
     assert_eq!(window.observe(4, 80_000), 5);
     assert_eq!(window.observe(2, 500_000), 2);
 }
+
+#[test]
+fn regular_targets_go_domain_by_domain() {
+    let plan = SpendingPlan {
+        reclaimable: vec![62, 62, 62],
+        regular: vec![0, 0, 0],
+        surviving: 124,
+        cost_milli_per_hour: 0,
+    };
+    let supply = |live: [u32; 3]| -> Vec<DomainSupply> {
+        let domains = live.iter().enumerate();
+        domains
+            .map(|(index, &reclaimable_live)| DomainSupply {
+                failure_domain: format!("domain-{index}").into(),
+                reclaimable: 70,
+                reclaimable_live,
+                is_sold_out: false,
+                regular: 70,
+            })
+            .collect()
+    };
+    // Running reclaimable targets, and the regular ones that are kept of 35 in
+    // each domain, which leave room for 35.
+    let cases = [
+        ([0, 0, 0], vec![35, 35, 35]),
+        ([35, 34, 0], vec![0, 35, 35]),
+        ([35, 35, 35], vec![0, 0, 0]),
+    ];
+    for (live, expected) in cases {
+        let kept = keep_regular(&plan, 124, 70, &[35; 3], &supply(live));
+        assert_eq!(kept, expected, "{live:?}");
+    }
+    // A lost domain is not made up for by regular targets while the others
+    // carry the load, and is once the platform has too few to give.
+    assert_eq!(
+        keep_regular(&plan, 124, 70, &[0; 3], &supply([0, 62, 62])),
+        [0, 0, 0]
+    );
+    let mut dry = supply([0, 62, 40]);
+    for domain in &mut dry {
+        domain.is_sold_out = true;
+    }
+    assert_eq!(keep_regular(&plan, 124, 70, &[0; 3], &dry), [8, 7, 7]);
+}
