Let targets that lapse in an outage go by the clock

The time is part of the target now, and every choice looks at it. Ruled out: the relay of configurations, which worked.

--- a/src/gateway/prefill.rs
+++ b/src/gateway/prefill.rs
@@ -175,7 +175,7 @@
     let mut loads = state.loads();
     let mut candidates = Vec::with_capacity(targets.len());
     for target in &targets {
-        let is_open = target.state.is_ready() && !tried.contains(&target.id);
+        let is_open = target.takes_requests(Instant::now()) && !tried.contains(&target.id);
         candidates.push(PrefillCandidate {
             id: target.id.clone(),
             failure_domain: target.failure_domain.clone(),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -138,7 +138,7 @@
 
     /// Returns the targets of a service that take requests.
     pub(super) fn ready_targets(&self, service: &str) -> Vec<Arc<Target>> {
-        self.with_roster(|roster| roster.ready(service).cloned().collect())
+        self.with_roster(|roster| roster.ready(service, Instant::now()).cloned().collect())
     }
 
     /// Returns all targets of a service, also those that are about to leave.
@@ -151,7 +151,7 @@
 
     /// Returns whether a target still takes requests.
     pub(super) fn is_ready_target(&self, target: &Target) -> bool {
-        self.with_roster(|roster| roster.is_ready(target))
+        self.with_roster(|roster| roster.is_ready(target, Instant::now()))
     }
 
     /// Returns the loads of targets.
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -2,7 +2,6 @@
 
 use std::{sync::Arc, time::Duration};
 
-use indexmap::IndexMap;
 use tokio::time::{Instant, sleep};
 
 use super::{
@@ -18,32 +17,23 @@
 /// Wait after changes for others that one read can bring with them.
 const BATCH_WAIT: Duration = Duration::from_millis(500);
 
-/// Wait of a read while a target may come back.
-const SHORT_WAIT: Duration = Duration::from_millis(200);
-
 /// Follows the list of targets for ever.
 pub(super) async fn follow(state: Arc<State>, store: StoreClient) {
     let mut follower = Follower::new(store, TARGET_TOPIC);
-    let mut removals = PendingRemovals::new(&state);
+    let mut removals = Removals::new(&state);
     loop {
         let was_lost = follower.is_lost();
-        let wait = match removals.is_empty() {
-            true => READ_WAIT,
-            false => SHORT_WAIT,
-        };
-        let update = follower.next(wait).await;
-        removals.apply_due(&state);
-        let Ok(update) = update else {
+        let Ok(update) = follower.next(READ_WAIT).await else {
             continue;
         };
         if was_lost {
             removals.note_return();
         }
         match update {
-            Update::Snapshot(records) => replace_targets(&state, &mut removals, &records),
+            Update::Snapshot(records) => replace_targets(&state, &removals, &records),
             Update::Changes(records) => {
                 for record in &records {
-                    take_target(&state, &mut removals, record);
+                    take_target(&state, &removals, record);
                 }
                 if !records.is_empty() {
                     sleep(BATCH_WAIT).await;
@@ -54,7 +44,7 @@
     }
 }
 
-fn replace_targets(state: &State, removals: &mut PendingRemovals, records: &[KeyedRecord]) {
+fn replace_targets(state: &State, removals: &Removals, records: &[KeyedRecord]) {
     for record in records {
         take_target(state, removals, record);
     }
@@ -67,12 +57,11 @@
     }
 }
 
-fn take_target(state: &State, removals: &mut PendingRemovals, record: &KeyedRecord) {
+fn take_target(state: &State, removals: &Removals, record: &KeyedRecord) {
     let Some(value) = &record.value else {
         removals.remove(state, &record.key);
         return;
     };
-    removals.cancel(&record.key);
     match read_target(&record.key, value, Instant::now()) {
         Ok(target) => {
             let known = state.with_roster(|roster| roster.get(&target.id).cloned());
@@ -101,6 +90,9 @@
 
 /// Forgets what is kept about targets that are gone.
 fn prune(state: &State) {
+    for target in state.with_roster(|roster| roster.remove_gone(Instant::now())) {
+        tracing::info!(target = &*target.id, "gateway: target did not come back");
+    }
     let known = state.with_roster(|roster| roster.clone());
     state
         .pool
@@ -108,58 +100,39 @@
     state.loads().retain(|id| known.get(id).is_some());
 }
 
-/// Targets whose entries lapsed while the store was out, and that may come
-/// back.
+/// Removes targets whose entries are gone.
+///
+/// Entries that lapse while the store is out come back soon after it, so that
+/// what is missing just after an outage counts as gone only a little later.
 #[derive(Debug)]
-struct PendingRemovals {
+struct Removals {
     return_time: Duration,
     returned_at: Option<Instant>,
-    due: IndexMap<Arc<str>, Instant>,
 }
 
-impl PendingRemovals {
+impl Removals {
     fn new(state: &State) -> Self {
         Self {
             return_time: Duration::from_millis(state.settings.timing.return_ms),
             returned_at: None,
-            due: IndexMap::new(),
         }
     }
 
-    fn is_empty(&self) -> bool {
-        self.due.is_empty()
-    }
-
     /// Notes that the store answers again.
     fn note_return(&mut self) {
         self.returned_at = Some(Instant::now());
     }
 
     /// Removes a target, at once unless the store has just come back.
-    fn remove(&mut self, state: &State, id: &Arc<str>) {
-        let due_at = self.returned_at.map(|at| at + self.return_time);
-        match due_at.filter(|due_at| *due_at > Instant::now()) {
-            Some(due_at) => {
-                tracing::info!(target = &**id, "gateway: target lapsed in an outage");
-                self.due.insert(id.clone(), due_at);
-            }
-            None => drop_target(state, id),
-        }
-    }
-
-    fn cancel(&mut self, id: &str) {
-        self.due.swap_remove(id);
-    }
-
-    fn apply_due(&mut self, state: &State) {
-        let now = Instant::now();
-        self.due.retain(|id, due_at| {
-            if *due_at > now {
-                return true;
-            }
+    fn remove(&self, state: &State, id: &Arc<str>) {
+        let gone_at = self.returned_at.map(|at| at + self.return_time);
+        let Some(gone_at) = gone_at.filter(|gone_at| *gone_at > Instant::now()) else {
             drop_target(state, id);
-            false
-        });
+            return;
+        };
+        if state.with_roster(|roster| roster.expire_at(id, gone_at)) {
+            tracing::info!(target = &**id, "gateway: target lapsed in an outage");
+        }
     }
 }
 
--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -79,5 +79,6 @@
         role: entry.stage.map(EngineRole::from),
         reclaimable: entry.spot,
         orders: entry.seq,
+        gone_at: None,
     })
 }
--- a/src/roster/mod.rs
+++ b/src/roster/mod.rs
@@ -43,9 +43,18 @@
     pub reclaimable: bool,
     /// Number of orders that it has accepted.
     pub orders: u64,
+    /// When it counts as gone unless it registers again: its entry lapsed
+    /// while the store may have been out.
+    pub gone_at: Option<Instant>,
 }
 
 impl Target {
+    /// Returns whether it takes requests at a moment.
+    #[must_use]
+    pub fn takes_requests(&self, now: Instant) -> bool {
+        self.state.is_ready() && self.gone_at.is_none_or(|gone_at| now < gone_at)
+    }
+
     /// Returns whether both are the same start of the same target.
     #[must_use]
     pub fn is_same_start(&self, other: &Self) -> bool {
@@ -81,18 +90,47 @@
         self.targets.values()
     }
 
-    /// Returns the targets of a service that take requests.
-    pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Arc<Target>> {
+    /// Lets a target count as gone at a moment, unless it is inserted anew;
+    /// returns whether it was known.
+    pub fn expire_at(&mut self, id: &str, gone_at: Instant) -> bool {
+        let Some(target) = self.targets.get_mut(id) else {
+            return false;
+        };
+        if target.gone_at.is_none() {
+            Arc::make_mut(target).gone_at = Some(gone_at);
+        }
+        true
+    }
+
+    /// Removes the targets that are gone by a moment, and returns them.
+    pub fn remove_gone(&mut self, now: Instant) -> Vec<Arc<Target>> {
+        let mut gone = Vec::new();
+        self.targets.retain(|_, target| {
+            let stays = target.gone_at.is_none_or(|gone_at| now < gone_at);
+            if !stays {
+                gone.push(target.clone());
+            }
+            stays
+        });
+        gone
+    }
+
+    /// Returns the targets of a service that take requests at a moment.
+    pub fn ready<'a>(
+        &'a self,
+        service: &'a str,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Arc<Target>> {
         self.targets
             .values()
-            .filter(move |target| *target.service == *service && target.state.is_ready())
+            .filter(move |target| *target.service == *service && target.takes_requests(now))
     }
 
     /// Returns whether the same start of a target still takes requests.
     #[must_use]
-    pub fn is_ready(&self, target: &Target) -> bool {
+    pub fn is_ready(&self, target: &Target, now: Instant) -> bool {
         self.targets
             .get(&target.id)
-            .is_some_and(|known| known.is_same_start(target) && known.state.is_ready())
+            .is_some_and(|known| known.is_same_start(target) && known.takes_requests(now))
     }
 }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -82,7 +82,7 @@
             usage_due_ms: 10_000,
             stop_ms: 7_000,
             freshness_ms: 6_500,
-            return_ms: 1_800,
+            return_ms: 1_700,
         }
     }
 }
