--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -5,7 +5,10 @@
 use clap::{ArgMatches, Command};
 
 use super::{Result, option, serve::stop_signal, start_stdout_logging, string};
-use crate::{gateway, settings::GatewaySettings};
+use crate::{
+    gateway::{self, Listeners},
+    settings::GatewaySettings,
+};
 
 /// Environment variable that names the settings file.
 const SETTINGS_VARIABLE: &str = "LAVENDERWIND_NODE_FILE";
@@ -29,6 +32,7 @@
             tracing::error!("gateway: cannot wait for signals: {error}");
         }
     };
-    gateway::run(settings, path.to_owned(), signal).await?;
+    let listeners = Listeners::bind(&settings).await?;
+    gateway::run(settings, path.to_owned(), listeners, signal).await?;
     Ok(ExitCode::SUCCESS)
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,4 +34,4 @@
 mod usage;
 
 pub use events::{EventSplitter, Events};
-pub use run::{Error, Result, run};
+pub use run::{Error, Listeners, Result, run};
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -67,24 +67,68 @@
 
 impl std::error::Error for Error {}
 
+/// The sockets of an instance.
+#[derive(Debug)]
+pub struct Listeners {
+    callers: TcpListener,
+    readiness: TcpListener,
+    peers: TcpListener,
+    metrics: TcpListener,
+}
+
+impl Listeners {
+    /// Listens on the addresses of the settings; port 0 stands for a free one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be used.
+    pub async fn bind(settings: &GatewaySettings) -> Result<Self> {
+        Ok(Self {
+            callers: listen(settings.caller_address).await?,
+            readiness: listen(settings.readiness_address).await?,
+            peers: listen(settings.peer_address).await?,
+            metrics: listen(settings.metrics_address).await?,
+        })
+    }
+
+    /// Returns the address for callers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket has none.
+    pub fn caller_address(&self) -> io::Result<SocketAddr> {
+        self.callers.local_addr()
+    }
+
+    /// Returns the address at which the balancer asks for readiness.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket has none.
+    pub fn readiness_address(&self) -> io::Result<SocketAddr> {
+        self.readiness.local_addr()
+    }
+}
+
 /// Runs an instance with the settings of `path` until `stop` completes and requests in progress have
 /// ended.
 ///
 /// # Errors
 ///
-/// Fails if an address cannot be used.
-pub async fn run<S>(settings: GatewaySettings, path: PathBuf, stop: S) -> Result<()>
+/// Fails if the clients for the platform cannot be made.
+pub async fn run<S>(
+    settings: GatewaySettings,
+    path: PathBuf,
+    listeners: Listeners,
+    stop: S,
+) -> Result<()>
 where
     S: Future<Output = ()>,
 {
     let metrics = metrics_handle().map_err(|error| Error::Metrics(error.to_string()))?;
-    let callers = listen(settings.caller_address).await?;
-    let readiness = listen(settings.readiness_address).await?;
-    let metrics_listener = listen(settings.metrics_address).await?;
     let client = platform_client().map_err(Error::Client)?;
     let store = StoreClient::new(client.clone(), settings.store_address, STORE_TIMEOUT);
     let cloud = CloudClient::new(client, settings.cloud_address, CLOUD_TIMEOUT);
-    let peer_listener = listen(settings.peer_address).await?;
     let state = Arc::new(State::new(settings));
     let supervisor = Supervisor::new("gateway");
     let parts = Parts {
@@ -95,16 +139,23 @@
     let peer_log = parts.spawn_followers(&supervisor);
     let joining = parts
         .clone()
-        .join(supervisor.subtree("peers"), peer_listener, peer_log);
+        .join(supervisor.subtree("peers"), listeners.peers, peer_log);
     let _joining = AbortOnDropHandle::new(tokio::spawn(joining));
-    let _readiness = spawn_listener(readiness::serve_readiness(state.clone(), readiness));
-    let _metrics = spawn_listener(readiness::serve_metrics(metrics, metrics_listener));
+    let _readiness = spawn_listener(readiness::serve_readiness(
+        state.clone(),
+        listeners.readiness,
+    ));
+    let _metrics = spawn_listener(readiness::serve_metrics(metrics, listeners.metrics));
     let watched = state.clone();
     spawn_loop(&supervisor, "settings", move || {
         reload::watch(watched.clone(), path.clone())
     });
     let close = CancellationToken::new();
-    let serving = tokio::spawn(front::serve(state.clone(), callers, close.clone()));
+    let serving = tokio::spawn(front::serve(
+        state.clone(),
+        listeners.callers,
+        close.clone(),
+    ));
     tracing::info!(
         name = &*state.settings.name,
         domain = &*state.settings.failure_domain,
@@ -151,7 +202,8 @@
     async fn join(self, supervisor: Supervisor, listener: TcpListener, log: PeerLog) {
         let settings = &self.state.settings;
         let incarnation = members::next_incarnation(&self.store, &settings.name).await;
-        let member = members::member(&self.state, incarnation, settings.peer_address);
+        let peer_address = listener.local_addr().unwrap_or(settings.peer_address);
+        let member = members::member(&self.state, incarnation, peer_address);
         members::announce(&self.store, &member).await;
         let options = PeerOptions {
             name: settings.name.clone(),
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -21,7 +21,7 @@
 };
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
-use lavenderwind::settings::GatewaySettings;
+use lavenderwind::{gateway::Listeners, settings::GatewaySettings};
 use serde_json::{Value, json};
 use tokio::{
     net::TcpListener,
@@ -523,32 +523,22 @@
 
 impl Gateway {
     pub async fn start(name: &str, store: &Store, cloud: &Cloud) -> Self {
-        let mut ports = Vec::new();
-        for _ in 0..4 {
-            ports.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
-        }
-        let address = |index: usize| ports[index].local_addr().unwrap();
+        let free = "127.0.0.1:0";
         let text = format!(
-            "name: {name}\nfailure_domain: z1\ncaller_address: {}\nreadiness_address: {}\n\
-             peer_address: {}\nmetrics_address: {}\nstore_address: {}\ncloud_address: {}\n\
-             duties: {{usage: true}}\n\
+            "name: {name}\nfailure_domain: z1\ncaller_address: {free}\n\
+             readiness_address: {free}\npeer_address: {free}\nmetrics_address: {free}\n\
+             store_address: {}\ncloud_address: {}\nduties: {{usage: true}}\n\
              timing: {{lease_ms: 900, usage_window_ms: 1000, stop_ms: 4000}}\n",
-            address(0),
-            address(1),
-            address(2),
-            address(3),
             store.address(),
             cloud.served.address
         );
         let path = Path::new("gateway.yaml");
         let settings = GatewaySettings::parse(&text, path).unwrap();
-        let (url, readiness_url) = (
-            format!("http://{}", settings.caller_address),
-            format!("http://{}/ready", settings.readiness_address),
-        );
-        drop(ports);
+        let listeners = Listeners::bind(&settings).await.unwrap();
+        let url = format!("http://{}", listeners.caller_address().unwrap());
+        let readiness_url = format!("http://{}/ready", listeners.readiness_address().unwrap());
         let (stop, stopped) = oneshot::channel();
-        let running = lavenderwind::gateway::run(settings, path.to_owned(), async {
+        let running = lavenderwind::gateway::run(settings, path.to_owned(), listeners, async {
             let _ = stopped.await;
         });
         let task = tokio::spawn(running);
