Read the store less often, and change roles of large fleets together

Roles changed four a second: a replaced fleet of 199 engines took 20 s.

Now a claim needs a read after the lapse and is paced like a renewal, peers without a link count as running, reads wait longer as far as drain and settle times allow, slices of large fleets are written once a window, and one engine in 16 changes its role at a time.

Ruled out: refused duty calls (16), members' reads (1,800).

--- a/src/control/duty.rs
+++ b/src/control/duty.rs
@@ -47,6 +47,8 @@
     pub stopping: bool,
     /// Whether no order of this instance is in progress.
     pub idle: bool,
+    /// Monotonic time as of which `entry` is known, in milliseconds.
+    pub known_at_ms: u64,
     /// Monotonic time, in milliseconds.
     pub now_ms: u64,
 }
@@ -105,6 +107,12 @@
         entry.held_by(&self.identity.name, self.identity.incarnation)
     }
 
+    /// Returns whether the last claim or renewal is long enough ago.
+    fn is_due(&self, now_ms: u64) -> bool {
+        self.renewed_ms
+            .is_none_or(|renewed_ms| now_ms >= renewed_ms + self.renew_ms)
+    }
+
     fn hold(&mut self, entry: &DutyEntry, situation: &DutySituation<'_>) -> DutyStep {
         let now_ms = situation.now_ms;
         match situation.rank {
@@ -119,10 +127,7 @@
                 epoch: entry.epoch,
             });
         }
-        let due = self
-            .renewed_ms
-            .is_none_or(|renewed_ms| now_ms >= renewed_ms + self.renew_ms);
-        if !due {
+        if !self.is_due(now_ms) {
             return DutyStep::Wait;
         }
         self.renewed_ms = Some(now_ms);
@@ -140,7 +145,9 @@
         let held = situation.entry.is_some_and(|entry| !entry.resigned);
         let lapse_ms = if held { self.timing.lapse_ms() } else { 0 };
         let turn_ms = situation.rank * self.timing.grace_ms;
-        if self.challenge.unchanged_ms(situation.now_ms) < lapse_ms + turn_ms {
+        // A renewal since the last read is not known here.
+        let unchanged_ms = self.challenge.unchanged_ms(situation.known_at_ms);
+        if unchanged_ms < lapse_ms + turn_ms || !self.is_due(situation.now_ms) {
             return DutyStep::Wait;
         }
         self.renewed_ms = Some(situation.now_ms);
--- a/src/control/runner.rs
+++ b/src/control/runner.rs
@@ -93,6 +93,7 @@
             rank: self.rank(entry.as_ref()),
             stopping,
             idle: self.authority.is_idle(),
+            known_at_ms: now_ms,
             now_ms,
         };
         self.rules.step(&situation)
--- a/src/gateway/catalog.rs
+++ b/src/gateway/catalog.rs
@@ -32,10 +32,10 @@
 /// Configurations kept for peers, in bytes.
 const RECENT_BYTES: usize = 2 << 20;
 
-/// Longest wait of a read for the next configuration. A read that waits says
-/// nothing of its time until it ends; peers are asked for what is older than
-/// half of the freshness bound.
-const READ_WAIT: Duration = Duration::from_millis(1_500);
+/// Part of the time in which everything newer must be known after a
+/// disturbance for which a read waits for the next configuration. A connection
+/// that has gone silent is noticed after it and the client's timeout.
+const READ_WAIT_SHARE: f64 = 0.65;
 
 /// Records that were read, and when the read was sent.
 type Read = (Result<Update, ()>, u64, Instant);
@@ -92,7 +92,8 @@
     pub(super) async fn run(mut self) {
         let (sender, mut reads) = mpsc::channel(1);
         let follower = Follower::new(self.store.clone(), OPERATOR_TOPIC);
-        let mut reading = pin!(read(follower, sender));
+        let settle = Duration::from_millis(self.state.settings.timing.settle_ms);
+        let mut reading = pin!(read(follower, settle.mul_f64(READ_WAIT_SHARE), sender));
         loop {
             tokio::select! {
                 () = &mut reading => return,
@@ -182,10 +183,10 @@
 }
 
 /// Reads the topic for ever and hands on what it holds.
-async fn read(mut follower: Follower, reads: mpsc::Sender<Read>) {
+async fn read(mut follower: Follower, wait: Duration, reads: mpsc::Sender<Read>) {
     loop {
         let sent_at = Instant::now();
-        let update = follower.next(READ_WAIT).await;
+        let update = follower.next(wait).await;
         let next_offset = follower.next_offset().unwrap_or(0);
         if reads.send((update, next_offset, sent_at)).await.is_err() {
             return;
--- a/src/gateway/duty/roles.rs
+++ b/src/gateway/duty/roles.rs
@@ -2,13 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
+use futures_util::future::join_all;
 use indexmap::IndexMap;
 use tokio::time::{Instant, sleep};
 
 use super::tenure::Tenure;
 use crate::{
     gateway::{engine_call, state::State},
-    policy::role_split::{SplitEngine, plan_change},
+    policy::role_split::{SplitEngine, plan_changes},
     roster::Target,
     target::protocol::EngineRole,
 };
@@ -75,16 +76,21 @@
     if engines.len() != targets.len() {
         return;
     }
-    let Some(change) = plan_change(&engines) else {
-        return;
-    };
-    let target = &targets[change.index];
-    if order(state, tenure, target, change.role).await {
+    let changes = plan_changes(&engines);
+    let ordering = changes.iter().map(|change| {
+        let target = &targets[change.index];
+        order(state, tenure, target, change.role)
+    });
+    let ordered = join_all(ordering).await;
+    for (change, ordered) in changes.iter().zip(ordered) {
+        if !ordered {
+            continue;
+        }
         let order = Pending {
             role: change.role,
             ordered_at: Instant::now(),
         };
-        pending.insert(target.id.clone(), order);
+        pending.insert(targets[change.index].id.clone(), order);
     }
 }
 
--- a/src/gateway/duty/slices.rs
+++ b/src/gateway/duty/slices.rs
@@ -17,8 +17,14 @@
 /// Windows of which an instance's slices are kept.
 const KEPT_WINDOWS: u64 = 4;
 
-/// Time between two looks at what was counted.
-const FLUSH_PERIOD: Duration = Duration::from_millis(2_000);
+/// Shortest time between two writes of what was counted in a window.
+const MIN_FLUSH_PERIOD: Duration = Duration::from_millis(2_000);
+
+/// Instances of which one may lose its counts of a whole window.
+const EXPENDABLE_AMONG: usize = 32;
+
+/// Longest delay of a write, so that instances spread out.
+const MAX_JITTER: Duration = Duration::from_millis(500);
 
 /// Time after a window's end at which its last slice is written, in
 /// milliseconds, so that requests that began in it are counted.
@@ -61,7 +67,7 @@
     let mut flushed: IndexMap<u64, Slice> = IndexMap::new();
     let mut oldest = state.usage().current_window();
     loop {
-        sleep(FLUSH_PERIOD.mul_f64(rand::random_range(0.8..1.2))).await;
+        sleep(flush_delay(&state)).await;
         let current = state.usage().current_window();
         for window in oldest..=current {
             let slice = current_slice(&state, window, incarnation);
@@ -78,6 +84,19 @@
     }
 }
 
+/// Returns the time until the next write: at the latest, the current window's
+/// end.
+fn flush_delay(state: &State) -> Duration {
+    let window_ms = state.settings.timing.usage_window_ms;
+    let share = state.instances() as f64 / EXPENDABLE_AMONG as f64;
+    let period = Duration::from_millis(window_ms).mul_f64(share);
+    let usage = state.usage();
+    let until_end_ms = CLOSE_DELAY_MS - usage.ms_since_end(usage.current_window());
+    let until_end = Duration::from_millis(until_end_ms.max(0) as u64);
+    let jitter = MAX_JITTER.mul_f64(rand::random());
+    period.max(MIN_FLUSH_PERIOD).min(until_end) + jitter
+}
+
 fn current_slice(state: &State, window: u64, incarnation: u64) -> Slice {
     let usage = state.usage();
     Slice {
--- a/src/gateway/duty/tenure.rs
+++ b/src/gateway/duty/tenure.rs
@@ -55,10 +55,10 @@
 const CANDIDATES: u64 = 3;
 
 /// Factor of the time between two reads of an instance that is no candidate.
-const BYSTANDER_FACTOR: u32 = 4;
+const BYSTANDER_FACTOR: u32 = 8;
 
 /// Age of the last read at which the topic counts as unread, in leases.
-const LIVE_FOR_LEASES: u64 = 4;
+const LIVE_FOR_LEASES: u64 = 6;
 
 /// A claim, or a renewal of one.
 #[derive(Debug, Deserialize, Serialize)]
@@ -164,6 +164,11 @@
         known.read_at_ms = boot_ms();
     }
 
+    /// Notes that the topic holds records that were not read yet.
+    fn note_moved(&self) {
+        self.lock().read_at_ms = 0;
+    }
+
     fn lock(&self) -> MutexGuard<'_, Known> {
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -234,6 +239,7 @@
                 rank: own_rank(&tenure, known.entry.as_ref(), &peers),
                 stopping: false,
                 idle: false,
+                known_at_ms: known.read_at_ms,
                 now_ms,
             };
             (rules.step(&situation), known.next_offset)
@@ -267,7 +273,8 @@
             tenure.lock().lease.confirm(epoch, sent_ms);
         }
         Err(StoreError::Moved { end_offset }) => {
-            tracing::debug!(at, end_offset, "duty: another record was first");
+            tracing::info!(at, end_offset, "duty: another record was first");
+            tenure.note_moved();
         }
         Err(error) => tracing::info!(at, "duty: claim or renewal failed: {error}"),
     }
@@ -277,13 +284,13 @@
 fn own_rank(tenure: &Tenure, entry: Option<&DutyEntry>, peers: &PeerHandle) -> u64 {
     let name = &tenure.identity.name;
     let mut members = Vec::new();
-    for peer in peers.live() {
+    for peer in peers.reachable() {
         members.push(Member {
             identity: Identity {
                 name: peer.name,
                 incarnation: peer.incarnation,
             },
-            leaving: peer.leaving || peer.heard_at.is_none(),
+            leaving: peer.leaving,
         });
     }
     let holder = entry.map(|entry| &*entry.holder);
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -13,7 +13,7 @@
 const FIRST_RETRY: Duration = Duration::from_millis(50);
 
 /// Longest delay after a failed read.
-const MAX_RETRY: Duration = Duration::from_millis(400);
+const MAX_RETRY: Duration = Duration::from_millis(1_000);
 
 /// Part of a delay that is waited for, so that instances spread out.
 const JITTER: std::ops::Range<f64> = 0.5..1.0;
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -14,8 +14,9 @@
 /// silent is noticed after it and the client's timeout.
 const READ_WAIT: Duration = Duration::from_millis(2_000);
 
-/// Wait after changes for others that one read can bring with them.
-const BATCH_WAIT: Duration = Duration::from_millis(500);
+/// Part of the time in which a target that leaves must be known for which a
+/// read waits for further changes.
+const BATCH_SHARE: f64 = 0.4;
 
 /// Follows the list of targets for ever.
 pub(super) async fn follow(state: Arc<State>, store: StoreClient) {
@@ -36,7 +37,8 @@
                     take_target(&state, &removals, record);
                 }
                 if !records.is_empty() {
-                    sleep(BATCH_WAIT).await;
+                    let drain = Duration::from_millis(state.tuning().timing.drain_ms);
+                    sleep(drain.mul_f64(BATCH_SHARE)).await;
                 }
             }
         }
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -35,6 +35,12 @@
         self.shared.state().membership.live(Instant::now())
     }
 
+    /// Returns the running instances other than this one, but for those that
+    /// have a link to it and are silent.
+    pub fn reachable(&self) -> Vec<PeerState> {
+        self.shared.state().reachable(Instant::now())
+    }
+
     /// Returns whether the live list was read at least once.
     pub fn knows_live_list(&self) -> bool {
         self.shared.state().membership.listed_once()
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -150,6 +150,13 @@
         live
     }
 
+    /// Returns whether an instance was heard lately.
+    pub fn is_heard(&self, name: &str, now: Instant) -> bool {
+        self.peers
+            .get(name)
+            .is_some_and(|peer| !peer.silent(self.silent_after, now))
+    }
+
     /// Returns the names of the listed instances other than this one.
     pub fn listed(&self) -> impl Iterator<Item = &Arc<str>> {
         self.peers
--- a/src/peer/state.rs
+++ b/src/peer/state.rs
@@ -93,6 +93,17 @@
         self.derive_links(now);
     }
 
+    /// Returns the running instances that are not known to be silent: those
+    /// without a link to this one are never heard.
+    pub(super) fn reachable(&self, now: Instant) -> Vec<PeerState> {
+        let mut reachable = self.membership.live(now);
+        reachable.retain(|peer| {
+            let is_linked = self.kinds.contains_key(&peer.name);
+            !is_linked || self.membership.is_heard(&peer.name, now)
+        });
+        reachable
+    }
+
     /// Drops instances that are gone; returns them.
     pub(super) fn expire(&mut self, now: Instant) -> Vec<PeerState> {
         let gone = self.membership.expire(now);
--- a/src/policy/role_split.rs
+++ b/src/policy/role_split.rs
@@ -10,6 +10,9 @@
 /// Fewest engines that decode, where there are more than that.
 const MIN_DECODE: usize = 2;
 
+/// Engines of a fleet for each that changes its role at the same time.
+const ENGINES_A_CHANGE: usize = 16;
+
 /// An engine that runs and takes requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SplitEngine {
@@ -45,6 +48,24 @@
     wanted.clamp(1, most)
 }
 
+/// Returns the changes of roles that are made together: a few engines of a
+/// fleet at a time, so that most go on.
+#[must_use]
+pub fn plan_changes(engines: &[SplitEngine]) -> Vec<SplitChange> {
+    let mut engines = engines.to_vec();
+    let mut changes = Vec::new();
+    for _ in 0..engines.len().div_ceil(ENGINES_A_CHANGE) {
+        let Some(change) = plan_change(&engines) else {
+            break;
+        };
+        let engine = &mut engines[change.index];
+        engine.role = change.role;
+        engine.is_changing = true;
+        changes.push(change);
+    }
+    changes
+}
+
 /// Returns the next change of a role, if one is needed.
 ///
 /// Engines that decode are spread over failure domains and are kept among
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -72,6 +72,10 @@
     /// Time for which a target that left the store while that was out may
     /// come back.
     pub return_ms: u64,
+    /// Time after which a target that is about to leave gets no requests.
+    pub drain_ms: u64,
+    /// Time after a disturbance within which everything newer must be known.
+    pub settle_ms: u64,
 }
 
 impl Default for GatewayTiming {
@@ -83,6 +87,8 @@
             stop_ms: 7_000,
             freshness_ms: 6_500,
             return_ms: 1_700,
+            drain_ms: 2_000,
+            settle_ms: 3_000,
         }
     }
 }
@@ -181,6 +187,8 @@
             ("usage_due_ms", self.timing.usage_due_ms),
             ("stop_ms", self.timing.stop_ms),
             ("freshness_ms", self.timing.freshness_ms),
+            ("drain_ms", self.timing.drain_ms),
+            ("settle_ms", self.timing.settle_ms),
             ("window_ms", self.retries.window_ms),
             ("memory_mb", self.limits.memory_mb),
             ("max_descriptors", self.limits.max_descriptors),
--- a/tests/duty_rules.rs
+++ b/tests/duty_rules.rs
@@ -48,6 +48,7 @@
         rank: 0,
         stopping: false,
         idle: true,
+        known_at_ms: now_ms,
         now_ms,
     }
 }
@@ -119,6 +120,29 @@
     assert_eq!(rules.step(&situation(Some(&held), 1_000)), renewal);
 }
 
+#[test]
+fn claims_need_a_read() {
+    // A bystander that reads rarely must not claim over renewals that it has
+    // not read yet.
+    let held = entry("b", false);
+    let mut rules = rules("a");
+    let read_at = |known_at_ms, now_ms| DutySituation {
+        known_at_ms,
+        ..situation(Some(&held), now_ms)
+    };
+    assert_eq!(rules.step(&read_at(0, 0)), DutyStep::Wait);
+    assert_eq!(rules.step(&read_at(0, 9_000)), DutyStep::Wait);
+    assert_eq!(rules.step(&read_at(9_000, 9_000)), claim(7, 9));
+}
+
+#[test]
+fn claims_are_paced() {
+    let mut rules = rules("a");
+    assert_eq!(rules.step(&situation(None, 0)), claim(0, 0));
+    assert_eq!(rules.step(&situation(None, RENEW_MS - 1)), DutyStep::Wait);
+    assert_eq!(rules.step(&situation(None, RENEW_MS)), claim(0, 0));
+}
+
 #[test]
 fn holder_resigns() {
     let resignation = DutyStep::Resign(DutyResignation {
--- a/tests/role_split.rs
+++ b/tests/role_split.rs
@@ -1,7 +1,7 @@
 //! How engines are divided between prefill and decode by orders.
 
 use lavenderwind::{
-    policy::role_split::{SplitEngine, plan_change, prefill_engines},
+    policy::role_split::{SplitEngine, plan_change, plan_changes, prefill_engines},
     target::protocol::EngineRole,
 };
 
@@ -52,6 +52,29 @@
     assert_ne!(decoding[0].failure_domain, decoding[1].failure_domain);
 }
 
+#[test]
+fn large_fleets_change_together() {
+    // A fleet whose reclaimable engines have all just been replaced.
+    let mut engines: Vec<_> = (0..200)
+        .map(|index| engine(EngineRole::Decode, index % 4))
+        .collect();
+    let mut rounds = 0;
+    loop {
+        let changes = plan_changes(&engines);
+        if changes.is_empty() {
+            break;
+        }
+        assert!(changes.len() <= 13, "{} at once", changes.len());
+        for change in changes {
+            engines[change.index].role = change.role;
+        }
+        rounds += 1;
+    }
+    assert_eq!(rounds, 13, "rounds of 160 changes");
+    let small = vec![engine(EngineRole::Decode, 0); 9];
+    assert_eq!(plan_changes(&small).len(), 1, "one at a time");
+}
+
 #[test]
 fn changing_engines_are_left() {
     let mut engines = vec![
--- a/tests/walk/instance.rs
+++ b/tests/walk/instance.rs
@@ -294,6 +294,7 @@
             ),
             stopping: self.stopping,
             idle: matches!(self.progress, Progress::Idle),
+            known_at_ms: self.clock.ms(around.now_ms),
             now_ms: self.clock.ms(around.now_ms),
         };
         let body = match self.rules.step(&situation) {
