Read short prompts at decoding engines, and leave crashed engines out

Found on the way: a look at an open breaker took its one probe, and a probe without outcome kept the engine out for good.

--- a/src/gateway/decode.rs
+++ b/src/gateway/decode.rs
@@ -15,6 +15,26 @@
     failing: 3.0,
 };
 
+/// Tokens of prompts that an engine has to read that weigh as much as a slot.
+const TOKENS_A_SLOT: f64 = 200.0;
+
+/// Returns the fewest tokens of prompts that wait at an engine that decodes;
+/// `None` if no such engine takes requests.
+pub(super) fn least_queued_tokens(state: &State, call: &Call) -> Option<f64> {
+    let now_ms = state.now_ms();
+    let targets = state.ready_targets(&call.service);
+    let loads = state.loads();
+    let mut least: Option<f64> = None;
+    for target in &targets {
+        if target.role != Some(EngineRole::Decode) || !loads.allows(&target.id, now_ms) {
+            continue;
+        }
+        let queued = loads.in_flight(&target.id).prefill_tokens as f64;
+        least = Some(least.map_or(queued, |least| least.min(queued)));
+    }
+    least
+}
+
 /// Chooses an engine that decodes; one in `failure_domain` is reached best.
 pub(super) fn choose(
     state: &State,
@@ -30,13 +50,17 @@
     targets.retain(|target| loads.allows(&target.id, now_ms));
     let mut candidates = Vec::with_capacity(targets.len());
     for target in &targets {
+        let in_flight = loads.in_flight(&target.id);
+        let reading = in_flight.prefill_tokens as f64 / TOKENS_A_SLOT;
         candidates.push(SpreadCandidate {
-            in_flight: loads.in_flight(&target.id).requests,
+            in_flight: in_flight.requests + reading as u32,
             slots: target.slots,
             is_near: *target.failure_domain == *failure_domain,
             failure_rate: loads.failure_rate(&target.id),
         });
     }
     let index = choose_least_loaded(&candidates, &WEIGHTS, rand::random())?;
-    Some(targets.swap_remove(index))
+    let chosen = targets.swap_remove(index);
+    loads.note_try(&chosen.id, now_ms);
+    Some(chosen)
 }
--- a/src/gateway/duty/roles.rs
+++ b/src/gateway/duty/roles.rs
@@ -20,14 +20,17 @@
 /// Time after which an order that shows no effect is made again.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time for which an engine that did not take an order is left alone.
+const FAILED_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// Keeps the roles of all engines while this instance holds the duties, for
 /// ever.
 pub(in crate::gateway) async fn keep_roles(state: Arc<State>, tenure: Arc<Tenure>) {
-    let mut pending: IndexMap<Arc<str>, Pending> = IndexMap::new();
+    let mut orders: IndexMap<Arc<str>, LastOrder> = IndexMap::new();
     loop {
         sleep(PERIOD).await;
         if tenure.holder().is_none() {
-            pending.clear();
+            orders.clear();
             continue;
         }
         let Some(catalog) = state.catalog() else {
@@ -35,62 +38,83 @@
         };
         for service in catalog.services() {
             if service.engine.is_some() {
-                keep_service(&state, &tenure, &service.name, &mut pending).await;
+                keep_service(&state, &tenure, &service.name, &mut orders).await;
             }
         }
     }
 }
 
-/// An order whose effect is awaited.
+/// What came of the last order to an engine.
 #[derive(Clone, Copy, Debug)]
-struct Pending {
-    role: EngineRole,
-    ordered_at: Instant,
+enum LastOrder {
+    /// Its effect is awaited.
+    Awaited { role: EngineRole, at: Instant },
+    /// The engine did not take it.
+    Failed { at: Instant },
+}
+
+impl LastOrder {
+    /// Returns whether it still matters; `role` is the engine's.
+    fn is_current(&self, role: Option<EngineRole>) -> bool {
+        match self {
+            Self::Awaited { role: ordered, at } => {
+                role != Some(*ordered) && at.elapsed() < ORDER_TIMEOUT
+            }
+            Self::Failed { at } => at.elapsed() < FAILED_PAUSE,
+        }
+    }
 }
 
 async fn keep_service(
     state: &Arc<State>,
     tenure: &Tenure,
     service: &str,
-    pending: &mut IndexMap<Arc<str>, Pending>,
+    orders: &mut IndexMap<Arc<str>, LastOrder>,
 ) {
-    let targets = state.ready_targets(service);
-    pending.retain(|id, order| {
+    let mut targets = state.ready_targets(service);
+    if targets.iter().any(|target| target.role.is_none()) {
+        return;
+    }
+    orders.retain(|id, order| {
         let target = targets.iter().find(|target| target.id == *id);
-        let awaited = target.is_some_and(|target| target.role != Some(order.role));
-        awaited && order.ordered_at.elapsed() < ORDER_TIMEOUT
+        target.is_some_and(|target| order.is_current(target.role))
+    });
+    // Engines that do not answer do no work in either role.
+    targets.retain(|target| {
+        let failed = matches!(orders.get(&target.id), Some(LastOrder::Failed { .. }));
+        !failed && state.loads().is_reachable(&target.id)
     });
     let mut engines = Vec::with_capacity(targets.len());
     for target in &targets {
-        let Some(role) = target.role else {
+        let ordered = match orders.get(&target.id) {
+            Some(LastOrder::Awaited { role, .. }) => Some(*role),
+            _ => None,
+        };
+        let Some(role) = ordered.or(target.role) else {
             continue;
         };
         engines.push(SplitEngine {
-            role: pending.get(&target.id).map_or(role, |order| order.role),
-            is_changing: pending.contains_key(&target.id),
+            role,
+            is_changing: ordered.is_some(),
             failure_domain: target.failure_domain.clone(),
             is_reclaimable: target.reclaimable,
             in_flight: state.loads().in_flight(&target.id).requests,
         });
     }
-    if engines.len() != targets.len() {
-        return;
-    }
     let changes = plan_changes(&engines);
     let ordering = changes.iter().map(|change| {
         let target = &targets[change.index];
         order(state, tenure, target, change.role)
     });
-    let ordered = join_all(ordering).await;
-    for (change, ordered) in changes.iter().zip(ordered) {
-        if !ordered {
-            continue;
-        }
-        let order = Pending {
-            role: change.role,
-            ordered_at: Instant::now(),
+    let taken = join_all(ordering).await;
+    for (change, taken) in changes.iter().zip(taken) {
+        let at = Instant::now();
+        let role = change.role;
+        let order = match taken {
+            true => LastOrder::Awaited { role, at },
+            false => LastOrder::Failed { at },
         };
-        pending.insert(targets[change.index].id.clone(), order);
+        orders.insert(targets[change.index].id.clone(), order);
     }
 }
 
@@ -109,7 +133,8 @@
         }
     };
     if report.busy || report.role() == Some(role) {
-        return report.busy;
+        // The list of targets will tell.
+        return true;
     }
     let Some(holder) = tenure.holder() else {
         return false;
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -5,19 +5,10 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    log::backoff::Backoff,
     platform::{KeyedRecord, StoreClient, StoreError, Topic},
+    policy::read_pace::{ReadOutcome, ReadPace},
 };
 
-/// Delay after a first failed read.
-const FIRST_RETRY: Duration = Duration::from_millis(50);
-
-/// Longest delay after a failed read.
-const MAX_RETRY: Duration = Duration::from_millis(1_000);
-
-/// Part of a delay that is waited for, so that instances spread out.
-const JITTER: std::ops::Range<f64> = 0.5..1.0;
-
 /// Records of a topic.
 #[derive(Debug)]
 pub(super) enum Update {
@@ -34,7 +25,7 @@
     topic: Topic,
     next_offset: Option<u64>,
     failed_since: Option<Instant>,
-    backoff: Backoff,
+    pace: ReadPace,
 }
 
 impl Follower {
@@ -44,7 +35,7 @@
             topic,
             next_offset: None,
             failed_since: None,
-            backoff: Backoff::new(FIRST_RETRY, MAX_RETRY),
+            pace: ReadPace::default(),
         }
     }
 
@@ -60,9 +51,8 @@
                 Ok(update)
             }
             Err(error) => {
-                self.note_failure(&error);
-                let delay = self.backoff.next_delay();
-                sleep(delay.mul_f64(rand::random_range(JITTER))).await;
+                let outcome = self.note_failure(&error);
+                sleep(self.pace.delay_after(outcome, rand::random())).await;
                 Err(())
             }
         }
@@ -96,14 +86,14 @@
     }
 
     fn note_success(&mut self) {
-        self.backoff.reset();
+        self.pace.delay_after(ReadOutcome::Read, 0.0);
         if let Some(since) = self.failed_since.take() {
             let outage_ms = since.elapsed().as_millis() as u64;
             tracing::info!(outage_ms, "gateway: store regained for {}", self.topic);
         }
     }
 
-    fn note_failure(&mut self, error: &StoreError) {
+    fn note_failure(&mut self, error: &StoreError) -> ReadOutcome {
         if let StoreError::Trimmed { first_offset } = error {
             tracing::info!(
                 first_offset,
@@ -111,11 +101,12 @@
                 self.topic
             );
             self.next_offset = None;
-            return;
+            return ReadOutcome::Trimmed;
         }
         if self.failed_since.is_none() {
             tracing::warn!("gateway: store lost for {}: {error}", self.topic);
             self.failed_since = Some(Instant::now());
         }
+        ReadOutcome::Failed
     }
 }
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -44,16 +44,17 @@
 ) -> Result<Response<Body>, Refusal> {
     let mut progress = Progress::default();
     let mut last_error = None;
-    let mut handle = match &call.prompt {
-        Some(prompt) => match prefill(state, call, prompt).await {
-            Prefill::Done(handle) => Some(handle),
-            Prefill::Skipped => None,
-            Prefill::OverBudget => return Err(Refusal::TargetsRefused),
-        },
-        None => None,
-    };
+    let mut handle = None;
+    let mut unread = call.prompt.as_ref();
     let mut refused_handle = false;
     loop {
+        if let Some(prompt) = unread.take() {
+            handle = match prefill(state, call, prompt).await {
+                Prefill::Done(handle) => Some(handle),
+                Prefill::Skipped => None,
+                Prefill::OverBudget => return Err(progress.refusal(last_error.as_ref())),
+            };
+        }
         let exhausted = call.time_left(Instant::now()) < MIN_ATTEMPT;
         if exhausted || !is_still_permitted(state, call, head) {
             break;
@@ -66,7 +67,11 @@
         let Some(target) = decode::choose(state, call, near, &progress.tried) else {
             break;
         };
-        let in_flight = InFlightGuard::new(state, &target.id, 0);
+        let to_read = match (&handle, &call.prompt) {
+            (None, Some(prompt)) => prompt.prompt_tokens,
+            _ => 0,
+        };
+        let in_flight = InFlightGuard::new(state, &target.id, u64::from(to_read));
         let by = begin_by(call, &progress);
         let result = begin(state, call, &target, handle.as_ref(), by).await;
         let failure = match result {
@@ -92,11 +97,16 @@
                 failure
             }
         };
+        let had_handle = handle.is_some();
         give_up_handle(&mut handle, failure, &mut refused_handle);
         progress.tried.push(target.id.clone());
         if progress.fail(state, call, failure) != RetryDecision::Retry {
             break;
         }
+        // The prompt's parts are cached where it was prefilled.
+        if had_handle && handle.is_none() && state.withdraw_retry(&call.service) {
+            unread = call.prompt.as_ref();
+        }
     }
     Err(progress.refusal(last_error.as_ref()))
 }
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -10,6 +10,7 @@
     policy::{
         breaker::{Breaker, BreakerSettings, Observation},
         homes::CachedChains,
+        routing::Availability,
     },
 };
 
@@ -70,17 +71,18 @@
         self.avoided_until_ms = now_ms + self.avoided_ms();
     }
 
-    /// Returns whether a request may be sent; of those that come after the
-    /// target was passed over, one at a time.
-    fn may_try(&mut self, now_ms: u64) -> bool {
-        if self.refusals == 0 {
-            return true;
-        }
-        if now_ms < self.avoided_until_ms {
-            return false;
+    /// Returns whether a request may be sent.
+    fn may_try(&self, now_ms: u64) -> bool {
+        self.refusals == 0 || now_ms >= self.avoided_until_ms
+    }
+
+    /// Notes that a request is sent: of those that come after the target was
+    /// passed over, one at a time.
+    fn note_try(&mut self, now_ms: u64) {
+        if self.refusals > 0 {
+            self.avoided_until_ms = now_ms + self.avoided_ms();
         }
-        self.avoided_until_ms = now_ms + self.avoided_ms();
-        true
+        self.breaker.allow(now_ms);
     }
 
     fn avoided_ms(&self) -> u64 {
@@ -132,9 +134,22 @@
     }
 
     /// Returns whether a request may be sent to a target.
-    pub(super) fn allows(&mut self, target: &Arc<str>, now_ms: u64) -> bool {
-        let condition = self.condition(target);
-        condition.may_try(now_ms) && condition.breaker.allow(now_ms)
+    pub(super) fn allows(&self, target: &str, now_ms: u64) -> bool {
+        let condition = self.targets.get(target);
+        condition.is_none_or(|condition| {
+            condition.may_try(now_ms) && condition.breaker.would_allow(now_ms)
+        })
+    }
+
+    /// Returns whether a target answered when it was last tried.
+    pub(super) fn is_reachable(&self, target: &str) -> bool {
+        let condition = self.targets.get(target);
+        condition.is_none_or(|condition| condition.breaker.availability() == Availability::Live)
+    }
+
+    /// Notes that a request is about to be sent to a target.
+    pub(super) fn note_try(&mut self, target: &Arc<str>, now_ms: u64) {
+        self.condition(target).note_try(now_ms);
     }
 
     /// Notes how a request to a target went.
@@ -149,7 +164,10 @@
                 predicted_ms: 0.0,
                 actual_ms: 0.0,
             },
-            Outcome::Failed | Outcome::Refused => return,
+            // A target that refuses has not crashed.
+            Outcome::Refused => Observation::Overload,
+            Outcome::Failed if condition.breaker.is_probing() => Observation::Crash,
+            Outcome::Failed => return,
             Outcome::Unreachable => Observation::Crash,
             Outcome::Silent => Observation::Timeout,
         };
@@ -236,6 +254,9 @@
     /// Notes that the prompt has been read.
     pub(super) fn prefilled(&mut self) {
         let tokens = std::mem::take(&mut self.prefill_tokens);
+        if tokens == 0 {
+            return;
+        }
         let mut loads = self.state.loads();
         loads.change(&self.target, |own| own.prefill_tokens -= tokens);
     }
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -143,7 +143,9 @@
         });
     }
     let index = choose_least_loaded(&candidates, &WEIGHTS, rand::random())?;
-    Some(allowed.swap_remove(index))
+    let chosen = allowed.swap_remove(index);
+    loads.note_try(&chosen.id, now_ms);
+    Some(chosen)
 }
 
 /// Returns whether another target may do better than this failure.
--- a/src/gateway/prefill.rs
+++ b/src/gateway/prefill.rs
@@ -6,14 +6,17 @@
 
 use super::{
     attempt::{self, AttemptError},
-    engine_call,
+    decode, engine_call,
     loads::{InFlightGuard, Outcome},
     state::State,
 };
 use crate::{
     call::{Call, Prompt},
     platform::{AttemptHead, KvSource, Prefilled},
-    policy::homes::{PrefillCandidate, chain_hash, choose_prefill},
+    policy::{
+        homes::{PrefillCandidate, chain_hash, choose_prefill},
+        reading::{ReadingQueues, reads_at_decode},
+    },
     roster::Target,
     target::protocol::EngineRole,
 };
@@ -82,6 +85,9 @@
         let Some(chosen) = choose(state, call, prompt, &tried) else {
             break;
         };
+        if tried.is_empty() && is_read_faster(state, call, prompt, &chosen) {
+            return Prefill::Skipped;
+        }
         tried.push(chosen.target.id.clone());
         match attempt_once(state, call, prompt, &chosen).await {
             Ok(handle) => return Prefill::Done(handle),
@@ -100,6 +106,8 @@
 #[derive(Debug)]
 struct Chosen {
     target: Arc<Target>,
+    /// Tokens that wait there for their prefill.
+    queued_tokens: f64,
     uncached_tokens: u32,
     /// Engine that has the shared parts of the prompt.
     fetch_from: Option<Arc<Target>>,
@@ -117,7 +125,8 @@
         ..
     } = chosen;
     let uncached_tokens = *uncached_tokens;
-    let queued_tokens = state.loads().in_flight(&target.id).prefill_tokens;
+    let queued_tokens = chosen.queued_tokens as u64;
+    state.loads().note_try(&target.id, state.now_ms());
     let _in_flight = InFlightGuard::new(state, &target.id, u64::from(uncached_tokens));
     let started_at = Instant::now();
     let by = started_at + call.time_left(started_at).saturating_sub(DECODE_TIME);
@@ -168,11 +177,25 @@
     })
 }
 
+/// Returns whether the engine that decodes reads the prompt sooner than the
+/// one that was chosen for its prefill.
+fn is_read_faster(state: &State, call: &Call, prompt: &Prompt, chosen: &Chosen) -> bool {
+    let Some(decode_queued_tokens) = decode::least_queued_tokens(state, call) else {
+        return false;
+    };
+    reads_at_decode(&ReadingQueues {
+        prefill_queued_tokens: chosen.queued_tokens,
+        prefill_uncached_tokens: chosen.uncached_tokens,
+        decode_queued_tokens,
+        prompt_tokens: prompt.prompt_tokens,
+    })
+}
+
 fn choose(state: &State, call: &Call, prompt: &Prompt, tried: &[Arc<str>]) -> Option<Chosen> {
     let now_ms = state.now_ms();
     let mut targets = state.targets(&call.service);
     targets.retain(|target| target.role == Some(EngineRole::Prefill));
-    let mut loads = state.loads();
+    let loads = state.loads();
     let mut candidates = Vec::with_capacity(targets.len());
     for target in &targets {
         let is_open = target.takes_requests(Instant::now()) && !tried.contains(&target.id);
@@ -180,6 +203,7 @@
             id: target.id.clone(),
             failure_domain: target.failure_domain.clone(),
             is_leaving: !is_open || !loads.allows(&target.id, now_ms),
+            is_unreachable: !loads.is_reachable(&target.id) && !loads.allows(&target.id, now_ms),
             queued_tokens: loads.in_flight(&target.id).prefill_tokens as f64,
             penalty_tokens: FAILING_TOKENS * loads.failure_rate(&target.id),
         });
@@ -188,6 +212,7 @@
     let choice = choose_prefill(prompt, &candidates, &loads.chains, keeps_copy, now_ms)?;
     Some(Chosen {
         target: targets[choice.index].clone(),
+        queued_tokens: candidates[choice.index].queued_tokens,
         uncached_tokens: choice.uncached_tokens,
         fetch_from: choice.fetch_from.map(|index| targets[index].clone()),
     })
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -25,7 +25,7 @@
     target: Arc<Target>,
     body: Incoming,
     connection: Connection,
-    _in_flight: InFlightGuard,
+    in_flight: InFlightGuard,
 }
 
 impl Source {
@@ -36,7 +36,7 @@
             target,
             body,
             connection,
-            _in_flight: in_flight,
+            in_flight,
         }
     }
 }
@@ -132,6 +132,7 @@
                 }
                 continue;
             };
+            source.in_flight.prefilled();
             if self.events == 0 {
                 self.state.note_first_event(&self.call);
             }
--- a/src/policy/breaker.rs
+++ b/src/policy/breaker.rs
@@ -18,6 +18,8 @@
 const MAX_SLOWDOWN: f64 = 10.0;
 /// Predictions below this are too short to tell a slowdown by.
 const MIN_PREDICTION_MS: f64 = 5.0;
+/// Time after which a probe without an outcome no longer keeps others back.
+const PROBE_TIMEOUT_MS: u64 = 3_000;
 
 /// Times of a breaker.
 #[derive(Clone, Copy, Debug)]
@@ -62,7 +64,7 @@
 enum State {
     Closed,
     Open { until_ms: u64 },
-    Probing,
+    Probing { until_ms: u64 },
 }
 
 /// One target's breaker.
@@ -114,7 +116,7 @@
             Observation::Overload => self.record_overload(),
             Observation::Timeout => {
                 self.timeouts += 1;
-                if self.state == State::Probing || self.timeouts >= self.settings.max_timeouts {
+                if self.is_probing() || self.timeouts >= self.settings.max_timeouts {
                     self.open(now_ms, jitter);
                 }
             }
@@ -124,22 +126,36 @@
     /// Returns whether a request may be sent; once open for long enough, this
     /// allows a single probe.
     pub fn allow(&mut self, now_ms: u64) -> bool {
+        let allowed = self.would_allow(now_ms);
+        if allowed && self.state != State::Closed {
+            self.state = State::Probing {
+                until_ms: now_ms + PROBE_TIMEOUT_MS,
+            };
+        }
+        allowed
+    }
+
+    /// Returns what [`Breaker::allow`] would, without taking the probe.
+    #[must_use]
+    pub fn would_allow(&self, now_ms: u64) -> bool {
         match self.state {
             State::Closed => true,
-            State::Open { until_ms } if now_ms >= until_ms => {
-                self.state = State::Probing;
-                true
-            }
-            State::Open { .. } | State::Probing => false,
+            State::Open { until_ms } | State::Probing { until_ms } => now_ms >= until_ms,
         }
     }
 
+    /// Returns whether the outcome of a probe is awaited.
+    #[must_use]
+    pub fn is_probing(&self) -> bool {
+        matches!(self.state, State::Probing { .. })
+    }
+
     /// Returns whether the router may choose the target.
     #[must_use]
     pub fn availability(&self) -> Availability {
         match self.state {
             State::Closed => Availability::Live,
-            State::Open { .. } | State::Probing => Availability::Suspect,
+            State::Open { .. } | State::Probing { .. } => Availability::Suspect,
         }
     }
 
@@ -168,7 +184,7 @@
         // The target answered: it has not crashed.
         self.timeouts = 0;
         self.room = (self.room * OVERLOAD_FACTOR).max(MIN_ROOM);
-        if self.state == State::Probing {
+        if self.is_probing() {
             self.state = State::Closed;
             self.failed_probes = 0;
         }
--- a/src/policy/homes.rs
+++ b/src/policy/homes.rs
@@ -38,12 +38,22 @@
     /// Whether it is about to leave: it takes no prompts, and others may still
     /// fetch from it.
     pub is_leaving: bool,
+    /// Whether it did not answer lately: it takes no prompts, and nothing is
+    /// fetched from it.
+    pub is_unreachable: bool,
     /// Tokens that wait for their prefill there.
     pub queued_tokens: f64,
     /// Cost of choosing it beyond its queue, in tokens.
     pub penalty_tokens: f64,
 }
 
+impl PrefillCandidate {
+    /// Returns whether it takes prompts.
+    fn is_open(&self) -> bool {
+        !self.is_leaving && !self.is_unreachable
+    }
+}
+
 /// Where a prompt is prefilled.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PrefillChoice {
@@ -117,7 +127,7 @@
     };
     let mut best: Option<(f64, u64, PrefillChoice)> = None;
     for (index, candidate) in candidates.iter().enumerate() {
-        if candidate.is_leaving {
+        if !candidate.is_open() {
             continue;
         }
         let place_tokens = match Some(index) {
@@ -171,7 +181,7 @@
             weights.push(rendezvous_weight(key, &candidate.id));
             cached_tokens.push(cached.cached_tokens(&candidate.id, &prompt.parts, now_ms));
         }
-        let staying = (0..candidates.len()).filter(|&index| !candidates[index].is_leaving);
+        let staying = (0..candidates.len()).filter(|&index| candidates[index].is_open());
         let home = staying.clone().max_by_key(|&index| weights[index]);
         let copy = home.and_then(|home| {
             let domain = &candidates[home].failure_domain;
@@ -217,7 +227,8 @@
     /// that is known to, the home that leaves, the home or the copy.
     fn source(&self, index: usize) -> Option<usize> {
         let home_weight = self.home.map_or(0, |home| self.weights[home]);
-        let others = (0..self.weights.len()).filter(|other| *other != index);
+        let others = (0..self.weights.len())
+            .filter(|&other| other != index && !self.candidates[other].is_unreachable);
         others.max_by_key(|&other| {
             let holds = self.cached_tokens[other] >= self.shared_tokens;
             let was_home = self.candidates[other].is_leaving && self.weights[other] > home_weight;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,6 +11,8 @@
 pub mod load;
 pub mod prefix;
 pub mod queue;
+pub mod read_pace;
+pub mod reading;
 pub mod retry;
 pub mod retry_window;
 pub mod role_split;
--- /dev/null
+++ b/src/policy/read_pace.rs
@@ -0,0 +1,61 @@
+//! Pace at which a topic of the platform's store is read.
+
+use std::time::Duration;
+
+use crate::log::backoff::Backoff;
+
+/// Delay after a first failed read.
+const FIRST_RETRY: Duration = Duration::from_millis(50);
+
+/// Longest delay after a failed read. What an instance missed while it was cut
+/// off must be known soon after it reaches the store again.
+const MAX_RETRY: Duration = Duration::from_millis(600);
+
+/// Least part of a delay that is waited for, so that instances spread out.
+const LEAST_PART: f64 = 0.5;
+
+/// How a read ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReadOutcome {
+    /// Records came, or none within the wait.
+    Read,
+    /// The store answered that the offset is no longer kept.
+    Trimmed,
+    /// The store did not answer, or refused.
+    Failed,
+}
+
+/// Delays between reads of one topic.
+///
+/// ```
+/// use lavenderwind::policy::read_pace::{ReadOutcome, ReadPace};
+///
+/// let mut pace = ReadPace::default();
+/// assert!(pace.delay_after(ReadOutcome::Read, 1.0).is_zero());
+/// assert!(!pace.delay_after(ReadOutcome::Failed, 1.0).is_zero());
+/// ```
+#[derive(Debug)]
+pub struct ReadPace {
+    backoff: Backoff,
+}
+
+impl Default for ReadPace {
+    fn default() -> Self {
+        Self {
+            backoff: Backoff::new(FIRST_RETRY, MAX_RETRY),
+        }
+    }
+}
+
+impl ReadPace {
+    /// Returns the delay before the next read; `point`, uniform in 0 to 1,
+    /// spreads instances.
+    pub fn delay_after(&mut self, outcome: ReadOutcome, point: f64) -> Duration {
+        if outcome == ReadOutcome::Failed {
+            let part = LEAST_PART + (1.0 - LEAST_PART) * point;
+            return self.backoff.next_delay().mul_f64(part);
+        }
+        self.backoff.reset();
+        Duration::ZERO
+    }
+}
--- a/src/policy/spending/plan.rs
+++ b/src/policy/spending/plan.rs
@@ -120,7 +120,9 @@
 /// targets go once all the reclaimable ones run for which they leave room.
 /// While a domain's reclaimable targets are away, those of the others carry
 /// the load: the loss is what they were spread for, and no regular target is
-/// ordered for it as long as `needed` targets can be expected at all.
+/// ordered for it as long as `needed` targets can be expected at all. As long
+/// as the platform refuses some, none of the regular ones are given back: what
+/// was to replace them may not be had either.
 #[must_use]
 pub fn keep_regular(
     planned: &SpendingPlan,
@@ -137,12 +139,13 @@
         };
     }
     let mut shortfall = needed.saturating_sub(expected);
+    let is_short = supply.iter().any(|domain| domain.is_sold_out);
     let mut kept = Vec::with_capacity(supply.len());
     for (index, domain) in supply.iter().enumerate() {
         let now = regular_now[index];
         let room = max_targets.saturating_sub(now);
         let replaced = domain.reclaimable_live >= planned.reclaimable[index].min(room);
-        let stays = if replaced { 0 } else { now };
+        let stays = if replaced && !is_short { 0 } else { now };
         shortfall = shortfall.saturating_sub(stays);
         kept.push(stays);
     }
--- a/tests/prefill_homes.rs
+++ b/tests/prefill_homes.rs
@@ -14,6 +14,7 @@
             id: format!("engine-{index}").into(),
             failure_domain: format!("domain-{}", index % 4).into(),
             is_leaving: false,
+            is_unreachable: false,
             queued_tokens: 0.0,
             penalty_tokens: 0.0,
         })
@@ -103,6 +104,25 @@
     assert!(most <= Some(10 * 3_700), "{most:?}");
 }
 
+#[test]
+fn nothing_comes_from_a_crashed_engine() {
+    let engines = engines(6);
+    let prompt = prompt(7, 1);
+    let home = choose(&prompt, &engines, false);
+    let mut cached = CachedChains::default();
+    cached.insert(&engines[home].id, &prompt.parts, 0);
+    let mut crashed = engines.clone();
+    crashed[home].is_unreachable = true;
+    let choice = choose_prefill(&prompt, &crashed, &cached, false, 1).unwrap();
+    assert_ne!(choice.index, home);
+    assert_ne!(choice.fetch_from, Some(home));
+    // One that leaves still answers.
+    let mut leaving = engines.clone();
+    leaving[home].is_leaving = true;
+    let choice = choose_prefill(&prompt, &leaving, &cached, false, 1).unwrap();
+    assert_eq!(choice.fetch_from, Some(home));
+}
+
 #[test]
 fn shared_parts_are_fetched() {
     let engines = engines(6);
