--- a/src/gateway/duty/ordering.rs
+++ b/src/gateway/duty/ordering.rs
@@ -12,8 +12,8 @@
     gateway::state::State,
     platform::{CloudClient, CloudError, StoreClient, TargetCount},
     policy::spending::{
-        DomainSupply, NeedWindow, SpendingLimits, SpendingPrices, keep_regular, needed_targets,
-        plan,
+        DomainSupply, NeedWindow, Shortage, SpendingLimits, SpendingPrices, keep_regular,
+        needed_targets, plan,
     },
     roster::Target,
     target::protocol::EngineRole,
@@ -118,6 +118,7 @@
     first_seen: IndexMap<Arc<str>, Instant>,
     ordered: IndexMap<Subject, Ordered>,
     sold_out: IndexMap<Subject, Instant>,
+    shortage: Shortage,
 }
 
 impl Fleet {
@@ -130,6 +131,7 @@
             first_seen: IndexMap::new(),
             ordered: IndexMap::new(),
             sold_out: IndexMap::new(),
+            shortage: Shortage::default(),
         }
     }
 
@@ -147,15 +149,18 @@
             .engine
             .as_ref()
             .map_or(Duration::ZERO, |engine| engine.role_change);
-        let supply = self.supply(&targets, scaling, settle + SETTLE_MARGIN);
+        let mut supply = self.supply(&targets, scaling, settle + SETTLE_MARGIN);
+        let is_short = self.shortage.observe(needed, &supply);
         let prices = SpendingPrices {
             reclaimable_milli_per_hour: (reclaimable_price * PRICE_UNITS) as u64,
             regular_milli_per_hour: PRICE_UNITS as u64,
         };
         let planned = plan(needed, &supply, &prices, &SpendingLimits::default());
         let mut regular_now = Vec::with_capacity(supply.len());
-        for domain in &supply {
-            regular_now.push(running(&targets, &domain.failure_domain, false));
+        for (domain, wanted) in supply.iter_mut().zip(&planned.reclaimable) {
+            domain.is_sold_out |= is_short && domain.reclaimable_live < *wanted;
+            let running = running(&targets, &domain.failure_domain, false);
+            regular_now.push(running.max(self.booting(&domain.failure_domain, scaling)));
         }
         let regular = keep_regular(&planned, needed, scaling.max_targets, &regular_now, &supply);
         let mut orders = Vec::new();
@@ -265,6 +270,22 @@
         supply
     }
 
+    /// Returns the regular targets of a domain that were ordered so lately that
+    /// they may not run yet.
+    fn booting(&self, failure_domain: &Arc<str>, scaling: &Scaling) -> u32 {
+        let subject = Subject {
+            failure_domain: failure_domain.clone(),
+            reclaimable: false,
+        };
+        let ordered = self.ordered.get(&subject);
+        ordered.map_or(0, |ordered| {
+            match ordered.at.elapsed() < scaling.boot + ORDER_SLACK {
+                true => ordered.count,
+                false => 0,
+            }
+        })
+    }
+
     /// Returns the targets that have run long enough to have their role.
     fn settled(&mut self, targets: &[Arc<Target>], settle: Duration) -> Vec<Arc<Target>> {
         self.first_seen
@@ -327,6 +348,7 @@
             }
             Err(CloudError::Conflict(_)) if order.reclaimable => {
                 self.sold_out.insert(subject, Instant::now());
+                self.shortage.note_refusal();
             }
             Err(CloudError::Conflict(_)) => tenure.give_up(holder.fence),
             Err(_) => {}
--- a/src/gateway/duty/roles.rs
+++ b/src/gateway/duty/roles.rs
@@ -71,7 +71,7 @@
     service: &str,
     orders: &mut IndexMap<Arc<str>, LastOrder>,
 ) {
-    let mut targets = state.ready_targets(service);
+    let targets = state.ready_targets(service);
     if targets.iter().any(|target| target.role.is_none()) {
         return;
     }
@@ -79,16 +79,12 @@
         let target = targets.iter().find(|target| target.id == *id);
         target.is_some_and(|target| order.is_current(target.role))
     });
-    // Engines that do not answer do no work in either role.
-    targets.retain(|target| {
-        let failed = matches!(orders.get(&target.id), Some(LastOrder::Failed { .. }));
-        !failed && state.loads().is_reachable(&target.id)
-    });
     let mut engines = Vec::with_capacity(targets.len());
     for target in &targets {
-        let ordered = match orders.get(&target.id) {
-            Some(LastOrder::Awaited { role, .. }) => Some(*role),
-            _ => None,
+        let (ordered, failed) = match orders.get(&target.id) {
+            Some(LastOrder::Awaited { role, .. }) => (Some(*role), false),
+            Some(LastOrder::Failed { .. }) => (None, true),
+            None => (None, false),
         };
         let Some(role) = ordered.or(target.role) else {
             continue;
@@ -96,6 +92,7 @@
         engines.push(SplitEngine {
             role,
             is_changing: ordered.is_some(),
+            is_reachable: !failed && state.loads().is_reachable(&target.id),
             failure_domain: target.failure_domain.clone(),
             is_reclaimable: target.reclaimable,
             in_flight: state.loads().in_flight(&target.id).requests,
--- a/src/gateway/prefill.rs
+++ b/src/gateway/prefill.rs
@@ -22,7 +22,10 @@
 };
 
 /// Engines that are asked to prefill one prompt.
-const MAX_PREFILL_ATTEMPTS: usize = 2;
+const MAX_PREFILL_ATTEMPTS: u32 = 2;
+
+/// Engines that are tried for one prompt, with those that cannot be reached.
+const MAX_PREFILL_TARGETS: usize = 6;
 
 /// Part of the prompts that go to the copy of their shared parts, so that it
 /// is there when their home is lost.
@@ -81,7 +84,8 @@
 /// that whatever is sent after it is taken out of the budget.
 pub(super) async fn prefill(state: &Arc<State>, call: &Arc<Call>, prompt: &Prompt) -> Prefill {
     let mut tried = Vec::new();
-    while tried.len() < MAX_PREFILL_ATTEMPTS {
+    let mut attempts = 0;
+    while attempts < MAX_PREFILL_ATTEMPTS && tried.len() < MAX_PREFILL_TARGETS {
         let Some(chosen) = choose(state, call, prompt, &tried) else {
             break;
         };
@@ -93,6 +97,7 @@
             Ok(handle) => return Prefill::Done(handle),
             Err(error) if error.failure.is_not_written() => {}
             Err(_) => {
+                attempts += 1;
                 if !state.withdraw_retry(&call.service) {
                     return Prefill::OverBudget;
                 }
--- a/src/policy/reading.rs
+++ b/src/policy/reading.rs
@@ -33,9 +33,8 @@
     if queues.prompt_tokens > MAX_DIRECT_TOKENS {
         return false;
     }
-    let prefill = queues.prefill_queued_tokens
-        + f64::from(queues.prefill_uncached_tokens)
-        + HANDOVER_TOKENS;
+    let prefill =
+        queues.prefill_queued_tokens + f64::from(queues.prefill_uncached_tokens) + HANDOVER_TOKENS;
     let direct = queues.decode_queued_tokens + f64::from(queues.prompt_tokens);
     direct * DECODE_READ_FACTOR < prefill
 }
--- a/src/policy/role_split.rs
+++ b/src/policy/role_split.rs
@@ -7,6 +7,10 @@
 /// Part of the engines that prefill: reading prompts takes most of the work.
 const PREFILL_SHARE: f64 = 0.8;
 
+/// Engines by which the split must be off before it is changed, so that one
+/// that comes or goes takes no other one away for a change.
+const HYSTERESIS: f64 = 1.0;
+
 /// Fewest engines that decode, where there are more than that.
 const MIN_DECODE: usize = 2;
 
@@ -20,6 +24,9 @@
     pub role: EngineRole,
     /// Whether it is changing its role.
     pub is_changing: bool,
+    /// Whether it answers. One that does not may soon again: it counts, and
+    /// gets no orders.
+    pub is_reachable: bool,
     /// Failure domain.
     pub failure_domain: Arc<str>,
     /// Whether the platform may reclaim it.
@@ -72,16 +79,10 @@
 /// those that cannot be reclaimed.
 #[must_use]
 pub fn plan_change(engines: &[SplitEngine]) -> Option<SplitChange> {
-    let prefilling = count(engines, |engine| engine.role == EngineRole::Prefill);
-    let wanted = prefill_engines(engines.len());
-    let role = match prefilling.cmp(&wanted) {
-        std::cmp::Ordering::Less => EngineRole::Prefill,
-        std::cmp::Ordering::Greater => EngineRole::Decode,
-        std::cmp::Ordering::Equal => return None,
-    };
+    let role = wanted_role(engines)?;
     let mut best: Option<(Fitness, usize)> = None;
     for (index, engine) in engines.iter().enumerate() {
-        if engine.is_changing || engine.role == role {
+        if engine.is_changing || !engine.is_reachable || engine.role == role {
             continue;
         }
         let fitness = fitness(engines, engine, role);
@@ -92,6 +93,32 @@
     best.map(|(_, index)| SplitChange { index, role })
 }
 
+/// Returns the role of which there are too few engines.
+fn wanted_role(engines: &[SplitEngine]) -> Option<EngineRole> {
+    let answering = |role: EngineRole| {
+        count(engines, |engine| {
+            engine.is_reachable
+                && (engine.role == EngineRole::Prefill) == (role == EngineRole::Prefill)
+        })
+    };
+    let most = prefill_engines(engines.len());
+    let least_decoding = MIN_DECODE.min(engines.len() - most);
+    if most > 0 && answering(EngineRole::Prefill) == 0 {
+        return Some(EngineRole::Prefill);
+    }
+    if answering(EngineRole::Decode) < least_decoding {
+        return Some(EngineRole::Decode);
+    }
+    let prefilling = count(engines, |engine| engine.role == EngineRole::Prefill);
+    let wanted =
+        (PREFILL_SHARE * engines.len() as f64).min(engines.len().saturating_sub(MIN_DECODE) as f64);
+    let missing = wanted - prefilling as f64;
+    if missing >= HYSTERESIS && answering(EngineRole::Decode) > least_decoding {
+        return Some(EngineRole::Prefill);
+    }
+    (missing <= -HYSTERESIS).then_some(EngineRole::Decode)
+}
+
 /// Order in which engines are chosen for a role; the least comes first.
 type Fitness = (bool, i64, u32);
 
--- a/src/policy/spending/mod.rs
+++ b/src/policy/spending/mod.rs
@@ -9,5 +9,6 @@
 
 pub use need::{NeedWindow, needed_targets};
 pub use plan::{
-    DomainSupply, SpendingLimits, SpendingPlan, SpendingPrices, keep_regular, plan, release,
+    DomainSupply, Shortage, SpendingLimits, SpendingPlan, SpendingPrices, keep_regular, plan,
+    release,
 };
--- a/src/policy/spending/plan.rs
+++ b/src/policy/spending/plan.rs
@@ -121,8 +121,8 @@
 /// While a domain's reclaimable targets are away, those of the others carry
 /// the load: the loss is what they were spread for, and no regular target is
 /// ordered for it as long as `needed` targets can be expected at all. As long
-/// as the platform refuses some, none of the regular ones are given back: what
-/// was to replace them may not be had either.
+/// as the platform refuses some, those stay that make up for what is
+/// missing: what was to replace them may not be had either.
 #[must_use]
 pub fn keep_regular(
     planned: &SpendingPlan,
@@ -140,12 +140,18 @@
     }
     let mut shortfall = needed.saturating_sub(expected);
     let is_short = supply.iter().any(|domain| domain.is_sold_out);
+    let mut spare = needed.saturating_sub(live(supply));
     let mut kept = Vec::with_capacity(supply.len());
     for (index, domain) in supply.iter().enumerate() {
         let now = regular_now[index];
         let room = max_targets.saturating_sub(now);
         let replaced = domain.reclaimable_live >= planned.reclaimable[index].min(room);
-        let stays = if replaced && !is_short { 0 } else { now };
+        let stays = match is_short {
+            true => now.min(spare),
+            false if replaced => 0,
+            false => now,
+        };
+        spare = spare.saturating_sub(stays);
         shortfall = shortfall.saturating_sub(stays);
         kept.push(stays);
     }
@@ -191,6 +197,33 @@
     }
 }
 
+/// Counts the reclaimable targets that run.
+fn live(supply: &[DomainSupply]) -> u32 {
+    supply.iter().map(|domain| domain.reclaimable_live).sum()
+}
+
+/// Whether the platform has had too few reclaimable targets to give.
+///
+/// It lasts from a refusal until enough of them run again, since the platform
+/// does not tell when it has some.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Shortage {
+    active: bool,
+}
+
+impl Shortage {
+    /// Notes that the platform refused reclaimable targets.
+    pub fn note_refusal(&mut self) {
+        self.active = true;
+    }
+
+    /// Returns whether there is a shortage, given the running targets.
+    pub fn observe(&mut self, needed: u32, supply: &[DomainSupply]) -> bool {
+        self.active &= live(supply) < needed;
+        self.active
+    }
+}
+
 fn surviving_reclaimable(counts: &[u32]) -> u32 {
     counts.iter().sum::<u32>() - counts.iter().copied().max().unwrap_or(0)
 }
--- a/tests/role_split.rs
+++ b/tests/role_split.rs
@@ -9,6 +9,7 @@
     SplitEngine {
         role,
         is_changing: false,
+        is_reachable: true,
         failure_domain: format!("domain-{domain}").into(),
         is_reclaimable: false,
         in_flight: 0,
@@ -75,6 +76,38 @@
     assert_eq!(plan_changes(&small).len(), 1, "one at a time");
 }
 
+#[test]
+fn one_engine_changes_nothing() {
+    // A balanced fleet loses an engine, and gets it back.
+    let mut engines: Vec<_> = (0..15)
+        .map(|index| engine(EngineRole::Prefill, index % 4))
+        .collect();
+    for engine in &mut engines[12..] {
+        engine.role = EngineRole::Decode;
+    }
+    assert_eq!(plan_change(&engines), None);
+    assert_eq!(plan_change(&engines[1..]), None);
+    assert_eq!(plan_change(&engines[..14]), None);
+}
+
+#[test]
+fn crashed_engines_are_replaced() {
+    // Both engines that decode have crashed.
+    let mut engines: Vec<_> = (0..9)
+        .map(|index| engine(EngineRole::Prefill, index % 4))
+        .collect();
+    for engine in &mut engines[7..] {
+        engine.role = EngineRole::Decode;
+        engine.is_reachable = false;
+    }
+    let mut changes = Vec::new();
+    while let Some(change) = plan_change(&engines) {
+        engines[change.index].role = change.role;
+        changes.push(change.role);
+    }
+    assert_eq!(changes, [EngineRole::Decode; 2]);
+}
+
 #[test]
 fn changing_engines_are_left() {
     let mut engines = vec![
--- a/tests/target_spending.rs
+++ b/tests/target_spending.rs
@@ -5,7 +5,7 @@
     arbtest,
 };
 use lavenderwind::policy::spending::{
-    DomainSupply, NeedWindow, SpendingLimits, SpendingPlan, SpendingPrices, keep_regular,
+    DomainSupply, NeedWindow, Shortage, SpendingLimits, SpendingPlan, SpendingPrices, keep_regular,
     needed_targets, plan, release,
 };
 
@@ -195,6 +195,42 @@
     assert_eq!(window.observe(2, 500_000), 2);
 }
 
+/// Two failure domains are lost and nothing cheap is to be had for longer than
+/// a refusal is remembered.
+#[test]
+fn shortage_outlasts_refusals() {
+    let live = [35, 35, 1, 1];
+    let supply = |is_sold_out: bool| -> Vec<DomainSupply> {
+        let mut domains = four(50, 50);
+        for (domain, live) in domains.iter_mut().zip(live) {
+            domain.reclaimable_live = live;
+            domain.is_sold_out = is_sold_out;
+        }
+        domains
+    };
+    let mut shortage = Shortage::default();
+    assert!(
+        !shortage.observe(141, &supply(false)),
+        "nothing was refused"
+    );
+    shortage.note_refusal();
+    assert!(shortage.observe(141, &supply(true)));
+    assert!(shortage.observe(141, &supply(false)), "it is not over yet");
+    let planned = plan(141, &supply(false), &PRICES, &SpendingLimits::default());
+    let kept = |now: &[u32]| -> u32 {
+        let dry = supply(true);
+        keep_regular(&planned, 141, 50, now, &dry).iter().sum()
+    };
+    let ordered = kept(&[0; 4]);
+    assert_eq!(ordered, 141 - 72, "they make up for what is missing");
+    assert_eq!(kept(&[18, 17, 17, 17]), ordered, "and are not given back");
+    let mut restored = four(50, 50);
+    for domain in &mut restored {
+        domain.reclaimable_live = 47;
+    }
+    assert!(!shortage.observe(141, &restored));
+}
+
 #[test]
 fn regular_targets_go_domain_by_domain() {
     let plan = SpendingPlan {
