--- a/src/gateway/decode.rs
+++ b/src/gateway/decode.rs
@@ -1,6 +1,6 @@
 //! Choice of the engine that generates an answer.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use super::state::State;
 use crate::{
@@ -13,11 +13,25 @@
 const WEIGHTS: SpreadWeights = SpreadWeights {
     far: 0.05,
     failing: 3.0,
+    unsettled: 0.4,
 };
 
 /// Tokens of prompts that an engine has to read that weigh as much as a slot.
 const TOKENS_A_SLOT: f64 = 200.0;
 
+/// Time after which a new engine's role has been decided.
+const ROLE_DECISION: Duration = Duration::from_millis(1_500);
+
+/// Returns the time in which a new engine may be given another role: while it
+/// changes, it refuses requests.
+fn settle_time(state: &State, service: &str) -> Duration {
+    let catalog = state.catalog();
+    let engine = catalog
+        .as_ref()
+        .and_then(|catalog| catalog.service(service)?.engine.as_ref());
+    engine.map_or(Duration::ZERO, |engine| engine.role_change + ROLE_DECISION)
+}
+
 /// Returns the fewest tokens of prompts that wait at an engine that decodes;
 /// `None` if no such engine takes requests.
 pub(super) fn least_queued_tokens(state: &State, call: &Call) -> Option<f64> {
@@ -46,6 +60,7 @@
     let mut targets = state.ready_targets(&call.service);
     targets
         .retain(|target| target.role != Some(EngineRole::Prefill) && !tried.contains(&target.id));
+    let settle = settle_time(state, &call.service);
     let mut loads = state.loads();
     targets.retain(|target| loads.allows(&target.id, now_ms));
     let mut candidates = Vec::with_capacity(targets.len());
@@ -57,6 +72,7 @@
             slots: target.slots,
             is_near: *target.failure_domain == *failure_domain,
             failure_rate: loads.failure_rate(&target.id),
+            is_unsettled: target.seen_at.elapsed() < settle,
         });
     }
     let index = choose_least_loaded(&candidates, &WEIGHTS, rand::random())?;
--- a/src/gateway/duty/ordering.rs
+++ b/src/gateway/duty/ordering.rs
@@ -115,7 +115,6 @@
     kept: Option<u32>,
     need: NeedWindow,
     loads: IndexMap<Arc<str>, f64>,
-    first_seen: IndexMap<Arc<str>, Instant>,
     ordered: IndexMap<Subject, Ordered>,
     sold_out: IndexMap<Subject, Instant>,
     shortage: Shortage,
@@ -128,7 +127,6 @@
             kept,
             need: NeedWindow::new(NEED_WINDOW.as_millis() as u64),
             loads: IndexMap::new(),
-            first_seen: IndexMap::new(),
             ordered: IndexMap::new(),
             sold_out: IndexMap::new(),
             shortage: Shortage::default(),
@@ -162,9 +160,14 @@
             let running = running(&targets, &domain.failure_domain, false);
             regular_now.push(running.max(self.booting(&domain.failure_domain, scaling)));
         }
-        let regular = keep_regular(&planned, needed, scaling.max_targets, &regular_now, &supply);
+        let mut regular =
+            keep_regular(&planned, needed, scaling.max_targets, &regular_now, &supply);
         let mut orders = Vec::new();
         for (index, domain) in supply.iter().enumerate() {
+            // Nothing that runs is given back to make room.
+            let reclaimable_now = running(&targets, &domain.failure_domain, true);
+            let room = scaling.max_targets.saturating_sub(reclaimable_now);
+            regular[index] = regular[index].min(room);
             let reclaimable =
                 planned.reclaimable[index].min(scaling.max_targets.saturating_sub(regular[index]));
             let least_regular = scaling.min_targets.saturating_sub(reclaimable);
@@ -244,7 +247,7 @@
         scaling: &Scaling,
         settle: Duration,
     ) -> Vec<DomainSupply> {
-        let settled = self.settled(targets, settle);
+        let settled = settled(targets, settle);
         self.sold_out.retain(|_, at| at.elapsed() < SOLD_OUT);
         let mut supply = Vec::with_capacity(scaling.domain_prices.len());
         for failure_domain in scaling.domain_prices.keys() {
@@ -286,23 +289,6 @@
         })
     }
 
-    /// Returns the targets that have run long enough to have their role.
-    fn settled(&mut self, targets: &[Arc<Target>], settle: Duration) -> Vec<Arc<Target>> {
-        self.first_seen
-            .retain(|id, _| targets.iter().any(|target| target.id == *id));
-        let mut settled = Vec::with_capacity(targets.len());
-        for target in targets {
-            let seen_at = *self
-                .first_seen
-                .entry(target.id.clone())
-                .or_insert_with(Instant::now);
-            if seen_at.elapsed() >= settle {
-                settled.push(target.clone());
-            }
-        }
-        settled
-    }
-
     /// Whether an order says something new, or the last one had no effect.
     fn is_due(&self, subject: &Subject, count: u32, runs: u32, scaling: &Scaling) -> bool {
         if self.sold_out.contains_key(subject) {
@@ -356,6 +342,17 @@
     }
 }
 
+/// Returns the targets that have run long enough to have their role.
+fn settled(targets: &[Arc<Target>], settle: Duration) -> Vec<Arc<Target>> {
+    let mut settled = Vec::with_capacity(targets.len());
+    for target in targets {
+        if target.seen_at.elapsed() >= settle {
+            settled.push(target.clone());
+        }
+    }
+    settled
+}
+
 /// Counts the running targets of a failure domain.
 fn running(targets: &[Arc<Target>], failure_domain: &str, reclaimable: bool) -> u32 {
     let mut count = 0;
--- a/src/gateway/duty/slices.rs
+++ b/src/gateway/duty/slices.rs
@@ -23,6 +23,10 @@
 /// Instances of which one may lose its counts of a whole window.
 const EXPENDABLE_AMONG: usize = 32;
 
+/// Shortest time since a window's start after which its counts are written, in
+/// milliseconds.
+const MIN_OPEN_MS: i64 = 1_000;
+
 /// Longest delay of a write, so that instances spread out.
 const MAX_JITTER: Duration = Duration::from_millis(500);
 
@@ -71,6 +75,9 @@
         let current = state.usage().current_window();
         for window in oldest..=current {
             let slice = current_slice(&state, window, incarnation);
+            if !slice.closed && !is_worth_writing(&state, window) {
+                continue;
+            }
             if flushed.get(&window) != Some(&slice) && write(&store, &slice).await {
                 flushed.insert(window, slice);
             }
@@ -97,6 +104,14 @@
     period.max(MIN_FLUSH_PERIOD).min(until_end) + jitter
 }
 
+/// Returns whether the counts of an open window are written, so that a kill
+/// does not lose them: not for one instance of many, nor for a few requests.
+fn is_worth_writing(state: &State, window: u64) -> bool {
+    let window_ms = state.settings.timing.usage_window_ms as i64;
+    let since_start_ms = window_ms + state.usage().ms_since_end(window);
+    state.instances() < EXPENDABLE_AMONG && since_start_ms >= MIN_OPEN_MS
+}
+
 fn current_slice(state: &State, window: u64, incarnation: u64) -> Slice {
     let usage = state.usage();
     Slice {
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -24,7 +24,7 @@
 const MEMBER_TOPIC: Topic = Topic("keyed.members");
 
 /// Longest wait of a read for the next announcement.
-const READ_WAIT: Duration = Duration::from_secs(8);
+const READ_WAIT: Duration = Duration::from_secs(15);
 
 /// Wait after announcements for others that one read can bring with them.
 const BATCH_WAIT: Duration = Duration::from_secs(1);
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -33,6 +33,7 @@
 const WEIGHTS: SpreadWeights = SpreadWeights {
     far: 0.35,
     failing: 3.0,
+    unsettled: 0.0,
 };
 
 /// Forwards a call and returns a target's whole answer.
@@ -140,6 +141,7 @@
             slots: target.slots,
             is_near: target.failure_domain == state.settings.failure_domain,
             failure_rate: loads.failure_rate(&target.id),
+            is_unsettled: false,
         });
     }
     let index = choose_least_loaded(&candidates, &WEIGHTS, rand::random())?;
--- a/src/policy/homes.rs
+++ b/src/policy/homes.rs
@@ -25,6 +25,10 @@
 /// Shared tokens from which on a place has its full cost.
 const FULL_COST_TOKENS: f64 = 8_000.0;
 
+/// Engines among which a prompt has its place, by their weight: instances that
+/// know a large fleet's loads late must not all run to the idlest one.
+const MAX_PLACES: usize = 16;
+
 /// Chains that are remembered for one engine.
 const MAX_CHAINS: usize = 4_096;
 
@@ -126,8 +130,10 @@
         false => (holders.home, holders.copy),
     };
     let mut best: Option<(f64, u64, PrefillChoice)> = None;
+    let least_weight = holders.least_weight();
     for (index, candidate) in candidates.iter().enumerate() {
-        if !candidate.is_open() {
+        let is_place = holders.weights[index] >= least_weight || Some(index) == holders.copy;
+        if !candidate.is_open() || !is_place {
             continue;
         }
         let place_tokens = match Some(index) {
@@ -199,6 +205,21 @@
         }
     }
 
+    /// Returns the weight from which on a candidate is a place of the prompt.
+    fn least_weight(&self) -> u64 {
+        let mut weights = Vec::with_capacity(self.weights.len());
+        for (weight, candidate) in self.weights.iter().zip(self.candidates) {
+            if candidate.is_open() {
+                weights.push(*weight);
+            }
+        }
+        if weights.len() <= MAX_PLACES {
+            return 0;
+        }
+        let (_, least, _) = weights.select_nth_unstable_by(MAX_PLACES - 1, |a, b| b.cmp(a));
+        *least
+    }
+
     /// Returns what a candidate would do.
     fn choice(&self, index: usize) -> PrefillChoice {
         let known = self.cached_tokens[index];
--- a/src/policy/spending/plan.rs
+++ b/src/policy/spending/plan.rs
@@ -140,7 +140,7 @@
     }
     let mut shortfall = needed.saturating_sub(expected);
     let is_short = supply.iter().any(|domain| domain.is_sold_out);
-    let mut spare = needed.saturating_sub(live(supply));
+    let mut spare = needed.saturating_sub(surviving_live(supply));
     let mut kept = Vec::with_capacity(supply.len());
     for (index, domain) in supply.iter().enumerate() {
         let now = regular_now[index];
@@ -197,9 +197,14 @@
     }
 }
 
-/// Counts the reclaimable targets that run.
-fn live(supply: &[DomainSupply]) -> u32 {
-    supply.iter().map(|domain| domain.reclaimable_live).sum()
+/// Returns the running reclaimable targets that are left when the domain with
+/// most of them loses its own.
+fn surviving_live(supply: &[DomainSupply]) -> u32 {
+    let live: Vec<u32> = supply
+        .iter()
+        .map(|domain| domain.reclaimable_live)
+        .collect();
+    surviving_reclaimable(&live)
 }
 
 /// Whether the platform has had too few reclaimable targets to give.
@@ -219,7 +224,7 @@
 
     /// Returns whether there is a shortage, given the running targets.
     pub fn observe(&mut self, needed: u32, supply: &[DomainSupply]) -> bool {
-        self.active &= live(supply) < needed;
+        self.active &= surviving_live(supply) < needed;
         self.active
     }
 }
--- a/src/policy/spread.rs
+++ b/src/policy/spread.rs
@@ -11,6 +11,8 @@
     pub is_near: bool,
     /// Part of its newest answers that were failures.
     pub failure_rate: f64,
+    /// Whether it is so new that it may be given another role.
+    pub is_unsettled: bool,
 }
 
 /// Weights of a choice, in shares of a target's slots.
@@ -20,6 +22,8 @@
     pub far: f64,
     /// Cost of a target all of whose answers are failures.
     pub failing: f64,
+    /// Cost of a target that may be given another role.
+    pub unsettled: f64,
 }
 
 /// Returns the index of the candidate with the least cost; `point`, uniform in
@@ -51,5 +55,8 @@
     if !candidate.is_near {
         cost += weights.far;
     }
+    if candidate.is_unsettled {
+        cost += weights.unsettled;
+    }
     cost + weights.failing * candidate.failure_rate
 }
--- a/src/roster/mod.rs
+++ b/src/roster/mod.rs
@@ -43,6 +43,8 @@
     pub reclaimable: bool,
     /// Number of orders that it has accepted.
     pub orders: u64,
+    /// When this start of it was first seen.
+    pub seen_at: Instant,
     /// When it counts as gone unless it registers again: its entry lapsed
     /// while the store may have been out.
     pub gone_at: Option<Instant>,
@@ -70,7 +72,12 @@
 
 impl Roster {
     /// Adds a target or replaces what was known of it.
-    pub fn insert(&mut self, target: Target) {
+    pub fn insert(&mut self, mut target: Target) {
+        if let Some(known) = self.targets.get(&target.id)
+            && known.is_same_start(&target)
+        {
+            target.seen_at = known.seen_at;
+        }
         self.targets.insert(target.id.clone(), Arc::new(target));
     }
 
--- a/tests/prefill_homes.rs
+++ b/tests/prefill_homes.rs
@@ -104,6 +104,22 @@
     assert!(most <= Some(10 * 3_700), "{most:?}");
 }
 
+/// All instances know the same engine to be idle, and learn only a second later
+/// that it no longer is.
+#[test]
+fn idle_engine_is_not_overrun() {
+    let mut engines = engines(140);
+    for engine in &mut engines[1..] {
+        engine.queued_tokens = 50_000.0;
+    }
+    let mut to_idle = 0;
+    for dossier in 0..500 {
+        to_idle += usize::from(choose(&prompt(dossier, 1), &engines, false) == 0);
+    }
+    assert!(to_idle <= 100, "{to_idle} of 500 dossiers");
+    assert!(to_idle >= 25, "it takes part of the load: {to_idle}");
+}
+
 #[test]
 fn nothing_comes_from_a_crashed_engine() {
     let engines = engines(6);
--- a/tests/target_roster.rs
+++ b/tests/target_roster.rs
@@ -15,6 +15,7 @@
         slots: 6,
         state,
         cold_until: None,
+        seen_at: Instant::now(),
         role: None,
         reclaimable: false,
         orders: 0,
--- a/tests/target_spread.rs
+++ b/tests/target_spread.rs
@@ -8,6 +8,7 @@
 const WEIGHTS: SpreadWeights = SpreadWeights {
     far: 0.35,
     failing: 3.0,
+    unsettled: 0.4,
 };
 
 fn candidate(in_flight: u32) -> SpreadCandidate {
@@ -16,6 +17,7 @@
         slots: 6,
         is_near: true,
         failure_rate: 0.0,
+        is_unsettled: false,
     }
 }
 
@@ -29,11 +31,18 @@
         failure_rate: 0.5,
         ..candidate(0)
     };
+    // An engine that has just come and may be given another role.
+    let unsettled = SpreadCandidate {
+        is_unsettled: true,
+        ..candidate(0)
+    };
     let cases = [
         (vec![candidate(2), candidate(1)], Some(1)),
         (vec![candidate(1), far], Some(0)),
         (vec![candidate(4), far], Some(1)),
         (vec![candidate(6), failing], Some(0)),
+        (vec![candidate(2), unsettled], Some(0)),
+        (vec![candidate(5), unsettled], Some(1)),
         (vec![], None),
     ];
     for (candidates, expected) in cases {
