Keep decoding engines in two failure domains; wait for usage slices

Ruled out: windows of an outage of 8 s in which the holder is stopped; its successor cannot report them by the time they are due.

--- a/src/gateway/duty/reports.rs
+++ b/src/gateway/duty/reports.rs
@@ -38,9 +38,9 @@
 /// Time between two looks at what is due.
 const LOOK_PERIOD: Duration = Duration::from_millis(400);
 
-/// Time after a window's end at which its figure is decided without the
-/// slices that are missing, in milliseconds.
-const MISSING_SLICES_MS: i64 = 4_000;
+/// Time before a report is due at which its figure is decided without the
+/// slices that are missing, in milliseconds: the platform may answer late.
+const REPORT_TIME_MS: i64 = 3_500;
 
 /// Delay before a report is sent again.
 const RESEND_DELAY: Duration = Duration::from_millis(300);
@@ -211,7 +211,8 @@
             return false;
         }
         let running = self.state.instances();
-        books.closed_slices(window) >= running || since_end_ms >= MISSING_SLICES_MS
+        let decide_ms = self.state.tuning().timing.usage_due_ms as i64 - REPORT_TIME_MS;
+        books.closed_slices(window) >= running || since_end_ms >= decide_ms
     }
 
     /// Writes the figure of a window; false if another holder may have.
--- a/src/policy/role_split.rs
+++ b/src/policy/role_split.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use indexmap::IndexSet;
+
 use crate::target::protocol::EngineRole;
 
 /// Part of the engines that prefill: reading prompts takes most of the work.
@@ -109,6 +111,9 @@
     if answering(EngineRole::Decode) < least_decoding {
         return Some(EngineRole::Decode);
     }
+    if least_decoding == MIN_DECODE && decoding_domains(engines) == 1 && spans_domains(engines) {
+        return Some(EngineRole::Decode);
+    }
     let prefilling = count(engines, |engine| engine.role == EngineRole::Prefill);
     let wanted =
         (PREFILL_SHARE * engines.len() as f64).min(engines.len().saturating_sub(MIN_DECODE) as f64);
@@ -119,16 +124,52 @@
     (missing <= -HYSTERESIS).then_some(EngineRole::Decode)
 }
 
+/// Counts the failure domains with an engine that decodes, or is about to.
+fn decoding_domains(engines: &[SplitEngine]) -> usize {
+    let mut domains: IndexSet<&Arc<str>> = IndexSet::new();
+    for engine in engines {
+        if engine.is_reachable && engine.role != EngineRole::Prefill {
+            domains.insert(&engine.failure_domain);
+        }
+    }
+    domains.len()
+}
+
+/// Returns whether an engine outside the failure domain of one that decodes
+/// could do so, too.
+fn spans_domains(engines: &[SplitEngine]) -> bool {
+    let mut decoding = engines
+        .iter()
+        .filter(|engine| engine.is_reachable && engine.role != EngineRole::Prefill);
+    let Some(decoding) = decoding.next() else {
+        return false;
+    };
+    engines.iter().any(|engine| {
+        let may_change = engine.is_reachable && !engine.is_changing;
+        may_change && engine.failure_domain != decoding.failure_domain
+    })
+}
+
 /// Order in which engines are chosen for a role; the least comes first.
-type Fitness = (bool, i64, u32);
+type Fitness = (bool, bool, i64, u32);
 
 fn fitness(engines: &[SplitEngine], engine: &SplitEngine, role: EngineRole) -> Fitness {
     let decoding = count(engines, |other| {
         other.role != EngineRole::Prefill && other.failure_domain == engine.failure_domain
     }) as i64;
     match role {
-        EngineRole::Prefill => (!engine.is_reclaimable, -decoding, engine.in_flight),
-        _ => (engine.is_reclaimable, decoding, engine.in_flight),
+        EngineRole::Prefill => (
+            decoding == 1,
+            !engine.is_reclaimable,
+            -decoding,
+            engine.in_flight,
+        ),
+        _ => (
+            decoding > 0,
+            engine.is_reclaimable,
+            decoding,
+            engine.in_flight,
+        ),
     }
 }
 
--- a/src/policy/spending/plan.rs
+++ b/src/policy/spending/plan.rs
@@ -140,7 +140,7 @@
     }
     let mut shortfall = needed.saturating_sub(expected);
     let is_short = supply.iter().any(|domain| domain.is_sold_out);
-    let mut spare = needed.saturating_sub(surviving_live(supply));
+    let mut spare = needed.saturating_sub(dependable(supply));
     let mut kept = Vec::with_capacity(supply.len());
     for (index, domain) in supply.iter().enumerate() {
         let now = regular_now[index];
@@ -197,14 +197,11 @@
     }
 }
 
-/// Returns the running reclaimable targets that are left when the domain with
-/// most of them loses its own.
-fn surviving_live(supply: &[DomainSupply]) -> u32 {
-    let live: Vec<u32> = supply
-        .iter()
-        .map(|domain| domain.reclaimable_live)
-        .collect();
-    surviving_reclaimable(&live)
+/// Returns the running reclaimable targets to count on: half of the largest
+/// failure domain is held against its loss.
+fn dependable(supply: &[DomainSupply]) -> u32 {
+    let live = supply.iter().map(|domain| domain.reclaimable_live);
+    live.clone().sum::<u32>() - live.max().unwrap_or(0) / 2
 }
 
 /// Whether the platform has had too few reclaimable targets to give.
@@ -224,7 +221,7 @@
 
     /// Returns whether there is a shortage, given the running targets.
     pub fn observe(&mut self, needed: u32, supply: &[DomainSupply]) -> bool {
-        self.active &= surviving_live(supply) < needed;
+        self.active &= dependable(supply) < needed;
         self.active
     }
 }
--- a/tests/role_split.rs
+++ b/tests/role_split.rs
@@ -1,5 +1,6 @@
 //! How engines are divided between prefill and decode by orders.
 
+use indexmap::IndexSet;
 use lavenderwind::{
     policy::role_split::{SplitEngine, plan_change, plan_changes, prefill_engines},
     target::protocol::EngineRole,
@@ -90,6 +91,28 @@
     assert_eq!(plan_change(&engines[..14]), None);
 }
 
+/// A reclaim of one failure domain must not take all engines that decode.
+#[test]
+fn decoding_spans_domains() {
+    let mut engines: Vec<_> = (0..12)
+        .map(|index| engine(EngineRole::Prefill, index % 4))
+        .collect();
+    for index in [0, 4, 8] {
+        engines[index].role = EngineRole::Decode;
+    }
+    let mut changes = 0;
+    while let Some(change) = plan_change(&engines) {
+        engines[change.index].role = change.role;
+        changes += 1;
+        assert!(changes < 5, "the plan must settle");
+    }
+    let decoding = engines
+        .iter()
+        .filter(|engine| engine.role == EngineRole::Decode);
+    let domains: IndexSet<_> = decoding.map(|engine| &engine.failure_domain).collect();
+    assert!(domains.len() >= 2, "{domains:?}");
+}
+
 #[test]
 fn crashed_engines_are_replaced() {
     // Both engines that decode have crashed.
