Explain a request from its log lines; count dropped lines; shorter timeouts

explain ID prints a request's way, what was learned of its targets before, its outcome and its longest wait. The line at the start names the bound addresses.

Crashed engines took 400 ms of each prompt; connecting is given up after 200 ms and unacknowledged data after 800 ms.

--- /dev/null
+++ b/src/cli/explain.rs
@@ -0,0 +1,62 @@
+//! `explain`: tells a request's way from log lines.
+
+use std::{
+    fs::File,
+    io::{BufRead, BufReader, Read, stdin},
+    process::ExitCode,
+};
+
+use clap::{Arg, ArgMatches, Command};
+
+use super::{Error, Result, string};
+use crate::explain::trace_request;
+
+pub(super) fn command() -> Command {
+    Command::new("explain")
+        .about("Tell a request's way from the log lines of all instances")
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .help("Identifier of the request")
+                .required(true),
+        )
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .help("Files of log lines; standard input if none is named")
+                .num_args(0..),
+        )
+}
+
+/// Prints the way of a request; fails if no line names it.
+pub(super) fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let mut lines = Vec::new();
+    match matches.get_many::<String>("files") {
+        None => read_lines(stdin().lock(), &mut lines)?,
+        Some(paths) => {
+            for path in paths {
+                let file = File::open(path).map_err(|source| Error::File {
+                    path: path.clone(),
+                    source,
+                })?;
+                read_lines(file, &mut lines)?;
+            }
+        }
+    }
+    let trace = trace_request(string(matches, "id"), lines);
+    print!("{trace}");
+    match trace.is_empty() {
+        true => Ok(ExitCode::FAILURE),
+        false => Ok(ExitCode::SUCCESS),
+    }
+}
+
+fn read_lines<R>(source: R, lines: &mut Vec<String>) -> Result<()>
+where
+    R: Read,
+{
+    for line in BufReader::new(source).split(b'\n') {
+        lines.push(String::from_utf8_lossy(&line?).into_owned());
+    }
+    Ok(())
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod demo;
+mod explain;
 mod gateway;
 mod key;
 mod load;
@@ -12,12 +13,12 @@
 mod standin;
 mod status;
 
-use std::{io::IsTerminal, process::ExitCode};
+use std::{io::IsTerminal, process::ExitCode, time::Duration};
 
 use clap::{Arg, ArgMatches, Command};
 use displaydoc::Display;
 use tokio::runtime::Runtime;
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 use crate::settings::{LogFormat, Logging};
@@ -28,6 +29,9 @@
 /// Log lines that wait for standard output; more are dropped.
 const MAX_BUFFERED_LINES: usize = 4_096;
 
+/// Time between two looks at how many lines were dropped.
+const DROP_CHECK_PERIOD: Duration = Duration::from_secs(1);
+
 /// Log filter without a setting: our own events from `info` on.
 const DEFAULT_FILTER: &str = "warn,lavenderwind=info";
 
@@ -106,6 +110,7 @@
         .subcommand(service::command())
         .subcommand(key::command())
         .subcommand(status::command())
+        .subcommand(explain::command())
         .subcommand(report::command())
         .subcommand(load::command())
         .subcommand(standin::command())
@@ -148,6 +153,7 @@
         "service" => service::run(matches).await,
         "key" => key::run(matches).await,
         "status" => status::run(matches).await,
+        "explain" => explain::run(matches),
         "report" => report::run(matches).await,
         "load" => {
             start_logging(&Logging::default());
@@ -183,6 +189,7 @@
         .lossy(true)
         .buffered_lines_limit(MAX_BUFFERED_LINES)
         .finish(std::io::stdout());
+    tokio::spawn(count_dropped_lines(writer.error_counter()));
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter(logging))
         .with_ansi(false)
@@ -196,6 +203,23 @@
     guard
 }
 
+/// Counts the lines that were dropped, for ever, and tells it once lines are
+/// read again.
+async fn count_dropped_lines(counter: ErrorCounter) {
+    let mut counted = 0;
+    loop {
+        tokio::time::sleep(DROP_CHECK_PERIOD).await;
+        let dropped = counter.dropped_lines();
+        if dropped == counted {
+            continue;
+        }
+        let lines = dropped - counted;
+        counted = dropped;
+        metrics::counter!("log_lines_dropped_total").increment(lines as u64);
+        tracing::warn!(lines, total = dropped, "log: lines were dropped");
+    }
+}
+
 fn filter(logging: &Logging) -> EnvFilter {
     let filter = if logging.filter.is_empty() {
         DEFAULT_FILTER
--- /dev/null
+++ b/src/explain/line.rs
@@ -0,0 +1,122 @@
+//! One line of an instance's log.
+
+use std::{fmt, sync::Arc};
+
+use serde_json::{Map, Value};
+
+/// Fields that every line has.
+const COMMON_FIELDS: [&str; 3] = ["timestamp", "level", "message"];
+
+const SECONDS_A_DAY: f64 = 86_400.0;
+
+/// One line of an instance's log.
+#[derive(Clone, Debug)]
+pub struct LogLine {
+    /// What a log collector wrote before the line, such as the instance.
+    source: String,
+    time_s: f64,
+    message: String,
+    fields: Map<String, Value>,
+}
+
+impl LogLine {
+    /// Reads a line in JSON; what precedes the object is kept as its source.
+    #[must_use]
+    pub fn parse(line: &str) -> Option<Self> {
+        let (source, object) = line.split_at(line.find('{')?);
+        let fields: Map<String, Value> = serde_json::from_str(object).ok()?;
+        Some(Self {
+            source: source.trim().to_owned(),
+            time_s: read_time(fields.get("timestamp")?.as_str()?)?,
+            message: fields.get("message")?.as_str()?.to_owned(),
+            fields,
+        })
+    }
+
+    /// Returns the identifier of the request that the line is about.
+    #[must_use]
+    pub fn request(&self) -> Option<&str> {
+        self.fields.get("request")?.as_str()
+    }
+
+    /// Returns the target that the line is about.
+    #[must_use]
+    pub fn target(&self) -> Option<Arc<str>> {
+        self.fields.get("target")?.as_str().map(Arc::from)
+    }
+
+    /// Returns the message.
+    #[must_use]
+    pub fn message(&self) -> &str {
+        &self.message
+    }
+
+    /// Returns the time of the line, in seconds.
+    #[must_use]
+    pub fn time_s(&self) -> f64 {
+        self.time_s
+    }
+
+    /// Returns when what the line tells began, in seconds.
+    #[must_use]
+    pub fn start_s(&self) -> f64 {
+        self.time_s - self.number("elapsed_ms").unwrap_or(0.0) / 1_000.0
+    }
+
+    /// Returns what the line says about the end of its request.
+    #[must_use]
+    pub fn outcome(&self) -> Option<String> {
+        let elapsed_ms = self.number("elapsed_ms").unwrap_or(0.0);
+        let status = self.number("status").unwrap_or(0.0);
+        let message = self.message.strip_prefix("gateway: ")?;
+        if let Some(reason) = message.strip_prefix("request refused: ") {
+            return Some(format!("refused with status {status}: {reason}"));
+        }
+        if let Some(cause) = message.strip_prefix("stream broken off: ") {
+            let events = self.number("events").unwrap_or(0.0);
+            return Some(format!("cut after {events} events: {cause}"));
+        }
+        match message {
+            "stream ended" => Some(format!("streamed whole in {elapsed_ms} ms")),
+            "request answered" => Some(format!("answered {status} after {elapsed_ms} ms")),
+            _ => None,
+        }
+    }
+
+    fn number(&self, field: &str) -> Option<f64> {
+        self.fields.get(field)?.as_f64()
+    }
+}
+
+impl fmt::Display for LogLine {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let time = self.fields.get("timestamp").and_then(Value::as_str);
+        write!(f, "{} ", time.unwrap_or("-"))?;
+        if !self.source.is_empty() {
+            write!(f, "[{}] ", self.source)?;
+        }
+        f.write_str(&self.message)?;
+        for (name, value) in &self.fields {
+            if COMMON_FIELDS.contains(&&**name) || name == "request" {
+                continue;
+            }
+            match value.as_str() {
+                Some(text) => write!(f, "  {name}={text}")?,
+                None => write!(f, "  {name}={value}")?,
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Reads a time such as `2026-04-30T03:07:48.025256Z`, in seconds; months count
+/// as of 31 days, since only differences matter.
+fn read_time(text: &str) -> Option<f64> {
+    let (date, time) = text.trim_end_matches('Z').split_once('T')?;
+    let mut date = date.split('-').map(str::parse::<f64>);
+    let mut time = time.split(':').map(str::parse::<f64>);
+    let (year, month, day) = (date.next()?.ok()?, date.next()?.ok()?, date.next()?.ok()?);
+    let (hour, minute, second) = (time.next()?.ok()?, time.next()?.ok()?, time.next()?.ok()?);
+    let days = (year * 12.0 + month) * 31.0 + day;
+    Some(days * SECONDS_A_DAY + hour * 3_600.0 + minute * 60.0 + second)
+}
--- /dev/null
+++ b/src/explain/mod.rs
@@ -0,0 +1,133 @@
+//! Finds the way of one request in the logs of all instances.
+//!
+//! [`trace_request`] keeps the lines of the request, and the lines about the
+//! targets that it met, from shortly before it was received until its outcome.
+//!
+//! ```
+//! use lavenderwind::explain::trace_request;
+//!
+//! let log = r#"{"timestamp":"2026-04-30T03:07:48.5Z","level":"INFO",
+//!  "message":"gateway: request refused: no target can take the request now",
+//!  "request":"r-1","status":503,"elapsed_ms":40}"#.replace('\n', "");
+//! let trace = trace_request("r-1", [log]);
+//! assert_eq!(trace.outcome(), "refused with status 503: no target can take the request now");
+//! ```
+
+mod line;
+
+use std::{fmt, sync::Arc};
+
+use indexmap::IndexSet;
+
+pub use line::LogLine;
+
+/// Time before a request in which what was learned of its targets is shown, in
+/// seconds.
+const LEARNED_BEFORE_S: f64 = 10.0;
+
+/// The lines that tell a request's way, in the order of their times.
+#[derive(Clone, Debug, Default)]
+pub struct RequestTrace {
+    lines: Vec<LogLine>,
+    request: Arc<str>,
+}
+
+/// Finds the lines that tell the way of the request called `id`; lines that
+/// are no log lines are passed over.
+pub fn trace_request<I>(id: &str, lines: I) -> RequestTrace
+where
+    I: IntoIterator<Item = String>,
+{
+    let mut own = Vec::new();
+    let mut of_targets = Vec::new();
+    for line in lines {
+        let Some(line) = LogLine::parse(&line) else {
+            continue;
+        };
+        match line.request() {
+            Some(request) if request == id => own.push(line),
+            Some(_) => {}
+            None if line.target().is_some() => of_targets.push(line),
+            None => {}
+        }
+    }
+    let targets: IndexSet<Arc<str>> = own.iter().filter_map(LogLine::target).collect();
+    let times = own.iter().map(LogLine::time_s);
+    let start_s = own.iter().map(LogLine::start_s).fold(f64::MAX, f64::min);
+    let end_s = times.fold(f64::MIN, f64::max);
+    of_targets.retain(|line| {
+        let is_met = line
+            .target()
+            .is_some_and(|target| targets.contains(&target));
+        is_met && (start_s - LEARNED_BEFORE_S..=end_s).contains(&line.time_s())
+    });
+    own.append(&mut of_targets);
+    own.sort_by(|a, b| a.time_s().total_cmp(&b.time_s()));
+    RequestTrace {
+        lines: own,
+        request: id.into(),
+    }
+}
+
+impl RequestTrace {
+    /// Returns whether no line names the request.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.lines.is_empty()
+    }
+
+    /// Returns the lines.
+    #[must_use]
+    pub fn lines(&self) -> &[LogLine] {
+        &self.lines
+    }
+
+    /// Returns what became of the request.
+    #[must_use]
+    pub fn outcome(&self) -> String {
+        for line in self.own_lines().rev() {
+            if let Some(outcome) = line.outcome() {
+                return outcome;
+            }
+        }
+        match self.is_empty() {
+            true => "no line names it: it reached no instance, or lines were dropped".to_owned(),
+            false => "no outcome: the instance ended, or lines were dropped".to_owned(),
+        }
+    }
+
+    /// Returns the longest time between two lines of the request, in
+    /// milliseconds, and the message that ended it.
+    #[must_use]
+    pub fn longest_wait_ms(&self) -> Option<(u64, &str)> {
+        let mut longest: Option<(u64, &str)> = None;
+        let mut last_s = self.own_lines().next()?.start_s();
+        for line in self.own_lines() {
+            let wait_ms = ((line.time_s() - last_s).max(0.0) * 1_000.0).round() as u64;
+            last_s = line.time_s();
+            if longest.is_none_or(|(most_ms, _)| wait_ms > most_ms) {
+                longest = Some((wait_ms, line.message()));
+            }
+        }
+        longest
+    }
+
+    fn own_lines(&self) -> impl DoubleEndedIterator<Item = &LogLine> {
+        let request = &*self.request;
+        let lines = self.lines.iter();
+        lines.filter(move |line| line.request() == Some(request))
+    }
+}
+
+impl fmt::Display for RequestTrace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for line in &self.lines {
+            writeln!(f, "{line}")?;
+        }
+        writeln!(f, "outcome: {}", self.outcome())?;
+        if let Some((wait_ms, message)) = self.longest_wait_ms() {
+            writeln!(f, "longest wait: {wait_ms} ms, until \"{message}\"")?;
+        }
+        Ok(())
+    }
+}
--- a/src/gateway/decode.rs
+++ b/src/gateway/decode.rs
@@ -60,9 +60,13 @@
     let mut targets = state.ready_targets(&call.service);
     targets
         .retain(|target| target.role != Some(EngineRole::Prefill) && !tried.contains(&target.id));
-    let settle = settle_time(state, &call.service);
     let mut loads = state.loads();
     targets.retain(|target| loads.allows(&target.id, now_ms));
+    let settle = settle_time(state, &call.service);
+    let is_settled = |target: &Target| target.seen_at.elapsed() >= settle;
+    let settled = targets.iter().filter(|target| is_settled(target)).count();
+    // Where most are new, those that are not would get all requests.
+    let prefers_settled = 2 * settled >= targets.len();
     let mut candidates = Vec::with_capacity(targets.len());
     for target in &targets {
         let in_flight = loads.in_flight(&target.id);
@@ -72,7 +76,7 @@
             slots: target.slots,
             is_near: *target.failure_domain == *failure_domain,
             failure_rate: loads.failure_rate(&target.id),
-            is_unsettled: target.seen_at.elapsed() < settle,
+            is_unsettled: prefers_settled && !is_settled(target),
         });
     }
     let index = choose_least_loaded(&candidates, &WEIGHTS, rand::random())?;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -30,7 +30,7 @@
 use crate::roster::Target;
 
 /// Longest time to connect to a target.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Time for which a connection stays usable where its target names none.
 const DEFAULT_IDLE: Duration = Duration::from_millis(1_500);
@@ -40,7 +40,7 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
 /// Time without an acknowledgement after which a connection is dead.
-const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+const USER_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Time between two keep-alive probes on a silent connection.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -100,6 +100,15 @@
         self.callers.local_addr()
     }
 
+    /// Returns the address of the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket has none.
+    pub fn metrics_address(&self) -> io::Result<SocketAddr> {
+        self.metrics.local_addr()
+    }
+
     /// Returns the address at which the balancer asks for readiness.
     ///
     /// # Errors
@@ -125,6 +134,13 @@
 where
     S: Future<Output = ()>,
 {
+    let addresses = [
+        listeners.caller_address(),
+        listeners.readiness_address(),
+        listeners.metrics_address(),
+    ]
+    .map(|address| address.map_or_else(|error| error.to_string(), |address| address.to_string()));
+    let [callers, readiness_address, metrics_address] = addresses;
     let metrics = metrics_handle().map_err(|error| Error::Metrics(error.to_string()))?;
     let client = platform_client().map_err(Error::Client)?;
     let store = StoreClient::new(client.clone(), settings.store_address, STORE_TIMEOUT);
@@ -159,6 +175,9 @@
     tracing::info!(
         name = &*state.settings.name,
         domain = &*state.settings.failure_domain,
+        callers,
+        readiness = readiness_address,
+        metrics = metrics_address,
         "gateway: started"
     );
     stop.await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod cli;
 pub mod control;
 pub mod entry;
+pub mod explain;
 pub mod gateway;
 pub mod infra;
 pub mod instance;
--- /dev/null
+++ b/tests/explain_request.rs
@@ -0,0 +1,105 @@
+//! From a request's identifier to what became of it.
+
+use lavenderwind::explain::trace_request;
+
+/// Lines as a collector gathers them from several instances, out of order.
+fn log() -> Vec<String> {
+    let line = |source: &str, second: f64, message: &str, fields: &str| {
+        format!(
+            "{source} {{\"timestamp\":\"2026-04-30T03:07:{second:09.6}Z\",\"level\":\"INFO\",\
+             \"message\":\"{message}\"{fields}}}"
+        )
+    };
+    vec![
+        line(
+            "entry-1",
+            10.5,
+            "gateway: request refused: targets refused the request without running it",
+            ",\"request\":\"r-1\",\"status\":503,\"elapsed_ms\":500",
+        ),
+        "not a line of a log".to_owned(),
+        line(
+            "entry-1",
+            10.1,
+            "gateway: prompt prefilled",
+            ",\"request\":\"r-1\",\"target\":\"i-a\",\"elapsed_ms\":90",
+        ),
+        line(
+            "entry-1",
+            10.4,
+            "gateway: attempt failed: Refused: target answered 503",
+            ",\"request\":\"r-1\",\"target\":\"i-b\",\"left_ms\":900",
+        ),
+        line(
+            "entry-2",
+            8.0,
+            "roles: order to become Prefill answered 202 Accepted",
+            ",\"target\":\"i-b\",\"fence\":3",
+        ),
+        line(
+            "entry-2",
+            8.0,
+            "roles: order to become Prefill answered 202 Accepted",
+            ",\"target\":\"i-z\",\"fence\":3",
+        ),
+        line(
+            "entry-2",
+            11.0,
+            "gateway: request answered",
+            ",\"request\":\"r-2\",\"status\":200,\"elapsed_ms\":20",
+        ),
+        line(
+            "entry-3",
+            12.0,
+            "gateway: stream broken off: Cut: error reading a body",
+            ",\"request\":\"r-3\",\"events\":7,\"attempts\":1",
+        ),
+    ]
+}
+
+#[test]
+fn refused() {
+    let trace = trace_request("r-1", log());
+    assert_eq!(
+        trace.outcome(),
+        "refused with status 503: targets refused the request without running it"
+    );
+    let messages: Vec<_> = trace.lines().iter().map(|line| line.message()).collect();
+    assert_eq!(messages.len(), 4, "{messages:?}");
+    assert!(
+        messages[0].starts_with("roles:"),
+        "what explains the refusal"
+    );
+    let (wait_ms, until) = trace.longest_wait_ms().unwrap();
+    assert_eq!(wait_ms, 300);
+    assert!(until.contains("attempt failed"));
+}
+
+#[test]
+fn outcomes() {
+    let cases = [
+        ("r-2", "answered 200 after 20 ms"),
+        ("r-3", "cut after 7 events: Cut: error reading a body"),
+        (
+            "r-9",
+            "no line names it: it reached no instance, or lines were dropped",
+        ),
+    ];
+    for (id, outcome) in cases {
+        assert_eq!(trace_request(id, log()).outcome(), outcome, "{id}");
+    }
+}
+
+#[test]
+fn lines_that_are_none() {
+    for line in [
+        "",
+        "{",
+        "{}",
+        "{\"message\":1}",
+        "entry {\"timestamp\":\"x\",\"message\":\"m\"}",
+    ] {
+        let trace = trace_request("r-1", [line.to_owned()]);
+        assert!(trace.is_empty(), "{line}");
+    }
+}
