Ask only instances that stay whether the configuration is known

The others needed three of five peers to confirm that nobody had read further; two could be asked, and 57 of 143 requests were refused with places free.

A gateway now tells its peers that it stops, and a majority is one of those that stay. A cut-off minority still confirms nothing: those it cannot reach have not said that they stop.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -226,9 +226,12 @@
         self.stopping.load(Ordering::Acquire)
     }
 
-    /// Notes that the instance is being stopped.
+    /// Notes that the instance is being stopped, and tells its peers.
     pub(super) fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Release);
+        if let Some(peers) = self.peers.get() {
+            peers.announce_leaving();
+        }
     }
 
     /// Returns why the instance is not ready, if it is not.
--- a/src/peer/freshness.rs
+++ b/src/peer/freshness.rs
@@ -31,8 +31,8 @@
 pub enum Quorum {
     /// All others.
     All,
-    /// More than half of the others, where some may be gone that the list
-    /// still names.
+    /// Half of the others that are not being stopped, where some may be gone
+    /// that the list still names.
     Majority,
 }
 
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -165,6 +165,13 @@
             .map(|peer| &peer.name)
     }
 
+    /// Counts the listed instances other than this one that have not said that
+    /// they are being stopped.
+    pub fn staying(&self) -> usize {
+        let staying = |peer: &&PeerState| peer.listed && !peer.leaving;
+        self.peers.values().filter(staying).count()
+    }
+
     /// Returns what is known of an instance.
     pub fn get(&self, name: &str) -> Option<&PeerState> {
         self.peers.get(name)
--- a/src/peer/state.rs
+++ b/src/peer/state.rs
@@ -251,7 +251,11 @@
     /// Judges whether this instance knows the newest configuration.
     pub(super) fn freshness(&self, log: &LogView, now: Instant) -> Freshness {
         let answers = self.answers();
-        let listed = self.membership.listed().count();
+        let others = match self.quorum {
+            Quorum::All => self.membership.listed().count(),
+            // Those that stop can no longer be asked.
+            Quorum::Majority => self.membership.staying(),
+        };
         let input = FreshnessInput {
             now,
             max_age: self.max_age,
@@ -262,7 +266,7 @@
             confirming_instances: self
                 .membership
                 .listed_once()
-                .then(|| self.quorum.of(listed)),
+                .then(|| self.quorum.of(others)),
             answers: &answers,
         };
         input.judge()
