--- a/tests/gateway_streams.rs
+++ b/tests/gateway_streams.rs
@@ -126,6 +126,28 @@
     assert_eq!(scene.decode_arrivals().len(), 2);
 }
 
+#[tokio::test]
+async fn lost_cache_is_prefilled_again() {
+    // Whichever engine is asked first takes the cache and breaks off.
+    let asked = Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let decode: Behaviour =
+        Arc::new(
+            move |arrival| match asked.fetch_add(1, std::sync::atomic::Ordering::SeqCst) {
+                0 => None,
+                _ => Some(stream(arrival, vec![Ok(WHOLE)])),
+            },
+        );
+    let scene = start(Arc::new(prefilled), vec![decode.clone(), decode]).await;
+    let response = scene.ask("/chat/", "r-1").await;
+    assert_eq!(response.text().await.unwrap(), WHOLE);
+    assert_eq!(scene.prefill.count(), 2);
+    let arrivals = scene.decode_arrivals();
+    assert_eq!(arrivals.len(), 2);
+    for arrival in arrivals {
+        assert!(arrival.header("kv-source").is_some(), "no engine reads it");
+    }
+}
+
 #[tokio::test]
 async fn stream_that_may_not_be_resumed() {
     let decode: Behaviour =
--- a/tests/retry_rules.rs
+++ b/tests/retry_rules.rs
@@ -270,3 +270,26 @@
     assert_eq!(seen.len(), 13);
     assert!(assigned_targets("entry-9", &instances, &targets).is_empty());
 }
+
+/// A router looks at all targets and sends to one.
+#[test]
+fn looks_take_no_probe() {
+    let mut breaker = Breaker::new(BreakerSettings::default());
+    breaker.record(Observation::Crash, 0, 0.0);
+    for now_ms in 500..600 {
+        assert!(breaker.would_allow(now_ms));
+    }
+    assert!(breaker.allow(600));
+    assert!(!breaker.would_allow(700), "one probe at a time");
+    // A probe whose outcome nobody learns keeps the target out no longer.
+    assert!(breaker.would_allow(3_600));
+    breaker.record(
+        Observation::Success {
+            predicted_ms: 0.0,
+            actual_ms: 0.0,
+        },
+        3_700,
+        0.0,
+    );
+    assert!(!breaker.is_probing());
+}
