--- a/tests/gateway_streams.rs
+++ b/tests/gateway_streams.rs
@@ -2,7 +2,10 @@
 
 mod platform_support;
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
 
 use hyper::Method;
 use platform_support::{
@@ -31,6 +34,19 @@
     ))
 }
 
+/// Lets whichever engine is asked first answer with `first`, and all later ones
+/// with a whole stream.
+fn first_asked<F>(first: F) -> Behaviour
+where
+    F: Fn(&Arrival) -> WorkerAnswer + Send + Sync + 'static,
+{
+    let asked = AtomicUsize::new(0);
+    Arc::new(move |arrival| match asked.fetch_add(1, Ordering::SeqCst) {
+        0 => first(arrival),
+        _ => Some(stream(arrival, vec![Ok(WHOLE)])),
+    })
+}
+
 async fn start(prefill: Behaviour, decoders: Vec<Behaviour>) -> Scene {
     let (store, cloud) = (Store::start().await, Cloud::start().await);
     store.put("keyed.op", "config", &configuration(1));
@@ -129,14 +145,7 @@
 #[tokio::test]
 async fn lost_cache_is_prefilled_again() {
     // Whichever engine is asked first takes the cache and breaks off.
-    let asked = Arc::new(std::sync::atomic::AtomicUsize::new(0));
-    let decode: Behaviour =
-        Arc::new(
-            move |arrival| match asked.fetch_add(1, std::sync::atomic::Ordering::SeqCst) {
-                0 => None,
-                _ => Some(stream(arrival, vec![Ok(WHOLE)])),
-            },
-        );
+    let decode = first_asked(|_| None);
     let scene = start(Arc::new(prefilled), vec![decode.clone(), decode]).await;
     let response = scene.ask("/chat/", "r-1").await;
     assert_eq!(response.text().await.unwrap(), WHOLE);
@@ -165,14 +174,7 @@
 #[tokio::test]
 async fn refused_cache_is_tried_elsewhere() {
     // Whichever engine is asked first refuses.
-    let asked = Arc::new(std::sync::atomic::AtomicUsize::new(0));
-    let decode: Behaviour =
-        Arc::new(
-            move |arrival| match asked.fetch_add(1, std::sync::atomic::Ordering::SeqCst) {
-                0 => Some(not_run(arrival)),
-                _ => Some(stream(arrival, vec![Ok(WHOLE)])),
-            },
-        );
+    let decode = first_asked(|arrival| Some(not_run(arrival)));
     let scene = start(Arc::new(prefilled), vec![decode.clone(), decode]).await;
     let response = scene.ask("/chat/", "r-1").await;
     assert_eq!(response.text().await.unwrap(), WHOLE);
