--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -72,6 +72,28 @@
     pub fn shared_parts(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
+
+    /// Returns the parts that decide where the prompt has its home: those that
+    /// would cost most to read again.
+    #[must_use]
+    pub fn home_parts(&self) -> &[PromptPart] {
+        match self.shared_tokens() >= self.own_tokens() {
+            true => self.shared_parts(),
+            false => &self.parts,
+        }
+    }
+
+    /// Returns the tokens of the parts that other requests may share.
+    #[must_use]
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared_parts().iter().map(|part| part.tokens).sum()
+    }
+
+    /// Returns the tokens that no other request shares.
+    #[must_use]
+    pub fn own_tokens(&self) -> u32 {
+        self.prompt_tokens.saturating_sub(self.shared_tokens())
+    }
 }
 
 /// A part of a prompt that other prompts may begin with, too.
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -5,6 +5,11 @@
 use derive_more::IsVariant;
 use indexmap::IndexMap;
 
+const BITS_PER_BYTE: f64 = 8.0;
+
+/// Bits that a link of one megabit a second moves in a millisecond.
+const BITS_PER_MS_PER_MBPS: f64 = 1_000.0;
+
 /// What may be repeated of a route's requests.
 #[derive(Clone, Copy, Debug, Eq, IsVariant, PartialEq)]
 pub enum RouteKind {
@@ -36,6 +41,8 @@
     pub latency_objective: Duration,
     /// Most targets that one request is sent to.
     pub max_attempts: u32,
+    /// Longest pause between two events of a stream that is on time.
+    pub event_objective: Option<Duration>,
     /// Urgency; 0 is the most urgent.
     pub priority: u8,
     /// Whether callers need no key.
@@ -126,6 +133,21 @@
     pub role_change: Duration,
     /// Time for which a prefilled KV cache is kept for its decode.
     pub handle_ttl: Duration,
+    /// Size of a token in the KV cache, in bytes.
+    pub token_kv_bytes: f64,
+    /// Bandwidth between engines, in megabits a second, if it is known.
+    pub link_mbps: Option<f64>,
+}
+
+impl Engine {
+    /// Returns the time in which a KV cache of so many tokens is moved to
+    /// another engine, in milliseconds.
+    #[must_use]
+    pub fn transfer_ms(&self, tokens: u32) -> f64 {
+        let bits = f64::from(tokens) * self.token_kv_bytes * BITS_PER_BYTE;
+        self.link_mbps
+            .map_or(0.0, |link_mbps| bits / (link_mbps * BITS_PER_MS_PER_MBPS))
+    }
 }
 
 /// Bounds and prices by which a service's targets are ordered.
--- a/src/gateway/decode.rs
+++ b/src/gateway/decode.rs
@@ -4,7 +4,9 @@
 
 use super::state::State;
 use crate::{
-    call::Call,
+    call::{Call, Prompt},
+    policy::engine_profile::EngineProfile,
+    policy::homes::{chain_hash, rendezvous_weight},
     policy::spread::{SpreadCandidate, SpreadWeights, choose_least_loaded},
     roster::Target,
     target::protocol::EngineRole,
@@ -16,37 +18,33 @@
     unsettled: 0.4,
 };
 
-/// Tokens of prompts that an engine has to read that weigh as much as a slot.
-const TOKENS_A_SLOT: f64 = 200.0;
+/// Cost of an engine that does not keep a prompt's shared parts, as a part of
+/// its slots.
+const AWAY_COST: f64 = 0.5;
+
+/// Least time for which a stream holds a slot, in milliseconds.
+const MIN_HOLD_MS: f64 = 1.0;
 
 /// Time after which a new engine's role has been decided.
 const ROLE_DECISION: Duration = Duration::from_millis(1_500);
 
-/// Returns the time in which a new engine may be given another role: while it
-/// changes, it refuses requests.
-fn settle_time(state: &State, service: &str) -> Duration {
-    let catalog = state.catalog();
-    let engine = catalog
-        .as_ref()
-        .and_then(|catalog| catalog.service(service)?.engine.as_ref());
-    engine.map_or(Duration::ZERO, |engine| engine.role_change + ROLE_DECISION)
+/// Returns whether an engine has run for so long that its role has been
+/// decided: while it changes, it refuses requests.
+pub(super) fn is_settled(state: &State, target: &Target) -> bool {
+    let settle = state
+        .engine(&target.service)
+        .map_or(Duration::ZERO, |engine| engine.role_change + ROLE_DECISION);
+    target.seen_at.elapsed() >= settle
 }
 
-/// Returns the fewest tokens of prompts that wait at an engine that decodes;
-/// `None` if no such engine takes requests.
-pub(super) fn least_queued_tokens(state: &State, call: &Call) -> Option<f64> {
-    let now_ms = state.now_ms();
-    let targets = state.ready_targets(&call.service);
-    let loads = state.loads();
-    let mut least: Option<f64> = None;
-    for target in &targets {
-        if target.role != Some(EngineRole::Decode) || !loads.allows(&target.id, now_ms) {
-            continue;
-        }
-        let queued = loads.in_flight(&target.id).prefill_tokens as f64;
-        least = Some(least.map_or(queued, |least| least.min(queued)));
-    }
-    least
+/// An engine that may generate an answer.
+#[derive(Debug)]
+pub(super) struct DecodeChoice {
+    pub(super) target: Arc<Target>,
+    /// Tokens of prompts that wait to be read there.
+    pub(super) queued_tokens: f64,
+    /// Requests in flight there.
+    pub(super) requests: u32,
 }
 
 /// Chooses an engine that decodes; one in `failure_domain` is reached best.
@@ -55,24 +53,40 @@
     call: &Call,
     failure_domain: &str,
     tried: &[Arc<str>],
-) -> Option<Arc<Target>> {
+) -> Option<DecodeChoice> {
     let now_ms = state.now_ms();
     let mut targets = state.ready_targets(&call.service);
     targets
         .retain(|target| target.role != Some(EngineRole::Prefill) && !tried.contains(&target.id));
-    let mut loads = state.loads();
+    let profile = state.engines().profile(&call.service);
+    let max_output_tokens = call
+        .prompt
+        .as_ref()
+        .map_or(0, |prompt| prompt.max_output_tokens);
+    let hold_ms = profile.hold_ms(max_output_tokens).max(MIN_HOLD_MS);
+    let loads = state.loads();
     targets.retain(|target| loads.allows(&target.id, now_ms));
-    let settle = settle_time(state, &call.service);
-    let is_settled = |target: &Target| target.seen_at.elapsed() >= settle;
+    let home = home(call, &targets);
+    let away = AWAY_COST
+        * call
+            .prompt
+            .as_ref()
+            .map_or(0.0, |prompt| place_weight(prompt, &profile));
+    let is_settled = |target: &Target| is_settled(state, target);
     let settled = targets.iter().filter(|target| is_settled(target)).count();
     // Where most are new, those that are not would get all requests.
     let prefers_settled = 2 * settled >= targets.len();
     let mut candidates = Vec::with_capacity(targets.len());
     for target in &targets {
         let in_flight = loads.in_flight(&target.id);
-        let reading = in_flight.prefill_tokens as f64 / TOKENS_A_SLOT;
+        let reading_ms = in_flight.prefill_tokens as f64 * profile.direct_read_ms();
+        // Reading keeps all slots from going on.
+        let mut held_slots = reading_ms * f64::from(target.slots) / hold_ms;
+        if home.as_ref() != Some(&target.id) {
+            held_slots += away * f64::from(target.slots);
+        }
         candidates.push(SpreadCandidate {
-            in_flight: in_flight.requests + reading as u32,
+            in_flight: f64::from(in_flight.requests) + held_slots,
             slots: target.slots,
             is_near: *target.failure_domain == *failure_domain,
             failure_rate: loads.failure_rate(&target.id),
@@ -80,7 +94,29 @@
         });
     }
     let index = choose_least_loaded(&candidates, &WEIGHTS, rand::random())?;
-    let chosen = targets.swap_remove(index);
-    loads.note_try(&chosen.id, now_ms);
-    Some(chosen)
+    let target = targets.swap_remove(index);
+    let in_flight = loads.in_flight(&target.id);
+    Some(DecodeChoice {
+        target,
+        queued_tokens: in_flight.prefill_tokens as f64,
+        requests: in_flight.requests,
+    })
+}
+
+/// Returns the engine that keeps a prompt's shared parts among those that
+/// decode.
+fn home(call: &Call, targets: &[Arc<Target>]) -> Option<Arc<str>> {
+    let key = chain_hash(call.prompt.as_ref()?.home_parts());
+    let heaviest = targets
+        .iter()
+        .max_by_key(|target| rendezvous_weight(key, &target.id));
+    heaviest.map(|target| target.id.clone())
+}
+
+/// Returns how much it matters where a prompt's shared parts are cached, from
+/// 0 to 1.
+fn place_weight(prompt: &Prompt, profile: &EngineProfile) -> f64 {
+    let shared_ms = f64::from(prompt.shared_tokens()) * profile.apart_read_ms();
+    let hold_ms = profile.hold_ms(prompt.max_output_tokens);
+    shared_ms / (shared_ms + hold_ms).max(MIN_HOLD_MS)
 }
--- a/src/gateway/duty/ordering.rs
+++ b/src/gateway/duty/ordering.rs
@@ -12,18 +12,16 @@
     gateway::state::State,
     platform::{CloudClient, CloudError, StoreClient, TargetCount},
     policy::spending::{
-        DomainSupply, NeedWindow, Shortage, SpendingLimits, SpendingPrices, keep_regular,
-        needed_targets, plan,
+        DomainSupply, NeedWindow, Shortage, SpendingLimits, SpendingPrices, keep_regular, plan,
     },
     roster::Target,
-    target::protocol::EngineRole,
 };
 
 /// Time between two looks at the targets.
 const PERIOD: Duration = Duration::from_millis(500);
 
-/// Utilization of prefilling engines up to which prompts hardly wait.
-const UTILIZATION: f64 = 0.6;
+/// Utilization of engines up to which requests hardly wait.
+const UTILIZATION: f64 = 0.7;
 
 /// Reclaimable targets that do the work of one regular target.
 const SPARE_FACTOR: f64 = 1.33;
@@ -37,9 +35,6 @@
 /// Time for which a need is remembered, so that a lull releases nothing.
 const NEED_WINDOW: Duration = Duration::from_secs(90);
 
-/// Weight of the newest sample in an engine's mean number of requests.
-const LOAD_GAIN: f64 = 0.12;
-
 /// Time after a refusal for which a failure domain counts as sold out.
 const SOLD_OUT: Duration = Duration::from_secs(5);
 
@@ -114,7 +109,6 @@
     /// Need of the last orders, which later holders go on from.
     kept: Option<u32>,
     need: NeedWindow,
-    loads: IndexMap<Arc<str>, f64>,
     ordered: IndexMap<Subject, Ordered>,
     sold_out: IndexMap<Subject, Instant>,
     shortage: Shortage,
@@ -126,7 +120,6 @@
             started_at: Instant::now(),
             kept,
             need: NeedWindow::new(NEED_WINDOW.as_millis() as u64),
-            loads: IndexMap::new(),
             ordered: IndexMap::new(),
             sold_out: IndexMap::new(),
             shortage: Shortage::default(),
@@ -142,7 +135,7 @@
         if targets.is_empty() {
             return Vec::new();
         }
-        let needed = self.needed(state, &targets, scaling);
+        let needed = self.needed(state, &service.name, &targets, scaling);
         let settle = service
             .engine
             .as_ref()
@@ -206,26 +199,18 @@
 
     /// Returns how many targets must be left when any one failure domain
     /// loses its reclaimable ones.
-    fn needed(&mut self, state: &State, targets: &[Arc<Target>], scaling: &Scaling) -> u32 {
-        let mut load = 0.0;
-        let mut decoding = 0;
-        for target in targets {
-            if target.role != Some(EngineRole::Prefill) {
-                decoding += 1;
-                continue;
-            }
-            let in_flight = state.loads().in_flight(&target.id).requests;
-            let mean = self.loads.entry(target.id.clone()).or_insert(0.0);
-            *mean += LOAD_GAIN * (f64::from(in_flight) - *mean);
-            // Utilization of a queue with this mean number of requests.
-            load += *mean / (1.0 + *mean);
-        }
-        self.loads
-            .retain(|id, _| targets.iter().any(|target| target.id == *id));
-        let by_load = needed_targets(load, UTILIZATION) + decoding;
+    fn needed(
+        &mut self,
+        state: &State,
+        service: &str,
+        targets: &[Arc<Target>],
+        scaling: &Scaling,
+    ) -> u32 {
+        let load = state.engines().load(service);
         // More than reclaimable targets alone can leave would be regular ones.
         let other_domains = scaling.domain_prices.len().saturating_sub(1).max(1) as u32;
         let most = scaling.max_targets * other_domains;
+        let by_load = load.needed_engines(UTILIZATION, most as usize) as u32;
         let elapsed = self.started_at.elapsed();
         let needed = match self.kept {
             // Without a history of the load, no fewer survivors than before.
--- a/src/gateway/duty/roles.rs
+++ b/src/gateway/duty/roles.rs
@@ -9,7 +9,7 @@
 use super::tenure::Tenure;
 use crate::{
     gateway::{engine_call, state::State},
-    policy::role_split::{SplitEngine, plan_changes},
+    policy::role_split::{SplitEngine, plan_changes, wanted_prefilling},
     roster::Target,
     target::protocol::EngineRole,
 };
@@ -98,7 +98,20 @@
             in_flight: state.loads().in_flight(&target.id).requests,
         });
     }
-    let changes = plan_changes(&engines);
+    let load = state.engines().load(service);
+    let is_prefilling = |engine: &&SplitEngine| engine.role == EngineRole::Prefill;
+    let prefilling = engines.iter().filter(is_prefilling).count();
+    let wanted = wanted_prefilling(&load, engines.len(), prefilling);
+    let changes = plan_changes(&engines, wanted);
+    if !changes.is_empty() {
+        tracing::info!(
+            service,
+            engines = engines.len(),
+            prefilling,
+            wanted,
+            "roles: load {load:.2?}"
+        );
+    }
     let ordering = changes.iter().map(|change| {
         let target = &targets[change.index];
         order(state, tenure, target, change.role)
--- a/src/gateway/front.rs
+++ b/src/gateway/front.rs
@@ -38,6 +38,10 @@
 /// Shortest and longest time after which a refused caller may come back.
 const RETRY_AFTER_RANGE_S: std::ops::Range<f64> = 0.15..0.6;
 
+/// Range of the time after which a caller may come back that was refused since
+/// engines are busy, in times of the wait.
+const RETRY_AFTER_WAITS: std::ops::Range<f64> = 0.5..1.5;
+
 /// Accepts callers until `close` is cancelled, and waits for their requests.
 ///
 /// # Errors
@@ -175,6 +179,10 @@
             let delay_s = rand::random_range(RETRY_AFTER_RANGE_S);
             Some(Duration::from_secs_f64(delay_s))
         }
+        Refusal::Overloaded { wait_ms } => {
+            let delay_ms = f64::from(wait_ms) * rand::random_range(RETRY_AFTER_WAITS);
+            Some(Duration::from_secs_f64(delay_ms / 1_000.0))
+        }
         _ => None,
     }
 }
@@ -203,5 +211,5 @@
         elapsed_ms = received_at.elapsed().as_millis() as u64,
         "gateway: request refused: {refusal}"
     );
-    metrics::counter!("gateway_refusals_total", "reason" => format!("{refusal:?}")).increment(1);
+    metrics::counter!("gateway_refusals_total", "reason" => refusal.label()).increment(1);
 }
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -10,12 +10,14 @@
     attempt::{self, Answer, AttemptError},
     decode,
     loads::InFlightGuard,
+    placement::{Chosen, note_cached},
     plain::{answered, is_retryable_failure},
     prefill::{Prefill, PrefillHandle, prefill},
     progress::Progress,
     relay::{Relay, Source},
     reply::{Body, Refusal, streamed},
     state::{BodyMemory, State},
+    stream_times::{Start, StreamTimes},
 };
 use crate::{
     call::Call,
@@ -47,11 +49,17 @@
     let mut handle = None;
     let mut unread = call.prompt.as_ref();
     let mut refused_handle = false;
+    let mut direct = None;
     loop {
         if let Some(prompt) = unread.take() {
             handle = match prefill(state, call, prompt).await {
                 Prefill::Done(handle) => Some(handle),
+                Prefill::Direct(read) => {
+                    direct = Some(read);
+                    None
+                }
                 Prefill::Skipped => None,
+                Prefill::Overloaded { wait_ms } => return Err(Refusal::Overloaded { wait_ms }),
                 Prefill::OverBudget => return Err(progress.refusal(last_error.as_ref())),
             };
         }
@@ -59,27 +67,25 @@
         if exhausted || !is_still_permitted(state, call, head) {
             break;
         }
-        let near = handle
-            .as_ref()
-            .map_or(&state.settings.failure_domain, |handle| {
-                &handle.target.failure_domain
-            });
-        let Some(target) = decode::choose(state, call, near, &progress.tried) else {
+        let read = direct.take();
+        let Some(way) = choose_way(state, call, handle.as_ref(), read, &progress.tried) else {
             break;
         };
-        let to_read = match (&handle, &call.prompt) {
-            (None, Some(prompt)) => prompt.prompt_tokens,
-            _ => 0,
-        };
-        let in_flight = InFlightGuard::new(state, &target.id, u64::from(to_read));
+        let target = way.target.clone();
+        state.loads().note_try(&target.id, state.now_ms());
+        let times = way.times(call);
+        let in_flight = InFlightGuard::new(state, &target.id, u64::from(way.uncached_tokens));
         let by = begin_by(call, &progress);
-        let result = begin(state, call, &target, handle.as_ref(), by).await;
+        let result = begin(state, call, &way, handle.as_ref(), by).await;
         let failure = match result {
             Ok(answer) if answer.status.is_success() => {
                 if let Some(handle) = handle.take() {
                     handle.take();
                 }
-                return Ok(relayed(state, call, answer, in_flight, progress, memory));
+                note_cached(state, call, &target);
+                return Ok(relayed(
+                    state, call, answer, in_flight, times, progress, memory,
+                ));
             }
             Ok(answer) => {
                 let answer = answer.collect(state, call, call.answer_by).await;
@@ -111,19 +117,99 @@
     Err(progress.refusal(last_error.as_ref()))
 }
 
+/// The engine that is to generate an answer, and what it has to do first.
+#[derive(Debug)]
+struct Way {
+    target: Arc<Target>,
+    start: Start,
+    /// Tokens of the prompt that it has to read.
+    uncached_tokens: u32,
+    /// Engine that has the shared parts of the prompt.
+    fetch_from: Option<Arc<Target>>,
+    /// Requests that were in flight there.
+    streams: u32,
+    /// Whether prompts wait to be read there.
+    reads_beside: bool,
+}
+
+impl Way {
+    fn times(&self, call: &Call) -> StreamTimes {
+        let output = call
+            .prompt
+            .as_ref()
+            .map_or(0, |prompt| prompt.max_output_tokens);
+        let slots = self.target.slots;
+        let objective = call.route.event_objective;
+        StreamTimes::new(&call.service, self.start, self.streams, slots)
+            .with_output(output)
+            .with_pause_objective(objective.filter(|_| self.reads_beside))
+    }
+}
+
+/// Chooses the engine that is to generate an answer: the one that reads the
+/// prompt itself, or any that decodes, near the KV cache.
+fn choose_way(
+    state: &State,
+    call: &Call,
+    handle: Option<&PrefillHandle>,
+    direct: Option<Chosen>,
+    tried: &[Arc<str>],
+) -> Option<Way> {
+    if let Some(read) = direct {
+        return Some(Way {
+            start: Start::Direct {
+                tokens: read.queued_tokens + f64::from(read.uncached_tokens),
+            },
+            target: read.target,
+            uncached_tokens: read.uncached_tokens,
+            fetch_from: read.fetch_from,
+            streams: read.requests,
+            reads_beside: read.queued_tokens > 0.0,
+        });
+    }
+    let near = handle.map_or(&state.settings.failure_domain, |handle| {
+        &handle.target.failure_domain
+    });
+    let chosen = decode::choose(state, call, near, tried)?;
+    let prompt_tokens = call
+        .prompt
+        .as_ref()
+        .map_or(0, |prompt| prompt.prompt_tokens);
+    let (start, uncached_tokens) = match handle {
+        Some(_) => {
+            let tokens = f64::from(prompt_tokens);
+            (Start::Handover { tokens }, 0)
+        }
+        None => {
+            let tokens = chosen.queued_tokens + f64::from(prompt_tokens);
+            (Start::Direct { tokens }, prompt_tokens)
+        }
+    };
+    Some(Way {
+        target: chosen.target,
+        start,
+        uncached_tokens,
+        fetch_from: None,
+        streams: chosen.requests,
+        reads_beside: chosen.queued_tokens > 0.0,
+    })
+}
+
 /// Sends a call to the engine that is to generate the answer.
 async fn begin(
     state: &Arc<State>,
     call: &Call,
-    target: &Arc<Target>,
+    way: &Way,
     handle: Option<&PrefillHandle>,
     by: Instant,
 ) -> Result<Answer, AttemptError> {
     let head = AttemptHead {
         kv_source: handle.map(|handle| &handle.source),
+        fetch_from: way.fetch_from.as_ref().map(|source| source.address),
         resume_after: call.resume_after.as_deref(),
         ..AttemptHead::default()
     };
+    let target = &way.target;
     let answer = attempt::send(state, call, target, head, by).await?;
     if answer.status.is_success() && !answer.head.is_signed {
         let error = AttemptError::cut("answer without signature");
@@ -161,6 +247,7 @@
     call: &Arc<Call>,
     answer: Answer,
     in_flight: InFlightGuard,
+    times: StreamTimes,
     progress: Progress,
     memory: Option<BodyMemory>,
 ) -> Response<Body> {
@@ -169,7 +256,7 @@
     let relay = Relay::new(
         state.clone(),
         call.clone(),
-        Source::new(answer, in_flight),
+        Source::new(answer, in_flight, times),
         progress,
         memory,
     );
--- /dev/null
+++ b/src/gateway/placement.rs
@@ -0,0 +1,155 @@
+//! Choice of the engine that reads a prompt.
+
+use std::sync::Arc;
+
+use tokio::time::Instant;
+
+use super::{decode::is_settled, state::State};
+use crate::{
+    call::{Call, Prompt},
+    policy::{
+        engine_profile::PromptSize,
+        placement::{EngineCandidate, PlacementRules, place},
+    },
+    roster::Target,
+    target::protocol::EngineRole,
+};
+
+/// Part of the prompts that go to the copy of their shared parts, so that it
+/// is there when their home is lost.
+const COPY_SHARE: f64 = 0.15;
+
+/// Part of an engine's memory in which parts stay cached beside what runs.
+const CACHE_SHARE: f64 = 0.8;
+
+/// Cost of an engine all of whose answers are failures, in times of the
+/// latency objective.
+const FAILING_OBJECTIVES: f64 = 6.0;
+
+/// Cost of an engine that may be given another role, in times of the latency
+/// objective.
+const UNSETTLED_OBJECTIVES: f64 = 0.2;
+
+/// The engine that was chosen to read a prompt.
+#[derive(Debug)]
+pub(super) struct Chosen {
+    pub(super) target: Arc<Target>,
+    /// Tokens that wait to be read there.
+    pub(super) queued_tokens: f64,
+    /// Requests in flight there.
+    pub(super) requests: u32,
+    /// Tokens of the prompt that it has to read.
+    pub(super) uncached_tokens: u32,
+    /// Engine that has the shared parts of the prompt.
+    pub(super) fetch_from: Option<Arc<Target>>,
+    /// Whether it goes on to the answer.
+    pub(super) is_direct: bool,
+    /// Time after which the first event is expected, in milliseconds.
+    pub(super) first_event_ms: f64,
+    /// Part of it in which others are served first, in milliseconds.
+    pub(super) wait_ms: f64,
+    /// Whether that alone makes the answer late.
+    pub(super) is_overloaded: bool,
+}
+
+/// Chooses the engine that reads a prompt, other than those of `tried`.
+pub(super) fn choose_engine(
+    state: &State,
+    call: &Call,
+    prompt: &Prompt,
+    tried: &[Arc<str>],
+) -> Option<Chosen> {
+    let targets = state.targets(&call.service);
+    let candidates = candidates(state, call, &targets, tried);
+    let profile = state.engines().profile(&call.service);
+    let engine = state.engine(&call.service);
+    let event_objective = call.route.event_objective;
+    let event_objective = event_objective.unwrap_or(call.route.latency_objective);
+    let loads = state.loads();
+    let rules = PlacementRules {
+        profile: &profile,
+        cached: &loads.chains,
+        capacity_tokens: cache_capacity(state, &call.service),
+        token_transfer_ms: engine.map_or(0.0, |engine| engine.transfer_ms(1)),
+        event_objective_ms: event_objective.as_secs_f64() * 1_000.0,
+        latency_objective_ms: call.route.latency_objective.as_secs_f64() * 1_000.0,
+        keeps_copy: rand::random_bool(COPY_SHARE),
+    };
+    let placement = place(prompt, &candidates, &rules)?;
+    let candidate = &candidates[placement.index];
+    Some(Chosen {
+        target: targets[placement.index].clone(),
+        queued_tokens: candidate.queued_tokens,
+        requests: candidate.requests,
+        uncached_tokens: placement.uncached_tokens,
+        fetch_from: placement.fetch_from.map(|index| targets[index].clone()),
+        is_direct: placement.is_direct,
+        first_event_ms: placement.first_event_ms,
+        wait_ms: placement.wait_ms,
+        is_overloaded: placement.is_overloaded(rules.latency_objective_ms),
+    })
+}
+
+/// Counts what a prompt asks of the service's engines.
+pub(super) fn note_work(state: &State, call: &Call, prompt: &Prompt, uncached_tokens: u32) {
+    let slots = state.engine(&call.service).map_or(1, |engine| engine.slots);
+    let size = PromptSize {
+        prompt_tokens: prompt.prompt_tokens,
+        uncached_tokens,
+        max_output_tokens: prompt.max_output_tokens,
+    };
+    state.engines().ask(&call.service, &size, slots);
+}
+
+/// Notes that an engine has a call's prompt in its cache.
+pub(super) fn note_cached(state: &State, call: &Call, target: &Target) {
+    let Some(prompt) = &call.prompt else {
+        return;
+    };
+    let capacity_tokens = cache_capacity(state, &call.service);
+    let mut loads = state.loads();
+    loads
+        .chains
+        .insert(&target.id, &prompt.parts, capacity_tokens);
+}
+
+/// Returns the tokens that an engine keeps cached for this instance, if all
+/// instances use it alike.
+fn cache_capacity(state: &State, service: &str) -> u64 {
+    let kv_tokens = state.engine(service).map_or(0, |engine| engine.kv_tokens);
+    (CACHE_SHARE * kv_tokens as f64 / state.instances() as f64) as u64
+}
+
+fn candidates(
+    state: &State,
+    call: &Call,
+    targets: &[Arc<Target>],
+    tried: &[Arc<str>],
+) -> Vec<EngineCandidate> {
+    let now_ms = state.now_ms();
+    let now = Instant::now();
+    let objective_ms = call.route.latency_objective.as_secs_f64() * 1_000.0;
+    let loads = state.loads();
+    let mut candidates = Vec::with_capacity(targets.len());
+    for target in targets {
+        let is_open = target.takes_requests(now) && !tried.contains(&target.id);
+        let in_flight = loads.in_flight(&target.id);
+        let is_allowed = loads.allows(&target.id, now_ms);
+        let mut penalty = FAILING_OBJECTIVES * loads.failure_rate(&target.id);
+        if !is_settled(state, target) {
+            penalty += UNSETTLED_OBJECTIVES;
+        }
+        candidates.push(EngineCandidate {
+            id: target.id.clone(),
+            failure_domain: target.failure_domain.clone(),
+            role: target.role.unwrap_or(EngineRole::Mixed),
+            is_leaving: !is_open || !is_allowed,
+            is_unreachable: !loads.is_reachable(&target.id) && !is_allowed,
+            queued_tokens: in_flight.prefill_tokens as f64,
+            requests: in_flight.requests,
+            slots: target.slots,
+            penalty_ms: penalty * objective_ms,
+        });
+    }
+    candidates
+}
--- a/src/gateway/prefill.rs
+++ b/src/gateway/prefill.rs
@@ -6,19 +6,16 @@
 
 use super::{
     attempt::{self, AttemptError},
-    decode, engine_call,
+    engine_call,
     loads::{InFlightGuard, Outcome},
+    placement::{Chosen, choose_engine, note_cached, note_work},
     state::State,
 };
 use crate::{
     call::{Call, Prompt},
     platform::{AttemptHead, KvSource, Prefilled},
-    policy::{
-        homes::{PrefillCandidate, chain_hash, choose_prefill},
-        reading::{ReadingQueues, reads_at_decode},
-    },
+    policy::homes::chain_hash,
     roster::Target,
-    target::protocol::EngineRole,
 };
 
 /// Engines that are asked to prefill one prompt.
@@ -27,16 +24,9 @@
 /// Engines that are tried for one prompt, with those that cannot be reached.
 const MAX_PREFILL_TARGETS: usize = 6;
 
-/// Part of the prompts that go to the copy of their shared parts, so that it
-/// is there when their home is lost.
-const COPY_SHARE: f64 = 0.15;
-
 /// Time kept for the decode after the prefill.
 const DECODE_TIME: Duration = Duration::from_millis(200);
 
-/// Tokens as which a failing engine counts, at a failure rate of one.
-const FAILING_TOKENS: f64 = 200_000.0;
-
 /// A KV cache that an engine holds for a decode, released unless taken.
 #[derive(Debug)]
 pub(super) struct PrefillHandle {
@@ -72,8 +62,15 @@
 pub(super) enum Prefill {
     /// An engine holds the KV cache.
     Done(PrefillHandle),
+    /// The prompt is read where it is decoded.
+    Direct(Chosen),
     /// No engine did it; the prompt may be read where it is decoded.
     Skipped,
+    /// All engines are so busy that the answer would be late.
+    Overloaded {
+        /// Time until one is free.
+        wait_ms: u32,
+    },
     /// Engines failed, and no further request may be sent.
     OverBudget,
 }
@@ -86,11 +83,20 @@
     let mut tried = Vec::new();
     let mut attempts = 0;
     while attempts < MAX_PREFILL_ATTEMPTS && tried.len() < MAX_PREFILL_TARGETS {
-        let Some(chosen) = choose(state, call, prompt, &tried) else {
+        let chosen = choose_engine(state, call, prompt, &tried);
+        if tried.is_empty() {
+            let uncached = chosen.as_ref().map(|chosen| chosen.uncached_tokens);
+            note_work(state, call, prompt, uncached.unwrap_or(prompt.own_tokens()));
+        }
+        let Some(chosen) = chosen else {
             break;
         };
-        if tried.is_empty() && is_read_faster(state, call, prompt, &chosen) {
-            return Prefill::Skipped;
+        if tried.is_empty() && chosen.is_overloaded {
+            let wait_ms = chosen.wait_ms as u32;
+            return Prefill::Overloaded { wait_ms };
+        }
+        if chosen.is_direct {
+            return Prefill::Direct(chosen);
         }
         tried.push(chosen.target.id.clone());
         match attempt_once(state, call, prompt, &chosen).await {
@@ -107,17 +113,6 @@
     Prefill::Skipped
 }
 
-/// The engine that was chosen for a prefill.
-#[derive(Debug)]
-struct Chosen {
-    target: Arc<Target>,
-    /// Tokens that wait there for their prefill.
-    queued_tokens: f64,
-    uncached_tokens: u32,
-    /// Engine that has the shared parts of the prompt.
-    fetch_from: Option<Arc<Target>>,
-}
-
 async fn attempt_once(
     state: &Arc<State>,
     call: &Arc<Call>,
@@ -155,11 +150,14 @@
             return Err(error);
         }
     };
-    let mut loads = state.loads();
-    loads.observe(&target.id, Outcome::Answered, now_ms);
-    loads.chains.insert(&target.id, &prompt.parts, now_ms);
-    drop(loads);
-    metrics::histogram!("gateway_prefill_ms").record(started_at.elapsed().as_secs_f64() * 1_000.0);
+    state.loads().observe(&target.id, Outcome::Answered, now_ms);
+    note_cached(state, call, target);
+    let elapsed_ms = started_at.elapsed().as_secs_f64() * 1_000.0;
+    let tokens_ahead = chosen.queued_tokens + f64::from(uncached_tokens);
+    state.engines().learn(&call.service, |profile| {
+        profile.observe_apart(tokens_ahead, elapsed_ms);
+    });
+    metrics::histogram!("gateway_prefill_ms").record(elapsed_ms);
     tracing::info!(
         request = &*call.id,
         target = &*target.id,
@@ -168,7 +166,8 @@
         queued_tokens,
         chain = format!("{:016x}", chain_hash(prompt.shared_parts())),
         fetch_from = chosen.fetch_from.as_ref().map_or("-", |source| &source.id),
-        elapsed_ms = started_at.elapsed().as_millis() as u64,
+        predicted_ms = chosen.first_event_ms as u64,
+        elapsed_ms = elapsed_ms as u64,
         "gateway: prompt prefilled"
     );
     Ok(PrefillHandle {
@@ -181,44 +180,3 @@
         taken: false,
     })
 }
-
-/// Returns whether the engine that decodes reads the prompt sooner than the
-/// one that was chosen for its prefill.
-fn is_read_faster(state: &State, call: &Call, prompt: &Prompt, chosen: &Chosen) -> bool {
-    let Some(decode_queued_tokens) = decode::least_queued_tokens(state, call) else {
-        return false;
-    };
-    reads_at_decode(&ReadingQueues {
-        prefill_queued_tokens: chosen.queued_tokens,
-        prefill_uncached_tokens: chosen.uncached_tokens,
-        decode_queued_tokens,
-        prompt_tokens: prompt.prompt_tokens,
-    })
-}
-
-fn choose(state: &State, call: &Call, prompt: &Prompt, tried: &[Arc<str>]) -> Option<Chosen> {
-    let now_ms = state.now_ms();
-    let mut targets = state.targets(&call.service);
-    targets.retain(|target| target.role == Some(EngineRole::Prefill));
-    let loads = state.loads();
-    let mut candidates = Vec::with_capacity(targets.len());
-    for target in &targets {
-        let is_open = target.takes_requests(Instant::now()) && !tried.contains(&target.id);
-        candidates.push(PrefillCandidate {
-            id: target.id.clone(),
-            failure_domain: target.failure_domain.clone(),
-            is_leaving: !is_open || !loads.allows(&target.id, now_ms),
-            is_unreachable: !loads.is_reachable(&target.id) && !loads.allows(&target.id, now_ms),
-            queued_tokens: loads.in_flight(&target.id).prefill_tokens as f64,
-            penalty_tokens: FAILING_TOKENS * loads.failure_rate(&target.id),
-        });
-    }
-    let keeps_copy = rand::random_bool(COPY_SHARE);
-    let choice = choose_prefill(prompt, &candidates, &loads.chains, keeps_copy, now_ms)?;
-    Some(Chosen {
-        target: targets[choice.index].clone(),
-        queued_tokens: candidates[choice.index].queued_tokens,
-        uncached_tokens: choice.uncached_tokens,
-        fetch_from: choice.fetch_from.map(|index| targets[index].clone()),
-    })
-}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -16,6 +16,7 @@
     pool::Connection,
     progress::Progress,
     state::{BodyMemory, State},
+    stream_times::{Start, StreamTimes},
 };
 use crate::{call::Call, platform::AttemptHead, policy::retry::RetryDecision, roster::Target};
 
@@ -26,10 +27,11 @@
     body: Incoming,
     connection: Connection,
     in_flight: InFlightGuard,
+    times: StreamTimes,
 }
 
 impl Source {
-    pub(super) fn new(answer: Answer, in_flight: InFlightGuard) -> Self {
+    pub(super) fn new(answer: Answer, in_flight: InFlightGuard, times: StreamTimes) -> Self {
         let target = answer.target.clone();
         let (body, connection) = answer.into_stream();
         Self {
@@ -37,6 +39,7 @@
             body,
             connection,
             in_flight,
+            times,
         }
     }
 }
@@ -133,6 +136,7 @@
                 continue;
             };
             source.in_flight.prefilled();
+            source.times.note_events(&self.state, events.count);
             if self.events == 0 {
                 self.state.note_first_event(&self.call);
             }
@@ -155,11 +159,16 @@
         self.state
             .loads()
             .observe(&target.id, Outcome::Answered, now_ms);
+        source.times.finish(&self.state);
         self.state.pool.put_back(target, source.connection);
         tracing::info!(
             request = &*self.call.id,
             target = &*target.id,
             events = self.events,
+            start = %source.times.start(),
+            streams = source.times.streams(),
+            first_event_ms = source.times.first_event_ms(),
+            longest_pause_ms = source.times.longest_pause().as_millis() as u64,
             elapsed_ms = self.call.received_at.elapsed().as_millis() as u64,
             "gateway: stream ended"
         );
@@ -204,8 +213,16 @@
     async fn resume_once(&mut self) -> Option<Result<Source, AttemptError>> {
         let near = &self.state.settings.failure_domain;
         let tried = &self.progress.tried;
-        let target = decode::choose(&self.state, &self.call, near, tried)?;
+        let decode = decode::choose(&self.state, &self.call, near, tried)?;
+        let target = decode.target;
+        self.state.loads().note_try(&target.id, self.state.now_ms());
         self.progress.tried.push(target.id.clone());
+        let times = StreamTimes::new(
+            &self.call.service,
+            Start::Resumed,
+            decode.requests,
+            target.slots,
+        );
         let in_flight = InFlightGuard::new(&self.state, &target.id, 0);
         let head = AttemptHead {
             resume_after: self.last_event.as_deref(),
@@ -226,7 +243,7 @@
                 after = self.last_event.as_deref().unwrap_or("-"),
                 "gateway: stream resumed"
             );
-            Ok(Source::new(answer, in_flight))
+            Ok(Source::new(answer, in_flight, times))
         }))
     }
 }
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -36,6 +36,11 @@
     NoTarget,
     /// targets refused the request without running it
     TargetsRefused,
+    /// all engines are busy for {wait_ms} ms
+    Overloaded {
+        /// Time until one is free.
+        wait_ms: u32,
+    },
     /// the request may have run, and its answer is lost
     AnswerLost,
     /// the request was not answered in time and may have run
@@ -54,14 +59,35 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::ReadTimeout => StatusCode::REQUEST_TIMEOUT,
-            Self::NotReady | Self::NoMemory | Self::NoTarget | Self::TargetsRefused => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::NoMemory
+            | Self::NoTarget
+            | Self::TargetsRefused
+            | Self::Overloaded { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
+    /// Returns a short name of the reason.
+    pub(super) fn label(self) -> &'static str {
+        match self {
+            Self::BadRequest => "BadRequest",
+            Self::NoRoute => "NoRoute",
+            Self::UnknownKey => "UnknownKey",
+            Self::HeadTooLarge => "HeadTooLarge",
+            Self::BodyTooLarge => "BodyTooLarge",
+            Self::ReadTimeout => "ReadTimeout",
+            Self::NotReady => "NotReady",
+            Self::NoMemory => "NoMemory",
+            Self::NoTarget => "NoTarget",
+            Self::TargetsRefused => "TargetsRefused",
+            Self::Overloaded { .. } => "Overloaded",
+            Self::AnswerLost => "AnswerLost",
+            Self::Timeout => "Timeout",
+        }
+    }
+
     /// Returns whether the connection cannot carry another request.
     fn ends_connection(self) -> bool {
         matches!(
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -13,7 +13,7 @@
 use super::{
     catalog::CatalogTail,
     duty::{self, Tenure},
-    front, members, readiness, reload,
+    engines, front, members, readiness, reload,
     state::State,
     targets,
 };
@@ -241,6 +241,10 @@
             incarnation,
         };
         self.spawn_duties(&supervisor, identity, &peers.handle);
+        let (state, handle) = (self.state.clone(), peers.handle.clone());
+        spawn_loop(&supervisor, "work", move || {
+            engines::share_work(state.clone(), handle.clone())
+        });
         let (store, handle) = (self.store.clone(), peers.handle.clone());
         spawn_loop(&supervisor, "members", move || {
             members::follow(store.clone(), handle.clone())
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,9 +8,9 @@
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
-use super::{loads::Loads, pool::Pool, usage::UsageCounter};
+use super::{engines::Engines, loads::Loads, pool::Pool, usage::UsageCounter};
 use crate::{
-    catalog::Catalog,
+    catalog::{Catalog, Engine},
     peer::PeerHandle,
     policy::retry_window::{RetryWindow, WindowBounds},
     roster::{Roster, Target},
@@ -40,6 +40,7 @@
     catalog: Mutex<Option<Arc<Catalog>>>,
     roster: Mutex<Option<Roster>>,
     loads: Mutex<Loads>,
+    engines: Mutex<Engines>,
     retries: Mutex<IndexMap<Arc<str>, RetryWindow>>,
     usage: Mutex<UsageCounter>,
     body_bytes: AtomicUsize,
@@ -60,6 +61,7 @@
             catalog: Mutex::default(),
             roster: Mutex::default(),
             loads: Mutex::default(),
+            engines: Mutex::default(),
             retries: Mutex::default(),
             usage: Mutex::new(usage),
             body_bytes: AtomicUsize::new(0),
@@ -159,6 +161,11 @@
         lock(&self.loads)
     }
 
+    /// Returns what is known of engines.
+    pub(super) fn engines(&self) -> MutexGuard<'_, Engines> {
+        lock(&self.engines)
+    }
+
     /// Returns the usage of this instance.
     pub(super) fn usage(&self) -> MutexGuard<'_, UsageCounter> {
         lock(&self.usage)
@@ -196,6 +203,11 @@
         self.instances.store(instances, Ordering::Relaxed);
     }
 
+    /// Returns what the configuration says of a service's engines.
+    pub(super) fn engine(&self, service: &str) -> Option<Engine> {
+        self.catalog()?.service(service)?.engine.clone()
+    }
+
     /// Returns the connections that this instance may have to a target.
     pub(super) fn max_connections(&self, service: &str) -> usize {
         let bound = self
--- /dev/null
+++ b/src/gateway/stream_times.rs
@@ -0,0 +1,147 @@
+//! What the times of a stream tell of the engine that generates it.
+
+use std::{sync::Arc, time::Duration};
+
+use derive_more::Display;
+use tokio::time::Instant;
+
+use super::state::State;
+
+/// What an engine had to do before a stream's first event.
+#[derive(Clone, Copy, Debug, Display, PartialEq)]
+pub(super) enum Start {
+    /// It had to read so many tokens, with those of earlier prompts.
+    #[display("read {tokens}")]
+    Direct {
+        /// Tokens.
+        tokens: f64,
+    },
+    /// It had to fetch a KV cache of so many tokens.
+    #[display("fetched {tokens}")]
+    Handover {
+        /// Tokens.
+        tokens: f64,
+    },
+    /// It went on with what another engine had begun.
+    #[display("resumed")]
+    Resumed,
+}
+
+/// Times of one stream.
+#[derive(Debug)]
+pub(super) struct StreamTimes {
+    service: Arc<str>,
+    start: Start,
+    max_output_tokens: u32,
+    /// Streams that ran at the engine when this one was sent.
+    streams: u32,
+    had_slot: bool,
+    sent_at: Instant,
+    first_at: Option<Instant>,
+    last_at: Instant,
+    longest_pause: Duration,
+    pause_objective: Option<Duration>,
+    events: usize,
+}
+
+impl StreamTimes {
+    /// Begins with the send of a request to an engine of `slots` slots at which
+    /// `streams` others were in flight.
+    pub(super) fn new(service: &Arc<str>, start: Start, streams: u32, slots: u32) -> Self {
+        let now = Instant::now();
+        Self {
+            service: service.clone(),
+            start,
+            max_output_tokens: 0,
+            streams,
+            had_slot: streams < slots,
+            sent_at: now,
+            first_at: None,
+            last_at: now,
+            longest_pause: Duration::ZERO,
+            pause_objective: None,
+            events: 0,
+        }
+    }
+
+    /// Sets the most tokens that are generated.
+    pub(super) fn with_output(mut self, max_output_tokens: u32) -> Self {
+        self.max_output_tokens = max_output_tokens;
+        self
+    }
+
+    /// Sets the longest pause between events that is on time, if prompts are
+    /// read beside the stream.
+    pub(super) fn with_pause_objective(mut self, objective: Option<Duration>) -> Self {
+        self.pause_objective = objective;
+        self
+    }
+
+    /// Notes that events have arrived.
+    pub(super) fn note_events(&mut self, state: &State, count: usize) {
+        let now = Instant::now();
+        let pause = now - self.last_at;
+        self.last_at = now;
+        self.events += count;
+        if self.first_at.is_some() {
+            self.longest_pause = self.longest_pause.max(pause);
+            return;
+        }
+        self.first_at = Some(now);
+        if !self.had_slot {
+            return;
+        }
+        let elapsed_ms = (now - self.sent_at).as_secs_f64() * 1_000.0;
+        let start = self.start;
+        state.engines().learn(&self.service, |profile| match start {
+            Start::Direct { tokens } => profile.observe_direct(tokens, elapsed_ms),
+            Start::Handover { tokens } => profile.observe_handover(tokens, elapsed_ms),
+            Start::Resumed => {}
+        });
+    }
+
+    /// Returns what the engine had to do first.
+    pub(super) fn start(&self) -> Start {
+        self.start
+    }
+
+    /// Returns the streams that ran at the engine when this one was sent.
+    pub(super) fn streams(&self) -> u32 {
+        self.streams
+    }
+
+    /// Returns the longest pause between two events.
+    pub(super) fn longest_pause(&self) -> Duration {
+        self.longest_pause
+    }
+
+    /// Returns the time from the send to the first event, in milliseconds.
+    pub(super) fn first_event_ms(&self) -> u64 {
+        let first_at = self.first_at.unwrap_or(self.last_at);
+        (first_at - self.sent_at).as_millis() as u64
+    }
+
+    /// Notes that the stream ended whole.
+    pub(super) fn finish(&self, state: &State) {
+        let Some(first_at) = self.first_at else {
+            return;
+        };
+        if self.start == Start::Resumed {
+            return;
+        }
+        let held_ms = first_at.elapsed().as_secs_f64() * 1_000.0;
+        let between_ms = (self.last_at - first_at).as_secs_f64() * 1_000.0;
+        let gaps = self.events.saturating_sub(1) as f64;
+        let max_output_tokens = self.max_output_tokens;
+        let streams = self.streams;
+        state.engines().learn(&self.service, |profile| {
+            profile.observe_hold(max_output_tokens, held_ms);
+            if gaps > 0.0 {
+                profile.observe_event(streams, between_ms / gaps);
+            }
+            if let Some(objective) = self.pause_objective {
+                profile.observe_pause(self.longest_pause > objective);
+            }
+        });
+    }
+}
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -31,6 +31,7 @@
     kind: Arc<str>,
     timeout_ms: u64,
     target_latency_ms: Option<u64>,
+    target_gap_ms: Option<u64>,
     #[serde(default)]
     priority: u8,
     service: Option<Arc<str>>,
@@ -68,6 +69,9 @@
     switch_s: f64,
     #[serde(default)]
     handle_ttl_s: f64,
+    #[serde(default)]
+    token_kv_bytes: f64,
+    link_mbps: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -148,6 +152,7 @@
             .target_latency_ms
             .map_or(timeout, Duration::from_millis),
         max_attempts: wire.max_attempts.max(1),
+        event_objective: wire.target_gap_ms.map(Duration::from_millis),
         priority: wire.priority,
         open: wire.anonymous,
         generates: wire.sticky,
@@ -164,6 +169,8 @@
             kv_tokens: engine.kv_tokens,
             role_change: seconds(engine.switch_s),
             handle_ttl: seconds(engine.handle_ttl_s),
+            token_kv_bytes: engine.token_kv_bytes,
+            link_mbps: engine.link_mbps.filter(|link_mbps| *link_mbps > 0.0),
         }),
         scaling: wire.scaling.map(|scaling| Scaling {
             min_targets: scaling.min,
--- /dev/null
+++ b/src/policy/line_fit.rs
@@ -0,0 +1,98 @@
+//! A line through recent samples, in which older ones count less.
+
+/// Weight of a sample relative to the next one.
+const DECAY: f64 = 0.98;
+
+/// Weight of samples from which on the line is trusted.
+const MIN_WEIGHT: f64 = 5.0;
+
+/// Weight of a sample above the line, where the line follows the lower ones.
+const HIGH_SAMPLE_WEIGHT: f64 = 0.2;
+
+/// Weighted least squares with exponential decay.
+///
+/// ```
+/// use lavenderwind::policy::line_fit::LineFit;
+///
+/// let mut fit = LineFit::new(1.0);
+/// for x in 0..40 {
+///     fit.observe(f64::from(x), 3.0 + 2.0 * f64::from(x));
+/// }
+/// assert!((fit.predict(100.0).unwrap() - 203.0).abs() < 0.1);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct LineFit {
+    /// Variance of x below which the slope is not told from noise.
+    min_variance: f64,
+    weight: f64,
+    x: f64,
+    x_squared: f64,
+    y: f64,
+    product: f64,
+}
+
+impl LineFit {
+    /// Creates a line without samples, which stays flat while the variance of
+    /// x is below `min_variance`.
+    #[must_use]
+    pub fn new(min_variance: f64) -> Self {
+        Self {
+            min_variance,
+            weight: 0.0,
+            x: 0.0,
+            x_squared: 0.0,
+            y: 0.0,
+            product: 0.0,
+        }
+    }
+
+    /// Takes in a sample.
+    pub fn observe(&mut self, x: f64, y: f64) {
+        self.observe_weighted(x, y, 1.0);
+    }
+
+    /// Takes in a sample of a quantity that disturbances only make larger.
+    pub fn observe_low(&mut self, x: f64, y: f64) {
+        let is_high = self.predict(x).is_some_and(|predicted| y > predicted);
+        let weight = match is_high {
+            true => HIGH_SAMPLE_WEIGHT,
+            false => 1.0,
+        };
+        self.observe_weighted(x, y, weight);
+    }
+
+    /// Returns the value at `x`, at least 0; `None` before enough samples.
+    #[must_use]
+    pub fn predict(&self, x: f64) -> Option<f64> {
+        let slope = self.slope()?;
+        let (mean_x, mean_y) = (self.x / self.weight, self.y / self.weight);
+        Some((mean_y + slope * (x - mean_x)).max(0.0))
+    }
+
+    /// Returns the slope, at least 0; `None` before enough samples.
+    #[must_use]
+    pub fn slope(&self) -> Option<f64> {
+        if self.weight < MIN_WEIGHT {
+            return None;
+        }
+        let (mean_x, mean_y) = (self.x / self.weight, self.y / self.weight);
+        let variance = self.x_squared / self.weight - mean_x * mean_x;
+        if variance < self.min_variance {
+            return Some(0.0);
+        }
+        let covariance = self.product / self.weight - mean_x * mean_y;
+        Some((covariance / variance).max(0.0))
+    }
+
+    fn observe_weighted(&mut self, x: f64, y: f64, weight: f64) {
+        if !x.is_finite() || !y.is_finite() {
+            return;
+        }
+        let decay = DECAY.powf(weight);
+        self.weight = self.weight * decay + weight;
+        self.x = self.x * decay + weight * x;
+        self.x_squared = self.x_squared * decay + weight * x * x;
+        self.y = self.y * decay + weight * y;
+        self.product = self.product * decay + weight * x * y;
+    }
+}
--- /dev/null
+++ b/src/policy/placement.rs
@@ -0,0 +1,371 @@
+//! Which engine reads a prompt.
+//!
+//! An engine that prefills reads faster, and hands its KV cache over to one
+//! that decodes. One that decodes reads slower and beside its streams, and
+//! goes on to the answer. The engine from which the first event is expected
+//! soonest is chosen among the homes of the prompt's parts and a few others.
+
+use std::sync::Arc;
+
+use super::{
+    engine_profile::EngineProfile,
+    homes::{CachedChains, chain_hash, rendezvous_weight},
+};
+use crate::{call::Prompt, target::protocol::EngineRole};
+
+/// Cost of the engine that holds the other copy of the shared parts, as a part
+/// of the time in which they are read.
+const OTHER_COPY_COST: f64 = 0.1;
+
+/// The same for an engine where a copy takes the place of other parts.
+const THIRD_COPY_COST: f64 = 0.6;
+
+/// Cost of an engine all of whose slots are taken, as a part of the time for
+/// which a stream holds one: streams slow each other.
+const FULL_SLOTS_COST: f64 = 0.1;
+
+/// Cost of pauses that are too long in the streams of an engine that reads
+/// beside them, in times of the latency objective, if all streams have them.
+const LATE_PAUSES_COST: f64 = 2.0;
+
+/// Longest wait for others, in times of the latency objective.
+const MAX_WAIT_OBJECTIVES: f64 = 1.25;
+
+/// Engines among which a prompt has its place, by their weight: instances that
+/// know a large fleet's loads late must not all run to the idlest one.
+const MAX_PLACES: usize = 16;
+
+/// An engine that may read a prompt.
+#[derive(Clone, Debug)]
+pub struct EngineCandidate {
+    /// Identifier.
+    pub id: Arc<str>,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Role.
+    pub role: EngineRole,
+    /// Whether it is about to leave: it takes no prompts, and others may still
+    /// fetch from it.
+    pub is_leaving: bool,
+    /// Whether it did not answer lately: it takes no prompts, and nothing is
+    /// fetched from it.
+    pub is_unreachable: bool,
+    /// Tokens that wait to be read there.
+    pub queued_tokens: f64,
+    /// Requests in flight there.
+    pub requests: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Cost of choosing it beyond its queue, in milliseconds.
+    pub penalty_ms: f64,
+}
+
+impl EngineCandidate {
+    /// Returns whether it takes prompts.
+    fn is_open(&self) -> bool {
+        !self.is_leaving && !self.is_unreachable
+    }
+
+    fn prefills(&self) -> bool {
+        self.role == EngineRole::Prefill
+    }
+}
+
+/// What a choice rests on beside the engines' queues.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementRules<'a> {
+    /// Learned times of the service's engines.
+    pub profile: &'a EngineProfile,
+    /// What engines have cached.
+    pub cached: &'a CachedChains,
+    /// Tokens that an engine keeps cached for this instance.
+    pub capacity_tokens: u64,
+    /// Time in which the KV cache of a token moves between engines, in
+    /// milliseconds.
+    pub token_transfer_ms: f64,
+    /// Longest pause between events that is on time, in milliseconds.
+    pub event_objective_ms: f64,
+    /// Time within which a first event is on time, in milliseconds.
+    pub latency_objective_ms: f64,
+    /// Whether the copy of the shared parts comes before their home.
+    pub keeps_copy: bool,
+}
+
+/// Where a prompt is read.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Placement {
+    /// Index of the candidate.
+    pub index: usize,
+    /// Tokens that it has to read.
+    pub uncached_tokens: u32,
+    /// Index of the candidate from which it fetches the shared parts first.
+    pub fetch_from: Option<usize>,
+    /// Whether it goes on to the answer.
+    pub is_direct: bool,
+    /// Time after which the first event is expected, in milliseconds.
+    pub first_event_ms: f64,
+    /// Part of it in which others are served first, in milliseconds.
+    pub wait_ms: f64,
+}
+
+impl Placement {
+    /// Returns whether the wait for others alone makes a first event late that
+    /// is due within `latency_objective_ms`.
+    ///
+    /// Engines that let such requests wait serve all of them late; without
+    /// them, they serve the others on time.
+    #[must_use]
+    pub fn is_overloaded(&self, latency_objective_ms: f64) -> bool {
+        self.wait_ms > MAX_WAIT_OBJECTIVES * latency_objective_ms
+    }
+}
+
+/// Chooses the engine that reads a prompt.
+///
+/// Shared parts have a home and a copy in another failure domain. An engine
+/// that is not known to have the parts fetches them from one that should.
+#[must_use]
+pub fn place(
+    prompt: &Prompt,
+    candidates: &[EngineCandidate],
+    rules: &PlacementRules<'_>,
+) -> Option<Placement> {
+    let places = Places::new(prompt, candidates, rules);
+    let least_weight = places.least_weight();
+    let decode_wait_ms = places.decode_wait_ms();
+    let mut best: Option<(f64, u64, Placement)> = None;
+    for (index, candidate) in candidates.iter().enumerate() {
+        let is_place = places.weights[index] >= least_weight || places.is_holder(index);
+        if !candidate.is_open() || !is_place {
+            continue;
+        }
+        let placement = places.placement(index, decode_wait_ms);
+        let cost = placement.first_event_ms + places.cost_ms(&placement);
+        let weight = places.weights[index];
+        let better = best.as_ref().is_none_or(|(least, heaviest, _)| {
+            cost < *least || (cost == *least && weight > *heaviest)
+        });
+        if better {
+            best = Some((cost, weight, placement));
+        }
+    }
+    best.map(|(_, _, placement)| placement)
+}
+
+/// The candidates as places of one prompt.
+struct Places<'a> {
+    prompt: &'a Prompt,
+    candidates: &'a [EngineCandidate],
+    rules: &'a PlacementRules<'a>,
+    shared_tokens: u32,
+    hold_ms: f64,
+    /// Rendezvous weights of the candidates.
+    weights: Vec<u64>,
+    /// Tokens that each candidate is known to have cached.
+    cached_tokens: Vec<u32>,
+    /// Heaviest candidate that prefills.
+    home: Option<usize>,
+    /// Heaviest one that prefills in another failure domain.
+    copy: Option<usize>,
+    /// Heaviest candidate that decodes.
+    decode_home: Option<usize>,
+    /// Whether more candidates prefill than decode, so that parts stay cached
+    /// there for longer.
+    mostly_prefills: bool,
+}
+
+impl<'a> Places<'a> {
+    fn new(
+        prompt: &'a Prompt,
+        candidates: &'a [EngineCandidate],
+        rules: &'a PlacementRules<'a>,
+    ) -> Self {
+        let shared_tokens = prompt.shared_tokens();
+        let key = chain_hash(prompt.home_parts());
+        let mut weights = Vec::with_capacity(candidates.len());
+        let mut cached_tokens = Vec::with_capacity(candidates.len());
+        for candidate in candidates {
+            weights.push(rendezvous_weight(key, &candidate.id));
+            cached_tokens.push(rules.cached.cached_tokens(
+                &candidate.id,
+                &prompt.parts,
+                rules.capacity_tokens,
+            ));
+        }
+        let open = |prefills: bool| {
+            let weights = &weights;
+            let of_role = (0..candidates.len()).filter(move |&index| {
+                candidates[index].is_open() && candidates[index].prefills() == prefills
+            });
+            of_role.map(move |index| (weights[index], index))
+        };
+        let home = open(true).max().map(|(_, index)| index);
+        let copy = home.and_then(|home| {
+            let domain = &candidates[home].failure_domain;
+            let others =
+                open(true).filter(|&(_, index)| candidates[index].failure_domain != *domain);
+            others.max().map(|(_, index)| index)
+        });
+        let decode_home = open(false).max().map(|(_, index)| index);
+        let mostly_prefills = open(true).count() >= open(false).count();
+        Self {
+            prompt,
+            candidates,
+            rules,
+            shared_tokens,
+            hold_ms: rules.profile.hold_ms(prompt.max_output_tokens),
+            weights,
+            cached_tokens,
+            home,
+            copy,
+            decode_home,
+            mostly_prefills,
+        }
+    }
+
+    /// Returns the weight from which on a candidate is a place of the prompt.
+    fn least_weight(&self) -> u64 {
+        let mut weights = Vec::with_capacity(self.weights.len());
+        for (weight, candidate) in self.weights.iter().zip(self.candidates) {
+            if candidate.is_open() {
+                weights.push(*weight);
+            }
+        }
+        if weights.len() <= MAX_PLACES {
+            return 0;
+        }
+        let (_, least, _) = weights.select_nth_unstable_by(MAX_PLACES - 1, |a, b| b.cmp(a));
+        *least
+    }
+
+    /// Returns what a candidate would do, if a hand-over waits for
+    /// `decode_wait_ms`.
+    fn placement(&self, index: usize, decode_wait_ms: f64) -> Placement {
+        let candidate = &self.candidates[index];
+        let profile = self.rules.profile;
+        let is_direct = !candidate.prefills();
+        let read_ms = match is_direct {
+            true => profile.direct_read_ms(),
+            false => profile.apart_read_ms(),
+        };
+        let known = self.cached_tokens[index];
+        let missing = self.shared_tokens.saturating_sub(known);
+        let transfer_ms = f64::from(missing) * self.rules.token_transfer_ms;
+        let is_worth_fetching = missing > 0 && transfer_ms < f64::from(missing) * read_ms;
+        let fetch_from = is_worth_fetching.then(|| self.source(index)).flatten();
+        let (cached, fetch_ms) = match fetch_from {
+            Some(_) => (self.shared_tokens, transfer_ms),
+            None => (known, 0.0),
+        };
+        let uncached_tokens = self.prompt.prompt_tokens.saturating_sub(cached);
+        let reading = candidate.queued_tokens + f64::from(uncached_tokens);
+        let (own_ms, slot_wait_ms) = match is_direct {
+            true => (profile.direct_ms(reading), self.slot_wait_ms(candidate)),
+            false => {
+                let prompt_tokens = f64::from(self.prompt.prompt_tokens);
+                let handover_ms = profile.handover_ms(prompt_tokens);
+                (profile.apart_ms(reading) + handover_ms, decode_wait_ms)
+            }
+        };
+        Placement {
+            index,
+            uncached_tokens,
+            fetch_from,
+            is_direct,
+            first_event_ms: own_ms + slot_wait_ms + fetch_ms,
+            wait_ms: candidate.queued_tokens * read_ms + slot_wait_ms,
+        }
+    }
+
+    /// Returns whether a candidate has the shared parts, or should.
+    fn is_holder(&self, index: usize) -> bool {
+        [self.home, self.copy, self.decode_home].contains(&Some(index))
+    }
+
+    /// Returns what a choice costs other requests.
+    fn cost_ms(&self, placement: &Placement) -> f64 {
+        let candidate = &self.candidates[placement.index];
+        let late_pauses = match placement.is_direct && !self.keeps_pauses(placement) {
+            true => LATE_PAUSES_COST * self.rules.profile.late_pauses(),
+            false => 0.0,
+        };
+        let pauses_ms = late_pauses * self.rules.latency_objective_ms;
+        let shared_ms = f64::from(self.shared_tokens) * self.rules.profile.apart_read_ms();
+        candidate.penalty_ms + pauses_ms + self.place_cost(placement.index) * shared_ms
+    }
+
+    /// Returns what the place of a candidate costs, as a part of the time in
+    /// which the shared parts are read.
+    fn place_cost(&self, index: usize) -> f64 {
+        if Some(index) == self.decode_home {
+            return 0.0;
+        }
+        let (first, second) = match self.rules.keeps_copy && self.mostly_prefills {
+            true => (self.copy.or(self.home), self.home),
+            false => (self.home, self.copy),
+        };
+        match Some(index) {
+            place if place == first => 0.0,
+            place if place == second => OTHER_COPY_COST,
+            _ => THIRD_COPY_COST,
+        }
+    }
+
+    /// Returns the time until a slot is free at an engine that decodes.
+    fn slot_wait_ms(&self, candidate: &EngineCandidate) -> f64 {
+        let slots = f64::from(candidate.slots.max(1));
+        let requests = f64::from(candidate.requests);
+        let waiting = (requests + 1.0 - slots).max(0.0);
+        let slowed = FULL_SLOTS_COST * (requests / slots).min(1.0);
+        (waiting / slots + slowed) * self.hold_ms
+    }
+
+    /// Returns the shortest wait for a slot after a prefill.
+    fn decode_wait_ms(&self) -> f64 {
+        let mut least: Option<f64> = None;
+        for candidate in self.candidates {
+            if candidate.prefills() || !candidate.is_open() {
+                continue;
+            }
+            let wait_ms = self.slot_wait_ms(candidate);
+            least = Some(least.map_or(wait_ms, |least| least.min(wait_ms)));
+        }
+        least.unwrap_or(0.0)
+    }
+
+    /// Returns whether streams that run at an engine stay on time while it
+    /// reads a prompt.
+    fn keeps_pauses(&self, placement: &Placement) -> bool {
+        let candidate = &self.candidates[placement.index];
+        let profile = self.rules.profile;
+        if candidate.requests == 0 {
+            return true;
+        }
+        let event_ms = profile.event_ms(candidate.requests).unwrap_or(0.0);
+        let reading = candidate.queued_tokens + f64::from(placement.uncached_tokens);
+        event_ms + reading * profile.direct_read_ms() <= self.rules.event_objective_ms
+    }
+
+    /// Returns another candidate that has the shared parts, or should: one
+    /// that is known to, a home that leaves, or the home in the role in which
+    /// parts stay cached for longer.
+    fn source(&self, index: usize) -> Option<usize> {
+        let home_weight = self.home.map_or(0, |home| self.weights[home]);
+        let others = (0..self.weights.len())
+            .filter(|&other| other != index && !self.candidates[other].is_unreachable);
+        others.max_by_key(|&other| {
+            let candidate = &self.candidates[other];
+            let holds = self.cached_tokens[other] >= self.shared_tokens;
+            let was_home = candidate.is_leaving && self.weights[other] > home_weight;
+            let keeps_longer = candidate.prefills() == self.mostly_prefills;
+            let is_holder = self.is_holder(other);
+            (
+                holds,
+                was_home && keeps_longer,
+                is_holder && keeps_longer,
+                is_holder,
+                self.weights[other],
+            )
+        })
+    }
+}
--- a/src/policy/role_split.rs
+++ b/src/policy/role_split.rs
@@ -4,14 +4,15 @@
 
 use indexmap::IndexSet;
 
+use super::work_meter::EngineLoad;
 use crate::target::protocol::EngineRole;
 
-/// Part of the engines that prefill: reading prompts takes most of the work.
-const PREFILL_SHARE: f64 = 0.8;
+/// Utilization of engines below which no role is changed.
+const RELAXED_UTILIZATION: f64 = 0.45;
 
-/// Engines by which the split must be off before it is changed, so that one
-/// that comes or goes takes no other one away for a change.
-const HYSTERESIS: f64 = 1.0;
+/// Factor by which a change must lower the utilization: an engine that changes
+/// its role is away for seconds.
+const RELIEF: f64 = 1.15;
 
 /// Fewest engines that decode, where there are more than that.
 const MIN_DECODE: usize = 2;
@@ -46,25 +47,28 @@
     pub role: EngineRole,
 }
 
-/// Returns how many of `engines` engines should prefill.
+/// Returns how many engines should prefill under a load, given how many do:
+/// another number only if it relieves the engines enough.
 #[must_use]
-pub fn prefill_engines(engines: usize) -> usize {
-    if engines < 2 {
-        return 0;
+pub fn wanted_prefilling(load: &EngineLoad, engines: usize, prefilling: usize) -> usize {
+    let most = engines.saturating_sub(MIN_DECODE);
+    let now = load.utilization(engines, prefilling);
+    let best = load.best_prefilling(engines).min(most);
+    let then = load.utilization(engines, best);
+    if now < RELAXED_UTILIZATION || now < then * RELIEF {
+        return prefilling.min(most);
     }
-    let wanted = (PREFILL_SHARE * engines as f64).round() as usize;
-    let most = engines.saturating_sub(MIN_DECODE).max(1);
-    wanted.clamp(1, most)
+    best
 }
 
 /// Returns the changes of roles that are made together: a few engines of a
 /// fleet at a time, so that most go on.
 #[must_use]
-pub fn plan_changes(engines: &[SplitEngine]) -> Vec<SplitChange> {
+pub fn plan_changes(engines: &[SplitEngine], wanted_prefilling: usize) -> Vec<SplitChange> {
     let mut engines = engines.to_vec();
     let mut changes = Vec::new();
     for _ in 0..engines.len().div_ceil(ENGINES_A_CHANGE) {
-        let Some(change) = plan_change(&engines) else {
+        let Some(change) = plan_change(&engines, wanted_prefilling) else {
             break;
         };
         let engine = &mut engines[change.index];
@@ -80,8 +84,8 @@
 /// Engines that decode are spread over failure domains and are kept among
 /// those that cannot be reclaimed.
 #[must_use]
-pub fn plan_change(engines: &[SplitEngine]) -> Option<SplitChange> {
-    let role = wanted_role(engines)?;
+pub fn plan_change(engines: &[SplitEngine], wanted_prefilling: usize) -> Option<SplitChange> {
+    let role = wanted_role(engines, wanted_prefilling)?;
     let mut best: Option<(Fitness, usize)> = None;
     for (index, engine) in engines.iter().enumerate() {
         if engine.is_changing || !engine.is_reachable || engine.role == role {
@@ -96,32 +100,22 @@
 }
 
 /// Returns the role of which there are too few engines.
-fn wanted_role(engines: &[SplitEngine]) -> Option<EngineRole> {
-    let answering = |role: EngineRole| {
-        count(engines, |engine| {
-            engine.is_reachable
-                && (engine.role == EngineRole::Prefill) == (role == EngineRole::Prefill)
-        })
-    };
-    let most = prefill_engines(engines.len());
-    let least_decoding = MIN_DECODE.min(engines.len() - most);
-    if most > 0 && answering(EngineRole::Prefill) == 0 {
-        return Some(EngineRole::Prefill);
-    }
-    if answering(EngineRole::Decode) < least_decoding {
+fn wanted_role(engines: &[SplitEngine], wanted_prefilling: usize) -> Option<EngineRole> {
+    let least_decoding = MIN_DECODE.min(engines.len());
+    let decoding = count(engines, |engine| {
+        engine.is_reachable && engine.role != EngineRole::Prefill
+    });
+    if decoding < least_decoding {
         return Some(EngineRole::Decode);
     }
     if least_decoding == MIN_DECODE && decoding_domains(engines) == 1 && spans_domains(engines) {
         return Some(EngineRole::Decode);
     }
     let prefilling = count(engines, |engine| engine.role == EngineRole::Prefill);
-    let wanted =
-        (PREFILL_SHARE * engines.len() as f64).min(engines.len().saturating_sub(MIN_DECODE) as f64);
-    let missing = wanted - prefilling as f64;
-    if missing >= HYSTERESIS && answering(EngineRole::Decode) > least_decoding {
+    if prefilling < wanted_prefilling && decoding > least_decoding {
         return Some(EngineRole::Prefill);
     }
-    (missing <= -HYSTERESIS).then_some(EngineRole::Decode)
+    (prefilling > wanted_prefilling).then_some(EngineRole::Decode)
 }
 
 /// Counts the failure domains with an engine that decodes, or is about to.
--- a/src/policy/spread.rs
+++ b/src/policy/spread.rs
@@ -3,8 +3,8 @@
 /// A target that may take a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SpreadCandidate {
-    /// Requests in flight on it.
-    pub in_flight: u32,
+    /// Requests in flight on it, or other work in as many requests.
+    pub in_flight: f64,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Whether it is in the failure domain from which it is reached best.
@@ -51,7 +51,7 @@
 }
 
 fn cost(candidate: &SpreadCandidate, weights: &SpreadWeights) -> f64 {
-    let mut cost = f64::from(candidate.in_flight) / f64::from(candidate.slots.max(1));
+    let mut cost = candidate.in_flight / f64::from(candidate.slots.max(1));
     if !candidate.is_near {
         cost += weights.far;
     }
--- /dev/null
+++ b/src/policy/work_meter.rs
@@ -0,0 +1,109 @@
+//! Engine time that a service's requests take, smoothed over recent seconds.
+
+use super::engine_profile::EngineWork;
+
+/// Time that an engine that decodes takes to read a prompt, in times that one
+/// that prefills takes (the platform's pages).
+const DIRECT_READ_FACTOR: f64 = 2.0;
+
+/// Utilization of engines that prefill up to which prompts hardly wait.
+const PREFILL_UTILIZATION: f64 = 0.7;
+
+/// Engine time asked for each second, in engines.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EngineLoad {
+    /// Reading of prompts that are best read by engines that prefill.
+    pub apart: f64,
+    /// Reading of other prompts, by engines that decode.
+    pub direct: f64,
+    /// Generating answers.
+    pub decode: f64,
+}
+
+impl EngineLoad {
+    /// Returns the utilization of the engines that decode if `prefilling` of
+    /// `engines` engines prefill: what these cannot read is read elsewhere.
+    #[must_use]
+    pub fn utilization(&self, engines: usize, prefilling: usize) -> f64 {
+        let decoding = engines.saturating_sub(prefilling);
+        let read = self.apart.min(PREFILL_UTILIZATION * prefilling as f64);
+        let left = (self.apart - read) * DIRECT_READ_FACTOR;
+        let work = self.direct + self.decode + left;
+        match decoding {
+            0 => f64::INFINITY,
+            _ => work / decoding as f64,
+        }
+    }
+
+    /// Returns the number of engines that should prefill, of `engines`.
+    #[must_use]
+    pub fn best_prefilling(&self, engines: usize) -> usize {
+        let mut best = (f64::INFINITY, 0);
+        for prefilling in 0..engines {
+            let utilization = self.utilization(engines, prefilling);
+            if utilization < best.0 {
+                best = (utilization, prefilling);
+            }
+        }
+        best.1
+    }
+
+    /// Returns the fewest engines that serve the load at a utilization.
+    #[must_use]
+    pub fn needed_engines(&self, utilization: f64, most: usize) -> usize {
+        for engines in 1..most {
+            let prefilling = self.best_prefilling(engines);
+            if self.utilization(engines, prefilling) <= utilization {
+                return engines;
+            }
+        }
+        most
+    }
+}
+
+/// Exponential mean of the engine time that requests take.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkMeter {
+    time_constant_ms: f64,
+    load: EngineLoad,
+    /// Part of the mean that samples have filled, from 0 to 1.
+    filled: f64,
+}
+
+impl WorkMeter {
+    /// Creates a meter that follows a change within about this time.
+    #[must_use]
+    pub fn new(time_constant_ms: f64) -> Self {
+        Self {
+            time_constant_ms: time_constant_ms.max(1.0),
+            load: EngineLoad::default(),
+            filled: 0.0,
+        }
+    }
+
+    /// Takes in the work that was asked for within the last `elapsed_ms`.
+    pub fn observe(&mut self, work: EngineWork, elapsed_ms: f64) {
+        if elapsed_ms <= 0.0 {
+            return;
+        }
+        let gain = 1.0 - (-elapsed_ms / self.time_constant_ms).exp();
+        let load = &mut self.load;
+        load.apart += gain * (work.apart_ms / elapsed_ms - load.apart);
+        load.direct += gain * (work.direct_ms / elapsed_ms - load.direct);
+        load.decode += gain * (work.decode_ms / elapsed_ms - load.decode);
+        self.filled += gain * (1.0 - self.filled);
+    }
+
+    /// Returns the mean over what was taken in so far.
+    #[must_use]
+    pub fn load(&self) -> EngineLoad {
+        if self.filled <= 0.0 {
+            return EngineLoad::default();
+        }
+        EngineLoad {
+            apart: self.load.apart / self.filled,
+            direct: self.load.direct / self.filled,
+            decode: self.load.decode / self.filled,
+        }
+    }
+}
--- a/tests/platform_headers.rs
+++ b/tests/platform_headers.rs
@@ -38,6 +38,7 @@
             kind: RouteKind::Stream { resumable: true },
             timeout: Duration::from_secs(5),
             latency_objective: Duration::from_millis(500),
+            event_objective: None,
             max_attempts: 2,
             priority: 12,
             open: false,
--- /dev/null
+++ b/tests/prompt_placement.rs
@@ -0,0 +1,463 @@
+//! Which engine reads a prompt.
+
+use std::sync::Arc;
+
+use indexmap::IndexSet;
+use lavenderwind::{
+    call::{Prompt, PromptPart},
+    policy::{
+        engine_profile::EngineProfile,
+        homes::CachedChains,
+        placement::{EngineCandidate, Placement, PlacementRules, place},
+    },
+    target::protocol::EngineRole,
+};
+
+/// Tokens that an engine keeps cached.
+const CAPACITY_TOKENS: u64 = 500_000;
+
+fn engines(count: usize) -> Vec<EngineCandidate> {
+    (0..count)
+        .map(|index| EngineCandidate {
+            id: format!("engine-{index}").into(),
+            failure_domain: format!("domain-{}", index % 4).into(),
+            role: EngineRole::Prefill,
+            is_leaving: false,
+            is_unreachable: false,
+            queued_tokens: 0.0,
+            requests: 0,
+            slots: 64,
+            penalty_ms: 0.0,
+        })
+        .collect()
+}
+
+/// A profile learned from engines that read so many tokens in a millisecond
+/// where they prefill, and half as many where they decode.
+fn profile(tokens_per_ms: f64) -> EngineProfile {
+    let mut profile = EngineProfile::default();
+    for step in 0..200 {
+        let tokens = f64::from(step % 20) * 500.0;
+        profile.observe_apart(tokens, 2.0 + tokens / tokens_per_ms);
+        profile.observe_direct(tokens, 6.0 + 2.0 * tokens / tokens_per_ms);
+        profile.observe_handover(tokens, 8.0 + 0.001 * tokens);
+        profile.observe_hold(step % 20 * 10, f64::from(step % 20) * 40.0);
+        profile.observe_event(1, 45.0);
+    }
+    profile
+}
+
+fn place_by(
+    profile: &EngineProfile,
+    prompt: &Prompt,
+    engines: &[EngineCandidate],
+    cached: &CachedChains,
+    keeps_copy: bool,
+) -> Option<Placement> {
+    let rules = PlacementRules {
+        profile,
+        cached,
+        capacity_tokens: CAPACITY_TOKENS,
+        token_transfer_ms: 0.0004,
+        event_objective_ms: 250.0,
+        latency_objective_ms: 500.0,
+        keeps_copy,
+    };
+    place(prompt, engines, &rules)
+}
+
+fn place_prompt(
+    prompt: &Prompt,
+    engines: &[EngineCandidate],
+    cached: &CachedChains,
+) -> Option<Placement> {
+    place_by(&EngineProfile::default(), prompt, engines, cached, false)
+}
+
+/// A dossier that many queries share, and the query's own part.
+fn prompt(dossier: u64, own: u64) -> Prompt {
+    Prompt {
+        model: "m".into(),
+        prompt_tokens: 17_000,
+        max_output_tokens: 20,
+        parts: vec![
+            PromptPart {
+                id: dossier,
+                tokens: 13_300,
+            },
+            PromptPart {
+                id: own,
+                tokens: 3_700,
+            },
+        ],
+    }
+}
+
+fn choose(prompt: &Prompt, engines: &[EngineCandidate], copy: bool) -> usize {
+    let profile = EngineProfile::default();
+    let placement = place_by(&profile, prompt, engines, &CachedChains::default(), copy);
+    placement.unwrap().index
+}
+
+#[test]
+fn same_home_everywhere() {
+    let engines = engines(13);
+    let mut reversed = engines.clone();
+    reversed.reverse();
+    for dossier in 0..50 {
+        let here = &engines[choose(&prompt(dossier, 1), &engines, false)].id;
+        let there = &reversed[choose(&prompt(dossier, 2), &reversed, false)].id;
+        assert_eq!(here, there);
+    }
+}
+
+#[test]
+fn homes_are_spread() {
+    let engines = engines(8);
+    let mut homes = [0; 8];
+    for dossier in 0..800 {
+        homes[choose(&prompt(dossier, 1), &engines, false)] += 1;
+    }
+    assert!(
+        homes.iter().all(|&count| (60..=140).contains(&count)),
+        "{homes:?}"
+    );
+}
+
+#[test]
+fn copy_in_another_domain() {
+    let engines = engines(12);
+    for dossier in 0..50 {
+        let home = choose(&prompt(dossier, 1), &engines, false);
+        let copy = choose(&prompt(dossier, 1), &engines, true);
+        assert_ne!(engines[home].failure_domain, engines[copy].failure_domain);
+        // When the platform reclaims the home's whole domain, the copy is home.
+        let mut left = engines.clone();
+        let lost = left[home].failure_domain.clone();
+        left.retain(|engine| engine.failure_domain != lost);
+        let heir = choose(&prompt(dossier, 1), &left, false);
+        assert_eq!(left[heir].id, engines[copy].id);
+    }
+}
+
+#[test]
+fn burst_on_one_dossier() {
+    let mut engines = engines(12);
+    let prompt = prompt(7, 1);
+    let mut used = IndexSet::new();
+    for _ in 0..60 {
+        let chosen = choose(&prompt, &engines, false);
+        engines[chosen].queued_tokens += 3_700.0;
+        used.insert(chosen);
+    }
+    let most = engines
+        .iter()
+        .map(|engine| engine.queued_tokens as u32)
+        .max();
+    assert!(used.len() >= 10, "a burst leaves its home: {used:?}");
+    assert!(most <= Some(10 * 3_700), "{most:?}");
+}
+
+/// All instances know the same engine to be idle, and learn only a second later
+/// that it no longer is.
+#[test]
+fn idle_engine_is_not_overrun() {
+    let mut engines = engines(140);
+    for engine in &mut engines[1..] {
+        engine.queued_tokens = 50_000.0;
+    }
+    let mut to_idle = 0;
+    for dossier in 0..500 {
+        to_idle += usize::from(choose(&prompt(dossier, 1), &engines, false) == 0);
+    }
+    assert!(to_idle <= 100, "{to_idle} of 500 dossiers");
+    assert!(to_idle >= 25, "it takes part of the load: {to_idle}");
+}
+
+#[test]
+fn nothing_comes_from_a_crashed_engine() {
+    let engines = engines(6);
+    let prompt = prompt(7, 1);
+    let home = choose(&prompt, &engines, false);
+    let mut cached = CachedChains::default();
+    cached.insert(&engines[home].id, &prompt.parts, CAPACITY_TOKENS);
+    let mut crashed = engines.clone();
+    crashed[home].is_unreachable = true;
+    let choice = place_prompt(&prompt, &crashed, &cached).unwrap();
+    assert_ne!(choice.index, home);
+    assert_ne!(choice.fetch_from, Some(home));
+    // One that leaves still answers.
+    let mut leaving = engines.clone();
+    leaving[home].is_leaving = true;
+    let choice = place_prompt(&prompt, &leaving, &cached).unwrap();
+    assert_eq!(choice.fetch_from, Some(home));
+}
+
+#[test]
+fn shared_parts_are_fetched() {
+    let engines = engines(6);
+    let prompt = prompt(7, 1);
+    let home = choose(&prompt, &engines, false);
+    let mut busy = engines.clone();
+    busy[home].queued_tokens = 50_000.0;
+    let choice = place_prompt(&prompt, &busy, &CachedChains::default()).unwrap();
+    assert_ne!(choice.index, home);
+    assert_eq!(choice.fetch_from, Some(home));
+    assert_eq!(choice.uncached_tokens, 3_700);
+    // Once it has read the parts, it fetches them no more.
+    let mut cached = CachedChains::default();
+    cached.insert(&busy[choice.index].id, &prompt.parts, CAPACITY_TOKENS);
+    let again = place_prompt(&prompt, &busy, &cached).unwrap();
+    assert_eq!((again.index, again.fetch_from), (choice.index, None));
+    // Other prompts take its place.
+    let engine = busy[choice.index].id.clone();
+    for other in 100..140 {
+        let parts = crate::prompt(other, other).parts;
+        cached.insert(&engine, &parts, CAPACITY_TOKENS);
+    }
+    let later = cached.cached_tokens(&engine, &prompt.parts, CAPACITY_TOKENS);
+    assert_eq!(later, 0, "what was long unused counts as evicted");
+}
+
+#[test]
+fn leaving_home_is_a_source() {
+    let mut engines = engines(6);
+    let prompt = prompt(7, 1);
+    let home = choose(&prompt, &engines, false);
+    engines[home].is_leaving = true;
+    let choice = place_prompt(&prompt, &engines, &CachedChains::default()).unwrap();
+    assert_ne!(choice.index, home);
+    assert_eq!(choice.fetch_from, Some(home));
+}
+
+#[test]
+fn no_engine_is_left() {
+    let mut engines = engines(1);
+    engines[0].is_leaving = true;
+    let none = place_prompt(&prompt(1, 1), &engines, &CachedChains::default());
+    assert_eq!(none, None);
+    let id: Arc<str> = "engine-0".into();
+    let mut cached = CachedChains::default();
+    cached.insert(&id, &prompt(1, 1).parts, CAPACITY_TOKENS);
+    cached.forget(&id);
+    assert_eq!(
+        cached.cached_tokens(&id, &prompt(1, 1).parts, CAPACITY_TOKENS),
+        0
+    );
+}
+
+/// One engine that prefills and one that decodes.
+fn pair() -> Vec<EngineCandidate> {
+    let mut engines = engines(2);
+    engines[1].role = EngineRole::Decode;
+    engines[1].requests = 1;
+    engines
+}
+
+fn short_prompt() -> Prompt {
+    Prompt {
+        model: "m".into(),
+        prompt_tokens: 1_460,
+        max_output_tokens: 20,
+        parts: vec![
+            PromptPart { id: 1, tokens: 350 },
+            PromptPart {
+                id: 2,
+                tokens: 1_110,
+            },
+        ],
+    }
+}
+
+/// A prompt of which no engine has any part.
+fn long_prompt() -> Prompt {
+    Prompt {
+        parts: vec![PromptPart {
+            id: 3,
+            tokens: 17_000,
+        }],
+        ..prompt(1, 1)
+    }
+}
+
+#[test]
+fn short_and_long_prompts() {
+    struct Case {
+        name: &'static str,
+        prompt: Prompt,
+        prefill_queued_tokens: f64,
+        decode_queued_tokens: f64,
+        is_direct: bool,
+    }
+    let cases = [
+        Case {
+            name: "idle engines prefill",
+            prompt: prompt(1, 1),
+            prefill_queued_tokens: 0.0,
+            decode_queued_tokens: 0.0,
+            is_direct: false,
+        },
+        Case {
+            name: "short prompts pass a queue of long ones",
+            prompt: short_prompt(),
+            prefill_queued_tokens: 10_000.0,
+            decode_queued_tokens: 0.0,
+            is_direct: true,
+        },
+        Case {
+            name: "until the engine that decodes has a queue of its own",
+            prompt: short_prompt(),
+            prefill_queued_tokens: 10_000.0,
+            decode_queued_tokens: 5_000.0,
+            is_direct: false,
+        },
+        Case {
+            name: "long prompts would hold up streams",
+            prompt: long_prompt(),
+            prefill_queued_tokens: 10_000.0,
+            decode_queued_tokens: 0.0,
+            is_direct: false,
+        },
+    ];
+    let profile = profile(56.0);
+    for case in cases {
+        let mut engines = pair();
+        engines[0].queued_tokens = case.prefill_queued_tokens;
+        engines[1].queued_tokens = case.decode_queued_tokens;
+        let placement = place_by(
+            &profile,
+            &case.prompt,
+            &engines,
+            &CachedChains::default(),
+            false,
+        );
+        assert_eq!(
+            placement.unwrap().is_direct,
+            case.is_direct,
+            "{}",
+            case.name
+        );
+    }
+}
+
+/// The same prompts at engines that read four times as fast or slow, or hand
+/// over slowly: no figure of one engine decides.
+#[test]
+fn engines_of_any_speed() {
+    for factor in [0.25, 1.0, 4.0] {
+        let profile = profile(56.0 * factor);
+        let mut engines = pair();
+        engines[0].queued_tokens = 10_000.0 * factor;
+        let placement = place_by(
+            &profile,
+            &short_prompt(),
+            &engines,
+            &CachedChains::default(),
+            false,
+        );
+        assert!(placement.unwrap().is_direct, "speed x {factor}");
+    }
+    let mut slow_links = profile(56.0);
+    for _ in 0..400 {
+        slow_links.observe_handover(1_460.0, 400.0);
+    }
+    let placement = place_by(
+        &slow_links,
+        &short_prompt(),
+        &pair(),
+        &CachedChains::default(),
+        false,
+    );
+    assert!(placement.unwrap().is_direct, "hand-overs are slow");
+}
+
+#[test]
+fn full_engines_are_overloaded() {
+    let profile = profile(56.0);
+    let mut engines = pair();
+    engines[0].is_leaving = true;
+    let wait = |requests: u32| {
+        let mut engines = engines.clone();
+        engines[1].requests = requests;
+        let prompt = short_prompt();
+        let placement = place_by(&profile, &prompt, &engines, &CachedChains::default(), false);
+        placement.unwrap().is_overloaded(250.0)
+    };
+    assert!(!wait(0), "an idle engine");
+    assert!(!wait(63), "a slot is free");
+    assert!(wait(500), "many wait for a slot");
+}
+
+/// Five engines prefill and two decode while a burst of short prompts comes on
+/// top of long ones: the pattern of a day on which a third of the engines is
+/// lost.
+#[test]
+fn burst_beside_long_prompts() {
+    let profile = profile(56.0);
+    let read = |uses_decode: bool| {
+        let mut engines = engines(7);
+        for engine in &mut engines[5..] {
+            engine.role = EngineRole::Decode;
+        }
+        let (mut on_time, mut prompts) = (0, 0);
+        for step in 0..4_000_u32 {
+            // A step is a millisecond; engines read 56 and 28 tokens in it.
+            for engine in &mut engines {
+                let read = match engine.role {
+                    EngineRole::Prefill => 56.0,
+                    _ => 28.0,
+                };
+                engine.queued_tokens = (engine.queued_tokens - read).max(0.0);
+            }
+            if step % 13 == 0 {
+                least(&mut engines[..5]).queued_tokens += 3_700.0;
+            }
+            if step % 12 != 0 {
+                continue;
+            }
+            prompts += 1;
+            let prompt = short_prompt();
+            let offered = match uses_decode {
+                true => &engines[..],
+                false => &engines[..5],
+            };
+            let placement = place_by(&profile, &prompt, offered, &CachedChains::default(), false);
+            let placement = placement.unwrap();
+            let engine = &mut engines[placement.index];
+            engine.queued_tokens += f64::from(placement.uncached_tokens);
+            let read_per_ms = if placement.is_direct { 28.0 } else { 56.0 };
+            on_time += u32::from(engine.queued_tokens / read_per_ms <= 500.0);
+        }
+        f64::from(on_time) / f64::from(prompts)
+    };
+    let (with, without) = (read(true), read(false));
+    assert!(with > without + 0.1, "{with} against {without}");
+}
+
+fn least(engines: &mut [EngineCandidate]) -> &mut EngineCandidate {
+    let least = engines
+        .iter_mut()
+        .min_by(|a, b| a.queued_tokens.total_cmp(&b.queued_tokens));
+    least.expect("there are engines")
+}
+
+/// A home in each role: what one that prefills has read, the one that decodes
+/// holds, too.
+#[test]
+fn fetched_from_the_home_that_decodes() {
+    let mut engines = engines(8);
+    for engine in &mut engines[2..] {
+        engine.role = EngineRole::Decode;
+        engine.requests = 60;
+    }
+    let profile = profile(56.0);
+    for dossier in 0..20 {
+        let prompt = prompt(dossier, 1);
+        let cached = CachedChains::default();
+        let placement = place_by(&profile, &prompt, &engines, &cached, false).unwrap();
+        let Some(source) = placement.fetch_from else {
+            panic!("the parts are read again");
+        };
+        assert_eq!(engines[source].role, EngineRole::Decode);
+    }
+}
