Ask engines of large fleets for their loads; fewer calls to the store

Long prompts piled up at homes and were read again.

Change: before a prompt whose reading takes 50 ms or more is placed, the engines that are compared are asked for their reports; peers of large fleets tell means instead of single requests; long prompts beyond what the engines that prefill can read go to engines that decode, by chain. Usage slices of two windows go in one write, first reads of the lease and lists of instances are spread by the number of instances.

--- a/src/gateway/decode.rs
+++ b/src/gateway/decode.rs
@@ -5,9 +5,12 @@
 use super::state::State;
 use crate::{
     call::{Call, Prompt},
-    policy::engine_profile::EngineProfile,
-    policy::homes::{chain_hash, rendezvous_weight},
-    policy::spread::{SpreadCandidate, SpreadWeights, choose_least_loaded},
+    policy::{
+        engine_profile::EngineProfile,
+        homes::{chain_hash, rendezvous_weight},
+        placement::sample,
+        spread::{SpreadCandidate, SpreadWeights, choose_least_loaded},
+    },
     roster::Target,
     target::protocol::EngineRole,
 };
@@ -44,7 +47,7 @@
     /// Tokens of prompts that wait to be read there.
     pub(super) queued_tokens: f64,
     /// Requests in flight there.
-    pub(super) requests: u32,
+    pub(super) requests: f64,
 }
 
 /// Chooses an engine that decodes; one in `failure_domain` is reached best.
@@ -67,6 +70,9 @@
     let loads = state.loads();
     targets.retain(|target| loads.allows(&target.id, now_ms));
     let home = home(call, &targets);
+    let point = rand::random();
+    let mut sampled = sample(targets.iter().map(|_| true), point).into_iter();
+    targets.retain(|target| sampled.next() == Some(true) || home.as_ref() == Some(&target.id));
     let away = AWAY_COST
         * call
             .prompt
@@ -78,15 +84,15 @@
     let prefers_settled = 2 * settled >= targets.len();
     let mut candidates = Vec::with_capacity(targets.len());
     for target in &targets {
-        let in_flight = loads.in_flight(&target.id);
-        let reading_ms = in_flight.prefill_tokens as f64 * profile.direct_read_ms();
+        let in_flight = loads.in_flight(&target.id, now_ms);
+        let reading_ms = in_flight.queued_tokens * profile.direct_read_ms();
         // Reading keeps all slots from going on.
         let mut held_slots = reading_ms * f64::from(target.slots) / hold_ms;
         if home.as_ref() != Some(&target.id) {
             held_slots += away * f64::from(target.slots);
         }
         candidates.push(SpreadCandidate {
-            in_flight: f64::from(in_flight.requests) + held_slots,
+            in_flight: in_flight.requests + held_slots,
             slots: target.slots,
             is_near: *target.failure_domain == *failure_domain,
             failure_rate: loads.failure_rate(&target.id),
@@ -95,10 +101,10 @@
     }
     let index = choose_least_loaded(&candidates, &WEIGHTS, rand::random())?;
     let target = targets.swap_remove(index);
-    let in_flight = loads.in_flight(&target.id);
+    let in_flight = loads.in_flight(&target.id, now_ms);
     Some(DecodeChoice {
         target,
-        queued_tokens: in_flight.prefill_tokens as f64,
+        queued_tokens: in_flight.queued_tokens,
         requests: in_flight.requests,
     })
 }
--- a/src/gateway/duty/reports.rs
+++ b/src/gateway/duty/reports.rs
@@ -24,6 +24,7 @@
         usage::Counts,
     },
     platform::{CloudClient, CloudError, Holder, KeyedRecord, StoreClient, StoreError, Topic},
+    settings::GatewayTiming,
 };
 
 /// Topic of the figures.
@@ -45,6 +46,12 @@
 /// Delay before a report is sent again.
 const RESEND_DELAY: Duration = Duration::from_millis(300);
 
+/// Returns the time after a window's end at which its figure is decided without
+/// the slices that are missing, in milliseconds.
+pub(super) fn decide_after_ms(timing: &GatewayTiming) -> i64 {
+    timing.usage_due_ms as i64 - REPORT_TIME_MS
+}
+
 /// Decided figure of a window.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct Figure {
@@ -211,7 +218,7 @@
             return false;
         }
         let running = self.state.instances();
-        let decide_ms = self.state.tuning().timing.usage_due_ms as i64 - REPORT_TIME_MS;
+        let decide_ms = decide_after_ms(&self.state.tuning().timing);
         books.closed_slices(window) >= running || since_end_ms >= decide_ms
     }
 
--- a/src/gateway/duty/roles.rs
+++ b/src/gateway/duty/roles.rs
@@ -95,7 +95,7 @@
             is_reachable: !failed && state.loads().is_reachable(&target.id),
             failure_domain: target.failure_domain.clone(),
             is_reclaimable: target.reclaimable,
-            in_flight: state.loads().in_flight(&target.id).requests,
+            in_flight: state.loads().in_flight(&target.id, state.now_ms()).requests as u32,
         });
     }
     let load = state.engines().load(service);
--- a/src/gateway/duty/slices.rs
+++ b/src/gateway/duty/slices.rs
@@ -6,9 +6,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
+use super::reports::decide_after_ms;
 use crate::{
     gateway::{state::State, usage::Counts},
     platform::{StoreClient, Topic},
+    policy::homes::rendezvous_weight,
 };
 
 /// Topic of the slices.
@@ -34,6 +36,9 @@
 /// milliseconds, so that requests that began in it are counted.
 const CLOSE_DELAY_MS: i64 = 150;
 
+/// Time in which the store takes a write, in milliseconds.
+const WRITE_TIME_MS: i64 = 500;
+
 /// What one instance counted in one window so far.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(super) struct Slice {
@@ -73,13 +78,20 @@
     loop {
         sleep(flush_delay(&state)).await;
         let current = state.usage().current_window();
+        let mut due = Vec::new();
         for window in oldest..=current {
             let slice = current_slice(&state, window, incarnation);
-            if !slice.closed && !is_worth_writing(&state, window) {
-                continue;
+            let is_due = match slice.closed {
+                true => !waits_for_next(&state, window, current),
+                false => is_worth_writing(&state, window),
+            };
+            if is_due && flushed.get(&window) != Some(&slice) {
+                due.push(slice);
             }
-            if flushed.get(&window) != Some(&slice) && write(&store, &slice).await {
-                flushed.insert(window, slice);
+        }
+        if !due.is_empty() && write(&store, &due).await {
+            for slice in due {
+                flushed.insert(slice.window, slice);
             }
         }
         while flushed.get(&oldest).is_some_and(|slice| slice.closed) {
@@ -112,6 +124,22 @@
     state.instances() < EXPENDABLE_AMONG && since_start_ms >= MIN_OPEN_MS
 }
 
+/// Returns whether the counts of a closed window are written with those of the
+/// next one, which instances of a large fleet do to halve their writes.
+///
+/// Half of the instances begin with even windows, the others with odd ones.
+fn waits_for_next(state: &State, window: u64, current: u64) -> bool {
+    let timing = state.tuning().timing;
+    let written_ms = timing.usage_window_ms as i64
+        + CLOSE_DELAY_MS
+        + MAX_JITTER.as_millis() as i64
+        + WRITE_TIME_MS;
+    let is_in_time = written_ms <= decide_after_ms(&timing);
+    let parity = rendezvous_weight(0, &state.settings.name) % 2;
+    let is_first = window % 2 == parity && window + 1 >= current;
+    state.instances() >= EXPENDABLE_AMONG && is_in_time && is_first
+}
+
 fn current_slice(state: &State, window: u64, incarnation: u64) -> Slice {
     let usage = state.usage();
     Slice {
@@ -123,12 +151,17 @@
     }
 }
 
-async fn write(store: &StoreClient, slice: &Slice) -> bool {
-    let value = serde_json::to_vec(slice).unwrap_or_default();
-    match store.append(SLICE_TOPIC, &slice.key(), &value, None).await {
+/// Writes slices together; false if the store may not have them.
+async fn write(store: &StoreClient, slices: &[Slice]) -> bool {
+    let mut records = Vec::with_capacity(slices.len());
+    for slice in slices {
+        records.push((slice.key(), serde_json::to_vec(slice).unwrap_or_default()));
+    }
+    match store.append_all(SLICE_TOPIC, &records, None).await {
         Ok(_) => true,
         Err(error) => {
-            tracing::info!(window = slice.window, "usage: slice not written: {error}");
+            let windows: Vec<u64> = slices.iter().map(|slice| slice.window).collect();
+            tracing::info!(?windows, "usage: slices not written: {error}");
             false
         }
     }
--- a/src/gateway/duty/tenure.rs
+++ b/src/gateway/duty/tenure.rs
@@ -55,7 +55,7 @@
 const CANDIDATES: u64 = 3;
 
 /// Factor of the time between two reads of an instance that is no candidate.
-const BYSTANDER_FACTOR: u32 = 8;
+const BYSTANDER_FACTOR: u32 = 20;
 
 /// Age of the last read at which the topic counts as unread, in leases.
 const LIVE_FOR_LEASES: u64 = 6;
@@ -182,14 +182,26 @@
     peers: PeerHandle,
 ) {
     let period = Duration::from_millis(state.settings.timing.lease_ms / READS_PER_LEASE);
-    let following = follow(tenure.clone(), store.clone(), peers.clone(), period);
+    let following = follow(
+        state.clone(),
+        tenure.clone(),
+        store.clone(),
+        peers.clone(),
+        period,
+    );
     let claiming = claim(state, tenure, store, peers);
     tokio::join!(following, claiming);
 }
 
 /// Reads the topic again and again: waiting reads would return at each
 /// renewal.
-async fn follow(tenure: Arc<Tenure>, store: StoreClient, peers: PeerHandle, period: Duration) {
+async fn follow(
+    state: Arc<State>,
+    tenure: Arc<Tenure>,
+    store: StoreClient,
+    peers: PeerHandle,
+    period: Duration,
+) {
     let mut follower = Follower::new(store, DUTY_TOPIC);
     loop {
         let entry = tenure.lock().entry.clone();
@@ -199,7 +211,7 @@
         };
         match entry {
             Some(_) => sleep(period * factor).await,
-            None => sleep(STEP_PERIOD).await,
+            None => sleep(first_read_delay(state.instances())).await,
         }
         let Ok(update) = follower.next(Duration::ZERO).await else {
             continue;
@@ -214,6 +226,13 @@
     }
 }
 
+/// Returns the time between two reads before any holder is known: few of many
+/// instances need to be first.
+fn first_read_delay(instances: usize) -> Duration {
+    let factor = instances as f64 / CANDIDATES as f64;
+    STEP_PERIOD.mul_f64(factor.max(1.0) * (0.5 + rand::random::<f64>()))
+}
+
 async fn claim(state: Arc<State>, tenure: Arc<Tenure>, store: StoreClient, peers: PeerHandle) {
     let lease_ms = state.settings.timing.lease_ms;
     let timing = LeaseTiming {
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -127,7 +127,7 @@
     /// Engine that has the shared parts of the prompt.
     fetch_from: Option<Arc<Target>>,
     /// Requests that were in flight there.
-    streams: u32,
+    streams: f64,
     /// Whether prompts wait to be read there.
     reads_beside: bool,
 }
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -6,7 +6,7 @@
 
 use super::state::State;
 use crate::{
-    peer::{PeerHandle, TargetLoad},
+    peer::{MAX_MESH_INSTANCES, PeerHandle, TargetLoad},
     policy::{
         breaker::{Breaker, BreakerSettings, Observation},
         homes::CachedChains,
@@ -26,7 +26,20 @@
 /// Refusals after which that time is not doubled any more.
 const MAX_DOUBLINGS: u32 = 8;
 
-/// What is in flight on a target.
+/// Parts of a request in which peers tell each other of loads.
+const LOAD_UNITS: f64 = 64.0;
+
+/// Time over which the loads that a large fleet's instances tell are means, in
+/// milliseconds: what is in flight changes faster than it can be told.
+const MEAN_LOAD_MS: f64 = 1_000.0;
+
+/// Age from which on a target's report counts no more, in milliseconds.
+const REPORT_AGE_MS: u64 = 250;
+
+/// Weight of the newest prompt in the mean of what a target has to read.
+const PROMPT_GAIN: f64 = 0.1;
+
+/// What this instance has in flight on a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct InFlight {
     /// Requests.
@@ -35,10 +48,62 @@
     pub(super) prefill_tokens: u64,
 }
 
+/// What all instances have in flight on a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct FleetLoad {
+    /// Requests.
+    pub(super) requests: f64,
+    /// Prompt tokens that wait to be read.
+    pub(super) queued_tokens: f64,
+}
+
+impl FleetLoad {
+    /// Returns the load in the units in which peers tell it.
+    fn told(&self) -> TargetLoad {
+        TargetLoad {
+            requests: (self.requests * LOAD_UNITS).round() as u32,
+            tokens: self.queued_tokens.round() as u64,
+            blocks: 0,
+        }
+    }
+
+    /// Moves a part of the way to what is in flight.
+    fn follow(&mut self, own: InFlight, gain: f64) {
+        self.requests += gain * (f64::from(own.requests) - self.requests);
+        self.queued_tokens += gain * (own.prefill_tokens as f64 - self.queued_tokens);
+    }
+}
+
+impl From<InFlight> for FleetLoad {
+    fn from(own: InFlight) -> Self {
+        Self {
+            requests: f64::from(own.requests),
+            queued_tokens: own.prefill_tokens as f64,
+        }
+    }
+}
+
+/// What a target said of its load.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Report {
+    /// Requests that run.
+    pub(super) running: u32,
+    /// Requests that wait.
+    pub(super) waiting: u32,
+    /// When it was asked.
+    pub(super) at_ms: u64,
+}
+
 /// One target as this instance sees it.
 #[derive(Clone, Debug)]
 struct TargetCondition {
     own: InFlight,
+    /// Mean of what is in flight.
+    mean: FleetLoad,
+    /// Newest report of what all instances have in flight.
+    report: Option<Report>,
+    /// Mean tokens that a prompt has to read here.
+    prompt_tokens: f64,
     breaker: Breaker,
     failure_rate: f64,
     /// Refusals since the last answer.
@@ -51,6 +116,9 @@
     fn default() -> Self {
         Self {
             own: InFlight::default(),
+            mean: FleetLoad::default(),
+            report: None,
+            prompt_tokens: 0.0,
             breaker: Breaker::new(BreakerSettings::default()),
             failure_rate: 0.0,
             refusals: 0,
@@ -85,6 +153,16 @@
         self.breaker.allow(now_ms);
     }
 
+    /// Returns the load that the target reported just now.
+    fn reported(&self, now_ms: u64) -> Option<FleetLoad> {
+        let report = self.report?;
+        let is_fresh = now_ms.saturating_sub(report.at_ms) <= REPORT_AGE_MS;
+        is_fresh.then(|| FleetLoad {
+            requests: f64::from(report.running + report.waiting),
+            queued_tokens: f64::from(report.waiting) * self.prompt_tokens,
+        })
+    }
+
     fn avoided_ms(&self) -> u64 {
         let doubled = FIRST_AVOIDED_MS << (self.refusals - 1).min(MAX_DOUBLINGS);
         doubled.min(MAX_AVOIDED_MS)
@@ -96,6 +174,8 @@
 pub(super) struct Loads {
     targets: IndexMap<Arc<str>, TargetCondition>,
     peers: Option<PeerHandle>,
+    /// Whether peers are told means.
+    tells_means: bool,
     /// Prompt parts that engines have cached.
     pub(super) chains: CachedChains,
 }
@@ -106,16 +186,50 @@
         self.peers = Some(peers);
     }
 
-    /// Returns what all instances have in flight on a target.
-    pub(super) fn in_flight(&self, target: &str) -> InFlight {
-        let own = self.own(target);
+    /// Returns what all instances have in flight on a target: what it reported
+    /// just now, or what peers told.
+    pub(super) fn in_flight(&self, target: &str, now_ms: u64) -> FleetLoad {
+        let own = FleetLoad::from(self.own(target));
+        let condition = self.targets.get(target);
+        let reported = condition.and_then(|condition| condition.reported(now_ms));
+        if let Some(reported) = reported {
+            return FleetLoad {
+                requests: reported.requests.max(own.requests),
+                queued_tokens: reported.queued_tokens.max(own.queued_tokens),
+            };
+        }
         let peers = match &self.peers {
             Some(peers) => peers.peer_loads(target),
             None => TargetLoad::default(),
         };
-        InFlight {
-            requests: own.requests + peers.requests,
-            prefill_tokens: own.prefill_tokens + peers.tokens,
+        FleetLoad {
+            requests: own.requests + f64::from(peers.requests) / LOAD_UNITS,
+            queued_tokens: own.queued_tokens + peers.tokens as f64,
+        }
+    }
+
+    /// Takes a target's report.
+    pub(super) fn take_report(&mut self, target: &Arc<str>, report: Report) {
+        self.condition(target).report = Some(report);
+    }
+
+    /// Returns whether a target reported just now.
+    pub(super) fn has_report(&self, target: &str, now_ms: u64) -> bool {
+        let condition = self.targets.get(target);
+        condition.is_some_and(|condition| condition.reported(now_ms).is_some())
+    }
+
+    /// Brings the mean loads up to date after `elapsed_ms` and tells them, if
+    /// `instances` are too many to tell each change.
+    pub(super) fn tell_means(&mut self, elapsed_ms: f64, instances: usize) {
+        self.tells_means = instances > MAX_MESH_INSTANCES;
+        let gain = 1.0 - (-elapsed_ms / MEAN_LOAD_MS).exp();
+        for (target, condition) in &mut self.targets {
+            condition.mean.follow(condition.own, gain);
+            let Some(peers) = self.peers.as_ref().filter(|_| self.tells_means) else {
+                continue;
+            };
+            peers.report_load(target, condition.mean.told());
         }
     }
 
@@ -196,13 +310,12 @@
     {
         let own = &mut self.condition(target).own;
         change(own);
-        let load = TargetLoad {
-            requests: own.requests,
-            tokens: own.prefill_tokens,
-            blocks: 0,
-        };
+        let load = FleetLoad::from(*own);
+        if self.tells_means {
+            return;
+        }
         if let Some(peers) = &self.peers {
-            peers.report_load(target, load);
+            peers.report_load(target, load.told());
         }
     }
 
@@ -243,6 +356,10 @@
                 own.requests += 1;
                 own.prefill_tokens += prefill_tokens;
             });
+            if prefill_tokens > 0 {
+                let mean = &mut loads.condition(target).prompt_tokens;
+                *mean += PROMPT_GAIN * (prefill_tokens as f64 - *mean);
+            }
         }
         Self {
             state: state.clone(),
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -26,9 +26,17 @@
 /// Longest wait of a read for the next announcement.
 const READ_WAIT: Duration = Duration::from_secs(15);
 
-/// Wait after announcements for others that one read can bring with them.
+/// Wait after announcements for others that one read can bring with them, for
+/// each [`BATCH_INSTANCES`] that run.
 const BATCH_WAIT: Duration = Duration::from_secs(1);
 
+/// Instances of which one starts or stops now and then: in a larger fleet, the
+/// wait grows so that all read no more often together.
+const BATCH_INSTANCES: usize = 32;
+
+/// Longest such wait.
+const MAX_BATCH_WAIT: Duration = Duration::from_secs(6);
+
 /// Delay after a first failed announcement.
 const FIRST_RETRY: Duration = Duration::from_millis(100);
 
@@ -111,7 +119,8 @@
         let list: Vec<LiveInstance> = members.values().cloned().collect();
         tracing::info!(members = list.len(), "gateway: list of instances taken");
         peers.apply_list(&list);
-        sleep(BATCH_WAIT).await;
+        let batches = list.len() as f64 / BATCH_INSTANCES as f64;
+        sleep(BATCH_WAIT.mul_f64(batches.max(1.0)).min(MAX_BATCH_WAIT)).await;
     }
 }
 
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -1,15 +1,17 @@
 //! Choice of the engine that reads a prompt.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use tokio::time::Instant;
+use futures_util::future::join_all;
+use tokio::time::{Instant, timeout};
 
-use super::{decode::is_settled, state::State};
+use super::{decode::is_settled, engine_call, loads::Report, state::State};
 use crate::{
     call::{Call, Prompt},
+    peer::MAX_MESH_INSTANCES,
     policy::{
         engine_profile::PromptSize,
-        placement::{EngineCandidate, PlacementRules, place},
+        placement::{EngineCandidate, PlacementRules, compared, place},
     },
     roster::Target,
     target::protocol::EngineRole,
@@ -30,6 +32,13 @@
 /// objective.
 const UNSETTLED_OBJECTIVES: f64 = 0.2;
 
+/// Time to read a whole prompt from which on engines are asked for their loads
+/// first, in milliseconds.
+const MIN_ASKED_READ_MS: f64 = 50.0;
+
+/// Longest wait for an engine's load.
+const ASK_TIMEOUT: Duration = Duration::from_millis(25);
+
 /// The engine that was chosen to read a prompt.
 #[derive(Debug)]
 pub(super) struct Chosen {
@@ -37,7 +46,7 @@
     /// Tokens that wait to be read there.
     pub(super) queued_tokens: f64,
     /// Requests in flight there.
-    pub(super) requests: u32,
+    pub(super) requests: f64,
     /// Tokens of the prompt that it has to read.
     pub(super) uncached_tokens: u32,
     /// Engine that has the shared parts of the prompt.
@@ -53,43 +62,111 @@
 }
 
 /// Chooses the engine that reads a prompt, other than those of `tried`.
-pub(super) fn choose_engine(
-    state: &State,
+pub(super) async fn choose_engine(
+    state: &Arc<State>,
     call: &Call,
     prompt: &Prompt,
     tried: &[Arc<str>],
 ) -> Option<Chosen> {
     let targets = state.targets(&call.service);
+    let point = rand::random();
+    if asks_engines(state, call, prompt) {
+        let candidates = candidates(state, call, &targets, tried);
+        let asked = with_rules(state, call, &candidates, point, |rules| {
+            compared(prompt, &candidates, rules)
+        });
+        let asking = asked.iter().map(|&index| ask_load(state, &targets[index]));
+        join_all(asking).await;
+    }
     let candidates = candidates(state, call, &targets, tried);
+    let placement = with_rules(state, call, &candidates, point, |rules| {
+        place(prompt, &candidates, rules)
+    })?;
+    let candidate = &candidates[placement.index];
+    let objective_ms = call.route.latency_objective.as_secs_f64() * 1_000.0;
+    Some(Chosen {
+        target: targets[placement.index].clone(),
+        queued_tokens: candidate.queued_tokens,
+        requests: candidate.requests,
+        uncached_tokens: placement.uncached_tokens,
+        fetch_from: placement.fetch_from.map(|index| targets[index].clone()),
+        is_direct: placement.is_direct,
+        first_event_ms: placement.first_event_ms,
+        wait_ms: placement.wait_ms,
+        is_overloaded: placement.is_overloaded(objective_ms),
+    })
+}
+
+/// Calls `decide` with what a choice rests on beside the engines' queues.
+fn with_rules<F, T>(
+    state: &State,
+    call: &Call,
+    candidates: &[EngineCandidate],
+    sample_point: u64,
+    decide: F,
+) -> T
+where
+    F: FnOnce(&PlacementRules<'_>) -> T,
+{
     let profile = state.engines().profile(&call.service);
     let engine = state.engine(&call.service);
     let event_objective = call.route.event_objective;
     let event_objective = event_objective.unwrap_or(call.route.latency_objective);
+    let prefill_share = prefill_share(state, call, candidates);
     let loads = state.loads();
-    let rules = PlacementRules {
+    decide(&PlacementRules {
         profile: &profile,
         cached: &loads.chains,
         capacity_tokens: cache_capacity(state, &call.service),
         token_transfer_ms: engine.map_or(0.0, |engine| engine.transfer_ms(1)),
         event_objective_ms: event_objective.as_secs_f64() * 1_000.0,
         latency_objective_ms: call.route.latency_objective.as_secs_f64() * 1_000.0,
-        keeps_copy: rand::random_bool(COPY_SHARE),
-    };
-    let placement = place(prompt, &candidates, &rules)?;
-    let candidate = &candidates[placement.index];
-    Some(Chosen {
-        target: targets[placement.index].clone(),
-        queued_tokens: candidate.queued_tokens,
-        requests: candidate.requests,
-        uncached_tokens: placement.uncached_tokens,
-        fetch_from: placement.fetch_from.map(|index| targets[index].clone()),
-        is_direct: placement.is_direct,
-        first_event_ms: placement.first_event_ms,
-        wait_ms: placement.wait_ms,
-        is_overloaded: placement.is_overloaded(rules.latency_objective_ms),
+        keeps_copy: sample_point as f64 / u64::MAX as f64 <= COPY_SHARE,
+        prefill_share,
+        sample_point,
     })
 }
 
+/// Returns whether engines are asked for their loads before a choice: where
+/// peers cannot tell them, and a wrong choice costs far more than to ask.
+fn asks_engines(state: &State, call: &Call, prompt: &Prompt) -> bool {
+    let read_ms = state.engines().profile(&call.service).apart_read_ms();
+    state.instances() > MAX_MESH_INSTANCES
+        && f64::from(prompt.prompt_tokens) * read_ms >= MIN_ASKED_READ_MS
+}
+
+/// Asks an engine for its load, unless it told it just now.
+async fn ask_load(state: &Arc<State>, target: &Arc<Target>) {
+    let at_ms = state.now_ms();
+    if state.loads().has_report(&target.id, at_ms) {
+        return;
+    }
+    let asking = engine_call::load_report(state, target);
+    let Ok(Ok(report)) = timeout(ASK_TIMEOUT, asking).await else {
+        metrics::counter!("gateway_reports_missed_total").increment(1);
+        return;
+    };
+    let report = Report {
+        running: report.running,
+        waiting: report.waiting,
+        at_ms,
+    };
+    state.loads().take_report(&target.id, report);
+}
+
+/// Returns the part of the long prompts that engines that prefill can read.
+///
+/// A small fleet's instances know what waits at each engine, those of a large
+/// one only what is asked of all.
+fn prefill_share(state: &State, call: &Call, candidates: &[EngineCandidate]) -> f64 {
+    if state.instances() <= MAX_MESH_INSTANCES {
+        return 1.0;
+    }
+    let prefilling = candidates.iter().filter(|candidate| candidate.prefills());
+    let load = state.engines().load(&call.service);
+    load.prefill_share(prefilling.count())
+}
+
 /// Counts what a prompt asks of the service's engines.
 pub(super) fn note_work(state: &State, call: &Call, prompt: &Prompt, uncached_tokens: u32) {
     let slots = state.engine(&call.service).map_or(1, |engine| engine.slots);
@@ -133,7 +210,7 @@
     let mut candidates = Vec::with_capacity(targets.len());
     for target in targets {
         let is_open = target.takes_requests(now) && !tried.contains(&target.id);
-        let in_flight = loads.in_flight(&target.id);
+        let in_flight = loads.in_flight(&target.id, now_ms);
         let is_allowed = loads.allows(&target.id, now_ms);
         let mut penalty = FAILING_OBJECTIVES * loads.failure_rate(&target.id);
         if !is_settled(state, target) {
@@ -145,7 +222,7 @@
             role: target.role.unwrap_or(EngineRole::Mixed),
             is_leaving: !is_open || !is_allowed,
             is_unreachable: !loads.is_reachable(&target.id) && !is_allowed,
-            queued_tokens: in_flight.prefill_tokens as f64,
+            queued_tokens: in_flight.queued_tokens,
             requests: in_flight.requests,
             slots: target.slots,
             penalty_ms: penalty * objective_ms,
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -137,7 +137,7 @@
     let mut candidates = Vec::with_capacity(allowed.len());
     for target in &allowed {
         candidates.push(SpreadCandidate {
-            in_flight: f64::from(loads.in_flight(&target.id).requests),
+            in_flight: loads.in_flight(&target.id, now_ms).requests,
             slots: target.slots,
             is_near: target.failure_domain == state.settings.failure_domain,
             failure_rate: loads.failure_rate(&target.id),
--- a/src/gateway/prefill.rs
+++ b/src/gateway/prefill.rs
@@ -83,7 +83,7 @@
     let mut tried = Vec::new();
     let mut attempts = 0;
     while attempts < MAX_PREFILL_ATTEMPTS && tried.len() < MAX_PREFILL_TARGETS {
-        let chosen = choose_engine(state, call, prompt, &tried);
+        let chosen = choose_engine(state, call, prompt, &tried).await;
         if tried.is_empty() {
             let uncached = chosen.as_ref().map(|chosen| chosen.uncached_tokens);
             note_work(state, call, prompt, uncached.unwrap_or(prompt.own_tokens()));
--- a/src/gateway/stream_times.rs
+++ b/src/gateway/stream_times.rs
@@ -34,7 +34,7 @@
     start: Start,
     max_output_tokens: u32,
     /// Streams that ran at the engine when this one was sent.
-    streams: u32,
+    streams: f64,
     had_slot: bool,
     sent_at: Instant,
     first_at: Option<Instant>,
@@ -47,14 +47,14 @@
 impl StreamTimes {
     /// Begins with the send of a request to an engine of `slots` slots at which
     /// `streams` others were in flight.
-    pub(super) fn new(service: &Arc<str>, start: Start, streams: u32, slots: u32) -> Self {
+    pub(super) fn new(service: &Arc<str>, start: Start, streams: f64, slots: u32) -> Self {
         let now = Instant::now();
         Self {
             service: service.clone(),
             start,
             max_output_tokens: 0,
             streams,
-            had_slot: streams < slots,
+            had_slot: streams < f64::from(slots),
             sent_at: now,
             first_at: None,
             last_at: now,
@@ -106,7 +106,7 @@
     }
 
     /// Returns the streams that ran at the engine when this one was sent.
-    pub(super) fn streams(&self) -> u32 {
+    pub(super) fn streams(&self) -> f64 {
         self.streams
     }
 
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -16,7 +16,7 @@
 
 /// Part of the time in which a target that leaves must be known for which a
 /// read waits for further changes.
-const BATCH_SHARE: f64 = 0.5;
+const BATCH_SHARE: f64 = 0.6;
 
 /// Follows the list of targets for ever.
 pub(super) async fn follow(state: Arc<State>, store: StoreClient) {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -42,4 +42,5 @@
 pub use membership::PeerState;
 pub use shared::{PeerLog, PeerOptions};
 pub use spawn::{PeerInputs, Peers, join, spawn};
+pub use topology::MAX_MESH_INSTANCES;
 pub use usage::{Source, UsageCopies};
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -153,6 +153,26 @@
         value: &[u8],
         at: Option<u64>,
     ) -> Result<Appended, StoreError> {
+        self.append_all(topic, &[(key.to_owned(), value.to_vec())], at)
+            .await
+    }
+
+    /// Appends records together, all or none, as [`StoreClient::append`] does
+    /// one.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`StoreClient::append`] does.
+    pub async fn append_all(
+        &self,
+        topic: Topic,
+        records: &[(String, Vec<u8>)],
+        at: Option<u64>,
+    ) -> Result<Appended, StoreError> {
+        let mut body = BytesMut::new();
+        for (key, value) in records {
+            body.extend_from_slice(&encode_record(key, value));
+        }
         let mut query = vec![("topic", topic.to_string()), ("part", "0".to_owned())];
         query.extend(at.map(|at| ("at", at.to_string())));
         count_call("append", topic);
@@ -161,7 +181,7 @@
             .post(format!("{}/log-append", self.base_url))
             .query(&query)
             .timeout(self.timeout)
-            .body(encode_record(key, value));
+            .body(body.freeze());
         let response = send(request).await?;
         if response.status() == StatusCode::PRECONDITION_FAILED {
             let end: EndOffset = read_json(response).await?;
--- a/src/policy/engine_profile.rs
+++ b/src/policy/engine_profile.rs
@@ -124,8 +124,8 @@
 
     /// Takes in the mean time between the events of a stream, beside which so
     /// many streams ran.
-    pub fn observe_event(&mut self, streams: u32, between_ms: f64) {
-        self.event.observe_low(f64::from(streams), between_ms);
+    pub fn observe_event(&mut self, streams: f64, between_ms: f64) {
+        self.event.observe_low(streams, between_ms);
     }
 
     /// Takes in whether a stream beside which prompts were read had a pause that
@@ -192,8 +192,8 @@
     /// Predicts the time between two events where so many streams run; `None`
     /// before streams were seen.
     #[must_use]
-    pub fn event_ms(&self, streams: u32) -> Option<f64> {
-        self.event.predict(f64::from(streams))
+    pub fn event_ms(&self, streams: f64) -> Option<f64> {
+        self.event.predict(streams)
     }
 
     /// Returns whether a prompt is read best where its answer is generated,
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -9,7 +9,7 @@
 
 use super::{
     engine_profile::EngineProfile,
-    homes::{CachedChains, chain_hash, rendezvous_weight},
+    homes::{CachedChains, chain_hash, mix, rendezvous_weight},
 };
 use crate::{call::Prompt, target::protocol::EngineRole};
 
@@ -31,9 +31,12 @@
 /// Longest wait for others, in times of the latency objective.
 const MAX_WAIT_OBJECTIVES: f64 = 1.25;
 
-/// Engines among which a prompt has its place, by their weight: instances that
-/// know a large fleet's loads late must not all run to the idlest one.
-const MAX_PLACES: usize = 16;
+/// Engines of a fleet in which all are compared.
+const SMALL_FLEET: usize = 16;
+
+/// Engines of a larger fleet that are compared with the homes of a prompt:
+/// instances that know loads late must not all run to the idlest one.
+const SAMPLED_ENGINES: usize = 10;
 
 /// An engine that may read a prompt.
 #[derive(Clone, Debug)]
@@ -53,7 +56,7 @@
     /// Tokens that wait to be read there.
     pub queued_tokens: f64,
     /// Requests in flight there.
-    pub requests: u32,
+    pub requests: f64,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Cost of choosing it beyond its queue, in milliseconds.
@@ -66,7 +69,9 @@
         !self.is_leaving && !self.is_unreachable
     }
 
-    fn prefills(&self) -> bool {
+    /// Returns whether it prefills prompts for others.
+    #[must_use]
+    pub fn prefills(&self) -> bool {
         self.role == EngineRole::Prefill
     }
 }
@@ -89,6 +94,36 @@
     pub latency_objective_ms: f64,
     /// Whether the copy of the shared parts comes before their home.
     pub keeps_copy: bool,
+    /// Part of the long prompts that engines that prefill can read, as far as
+    /// the demand on all of them is known; the others are read where they are
+    /// decoded.
+    pub prefill_share: f64,
+    /// Random number by which engines of a large fleet are sampled.
+    pub sample_point: u64,
+}
+
+/// Returns which of many engines are compared: all that are `open` in a small
+/// fleet, a few in a large one, as the random number `point` says.
+#[must_use]
+pub fn sample<I>(open: I, point: u64) -> Vec<bool>
+where
+    I: Iterator<Item = bool>,
+{
+    let mut sampled: Vec<bool> = open.collect();
+    let mut ranked = Vec::with_capacity(sampled.len());
+    for (index, is_open) in sampled.iter().enumerate() {
+        if *is_open {
+            ranked.push((mix(point ^ mix(index as u64)), index));
+        }
+    }
+    if ranked.len() <= SMALL_FLEET {
+        return sampled;
+    }
+    ranked.sort_unstable();
+    for (_, index) in ranked.drain(SAMPLED_ENGINES..) {
+        sampled[index] = false;
+    }
+    sampled
 }
 
 /// Where a prompt is read.
@@ -131,14 +166,9 @@
     rules: &PlacementRules<'_>,
 ) -> Option<Placement> {
     let places = Places::new(prompt, candidates, rules);
-    let least_weight = places.least_weight();
     let decode_wait_ms = places.decode_wait_ms();
     let mut best: Option<(f64, u64, Placement)> = None;
-    for (index, candidate) in candidates.iter().enumerate() {
-        let is_place = places.weights[index] >= least_weight || places.is_holder(index);
-        if !candidate.is_open() || !is_place {
-            continue;
-        }
+    for index in places.compared() {
         let placement = places.placement(index, decode_wait_ms);
         let cost = placement.first_event_ms + places.cost_ms(&placement);
         let weight = places.weights[index];
@@ -152,12 +182,24 @@
     best.map(|(_, _, placement)| placement)
 }
 
+/// Returns the candidates that [`place`] compares for a prompt.
+#[must_use]
+pub fn compared(
+    prompt: &Prompt,
+    candidates: &[EngineCandidate],
+    rules: &PlacementRules<'_>,
+) -> Vec<usize> {
+    Places::new(prompt, candidates, rules).compared()
+}
+
 /// The candidates as places of one prompt.
 struct Places<'a> {
     prompt: &'a Prompt,
     candidates: &'a [EngineCandidate],
     rules: &'a PlacementRules<'a>,
     shared_tokens: u32,
+    /// Hash of the parts that decide where the prompt has its home.
+    key: u64,
     hold_ms: f64,
     /// Rendezvous weights of the candidates.
     weights: Vec<u64>,
@@ -213,6 +255,7 @@
             candidates,
             rules,
             shared_tokens,
+            key,
             hold_ms: rules.profile.hold_ms(prompt.max_output_tokens),
             weights,
             cached_tokens,
@@ -223,19 +266,31 @@
         }
     }
 
-    /// Returns the weight from which on a candidate is a place of the prompt.
-    fn least_weight(&self) -> u64 {
-        let mut weights = Vec::with_capacity(self.weights.len());
-        for (weight, candidate) in self.weights.iter().zip(self.candidates) {
-            if candidate.is_open() {
-                weights.push(*weight);
+    /// Returns the candidates that are compared.
+    fn compared(&self) -> Vec<usize> {
+        let sampled = self.sampled();
+        let only_decodes = self.goes_direct();
+        let mut compared = Vec::new();
+        for (index, candidate) in self.candidates.iter().enumerate() {
+            let is_compared = sampled[index] || self.is_holder(index);
+            if candidate.is_open() && is_compared && !(only_decodes && candidate.prefills()) {
+                compared.push(index);
             }
         }
-        if weights.len() <= MAX_PLACES {
-            return 0;
-        }
-        let (_, least, _) = weights.select_nth_unstable_by(MAX_PLACES - 1, |a, b| b.cmp(a));
-        *least
+        compared
+    }
+
+    /// Returns whether the prompt is one of those that engines that prefill
+    /// cannot read in time; all prompts with the same parts are.
+    fn goes_direct(&self) -> bool {
+        let point = f64::from((mix(self.key) >> 32) as u32) / f64::from(u32::MAX);
+        self.decode_home.is_some() && point >= self.rules.prefill_share
+    }
+
+    /// Returns which candidates are compared with the homes.
+    fn sampled(&self) -> Vec<bool> {
+        let open = self.candidates.iter().map(EngineCandidate::is_open);
+        sample(open, self.rules.sample_point)
     }
 
     /// Returns what a candidate would do, if a hand-over waits for
@@ -314,7 +369,7 @@
     /// Returns the time until a slot is free at an engine that decodes.
     fn slot_wait_ms(&self, candidate: &EngineCandidate) -> f64 {
         let slots = f64::from(candidate.slots.max(1));
-        let requests = f64::from(candidate.requests);
+        let requests = candidate.requests;
         let waiting = (requests + 1.0 - slots).max(0.0);
         let slowed = FULL_SLOTS_COST * (requests / slots).min(1.0);
         (waiting / slots + slowed) * self.hold_ms
@@ -338,7 +393,7 @@
     fn keeps_pauses(&self, placement: &Placement) -> bool {
         let candidate = &self.candidates[placement.index];
         let profile = self.rules.profile;
-        if candidate.requests == 0 {
+        if candidate.requests < 1.0 {
             return true;
         }
         let event_ms = profile.event_ms(candidate.requests).unwrap_or(0.0);
--- a/src/policy/work_meter.rs
+++ b/src/policy/work_meter.rs
@@ -35,6 +35,16 @@
         }
     }
 
+    /// Returns the part of the prompts best read by engines that prefill that
+    /// `prefilling` of them can read.
+    #[must_use]
+    pub fn prefill_share(&self, prefilling: usize) -> f64 {
+        if self.apart <= 0.0 {
+            return 1.0;
+        }
+        (PREFILL_UTILIZATION * prefilling as f64 / self.apart).min(1.0)
+    }
+
     /// Returns the number of engines that should prefill, of `engines`.
     #[must_use]
     pub fn best_prefilling(&self, engines: usize) -> usize {
--- a/tests/prompt_placement.rs
+++ b/tests/prompt_placement.rs
@@ -7,7 +7,7 @@
     call::{Prompt, PromptPart},
     policy::{
         engine_profile::EngineProfile,
-        homes::CachedChains,
+        homes::{CachedChains, chain_hash},
         placement::{EngineCandidate, Placement, PlacementRules, place},
     },
     target::protocol::EngineRole,
@@ -25,7 +25,7 @@
             is_leaving: false,
             is_unreachable: false,
             queued_tokens: 0.0,
-            requests: 0,
+            requests: 0.0,
             slots: 64,
             penalty_ms: 0.0,
         })
@@ -42,7 +42,7 @@
         profile.observe_direct(tokens, 6.0 + 2.0 * tokens / tokens_per_ms);
         profile.observe_handover(tokens, 8.0 + 0.001 * tokens);
         profile.observe_hold(step % 20 * 10, f64::from(step % 20) * 40.0);
-        profile.observe_event(1, 45.0);
+        profile.observe_event(1.0, 45.0);
     }
     profile
 }
@@ -62,6 +62,8 @@
         event_objective_ms: 250.0,
         latency_objective_ms: 500.0,
         keeps_copy,
+        prefill_share: 1.0,
+        sample_point: chain_hash(&prompt.parts),
     };
     place(prompt, engines, &rules)
 }
@@ -250,7 +252,7 @@
 fn pair() -> Vec<EngineCandidate> {
     let mut engines = engines(2);
     engines[1].role = EngineRole::Decode;
-    engines[1].requests = 1;
+    engines[1].requests = 1.0;
     engines
 }
 
@@ -378,7 +380,7 @@
     engines[0].is_leaving = true;
     let wait = |requests: u32| {
         let mut engines = engines.clone();
-        engines[1].requests = requests;
+        engines[1].requests = f64::from(requests);
         let prompt = short_prompt();
         let placement = place_by(&profile, &prompt, &engines, &CachedChains::default(), false);
         placement.unwrap().is_overloaded(250.0)
@@ -448,7 +450,7 @@
     let mut engines = engines(8);
     for engine in &mut engines[2..] {
         engine.role = EngineRole::Decode;
-        engine.requests = 60;
+        engine.requests = 60.0;
     }
     let profile = profile(56.0);
     for dossier in 0..20 {
