--- /dev/null
+++ b/tests/engine_profile.rs
@@ -0,0 +1,107 @@
+//! What is learned of engines from their answers.
+
+use lavenderwind::policy::engine_profile::{EngineProfile, EngineWork, PromptSize};
+
+/// An engine that the profile does not know.
+#[derive(Clone, Copy, Debug)]
+struct Engine {
+    /// Tokens read in a millisecond where prompts are prefilled.
+    read_tokens_per_ms: f64,
+    /// Time between two events.
+    event_ms: f64,
+}
+
+/// Engines whose figures differ by a factor of 4 in either direction.
+fn engines() -> Vec<Engine> {
+    let mut engines = Vec::new();
+    for read in [0.25, 1.0, 4.0] {
+        for event in [0.25, 1.0, 4.0] {
+            engines.push(Engine {
+                read_tokens_per_ms: 50.0 * read,
+                event_ms: 40.0 * event,
+            });
+        }
+    }
+    engines
+}
+
+/// Shows the profile answers of which every fifth waited behind others that
+/// were not known.
+fn learn(engine: &Engine) -> EngineProfile {
+    let mut profile = EngineProfile::default();
+    for step in 0..300_u32 {
+        let tokens = f64::from(step * 37 % 60) * 100.0;
+        let queued = match step % 5 {
+            0 => 3.0,
+            _ => 1.0,
+        };
+        let read_ms = tokens / engine.read_tokens_per_ms;
+        profile.observe_apart(tokens, 5.0 + read_ms * queued);
+        profile.observe_direct(tokens, 5.0 + 2.0 * read_ms * queued);
+        profile.observe_handover(tokens, 10.0);
+        profile.observe_event(f64::from(step % 8), engine.event_ms);
+        profile.observe_hold(step % 60, f64::from(step % 60) * engine.event_ms / 10.0);
+    }
+    profile
+}
+
+fn is_near(value: f64, expected: f64) -> bool {
+    (value - expected).abs() <= 0.35 * expected
+}
+
+#[test]
+fn engines_of_all_kinds() {
+    for engine in engines() {
+        let profile = learn(&engine);
+        let read_ms = 1.0 / engine.read_tokens_per_ms;
+        assert!(is_near(profile.apart_read_ms(), read_ms), "{engine:?}");
+        assert!(
+            is_near(profile.direct_read_ms(), 2.0 * read_ms),
+            "{engine:?}"
+        );
+        let event_ms = profile.event_ms(4.0).unwrap();
+        assert!(is_near(event_ms, engine.event_ms), "{engine:?}");
+        let hold_ms = profile.hold_ms(40) - profile.handover_ms(0.0);
+        assert!(is_near(hold_ms, 4.0 * engine.event_ms), "{engine:?}");
+    }
+}
+
+#[test]
+fn one_role_tells_of_the_other() {
+    let mut profile = EngineProfile::default();
+    for step in 0..100 {
+        let tokens = f64::from(step % 20) * 200.0;
+        profile.observe_direct(tokens, 4.0 + tokens / 20.0);
+    }
+    assert!(is_near(profile.apart_read_ms(), 1.0 / 40.0));
+    assert!(profile.direct_ms(2_000.0) > profile.direct_ms(200.0));
+}
+
+#[test]
+fn work_by_size() {
+    let profile = learn(&Engine {
+        read_tokens_per_ms: 50.0,
+        event_ms: 40.0,
+    });
+    let work = |uncached_tokens: u32| -> EngineWork {
+        let size = PromptSize {
+            prompt_tokens: 17_000,
+            uncached_tokens,
+            max_output_tokens: 20,
+        };
+        profile.work(&size, 16)
+    };
+    let (short, long) = (work(100), work(4_000));
+    assert!(short.apart_ms == 0.0 && short.direct_ms > 0.0, "{short:?}");
+    assert!(long.apart_ms > 50.0 && long.direct_ms == 0.0, "{long:?}");
+    assert_eq!(short.decode_ms, long.decode_ms);
+}
+
+#[test]
+fn bad_samples_change_nothing() {
+    let mut profile = learn(&engines()[0]);
+    let before = profile.apart_ms(1_000.0);
+    profile.observe_apart(f64::NAN, 10.0);
+    profile.observe_apart(10.0, f64::INFINITY);
+    assert_eq!(profile.apart_ms(1_000.0), before);
+}
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -122,3 +122,19 @@
     assert!(matches!(error, StoreError::NotSent(_)), "{error}");
     drop(client);
 }
+
+#[tokio::test]
+async fn appended_together() {
+    let (_store, client) = start().await;
+    let records = [
+        ("a".to_owned(), b"1".to_vec()),
+        ("b".to_owned(), b"2".to_vec()),
+    ];
+    let appended = client.append_all(TOPIC, &records, None).await.unwrap();
+    assert_eq!((appended.offset, appended.end_offset), (0, 2));
+    let batch = client.read(TOPIC, 0, WAIT).await.unwrap();
+    let keys: Vec<&str> = batch.records.iter().map(|record| &*record.key).collect();
+    assert_eq!(keys, ["a", "b"]);
+    let refused = client.append_all(TOPIC, &records, Some(1)).await;
+    assert!(matches!(refused, Err(StoreError::Moved { end_offset: 2 })));
+}
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -278,13 +278,16 @@
             if query.get("at").is_some_and(|at| *at != end.to_string()) {
                 return status(412, json!({"end_offset": end}).to_string());
             }
-            let length = body.get_u32() as usize;
-            let record = body.split_to(length);
             let topic = state.topics.entry(name.clone()).or_default();
-            topic.records.push(Some(record));
+            let mut appended = 0;
+            while body.has_remaining() {
+                let length = body.get_u32() as usize;
+                topic.records.push(Some(body.split_to(length)));
+                appended += 1;
+            }
             status(
                 200,
-                json!({"offset": end, "end_offset": end + 1}).to_string(),
+                json!({"offset": end, "end_offset": end + appended}).to_string(),
             )
         }
         "/log-read" => {
--- /dev/null
+++ b/tests/work_meter.rs
@@ -0,0 +1,75 @@
+//! The engine time that callers ask for.
+
+use lavenderwind::policy::{
+    engine_profile::EngineWork,
+    work_meter::{EngineLoad, WorkMeter},
+};
+
+const SECOND_MS: f64 = 1_000.0;
+
+fn work(apart_ms: f64, decode_ms: f64) -> EngineWork {
+    EngineWork {
+        apart_ms,
+        direct_ms: 0.0,
+        decode_ms,
+    }
+}
+
+#[test]
+fn follows_a_change() {
+    let mut meter = WorkMeter::new(6.0 * SECOND_MS);
+    assert_eq!(meter.load(), EngineLoad::default());
+    meter.observe(work(3_000.0, 1_000.0), SECOND_MS);
+    let first = meter.load();
+    assert!((first.apart - 3.0).abs() < 0.01, "{first:?}");
+    for _ in 0..30 {
+        meter.observe(work(500.0, 4_000.0), SECOND_MS);
+    }
+    let later = meter.load();
+    assert!((later.apart - 0.5).abs() < 0.1, "{later:?}");
+    assert!((later.decode - 4.0).abs() < 0.1, "{later:?}");
+}
+
+/// A mix that swings faster than a role changes moves the mean little.
+#[test]
+fn fast_swings_are_smoothed() {
+    let mut meter = WorkMeter::new(6.0 * SECOND_MS);
+    for step in 0..120 {
+        let is_high = step / 3 % 2 == 0;
+        let apart_ms = if is_high { 6_000.0 } else { 2_000.0 };
+        meter.observe(work(apart_ms, 1_000.0), SECOND_MS);
+        if step > 30 {
+            let apart = meter.load().apart;
+            assert!((3.0..=5.0).contains(&apart), "{step}: {apart}");
+        }
+    }
+}
+
+#[test]
+fn needed_engines() {
+    let load = EngineLoad {
+        apart: 2.0,
+        direct: 1.0,
+        decode: 3.0,
+    };
+    let needed = load.needed_engines(0.7, 40);
+    let prefilling = load.best_prefilling(needed);
+    assert!(load.utilization(needed, prefilling) <= 0.7);
+    let fewer = needed - 1;
+    assert!(load.utilization(fewer, load.best_prefilling(fewer)) > 0.7);
+    assert_eq!(load.needed_engines(0.7, 5), 5, "no more than there may be");
+    assert_eq!(EngineLoad::default().needed_engines(0.7, 40), 1);
+}
+
+#[test]
+fn share_that_is_prefilled() {
+    let load = EngineLoad {
+        apart: 7.0,
+        direct: 1.0,
+        decode: 1.0,
+    };
+    assert_eq!(load.prefill_share(20), 1.0);
+    assert!((load.prefill_share(5) - 0.5).abs() < 1e-9);
+    assert_eq!(load.prefill_share(0), 0.0);
+    assert_eq!(EngineLoad::default().prefill_share(0), 1.0);
+}
