--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -70,7 +70,7 @@
 ) -> Option<Chosen> {
     let targets = state.targets(&call.service);
     let point = rand::random();
-    if asks_engines(state, call, prompt) {
+    if asks_engines(state, call, prompt, &targets) {
         let candidates = candidates(state, call, &targets, tried);
         let asked = with_rules(state, call, &candidates, point, |rules| {
             compared(prompt, &candidates, rules)
@@ -128,11 +128,20 @@
 }
 
 /// Returns whether engines are asked for their loads before a choice: where
-/// peers cannot tell them, and a wrong choice costs far more than to ask.
-fn asks_engines(state: &State, call: &Call, prompt: &Prompt) -> bool {
-    let read_ms = state.engines().profile(&call.service).apart_read_ms();
-    state.instances() > MAX_MESH_INSTANCES
-        && f64::from(prompt.prompt_tokens) * read_ms >= MIN_ASKED_READ_MS
+/// peers cannot tell them, engines are busy, and a wrong choice costs far more
+/// than to ask.
+fn asks_engines(state: &State, call: &Call, prompt: &Prompt, targets: &[Arc<Target>]) -> bool {
+    if state.instances() <= MAX_MESH_INSTANCES {
+        return false;
+    }
+    let is_prefilling = |target: &&Arc<Target>| target.role == Some(EngineRole::Prefill);
+    let prefilling = targets.iter().filter(is_prefilling).count();
+    let engines = state.engines();
+    let read_ms = engines.profile(&call.service).apart_read_ms();
+    f64::from(prompt.prompt_tokens) * read_ms >= MIN_ASKED_READ_MS
+        && engines
+            .load(&call.service)
+            .is_busy(targets.len(), prefilling)
 }
 
 /// Asks an engine for its load, unless it told it just now.
--- a/src/policy/work_meter.rs
+++ b/src/policy/work_meter.rs
@@ -9,6 +9,10 @@
 /// Utilization of engines that prefill up to which prompts hardly wait.
 const PREFILL_UTILIZATION: f64 = 0.7;
 
+/// Utilization of engines from which on requests often meet others in front of
+/// them.
+const BUSY_UTILIZATION: f64 = 0.5;
+
 /// Engine time asked for each second, in engines.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EngineLoad {
@@ -35,6 +39,14 @@
         }
     }
 
+    /// Returns whether requests often meet others in front of them, if
+    /// `prefilling` of `engines` engines prefill.
+    #[must_use]
+    pub fn is_busy(&self, engines: usize, prefilling: usize) -> bool {
+        let is_exceeded = self.prefill_share(prefilling) < 1.0;
+        is_exceeded || self.utilization(engines, prefilling) >= BUSY_UTILIZATION
+    }
+
     /// Returns the part of the prompts best read by engines that prefill that
     /// `prefilling` of them can read.
     #[must_use]
--- a/tests/work_meter.rs
+++ b/tests/work_meter.rs
@@ -61,6 +61,18 @@
     assert_eq!(EngineLoad::default().needed_engines(0.7, 40), 1);
 }
 
+#[test]
+fn busy_engines() {
+    let load = EngineLoad {
+        apart: 2.0,
+        direct: 1.0,
+        decode: 3.0,
+    };
+    assert!(!load.is_busy(40, 10), "idle engines");
+    assert!(load.is_busy(10, 4), "engines that decode are busy");
+    assert!(load.is_busy(40, 2), "engines that prefill are busy");
+}
+
 #[test]
 fn share_that_is_prefilled() {
     let load = EngineLoad {
