--- a/src/policy/engine_profile.rs
+++ b/src/policy/engine_profile.rs
@@ -13,7 +13,7 @@
 
 /// Time that an engine that decodes takes to read a token, in times that one
 /// that prefills takes (the platform's pages).
-const DIRECT_READ_FACTOR: f64 = 2.0;
+pub(super) const DIRECT_READ_FACTOR: f64 = 2.0;
 
 /// Time to read a token before any was seen read, in milliseconds.
 const PRIOR_READ_MS: f64 = 0.02;
--- a/src/policy/homes.rs
+++ b/src/policy/homes.rs
@@ -127,7 +127,7 @@
 }
 
 /// Finalizer of SplitMix64.
-pub(super) fn mix(value: u64) -> u64 {
+pub(in crate::policy) fn mix(value: u64) -> u64 {
     let mut value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
     value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/src/policy/work_meter.rs
+++ b/src/policy/work_meter.rs
@@ -1,10 +1,6 @@
 //! Engine time that a service's requests take, smoothed over recent seconds.
 
-use super::engine_profile::EngineWork;
-
-/// Time that an engine that decodes takes to read a prompt, in times that one
-/// that prefills takes (the platform's pages).
-const DIRECT_READ_FACTOR: f64 = 2.0;
+use super::engine_profile::{DIRECT_READ_FACTOR, EngineWork};
 
 /// Utilization of engines that prefill up to which prompts hardly wait.
 const PREFILL_UTILIZATION: f64 = 0.7;
