Refuse for busy engines only what was not sent

Found by reading the change: after a KV cache was lost with a cut, the prompt is prefilled again, and an overload there answered 503, which says that nothing ran, though an engine may have begun. Now only calls of which nothing was sent are refused so.

--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -52,7 +52,7 @@
     let mut direct = None;
     loop {
         if let Some(prompt) = unread.take() {
-            handle = match prefill(state, call, prompt).await {
+            handle = match prefill(state, call, prompt, progress.is_unsent()).await {
                 Prefill::Done(handle) => Some(handle),
                 Prefill::Direct(read) => {
                     direct = Some(read);
--- a/src/gateway/prefill.rs
+++ b/src/gateway/prefill.rs
@@ -75,11 +75,17 @@
     OverBudget,
 }
 
-/// Has the prompt of a call prefilled.
+/// Has the prompt of a call prefilled. `may_refuse` says that nothing was sent
+/// for the call before, so that it may be refused while engines are too busy.
 ///
 /// A request that an engine refused or did not finish counts as a send, so
 /// that whatever is sent after it is taken out of the budget.
-pub(super) async fn prefill(state: &Arc<State>, call: &Arc<Call>, prompt: &Prompt) -> Prefill {
+pub(super) async fn prefill(
+    state: &Arc<State>,
+    call: &Arc<Call>,
+    prompt: &Prompt,
+    may_refuse: bool,
+) -> Prefill {
     let mut tried = Vec::new();
     let mut attempts = 0;
     while attempts < MAX_PREFILL_ATTEMPTS && tried.len() < MAX_PREFILL_TARGETS {
@@ -91,7 +97,7 @@
         let Some(chosen) = chosen else {
             break;
         };
-        if tried.is_empty() && chosen.is_overloaded {
+        if may_refuse && tried.is_empty() && chosen.is_overloaded {
             let wait_ms = chosen.wait_ms as u32;
             return Prefill::Overloaded { wait_ms };
         }
--- a/src/gateway/progress.rs
+++ b/src/gateway/progress.rs
@@ -21,6 +21,12 @@
 }
 
 impl Progress {
+    /// Returns whether no request reached a target, so that a refusal may say
+    /// that nothing ran.
+    pub(super) fn is_unsent(&self) -> bool {
+        self.attempts == 0 && !self.may_have_run
+    }
+
     /// Notes a failed attempt and decides whether another is made.
     pub(super) fn fail(&mut self, state: &State, call: &Call, failure: Failure) -> RetryDecision {
         let reached = !failure.is_not_written();
