Look up the time in which a role settles once a request

The time is the same for all engines of a service. Behaviour is the same; linter and the tests of gateway, placement and roles ran.

--- a/src/gateway/decode.rs
+++ b/src/gateway/decode.rs
@@ -31,13 +31,11 @@
 /// Time after which a new engine's role has been decided.
 const ROLE_DECISION: Duration = Duration::from_millis(1_500);
 
-/// Returns whether an engine has run for so long that its role has been
-/// decided: while it changes, it refuses requests.
-pub(super) fn is_settled(state: &State, target: &Target) -> bool {
-    let settle = state
-        .engine(&target.service)
-        .map_or(Duration::ZERO, |engine| engine.role_change + ROLE_DECISION);
-    target.seen_at.elapsed() >= settle
+/// Returns the time after which a new engine's role has been decided: while it
+/// changes, it refuses requests.
+pub(super) fn settle_time(state: &State, service: &str) -> Duration {
+    let engine = state.engine(service);
+    engine.map_or(Duration::ZERO, |engine| engine.role_change + ROLE_DECISION)
 }
 
 /// An engine that may generate an answer.
@@ -78,7 +76,8 @@
             .prompt
             .as_ref()
             .map_or(0.0, |prompt| place_weight(prompt, &profile));
-    let is_settled = |target: &Target| is_settled(state, target);
+    let settle = settle_time(state, &call.service);
+    let is_settled = |target: &Target| target.seen_at.elapsed() >= settle;
     let settled = targets.iter().filter(|target| is_settled(target)).count();
     // Where most are new, those that are not would get all requests.
     let prefers_settled = 2 * settled >= targets.len();
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -5,7 +5,7 @@
 use futures_util::future::join_all;
 use tokio::time::{Instant, timeout};
 
-use super::{decode::is_settled, engine_call, loads::Report, state::State};
+use super::{decode::settle_time, engine_call, loads::Report, state::State};
 use crate::{
     call::{Call, Prompt},
     peer::MAX_MESH_INSTANCES,
@@ -215,6 +215,7 @@
     let now_ms = state.now_ms();
     let now = Instant::now();
     let objective_ms = call.route.latency_objective.as_secs_f64() * 1_000.0;
+    let settle = settle_time(state, &call.service);
     let loads = state.loads();
     let mut candidates = Vec::with_capacity(targets.len());
     for target in targets {
@@ -222,7 +223,7 @@
         let in_flight = loads.in_flight(&target.id, now_ms);
         let is_allowed = loads.allows(&target.id, now_ms);
         let mut penalty = FAILING_OBJECTIVES * loads.failure_rate(&target.id);
-        if !is_settled(state, target) {
+        if target.seen_at.elapsed() < settle {
             penalty += UNSETTLED_OBJECTIVES;
         }
         candidates.push(EngineCandidate {
