--- a/src/platform/store.rs
+++ b/src/platform/store/mod.rs
@@ -1,38 +1,27 @@
 //! Client of the platform's store, which has an append-only log for each topic.
 
+mod error;
+mod records;
+
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
-use bytes::{Buf, BufMut, Bytes, BytesMut};
-use derive_more::Display as DeriveDisplay;
-use displaydoc::Display;
+use bytes::BytesMut;
+use derive_more::Display;
 use reqwest::{RequestBuilder, Response, StatusCode};
 use serde::Deserialize;
 
-/// Size of the length prefix of a record, in bytes.
-const LENGTH_BYTES: usize = 4;
-/// Size of the head of a read's answer, in bytes: the end offset and the first
-/// offset.
-const READ_HEAD_BYTES: usize = 16;
-/// Maximum length of a key, in bytes. Longer keys are truncated.
-const MAX_KEY_BYTES: usize = 255;
+use self::records::{decode_batch, encode_record};
+pub use self::{
+    error::StoreError,
+    records::{KeyedRecord, ReadBatch},
+};
 
 /// Name of a topic with keyed records. The store always keeps the newest record
 /// of each key.
-#[derive(Clone, Copy, Debug, DeriveDisplay, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
 pub struct Topic(pub &'static str);
 
-/// A record of a keyed topic.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct KeyedRecord {
-    /// Offset in the topic, from 0.
-    pub offset: u64,
-    /// Key of the record.
-    pub key: Arc<str>,
-    /// Value; `None` if the record deletes the key.
-    pub value: Option<Bytes>,
-}
-
 /// Result of an append.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 pub struct Appended {
@@ -42,19 +31,6 @@
     pub end_offset: u64,
 }
 
-/// Result of a read.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ReadBatch {
-    /// Records in offset order.
-    pub records: Vec<KeyedRecord>,
-    /// Number of records that could not be decoded as keyed records.
-    pub malformed: u32,
-    /// Offset to read next.
-    pub next_offset: u64,
-    /// Offset that the next record will get.
-    pub end_offset: u64,
-}
-
 /// The newest record of each key of a topic.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Newest {
@@ -64,40 +40,6 @@
     pub next_offset: u64,
 }
 
-/// Error of a call to the store.
-#[derive(Debug, Display)]
-pub enum StoreError {
-    /// the call to the store was not sent: {0}
-    NotSent(reqwest::Error),
-    /// the outcome of the call to the store is unknown: {0}
-    Unknown(reqwest::Error),
-    /// the topic ends at offset {end_offset}
-    EndOffsetMismatch {
-        /// Offset at which the topic ends.
-        end_offset: u64,
-    },
-    /// the records before offset {first_offset} were trimmed
-    Trimmed {
-        /// First offset that the store still has.
-        first_offset: u64,
-    },
-    /// the store answered status {0}
-    Status(u16),
-    /// malformed answer from the store: {0}
-    Malformed(&'static str),
-}
-
-impl std::error::Error for StoreError {}
-
-impl StoreError {
-    /// Returns whether the store may have executed the call or may still
-    /// execute it.
-    #[must_use]
-    pub fn may_be_executed(&self) -> bool {
-        matches!(self, Self::Unknown(_) | Self::Malformed(_))
-    }
-}
-
 #[derive(Deserialize)]
 struct NewestPage {
     items: Vec<NewestItem>,
@@ -323,58 +265,3 @@
     let bytes = response.bytes().await.map_err(StoreError::Unknown)?;
     serde_json::from_slice(&bytes).map_err(|_| StoreError::Malformed("unexpected body"))
 }
-
-fn encode_record(key: &str, value: &[u8]) -> Bytes {
-    let key = &key.as_bytes()[..key.len().min(MAX_KEY_BYTES)];
-    let length = 1 + key.len() + value.len();
-    let mut record = BytesMut::with_capacity(LENGTH_BYTES + length);
-    record.put_u32(length as u32);
-    record.put_u8(key.len() as u8);
-    record.put_slice(key);
-    record.put_slice(value);
-    record.freeze()
-}
-
-fn decode_batch(mut bytes: Bytes, from: u64) -> Result<ReadBatch, StoreError> {
-    if bytes.len() < READ_HEAD_BYTES {
-        return Err(StoreError::Malformed(
-            "answer to a read is shorter than its head",
-        ));
-    }
-    let mut batch = ReadBatch {
-        end_offset: bytes.get_u64(),
-        records: Vec::new(),
-        malformed: 0,
-        next_offset: from,
-    };
-    let _first_offset = bytes.get_u64();
-    while bytes.len() >= LENGTH_BYTES {
-        let length = bytes.get_u32() as usize;
-        if bytes.len() < length {
-            return Err(StoreError::Malformed("truncated record"));
-        }
-        let record = bytes.split_to(length);
-        match decode_record(record, batch.next_offset) {
-            Some(record) => batch.records.push(record),
-            None => batch.malformed += 1,
-        }
-        batch.next_offset += 1;
-    }
-    Ok(batch)
-}
-
-fn decode_record(mut record: Bytes, offset: u64) -> Option<KeyedRecord> {
-    if record.is_empty() {
-        return None;
-    }
-    let key_length = usize::from(record.get_u8());
-    if record.len() < key_length {
-        return None;
-    }
-    let key = record.split_to(key_length);
-    Some(KeyedRecord {
-        offset,
-        key: std::str::from_utf8(&key).ok()?.into(),
-        value: (!record.is_empty()).then_some(record),
-    })
-}
