Tell how long a store call took and how much arrived

A failed read of the store left one line without its duration, and none for the reads that failed after it, so that an overloaded store, a silent one and a slow instance looked the same (docs/incidents/2026-12-recover.md).

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -24,17 +24,24 @@
     store: StoreClient,
     topic: Topic,
     next_offset: Option<u64>,
-    failed_since: Option<Instant>,
+    failures: Option<FailedReads>,
     backoff: ReadBackoff,
 }
 
+/// Failed reads since the last successful one.
+#[derive(Clone, Copy, Debug)]
+struct FailedReads {
+    since: Instant,
+    count: u32,
+}
+
 impl Follower {
     pub(super) fn new(store: StoreClient, topic: Topic) -> Self {
         Self {
             store,
             topic,
             next_offset: None,
-            failed_since: None,
+            failures: None,
             backoff: ReadBackoff::default(),
         }
     }
@@ -46,6 +53,7 @@
     /// returns `Err`. If the read failed because its records were trimmed, the next
     /// read returns a snapshot.
     pub(super) async fn next_update(&mut self, wait: Duration) -> Result<Update, ()> {
+        let sent_at = Instant::now();
         let result = match self.next_offset {
             None => self.read_newest().await,
             Some(from) => self.read_changes(from, wait).await,
@@ -56,7 +64,7 @@
                 Ok(update)
             }
             Err(error) => {
-                let outcome = self.note_failure(&error);
+                let outcome = self.note_failure(&error, sent_at.elapsed());
                 sleep(self.backoff.delay_after(outcome, rand::random())).await;
                 Err(())
             }
@@ -64,7 +72,16 @@
     }
 
     async fn read_newest(&mut self) -> Result<Update, StoreError> {
+        let sent_at = Instant::now();
         let newest = self.store.newest(self.topic).await?;
+        tracing::info!(
+            records = newest.records.len(),
+            received_bytes = newest.received_bytes,
+            next_offset = newest.next_offset,
+            elapsed_ms = sent_at.elapsed().as_millis() as u64,
+            "gateway: snapshot of {} read",
+            self.topic
+        );
         self.next_offset = Some(newest.next_offset);
         Ok(Update::Snapshot(newest.records))
     }
@@ -90,18 +107,24 @@
     /// Returns whether a read has failed since the last successful one. A read of
     /// trimmed records does not count as failed.
     pub(super) fn last_read_failed(&self) -> bool {
-        self.failed_since.is_some()
+        self.failures.is_some()
     }
 
     fn note_success(&mut self) {
         self.backoff.delay_after(ReadOutcome::Read, 0.0);
-        if let Some(since) = self.failed_since.take() {
-            let outage_ms = since.elapsed().as_millis() as u64;
-            tracing::info!(outage_ms, "gateway: store regained for {}", self.topic);
+        if let Some(failures) = self.failures.take() {
+            let outage_ms = failures.since.elapsed().as_millis() as u64;
+            let failed_reads = failures.count;
+            tracing::info!(
+                outage_ms,
+                failed_reads,
+                "gateway: store regained for {}",
+                self.topic
+            );
         }
     }
 
-    fn note_failure(&mut self, error: &StoreError) -> ReadOutcome {
+    fn note_failure(&mut self, error: &StoreError, elapsed: Duration) -> ReadOutcome {
         if let StoreError::Trimmed { first_offset } = error {
             tracing::info!(
                 first_offset,
@@ -111,9 +134,26 @@
             self.next_offset = None;
             return ReadOutcome::Trimmed;
         }
-        if self.failed_since.is_none() {
-            tracing::warn!("gateway: store lost for {}: {error}", self.topic);
-            self.failed_since = Some(Instant::now());
+        let elapsed_ms = elapsed.as_millis() as u64;
+        let failures = self.failures.get_or_insert_with(|| FailedReads {
+            since: Instant::now(),
+            count: 0,
+        });
+        failures.count += 1;
+        let failed_reads = failures.count;
+        if failed_reads == 1 {
+            tracing::warn!(
+                elapsed_ms,
+                "gateway: store lost for {}: {error}",
+                self.topic
+            );
+        } else if failed_reads.is_power_of_two() {
+            tracing::info!(
+                elapsed_ms,
+                failed_reads,
+                "gateway: store still lost for {}: {error}",
+                self.topic
+            );
         }
         ReadOutcome::Failed
     }
--- a/src/platform/store/error.rs
+++ b/src/platform/store/error.rs
@@ -7,8 +7,13 @@
 pub enum StoreError {
     /// the call to the store was not sent: {0}
     NotSent(reqwest::Error),
-    /// the outcome of the call to the store is unknown: {0}
-    Unknown(reqwest::Error),
+    /// the outcome of the call to the store is unknown after {received_bytes} bytes of the answer: {source}
+    Unknown {
+        /// Bytes of the answer's body that had arrived.
+        received_bytes: u64,
+        /// Cause of the failure.
+        source: reqwest::Error,
+    },
     /// the topic ends at offset {end_offset}
     EndOffsetMismatch {
         /// Offset at which the topic ends.
@@ -32,6 +37,15 @@
     /// execute it.
     #[must_use]
     pub fn may_be_executed(&self) -> bool {
-        matches!(self, Self::Unknown(_) | Self::Malformed(_))
+        matches!(self, Self::Unknown { .. } | Self::Malformed(_))
+    }
+
+    /// Returns the number of bytes of an incomplete answer that had arrived.
+    #[must_use]
+    pub fn received_bytes(&self) -> u64 {
+        match self {
+            Self::Unknown { received_bytes, .. } => *received_bytes,
+            _ => 0,
+        }
     }
 }
--- a/src/platform/store/mod.rs
+++ b/src/platform/store/mod.rs
@@ -1,5 +1,6 @@
 //! Client of the platform's store, which has an append-only log for each topic.
 
+mod call;
 mod error;
 mod records;
 
@@ -8,10 +9,13 @@
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::BytesMut;
 use derive_more::Display;
-use reqwest::{RequestBuilder, Response, StatusCode};
+use reqwest::StatusCode;
 use serde::Deserialize;
 
-use self::records::{decode_batch, encode_record};
+use self::{
+    call::call,
+    records::{decode_batch, encode_record},
+};
 pub use self::{
     error::StoreError,
     records::{KeyedRecord, ReadBatch},
@@ -38,9 +42,11 @@
     pub records: Vec<KeyedRecord>,
     /// Offset from which to read later records.
     pub next_offset: u64,
+    /// Size of the answers, in bytes.
+    pub received_bytes: u64,
 }
 
-#[derive(Deserialize)]
+#[derive(Default, Deserialize)]
 struct NewestPage {
     items: Vec<NewestItem>,
     more: bool,
@@ -123,21 +129,20 @@
         }
         let mut query = vec![("topic", topic.to_string()), ("part", "0".to_owned())];
         query.extend(at.map(|at| ("at", at.to_string())));
-        count_call("append", topic);
         let request = self
             .http
             .post(format!("{}/log-append", self.base_url))
             .query(&query)
             .timeout(self.timeout)
             .body(body.freeze());
-        let response = send(request).await?;
-        if response.status() == StatusCode::PRECONDITION_FAILED {
-            let end: EndOffset = read_json(response).await?;
+        let answer = call("append", topic, request).await?;
+        if answer.status == StatusCode::PRECONDITION_FAILED {
+            let end: EndOffset = answer.json()?;
             return Err(StoreError::EndOffsetMismatch {
                 end_offset: end.end_offset,
             });
         }
-        read_json(check_status(response)?).await
+        answer.into_success()?.json()
     }
 
     /// Reads the records from offset `from` on, and waits up to `wait` if there are
@@ -158,22 +163,19 @@
             ("from", from.to_string()),
             ("wait_ms", wait.as_millis().to_string()),
         ];
-        count_call("read", topic);
         let request = self
             .http
             .get(format!("{}/log-read", self.base_url))
             .query(&query)
             .timeout(self.timeout + wait);
-        let response = send(request).await?;
-        if response.status() == StatusCode::GONE {
-            let first: FirstOffset = read_json(response).await?;
+        let answer = call("read", topic, request).await?;
+        if answer.status == StatusCode::GONE {
+            let first: FirstOffset = answer.json()?;
             return Err(StoreError::Trimmed {
                 first_offset: first.first_offset,
             });
         }
-        let response = check_status(response)?;
-        let bytes = response.bytes().await.map_err(StoreError::Unknown)?;
-        decode_batch(bytes, from)
+        decode_batch(answer.into_success()?.body, from)
     }
 
     /// Reads the newest record of each key.
@@ -188,10 +190,12 @@
         let mut newest = Newest {
             records: Vec::new(),
             next_offset: 0,
+            received_bytes: 0,
         };
         let mut after: Option<Arc<str>> = None;
         loop {
-            let page = self.newest_page(topic, after.as_deref()).await?;
+            let (page, received_bytes) = self.newest_page(topic, after.as_deref()).await?;
+            newest.received_bytes += received_bytes;
             if after.is_none() {
                 newest.next_offset = page.end_offset;
             }
@@ -212,56 +216,26 @@
         }
     }
 
+    /// Reads one page of the newest records, and returns it with its size in bytes.
     async fn newest_page(
         &self,
         topic: Topic,
         after: Option<&str>,
-    ) -> Result<NewestPage, StoreError> {
+    ) -> Result<(NewestPage, u64), StoreError> {
         let mut query = vec![("topic", topic.to_string()), ("part", "0".to_owned())];
         query.extend(after.map(|after| ("after", after.to_owned())));
-        count_call("newest", topic);
         let request = self
             .http
             .get(format!("{}/log-newest", self.base_url))
             .query(&query)
             .timeout(self.timeout);
-        let response = send(request).await?;
+        let answer = call("newest", topic, request).await?;
         // A topic that only gateways write does not exist before the first record is
         // appended.
-        if response.status() == StatusCode::NOT_FOUND {
-            return Ok(NewestPage {
-                items: Vec::new(),
-                more: false,
-                end_offset: 0,
-            });
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok((NewestPage::default(), 0));
         }
-        read_json(check_status(response)?).await
+        let answer = answer.into_success()?;
+        Ok((answer.json()?, answer.body.len() as u64))
     }
 }
-
-fn count_call(call: &'static str, topic: Topic) {
-    metrics::counter!("store_calls_total", "call" => call, "topic" => topic.0).increment(1);
-}
-
-async fn send(request: RequestBuilder) -> Result<Response, StoreError> {
-    match request.send().await {
-        Ok(response) => Ok(response),
-        Err(error) if error.is_connect() || error.is_builder() => Err(StoreError::NotSent(error)),
-        Err(error) => Err(StoreError::Unknown(error)),
-    }
-}
-
-fn check_status(response: Response) -> Result<Response, StoreError> {
-    if response.status().is_success() {
-        return Ok(response);
-    }
-    Err(StoreError::Status(response.status().as_u16()))
-}
-
-async fn read_json<T>(response: Response) -> Result<T, StoreError>
-where
-    T: serde::de::DeserializeOwned,
-{
-    let bytes = response.bytes().await.map_err(StoreError::Unknown)?;
-    serde_json::from_slice(&bytes).map_err(|_| StoreError::Malformed("unexpected body"))
-}
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -129,6 +129,15 @@
     drop(client);
 }
 
+/// A cut answer reports how much of it had arrived.
+#[tokio::test]
+async fn cut_answer_size() {
+    let (store, client) = start_store().await;
+    store.fault("newest", StoreFault::CutAnswer(40));
+    let error = client.newest(TOPIC).await.unwrap_err();
+    assert_eq!(error.received_bytes(), 40, "{error}");
+}
+
 #[tokio::test]
 async fn records_appended_together() {
     let (_store, client) = start_store().await;
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -14,6 +14,7 @@
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use futures_util::StreamExt;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, body::Frame, body::Incoming,
@@ -116,6 +117,8 @@
     NoAnswer,
     /// Answers with an invalid body and does not execute the call.
     Malformed,
+    /// Sends this many bytes of an answer, and closes the connection.
+    CutAnswer(usize),
 }
 
 #[derive(Debug, Default)]
@@ -248,6 +251,7 @@
         Some(StoreFault::Status(code)) => return Some(status(code, "{}")),
         Some(StoreFault::Malformed) => return Some(status(200, "<html>")),
         Some(StoreFault::NoAnswer) => std::future::pending().await,
+        Some(StoreFault::CutAnswer(bytes)) => return Some(cut_answer(bytes)),
         Some(StoreFault::LostAnswer) => {
             execute(&state, &path, &query, body);
             changed.notify_waiters();
@@ -275,6 +279,19 @@
     Some(response)
 }
 
+/// Returns an answer whose body breaks off after this many bytes.
+fn cut_answer(bytes: usize) -> Response<AnswerBody> {
+    let sent = Ok(Frame::data(vec![b' '; bytes].into()));
+    let cut = async {
+        // The server flushes the bytes only when no further frame is ready.
+        sleep(Duration::from_millis(5)).await;
+        Err(std::io::Error::other("answer cut"))
+    };
+    let frames = futures_util::stream::once(async { sent });
+    let body = StreamBody::new(frames.chain(futures_util::stream::once(cut)));
+    Response::new(body.boxed_unsync())
+}
+
 fn execute(
     state: &Mutex<StoreState>,
     path: &str,
