--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -17,8 +17,10 @@
 use futures_util::StreamExt;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, body::Frame, body::Incoming,
-    server::conn::http1, service::service_fn,
+    HeaderMap, Method, Request, Response, StatusCode,
+    body::{Body as _, Frame, Incoming},
+    server::conn::http1,
+    service::service_fn,
 };
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
@@ -28,7 +30,7 @@
     net::TcpListener,
     sync::{Notify, oneshot},
     task::JoinHandle,
-    time::{sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
 /// Time limit of waits, so that a failing test does not hang.
@@ -134,6 +136,11 @@
     /// whose path contains the fault's text.
     pub faults: VecDeque<(&'static str, StoreFault)>,
     pub calls: Vec<String>,
+    /// Rate at which answers to reads are delivered, all callers together, in bytes per
+    /// second; `None` if it is unlimited.
+    pub read_rate: Option<f64>,
+    /// When the answers to all reads that have arrived are delivered.
+    reads_done_at: Option<Instant>,
 }
 
 impl StoreState {
@@ -173,6 +180,19 @@
         newest
     }
 
+    /// Adds an answer to the queue of deliveries, and returns when it is delivered. An
+    /// answer takes its time also if its caller no longer waits for it.
+    fn queue_delivery(&mut self, bytes: u64) -> Instant {
+        let now = Instant::now();
+        let Some(rate) = self.read_rate else {
+            return now;
+        };
+        let starts_at = self.reads_done_at.map_or(now, |at| at.max(now));
+        let done_at = starts_at + Duration::from_secs_f64(bytes as f64 / rate);
+        self.reads_done_at = Some(done_at);
+        done_at
+    }
+
     fn end(&self, topic: &str) -> u64 {
         self.topics
             .get(topic)
@@ -276,6 +296,11 @@
     }
     let response = execute(&state, &path, &query, body);
     changed.notify_waiters();
+    if path != "/log-append" {
+        let bytes = response.body().size_hint().exact().unwrap_or(0);
+        let delivered_at = state.lock().unwrap().queue_delivery(bytes);
+        sleep_until(delivered_at).await;
+    }
     Some(response)
 }
 
@@ -586,15 +611,16 @@
         }
     }
 
+    /// Returns whether the gateway reports that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let response = reqwest::get(&self.readiness_url).await;
+        response.is_ok_and(|response| response.status().is_success())
+    }
+
     /// Waits until the gateway reports that it is ready.
     pub async fn wait_until_ready(&self) {
-        let client = reqwest::Client::new();
         let poll = async {
-            loop {
-                let response = client.get(&self.readiness_url).send().await;
-                if response.is_ok_and(|response| response.status().is_success()) {
-                    return;
-                }
+            while !self.is_ready().await {
                 sleep(Duration::from_millis(10)).await;
             }
         };
