--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -6,7 +6,10 @@
 
 use crate::{
     platform::{KeyedRecord, StoreClient, StoreError, Topic},
-    policy::read_backoff::{ReadBackoff, ReadOutcome},
+    policy::{
+        read_backoff::{ReadBackoff, ReadOutcome},
+        snapshot_pace::SnapshotPace,
+    },
 };
 
 /// Records returned by a read of a topic.
@@ -26,6 +29,9 @@
     next_offset: Option<u64>,
     failures: Option<FailedReads>,
     backoff: ReadBackoff,
+    snapshot_pace: SnapshotPace,
+    /// Time that the last snapshot took, until the first read of changes after it.
+    snapshot_time: Duration,
 }
 
 /// Failed reads since the last successful one.
@@ -43,20 +49,29 @@
             next_offset: None,
             failures: None,
             backoff: ReadBackoff::default(),
+            snapshot_pace: SnapshotPace::default(),
+            snapshot_time: Duration::ZERO,
         }
     }
 
     /// Reads the next records, and waits up to `wait` if there are none; the first
     /// read returns a snapshot.
     ///
+    /// The first wait after a snapshot is shorter by the time that the snapshot took,
+    /// since the snapshot shows only what was known when it was asked for.
+    ///
     /// After a failed read, this function sleeps for the back-off delay and then
     /// returns `Err`. If the read failed because its records were trimmed, the next
     /// read returns a snapshot.
     pub(super) async fn next_update(&mut self, wait: Duration) -> Result<Update, ()> {
         let sent_at = Instant::now();
+        let is_snapshot = self.next_offset.is_none();
         let result = match self.next_offset {
-            None => self.read_newest().await,
-            Some(from) => self.read_changes(from, wait).await,
+            None => self.read_newest(sent_at).await,
+            Some(from) => {
+                let wait = wait.saturating_sub(std::mem::take(&mut self.snapshot_time));
+                self.read_changes(from, wait).await
+            }
         };
         match result {
             Ok(update) => {
@@ -64,21 +79,31 @@
                 Ok(update)
             }
             Err(error) => {
-                let outcome = self.note_failure(&error, sent_at.elapsed());
-                sleep(self.backoff.delay_after(outcome, rand::random())).await;
+                let elapsed = sent_at.elapsed();
+                let outcome = self.note_failure(&error, elapsed);
+                let mut delay = self.backoff.delay_after(outcome, rand::random());
+                if is_snapshot {
+                    let pause = self
+                        .snapshot_pace
+                        .pause_after_failure(elapsed, rand::random());
+                    delay = delay.max(pause);
+                }
+                sleep(delay).await;
                 Err(())
             }
         }
     }
 
-    async fn read_newest(&mut self) -> Result<Update, StoreError> {
-        let sent_at = Instant::now();
-        let newest = self.store.newest(self.topic).await?;
+    async fn read_newest(&mut self, sent_at: Instant) -> Result<Update, StoreError> {
+        let time_limit = self.snapshot_pace.time_limit();
+        let newest = self.store.newest_within(self.topic, time_limit).await?;
+        self.snapshot_pace.reset();
+        self.snapshot_time = sent_at.elapsed();
         tracing::info!(
             records = newest.records.len(),
             received_bytes = newest.received_bytes,
             next_offset = newest.next_offset,
-            elapsed_ms = sent_at.elapsed().as_millis() as u64,
+            elapsed_ms = self.snapshot_time.as_millis() as u64,
             "gateway: snapshot of {} read",
             self.topic
         );
--- a/src/platform/store/mod.rs
+++ b/src/platform/store/mod.rs
@@ -187,6 +187,20 @@
     ///
     /// Fails if a page cannot be read or decoded.
     pub async fn newest(&self, topic: Topic) -> Result<Newest, StoreError> {
+        self.newest_within(topic, self.timeout).await
+    }
+
+    /// Reads the newest record of each key as [`StoreClient::newest`] does, with
+    /// another time limit for each page.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`StoreClient::newest`] does.
+    pub async fn newest_within(
+        &self,
+        topic: Topic,
+        page_time_limit: Duration,
+    ) -> Result<Newest, StoreError> {
         let mut newest = Newest {
             records: Vec::new(),
             next_offset: 0,
@@ -194,7 +208,9 @@
         };
         let mut after: Option<Arc<str>> = None;
         loop {
-            let (page, received_bytes) = self.newest_page(topic, after.as_deref()).await?;
+            let (page, received_bytes) = self
+                .newest_page(topic, after.as_deref(), page_time_limit)
+                .await?;
             newest.received_bytes += received_bytes;
             if after.is_none() {
                 newest.next_offset = page.end_offset;
@@ -221,6 +237,7 @@
         &self,
         topic: Topic,
         after: Option<&str>,
+        time_limit: Duration,
     ) -> Result<(NewestPage, u64), StoreError> {
         let mut query = vec![("topic", topic.to_string()), ("part", "0".to_owned())];
         query.extend(after.map(|after| ("after", after.to_owned())));
@@ -228,7 +245,7 @@
             .http
             .get(format!("{}/log-newest", self.base_url))
             .query(&query)
-            .timeout(self.timeout);
+            .timeout(time_limit);
         let answer = call("newest", topic, request).await?;
         // A topic that only gateways write does not exist before the first record is
         // appended.
