Read the list of instances once at the start

An instance read the list of instances to choose its incarnation, and again to follow it: 79 kB twice for each of 295 instances after a restart of all, while the store was overloaded.

MemberTail reads the list once and goes on from there. snapshots_read_once failed before ('keyed.members: left 2, right 1').

--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -57,31 +57,6 @@
     }
 }
 
-/// Returns the incarnation for a new start of an instance: a number that is higher
-/// than that of each earlier start.
-///
-/// The incarnation is the current Unix time in milliseconds, or the last announced
-/// incarnation plus one if that is greater. Retries until the store answers.
-pub(super) async fn next_incarnation(store: &StoreClient, name: &str) -> u64 {
-    let mut backoff = Backoff::new(FIRST_RETRY, MAX_RETRY);
-    loop {
-        match store.newest(MEMBER_TOPIC).await {
-            Ok(newest) => {
-                let mut members = IndexMap::new();
-                for record in &newest.records {
-                    apply_announcement(&mut members, record);
-                }
-                let last = members.get(name).map_or(0, |member| member.incarnation);
-                return unix_ms().max(last + 1);
-            }
-            Err(error) => {
-                tracing::info!("gateway: cannot read announcements of instances: {error}")
-            }
-        }
-        sleep(backoff.next_delay()).await;
-    }
-}
-
 fn unix_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     since_epoch.map_or(0, |elapsed| elapsed.as_millis() as u64)
@@ -109,27 +84,59 @@
     }
 }
 
-/// Follows the announcements and passes the list of instances to the peer
-/// connections. Never returns.
-pub(super) async fn follow(store: StoreClient, peers: PeerHandle) {
-    let mut follower = Follower::new(store, MEMBER_TOPIC);
-    let mut members: IndexMap<Arc<str>, LiveInstance> = IndexMap::new();
-    loop {
-        let Ok(update) = follower.next_update(READ_WAIT).await else {
-            continue;
-        };
-        let records = match update {
-            Update::Changes(records) if records.is_empty() => continue,
-            Update::Changes(records) => records,
-            Update::Snapshot(records) => {
-                members.clear();
+/// Reader of the announcements of all instances.
+#[derive(Debug)]
+pub(super) struct MemberTail {
+    follower: Follower,
+    members: IndexMap<Arc<str>, LiveInstance>,
+}
+
+impl MemberTail {
+    pub(super) fn new(store: StoreClient) -> Self {
+        Self {
+            follower: Follower::new(store, MEMBER_TOPIC),
+            members: IndexMap::new(),
+        }
+    }
+
+    /// Returns the incarnation for a new start of an instance: a number that is higher
+    /// than that of each earlier start.
+    ///
+    /// The incarnation is the current Unix time in milliseconds, or the last announced
+    /// incarnation plus one if that is greater. Retries until the announcements are
+    /// read.
+    pub(super) async fn next_incarnation(&mut self, name: &str) -> u64 {
+        while !self.read().await {}
+        let last = self.members.get(name);
+        unix_ms().max(last.map_or(0, |member| member.incarnation) + 1)
+    }
+
+    /// Reads the next announcements. Returns false if the read failed or returned none.
+    async fn read(&mut self) -> bool {
+        let records = match self.follower.next_update(READ_WAIT).await {
+            Err(()) => return false,
+            Ok(Update::Changes(records)) if records.is_empty() => return false,
+            Ok(Update::Changes(records)) => records,
+            Ok(Update::Snapshot(records)) => {
+                self.members.clear();
                 records
             }
         };
         for record in &records {
-            apply_announcement(&mut members, record);
+            apply_announcement(&mut self.members, record);
+        }
+        true
+    }
+}
+
+/// Follows the announcements and passes the list of instances to the peer
+/// connections. Never returns.
+pub(super) async fn follow(mut tail: MemberTail, peers: PeerHandle) {
+    loop {
+        if !tail.read().await {
+            continue;
         }
-        let list: Vec<LiveInstance> = members.values().cloned().collect();
+        let list: Vec<LiveInstance> = tail.members.values().cloned().collect();
         tracing::info!(members = list.len(), "gateway: list of instances updated");
         peers.apply_list(&list);
         let batches = list.len() as f64 / BATCH_INSTANCES as f64;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -13,7 +13,9 @@
 use super::{
     catalog::CatalogTail,
     duty::{self, DutyLease},
-    engines, members, readiness, reload, server,
+    engines,
+    members::{self, MemberTail},
+    readiness, reload, server,
     state::State,
     targets,
 };
@@ -228,7 +230,8 @@
     /// the peers.
     async fn join_peers(self, supervisor: Supervisor, listener: TcpListener, log: PeerLog) {
         let settings = &self.state.settings;
-        let incarnation = members::next_incarnation(&self.store, &settings.name).await;
+        let mut members = MemberTail::new(self.store.clone());
+        let incarnation = members.next_incarnation(&settings.name).await;
         let peer_address = listener.local_addr().unwrap_or(settings.peer_address);
         let member = members::announcement(&self.state, incarnation, peer_address);
         members::announce(&self.store, &member).await;
@@ -254,8 +257,13 @@
             engines::exchange_work(state.clone(), handle.clone())
         });
         let (store, handle) = (self.store.clone(), peers.handle.clone());
+        // Continues after the announcements that were just read; a restarted task reads
+        // them again.
+        let mut members = Some(members);
         spawn_task(&supervisor, "members", move || {
-            members::follow(store.clone(), handle.clone())
+            let tail = members.take();
+            let tail = tail.unwrap_or_else(|| MemberTail::new(store.clone()));
+            members::follow(tail, handle.clone())
         });
         tracing::info!(incarnation, "gateway: connected to the mesh of instances");
         self.track_instances(live, peers).await;
--- a/tests/store_overload.rs
+++ b/tests/store_overload.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use platform_support::{Cloud, Gateway, Store, configuration};
+use platform_support::{Cloud, Gateway, Store, configuration, eventually};
 use serde_json::{Value, json};
 use tokio::{task::JoinSet, time::sleep};
 
@@ -93,3 +93,27 @@
     sleep(FRESHNESS).await;
     check_recovery(gateways).await;
 }
+
+/// Guards against: an instance reads a snapshot twice at its start, which a busy store
+/// has to deliver twice for all of them.
+#[tokio::test]
+async fn snapshots_read_once() {
+    let (store, cloud) = (Store::start().await, Cloud::start().await);
+    store.put("keyed.op", "config", &configuration(1));
+    let gateway = Gateway::start("entry-0", &store, &cloud).await;
+    gateway.wait_until_ready().await;
+    eventually("the instance follows its own announcement", || {
+        reads(&store, "/log-read", "keyed.members") > 1
+    })
+    .await;
+    for topic in ["keyed.op", "keyed.servers", "keyed.members"] {
+        assert_eq!(reads(&store, "/log-newest", topic), 1, "{topic}");
+    }
+}
+
+/// Returns the number of calls that read a topic.
+fn reads(store: &Store, path: &str, topic: &str) -> usize {
+    let state = store.state.lock().unwrap();
+    let matches = |call: &&String| call.starts_with(path) && call.contains(topic);
+    state.calls.iter().filter(matches).count()
+}
