--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -67,7 +67,7 @@
         let sent_at = Instant::now();
         let is_snapshot = self.next_offset.is_none();
         let result = match self.next_offset {
-            None => self.read_newest(sent_at).await,
+            None => self.read_newest().await,
             Some(from) => {
                 let wait = wait.saturating_sub(std::mem::take(&mut self.snapshot_time));
                 self.read_changes(from, wait).await
@@ -94,7 +94,12 @@
         }
     }
 
-    async fn read_newest(&mut self, sent_at: Instant) -> Result<Update, StoreError> {
+    /// Reads a snapshot, once a small read has shown that the store answers. So a
+    /// snapshot is not asked of a store that is silent or has many answers to deliver
+    /// first.
+    async fn read_newest(&mut self) -> Result<Update, StoreError> {
+        self.store.probe(self.topic).await?;
+        let sent_at = Instant::now();
         let time_limit = self.snapshot_pace.time_limit();
         let newest = self.store.newest_within(self.topic, time_limit).await?;
         self.snapshot_pace.reset();
--- a/src/platform/store/mod.rs
+++ b/src/platform/store/mod.rs
@@ -21,6 +21,9 @@
     records::{KeyedRecord, ReadBatch},
 };
 
+/// Key that sorts after all others.
+const LAST_KEY: &str = "\u{10ffff}";
+
 /// Name of a topic with keyed records. The store always keeps the newest record
 /// of each key.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
@@ -178,6 +181,17 @@
         decode_batch(answer.into_success()?.body, from)
     }
 
+    /// Asks for the newest records after the last possible key, to learn whether the
+    /// store answers. The answer is small, whatever the topic holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer in time, or with an error.
+    pub async fn probe(&self, topic: Topic) -> Result<(), StoreError> {
+        let page = self.newest_page(topic, Some(LAST_KEY), self.timeout).await;
+        page.map(drop)
+    }
+
     /// Reads the newest record of each key.
     ///
     /// The records are read in several pages, which are not a consistent snapshot.
--- a/src/policy/snapshot_pace.rs
+++ b/src/policy/snapshot_pace.rs
@@ -7,7 +7,9 @@
 //! one.
 //!
 //! The time limit therefore grows until it suffices, and an instance pauses in
-//! proportion to the time that it kept the store busy.
+//! proportion to the time that it kept the store busy. Each attempt begins with a small
+//! read, the probe, which fails soon if the store is silent or already has much to
+//! deliver.
 
 use std::time::Duration;
 
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -136,6 +136,8 @@
     /// whose path contains the fault's text.
     pub faults: VecDeque<(&'static str, StoreFault)>,
     pub calls: Vec<String>,
+    /// Whether calls that arrive are never answered nor executed.
+    pub silent: bool,
     /// Rate at which answers to reads are delivered, all callers together, in bytes per
     /// second; `None` if it is unlimited.
     pub read_rate: Option<f64>,
@@ -250,19 +252,14 @@
     request: Request<Incoming>,
 ) -> Option<Response<AnswerBody>> {
     let path = request.uri().path().to_owned();
-    let query: IndexMap<String, String> = request
-        .uri()
-        .query()
-        .unwrap_or("")
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .map(|(name, value)| (name.to_owned(), value.to_owned()))
-        .collect();
+    let url = reqwest::Url::parse(&format!("http://store{}", request.uri())).ok()?;
+    let query: IndexMap<String, String> = url.query_pairs().into_owned().collect();
     let body = request.into_body().collect().await.ok()?.to_bytes();
     let fault = {
         let mut state = state.lock().unwrap();
         state.calls.push(format!("{path}?{query:?}"));
         match state.faults.front() {
+            _ if state.silent => Some(("", StoreFault::NoAnswer)),
             Some((path_part, _)) if path.contains(path_part) => state.faults.pop_front(),
             _ => None,
         }
--- a/tests/snapshot_pace.rs
+++ b/tests/snapshot_pace.rs
@@ -6,7 +6,10 @@
     arbitrary::{Result, Unstructured},
     arbtest,
 };
-use lavenderwind::policy::snapshot_pace::SnapshotPace;
+use lavenderwind::policy::{
+    read_backoff::{ReadBackoff, ReadOutcome},
+    snapshot_pace::SnapshotPace,
+};
 
 /// Number of instances of the largest fleet.
 const INSTANCES: usize = 320;
@@ -21,6 +24,9 @@
 /// Time after a restart of all instances within which callers must be served again.
 const RECOVERY: Duration = Duration::from_secs(15);
 
+/// Time limit of a probe.
+const PROBE_LIMIT: Duration = Duration::from_millis(700);
+
 /// Time within which all instances of a fleet start again.
 const START_SPREAD: Duration = Duration::from_millis(500);
 
@@ -54,25 +60,59 @@
     Ok(f64::from(u.int_in_range(0..=1_000u32)?) / 1_000.0)
 }
 
+/// Attempts of one instance to read its snapshot.
+#[derive(Default)]
+struct Reader {
+    pace: SnapshotPace,
+    backoff: ReadBackoff,
+    /// Whether the probe was answered, so that the snapshot is asked for next.
+    probed: bool,
+}
+
+impl Reader {
+    /// Makes the next call at `now`. Returns when the call after it is made, or when the
+    /// snapshot arrives.
+    fn call(
+        &mut self,
+        u: &mut Unstructured<'_>,
+        store: &mut BusyStore,
+        now: Duration,
+        bytes: f64,
+    ) -> Result<(Duration, bool)> {
+        let (bytes, time_limit) = match self.probed {
+            false => (0.0, PROBE_LIMIT),
+            true => (bytes, self.pace.time_limit()),
+        };
+        let delivered_at = store.deliver(now, bytes);
+        if delivered_at <= now + time_limit {
+            let has_snapshot = std::mem::replace(&mut self.probed, true);
+            return Ok((delivered_at, has_snapshot));
+        }
+        self.probed = false;
+        let delay = self
+            .backoff
+            .delay_after(ReadOutcome::Failed, fraction(u)?)
+            .max(self.pace.pause_after_failure(time_limit, fraction(u)?));
+        Ok((now + time_limit + delay, false))
+    }
+}
+
 /// Returns the time at which the last instance has its snapshot.
 fn last_snapshot(u: &mut Unstructured<'_>, instances: usize, bytes: f64) -> Result<Duration> {
     let mut store = BusyStore::default();
-    let mut reads = Vec::new();
+    let mut calls = Vec::new();
     for _ in 0..instances {
-        let sent_at = START_SPREAD.mul_f64(fraction(u)?);
-        reads.push((sent_at, SnapshotPace::default()));
+        calls.push((START_SPREAD.mul_f64(fraction(u)?), Reader::default()));
     }
     let mut last = Duration::ZERO;
-    while let Some(next) = (0..reads.len()).min_by_key(|&index| reads[index].0) {
-        let (sent_at, pace) = &mut reads[next];
-        let time_limit = pace.time_limit();
-        let delivered_at = store.deliver(*sent_at, bytes);
-        if delivered_at <= *sent_at + time_limit {
-            last = last.max(delivered_at);
-            reads.swap_remove(next);
-            continue;
+    while let Some(next) = (0..calls.len()).min_by_key(|&index| calls[index].0) {
+        let (now, reader) = &mut calls[next];
+        let (at, has_snapshot) = reader.call(u, &mut store, *now, bytes)?;
+        *now = at;
+        if has_snapshot {
+            last = last.max(at);
+            calls.swap_remove(next);
         }
-        *sent_at += time_limit + pace.pause_after_failure(time_limit, fraction(u)?);
     }
     Ok(last)
 }
--- a/tests/store_overload.rs
+++ b/tests/store_overload.rs
@@ -103,17 +103,47 @@
     let gateway = Gateway::start("entry-0", &store, &cloud).await;
     gateway.wait_until_ready().await;
     eventually("the instance follows its own announcement", || {
-        reads(&store, "/log-read", "keyed.members") > 1
+        let is_read = |call: &&String| call.starts_with("/log-read");
+        let calls = calls_of(&store, "keyed.members");
+        calls.iter().filter(is_read).count() > 1
     })
     .await;
     for topic in ["keyed.op", "keyed.servers", "keyed.members"] {
-        assert_eq!(reads(&store, "/log-newest", topic), 1, "{topic}");
+        let calls = calls_of(&store, topic);
+        let snapshots = calls.iter().filter(|call| starts_snapshot(call));
+        assert_eq!(snapshots.count(), 1, "{topic}");
     }
 }
 
-/// Returns the number of calls that read a topic.
-fn reads(store: &Store, path: &str, topic: &str) -> usize {
+/// Guards against: an instance that starts while the store is silent waits long for an
+/// answer that never comes, also after the store is back.
+#[tokio::test]
+async fn silent_store_probed() {
+    let (store, cloud) = (Store::start().await, Cloud::start().await);
+    store.put("keyed.op", "config", &configuration(1));
+    store.state.lock().unwrap().silent = true;
+    let gateway = Gateway::start("entry-0", &store, &cloud).await;
+    eventually("the configuration is asked for again", || {
+        calls_of(&store, "keyed.op").len() > 2
+    })
+    .await;
+    for topic in ["keyed.op", "keyed.servers", "keyed.members"] {
+        let calls = calls_of(&store, topic);
+        let snapshots = calls.iter().filter(|call| starts_snapshot(call));
+        assert_eq!(snapshots.count(), 0, "{topic}");
+    }
+    store.state.lock().unwrap().silent = false;
+    gateway.wait_until_ready().await;
+}
+
+/// Returns the calls that name a topic.
+fn calls_of(store: &Store, topic: &str) -> Vec<String> {
     let state = store.state.lock().unwrap();
-    let matches = |call: &&String| call.starts_with(path) && call.contains(topic);
-    state.calls.iter().filter(matches).count()
+    let calls = state.calls.iter().filter(|call| call.contains(topic));
+    calls.cloned().collect()
+}
+
+/// Returns whether a call reads the first page of a snapshot.
+fn starts_snapshot(call: &str) -> bool {
+    call.starts_with("/log-newest") && !call.contains("after")
 }
