Tell which requests were in flight as a target crashed

The lines at hand told that answers broke off, but neither whether the engine had ended nor what its requests had in common, so that they could not tell crashes by one part of a prompt from retries of a few requests.

After a broken answer the gateway now tries one new connection to the target. If it is refused and the target had not announced a stop, the target has crashed: one line for the crash, one for each request in flight, with its prompt parts.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::{
+    crash::{self, CallGuard},
     loads::AttemptOutcome,
     pool::{self, Connection},
     state::State,
@@ -31,6 +32,7 @@
     pub(super) head: AnswerHead,
     pub(super) body: Incoming,
     connection: Connection,
+    in_flight: CallGuard,
 }
 
 /// A target's answer with its complete body.
@@ -49,6 +51,8 @@
     /// Whether the gateway itself gave up the attempt. The failure is then not
     /// counted against the target.
     is_local: bool,
+    /// Whether the connection to the target was lost after the request was sent.
+    is_connection_lost: bool,
     cause: String,
 }
 
@@ -60,6 +64,7 @@
         Self {
             failure,
             is_local: false,
+            is_connection_lost: false,
             cause: cause.to_string(),
         }
     }
@@ -83,6 +88,17 @@
         Self::new(Failure::IncompleteAnswer, cause)
     }
 
+    /// Returns the error of an answer that broke off because its connection was lost.
+    pub(super) fn connection_lost<C>(cause: C) -> Self
+    where
+        C: fmt::Display,
+    {
+        Self {
+            is_connection_lost: true,
+            ..Self::incomplete_answer(cause)
+        }
+    }
+
     /// Returns the error of a target that did not answer before the deadline.
     pub(super) fn timeout() -> Self {
         Self::new(Failure::Timeout, "no answer before the deadline")
@@ -113,7 +129,7 @@
 /// of the answer is invalid, or if no head arrives before `deadline`.
 pub(super) async fn send(
     state: &Arc<State>,
-    call: &Call,
+    call: &Arc<Call>,
     target: &Arc<Target>,
     head: AttemptHead<'_>,
     deadline: Instant,
@@ -123,14 +139,20 @@
         .await
         .unwrap_or_else(|_| Err(AttemptError::timeout()));
     if let Err(error) = &result {
-        record_failure(state, call, target, error);
+        record_failure(state, call, target, error).await;
     }
     result
 }
 
 /// Logs a failed attempt and counts the failure against the target, unless the
-/// gateway itself gave up the attempt.
-pub(super) fn record_failure(state: &State, call: &Call, target: &Target, error: &AttemptError) {
+/// gateway itself gave up the attempt. If the connection was lost, the target is
+/// examined for a crash.
+pub(super) async fn record_failure(
+    state: &State,
+    call: &Call,
+    target: &Arc<Target>,
+    error: &AttemptError,
+) {
     tracing::info!(
         request = &*call.id,
         target = &*target.id,
@@ -144,6 +166,9 @@
     }
     let now_ms = state.now_ms();
     state.loads().observe(&target.id, error.outcome(), now_ms);
+    if error.is_connection_lost {
+        crash::examine(state, target).await;
+    }
 }
 
 impl Answer {
@@ -165,7 +190,10 @@
             Ok(Err(error)) if error.is::<LengthLimitError>() => Err(
                 AttemptError::incomplete_answer("answer body exceeds 16 MiB"),
             ),
-            Ok(Err(error)) => Err(AttemptError::incomplete_answer(error)),
+            Ok(Err(error)) => {
+                self.in_flight.mark_broken();
+                Err(AttemptError::connection_lost(error))
+            }
             Ok(Ok(body)) => Ok(body.to_bytes()),
         };
         match result {
@@ -179,21 +207,22 @@
                 })
             }
             Err(error) => {
-                record_failure(state, call, &self.target, &error);
+                record_failure(state, call, &self.target, &error).await;
                 Err(error)
             }
         }
     }
 
-    /// Splits the answer into its body and the connection that the body arrives on.
-    pub(super) fn into_stream(self) -> (Incoming, Connection) {
-        (self.body, self.connection)
+    /// Splits the answer into its body, the connection that the body arrives on, and the
+    /// guard that counts the call as in flight.
+    pub(super) fn into_stream(self) -> (Incoming, Connection, CallGuard) {
+        (self.body, self.connection, self.in_flight)
     }
 }
 
 async fn exchange(
     state: &Arc<State>,
-    call: &Call,
+    call: &Arc<Call>,
     target: &Arc<Target>,
     mut head: AttemptHead<'_>,
 ) -> Result<Answer, AttemptError> {
@@ -210,13 +239,17 @@
     head.target_id = &target.id;
     head.time_left = call.time_left(Instant::now());
     let request = build_request(call, &head)?;
-    let response = connection.send(request).await.map_err(|error| {
-        let failure = match error {
-            pool::Error::Broken(_) => Failure::IncompleteAnswer,
-            _ => Failure::NotWritten,
-        };
-        AttemptError::new(failure, error)
-    })?;
+    let in_flight = CallGuard::new(state, target, call);
+    let response = connection
+        .send(request)
+        .await
+        .map_err(|error| match error {
+            pool::Error::Broken(_) => {
+                in_flight.mark_broken();
+                AttemptError::connection_lost(error)
+            }
+            _ => AttemptError::new(Failure::NotWritten, error),
+        })?;
     let (parts, body) = response.into_parts();
     let answer_head = read_answer_head(&parts);
     connection.idle_timeout = answer_head.idle_timeout;
@@ -228,6 +261,7 @@
         head: answer_head,
         body,
         connection,
+        in_flight,
     })
 }
 
--- /dev/null
+++ b/src/gateway/crash.rs
@@ -0,0 +1,168 @@
+//! Detection of crashed targets, and of the calls that were in flight on them.
+//!
+//! A target has crashed if an answer broke off and the target refuses a new
+//! connection. If it still accepts connections, only the connection of the answer was
+//! lost.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::{
+    loads::AttemptOutcome,
+    pool::{self, TargetBoot},
+    state::State,
+};
+use crate::{call::Call, roster::Target};
+
+/// A call that was sent to a target and is not answered completely.
+#[derive(Debug)]
+struct CallInFlight {
+    boot: TargetBoot,
+    call: Arc<Call>,
+    /// Whether the answer broke off. The call is then kept until it is known whether
+    /// the target has crashed.
+    is_broken: bool,
+}
+
+/// Calls of this instance that are in flight on targets.
+#[derive(Debug, Default)]
+pub(super) struct CallsInFlight {
+    calls: IndexMap<u64, CallInFlight>,
+    last_number: u64,
+}
+
+impl CallsInFlight {
+    fn insert(&mut self, boot: TargetBoot, call: Arc<Call>) -> u64 {
+        self.last_number += 1;
+        let call = CallInFlight {
+            boot,
+            call,
+            is_broken: false,
+        };
+        self.calls.insert(self.last_number, call);
+        self.last_number
+    }
+
+    /// Removes a call, unless its answer broke off.
+    fn remove(&mut self, number: u64) {
+        if self.calls.get(&number).is_some_and(|call| !call.is_broken) {
+            self.calls.swap_remove(&number);
+        }
+    }
+
+    fn mark_broken(&mut self, number: u64) {
+        if let Some(call) = self.calls.get_mut(&number) {
+            call.is_broken = true;
+        }
+    }
+
+    fn has_broken(&self, boot: &TargetBoot) -> bool {
+        let mut calls = self.calls.values();
+        calls.any(|call| call.is_broken && call.boot == *boot)
+    }
+
+    /// Forgets the calls whose answers broke off, because the target has not crashed.
+    fn discard_broken(&mut self, boot: &TargetBoot) {
+        self.calls
+            .retain(|_, call| !(call.is_broken && call.boot == *boot));
+    }
+
+    /// Removes and returns all calls in flight on a target.
+    fn take(&mut self, boot: &TargetBoot) -> Vec<Arc<Call>> {
+        let mut taken = Vec::new();
+        self.calls.retain(|_, call| {
+            let is_taken = call.boot == *boot;
+            if is_taken {
+                taken.push(call.call.clone());
+            }
+            !is_taken
+        });
+        taken
+    }
+}
+
+/// Counts a call as in flight on a target until the guard is dropped.
+#[derive(Debug)]
+pub(super) struct CallGuard {
+    state: Arc<State>,
+    number: u64,
+}
+
+impl CallGuard {
+    pub(super) fn new(state: &Arc<State>, target: &Target, call: &Arc<Call>) -> Self {
+        let boot = TargetBoot::from(target);
+        Self {
+            number: state.calls_in_flight().insert(boot, call.clone()),
+            state: state.clone(),
+        }
+    }
+
+    /// Records that the answer broke off. The call is kept until [`examine`] has
+    /// examined the target.
+    pub(super) fn mark_broken(&self) {
+        self.state.calls_in_flight().mark_broken(self.number);
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.state.calls_in_flight().remove(self.number);
+    }
+}
+
+/// Examines whether a target has crashed, after an answer from it broke off.
+///
+/// A target that was about to stop does not count as crashed.
+pub(super) async fn examine(state: &State, target: &Arc<Target>) {
+    let boot = TargetBoot::from(&**target);
+    if !state.calls_in_flight().has_broken(&boot) {
+        return;
+    }
+    let has_crashed =
+        state.is_ready_target(target) && pool::refuses_connections(target.address).await;
+    if !has_crashed {
+        state.calls_in_flight().discard_broken(&boot);
+        return;
+    }
+    let calls = state.calls_in_flight().take(&boot);
+    if calls.is_empty() {
+        return;
+    }
+    record_crash(state, target, &calls);
+}
+
+fn record_crash(state: &State, target: &Arc<Target>, calls: &[Arc<Call>]) {
+    tracing::warn!(
+        target = &*target.id,
+        boot = target.started_at_unix_ms,
+        in_flight = calls.len(),
+        "gateway: target crashed"
+    );
+    metrics::counter!("gateway_target_crashes_total").increment(1);
+    for call in calls {
+        tracing::info!(
+            request = &*call.id,
+            target = &*target.id,
+            account = call.account_name(),
+            route = &*call.route.name,
+            parts = shared_part_ids(call),
+            "gateway: request was in flight as its target crashed"
+        );
+    }
+    let now_ms = state.now_ms();
+    let mut loads = state.loads();
+    loads.observe(&target.id, AttemptOutcome::Unreachable, now_ms);
+}
+
+/// Returns the identifiers of the prompt parts that other requests may share.
+fn shared_part_ids(call: &Call) -> String {
+    let Some(prompt) = &call.prompt else {
+        return String::new();
+    };
+    let mut ids = Vec::new();
+    for part in prompt.shared_parts() {
+        ids.push(format!("{:x}", part.id));
+    }
+    ids.join(",")
+}
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -209,7 +209,7 @@
 /// answer has arrived. A successful answer without a signature is an error.
 async fn send_to_engine(
     state: &Arc<State>,
-    call: &Call,
+    call: &Arc<Call>,
     plan: &DecodePlan,
     handle: Option<&PrefillHandle>,
     deadline: Instant,
@@ -224,7 +224,7 @@
     let answer = attempt::send(state, call, target, head, deadline).await?;
     if answer.status.is_success() && !answer.head.is_signed {
         let error = AttemptError::incomplete_answer("answer without signature");
-        attempt::record_failure(state, call, target, &error);
+        attempt::record_failure(state, call, target, &error).await;
         return Err(error);
     }
     Ok(answer)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,8 +10,8 @@
 //!
 //! - Callers: `connection` serves one connection, `admission` checks the route and
 //!   the key of a request, and `reply` builds responses.
-//! - Attempts: `attempt` makes one attempt over a connection of `pool`, and
-//!   `attempt_history` decides on retries.
+//! - Attempts: `attempt` makes one attempt over a connection of `pool`,
+//!   `attempt_history` decides on retries, and `crash` detects targets that crash.
 //! - Choice of engines: `placement` selects the engine that prefills a prompt,
 //!   `prefill` runs the prefill there, and `decode` selects the engine that decodes
 //!   the answer. `engine_call` makes the gateway's own calls to engines.
@@ -30,6 +30,7 @@
 mod catalog;
 mod clock;
 mod connection;
+mod crash;
 mod decode;
 mod duty;
 mod engine_call;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -90,7 +90,7 @@
 
 async fn attempt_once(
     state: &Arc<State>,
-    call: &Call,
+    call: &Arc<Call>,
     target: &Arc<Target>,
     history: &AttemptHistory,
 ) -> Result<BufferedAnswer, AttemptError> {
@@ -107,7 +107,7 @@
     let answer = answer.collect(state, call, deadline).await?;
     if answer.status.is_success() && !answer.head.is_signed {
         let error = AttemptError::incomplete_answer("answer without signature");
-        attempt::record_failure(state, call, target, &error);
+        attempt::record_failure(state, call, target, &error).await;
         return Err(error);
     }
     let outcome = match answer.status.is_server_error() {
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -67,7 +67,7 @@
 /// Identifies one boot (process start) of a target, so that connections from before
 /// a restart are not reused.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct TargetBoot {
+pub(super) struct TargetBoot {
     id: Arc<str>,
     started_at_unix_ms: u64,
     address: SocketAddr,
@@ -247,6 +247,16 @@
     })
 }
 
+/// Returns whether a host refuses connections to an address, as it does if no process
+/// listens there. Returns false if the host does not answer.
+pub(super) async fn refuses_connections(address: SocketAddr) -> bool {
+    let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let Ok(Err(error)) = connecting.await else {
+        return false;
+    };
+    error.kind() == io::ErrorKind::ConnectionRefused
+}
+
 /// Disables Nagle's algorithm, and makes the kernel close a connection whose peer
 /// no longer responds.
 fn set_liveness_options(stream: &TcpStream) -> io::Result<()> {
--- a/src/gateway/prefill.rs
+++ b/src/gateway/prefill.rs
@@ -166,7 +166,7 @@
                 |error| format!("prefill answered {}: {error}", answer.status),
             );
             let error = AttemptError::incomplete_answer(cause);
-            attempt::record_failure(state, call, target, &error);
+            attempt::record_failure(state, call, target, &error).await;
             return Err(error);
         }
     };
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -12,6 +12,7 @@
 use super::{
     attempt::{self, Answer, AttemptError},
     attempt_history::AttemptHistory,
+    crash::CallGuard,
     decode,
     events::EventSplitter,
     loads::{AttemptOutcome, InFlightGuard},
@@ -28,18 +29,20 @@
     body: Incoming,
     connection: Connection,
     in_flight: InFlightGuard,
+    call_in_flight: CallGuard,
     times: StreamTimes,
 }
 
 impl EngineStream {
     pub(super) fn new(answer: Answer, in_flight: InFlightGuard, times: StreamTimes) -> Self {
         let target = answer.target.clone();
-        let (body, connection) = answer.into_stream();
+        let (body, connection, call_in_flight) = answer.into_stream();
         Self {
             target,
             body,
             connection,
             in_flight,
+            call_in_flight,
             times,
         }
     }
@@ -134,7 +137,8 @@
             let frame = match timeout_at(self.call.deadline, source.body.frame()).await {
                 Err(_) => return StreamRead::Failed(AttemptError::timeout()),
                 Ok(Some(Err(error))) => {
-                    return StreamRead::Failed(AttemptError::incomplete_answer(error));
+                    source.call_in_flight.mark_broken();
+                    return StreamRead::Failed(AttemptError::connection_lost(error));
                 }
                 Ok(None) => return StreamRead::End(self.splitter.take_pending()),
                 Ok(Some(Ok(frame))) => frame,
@@ -194,14 +198,13 @@
     /// false if the retry rules or the retry budget forbid another attempt, or if no
     /// engine resumes the stream.
     async fn resume(&mut self, error: &AttemptError) -> bool {
-        let failed = self.source.take();
-        if let Some(source) = &failed {
-            attempt::record_failure(&self.state, &self.call, &source.target, error);
-            self.history.tried.push(source.target.id.clone());
-        }
         // Closes the connection to the failed engine, so that this engine stops
         // generating before another engine continues.
-        drop(failed);
+        let failed_target = self.source.take().map(|source| source.target);
+        if let Some(target) = &failed_target {
+            attempt::record_failure(&self.state, &self.call, target, error).await;
+            self.history.tried.push(target.id.clone());
+        }
         self.splitter.take_pending();
         let mut failure = error.failure;
         loop {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -8,7 +8,9 @@
 use indexmap::IndexMap;
 use tokio::time::Instant;
 
-use super::{engines::Engines, loads::Loads, pool::Pool, usage::UsageCounter};
+use super::{
+    crash::CallsInFlight, engines::Engines, loads::Loads, pool::Pool, usage::UsageCounter,
+};
 use crate::{
     catalog::{Catalog, Engine},
     peer::PeerHandle,
@@ -49,6 +51,7 @@
     /// Retry budget of each service, by service name.
     retries: Mutex<IndexMap<Arc<str>, RetryWindow>>,
     usage: Mutex<UsageCounter>,
+    calls_in_flight: Mutex<CallsInFlight>,
     /// Memory reserved for request bodies.
     body_bytes: AtomicUsize,
     /// Number of live instances.
@@ -73,6 +76,7 @@
             engines: Mutex::default(),
             retries: Mutex::default(),
             usage: Mutex::new(usage),
+            calls_in_flight: Mutex::default(),
             body_bytes: AtomicUsize::new(0),
             instances: AtomicUsize::new(1),
             stopping: AtomicBool::new(false),
@@ -187,6 +191,11 @@
         lock(&self.usage)
     }
 
+    /// Locks and returns the calls that are in flight on targets.
+    pub(super) fn calls_in_flight(&self) -> MutexGuard<'_, CallsInFlight> {
+        lock(&self.calls_in_flight)
+    }
+
     /// Counts a request for a service, which adds to the service's retry budget.
     pub(super) fn record_request(&self, service: &Arc<str>) {
         let now_ms = self.now_ms();
