--- /dev/null
+++ b/tests/crash_inducing_part.rs
@@ -0,0 +1,167 @@
+//! A part of prompts that crashes each engine that answers a prompt with it.
+
+mod platform_support;
+
+use std::{
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use hyper::Method;
+use platform_support::{
+    Arrival, Cloud, Gateway, Store, Worker, WorkerAnswer, configuration, eventually, stream,
+};
+use tokio::{
+    sync::Notify,
+    task::{AbortHandle, JoinSet},
+    time::sleep,
+};
+
+const COMPLETE: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+/// Part that crashes engines.
+const CRASHING_PART: &str = "dead";
+/// Part that all prompts begin with.
+const COMMON_PART: &str = "a1";
+const ENGINES: usize = 6;
+/// Crashes after which no further request with the part may reach an engine.
+const MAX_CRASHES: usize = 5;
+/// Time for which a crashed engine is down.
+const RESTART_TIME: Duration = Duration::from_millis(50);
+/// Pause between two requests with the part.
+const PAUSE: Duration = Duration::from_millis(400);
+
+/// Engines that crash on [`CRASHING_PART`] and start again under another identifier.
+struct Engines {
+    crashes: Arc<AtomicUsize>,
+    _tasks: JoinSet<()>,
+}
+
+impl Engines {
+    fn start(store: &Store) -> Self {
+        let crashes: Arc<AtomicUsize> = Arc::default();
+        let mut tasks = JoinSet::new();
+        for index in 0..ENGINES {
+            tasks.spawn(run_engine(index, store.clone(), crashes.clone()));
+        }
+        Self {
+            crashes,
+            _tasks: tasks,
+        }
+    }
+
+    fn crashes(&self) -> usize {
+        self.crashes.load(Ordering::SeqCst)
+    }
+}
+
+/// Runs an engine, and starts it again after each crash.
+async fn run_engine(index: usize, store: Store, crashes: Arc<AtomicUsize>) {
+    for start in 0.. {
+        let id = format!("i-{index}-{start}");
+        let crashed = Arc::new(Notify::new());
+        let server: Arc<OnceLock<AbortHandle>> = Arc::default();
+        let worker = {
+            let (crashed, server, crashes) = (crashed.clone(), server.clone(), crashes.clone());
+            let answer =
+                move |arrival: &Arrival| answer_or_crash(arrival, &crashes, &server, &crashed);
+            Worker::start(&id, answer).await
+        };
+        server.set(worker.server.abort_handle()).unwrap();
+        store.put(
+            "keyed.servers",
+            &id,
+            &worker.entry("models", Some("decode")),
+        );
+        crashed.notified().await;
+        sleep(RESTART_TIME).await;
+        store.put("keyed.servers", &id, &serde_json::Value::Null);
+    }
+}
+
+fn answer_or_crash(
+    arrival: &Arrival,
+    crashes: &AtomicUsize,
+    server: &OnceLock<AbortHandle>,
+    crashed: &Notify,
+) -> WorkerAnswer {
+    let prefix = arrival.header("prompt-prefix").unwrap_or("");
+    if !prefix.contains(&format!("{CRASHING_PART}:")) {
+        return Some(stream(arrival, vec![Ok(COMPLETE)]));
+    }
+    crashes.fetch_add(1, Ordering::SeqCst);
+    server.get().unwrap().abort();
+    crashed.notify_one();
+    None
+}
+
+struct Fixture {
+    _store: Store,
+    _cloud: Cloud,
+    engines: Engines,
+    gateways: Vec<Gateway>,
+}
+
+impl Fixture {
+    async fn start(instances: usize) -> Self {
+        let (store, cloud) = (Store::start().await, Cloud::start().await);
+        store.put("keyed.op", "config", &configuration(1));
+        let engines = Engines::start(&store);
+        let mut gateways = Vec::new();
+        for index in 0..instances {
+            let gateway = Gateway::start(&format!("entry-{index}"), &store, &cloud).await;
+            gateway.wait_until_ready().await;
+            gateways.push(gateway);
+        }
+        let members = store.clone();
+        eventually("all instances are announced", move || {
+            members.state.lock().unwrap().newest("keyed.members").len() == instances
+        })
+        .await;
+        Self {
+            _store: store,
+            _cloud: cloud,
+            engines,
+            gateways,
+        }
+    }
+
+    /// Sends a prompt with these parts, and returns the status of a complete answer or of
+    /// a refusal, or `None` if the answer broke off.
+    async fn send(&self, instance: usize, id: &str, parts: &str) -> Option<u16> {
+        let request = self.gateways[instance].request(Method::POST, "/chat/", id);
+        let request = request
+            .header("model", "m")
+            .header("token-count", "900,20")
+            .header("prompt-prefix", parts);
+        let response = request.body(id.to_owned()).send().await.unwrap();
+        let status = response.status().as_u16();
+        response.text().await.ok().map(|_| status)
+    }
+}
+
+/// Guards against requests of one kind that crash engine after engine, because no
+/// instance remembers what was in flight at the crashes before.
+#[tokio::test]
+async fn crashes_are_bounded() {
+    let fixture = Fixture::start(2).await;
+    for number in 0..12 {
+        let crashing = format!("{COMMON_PART}:400,{CRASHING_PART}:200,{number:x}1:300");
+        let id = format!("r-crashing-{number}");
+        fixture.send(number % 2, &id, &crashing).await;
+        sleep(PAUSE).await;
+    }
+    assert!(
+        fixture.engines.crashes() <= MAX_CRASHES,
+        "{} crashes of engines",
+        fixture.engines.crashes()
+    );
+    for number in 0..12 {
+        let sound = format!("{COMMON_PART}:400,{number:x}2:300");
+        let id = format!("r-sound-{number}");
+        let status = fixture.send(number % 2, &id, &sound).await;
+        assert_eq!(status, Some(200), "sound request {number}");
+    }
+}
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -29,7 +29,7 @@
 use tokio::{
     net::TcpListener,
     sync::{Notify, oneshot},
-    task::JoinHandle,
+    task::{AbortHandle, JoinHandle},
     time::{Instant, sleep, sleep_until, timeout},
 };
 
@@ -73,6 +73,13 @@
     task: JoinHandle<()>,
 }
 
+impl TestServer {
+    /// Returns a handle that stops the server at once, as a crash does.
+    pub fn abort_handle(&self) -> AbortHandle {
+        self.task.abort_handle()
+    }
+}
+
 impl Drop for TestServer {
     fn drop(&mut self) {
         self.task.abort();
