Refuse requests that crash engines by a part of their prompt

Cause: a gateway took a crash for a broken connection. It retried the request on another engine and remembered nothing, and instances told each other nothing. No two of the requests are alike, so the quarantine of the other front, which recognizes repeated requests, would not have seen them.

Change: policy/suspects.rs counts crashes by fingerprint, of the request and of each prompt part that others may share; entry/suspect.rs uses it too instead of a copy of its own. After two crashes a request is refused if it carries all that was in flight at the crashes of such a fingerprint. A complete answer clears what it carries. Peers exchange crashes and cleared suspects in two new frames and tell a new peer what they refuse.

--- a/src/entry/suspect.rs
+++ b/src/entry/suspect.rs
@@ -9,25 +9,15 @@
     sync::{Arc, Mutex, MutexGuard},
 };
 
-use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{Notify, futures::Notified};
 
-use crate::entry::{call::Call, call::RequestDigest};
-
-/// Number of crashes after which a request is quarantined.
-const MAX_CRASHES: usize = 2;
+use crate::{
+    entry::call::Call,
+    policy::suspects::{CrashHistory, Fingerprint, MAX_CRASHES},
+};
 
-/// Maximum number of suspects that an instance tracks. The oldest suspect is
-/// removed first.
-const MAX_SUSPECTS: usize = 10_000;
-
-/// Identity of a request: its account and the digest of its method, path, query
-/// and body.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct Fingerprint {
-    account: Arc<str>,
-    request_digest: RequestDigest,
-}
+/// Time of all crashes: the ledger, not this instance, decides when a quarantine ends.
+const CRASH_TIME_MS: u64 = 0;
 
 /// Suspects among the requests of this instance.
 #[derive(Debug, Default)]
@@ -38,10 +28,9 @@
 
 #[derive(Debug, Default)]
 struct State {
-    /// For each suspect, the boot identifiers of the targets that crashed while the
-    /// request was in flight there. A target gets a new boot identifier whenever it
-    /// starts.
-    crashes: IndexMap<Fingerprint, IndexSet<Arc<str>>>,
+    /// Crashes at which each suspect was in flight. A target gets a new boot identifier
+    /// whenever it starts.
+    crashes: CrashHistory<Fingerprint>,
     /// Targets on which a suspect runs, with the number of suspects, which is always
     /// 1.
     occupied: HashMap<Arc<str>, u32>,
@@ -61,25 +50,25 @@
     /// on the target. Returns whether the request must be quarantined.
     pub(super) fn record_crash(&self, call: &Call, boot: &str) -> bool {
         let mut state = self.lock();
-        if state.crashes.len() >= MAX_SUSPECTS {
-            state.crashes.shift_remove_index(0);
-        }
-        let boots = state.crashes.entry(fingerprint(call)).or_default();
-        boots.insert(boot.into());
-        boots.len() >= MAX_CRASHES
+        let fingerprint = fingerprint(call);
+        let fingerprints = std::slice::from_ref(&fingerprint);
+        state
+            .crashes
+            .record_crash(&boot.into(), fingerprints, CRASH_TIME_MS);
+        state.crashes.crash_count(&fingerprint) >= MAX_CRASHES
     }
 
     /// Whether a request was in flight when a target crashed.
     pub(super) fn is_suspect(&self, call: &Call) -> bool {
         let state = self.lock();
-        !state.crashes.is_empty() && state.crashes.contains_key(&fingerprint(call))
+        !state.crashes.is_empty() && state.crashes.crash_count(&fingerprint(call)) > 0
     }
 
     /// Removes a request from the suspects after the request has completed.
     pub(super) fn clear(&self, call: &Call) {
         let mut state = self.lock();
         if !state.crashes.is_empty() {
-            state.crashes.shift_remove(&fingerprint(call));
+            state.crashes.clear(&[fingerprint(call)]);
         }
     }
 
@@ -125,6 +114,6 @@
 fn fingerprint(call: &Call) -> Fingerprint {
     Fingerprint {
         account: Arc::clone(&call.account.full_name),
-        request_digest: call.request_digest,
+        body_digest: call.request_digest,
     }
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -33,6 +33,8 @@
     pub(super) body: Incoming,
     connection: Connection,
     in_flight: CallGuard,
+    /// Whether the engine only prefilled the prompt.
+    is_prefill: bool,
 }
 
 /// A target's answer with its complete body.
@@ -198,6 +200,9 @@
         };
         match result {
             Ok(bytes) => {
+                if self.status.is_success() && self.head.is_delimited && !self.is_prefill {
+                    self.in_flight.record_answer(call);
+                }
                 state.pool.put_back(&self.target, self.connection);
                 Ok(BufferedAnswer {
                     status: self.status,
@@ -262,6 +267,7 @@
         body,
         connection,
         in_flight,
+        is_prefill: head.prefill_only,
     })
 }
 
--- a/src/gateway/attempt_history.rs
+++ b/src/gateway/attempt_history.rs
@@ -1,6 +1,6 @@
 //! The attempts made for a request, and the decision whether to retry the request.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use super::{attempt::AttemptError, reply::Refusal, state::State};
 use crate::{
@@ -54,6 +54,19 @@
         })
     }
 
+    /// Returns the refusal for a request that crashes targets and must not be sent (again);
+    /// the quarantine ends after `left`. `last` is the error of the last attempt.
+    pub(super) fn quarantine_refusal(
+        &self,
+        left: Duration,
+        last: Option<&AttemptError>,
+    ) -> Refusal {
+        match self.may_have_run {
+            true => self.refusal(last),
+            false => Refusal::quarantined(left),
+        }
+    }
+
     /// Returns the refusal for a request of which no attempt succeeded; `last` is
     /// the error of the last attempt.
     pub(super) fn refusal(&self, last: Option<&AttemptError>) -> Refusal {
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -2,18 +2,26 @@
 //!
 //! A target has crashed if an answer broke off and the target refuses a new
 //! connection. If it still accepts connections, only the connection of the answer was
-//! lost.
+//! lost. Crashes are reported to peers, and calls that crash targets are refused (see
+//! [`crate::policy::suspects`]).
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
+use sha2::{Digest, Sha256};
 
 use super::{
     loads::AttemptOutcome,
     pool::{self, TargetBoot},
     state::State,
 };
-use crate::{call::Call, roster::Target};
+use crate::{
+    call::{Call, Prompt},
+    roster::Target,
+};
+
+/// Maximum number of prompt parts of a call that are suspected.
+const MAX_PARTS: usize = 32;
 
 /// A call that was sent to a target and is not answered completely.
 #[derive(Debug)]
@@ -98,6 +106,17 @@
         }
     }
 
+    /// Records that the target has answered the call completely, and thus that the call
+    /// does not crash targets.
+    pub(super) fn record_answer(&self, call: &Call) {
+        let Some(peers) = self.state.peers() else {
+            return;
+        };
+        if peers.has_suspects() {
+            peers.report_sound(&fingerprints(call));
+        }
+    }
+
     /// Records that the answer broke off. The call is kept until [`examine`] has
     /// examined the target.
     pub(super) fn mark_broken(&self) {
@@ -150,11 +169,63 @@
             "gateway: request was in flight as its target crashed"
         );
     }
+    if let Some(peers) = state.peers() {
+        let boot = format!("{}@{}", target.id, target.started_at_unix_ms).into();
+        let mut in_flight = Vec::new();
+        for call in calls {
+            in_flight.extend(fingerprints(call));
+        }
+        in_flight.sort_unstable();
+        in_flight.dedup();
+        peers.report_crash(&boot, &in_flight);
+    }
     let now_ms = state.now_ms();
     let mut loads = state.loads();
     loads.observe(&target.id, AttemptOutcome::Unreachable, now_ms);
 }
 
+impl State {
+    /// Returns the time for which a call is refused because it crashes targets, or `None`
+    /// if it may run.
+    pub(super) fn quarantine_left(&self, call: &Call) -> Option<Duration> {
+        let peers = self.peers().filter(|peers| peers.has_suspects())?;
+        peers.quarantine_left(&fingerprints(call))
+    }
+}
+
+/// Returns the fingerprints of a call: one of the request, which stays the same when the
+/// caller repeats it, and one of each prompt part that other requests may share.
+fn fingerprints(call: &Call) -> Vec<u64> {
+    let request = [
+        call.account_name().as_bytes(),
+        call.method.as_str().as_bytes(),
+        call.path.as_str().as_bytes(),
+        &call.body,
+    ];
+    let mut fingerprints = vec![fingerprint(&request)];
+    let parts = call.prompt.iter().flat_map(Prompt::shared_parts);
+    for part in parts.take(MAX_PARTS) {
+        fingerprints.push(fingerprint(&[
+            call.service.as_bytes(),
+            &part.id.to_le_bytes(),
+        ]));
+    }
+    fingerprints
+}
+
+/// Returns the first 64 bits of the SHA-256 digest of several values.
+fn fingerprint(values: &[&[u8]]) -> u64 {
+    let mut hasher = Sha256::new();
+    for value in values {
+        hasher.update((value.len() as u64).to_le_bytes());
+        hasher.update(value);
+    }
+    let digest: [u8; 32] = hasher.finalize().into();
+    let mut first = [0; 8];
+    first.copy_from_slice(&digest[..8]);
+    u64::from_le_bytes(first)
+}
+
 /// Returns the identifiers of the prompt parts that other requests may share.
 fn shared_part_ids(call: &Call) -> String {
     let Some(prompt) = &call.prompt else {
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -71,6 +71,9 @@
         if exhausted || !is_still_permitted(state, call, head) {
             break;
         }
+        if let Some(left) = state.quarantine_left(call) {
+            return Err(history.quarantine_refusal(left, last_error.as_ref()));
+        }
         let choice = local_prefill.take();
         let Some(plan) = plan_decode(state, call, handle.as_ref(), choice, &history.tried) else {
             break;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -56,6 +56,9 @@
         let now = Instant::now();
         let exhausted =
             call.time_left(now) < MIN_ATTEMPT_TIME || !is_still_permitted(state, call, head);
+        if let Some(left) = state.quarantine_left(call) {
+            return Err(history.quarantine_refusal(left, last_error.as_ref()));
+        }
         let target = match exhausted {
             true => None,
             false => choose_target(state, call, &history.tried),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -30,12 +30,15 @@
     connection: Connection,
     in_flight: InFlightGuard,
     call_in_flight: CallGuard,
+    /// Whether the answer itself marks its end, so that it cannot end with its connection.
+    is_delimited: bool,
     times: StreamTimes,
 }
 
 impl EngineStream {
     pub(super) fn new(answer: Answer, in_flight: InFlightGuard, times: StreamTimes) -> Self {
         let target = answer.target.clone();
+        let is_delimited = answer.head.is_delimited;
         let (body, connection, call_in_flight) = answer.into_stream();
         Self {
             target,
@@ -43,6 +46,7 @@
             connection,
             in_flight,
             call_in_flight,
+            is_delimited,
             times,
         }
     }
@@ -179,6 +183,9 @@
         self.state
             .loads()
             .observe(&target.id, AttemptOutcome::Answered, now_ms);
+        if source.is_delimited {
+            source.call_in_flight.record_answer(&self.call);
+        }
         source.times.finish(&self.state);
         self.state.pool.put_back(target, source.connection);
         tracing::info!(
@@ -211,7 +218,8 @@
             let decision = self
                 .history
                 .record_failure(&self.state, &self.call, failure);
-            if decision != RetryDecision::Retry {
+            if decision != RetryDecision::Retry || self.state.quarantine_left(&self.call).is_some()
+            {
                 break;
             }
             match self.resume_once().await {
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -38,6 +38,11 @@
     NoTarget,
     /// targets refused the request without running it
     TargetsRefused,
+    /// the request crashes the targets that run it; refused for {left_s} s
+    Quarantined {
+        /// Time until such requests may run again, in seconds.
+        left_s: u32,
+    },
     /// all engines are busy for {wait_ms} ms
     Overloaded {
         /// Predicted wait for an engine, in milliseconds.
@@ -50,6 +55,12 @@
 }
 
 impl Refusal {
+    /// Returns the refusal of a request that crashes targets, which ends after `left`.
+    pub(super) fn quarantined(left: Duration) -> Self {
+        let left_s = left.as_secs_f64().ceil() as u32;
+        Self::Quarantined { left_s }
+    }
+
     /// Returns the status of the response.
     ///
     /// The statuses 408, 429 and 503 guarantee to the caller that the request has
@@ -66,6 +77,7 @@
             | Self::NoMemory
             | Self::NoTarget
             | Self::TargetsRefused
+            | Self::Quarantined { .. }
             | Self::Overloaded { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
@@ -85,6 +97,7 @@
             Self::NoMemory => "NoMemory",
             Self::NoTarget => "NoTarget",
             Self::TargetsRefused => "TargetsRefused",
+            Self::Quarantined { .. } => "Quarantined",
             Self::Overloaded { .. } => "Overloaded",
             Self::AnswerLost => "AnswerLost",
             Self::Timeout => "Timeout",
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -128,6 +128,9 @@
     };
     let call = Arc::new(admit(state, received)?);
     state.record_request(&call.service);
+    if let Some(left) = state.quarantine_left(&call) {
+        return Err(Refusal::quarantined(left));
+    }
     let response = match call.route.kind {
         RouteKind::Stream { .. } => generation::forward(state, &call, head, memory).await?,
         RouteKind::Idempotent | RouteKind::Once => plain::forward(state, &call, head).await?,
@@ -189,6 +192,7 @@
             let delay_s = rand::random_range(RETRY_AFTER_RANGE_S);
             Some(Duration::from_secs_f64(delay_s))
         }
+        Refusal::Quarantined { left_s } => Some(Duration::from_secs(left_s.into())),
         Refusal::Overloaded { wait_ms } => {
             let delay_ms = f64::from(wait_ms) * rand::random_range(RETRY_AFTER_WAIT_FACTORS);
             Some(Duration::from_secs_f64(delay_ms / 1_000.0))
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// Returns the handle to the peer connections; `None` until it is set.
+    pub(super) fn peers(&self) -> Option<&PeerHandle> {
+        self.peers.get()
+    }
+
     /// Returns whether this instance may have missed a newer configuration. This is
     /// so if the last read of the configuration is too old and the peers do not
     /// confirm that the known configuration is the newest.
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -181,6 +181,19 @@
                 self.handle_quarantine_ack(ack);
                 Ok(())
             }
+            Body::CrashReport(report) => {
+                let boot = report.boot.into();
+                let from = Some(&*self.peer.name);
+                let mut state = self.shared.state();
+                state.add_crash(&boot, &report.fingerprints, from);
+                Ok(())
+            }
+            Body::SoundReport(report) => {
+                let from = Some(&*self.peer.name);
+                let mut state = self.shared.state();
+                state.clear_suspects(&report.fingerprints, from);
+                Ok(())
+            }
             Body::UsageCopy(copy) => self.handle_usage_copy(&copy),
             Body::UsageFlushed(flushed) => {
                 let mut state = self.shared.state();
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -145,6 +145,29 @@
         self.shared.state().quarantine.contains(&request)
     }
 
+    /// Records a crash of a target while requests with these fingerprints were in flight
+    /// on it, and reports it to peers. `boot` differs for each start of a target.
+    pub fn report_crash(&self, boot: &Arc<str>, fingerprints: &[u64]) {
+        self.shared.state().add_crash(boot, fingerprints, None);
+    }
+
+    /// Records that a request with these fingerprints was answered completely, so that
+    /// they are no longer suspected to crash targets, and reports it to peers.
+    pub fn report_sound(&self, fingerprints: &[u64]) {
+        self.shared.state().clear_suspects(fingerprints, None);
+    }
+
+    /// Returns whether any fingerprint is suspected to crash targets.
+    pub fn has_suspects(&self) -> bool {
+        !self.shared.state().crashes.is_empty()
+    }
+
+    /// Returns the time for which requests with these fingerprints are refused because
+    /// they crash targets, or `None` if they may run.
+    pub fn quarantine_left(&self, fingerprints: &[u64]) -> Option<Duration> {
+        self.shared.state().crashes.quarantine_left(fingerprints)
+    }
+
     /// Sends a copy of an unflushed usage slice to one peer, which flushes it
     /// to the log if this instance terminates. Call this again whenever the
     /// slice grows.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -10,8 +10,8 @@
 //!   `frame` encodes its frames, and `link` is its state.
 //! - State: `shared` is shared by all tasks and contains `state`. `load` sums up the
 //!   reported loads, `usage` keeps copies of other instances' usage slices,
-//!   `unflushed_usage` this instance's slices, and `quarantine` the quarantined
-//!   requests.
+//!   `unflushed_usage` this instance's slices, `quarantine` the requests that the log
+//!   quarantines, and `suspects` those that reported crashes do.
 //! - Tasks: `heartbeat` builds heartbeats, `relay` relays log records, `live_list`
 //!   polls the platform's list of instances, `upkeep` does periodic maintenance, and
 //!   `spawn` starts the tasks.
@@ -34,6 +34,7 @@
 mod shared;
 mod spawn;
 mod state;
+mod suspects;
 pub mod topology;
 mod unflushed_usage;
 mod upkeep;
--- a/src/peer/state.rs
+++ b/src/peer/state.rs
@@ -14,6 +14,7 @@
     load::LoadTotals,
     membership::{Membership, PeerIdentity, PeerState},
     quarantine::{QuarantineSet, QuarantinedRequest},
+    suspects::ReportedCrashes,
     topology::{LinkKind, Node, Topology},
     unflushed_usage::UnflushedUsage,
     usage::UsageCopies,
@@ -51,6 +52,8 @@
     pub(super) leaving: bool,
     /// Quarantined requests.
     pub(super) quarantine: QuarantineSet,
+    /// Crashes of targets reported by this instance and its peers.
+    pub(super) crashes: ReportedCrashes,
     /// Copies of other instances' unflushed usage slices.
     pub(super) usage_copies: UsageCopies,
     /// This instance's unflushed usage slices and the peer with their copies.
@@ -84,6 +87,7 @@
             links: IndexMap::new(),
             leaving: false,
             quarantine: QuarantineSet::default(),
+            crashes: ReportedCrashes::default(),
             usage_copies: UsageCopies::default(),
             unflushed_usage: UnflushedUsage::default(),
             loads: LoadTotals::default(),
@@ -137,6 +141,10 @@
         }
         self.observe_frame(&peer, now)?;
         self.last_link_id += 1;
+        for frame in self.quarantine_frames() {
+            // If the outbox is full, the peer learns the rest from crashes to come.
+            let _ = outbox.try_send(frame);
+        }
         let link = Link::new(self.last_link_id, peer, outbox);
         let opened = OpenedLink {
             id: link.id,
--- /dev/null
+++ b/src/peer/suspects.rs
@@ -0,0 +1,141 @@
+//! Crashes of targets that this instance and its peers have reported, and requests that
+//! are refused because they crash targets.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+
+use super::{
+    frames::{CrashReport, SoundReport, frame::Body},
+    state::{State, link_kind_of},
+    topology::LinkKind,
+};
+use crate::policy::suspects::CrashHistory;
+
+/// Maximum number of fingerprints, not suspected before, that an instance reports or
+/// forwards in a second. A fingerprint that was in flight at an earlier crash is always
+/// reported.
+const MAX_NEW_SUSPECTS_PER_S: usize = 256;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Crashes that this instance knows of.
+#[derive(Debug)]
+pub(super) struct ReportedCrashes {
+    history: CrashHistory<u64>,
+    started_at: Instant,
+    /// Start of the current second of [`MAX_NEW_SUSPECTS_PER_S`].
+    second_started_at: Instant,
+    new_suspects: usize,
+}
+
+impl Default for ReportedCrashes {
+    fn default() -> Self {
+        let now = Instant::now();
+        Self {
+            history: CrashHistory::default(),
+            started_at: now,
+            second_started_at: now,
+            new_suspects: 0,
+        }
+    }
+}
+
+impl ReportedCrashes {
+    /// Returns whether no fingerprint is suspected.
+    pub(super) fn is_empty(&self) -> bool {
+        self.history.is_empty()
+    }
+
+    /// Returns the time for which requests with these fingerprints are refused, or `None`
+    /// if they may run.
+    pub(super) fn quarantine_left(&self, fingerprints: &[u64]) -> Option<Duration> {
+        let left_ms = self
+            .history
+            .quarantine_left_ms(fingerprints, self.now_ms())?;
+        Some(Duration::from_millis(left_ms))
+    }
+
+    /// Records a crash. Returns the fingerprints that are reported to peers.
+    fn record_crash(&mut self, boot: &Arc<str>, fingerprints: &[u64]) -> Vec<u64> {
+        let now_ms = self.now_ms();
+        let mut reported = self.history.record_crash(boot, fingerprints, now_ms);
+        reported.retain(|fingerprint| {
+            let is_new = self.history.crash_count(fingerprint) == 1;
+            !is_new || self.take_new_suspect()
+        });
+        reported
+    }
+
+    fn take_new_suspect(&mut self) -> bool {
+        if self.second_started_at.elapsed() >= SECOND {
+            self.second_started_at = Instant::now();
+            self.new_suspects = 0;
+        }
+        self.new_suspects += 1;
+        self.new_suspects <= MAX_NEW_SUSPECTS_PER_S
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.started_at.elapsed().as_millis() as u64
+    }
+}
+
+impl State {
+    /// Records a crash of a target. Peers are told what they may not know yet; `from` is
+    /// the peer that reported the crash, if any did.
+    pub(super) fn add_crash(&mut self, boot: &Arc<str>, fingerprints: &[u64], from: Option<&str>) {
+        let reported = self.crashes.record_crash(boot, fingerprints);
+        if reported.is_empty() {
+            return;
+        }
+        let report = CrashReport {
+            boot: boot.to_string(),
+            fingerprints: reported,
+        };
+        self.send_to_peers(&Body::CrashReport(report), from);
+    }
+
+    /// Records that a request with these fingerprints was answered completely. Peers are
+    /// told which of them are no longer suspected; `from` is the peer that reported it, if
+    /// any did.
+    pub(super) fn clear_suspects(&mut self, fingerprints: &[u64], from: Option<&str>) {
+        let cleared = self.crashes.history.clear(fingerprints);
+        if cleared.is_empty() {
+            return;
+        }
+        let report = SoundReport {
+            fingerprints: cleared,
+        };
+        self.send_to_peers(&Body::SoundReport(report), from);
+    }
+
+    /// Returns the frames that tell a newly connected peer about requests that are
+    /// refused.
+    pub(super) fn quarantine_frames(&self) -> Vec<Body> {
+        let mut frames = Vec::new();
+        for (boot, fingerprints) in self.crashes.history.quarantined_crashes() {
+            frames.push(Body::CrashReport(CrashReport {
+                boot: boot.to_string(),
+                fingerprints,
+            }));
+        }
+        frames
+    }
+
+    /// Sends a frame over all links over which it is to be sent or forwarded. A frame is
+    /// dropped if the outbox of a link is full.
+    fn send_to_peers(&self, frame: &Body, from: Option<&str>) {
+        let from_kind = from.map(|from| self.link_kind(from));
+        for (name, link) in &self.links {
+            let kind = link_kind_of(&self.link_kinds, name);
+            let is_receiver = match from_kind {
+                None => kind != LinkKind::Backup,
+                Some(from_kind) => from_kind.forwards_to(kind) && Some(&**name) != from,
+            };
+            if is_receiver && link.outbox.try_send(frame.clone()).is_err() {
+                metrics::counter!("peer_reports_dropped_total").increment(1);
+            }
+        }
+    }
+}
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -187,6 +187,9 @@
     pub is_not_run: bool,
     /// Whether the body has a content encoding, which was not requested.
     pub is_encoded: bool,
+    /// Whether a length or chunks mark the end of the body. Otherwise the body ends with
+    /// the connection.
+    pub is_delimited: bool,
     /// Time for which the target keeps an idle connection open.
     pub idle_timeout: Option<Duration>,
 }
@@ -201,6 +204,8 @@
         is_not_run: headers.contains_key(NOT_EXECUTED)
             || parts.status == StatusCode::MISDIRECTED_REQUEST,
         is_encoded: headers.contains_key(CONTENT_ENCODING),
+        is_delimited: headers.contains_key(CONTENT_LENGTH)
+            || headers.contains_key(TRANSFER_ENCODING),
         idle_timeout: header_text(headers, &KEEP_ALIVE).and_then(read_keep_alive),
     }
 }
--- a/src/policy/suspects.rs
+++ b/src/policy/suspects.rs
@@ -1,24 +1,198 @@
 //! Quarantine of requests that crash the targets that run them.
 //!
-//! A request that was in flight on a target when the target crashed is a suspect.
-//! A suspect is retried at most once, on a target where no other suspect runs, so
-//! that a second crash can be attributed to the suspect. After the second crash,
-//! the request's fingerprint is quarantined, so that repeated requests with this
-//! fingerprint are refused. A request thus crashes at most two targets.
+//! A request that was in flight on a target when the target crashed is a suspect, by
+//! each of its fingerprints: one identifies the request, others a part of its prompt
+//! that other requests may share. After [`MAX_CRASHES`] crashes, requests are refused if
+//! they carry a fingerprint that was in flight at all of these crashes, and with it
+//! everything else that was. Requests that carry only some of it still run. Each of
+//! their answers shows that what they carry does no harm, until only the cause is left.
 
-use std::sync::Arc;
+use std::{hash::Hash, sync::Arc};
 
 use indexmap::{IndexMap, IndexSet};
 
-/// Number of crashes after which a fingerprint is quarantined.
-const MAX_CRASHES: u32 = 2;
+/// Number of crashes after which requests are quarantined.
+pub const MAX_CRASHES: usize = 2;
+
+/// Time after the last crash at which a quarantine ends, in milliseconds. One further
+/// crash then restores it.
+pub const QUARANTINE_MS: u64 = 600_000;
+
+/// Maximum number of suspected fingerprints.
+const MAX_SUSPECTS: usize = 10_000;
+
+/// Maximum number of crashes that are remembered for a fingerprint.
+const MAX_REMEMBERED_CRASHES: usize = 8;
+
+/// Crashes at which a fingerprint was in flight and since which no request that carries
+/// it was answered completely.
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    /// Boots of the crashed targets. Each boot crashes at most once.
+    boots: IndexSet<Arc<str>>,
+    last_crash_ms: u64,
+}
+
+impl Suspect {
+    fn quarantine_left_ms(&self, now_ms: u64) -> Option<u64> {
+        if self.boots.len() < MAX_CRASHES {
+            return None;
+        }
+        let ends_ms = self.last_crash_ms + QUARANTINE_MS;
+        ends_ms.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)
+    }
+
+    /// Forgets old crashes, except one if they led to a quarantine.
+    fn expire(&mut self, now_ms: u64) {
+        if now_ms < self.last_crash_ms + QUARANTINE_MS {
+            return;
+        }
+        let kept = usize::from(self.boots.len() >= MAX_CRASHES);
+        self.boots.truncate(kept);
+    }
+}
+
+/// Suspected fingerprints, with the crashes at which they were in flight.
+///
+/// ```
+/// use lavenderwind::policy::suspects::CrashHistory;
+///
+/// let mut history = CrashHistory::default();
+/// history.record_crash(&"engine-1".into(), &["common", "cause"], 0);
+/// history.record_crash(&"engine-2".into(), &["common", "cause"], 10);
+/// assert!(history.quarantine_left_ms(&["common", "cause"], 20).is_some());
+/// assert!(history.quarantine_left_ms(&["common", "other"], 20).is_none());
+/// history.clear(&["common", "other"]);
+/// assert!(history.quarantine_left_ms(&["cause"], 30).is_some());
+/// ```
+#[derive(Clone, Debug)]
+pub struct CrashHistory<F> {
+    suspects: IndexMap<F, Suspect>,
+}
+
+impl<F> Default for CrashHistory<F> {
+    fn default() -> Self {
+        Self {
+            suspects: IndexMap::new(),
+        }
+    }
+}
+
+impl<F> CrashHistory<F>
+where
+    F: Clone + Eq + Hash,
+{
+    /// Records a crash at which requests with these fingerprints were in flight. Returns
+    /// the fingerprints for which the crash was not known yet.
+    pub fn record_crash(&mut self, boot: &Arc<str>, fingerprints: &[F], now_ms: u64) -> Vec<F> {
+        let mut new = Vec::new();
+        for fingerprint in fingerprints {
+            if !self.suspects.contains_key(fingerprint) {
+                self.make_room();
+            }
+            let suspect = self.suspects.entry(fingerprint.clone()).or_default();
+            suspect.expire(now_ms);
+            if suspect.boots.contains(boot) {
+                continue;
+            }
+            suspect.last_crash_ms = now_ms;
+            if suspect.boots.len() < MAX_REMEMBERED_CRASHES {
+                suspect.boots.insert(boot.clone());
+                new.push(fingerprint.clone());
+            }
+        }
+        new
+    }
+
+    /// Records that a request with these fingerprints was answered completely. Returns
+    /// those that were suspected.
+    pub fn clear(&mut self, fingerprints: &[F]) -> Vec<F> {
+        let mut cleared = Vec::new();
+        for fingerprint in fingerprints {
+            if self.suspects.swap_remove(fingerprint).is_some() {
+                cleared.push(fingerprint.clone());
+            }
+        }
+        cleared
+    }
+
+    /// Returns whether no fingerprint is suspected.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Returns the number of crashes at which a fingerprint was in flight.
+    #[must_use]
+    pub fn crash_count(&self, fingerprint: &F) -> usize {
+        let suspect = self.suspects.get(fingerprint);
+        suspect.map_or(0, |suspect| suspect.boots.len())
+    }
+
+    /// Returns the time for which requests with these fingerprints are refused, in
+    /// milliseconds, or `None` if they may run.
+    #[must_use]
+    pub fn quarantine_left_ms(&self, fingerprints: &[F], now_ms: u64) -> Option<u64> {
+        let mut longest_ms = None;
+        for fingerprint in fingerprints {
+            let Some(suspect) = self.suspects.get(fingerprint) else {
+                continue;
+            };
+            let Some(left_ms) = suspect.quarantine_left_ms(now_ms) else {
+                continue;
+            };
+            if self.carries_whole_cause(fingerprints, suspect) {
+                longest_ms = longest_ms.max(Some(left_ms));
+            }
+        }
+        longest_ms
+    }
+
+    /// Returns the crashes of all fingerprints that have led to a quarantine, by boot.
+    #[must_use]
+    pub fn quarantined_crashes(&self) -> IndexMap<Arc<str>, Vec<F>> {
+        let mut crashes: IndexMap<Arc<str>, Vec<F>> = IndexMap::new();
+        for (fingerprint, suspect) in &self.suspects {
+            if suspect.boots.len() < MAX_CRASHES {
+                continue;
+            }
+            for boot in &suspect.boots {
+                let fingerprints = crashes.entry(boot.clone()).or_default();
+                fingerprints.push(fingerprint.clone());
+            }
+        }
+        crashes
+    }
+
+    /// Returns whether `fingerprints` contain everything that was in flight at all
+    /// crashes of a suspect.
+    fn carries_whole_cause(&self, fingerprints: &[F], suspect: &Suspect) -> bool {
+        for (other_fingerprint, other) in &self.suspects {
+            let was_at_all = suspect.boots.is_subset(&other.boots);
+            if was_at_all && !fingerprints.contains(other_fingerprint) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Removes the oldest suspect that is not quarantined if there are too many.
+    fn make_room(&mut self) {
+        if self.suspects.len() < MAX_SUSPECTS {
+            return;
+        }
+        let mut suspects = self.suspects.values();
+        let oldest = suspects.position(|suspect| suspect.boots.len() < MAX_CRASHES);
+        self.suspects.shift_remove_index(oldest.unwrap_or(0));
+    }
+}
 
 /// Identity of a request that stays the same when its caller repeats it.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Fingerprint {
     /// Client account that sent the request.
     pub account: Arc<str>,
-    /// SHA-256 digest of the body.
+    /// SHA-256 digest of the request.
     pub body_digest: [u8; 32],
 }
 
@@ -29,8 +203,7 @@
     pub request_id: Arc<str>,
     /// Fingerprint by which a repeated request is recognized.
     pub fingerprint: Fingerprint,
-    /// Whether the request's fingerprint is now quarantined, since this was its
-    /// second crash.
+    /// Whether requests with the fingerprint are now quarantined.
     pub is_quarantined: bool,
 }
 
@@ -42,13 +215,17 @@
 
 /// Tracks requests in flight, and the crashes at which each fingerprint was in
 /// flight.
+///
+/// A suspect is retried at most once, on a target where no other suspect runs, so
+/// that a second crash can be attributed to it. A request thus crashes at most two
+/// targets.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTracker {
     /// Requests in flight, by request identifier.
     running: IndexMap<Arc<str>, RunningRequest>,
-    /// Number of crashes at which each suspect was in flight.
-    crashes: IndexMap<Fingerprint, u32>,
-    quarantined: IndexSet<Fingerprint>,
+    history: CrashHistory<Fingerprint>,
+    /// Number of crashes so far; distinguishes two crashes of one target.
+    crashes: u64,
 }
 
 impl SuspectTracker {
@@ -58,7 +235,7 @@
     /// run suspects (see [`assigned_targets`]).
     #[must_use]
     pub fn may_run(&self, fingerprint: &Fingerprint, target: &str, is_assigned: bool) -> bool {
-        if self.quarantined.contains(fingerprint) {
+        if self.is_quarantined(fingerprint) {
             return false;
         }
         if !self.is_suspect(fingerprint) {
@@ -79,14 +256,14 @@
     /// and none has finished since.
     #[must_use]
     pub fn is_suspect(&self, fingerprint: &Fingerprint) -> bool {
-        self.crashes.contains_key(fingerprint)
+        self.history.crash_count(fingerprint) > 0
     }
 
     /// Returns whether requests with the fingerprint are quarantined and must not
     /// run.
     #[must_use]
     pub fn is_quarantined(&self, fingerprint: &Fingerprint) -> bool {
-        self.quarantined.contains(fingerprint)
+        self.history.crash_count(fingerprint) >= MAX_CRASHES
     }
 
     /// Records a request that is sent to a target.
@@ -109,7 +286,7 @@
         let Some(running) = self.running.swap_remove(request_id) else {
             return;
         };
-        self.crashes.swap_remove(&running.fingerprint);
+        self.history.clear(&[running.fingerprint]);
     }
 
     /// Records the end of a request that did not run long enough to show that it
@@ -123,6 +300,8 @@
     ///
     /// Must not be called for a planned stop.
     pub fn record_crash(&mut self, target: &str) -> Vec<SuspectedRequest> {
+        self.crashes += 1;
+        let boot = format!("{target}/{}", self.crashes).into();
         let mut suspected = Vec::new();
         let mut kept = IndexMap::new();
         for (request_id, running) in std::mem::take(&mut self.running) {
@@ -130,39 +309,18 @@
                 kept.insert(request_id, running);
                 continue;
             }
-            let is_quarantined = self.count_crash(&running.fingerprint);
+            let fingerprint = running.fingerprint;
+            self.history
+                .record_crash(&boot, std::slice::from_ref(&fingerprint), 0);
             suspected.push(SuspectedRequest {
                 request_id,
-                fingerprint: running.fingerprint,
-                is_quarantined,
+                is_quarantined: self.is_quarantined(&fingerprint),
+                fingerprint,
             });
         }
         self.running = kept;
         suspected
     }
-
-    /// Quarantines a fingerprint, for example one that a peer has quarantined.
-    pub fn quarantine(&mut self, fingerprint: Fingerprint) {
-        self.crashes.swap_remove(&fingerprint);
-        self.quarantined.insert(fingerprint);
-    }
-
-    /// Ends the quarantine of a fingerprint, after the quarantine has expired.
-    pub fn release(&mut self, fingerprint: &Fingerprint) {
-        self.quarantined.swap_remove(fingerprint);
-    }
-
-    /// Counts a crash at which a fingerprint was in flight; returns whether the
-    /// fingerprint is now quarantined.
-    fn count_crash(&mut self, fingerprint: &Fingerprint) -> bool {
-        let crashes = self.crashes.entry(fingerprint.clone()).or_default();
-        *crashes += 1;
-        if *crashes < MAX_CRASHES {
-            return false;
-        }
-        self.quarantine(fingerprint.clone());
-        true
-    }
 }
 
 /// Returns the targets on which an instance may run suspects.
--- a/tests/crash_inducing_part.rs
+++ b/tests/crash_inducing_part.rs
@@ -98,8 +98,8 @@
 }
 
 struct Fixture {
-    _store: Store,
-    _cloud: Cloud,
+    store: Store,
+    cloud: Cloud,
     engines: Engines,
     gateways: Vec<Gateway>,
 }
@@ -121,8 +121,8 @@
         })
         .await;
         Self {
-            _store: store,
-            _cloud: cloud,
+            store,
+            cloud,
             engines,
             gateways,
         }
@@ -165,3 +165,28 @@
         assert_eq!(status, Some(200), "sound request {number}");
     }
 }
+
+/// Guards against an instance that starts later and crashes engines again, because its
+/// peers do not tell it what they refuse.
+#[tokio::test]
+async fn later_instance_told() {
+    let mut fixture = Fixture::start(2).await;
+    let crashing = |number: usize| format!("{COMMON_PART}:400,{CRASHING_PART}:200,{number:x}1:300");
+    for number in 0..4 {
+        let id = format!("r-crashing-{number}");
+        fixture.send(number % 2, &id, &crashing(number)).await;
+        sleep(PAUSE).await;
+    }
+    let crashes = fixture.engines.crashes();
+    assert!(crashes <= MAX_CRASHES, "{crashes} crashes of engines");
+    let later = Gateway::start("entry-later", &fixture.store, &fixture.cloud).await;
+    later.wait_until_ready().await;
+    sleep(PAUSE * 3).await;
+    fixture.gateways.push(later);
+    for number in 4..8 {
+        let id = format!("r-crashing-{number}");
+        let status = fixture.send(2, &id, &crashing(number)).await;
+        assert_eq!(status, Some(503));
+    }
+    assert_eq!(fixture.engines.crashes(), crashes);
+}
--- /dev/null
+++ b/tests/suspect_parts.rs
@@ -0,0 +1,176 @@
+//! Requests that share prompt parts, some of which crash engines.
+
+use std::sync::Arc;
+
+use arbtest::{
+    arbitrary::{Result, Unstructured},
+    arbtest,
+};
+use indexmap::IndexMap;
+use lavenderwind::policy::suspects::{CrashHistory, MAX_CRASHES, QUARANTINE_MS};
+
+const SEEDS: std::ops::Range<u64> = 0..50;
+/// Number of random bytes of a run, in the lower half of an `arbtest` seed.
+const RANDOM_BYTES: u64 = 1 << 17;
+const ENGINES: usize = 12;
+/// Part that crashes engines.
+const CAUSE: u32 = 1_000;
+/// Number of crashes that the users allow.
+const ALLOWED_CRASHES: usize = 5;
+
+/// Engines with the fingerprints of the requests in flight on each.
+struct Fleet {
+    history: CrashHistory<u32>,
+    in_flight: IndexMap<usize, Vec<Vec<u32>>>,
+    crashes: usize,
+    now_ms: u64,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        Self {
+            history: CrashHistory::default(),
+            in_flight: IndexMap::new(),
+            crashes: 0,
+            now_ms: 0,
+        }
+    }
+
+    /// Sends a request to an engine unless it is refused; returns whether it was sent.
+    fn send(&mut self, engine: usize, request: Vec<u32>) -> bool {
+        self.now_ms += 10;
+        if self
+            .history
+            .quarantine_left_ms(&request, self.now_ms)
+            .is_some()
+        {
+            return false;
+        }
+        self.in_flight.entry(engine).or_default().push(request);
+        true
+    }
+
+    /// Answers the oldest request on an engine, or crashes the engine if the request
+    /// carries the cause. Returns the requests that broke off.
+    fn step(&mut self, engine: usize) -> Vec<Vec<u32>> {
+        let Some(requests) = self.in_flight.get_mut(&engine) else {
+            return Vec::new();
+        };
+        if requests.is_empty() {
+            return Vec::new();
+        }
+        if !requests[0].contains(&CAUSE) {
+            let answered = requests.remove(0);
+            self.history.clear(&answered);
+            return Vec::new();
+        }
+        self.crash(engine)
+    }
+
+    fn crash(&mut self, engine: usize) -> Vec<Vec<u32>> {
+        self.crashes += 1;
+        let broken = self.in_flight.swap_remove(&engine).unwrap_or_default();
+        let boot: Arc<str> = format!("engine-{engine}/{}", self.crashes).into();
+        self.history
+            .record_crash(&boot, &broken.concat(), self.now_ms);
+        broken
+    }
+}
+
+fn check_seeds<F>(mut property: F)
+where
+    F: FnMut(&mut Unstructured<'_>) -> Result<()>,
+{
+    for seed in SEEDS {
+        arbtest(&mut property).seed(seed << 32 | RANDOM_BYTES).run();
+    }
+}
+
+/// Returns a sound request: its own fingerprint, a frequent part and a rare one.
+fn sound_request(u: &mut Unstructured<'_>, number: u32) -> Result<Vec<u32>> {
+    let frequent = 2_000 + u.int_in_range(0..=5)?;
+    let rare = 3_000 + u.int_in_range(0..=300)?;
+    Ok(vec![10_000 + number, frequent, rare])
+}
+
+/// Guards against engines that one part crashes again and again, and against refusals of
+/// sound requests that share all other parts with those that carry it.
+#[test]
+fn cause_found_among_sharers() {
+    check_seeds(|u| {
+        let mut fleet = Fleet::new();
+        let mut refused = 0;
+        for number in 0..2_000 {
+            let is_crashing = number % 20 == 0;
+            let request = match is_crashing {
+                true => vec![10_000 + number, 2_000, CAUSE],
+                false => sound_request(u, number)?,
+            };
+            let was_sent = fleet.send(u.choose_index(ENGINES)?, request);
+            assert!(is_crashing || was_sent, "sound request {number} refused");
+            refused += usize::from(!was_sent);
+            // Engines keep one to three requests in flight each.
+            let engine = u.choose_index(ENGINES)?;
+            for broken in fleet.step(engine) {
+                let retried_at = u.choose_index(ENGINES)?;
+                fleet.send(retried_at, broken);
+            }
+            fleet.step(u.choose_index(ENGINES)?);
+        }
+        assert!(fleet.crashes <= ALLOWED_CRASHES, "{}", fleet.crashes);
+        assert!(refused >= 90, "{refused} requests refused");
+        Ok(())
+    });
+}
+
+/// Guards against refusals of sound requests after crashes that no request caused.
+#[test]
+fn unrelated_crashes_refuse_little() {
+    let mut sent = 0;
+    let mut refused = 0;
+    check_seeds(|u| {
+        let mut fleet = Fleet::new();
+        for number in 0..1_000 {
+            let request = sound_request(u, number)?;
+            let was_sent = fleet.send(u.choose_index(ENGINES)?, request);
+            sent += 1;
+            refused += u32::from(!was_sent);
+            fleet.step(u.choose_index(ENGINES)?);
+            if number % 50 == 49 {
+                for broken in fleet.crash(u.choose_index(ENGINES)?) {
+                    fleet.send(u.choose_index(ENGINES)?, broken);
+                }
+            }
+        }
+        Ok(())
+    });
+    assert!(refused * 1_000 <= sent, "{refused} of {sent} refused");
+}
+
+/// A quarantine ends, and one further crash restores it.
+#[test]
+fn quarantine_expires() {
+    let mut history = CrashHistory::default();
+    for crash in 0..MAX_CRASHES {
+        history.record_crash(&format!("boot-{crash}").into(), &[CAUSE], 0);
+    }
+    let left_ms = history.quarantine_left_ms(&[CAUSE], 1);
+    assert_eq!(left_ms, Some(QUARANTINE_MS - 1));
+    assert_eq!(history.quarantine_left_ms(&[CAUSE], QUARANTINE_MS), None);
+    history.record_crash(&"boot-later".into(), &[CAUSE], 2 * QUARANTINE_MS);
+    assert!(
+        history
+            .quarantine_left_ms(&[CAUSE], 2 * QUARANTINE_MS)
+            .is_some()
+    );
+}
+
+/// Several reports of one crash count once.
+#[test]
+fn crash_counts_once() {
+    let mut history = CrashHistory::default();
+    let boot: Arc<str> = "boot-1".into();
+    assert_eq!(history.record_crash(&boot, &[CAUSE], 0), [CAUSE]);
+    assert!(history.record_crash(&boot, &[CAUSE], 1).is_empty());
+    assert_eq!(history.quarantine_left_ms(&[CAUSE], 2), None);
+}
