Keep the quarantine when all instances restart

After a restart of all instances at once, nobody could tell them what crashes engines, so that they learned it by crashes again: the next request with the part was sent to an engine. Where such requests are rare, that comes so late after the restart that it breaks the users' rule (BUDGET).

The instance that learns of a quarantine stores the crashes that led to it: one record, at most one a second, in the topic of the instances' announcements, which each instance reads anyway when it starts. No further read is needed.

crash_inducing_part::restart_of_all_remembers fails without the read at the start (the engine is asked again, 502) and passes with it.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -112,8 +112,8 @@
         let Some(peers) = self.state.peers() else {
             return;
         };
-        if peers.has_suspects() {
-            peers.report_sound(&fingerprints(call));
+        if peers.has_suspects() && peers.report_sound(&fingerprints(call)) {
+            self.state.quarantine_changed.notify_one();
         }
     }
 
@@ -177,7 +177,9 @@
         }
         in_flight.sort_unstable();
         in_flight.dedup();
-        peers.report_crash(&boot, &in_flight);
+        if peers.report_crash(&boot, &in_flight) {
+            state.quarantine_changed.notify_one();
+        }
     }
     let now_ms = state.now_ms();
     let mut loads = state.loads();
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -12,17 +12,19 @@
 
 use super::{
     follower::{Follower, Update},
+    quarantine,
     state::State,
 };
 use crate::{
     infra::protocol::{LiveInstance, LiveState},
     log::backoff::Backoff,
-    peer::PeerHandle,
+    peer::{PeerHandle, TargetCrash},
     platform::{KeyedRecord, StoreClient, StoreError, Topic},
 };
 
-/// Topic of the instances' announcements, keyed by instance name.
-const MEMBER_TOPIC: Topic = Topic("keyed.members");
+/// Topic of the instances' announcements, keyed by instance name. It also has the record
+/// of [`quarantine`].
+pub(super) const MEMBER_TOPIC: Topic = Topic("keyed.members");
 
 /// Longest time that a read waits for the next announcement.
 const READ_WAIT: Duration = Duration::from_secs(15);
@@ -57,7 +59,7 @@
     }
 }
 
-fn unix_ms() -> u64 {
+pub(super) fn unix_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     since_epoch.map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
@@ -89,6 +91,8 @@
 pub(super) struct MemberTail {
     follower: Follower,
     members: IndexMap<Arc<str>, LiveInstance>,
+    /// Stored crashes that have led to a quarantine.
+    crashes: Vec<TargetCrash>,
 }
 
 impl MemberTail {
@@ -96,9 +100,15 @@
         Self {
             follower: Follower::new(store, MEMBER_TOPIC),
             members: IndexMap::new(),
+            crashes: Vec::new(),
         }
     }
 
+    /// Returns the stored crashes that have led to a quarantine.
+    pub(super) fn crashes(&self) -> &[TargetCrash] {
+        &self.crashes
+    }
+
     /// Returns the incarnation for a new start of an instance: a number that is higher
     /// than that of each earlier start.
     ///
@@ -123,6 +133,10 @@
             }
         };
         for record in &records {
+            if *record.key == *quarantine::KEY {
+                self.crashes = quarantine::read(record);
+                continue;
+            }
             apply_announcement(&mut self.members, record);
         }
         true
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,7 +11,8 @@
 //! - Callers: `connection` serves one connection, `admission` checks the route and
 //!   the key of a request, and `reply` builds responses.
 //! - Attempts: `attempt` makes one attempt over a connection of `pool`,
-//!   `attempt_history` decides on retries, and `crash` detects targets that crash.
+//!   `attempt_history` decides on retries, `crash` detects targets that crash, and
+//!   `quarantine` stores which requests crash them.
 //! - Choice of engines: `placement` selects the engine that prefills a prompt,
 //!   `prefill` runs the prefill there, and `decode` selects the engine that decodes
 //!   the answer. `engine_call` makes the gateway's own calls to engines.
@@ -44,6 +45,7 @@
 mod plain;
 mod pool;
 mod prefill;
+mod quarantine;
 mod readiness;
 mod relay;
 mod reload;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,7 +15,7 @@
     duty::{self, DutyLease},
     engines,
     members::{self, MemberTail},
-    readiness, reload, server,
+    quarantine, readiness, reload, server,
     state::State,
     targets,
 };
@@ -246,6 +246,7 @@
         let (live_instances, live) = watch::channel(1);
         let stop = supervisor.stop_token();
         let peers = peer::spawn_without_live_list(options, log, listener, live_instances, &stop);
+        peers.handle.restore_crashes(members.crashes());
         self.state.set_peers(peers.handle.clone());
         let identity = Identity {
             name: settings.name.clone(),
@@ -256,6 +257,10 @@
         spawn_task(&supervisor, "work", move || {
             engines::exchange_work(state.clone(), handle.clone())
         });
+        let (context, handle) = (self.clone(), peers.handle.clone());
+        spawn_task(&supervisor, "quarantine", move || {
+            quarantine::store_changes(context.state.clone(), context.store.clone(), handle.clone())
+        });
         let (store, handle) = (self.store.clone(), peers.handle.clone());
         // Continues after the announcements that were just read; a restarted task reads
         // them again.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -6,7 +6,7 @@
 };
 
 use indexmap::IndexMap;
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
 use super::{
     crash::CallsInFlight, engines::Engines, loads::Loads, pool::Pool, usage::UsageCounter,
@@ -57,6 +57,8 @@
     /// Number of live instances.
     instances: AtomicUsize,
     stopping: AtomicBool,
+    /// Notified when the crashes that have led to a quarantine have changed.
+    pub(super) quarantine_changed: Notify,
     started_at: Instant,
     /// When the last successful read of the configuration was sent.
     catalog_read_at: Mutex<Option<Instant>>,
@@ -80,6 +82,7 @@
             body_bytes: AtomicUsize::new(0),
             instances: AtomicUsize::new(1),
             stopping: AtomicBool::new(false),
+            quarantine_changed: Notify::new(),
             started_at: Instant::now(),
             catalog_read_at: Mutex::default(),
             peers: OnceLock::new(),
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -13,6 +13,7 @@
     quarantine::QuarantinedRequest,
     shared::Shared,
     state::SentNotice,
+    suspects::TargetCrash,
 };
 use crate::{infra::protocol::LiveInstance, log::records::UsageSlice};
 
@@ -146,15 +147,27 @@
     }
 
     /// Records a crash of a target while requests with these fingerprints were in flight
-    /// on it, and reports it to peers. `boot` differs for each start of a target.
-    pub fn report_crash(&self, boot: &Arc<str>, fingerprints: &[u64]) {
-        self.shared.state().add_crash(boot, fingerprints, None);
+    /// on it, and reports it to peers. `boot` differs for each start of a target. Returns
+    /// whether requests are quarantined for it.
+    pub fn report_crash(&self, boot: &Arc<str>, fingerprints: &[u64]) -> bool {
+        self.shared.state().add_crash(boot, fingerprints, None)
     }
 
     /// Records that a request with these fingerprints was answered completely, so that
-    /// they are no longer suspected to crash targets, and reports it to peers.
-    pub fn report_sound(&self, fingerprints: &[u64]) {
-        self.shared.state().clear_suspects(fingerprints, None);
+    /// they are no longer suspected to crash targets, and reports it to peers. Returns
+    /// whether requests were quarantined for any.
+    pub fn report_sound(&self, fingerprints: &[u64]) -> bool {
+        self.shared.state().clear_suspects(fingerprints, None)
+    }
+
+    /// Records crashes that this or another instance has stored, without reporting them.
+    pub fn restore_crashes(&self, crashes: &[TargetCrash]) {
+        self.shared.state().restore_crashes(crashes);
+    }
+
+    /// Returns the newest crashes that have led to a quarantine.
+    pub fn quarantined_crashes(&self) -> Vec<TargetCrash> {
+        self.shared.state().quarantined_crashes()
     }
 
     /// Returns whether any fingerprint is suspected to crash targets.
--- a/src/peer/suspects.rs
+++ b/src/peer/suspects.rs
@@ -3,6 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use super::{
@@ -10,15 +11,27 @@
     state::{State, link_kind_of},
     topology::LinkKind,
 };
-use crate::policy::suspects::CrashHistory;
+use crate::policy::suspects::{CrashHistory, MAX_CRASHES};
 
 /// Maximum number of fingerprints, not suspected before, that an instance reports or
 /// forwards in a second. A fingerprint that was in flight at an earlier crash is always
 /// reported.
 const MAX_NEW_SUSPECTS_PER_S: usize = 256;
 
+/// Maximum number of crashes that are stored or sent to a new peer.
+const MAX_STORED_CRASHES: usize = 64;
+
 const SECOND: Duration = Duration::from_secs(1);
 
+/// A crash of a target.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetCrash {
+    /// Boot of the target, which is different after each start.
+    pub boot: Arc<str>,
+    /// Fingerprints of the requests that were in flight.
+    pub fingerprints: Vec<u64>,
+}
+
 /// Crashes that this instance knows of.
 #[derive(Debug)]
 pub(super) struct ReportedCrashes {
@@ -83,41 +96,74 @@
 
 impl State {
     /// Records a crash of a target. Peers are told what they may not know yet; `from` is
-    /// the peer that reported the crash, if any did.
-    pub(super) fn add_crash(&mut self, boot: &Arc<str>, fingerprints: &[u64], from: Option<&str>) {
+    /// the peer that reported the crash, if any did. Returns whether requests are
+    /// quarantined for it.
+    pub(super) fn add_crash(
+        &mut self,
+        boot: &Arc<str>,
+        fingerprints: &[u64],
+        from: Option<&str>,
+    ) -> bool {
         let reported = self.crashes.record_crash(boot, fingerprints);
         if reported.is_empty() {
-            return;
+            return false;
         }
+        let history = &self.crashes.history;
+        let mut counts = reported.iter().map(|found| history.crash_count(found));
+        let is_quarantined = counts.any(|crashes| crashes >= MAX_CRASHES);
         let report = CrashReport {
             boot: boot.to_string(),
             fingerprints: reported,
         };
         self.send_to_peers(&Body::CrashReport(report), from);
+        is_quarantined
     }
 
     /// Records that a request with these fingerprints was answered completely. Peers are
     /// told which of them are no longer suspected; `from` is the peer that reported it, if
-    /// any did.
-    pub(super) fn clear_suspects(&mut self, fingerprints: &[u64], from: Option<&str>) {
-        let cleared = self.crashes.history.clear(fingerprints);
+    /// any did. Returns whether requests were quarantined for any.
+    pub(super) fn clear_suspects(&mut self, fingerprints: &[u64], from: Option<&str>) -> bool {
+        let history = &mut self.crashes.history;
+        let mut counts = fingerprints.iter().map(|found| history.crash_count(found));
+        let was_quarantined = counts.any(|crashes| crashes >= MAX_CRASHES);
+        let cleared = history.clear(fingerprints);
         if cleared.is_empty() {
-            return;
+            return false;
         }
         let report = SoundReport {
             fingerprints: cleared,
         };
         self.send_to_peers(&Body::SoundReport(report), from);
+        was_quarantined
+    }
+
+    /// Records crashes that an earlier instance has stored.
+    pub(super) fn restore_crashes(&mut self, crashes: &[TargetCrash]) {
+        let now_ms = self.crashes.now_ms();
+        for crash in crashes {
+            let history = &mut self.crashes.history;
+            history.record_crash(&crash.boot, &crash.fingerprints, now_ms);
+        }
+    }
+
+    /// Returns the newest crashes that have led to a quarantine.
+    pub(super) fn quarantined_crashes(&self) -> Vec<TargetCrash> {
+        let mut crashes = Vec::new();
+        let by_boot = self.crashes.history.quarantined_crashes();
+        for (boot, fingerprints) in by_boot.into_iter().rev().take(MAX_STORED_CRASHES) {
+            crashes.push(TargetCrash { boot, fingerprints });
+        }
+        crashes
     }
 
     /// Returns the frames that tell a newly connected peer about requests that are
     /// refused.
     pub(super) fn quarantine_frames(&self) -> Vec<Body> {
         let mut frames = Vec::new();
-        for (boot, fingerprints) in self.crashes.history.quarantined_crashes() {
+        for crash in self.quarantined_crashes() {
             frames.push(Body::CrashReport(CrashReport {
-                boot: boot.to_string(),
-                fingerprints,
+                boot: crash.boot.to_string(),
+                fingerprints: crash.fingerprints,
             }));
         }
         frames
--- a/tests/crash_inducing_part.rs
+++ b/tests/crash_inducing_part.rs
@@ -142,15 +142,19 @@
     }
 }
 
+/// Returns the parts of a prompt with [`CRASHING_PART`], different for each number.
+fn crashing_parts(number: usize) -> String {
+    format!("{COMMON_PART}:400,{CRASHING_PART}:200,{number:x}1:300")
+}
+
 /// Guards against requests of one kind that crash engine after engine, because no
 /// instance remembers what was in flight at the crashes before.
 #[tokio::test]
 async fn crashes_are_bounded() {
     let fixture = Fixture::start(2).await;
     for number in 0..12 {
-        let crashing = format!("{COMMON_PART}:400,{CRASHING_PART}:200,{number:x}1:300");
         let id = format!("r-crashing-{number}");
-        fixture.send(number % 2, &id, &crashing).await;
+        fixture.send(number % 2, &id, &crashing_parts(number)).await;
         sleep(PAUSE).await;
     }
     assert!(
@@ -171,10 +175,9 @@
 #[tokio::test]
 async fn later_instance_told() {
     let mut fixture = Fixture::start(2).await;
-    let crashing = |number: usize| format!("{COMMON_PART}:400,{CRASHING_PART}:200,{number:x}1:300");
     for number in 0..4 {
         let id = format!("r-crashing-{number}");
-        fixture.send(number % 2, &id, &crashing(number)).await;
+        fixture.send(number % 2, &id, &crashing_parts(number)).await;
         sleep(PAUSE).await;
     }
     let crashes = fixture.engines.crashes();
@@ -185,7 +188,33 @@
     fixture.gateways.push(later);
     for number in 4..8 {
         let id = format!("r-crashing-{number}");
-        let status = fixture.send(2, &id, &crashing(number)).await;
+        let status = fixture.send(2, &id, &crashing_parts(number)).await;
+        assert_eq!(status, Some(503));
+    }
+    assert_eq!(fixture.engines.crashes(), crashes);
+}
+
+/// Guards against a quarantine that ends as all instances are restarted.
+#[tokio::test]
+async fn restart_of_all_remembers() {
+    let mut fixture = Fixture::start(1).await;
+    for number in 0..4 {
+        let id = format!("r-crashing-{number}");
+        fixture.send(0, &id, &crashing_parts(number)).await;
+        sleep(PAUSE).await;
+    }
+    let crashes = fixture.engines.crashes();
+    assert!(crashes <= MAX_CRASHES, "{crashes} crashes of engines");
+    for gateway in fixture.gateways.drain(..) {
+        gateway.task.abort();
+    }
+    let restarted = Gateway::start("entry-0", &fixture.store, &fixture.cloud).await;
+    restarted.wait_until_ready().await;
+    sleep(PAUSE * 3).await;
+    fixture.gateways.push(restarted);
+    for number in 4..8 {
+        let id = format!("r-crashing-{number}");
+        let status = fixture.send(0, &id, &crashing_parts(number)).await;
         assert_eq!(status, Some(503));
     }
     assert_eq!(fixture.engines.crashes(), crashes);
