--- a/src/policy/limits.rs
+++ b/src/policy/limits.rs
@@ -6,10 +6,8 @@
 
 use displaydoc::Display;
 
-/// Number of thousandths in a whole unit, such as a request or a token.
-pub const MILLI: u64 = 1_000;
-/// Milliseconds in a second.
-const MS_PER_S: u64 = 1_000;
+use super::token_bucket::{MILLI, MS_PER_S, TokenBucket};
+
 /// Length of the windows over which the offered rate is averaged, in milliseconds.
 const OFFERED_RATE_WINDOW_MS: u64 = 1_000;
 
@@ -62,81 +60,6 @@
 
 impl std::error::Error for LimitError {}
 
-/// A token bucket that counts requests or model tokens, in thousandths of one.
-///
-/// The level may become negative: an amount above the capacity is accepted when
-/// the bucket is full, and corrections of estimates are always charged.
-#[derive(Clone, Debug, Default)]
-struct TokenBucket {
-    /// Rate at which the bucket is refilled; `None` for no limit.
-    rate_milli_per_s: Option<u64>,
-    level_milli: i64,
-    refilled_at_ms: u64,
-}
-
-impl TokenBucket {
-    fn set_rate(&mut self, rate_milli_per_s: Option<u64>, now_ms: u64) {
-        self.refill(now_ms);
-        if self.rate_milli_per_s.is_none() {
-            self.level_milli = 0;
-            self.refilled_at_ms = now_ms;
-        }
-        self.rate_milli_per_s = rate_milli_per_s;
-        self.level_milli = self.level_milli.min(self.capacity_milli());
-    }
-
-    fn refill(&mut self, now_ms: u64) {
-        let Some(rate_milli_per_s) = self.rate_milli_per_s else {
-            return;
-        };
-        let elapsed_ms = now_ms.saturating_sub(self.refilled_at_ms);
-        let refill_milli =
-            u128::from(rate_milli_per_s) * u128::from(elapsed_ms) / u128::from(MS_PER_S);
-        if refill_milli == 0 {
-            return;
-        }
-        self.refilled_at_ms = now_ms;
-        let refill_milli = i64::try_from(refill_milli).unwrap_or(i64::MAX);
-        self.level_milli = self
-            .level_milli
-            .saturating_add(refill_milli)
-            .min(self.capacity_milli());
-    }
-
-    /// Returns the capacity: the amount refilled in one second, at least one
-    /// unit.
-    fn capacity_milli(&self) -> i64 {
-        let rate_milli_per_s = self.rate_milli_per_s.unwrap_or(0);
-        i64::try_from(rate_milli_per_s.max(MILLI)).unwrap_or(i64::MAX)
-    }
-
-    /// Returns the time until `amount` units are accepted, in milliseconds; 0 if they
-    /// are accepted now.
-    ///
-    /// An amount above the capacity is accepted when the bucket is full.
-    fn wait_ms(&self, amount: u64) -> u64 {
-        let Some(rate_milli_per_s) = self.rate_milli_per_s else {
-            return 0;
-        };
-        let amount_milli = i64::try_from(amount.saturating_mul(MILLI)).unwrap_or(i64::MAX);
-        let missing_milli = amount_milli.min(self.capacity_milli()) - self.level_milli;
-        match u64::try_from(missing_milli) {
-            Ok(missing_milli) if missing_milli > 0 && rate_milli_per_s == 0 => u64::MAX,
-            Ok(missing_milli) => (missing_milli * MS_PER_S).div_ceil(rate_milli_per_s.max(1)),
-            Err(_) => 0,
-        }
-    }
-
-    /// Takes `amount` units from the bucket; a negative amount is put back.
-    fn spend(&mut self, amount: i64) {
-        if self.rate_milli_per_s.is_some() {
-            self.level_milli = self
-                .level_milli
-                .saturating_sub(amount.saturating_mul(MILLI as i64));
-        }
-    }
-}
-
 /// Enforces one instance's share of an account's limits.
 ///
 /// In the example, the limit is one request in progress:
@@ -175,8 +98,8 @@
             offered_tokens: OfferedRate::default(),
         };
         limiter.set_limits(limits, now_ms);
-        limiter.requests.level_milli = limiter.requests.capacity_milli();
-        limiter.tokens.level_milli = limiter.tokens.capacity_milli();
+        limiter.requests.fill();
+        limiter.tokens.fill();
         limiter
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -26,4 +26,5 @@
 pub mod spending;
 pub mod spread;
 pub mod suspects;
+pub mod token_bucket;
 pub mod work_meter;
