Tell which limits targets name

The limits are now decoded (platform/request.rs), kept with the boot of the target (gateway/notices.rs), logged when they change, and told to peers, also to those that connect later. Requests are not held to them yet.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -258,6 +258,7 @@
     let (parts, body) = response.into_parts();
     let answer_head = read_answer_head(&parts);
     connection.idle_timeout = answer_head.idle_timeout;
+    state.note_hints(target, &answer_head.hints);
     check_head(call, parts.status, &answer_head)?;
     Ok(Answer {
         target: target.clone(),
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -10,7 +10,9 @@
 
 use super::{pool, state::State};
 use crate::{
-    platform::{Holder, LoadReport, RoleOrder, engine_headers, prefill_release_path},
+    platform::{
+        Holder, LoadReport, RoleOrder, engine_headers, prefill_release_path, read_target_hints,
+    },
     roster::Target,
     target::protocol::EngineRole,
 };
@@ -155,6 +157,7 @@
             _ => CallError::not_run(error),
         })?;
     let status = response.status();
+    state.note_hints(target, &read_target_hints(response.headers()));
     let limited = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
     let body = limited.collect().await.map_err(CallError::unknown)?;
     state.pool.put_back(target, connection);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,7 +16,8 @@
 //! - Choice of engines: `placement` selects the engine that prefills a prompt,
 //!   `prefill` runs the prefill there, and `decode` selects the engine that decodes
 //!   the answer. `engine_call` makes the gateway's own calls to engines.
-//! - Measurements: `loads` keeps the load of each target, `engines` the timing profile
+//! - Measurements: `notices` keeps what targets say about the requests that they take,
+//!   `loads` the load of each target, `engines` the timing profile
 //!   and load of each service's engines, `stream_times` the timing of streams, and
 //!   `usage` the counts of started requests.
 //! - Store and streams: `follower` reads a topic continuously, and `events` splits
@@ -41,6 +42,7 @@
 mod generation;
 mod loads;
 mod members;
+mod notices;
 mod placement;
 mod plain;
 mod pool;
--- /dev/null
+++ b/src/gateway/notices.rs
@@ -0,0 +1,159 @@
+//! What targets say in their answers about the requests that they take, shared with
+//! peers.
+
+use std::{sync::Arc, time::Duration};
+
+use indexmap::IndexMap;
+use tokio::time::sleep;
+
+use super::state::State;
+use crate::{
+    peer::{PeerHandle, TargetNotice, rendezvous_order},
+    platform::TargetHints,
+    policy::{
+        target_notices::{SenderRank, TargetNotices},
+        token_bucket::MILLI,
+    },
+    roster::Target,
+};
+
+/// Interval at which notices of peers are applied.
+const EXCHANGE_PERIOD: Duration = Duration::from_millis(250);
+
+/// Notices of one boot of a target.
+#[derive(Debug, Default)]
+struct BootNotices {
+    started_at_unix_ms: u64,
+    notices: TargetNotices,
+}
+
+/// Notices of all targets.
+#[derive(Debug, Default)]
+pub(super) struct Notices {
+    /// Notices by target identifier, of targets that have said anything.
+    targets: IndexMap<Arc<str>, BootNotices>,
+}
+
+impl Notices {
+    fn get(&self, target: &Target) -> Option<&TargetNotices> {
+        let known = self.targets.get(&target.id)?;
+        (known.started_at_unix_ms == target.started_at_unix_ms).then_some(&known.notices)
+    }
+
+    /// Returns the notices of a boot, and forgets those of an earlier one.
+    fn entry(&mut self, id: &Arc<str>, started_at_unix_ms: u64) -> &mut TargetNotices {
+        let known = self.targets.entry(id.clone()).or_default();
+        if known.started_at_unix_ms != started_at_unix_ms {
+            *known = BootNotices {
+                started_at_unix_ms,
+                notices: TargetNotices::default(),
+            };
+        }
+        &mut known.notices
+    }
+
+    /// Removes the notices of targets for which `keep` returns false.
+    pub(super) fn retain<F>(&mut self, mut keep: F)
+    where
+        F: FnMut(&str) -> bool,
+    {
+        self.targets.retain(|id, _| keep(id));
+    }
+}
+
+impl State {
+    /// Takes in what a target has said in an answer, and reports it to peers.
+    pub(super) fn note_hints(&self, target: &Target, hints: &TargetHints) {
+        let now_ms = self.now_ms();
+        let known_per_s = self.notices().get(target).map(TargetNotices::limit_per_s);
+        if known_per_s.unwrap_or_default() == hints.limit_per_s {
+            return;
+        }
+        let rank = self.sender_rank(&target.id);
+        let mut notices = self.notices();
+        let noted = notices.entry(&target.id, target.started_at_unix_ms);
+        let is_reported = noted.set_limit(hints.limit_per_s, rank, now_ms);
+        drop(notices);
+        if !is_reported {
+            return;
+        }
+        tracing::info!(
+            target = &*target.id,
+            limit_per_s = hints.limit_per_s,
+            rank = rank.rank,
+            instances = rank.instances,
+            "gateway: target changed its limit"
+        );
+        if let Some(peers) = self.peers() {
+            peers.report_notice(TargetNotice {
+                target: target.id.to_string(),
+                started_at_unix_ms: target.started_at_unix_ms,
+                limit_milli_per_s: hints.limit_per_s.map(|limit| (limit * MILLI as f64) as u64),
+            });
+        }
+    }
+
+    /// Returns this instance's position among those that send to a target with a limit.
+    fn sender_rank(&self, target: &str) -> SenderRank {
+        let own_name = &self.settings.name;
+        let mut names = self.peers().map_or_else(Vec::new, PeerHandle::live_names);
+        names.push(own_name.clone());
+        let order = rendezvous_order(target, &names);
+        SenderRank {
+            rank: order.iter().position(|name| *name == own_name).unwrap_or(0),
+            instances: names.len(),
+        }
+    }
+
+    /// Applies what a peer has reported of a target.
+    fn apply_notice(&self, notice: &TargetNotice) {
+        let limit_per_s = notice
+            .limit_milli_per_s
+            .map(|limit_milli| limit_milli as f64 / MILLI as f64);
+        let id: Arc<str> = notice.target.as_str().into();
+        let rank = self.sender_rank(&id);
+        let now_ms = self.now_ms();
+        tracing::info!(
+            target = &*id,
+            limit_per_s,
+            rank = rank.rank,
+            instances = rank.instances,
+            "gateway: peer reported the limit of a target"
+        );
+        let mut notices = self.notices();
+        let noted = notices.entry(&id, notice.started_at_unix_ms);
+        noted.set_limit(limit_per_s, rank, now_ms);
+    }
+
+    /// Divides the limits of all targets anew, after the live instances have changed.
+    fn divide_limits(&self) {
+        let known: Vec<Arc<str>> = self.notices().targets.keys().cloned().collect();
+        for id in known {
+            let rank = self.sender_rank(&id);
+            let now_ms = self.now_ms();
+            let mut notices = self.notices();
+            let Some(known) = notices.targets.get_mut(&id) else {
+                continue;
+            };
+            let limit_per_s = known.notices.limit_per_s();
+            known.notices.set_limit(limit_per_s, rank, now_ms);
+        }
+    }
+}
+
+/// Applies the notices of peers, and divides limits between the live instances. Never
+/// returns.
+pub(super) async fn exchange(state: Arc<State>, peers: PeerHandle) {
+    let mut live = peers.live_names();
+    loop {
+        sleep(EXCHANGE_PERIOD).await;
+        for notice in peers.take_notices() {
+            state.apply_notice(&notice);
+        }
+        let now_live = peers.live_names();
+        if now_live != live {
+            live = now_live;
+            state.divide_limits();
+        }
+    }
+}
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,7 +15,7 @@
     duty::{self, DutyLease},
     engines,
     members::{self, MemberTail},
-    quarantine, readiness, reload, server,
+    notices, quarantine, readiness, reload, server,
     state::State,
     targets,
 };
@@ -257,6 +257,10 @@
         spawn_task(&supervisor, "work", move || {
             engines::exchange_work(state.clone(), handle.clone())
         });
+        let (state, handle) = (self.state.clone(), peers.handle.clone());
+        spawn_task(&supervisor, "notices", move || {
+            notices::exchange(state.clone(), handle.clone())
+        });
         let (context, handle) = (self.clone(), peers.handle.clone());
         spawn_task(&supervisor, "quarantine", move || {
             quarantine::store_changes(context.state.clone(), context.store.clone(), handle.clone())
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,7 +9,8 @@
 use tokio::{sync::Notify, time::Instant};
 
 use super::{
-    crash::CallsInFlight, engines::Engines, loads::Loads, pool::Pool, usage::UsageCounter,
+    crash::CallsInFlight, engines::Engines, loads::Loads, notices::Notices, pool::Pool,
+    usage::UsageCounter,
 };
 use crate::{
     catalog::{Catalog, Engine},
@@ -47,6 +48,7 @@
     /// Known targets; `None` until the list of targets has been read.
     roster: Mutex<Option<Roster>>,
     loads: Mutex<Loads>,
+    notices: Mutex<Notices>,
     engines: Mutex<Engines>,
     /// Retry budget of each service, by service name.
     retries: Mutex<IndexMap<Arc<str>, RetryWindow>>,
@@ -75,6 +77,7 @@
             catalog: Mutex::default(),
             roster: Mutex::default(),
             loads: Mutex::default(),
+            notices: Mutex::default(),
             engines: Mutex::default(),
             retries: Mutex::default(),
             usage: Mutex::new(usage),
@@ -189,6 +192,11 @@
         lock(&self.loads)
     }
 
+    /// Locks and returns what targets have said in their answers.
+    pub(super) fn notices(&self) -> MutexGuard<'_, Notices> {
+        lock(&self.notices)
+    }
+
     /// Locks and returns the timing profiles and loads of engines.
     pub(super) fn engines(&self) -> MutexGuard<'_, Engines> {
         lock(&self.engines)
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -104,6 +104,7 @@
         .pool
         .prune(Instant::now(), |id| known.get(id).is_some());
     state.loads().retain(|id| known.get(id).is_some());
+    state.notices().retain(|id| known.get(id).is_some());
 }
 
 /// Removes targets whose entries have disappeared from the store.
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -194,6 +194,11 @@
                 state.clear_suspects(&report.fingerprints, from);
                 Ok(())
             }
+            Body::TargetNotice(notice) => {
+                let from = Some(&*self.peer.name);
+                self.shared.state().add_notice(notice, from);
+                Ok(())
+            }
             Body::UsageCopy(copy) => self.handle_usage_copy(&copy),
             Body::UsageFlushed(flushed) => {
                 let mut state = self.shared.state();
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -6,6 +6,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::{
+    TargetNotice,
     delta::{PeerAmount, TargetLoad},
     frame::SentFrames,
     freshness::Freshness,
@@ -181,6 +182,29 @@
         self.shared.state().crashes.quarantine_left(fingerprints)
     }
 
+    /// Reports to peers what a target has said in an answer.
+    pub fn report_notice(&self, notice: TargetNotice) {
+        self.shared.state().add_notice(notice, None);
+    }
+
+    /// Returns what peers reported of targets since the last call.
+    pub fn take_notices(&self) -> Vec<TargetNotice> {
+        self.shared.state().notices.take_unread()
+    }
+
+    /// Returns the names of the other instances that are running and not shutting down,
+    /// in alphabetical order.
+    pub fn live_names(&self) -> Vec<Arc<str>> {
+        let mut names = Vec::new();
+        for peer in self.shared.state().membership.live(Instant::now()) {
+            if !peer.leaving {
+                names.push(peer.name);
+            }
+        }
+        names.sort_unstable();
+        names
+    }
+
     /// Sends a copy of an unflushed usage slice to one peer, which flushes it
     /// to the log if this instance terminates. Call this again whenever the
     /// slice grows.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -11,7 +11,8 @@
 //! - State: `shared` is shared by all tasks and contains `state`. `load` sums up the
 //!   reported loads, `usage` keeps copies of other instances' usage slices,
 //!   `unflushed_usage` this instance's slices, `quarantine` the requests that the log
-//!   quarantines, and `suspects` those that reported crashes do.
+//!   quarantines, `suspects` those that reported crashes do, and `notices` what targets say
+//!   in their answers.
 //! - Tasks: `heartbeat` builds heartbeats, `relay` relays log records, `live_list`
 //!   polls the platform's list of instances, `upkeep` does periodic maintenance, and
 //!   `spawn` starts the tasks.
@@ -29,6 +30,7 @@
 mod live_list;
 mod load;
 pub mod membership;
+mod notices;
 mod quarantine;
 mod relay;
 mod shared;
@@ -48,6 +50,7 @@
 pub use delta::{PeerAmount, TargetLoad};
 pub use error::{Error, Result};
 pub use frame::{MAX_FRAME_BYTES, SentFrames};
+pub use frames::TargetNotice;
 pub use freshness::{Freshness, Quorum};
 pub use handle::PeerHandle;
 pub use heartbeat::{
@@ -58,5 +61,5 @@
 pub use shared::{PeerLog, PeerOptions};
 pub use spawn::{PeerInputs, Peers, spawn, spawn_without_live_list};
 pub use suspects::TargetCrash;
-pub use topology::MAX_MESH_INSTANCES;
+pub use topology::{MAX_MESH_INSTANCES, rendezvous_order};
 pub use usage::{Source, UsageCopies};
--- /dev/null
+++ b/src/peer/notices.rs
@@ -0,0 +1,64 @@
+//! What targets say in their answers, as reported by this instance and its peers.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::{
+    frames::{TargetNotice, frame::Body},
+    state::State,
+};
+
+/// Maximum number of targets whose notices are kept. Above it, the oldest is removed.
+const MAX_TARGETS: usize = 4_096;
+
+/// Latest notice of each target.
+#[derive(Debug, Default)]
+pub(super) struct TargetNotices {
+    by_target: IndexMap<Arc<str>, TargetNotice>,
+    /// Notices of peers since they were last taken.
+    unread: Vec<TargetNotice>,
+}
+
+impl TargetNotices {
+    /// Keeps a notice; returns whether it is new.
+    fn insert(&mut self, notice: &TargetNotice) -> bool {
+        let target: Arc<str> = notice.target.as_str().into();
+        if self.by_target.get(&target) == Some(notice) {
+            return false;
+        }
+        if self.by_target.len() >= MAX_TARGETS && !self.by_target.contains_key(&target) {
+            self.by_target.shift_remove_index(0);
+        }
+        self.by_target.insert(target, notice.clone());
+        true
+    }
+
+    /// Returns the notices of peers since the last call.
+    pub(super) fn take_unread(&mut self) -> Vec<TargetNotice> {
+        std::mem::take(&mut self.unread)
+    }
+
+    /// Returns the frames that tell a newly connected peer about targets.
+    pub(super) fn frames(&self) -> Vec<Body> {
+        let limited = self
+            .by_target
+            .values()
+            .filter(|notice| notice.limit_milli_per_s.is_some());
+        limited.cloned().map(Body::TargetNotice).collect()
+    }
+}
+
+impl State {
+    /// Adds a notice, and tells peers if it is new. `from` is the peer that reported it,
+    /// if any did.
+    pub(super) fn add_notice(&mut self, notice: TargetNotice, from: Option<&str>) {
+        if !self.notices.insert(&notice) {
+            return;
+        }
+        if from.is_some() {
+            self.notices.unread.push(notice.clone());
+        }
+        self.send_to_peers(&Body::TargetNotice(notice), from);
+    }
+}
--- a/src/peer/state.rs
+++ b/src/peer/state.rs
@@ -13,6 +13,7 @@
     link::Link,
     load::LoadTotals,
     membership::{Membership, PeerIdentity, PeerState},
+    notices::TargetNotices,
     quarantine::{QuarantineSet, QuarantinedRequest},
     suspects::ReportedCrashes,
     topology::{LinkKind, Node, Topology},
@@ -54,6 +55,8 @@
     pub(super) quarantine: QuarantineSet,
     /// Crashes of targets reported by this instance and its peers.
     pub(super) crashes: ReportedCrashes,
+    /// What targets have said in their answers.
+    pub(super) notices: TargetNotices,
     /// Copies of other instances' unflushed usage slices.
     pub(super) usage_copies: UsageCopies,
     /// This instance's unflushed usage slices and the peer with their copies.
@@ -88,6 +91,7 @@
             leaving: false,
             quarantine: QuarantineSet::default(),
             crashes: ReportedCrashes::default(),
+            notices: TargetNotices::default(),
             usage_copies: UsageCopies::default(),
             unflushed_usage: UnflushedUsage::default(),
             loads: LoadTotals::default(),
@@ -141,8 +145,10 @@
         }
         self.observe_frame(&peer, now)?;
         self.last_link_id += 1;
-        for frame in self.quarantine_frames() {
-            // If the outbox is full, the peer learns the rest from crashes to come.
+        let mut frames = self.quarantine_frames();
+        frames.extend(self.notices.frames());
+        for frame in frames {
+            // If the outbox is full, the peer learns the rest from later reports.
             let _ = outbox.try_send(frame);
         }
         let link = Link::new(self.last_link_id, peer, outbox);
--- a/src/peer/suspects.rs
+++ b/src/peer/suspects.rs
@@ -171,7 +171,7 @@
 
     /// Sends a frame over all links over which it is to be sent or forwarded. A frame is
     /// dropped if the outbox of a link is full.
-    fn send_to_peers(&self, frame: &Body, from: Option<&str>) {
+    pub(super) fn send_to_peers(&self, frame: &Body, from: Option<&str>) {
         let from_kind = from.map(|from| self.link_kind(from));
         for (name, link) in &self.links {
             let kind = link_kind_of(&self.link_kinds, name);
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -20,9 +20,11 @@
 pub use config::read_catalog;
 pub use engine::{KvSource, LoadReport, Prefilled, RoleOrder, prefill_release_path};
 pub use request::{
-    AnswerHead, AttemptHead, CallerHead, HeadError, attempt_headers, caller_headers,
+    AnswerHead, AttemptHead, CallerHead, HeadError, TargetHints, attempt_headers, caller_headers,
+};
+pub use request::{
+    engine_headers, read_answer_head, read_caller_head, read_target_hints, refusal_headers,
 };
-pub use request::{engine_headers, read_answer_head, read_caller_head, refusal_headers};
 pub use store::{Appended, KeyedRecord, Newest, ReadBatch, StoreClient, StoreError, Topic};
 pub use workers::read_target;
 
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -31,6 +31,7 @@
 const KV_SOURCE: HeaderName = HeaderName::from_static("kv-source");
 const KV_FETCH: HeaderName = HeaderName::from_static("kv-fetch");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 // A target's signature of its answer.
 const RESPONSE_SEAL: HeaderName = HeaderName::from_static("response-seal");
 
@@ -177,7 +178,7 @@
 }
 
 /// Decoded headers of a target's answer.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AnswerHead {
     /// Identifier of the request to which the answer belongs.
     pub request_id: Option<Arc<str>>,
@@ -192,6 +193,16 @@
     pub is_delimited: bool,
     /// Time for which the target keeps an idle connection open.
     pub idle_timeout: Option<Duration>,
+    /// What the target says about the requests that it takes.
+    pub hints: TargetHints,
+}
+
+/// What a target says in an answer about the requests that it takes.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct TargetHints {
+    /// Rate of requests that the target takes from all instances together, in requests per
+    /// second; `None` if it names no limit.
+    pub limit_per_s: Option<f64>,
 }
 
 /// Decodes the head of a target's answer.
@@ -207,7 +218,28 @@
         is_delimited: headers.contains_key(CONTENT_LENGTH)
             || headers.contains_key(TRANSFER_ENCODING),
         idle_timeout: header_text(headers, &KEEP_ALIVE).and_then(read_keep_alive),
+        hints: read_target_hints(headers),
+    }
+}
+
+/// Decodes what a target says in the headers of an answer about the requests that it
+/// takes. A malformed header is logged and left out.
+#[must_use]
+pub fn read_target_hints(headers: &HeaderMap) -> TargetHints {
+    TargetHints {
+        limit_per_s: read_number(headers, &SERVER_LIMIT),
+    }
+}
+
+/// Returns the value of a header that is a number from 0 on.
+fn read_number(headers: &HeaderMap, name: &HeaderName) -> Option<f64> {
+    let text = header_text(headers, name)?;
+    let number = text.parse().ok();
+    let number = number.filter(|number: &f64| number.is_finite() && *number >= 0.0);
+    if number.is_none() {
+        tracing::warn!("platform: target sent a malformed {name}: {text}");
     }
+    number
 }
 
 /// Returns the headers of a target's answer that are forwarded to the caller.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -26,5 +26,6 @@
 pub mod spending;
 pub mod spread;
 pub mod suspects;
+pub mod target_notices;
 pub mod token_bucket;
 pub mod work_meter;
