Keep to the limits that targets name

Cause: the header was not read anywhere, so that requests were spread as if the target had said nothing.

Placement passes over targets that take no request now, a prompt is not read if no engine can decode it, and every request to a target takes a token, also prefills, reports and releases of KV caches.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -241,6 +241,9 @@
     if !state.is_ready_target(target) {
         return Err(AttemptError::local("target no longer accepts requests"));
     }
+    if !state.take_send(target) {
+        return Err(AttemptError::local("target takes no request now"));
+    }
     head.target_id = &target.id;
     head.time_left = call.time_left(Instant::now());
     let request = build_request(call, &head)?;
--- a/src/gateway/decode.rs
+++ b/src/gateway/decode.rs
@@ -65,8 +65,10 @@
 ) -> Option<DecodeChoice> {
     let now_ms = state.now_ms();
     let mut targets = state.ready_targets(&call.service);
-    targets
-        .retain(|target| target.role != Some(EngineRole::Prefill) && !tried.contains(&target.id));
+    targets.retain(|target| {
+        let decodes = target.role != Some(EngineRole::Prefill);
+        decodes && !tried.contains(&target.id) && state.admits(target)
+    });
     let profile = state.engines().profile(&call.service);
     let max_output_tokens = call
         .prompt
@@ -120,6 +122,15 @@
     })
 }
 
+/// Returns whether any engine of a service decodes and may be sent a request now.
+pub(super) fn has_engine(state: &State, service: &str) -> bool {
+    let targets = state.ready_targets(service);
+    let mut decoding = targets
+        .iter()
+        .filter(|target| target.role != Some(EngineRole::Prefill));
+    decoding.any(|target| state.admits(target))
+}
+
 /// Returns the home of a call's prompt: the engine among `targets` with the highest
 /// rendezvous weight for [`Prompt::cache_affinity_parts`]. The home should have these
 /// parts cached.
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -142,6 +142,9 @@
     path: &str,
     body: Bytes,
 ) -> Result<(StatusCode, Bytes), CallError> {
+    if !state.take_send(target) {
+        return Err(CallError::not_run("target takes no request now"));
+    }
     let max_connections = state.max_connections(&target.service);
     let checkout = state.pool.checkout(target, max_connections).await;
     let mut connection = checkout.map_err(CallError::not_run)?;
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -40,6 +40,11 @@
         (known.started_at_unix_ms == target.started_at_unix_ms).then_some(&known.notices)
     }
 
+    fn get_mut(&mut self, target: &Target) -> Option<&mut TargetNotices> {
+        let known = self.targets.get_mut(&target.id)?;
+        (known.started_at_unix_ms == target.started_at_unix_ms).then_some(&mut known.notices)
+    }
+
     /// Returns the notices of a boot, and forgets those of an earlier one.
     fn entry(&mut self, id: &Arc<str>, started_at_unix_ms: u64) -> &mut TargetNotices {
         let known = self.targets.entry(id.clone()).or_default();
@@ -93,6 +98,24 @@
         }
     }
 
+    /// Returns whether a target may be sent a request now, by what it said in its
+    /// answers.
+    pub(super) fn admits(&self, target: &Target) -> bool {
+        let now_ms = self.now_ms();
+        let notices = self.notices();
+        let noted = notices.get(target);
+        noted.is_none_or(|noted| noted.admits(now_ms))
+    }
+
+    /// Takes the permission to send one request to a target; returns whether the target
+    /// wants it, by what it said in its answers.
+    pub(super) fn take_send(&self, target: &Target) -> bool {
+        let now_ms = self.now_ms();
+        let mut notices = self.notices();
+        let noted = notices.get_mut(target);
+        noted.is_none_or(|noted| noted.take(now_ms))
+    }
+
     /// Returns this instance's position among those that send to a target with a limit.
     fn sender_rank(&self, target: &str) -> SenderRank {
         let own_name = &self.settings.name;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -234,7 +234,8 @@
     let loads = state.loads();
     let mut candidates = Vec::with_capacity(targets.len());
     for target in targets {
-        let is_open = target.takes_requests(now) && !tried.contains(&target.id);
+        let is_open =
+            target.takes_requests(now) && !tried.contains(&target.id) && state.admits(target);
         let in_flight = loads.in_flight(&target.id, now_ms);
         let is_allowed = loads.allows(&target.id, now_ms);
         let mut penalty = FAILURE_COST_OBJECTIVES * loads.failure_rate(&target.id);
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -128,7 +128,7 @@
 fn choose_target(state: &State, call: &Call, tried: &[Arc<str>]) -> Option<Arc<Target>> {
     let now_ms = state.now_ms();
     let mut targets = state.ready_targets(&call.service);
-    targets.retain(|target| !tried.contains(&target.id));
+    targets.retain(|target| !tried.contains(&target.id) && state.admits(target));
     let mut loads = state.loads();
     let mut allowed = Vec::new();
     for target in &targets {
--- a/src/gateway/prefill.rs
+++ b/src/gateway/prefill.rs
@@ -7,7 +7,7 @@
 
 use super::{
     attempt::{self, AttemptError},
-    engine_call,
+    decode, engine_call,
     loads::{AttemptOutcome, InFlightGuard},
     placement::{PrefillChoice, choose_engine, record_cached_prompt, record_work},
     state::State,
@@ -95,6 +95,9 @@
     prompt: &Prompt,
     may_refuse: bool,
 ) -> PrefillOutcome {
+    if !decode::has_engine(state, &call.service) {
+        return PrefillOutcome::Skipped;
+    }
     let mut tried = Vec::new();
     let mut attempts = 0;
     while attempts < MAX_PREFILL_ATTEMPTS && tried.len() < MAX_PREFILL_TARGETS {
