Send nothing to a target that announces in an answer that it leaves

The header was not read.

It is now kept with the boot of the target, beside the limit, and told to peers; the target's next process starts anew. Nothing is sent there, and its end does not count as a crash.

leaving_targets::leaving_target_avoided failed before (19 of 41 requests went to the leaving target) and passes.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -138,8 +138,8 @@
     if !state.calls_in_flight().has_broken(&boot) {
         return;
     }
-    let has_crashed =
-        state.is_ready_target(target) && pool::refuses_connections(target.address).await;
+    let is_stopping = state.announced_leaving(target) || !state.is_ready_target(target);
+    let has_crashed = !is_stopping && pool::refuses_connections(target.address).await;
     if !has_crashed {
         state.calls_in_flight().discard_broken(&boot);
         return;
--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -45,16 +45,20 @@
         (known.started_at_unix_ms == target.started_at_unix_ms).then_some(&mut known.notices)
     }
 
-    /// Returns the notices of a boot, and forgets those of an earlier one.
-    fn entry(&mut self, id: &Arc<str>, started_at_unix_ms: u64) -> &mut TargetNotices {
+    /// Returns the notices of a boot, and forgets those of an earlier one; `None` if a later
+    /// boot is known.
+    fn entry(&mut self, id: &Arc<str>, started_at_unix_ms: u64) -> Option<&mut TargetNotices> {
         let known = self.targets.entry(id.clone()).or_default();
-        if known.started_at_unix_ms != started_at_unix_ms {
+        if known.started_at_unix_ms > started_at_unix_ms {
+            return None;
+        }
+        if known.started_at_unix_ms < started_at_unix_ms {
             *known = BootNotices {
                 started_at_unix_ms,
                 notices: TargetNotices::default(),
             };
         }
-        &mut known.notices
+        Some(&mut known.notices)
     }
 
     /// Removes the notices of targets for which `keep` returns false.
@@ -69,33 +73,55 @@
 impl State {
     /// Takes in what a target has said in an answer, and reports it to peers.
     pub(super) fn note_hints(&self, target: &Target, hints: &TargetHints) {
-        let now_ms = self.now_ms();
-        let known_per_s = self.notices().get(target).map(TargetNotices::limit_per_s);
-        if known_per_s.unwrap_or_default() == hints.limit_per_s {
+        let (known_limit_per_s, was_leaving) = {
+            let notices = self.notices();
+            let known = notices.get(target);
+            (
+                known.and_then(TargetNotices::limit_per_s),
+                known.is_some_and(TargetNotices::is_leaving),
+            )
+        };
+        let leaves_now = hints.is_leaving && !was_leaving;
+        if known_limit_per_s == hints.limit_per_s && !leaves_now {
             return;
         }
-        let rank = self.sender_rank(&target.id);
-        let mut notices = self.notices();
-        let noted = notices.entry(&target.id, target.started_at_unix_ms);
-        let is_reported = noted.set_limit(hints.limit_per_s, rank, now_ms);
-        drop(notices);
-        if !is_reported {
+        let is_reported = self.note_change(&target.id, target.started_at_unix_ms, hints);
+        let Some(peers) = self.peers().filter(|_| is_reported) else {
             return;
+        };
+        peers.report_notice(TargetNotice {
+            target: target.id.to_string(),
+            started_at_unix_ms: target.started_at_unix_ms,
+            limit_milli_per_s: hints.limit_per_s.map(|limit| (limit * MILLI as f64) as u64),
+            leaving: hints.is_leaving || was_leaving,
+        });
+    }
+
+    /// Keeps and logs what a target has said. Returns whether it is worth a report to
+    /// peers.
+    fn note_change(&self, id: &Arc<str>, started_at_unix_ms: u64, hints: &TargetHints) -> bool {
+        let rank = self.sender_rank(id);
+        let now_ms = self.now_ms();
+        let mut notices = self.notices();
+        let Some(noted) = notices.entry(id, started_at_unix_ms) else {
+            return false;
+        };
+        let leaves_now = hints.is_leaving && !noted.is_leaving();
+        let limit_changed = noted.set_limit(hints.limit_per_s, rank, now_ms);
+        if leaves_now {
+            noted.set_leaving();
+            tracing::info!(target = &**id, "gateway: target announced that it leaves");
         }
-        tracing::info!(
-            target = &*target.id,
-            limit_per_s = hints.limit_per_s,
-            rank = rank.rank,
-            instances = rank.instances,
-            "gateway: target changed its limit"
-        );
-        if let Some(peers) = self.peers() {
-            peers.report_notice(TargetNotice {
-                target: target.id.to_string(),
-                started_at_unix_ms: target.started_at_unix_ms,
-                limit_milli_per_s: hints.limit_per_s.map(|limit| (limit * MILLI as f64) as u64),
-            });
+        if limit_changed {
+            tracing::info!(
+                target = &**id,
+                limit_per_s = hints.limit_per_s,
+                rank = rank.rank,
+                instances = rank.instances,
+                "gateway: target changed its limit"
+            );
         }
+        leaves_now || limit_changed
     }
 
     /// Returns whether a target may be sent a request now, by what it said in its
@@ -116,6 +142,12 @@
         noted.is_none_or(|noted| noted.take(now_ms))
     }
 
+    /// Returns whether a target has announced that it leaves.
+    pub(super) fn announced_leaving(&self, target: &Target) -> bool {
+        let notices = self.notices();
+        notices.get(target).is_some_and(TargetNotices::is_leaving)
+    }
+
     /// Returns this instance's position among those that send to a target with a limit.
     fn sender_rank(&self, target: &str) -> SenderRank {
         let own_name = &self.settings.name;
@@ -130,22 +162,14 @@
 
     /// Applies what a peer has reported of a target.
     fn apply_notice(&self, notice: &TargetNotice) {
-        let limit_per_s = notice
-            .limit_milli_per_s
-            .map(|limit_milli| limit_milli as f64 / MILLI as f64);
-        let id: Arc<str> = notice.target.as_str().into();
-        let rank = self.sender_rank(&id);
-        let now_ms = self.now_ms();
-        tracing::info!(
-            target = &*id,
-            limit_per_s,
-            rank = rank.rank,
-            instances = rank.instances,
-            "gateway: peer reported the limit of a target"
-        );
-        let mut notices = self.notices();
-        let noted = notices.entry(&id, notice.started_at_unix_ms);
-        noted.set_limit(limit_per_s, rank, now_ms);
+        let hints = TargetHints {
+            limit_per_s: notice
+                .limit_milli_per_s
+                .map(|limit_milli| limit_milli as f64 / MILLI as f64),
+            is_leaving: notice.leaving,
+        };
+        let id = notice.target.as_str().into();
+        self.note_change(&id, notice.started_at_unix_ms, &hints);
     }
 
     /// Divides the limits of all targets anew, after the live instances have changed.
--- a/src/peer/lavenderwind.peer.rs
+++ b/src/peer/lavenderwind.peer.rs
@@ -237,4 +237,7 @@
     /// of a request per second; not set if the target named no limit.
     #[prost(uint64, optional, tag = "3")]
     pub limit_milli_per_s: ::core::option::Option<u64>,
+    /// Whether the target announced that it leaves, which it does not take back.
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
 }
--- a/src/peer/notices.rs
+++ b/src/peer/notices.rs
@@ -41,11 +41,10 @@
 
     /// Returns the frames that tell a newly connected peer about targets.
     pub(super) fn frames(&self) -> Vec<Body> {
-        let limited = self
-            .by_target
-            .values()
-            .filter(|notice| notice.limit_milli_per_s.is_some());
-        limited.cloned().map(Body::TargetNotice).collect()
+        let notices = self.by_target.values();
+        let in_force =
+            notices.filter(|notice| notice.leaving || notice.limit_milli_per_s.is_some());
+        in_force.cloned().map(Body::TargetNotice).collect()
     }
 }
 
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -31,6 +31,7 @@
 const KV_SOURCE: HeaderName = HeaderName::from_static("kv-source");
 const KV_FETCH: HeaderName = HeaderName::from_static("kv-fetch");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
+const SERVER_LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 // A target's signature of its answer.
 const RESPONSE_SEAL: HeaderName = HeaderName::from_static("response-seal");
@@ -203,6 +204,8 @@
     /// Rate of requests that the target takes from all instances together, in requests per
     /// second; `None` if it names no limit.
     pub limit_per_s: Option<f64>,
+    /// Whether the target is about to stop, and takes no new requests.
+    pub is_leaving: bool,
 }
 
 /// Decodes the head of a target's answer.
@@ -228,6 +231,7 @@
 pub fn read_target_hints(headers: &HeaderMap) -> TargetHints {
     TargetHints {
         limit_per_s: read_number(headers, &SERVER_LIMIT),
+        is_leaving: header_text(headers, &SERVER_LEAVING) == Some("1"),
     }
 }
 
--- a/src/policy/target_notices.rs
+++ b/src/policy/target_notices.rs
@@ -66,9 +66,22 @@
 #[derive(Clone, Debug, Default)]
 pub struct TargetNotices {
     limit: Option<LimitShare>,
+    is_leaving: bool,
 }
 
 impl TargetNotices {
+    /// Returns whether the target has announced that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Records that the target leaves. It does not take that back; after a new start it is
+    /// another boot.
+    pub fn set_leaving(&mut self) {
+        self.is_leaving = true;
+    }
+
     /// Returns the limit that the target has named, in requests per second.
     #[must_use]
     pub fn limit_per_s(&self) -> Option<f64> {
@@ -97,6 +110,9 @@
     /// Returns whether the target may be sent a request now.
     #[must_use]
     pub fn admits(&self, now_ms: u64) -> bool {
+        if self.is_leaving {
+            return false;
+        }
         let Some(limit) = &self.limit else {
             return true;
         };
@@ -107,6 +123,9 @@
 
     /// Takes the permission to send one request now; returns whether it was granted.
     pub fn take(&mut self, now_ms: u64) -> bool {
+        if self.is_leaving {
+            return false;
+        }
         let Some(limit) = &mut self.limit else {
             return true;
         };
