Reject entries of targets with values out of range

Reported by other operators: an odd entry in the list of targets made instances stop following it. Here too: a slow start of 1e22 ms overflowed the time that it ends at, so that the task that follows the list panicked, was restarted and panicked again, and targets after the entry were not known.

Such entries, and those without slots or with port 0, are now rejected like others that cannot be decoded. Deep nesting, numbers that do not fit and ports above 65535 were rejected already.

--- a/src/platform/workers.rs
+++ b/src/platform/workers.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use serde::Deserialize;
+use serde::{Deserialize, de::Error};
 use tokio::time::Instant;
 
 use crate::{
@@ -10,6 +10,9 @@
     target::protocol::EngineRole,
 };
 
+/// Longest slow start of a target, in milliseconds.
+const MAX_SLOW_START_MS: f64 = 86_400_000.0;
+
 /// Entry of a target. Entries that other writers append to the topic lack some of these
 /// fields, so that they cannot be decoded as targets.
 #[derive(Deserialize)]
@@ -57,6 +60,22 @@
     }
 }
 
+impl WireEntry {
+    /// Checks the values that no target has.
+    fn check(&self) -> Result<(), &'static str> {
+        if self.slots == 0 {
+            return Err("the target has no slots");
+        }
+        if self.address.port() == 0 {
+            return Err("the port is 0");
+        }
+        if !(0.0..=MAX_SLOW_START_MS).contains(&self.cold_left_ms) {
+            return Err("the slow start is out of range");
+        }
+        Ok(())
+    }
+}
+
 /// Decodes the entry registered under `id`.
 ///
 /// `now` is the time at which the entry was read. The remaining time of the target's
@@ -68,7 +87,8 @@
 /// the cause.
 pub fn read_target(id: &str, bytes: &[u8], now: Instant) -> serde_json::Result<Target> {
     let entry: WireEntry = serde_json::from_slice(bytes)?;
-    let slow_start = Duration::try_from_secs_f64(entry.cold_left_ms / 1_000.0).unwrap_or_default();
+    entry.check().map_err(serde_json::Error::custom)?;
+    let slow_start = Duration::from_secs_f64(entry.cold_left_ms / 1_000.0);
     Ok(Target {
         id: id.into(),
         started_at_unix_ms: entry.born,
