Treat a stream that ends inside an event as broken off

An answer may have no length and end with its connection, so that the end alone does not tell a whole stream from one whose engine has crashed. The users now say that a stream that ends inside an event has broken off. It was relayed as complete, with the broken event.

It is now resumed after the last complete event, or ends with an error, and its target is examined for a crash. gateway_streams::end_inside_event_resumed and end_inside_event_told failed before and pass. error_after_break_hidden shows that the text of a target's error does not reach callers in the middle of a stream, as other operators reported; no fault was found there.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -74,8 +74,8 @@
 enum StreamRead {
     /// Complete events for the caller.
     Events(Bytes),
-    /// The engine ended the stream; holds the bytes after the last complete event.
-    End(Bytes),
+    /// The engine ended the stream.
+    End,
     Failed(AttemptError),
 }
 
@@ -115,9 +115,9 @@
         while !self.ended {
             match self.read_events().await {
                 StreamRead::Events(bytes) => return Some(Ok(bytes)),
-                StreamRead::End(incomplete_event) => {
+                StreamRead::End => {
                     self.finish();
-                    return (!incomplete_event.is_empty()).then_some(Ok(incomplete_event));
+                    return None;
                 }
                 StreamRead::Failed(error) => {
                     if self.resume(&error).await {
@@ -144,7 +144,12 @@
                     source.call_in_flight.mark_broken();
                     return StreamRead::Failed(AttemptError::connection_lost(error));
                 }
-                Ok(None) => return StreamRead::End(self.splitter.take_pending()),
+                Ok(None) if self.splitter.take_pending().is_empty() => return StreamRead::End,
+                Ok(None) => {
+                    source.call_in_flight.mark_broken();
+                    let cause = "stream ended inside an event";
+                    return StreamRead::Failed(AttemptError::connection_lost(cause));
+                }
                 Ok(Some(Ok(frame))) => frame,
             };
             let Some(bytes) = frame.data_ref() else {
--- a/tests/gateway_streams.rs
+++ b/tests/gateway_streams.rs
@@ -212,3 +212,65 @@
     })
     .await;
 }
+
+/// Guards against a stream that broke off inside an event and looks complete.
+#[tokio::test]
+async fn end_inside_event_resumed() {
+    let decode =
+        answer_first_with(|arrival| Some(stream(arrival, vec![Ok("id: 1\ndata: a\n\nid: 2\nda")])));
+    let fixture = start_fixture(Arc::new(prefilled), vec![decode.clone(), decode]).await;
+    let response = fixture.send("/chat/", "r-1").await;
+    let text = response.text().await.unwrap();
+    assert!(text.starts_with("id: 1\ndata: a\n\nid: 1\n"), "{text}");
+    assert!(text.ends_with(EVENTS_AFTER_FIRST), "{text}");
+    let arrivals = fixture.decode_arrivals();
+    assert_eq!(arrivals.len(), 2);
+    let resumed: Vec<_> = arrivals
+        .iter()
+        .filter_map(|arrival| arrival.header("last-event-id"))
+        .collect();
+    assert_eq!(resumed, ["1"]);
+}
+
+/// Guards against a stream of an unrepeatable route that broke off inside an event and
+/// looks complete.
+#[tokio::test]
+async fn end_inside_event_told() {
+    let decode: Handler =
+        Arc::new(|arrival| Some(stream(arrival, vec![Ok("id: 1\ndata: a\n\nid: 2\nda")])));
+    let fixture = start_fixture(Arc::new(prefilled), vec![decode]).await;
+    let response = fixture.send("/once/", "r-1").await;
+    assert!(response.text().await.is_err());
+}
+
+/// Guards against the text of a target's error in the middle of a stream, and against a
+/// stream that ends as if it were complete where the next target answers with an error.
+#[tokio::test]
+async fn error_after_break_hidden() {
+    for error_code in [500, 503, 200] {
+        let decode = {
+            let requests = AtomicUsize::new(0);
+            let answer: Handler = Arc::new(move |arrival| {
+                if requests.fetch_add(1, Ordering::SeqCst) == 0 {
+                    return Some(stream(arrival, vec![Ok("id: 1\ndata: a\n\n"), Err(())]));
+                }
+                let mut answer = signed(arrival, error_code, "HTTP/1.1 500 oops\n\n");
+                // A success without a signature is no answer of a target.
+                answer.headers_mut().remove("response-seal");
+                Some(answer)
+            });
+            answer
+        };
+        let fixture = start_fixture(Arc::new(prefilled), vec![decode.clone(), decode]).await;
+        let mut response = fixture.send("/chat/", "r-1").await;
+        let mut text = String::new();
+        let end = loop {
+            match response.chunk().await {
+                Ok(Some(chunk)) => text.push_str(std::str::from_utf8(&chunk).unwrap()),
+                end => break end,
+            }
+        };
+        assert_eq!(text, "id: 1\ndata: a\n\n", "after {error_code}");
+        assert!(end.is_err(), "looks complete after {error_code}");
+    }
+}
