Forget suspects that nothing clears

A fingerprint that was in flight at one crash stayed suspected for good unless a request with it was answered; that of a request that nobody repeats never is. So suspects grew to their limit of 10,000, and every request was hashed to look it up.

--- a/src/peer/suspects.rs
+++ b/src/peer/suspects.rs
@@ -21,6 +21,9 @@
 /// Maximum number of crashes that are stored or sent to a new peer.
 const MAX_STORED_CRASHES: usize = 64;
 
+/// Interval at which old crashes are forgotten, in milliseconds.
+const EXPIRY_INTERVAL_MS: u64 = 10_000;
+
 const SECOND: Duration = Duration::from_secs(1);
 
 /// A crash of a target.
@@ -40,6 +43,8 @@
     /// Start of the current second of [`MAX_NEW_SUSPECTS_PER_S`].
     second_started_at: Instant,
     new_suspects: usize,
+    /// When old crashes are forgotten next.
+    expires_ms: u64,
 }
 
 impl Default for ReportedCrashes {
@@ -50,6 +55,7 @@
             started_at: now,
             second_started_at: now,
             new_suspects: 0,
+            expires_ms: 0,
         }
     }
 }
@@ -60,6 +66,15 @@
         self.history.is_empty()
     }
 
+    /// Forgets crashes that are old.
+    pub(super) fn expire(&mut self) {
+        let now_ms = self.now_ms();
+        if now_ms >= self.expires_ms {
+            self.history.expire(now_ms);
+            self.expires_ms = now_ms + EXPIRY_INTERVAL_MS;
+        }
+    }
+
     /// Returns the time for which requests with these fingerprints are refused, or `None`
     /// if they may run.
     pub(super) fn quarantine_left(&self, fingerprints: &[u64]) -> Option<Duration> {
--- a/src/peer/upkeep.rs
+++ b/src/peer/upkeep.rs
@@ -38,6 +38,7 @@
         for peer in self.expire(now) {
             tracing::info!("peer: {} is no longer running", peer.name);
         }
+        self.crashes.expire();
         self.request_log(log, now);
         self.update_usage_holder();
         self.take_orphans()
--- a/src/policy/suspects.rs
+++ b/src/policy/suspects.rs
@@ -15,7 +15,7 @@
 pub const MAX_CRASHES: usize = 2;
 
 /// Time after the last crash at which a quarantine ends, in milliseconds. One further
-/// crash then restores it.
+/// crash within the same time after that restores it.
 pub const QUARANTINE_MS: u64 = 600_000;
 
 /// Maximum number of suspected fingerprints.
@@ -42,13 +42,14 @@
         ends_ms.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)
     }
 
-    /// Forgets old crashes, except one if they led to a quarantine.
+    /// Forgets the crashes if the last one is old. One of those that led to a quarantine
+    /// counts for the same time again.
     fn expire(&mut self, now_ms: u64) {
-        if now_ms < self.last_crash_ms + QUARANTINE_MS {
-            return;
+        while !self.boots.is_empty() && now_ms >= self.last_crash_ms + QUARANTINE_MS {
+            let kept = usize::from(self.boots.len() >= MAX_CRASHES);
+            self.boots.truncate(kept);
+            self.last_crash_ms += QUARANTINE_MS;
         }
-        let kept = usize::from(self.boots.len() >= MAX_CRASHES);
-        self.boots.truncate(kept);
     }
 }
 
@@ -116,6 +117,14 @@
         cleared
     }
 
+    /// Forgets crashes that are old.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.suspects.retain(|_, suspect| {
+            suspect.expire(now_ms);
+            !suspect.boots.is_empty()
+        });
+    }
+
     /// Returns whether no fingerprint is suspected.
     #[must_use]
     pub fn is_empty(&self) -> bool {
