Forget broken calls whose targets are gone

A call whose answer broke off is kept until its target has been examined. If the caller left at that moment, nothing examined it, and the call was kept with its body for as long as the instance ran. It is now dropped with the target. Found by reading; no test shows it.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -76,6 +76,15 @@
             .retain(|_, call| !(call.is_broken && call.boot == *boot));
     }
 
+    /// Forgets the calls whose answers broke off and whose targets are no longer known.
+    pub(super) fn discard_unknown<F>(&mut self, is_known: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        self.calls
+            .retain(|_, call| !call.is_broken || is_known(call.boot.id()));
+    }
+
     /// Removes and returns all calls in flight on a target.
     fn take(&mut self, boot: &TargetBoot) -> Vec<Arc<Call>> {
         let mut taken = Vec::new();
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -73,6 +73,13 @@
     address: SocketAddr,
 }
 
+impl TargetBoot {
+    /// Returns the identifier of the target.
+    pub(super) fn id(&self) -> &str {
+        &self.id
+    }
+}
+
 impl From<&Target> for TargetBoot {
     fn from(target: &Target) -> Self {
         Self {
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -105,6 +105,8 @@
         .prune(Instant::now(), |id| known.get(id).is_some());
     state.loads().retain(|id| known.get(id).is_some());
     state.notices().retain(|id| known.get(id).is_some());
+    let mut calls = state.calls_in_flight();
+    calls.discard_unknown(|id| known.get(id).is_some());
 }
 
 /// Removes targets whose entries have disappeared from the store.
