--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -10,7 +10,7 @@
     attempt::{self, Answer, AttemptError},
     attempt_history::AttemptHistory,
     decode,
-    loads::InFlightGuard,
+    in_flight::InFlightGuard,
     placement::{PrefillChoice, record_cached_prompt},
     plain::{answer_response, is_retryable_failure},
     prefill::{PrefillHandle, PrefillOutcome, prefill},
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -5,7 +5,6 @@
 
 use indexmap::IndexMap;
 
-use super::state::State;
 use crate::{
     peer::{MAX_MESH_INSTANCES, PeerHandle, TargetLoad},
     policy::{
@@ -325,7 +324,7 @@
 
     /// Changes the load of this instance on a target, and reports the new load to
     /// peers unless this instance reports means.
-    fn update_own_load<F>(&mut self, target: &Arc<str>, change: F)
+    pub(super) fn update_own_load<F>(&mut self, target: &Arc<str>, change: F)
     where
         F: FnOnce(&mut OwnLoad),
     {
@@ -340,6 +339,12 @@
         }
     }
 
+    /// Adds a prompt to the mean tokens that a target has to prefill for one.
+    pub(super) fn record_prompt(&mut self, target: &Arc<str>, prefill_tokens: u64) {
+        let mean = &mut self.status_mut(target).prompt_tokens;
+        *mean += PROMPT_TOKENS_GAIN * (prefill_tokens as f64 - *mean);
+    }
+
     fn status_mut(&mut self, target: &Arc<str>) -> &mut TargetStatus {
         self.targets.entry(target.clone()).or_default()
     }
@@ -360,51 +365,3 @@
     /// The target did not answer in time.
     TimedOut,
 }
-
-/// Counts a request as in flight on a target until the guard is dropped.
-#[derive(Debug)]
-pub(super) struct InFlightGuard {
-    state: Arc<State>,
-    target: Arc<str>,
-    prefill_tokens: u64,
-}
-
-impl InFlightGuard {
-    /// Counts a request whose prompt needs a prefill of `prefill_tokens`.
-    pub(super) fn new(state: &Arc<State>, target: &Arc<str>, prefill_tokens: u64) -> Self {
-        {
-            let mut loads = state.loads();
-            loads.update_own_load(target, |own| {
-                own.requests += 1;
-                own.prefill_tokens += prefill_tokens;
-            });
-            if prefill_tokens > 0 {
-                let mean = &mut loads.status_mut(target).prompt_tokens;
-                *mean += PROMPT_TOKENS_GAIN * (prefill_tokens as f64 - *mean);
-            }
-        }
-        Self {
-            state: state.clone(),
-            target: target.clone(),
-            prefill_tokens,
-        }
-    }
-
-    /// Records that the prefill of the prompt is complete.
-    pub(super) fn record_prefilled(&mut self) {
-        let tokens = std::mem::take(&mut self.prefill_tokens);
-        if tokens == 0 {
-            return;
-        }
-        let mut loads = self.state.loads();
-        loads.update_own_load(&self.target, |own| own.prefill_tokens -= tokens);
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.record_prefilled();
-        let mut loads = self.state.loads();
-        loads.update_own_load(&self.target, |own| own.requests -= 1);
-    }
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,14 +17,15 @@
 //!   `prefill` runs the prefill there, and `decode` selects the engine that decodes
 //!   the answer. `engine_call` makes the gateway's own calls to engines.
 //! - Measurements: `notices` keeps what targets say about the requests that they take,
-//!   `loads` the load of each target, `engines` the timing profile
+//!   `loads` the load of each target, `in_flight` counts it, `engines` the timing profile
 //!   and load of each service's engines, `stream_times` the timing of streams, and
 //!   `usage` the counts of started requests.
 //! - Store and streams: `follower` reads a topic continuously, and `events` splits
 //!   event streams for `relay`.
-//! - Process: `run` starts and stops the tasks, `state` is shared by them, `reload`
-//!   reloads the settings file, `readiness` serves readiness checks and metrics, and
-//!   `clock` measures time across suspension of the machine.
+//! - Process: `run` starts and stops the tasks, `listeners` contains their sockets,
+//!   `state` is shared by them, `reload` reloads the settings file, `readiness` serves
+//!   readiness checks and metrics, and `clock` measures time across suspension of the
+//!   machine.
 
 mod admission;
 mod attempt;
@@ -40,6 +41,8 @@
 mod events;
 mod follower;
 mod generation;
+mod in_flight;
+mod listeners;
 mod loads;
 mod members;
 mod notices;
@@ -60,4 +63,5 @@
 mod usage;
 
 pub use events::{EventSplitter, Events};
-pub use run::{Error, Listeners, Result, run};
+pub use listeners::Listeners;
+pub use run::{Error, Result, run};
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -10,7 +10,8 @@
     admission::is_still_permitted,
     attempt::{self, AttemptError, BufferedAnswer},
     attempt_history::AttemptHistory,
-    loads::{AttemptOutcome, InFlightGuard},
+    in_flight::InFlightGuard,
+    loads::AttemptOutcome,
     reply::{Body, Refusal, full_body},
     state::State,
 };
--- a/src/gateway/prefill.rs
+++ b/src/gateway/prefill.rs
@@ -8,7 +8,8 @@
 use super::{
     attempt::{self, AttemptError},
     decode, engine_call,
-    loads::{AttemptOutcome, InFlightGuard},
+    in_flight::InFlightGuard,
+    loads::AttemptOutcome,
     placement::{PrefillChoice, choose_engine, record_cached_prompt, record_work},
     state::State,
 };
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -14,6 +14,7 @@
     catalog::CatalogTail,
     duty::{self, DutyLease},
     engines,
+    listeners::Listeners,
     members::{self, MemberTail},
     notices, quarantine, readiness, reload, server,
     state::State,
@@ -71,58 +72,6 @@
 
 impl std::error::Error for Error {}
 
-/// Listening sockets of an instance.
-#[derive(Debug)]
-pub struct Listeners {
-    callers: TcpListener,
-    readiness: TcpListener,
-    peers: TcpListener,
-    metrics: TcpListener,
-}
-
-impl Listeners {
-    /// Listens on the addresses of the settings; port 0 selects a free port.
-    ///
-    /// # Errors
-    ///
-    /// Fails if an address cannot be used.
-    pub async fn bind(settings: &GatewaySettings) -> Result<Self> {
-        Ok(Self {
-            callers: listen(settings.caller_address).await?,
-            readiness: listen(settings.readiness_address).await?,
-            peers: listen(settings.peer_address).await?,
-            metrics: listen(settings.metrics_address).await?,
-        })
-    }
-
-    /// Returns the local address of the listener for callers.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the local address cannot be read.
-    pub fn caller_address(&self) -> io::Result<SocketAddr> {
-        self.callers.local_addr()
-    }
-
-    /// Returns the local address of the metrics listener.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the local address cannot be read.
-    pub fn metrics_address(&self) -> io::Result<SocketAddr> {
-        self.metrics.local_addr()
-    }
-
-    /// Returns the local address of the readiness listener.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the local address cannot be read.
-    pub fn readiness_address(&self) -> io::Result<SocketAddr> {
-        self.readiness.local_addr()
-    }
-}
-
 /// Runs an instance until `stop` completes, then stops the instance gracefully:
 /// requests in progress may end within the configured stop time.
 ///
@@ -398,11 +347,6 @@
     }))
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| Error::Listen { address, source })
-}
-
 fn platform_client() -> reqwest::Result<reqwest::Client> {
     reqwest::Client::builder()
         .tcp_nodelay(true)
