Count crashes for a prompt part only after its next request

Targets that fail together, such as those of a failure domain, were counted as several crashes.

A crash now counts for a fingerprint only if a request that carries it was sent after the last crash that counted; reports between peers carry the age of the latest request. Three such crashes quarantine, not two, since frequent parts are in flight at crashes of other cause. The other front counts as before.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -9,6 +9,7 @@
 
 use indexmap::IndexMap;
 use sha2::{Digest, Sha256};
+use tokio::time::Instant;
 
 use super::{
     loads::AttemptOutcome,
@@ -17,6 +18,7 @@
 };
 use crate::{
     call::{Call, Prompt},
+    peer::SentFingerprint,
     roster::Target,
 };
 
@@ -28,11 +30,19 @@
 struct CallInFlight {
     boot: TargetBoot,
     call: Arc<Call>,
+    sent_at: Instant,
     /// Whether the answer broke off. The call is then kept until it is known whether
     /// the target has crashed.
     is_broken: bool,
 }
 
+/// A call that was in flight on a target as it crashed.
+#[derive(Debug)]
+struct SentCall {
+    call: Arc<Call>,
+    sent_at: Instant,
+}
+
 /// Calls of this instance that are in flight on targets.
 #[derive(Debug, Default)]
 pub(super) struct CallsInFlight {
@@ -46,6 +56,7 @@
         let call = CallInFlight {
             boot,
             call,
+            sent_at: Instant::now(),
             is_broken: false,
         };
         self.calls.insert(self.last_number, call);
@@ -86,12 +97,15 @@
     }
 
     /// Removes and returns all calls in flight on a target.
-    fn take(&mut self, boot: &TargetBoot) -> Vec<Arc<Call>> {
+    fn take(&mut self, boot: &TargetBoot) -> Vec<SentCall> {
         let mut taken = Vec::new();
         self.calls.retain(|_, call| {
             let is_taken = call.boot == *boot;
             if is_taken {
-                taken.push(call.call.clone());
+                taken.push(SentCall {
+                    call: call.call.clone(),
+                    sent_at: call.sent_at,
+                });
             }
             !is_taken
         });
@@ -160,7 +174,7 @@
     record_crash(state, target, &calls);
 }
 
-fn record_crash(state: &State, target: &Arc<Target>, calls: &[Arc<Call>]) {
+fn record_crash(state: &State, target: &Arc<Target>, calls: &[SentCall]) {
     tracing::warn!(
         target = &*target.id,
         boot = target.started_at_unix_ms,
@@ -168,7 +182,7 @@
         "gateway: target crashed"
     );
     metrics::counter!("gateway_target_crashes_total").increment(1);
-    for call in calls {
+    for SentCall { call, .. } in calls {
         tracing::info!(
             request = &*call.id,
             target = &*target.id,
@@ -180,12 +194,7 @@
     }
     if let Some(peers) = state.peers() {
         let boot = format!("{}@{}", target.id, target.started_at_unix_ms).into();
-        let mut in_flight = Vec::new();
-        for call in calls {
-            in_flight.extend(fingerprints(call));
-        }
-        in_flight.sort_unstable();
-        in_flight.dedup();
+        let in_flight = sent_fingerprints(calls);
         if peers.report_crash(&boot, &in_flight) {
             state.quarantine_changed.notify_one();
         }
@@ -237,6 +246,26 @@
     u64::from_le_bytes(first)
 }
 
+/// Returns the fingerprints of several calls, each with the age of its latest call.
+fn sent_fingerprints(calls: &[SentCall]) -> Vec<SentFingerprint> {
+    let mut ages_ms: IndexMap<u64, u32> = IndexMap::new();
+    for sent in calls {
+        let age_ms = sent.sent_at.elapsed().as_millis() as u32;
+        for fingerprint in fingerprints(&sent.call) {
+            let latest_ms = ages_ms.entry(fingerprint).or_insert(age_ms);
+            *latest_ms = age_ms.min(*latest_ms);
+        }
+    }
+    let mut in_flight = Vec::with_capacity(ages_ms.len());
+    for (fingerprint, age_ms) in ages_ms {
+        in_flight.push(SentFingerprint {
+            fingerprint,
+            age_ms,
+        });
+    }
+    in_flight
+}
+
 /// Returns the identifiers of the prompt parts that other requests may share.
 fn shared_part_ids(call: &Call) -> String {
     let Some(prompt) = &call.prompt else {
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -14,11 +14,12 @@
 use super::{
     Error, Result,
     frame::{FramedStream, framed, receive, send},
-    frames::{Hello, QuarantineAck, QuarantineNotice, UsageCopy, frame::Body},
+    frames::{CrashReport, Hello, QuarantineAck, QuarantineNotice, UsageCopy, frame::Body},
     heartbeat::heartbeat_interval,
     membership::PeerIdentity,
     quarantine::QuarantinedRequest,
     shared::Shared,
+    suspects::{SentFingerprint, TargetCrash},
     usage::Source,
 };
 use crate::log::records::UsageSlice;
@@ -182,10 +183,7 @@
                 Ok(())
             }
             Body::CrashReport(report) => {
-                let boot = report.boot.into();
-                let from = Some(&*self.peer.name);
-                let mut state = self.shared.state();
-                state.add_crash(&boot, &report.fingerprints, from);
+                self.handle_crash_report(report);
                 Ok(())
             }
             Body::SoundReport(report) => {
@@ -233,6 +231,26 @@
         self.shared.acks_changed.notify_waiters();
     }
 
+    fn handle_crash_report(&self, report: CrashReport) {
+        let boot = report.boot.into();
+        let mut state = self.shared.state();
+        if report.quarantined {
+            state.restore_crashes(&[TargetCrash {
+                boot,
+                fingerprints: report.fingerprints,
+            }]);
+            return;
+        }
+        let mut in_flight = Vec::with_capacity(report.fingerprints.len());
+        for (&fingerprint, &age_ms) in report.fingerprints.iter().zip(&report.sent_ages_ms) {
+            in_flight.push(SentFingerprint {
+                fingerprint,
+                age_ms,
+            });
+        }
+        state.add_crash(&boot, &in_flight, Some(&self.peer.name));
+    }
+
     fn handle_usage_copy(&self, copy: &UsageCopy) -> Result<()> {
         let slice = UsageSlice::decode(&*copy.slice)?;
         let measured_by_peer =
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -14,7 +14,7 @@
     quarantine::QuarantinedRequest,
     shared::Shared,
     state::SentNotice,
-    suspects::TargetCrash,
+    suspects::{SentFingerprint, TargetCrash},
 };
 use crate::{infra::protocol::LiveInstance, log::records::UsageSlice};
 
@@ -150,8 +150,8 @@
     /// Records a crash of a target while requests with these fingerprints were in flight
     /// on it, and reports it to peers. `boot` differs for each start of a target. Returns
     /// whether requests are quarantined for it.
-    pub fn report_crash(&self, boot: &Arc<str>, fingerprints: &[u64]) -> bool {
-        self.shared.state().add_crash(boot, fingerprints, None)
+    pub fn report_crash(&self, boot: &Arc<str>, in_flight: &[SentFingerprint]) -> bool {
+        self.shared.state().add_crash(boot, in_flight, None)
     }
 
     /// Records that a request with these fingerprints was answered completely, so that
--- a/src/peer/lavenderwind.peer.rs
+++ b/src/peer/lavenderwind.peer.rs
@@ -215,6 +215,13 @@
     pub boot: ::prost::alloc::string::String,
     #[prost(fixed64, repeated, tag = "2")]
     pub fingerprints: ::prost::alloc::vec::Vec<u64>,
+    /// Whether the crash has led to a quarantine, so that it counts whenever the report
+    /// arrives.
+    #[prost(bool, tag = "3")]
+    pub quarantined: bool,
+    /// Time since the latest request with each fingerprint was sent, in milliseconds.
+    #[prost(uint32, repeated, tag = "4")]
+    pub sent_ages_ms: ::prost::alloc::vec::Vec<u32>,
 }
 /// Reports that requests with these fingerprints, which were suspected to crash targets,
 /// were answered completely.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -60,6 +60,6 @@
 pub use membership::PeerState;
 pub use shared::{PeerLog, PeerOptions};
 pub use spawn::{PeerInputs, Peers, spawn, spawn_without_live_list};
-pub use suspects::TargetCrash;
+pub use suspects::{SentFingerprint, TargetCrash};
 pub use topology::{MAX_MESH_INSTANCES, rendezvous_order};
 pub use usage::{Source, UsageCopies};
--- a/src/peer/suspects.rs
+++ b/src/peer/suspects.rs
@@ -11,7 +11,7 @@
     state::{State, link_kind_of},
     topology::LinkKind,
 };
-use crate::policy::suspects::{CrashHistory, MAX_CRASHES};
+use crate::policy::suspects::{self, CrashHistory, MAX_SHARED_CRASHES};
 
 /// Maximum number of fingerprints, not suspected before, that an instance reports or
 /// forwards in a second. A fingerprint that was in flight at an earlier crash is always
@@ -35,6 +35,17 @@
     pub fingerprints: Vec<u64>,
 }
 
+/// Fingerprint of a request that was in flight at a crash.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SentFingerprint {
+    /// The fingerprint.
+    pub fingerprint: u64,
+    /// Time since the latest request with the fingerprint was sent, in milliseconds.
+    pub age_ms: u32,
+}
+
+type InFlight = suspects::InFlight<u64>;
+
 /// Crashes that this instance knows of.
 #[derive(Debug)]
 pub(super) struct ReportedCrashes {
@@ -85,11 +96,18 @@
     }
 
     /// Records a crash. Returns the fingerprints that are reported to peers.
-    fn record_crash(&mut self, boot: &Arc<str>, fingerprints: &[u64]) -> Vec<u64> {
+    fn record_crash(&mut self, boot: &Arc<str>, in_flight: &[SentFingerprint]) -> Vec<InFlight> {
         let now_ms = self.now_ms();
-        let mut reported = self.history.record_crash(boot, fingerprints, now_ms);
-        reported.retain(|fingerprint| {
-            let is_new = self.history.crash_count(fingerprint) == 1;
+        let mut sent = Vec::with_capacity(in_flight.len());
+        for request in in_flight {
+            sent.push(InFlight {
+                fingerprint: request.fingerprint,
+                sent_ms: now_ms.saturating_sub(request.age_ms.into()),
+            });
+        }
+        let mut reported = self.history.record_separate_crash(boot, &sent, now_ms);
+        reported.retain(|sent| {
+            let is_new = self.history.crash_count(&sent.fingerprint) == 1;
             !is_new || self.take_new_suspect()
         });
         reported
@@ -116,20 +134,28 @@
     pub(super) fn add_crash(
         &mut self,
         boot: &Arc<str>,
-        fingerprints: &[u64],
+        in_flight: &[SentFingerprint],
         from: Option<&str>,
     ) -> bool {
-        let reported = self.crashes.record_crash(boot, fingerprints);
+        let reported = self.crashes.record_crash(boot, in_flight);
         if reported.is_empty() {
             return false;
         }
-        let history = &self.crashes.history;
-        let mut counts = reported.iter().map(|found| history.crash_count(found));
-        let is_quarantined = counts.any(|crashes| crashes >= MAX_CRASHES);
-        let report = CrashReport {
+        let now_ms = self.crashes.now_ms();
+        let mut report = CrashReport {
             boot: boot.to_string(),
-            fingerprints: reported,
+            ..CrashReport::default()
         };
+        let mut is_quarantined = false;
+        for sent in &reported {
+            let age_ms = now_ms.saturating_sub(sent.sent_ms);
+            report.fingerprints.push(sent.fingerprint);
+            report
+                .sent_ages_ms
+                .push(u32::try_from(age_ms).unwrap_or(u32::MAX));
+            let crashes = self.crashes.history.crash_count(&sent.fingerprint);
+            is_quarantined |= crashes >= MAX_SHARED_CRASHES;
+        }
         self.send_to_peers(&Body::CrashReport(report), from);
         is_quarantined
     }
@@ -140,7 +166,7 @@
     pub(super) fn clear_suspects(&mut self, fingerprints: &[u64], from: Option<&str>) -> bool {
         let history = &mut self.crashes.history;
         let mut counts = fingerprints.iter().map(|found| history.crash_count(found));
-        let was_quarantined = counts.any(|crashes| crashes >= MAX_CRASHES);
+        let was_quarantined = counts.any(|crashes| crashes >= MAX_SHARED_CRASHES);
         let cleared = history.clear(fingerprints);
         if cleared.is_empty() {
             return false;
@@ -152,7 +178,7 @@
         was_quarantined
     }
 
-    /// Records crashes that an earlier instance has stored.
+    /// Records crashes that have led to a quarantine, as stored or as told by a peer.
     pub(super) fn restore_crashes(&mut self, crashes: &[TargetCrash]) {
         let now_ms = self.crashes.now_ms();
         for crash in crashes {
@@ -179,6 +205,8 @@
             frames.push(Body::CrashReport(CrashReport {
                 boot: crash.boot.to_string(),
                 fingerprints: crash.fingerprints,
+                quarantined: true,
+                sent_ages_ms: Vec::new(),
             }));
         }
         frames
--- a/src/policy/suspects.rs
+++ b/src/policy/suspects.rs
@@ -2,7 +2,7 @@
 //!
 //! A request that was in flight on a target when the target crashed is a suspect, by
 //! each of its fingerprints: one identifies the request, others a part of its prompt
-//! that other requests may share. After [`MAX_CRASHES`] crashes, requests are refused if
+//! that other requests may share. After [`MAX_SHARED_CRASHES`] crashes, requests are refused if
 //! they carry a fingerprint that was in flight at all of these crashes, and with it
 //! everything else that was. Requests that carry only some of it still run. Each of
 //! their answers shows that what they carry does no harm, until only the cause is left.
@@ -11,9 +11,14 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-/// Number of crashes after which requests are quarantined.
+/// Number of crashes after which a request is quarantined that runs apart from other
+/// suspects.
 pub const MAX_CRASHES: usize = 2;
 
+/// Number of crashes after which requests are quarantined by what they share with others.
+/// Requests that share a frequent part may be in flight at two crashes by chance.
+pub const MAX_SHARED_CRASHES: usize = 3;
+
 /// Time after the last crash at which a quarantine ends, in milliseconds. One further
 /// crash within the same time after that restores it.
 pub const QUARANTINE_MS: u64 = 600_000;
@@ -35,24 +40,45 @@
 
 impl Suspect {
     fn quarantine_left_ms(&self, now_ms: u64) -> Option<u64> {
-        if self.boots.len() < MAX_CRASHES {
+        if self.boots.len() < MAX_SHARED_CRASHES {
             return None;
         }
         let ends_ms = self.last_crash_ms + QUARANTINE_MS;
         ends_ms.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)
     }
 
-    /// Forgets the crashes if the last one is old. One of those that led to a quarantine
-    /// counts for the same time again.
+    /// Counts a crash unless it is known. Returns whether it was counted.
+    fn count(&mut self, boot: &Arc<str>, now_ms: u64) -> bool {
+        self.last_crash_ms = now_ms;
+        if self.boots.len() >= MAX_REMEMBERED_CRASHES {
+            return false;
+        }
+        self.boots.insert(boot.clone())
+    }
+
+    /// Forgets the crashes if the last one is old. All but one of those that
+    /// led to a quarantine count for the same time again.
     fn expire(&mut self, now_ms: u64) {
         while !self.boots.is_empty() && now_ms >= self.last_crash_ms + QUARANTINE_MS {
-            let kept = usize::from(self.boots.len() >= MAX_CRASHES);
+            let kept = match self.boots.len() >= MAX_SHARED_CRASHES {
+                true => MAX_SHARED_CRASHES - 1,
+                false => 0,
+            };
             self.boots.truncate(kept);
             self.last_crash_ms += QUARANTINE_MS;
         }
     }
 }
 
+/// Fingerprint of a request that was in flight at a crash.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct InFlight<F> {
+    /// The fingerprint.
+    pub fingerprint: F,
+    /// When the request was sent; the latest one if several requests carry the fingerprint.
+    pub sent_ms: u64,
+}
+
 /// Suspected fingerprints, with the crashes at which they were in flight.
 ///
 /// ```
@@ -60,11 +86,13 @@
 ///
 /// let mut history = CrashHistory::default();
 /// history.record_crash(&"engine-1".into(), &["common", "cause"], 0);
-/// history.record_crash(&"engine-2".into(), &["common", "cause"], 10);
-/// assert!(history.quarantine_left_ms(&["common", "cause"], 20).is_some());
-/// assert!(history.quarantine_left_ms(&["common", "other"], 20).is_none());
+/// history.record_crash(&"engine-2".into(), &["common", "cause"], 700);
+/// assert!(history.quarantine_left_ms(&["common", "cause"], 700).is_none());
+/// history.record_crash(&"engine-3".into(), &["common", "cause"], 750);
+/// assert!(history.quarantine_left_ms(&["common", "cause"], 800).is_some());
+/// assert!(history.quarantine_left_ms(&["common", "other"], 800).is_none());
 /// history.clear(&["common", "other"]);
-/// assert!(history.quarantine_left_ms(&["cause"], 30).is_some());
+/// assert!(history.quarantine_left_ms(&["cause"], 900).is_some());
 /// ```
 #[derive(Clone, Debug)]
 pub struct CrashHistory<F> {
@@ -86,23 +114,54 @@
     /// Records a crash at which requests with these fingerprints were in flight. Returns
     /// the fingerprints for which the crash was not known yet.
     pub fn record_crash(&mut self, boot: &Arc<str>, fingerprints: &[F], now_ms: u64) -> Vec<F> {
-        let mut new = Vec::new();
+        let mut counted = Vec::new();
         for fingerprint in fingerprints {
-            if !self.suspects.contains_key(fingerprint) {
-                self.make_room();
-            }
-            let suspect = self.suspects.entry(fingerprint.clone()).or_default();
-            suspect.expire(now_ms);
-            if suspect.boots.contains(boot) {
-                continue;
+            if self.count(boot, fingerprint, now_ms, None) {
+                counted.push(fingerprint.clone());
             }
-            suspect.last_crash_ms = now_ms;
-            if suspect.boots.len() < MAX_REMEMBERED_CRASHES {
-                suspect.boots.insert(boot.clone());
-                new.push(fingerprint.clone());
+        }
+        counted
+    }
+
+    /// Records a crash as [`Self::record_crash`] does, except that it counts only for
+    /// fingerprints of requests that were sent after the last crash that counted.
+    ///
+    /// Targets that fail together for another reason, such as the loss of a failure domain,
+    /// thus count once for a frequent part: requests with it were in flight on several of
+    /// them.
+    pub fn record_separate_crash(
+        &mut self,
+        boot: &Arc<str>,
+        in_flight: &[InFlight<F>],
+        now_ms: u64,
+    ) -> Vec<InFlight<F>> {
+        let mut counted = Vec::new();
+        for sent in in_flight {
+            if self.count(boot, &sent.fingerprint, now_ms, Some(sent.sent_ms)) {
+                counted.push(sent.clone());
             }
         }
-        new
+        counted
+    }
+
+    fn count(
+        &mut self,
+        boot: &Arc<str>,
+        fingerprint: &F,
+        now_ms: u64,
+        sent_ms: Option<u64>,
+    ) -> bool {
+        if !self.suspects.contains_key(fingerprint) {
+            self.make_room();
+        }
+        let suspect = self.suspects.entry(fingerprint.clone()).or_default();
+        suspect.expire(now_ms);
+        let was_sent_before = !suspect.boots.is_empty()
+            && sent_ms.is_some_and(|sent_ms| sent_ms <= suspect.last_crash_ms);
+        if was_sent_before || suspect.boots.contains(boot) {
+            return false;
+        }
+        suspect.count(boot, now_ms)
     }
 
     /// Records that a request with these fingerprints was answered completely. Returns
@@ -162,7 +221,7 @@
     pub fn quarantined_crashes(&self) -> IndexMap<Arc<str>, Vec<F>> {
         let mut crashes: IndexMap<Arc<str>, Vec<F>> = IndexMap::new();
         for (fingerprint, suspect) in &self.suspects {
-            if suspect.boots.len() < MAX_CRASHES {
+            if suspect.boots.len() < MAX_SHARED_CRASHES {
                 continue;
             }
             for boot in &suspect.boots {
@@ -191,7 +250,7 @@
             return;
         }
         let mut suspects = self.suspects.values();
-        let oldest = suspects.position(|suspect| suspect.boots.len() < MAX_CRASHES);
+        let oldest = suspects.position(|suspect| suspect.boots.len() < MAX_SHARED_CRASHES);
         self.suspects.shift_remove_index(oldest.unwrap_or(0));
     }
 }
--- a/tests/crash_inducing_part.rs
+++ b/tests/crash_inducing_part.rs
@@ -205,6 +205,13 @@
     }
     let crashes = fixture.engines.crashes();
     assert!(crashes <= MAX_CRASHES, "{crashes} crashes of engines");
+    let store = fixture.store.clone();
+    eventually("the quarantine is stored", move || {
+        let state = store.state.lock().unwrap();
+        let newest = state.newest("keyed.members");
+        newest.contains_key("quarantine/crashes")
+    })
+    .await;
     for gateway in fixture.gateways.drain(..) {
         gateway.task.abort();
     }
