--- a/tests/leaving_targets.rs
+++ b/tests/leaving_targets.rs
@@ -8,6 +8,9 @@
 use platform_support::{Arrival, Cloud, DEADLINE, Gateway, Store, Worker, configuration, signed};
 use tokio::time::{sleep, timeout};
 
+/// Time after which the users allow no request to a leaving target.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// Waits until a gateway knows a target that takes requests.
 async fn wait_until_served(gateway: &Gateway) {
     let poll = async {
@@ -51,6 +54,7 @@
     })
     .await;
     store.put("keyed.servers", &staying.id, &staying.entry("desk", None));
+    sleep(DRAIN_TIME).await;
     for gateway in [&gateway, &peer] {
         wait_until_served(gateway).await;
         for number in 0..20 {
