Compute the fingerprints of a call once

While anything is suspected, the body of a call was hashed at its admission, before each attempt and after its answer. The fingerprints are now kept with the call, and computed only if they are needed. CallsInFlight::take returns the calls themselves instead of copies in a type of their own, and whether an engine decodes is answered without a copy of the list of targets. No change of behaviour.

--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -1,6 +1,9 @@
 //! A caller's request, as used by routing, attempts and accounting.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, http::uri::PathAndQuery};
@@ -41,6 +44,8 @@
     /// Time by which the answer must be complete: the earlier of the deadlines set
     /// by the caller and by the route.
     pub deadline: Instant,
+    /// Fingerprints by which the call is suspected to crash targets, once they are needed.
+    pub fingerprints: OnceLock<Vec<u64>>,
 }
 
 impl Call {
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -1,7 +1,7 @@
 //! Admission of requests: resolves the route, checks the API key and sets the
 //! deadline and priority.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use hyper::http::request::Parts;
@@ -95,6 +95,7 @@
         priority,
         received_at: received.received_at,
         deadline: received.received_at + timeout,
+        fingerprints: OnceLock::new(),
         route,
     })
 }
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -36,13 +36,6 @@
     is_broken: bool,
 }
 
-/// A call that was in flight on a target as it crashed.
-#[derive(Debug)]
-struct SentCall {
-    call: Arc<Call>,
-    sent_at: Instant,
-}
-
 /// Calls of this instance that are in flight on targets.
 #[derive(Debug, Default)]
 pub(super) struct CallsInFlight {
@@ -97,18 +90,15 @@
     }
 
     /// Removes and returns all calls in flight on a target.
-    fn take(&mut self, boot: &TargetBoot) -> Vec<SentCall> {
+    fn take(&mut self, boot: &TargetBoot) -> Vec<CallInFlight> {
         let mut taken = Vec::new();
-        self.calls.retain(|_, call| {
-            let is_taken = call.boot == *boot;
-            if is_taken {
-                taken.push(SentCall {
-                    call: call.call.clone(),
-                    sent_at: call.sent_at,
-                });
+        for (number, call) in std::mem::take(&mut self.calls) {
+            if call.boot == *boot {
+                taken.push(call);
+                continue;
             }
-            !is_taken
-        });
+            self.calls.insert(number, call);
+        }
         taken
     }
 }
@@ -135,7 +125,7 @@
         let Some(peers) = self.state.peers() else {
             return;
         };
-        if peers.has_suspects() && peers.report_sound(&fingerprints(call)) {
+        if peers.has_suspects() && peers.report_sound(fingerprints(call)) {
             self.state.quarantine_changed.notify_one();
         }
     }
@@ -174,7 +164,7 @@
     record_crash(state, target, &calls);
 }
 
-fn record_crash(state: &State, target: &Arc<Target>, calls: &[SentCall]) {
+fn record_crash(state: &State, target: &Arc<Target>, calls: &[CallInFlight]) {
     tracing::warn!(
         target = &*target.id,
         boot = target.started_at_unix_ms,
@@ -182,7 +172,7 @@
         "gateway: target crashed"
     );
     metrics::counter!("gateway_target_crashes_total").increment(1);
-    for SentCall { call, .. } in calls {
+    for CallInFlight { call, .. } in calls {
         tracing::info!(
             request = &*call.id,
             target = &*target.id,
@@ -209,13 +199,17 @@
     /// if it may run.
     pub(super) fn quarantine_left(&self, call: &Call) -> Option<Duration> {
         let peers = self.peers().filter(|peers| peers.has_suspects())?;
-        peers.quarantine_left(&fingerprints(call))
+        peers.quarantine_left(fingerprints(call))
     }
 }
 
 /// Returns the fingerprints of a call: one of the request, which stays the same when the
 /// caller repeats it, and one of each prompt part that other requests may share.
-fn fingerprints(call: &Call) -> Vec<u64> {
+fn fingerprints(call: &Call) -> &[u64] {
+    call.fingerprints.get_or_init(|| compute_fingerprints(call))
+}
+
+fn compute_fingerprints(call: &Call) -> Vec<u64> {
     let request = [
         call.account_name().as_bytes(),
         call.method.as_str().as_bytes(),
@@ -247,11 +241,11 @@
 }
 
 /// Returns the fingerprints of several calls, each with the age of its latest call.
-fn sent_fingerprints(calls: &[SentCall]) -> Vec<SentFingerprint> {
+fn sent_fingerprints(calls: &[CallInFlight]) -> Vec<SentFingerprint> {
     let mut ages_ms: IndexMap<u64, u32> = IndexMap::new();
     for sent in calls {
         let age_ms = sent.sent_at.elapsed().as_millis() as u32;
-        for fingerprint in fingerprints(&sent.call) {
+        for &fingerprint in fingerprints(&sent.call) {
             let latest_ms = ages_ms.entry(fingerprint).or_insert(age_ms);
             *latest_ms = age_ms.min(*latest_ms);
         }
--- a/src/gateway/decode.rs
+++ b/src/gateway/decode.rs
@@ -2,6 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
+use tokio::time::Instant;
+
 use super::state::State;
 use crate::{
     call::{Call, Prompt},
@@ -124,11 +126,11 @@
 
 /// Returns whether any engine of a service decodes and may be sent a request now.
 pub(super) fn has_engine(state: &State, service: &str) -> bool {
-    let targets = state.ready_targets(service);
-    let mut decoding = targets
-        .iter()
-        .filter(|target| target.role != Some(EngineRole::Prefill));
-    decoding.any(|target| state.admits(target))
+    state.with_roster(|roster| {
+        roster
+            .ready(service, Instant::now())
+            .any(|target| target.role != Some(EngineRole::Prefill) && state.admits(target))
+    })
 }
 
 /// Returns the home of a call's prompt: the engine among `targets` with the highest
--- a/tests/platform_headers.rs
+++ b/tests/platform_headers.rs
@@ -1,6 +1,9 @@
 //! Tests of decoding and encoding the platform's HTTP headers.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use hyper::{HeaderMap, Method, Request, Response, header::HeaderName};
 use lavenderwind::{
@@ -59,6 +62,7 @@
         priority: 12,
         received_at: now,
         deadline: now + Duration::from_secs(5),
+        fingerprints: OnceLock::new(),
     }
 }
 
