--- a/src/peer/suspects.rs
+++ b/src/peer/suspects.rs
@@ -8,8 +8,7 @@
 
 use super::{
     frames::{CrashReport, SoundReport, frame::Body},
-    state::{State, link_kind_of},
-    topology::LinkKind,
+    state::State,
 };
 use crate::policy::suspects::{self, CrashHistory, MAX_SHARED_CRASHES};
 
@@ -211,20 +210,4 @@
         }
         frames
     }
-
-    /// Sends a frame over all links over which it is to be sent or forwarded. A frame is
-    /// dropped if the outbox of a link is full.
-    pub(super) fn send_to_peers(&self, frame: &Body, from: Option<&str>) {
-        let from_kind = from.map(|from| self.link_kind(from));
-        for (name, link) in &self.links {
-            let kind = link_kind_of(&self.link_kinds, name);
-            let is_receiver = match from_kind {
-                None => kind != LinkKind::Backup,
-                Some(from_kind) => from_kind.forwards_to(kind) && Some(&**name) != from,
-            };
-            if is_receiver && link.outbox.try_send(frame.clone()).is_err() {
-                metrics::counter!("peer_reports_dropped_total").increment(1);
-            }
-        }
-    }
 }
