--- a/tests/crash_inducing_part.rs
+++ b/tests/crash_inducing_part.rs
@@ -140,6 +140,28 @@
         let status = response.status().as_u16();
         response.text().await.ok().map(|_| status)
     }
+
+    /// Sends four requests with the part, and returns the number of crashes.
+    async fn crash_engines(&self) -> usize {
+        for number in 0..4 {
+            let id = format!("r-crashing-{number}");
+            let instance = number % self.gateways.len();
+            self.send(instance, &id, &crashing_parts(number)).await;
+            sleep(PAUSE).await;
+        }
+        let crashes = self.engines.crashes();
+        assert!(crashes <= MAX_CRASHES, "{crashes} crashes of engines");
+        crashes
+    }
+
+    /// Checks that an instance refuses four other requests with the part.
+    async fn expect_refusals(&self, instance: usize) {
+        for number in 4..8 {
+            let id = format!("r-crashing-{number}");
+            let status = self.send(instance, &id, &crashing_parts(number)).await;
+            assert_eq!(status, Some(503));
+        }
+    }
 }
 
 /// Returns the parts of a prompt with [`CRASHING_PART`], different for each number.
@@ -175,22 +197,12 @@
 #[tokio::test]
 async fn later_instance_told() {
     let mut fixture = Fixture::start(2).await;
-    for number in 0..4 {
-        let id = format!("r-crashing-{number}");
-        fixture.send(number % 2, &id, &crashing_parts(number)).await;
-        sleep(PAUSE).await;
-    }
-    let crashes = fixture.engines.crashes();
-    assert!(crashes <= MAX_CRASHES, "{crashes} crashes of engines");
+    let crashes = fixture.crash_engines().await;
     let later = Gateway::start("entry-later", &fixture.store, &fixture.cloud).await;
     later.wait_until_ready().await;
     sleep(PAUSE * 3).await;
     fixture.gateways.push(later);
-    for number in 4..8 {
-        let id = format!("r-crashing-{number}");
-        let status = fixture.send(2, &id, &crashing_parts(number)).await;
-        assert_eq!(status, Some(503));
-    }
+    fixture.expect_refusals(2).await;
     assert_eq!(fixture.engines.crashes(), crashes);
 }
 
@@ -198,13 +210,7 @@
 #[tokio::test]
 async fn restart_of_all_remembers() {
     let mut fixture = Fixture::start(1).await;
-    for number in 0..4 {
-        let id = format!("r-crashing-{number}");
-        fixture.send(0, &id, &crashing_parts(number)).await;
-        sleep(PAUSE).await;
-    }
-    let crashes = fixture.engines.crashes();
-    assert!(crashes <= MAX_CRASHES, "{crashes} crashes of engines");
+    let crashes = fixture.crash_engines().await;
     let store = fixture.store.clone();
     eventually("the quarantine is stored", move || {
         let state = store.state.lock().unwrap();
@@ -219,10 +225,6 @@
     restarted.wait_until_ready().await;
     sleep(PAUSE * 3).await;
     fixture.gateways.push(restarted);
-    for number in 4..8 {
-        let id = format!("r-crashing-{number}");
-        let status = fixture.send(0, &id, &crashing_parts(number)).await;
-        assert_eq!(status, Some(503));
-    }
+    fixture.expect_refusals(0).await;
     assert_eq!(fixture.engines.crashes(), crashes);
 }
--- a/tests/leaving_targets.rs
+++ b/tests/leaving_targets.rs
@@ -5,26 +5,12 @@
 use std::time::Duration;
 
 use hyper::Method;
-use platform_support::{Arrival, Cloud, DEADLINE, Gateway, Store, Worker, configuration, signed};
-use tokio::time::{sleep, timeout};
+use platform_support::{Arrival, Cloud, Gateway, Store, Worker, configuration, signed};
+use tokio::time::sleep;
 
 /// Time after which the users allow no request to a leaving target.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
-/// Waits until a gateway knows a target that takes requests.
-async fn wait_until_served(gateway: &Gateway) {
-    let poll = async {
-        loop {
-            let request = gateway.request(Method::GET, "/look/", "r-poll");
-            if request.send().await.unwrap().status() == 200 {
-                return;
-            }
-            sleep(Duration::from_millis(50)).await;
-        }
-    };
-    timeout(DEADLINE, poll).await.expect("no request is served");
-}
-
 /// Guards against requests to a target that has said in an answer that it leaves, while
 /// the store still lists it as ready.
 #[tokio::test]
@@ -56,7 +42,7 @@
     store.put("keyed.servers", &staying.id, &staying.entry("desk", None));
     sleep(DRAIN_TIME).await;
     for gateway in [&gateway, &peer] {
-        wait_until_served(gateway).await;
+        gateway.wait_until_served().await;
         for number in 0..20 {
             let request = gateway.request(Method::GET, "/look/", &format!("r-{number}"));
             assert_eq!(request.send().await.unwrap().status(), 200);
@@ -90,5 +76,5 @@
     assert_eq!(second.send().await.unwrap().status(), 503);
     entry["born"] = serde_json::json!(1_700_000_009_000_u64);
     store.put("keyed.servers", &worker.id, &entry);
-    wait_until_served(&gateway).await;
+    gateway.wait_until_served().await;
 }
--- a/tests/odd_entries.rs
+++ b/tests/odd_entries.rs
@@ -2,13 +2,10 @@
 
 mod platform_support;
 
-use std::time::Duration;
-
-use hyper::Method;
 use lavenderwind::platform::read_target;
-use platform_support::{Arrival, Cloud, DEADLINE, Gateway, Store, Worker, configuration, signed};
+use platform_support::{Arrival, Cloud, Gateway, Store, Worker, configuration, signed};
 use serde_json::{Value, json};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::Instant;
 
 /// Returns the text of a valid entry with one field replaced by `value`, written as it is.
 fn entry_with(field: &str, value: &str) -> String {
@@ -85,15 +82,6 @@
     })
     .await;
     store.put("keyed.servers", "i-z-good", &worker.entry("desk", None));
-    let poll = async {
-        loop {
-            let request = gateway.request(Method::GET, "/look/", "r-1");
-            if request.send().await.unwrap().status() == 200 {
-                return;
-            }
-            sleep(Duration::from_millis(50)).await;
-        }
-    };
-    timeout(DEADLINE, poll).await.expect("no request is served");
+    gateway.wait_until_served().await;
     assert_eq!(worker.count(), 1);
 }
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -634,6 +634,20 @@
         );
     }
 
+    /// Waits until the gateway knows a target of the route `look` that takes requests.
+    pub async fn wait_until_served(&self) {
+        let poll = async {
+            loop {
+                let request = self.request(Method::GET, "/look/", "r-poll");
+                if request.send().await.unwrap().status() == 200 {
+                    return;
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        timeout(DEADLINE, poll).await.expect("no request is served");
+    }
+
     pub fn stop(&mut self) {
         if let Some(stop) = self.stop.take() {
             let _ = stop.send(());
