Guard against requests that come again unchanged and crash engines

Nothing of the logic is changed here.

New test repeated_request_bounded: one request, unchanged, 12 times at two instances.

--- a/tests/crash_inducing_part.rs
+++ b/tests/crash_inducing_part.rs
@@ -131,12 +131,17 @@
     /// Sends a prompt with these parts, and returns the status of a complete answer or of
     /// a refusal, or `None` if the answer broke off.
     async fn send(&self, instance: usize, id: &str, parts: &str) -> Option<u16> {
+        self.send_body(instance, id, parts, id).await
+    }
+
+    /// Sends a prompt as [`send`](Self::send) does, with a body of its own.
+    async fn send_body(&self, instance: usize, id: &str, parts: &str, body: &str) -> Option<u16> {
         let request = self.gateways[instance].request(Method::POST, "/chat/", id);
         let request = request
             .header("model", "m")
             .header("token-count", "900,20")
             .header("prompt-prefix", parts);
-        let response = request.body(id.to_owned()).send().await.unwrap();
+        let response = request.body(body.to_owned()).send().await.unwrap();
         let status = response.status().as_u16();
         response.text().await.ok().map(|_| status)
     }
@@ -192,6 +197,24 @@
     }
 }
 
+/// Guards against a request that comes again unchanged and crashes engine after engine,
+/// because no instance remembers under which requests engines crashed.
+#[tokio::test]
+async fn repeated_request_bounded() {
+    let fixture = Fixture::start(2).await;
+    let parts = crashing_parts(0);
+    let mut statuses = Vec::new();
+    for number in 0..12 {
+        let id = format!("r-repeated-{number}");
+        let status = fixture.send_body(number % 2, &id, &parts, "repeated").await;
+        statuses.push(status);
+        sleep(PAUSE).await;
+    }
+    let crashes = fixture.engines.crashes();
+    assert!(crashes <= MAX_CRASHES, "{crashes} crashes of engines");
+    assert_eq!(statuses[8..], [Some(503); 4], "refused as not run");
+}
+
 /// Guards against an instance that starts later and crashes engines again, because its
 /// peers do not tell it what they refuse.
 #[tokio::test]
