Show what a restore of the store breaks

The store may come back from a copy some seconds old. What instances have written since is lost, and offsets are given out again. Users saw usage reports stop, and windows reported again with other counts.

--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -130,15 +130,30 @@
     CutAnswer(usize),
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Topic {
     records: Vec<Option<Bytes>>,
     first: u64,
 }
 
+/// Copy of all records of a store.
+#[derive(Clone, Debug, Default)]
+pub struct StoreCopy {
+    topics: IndexMap<String, Topic>,
+}
+
+impl StoreCopy {
+    /// Removes all records of a topic.
+    pub fn remove_topic(&mut self, topic: &str) {
+        self.topics.swap_remove(topic);
+    }
+}
+
 #[derive(Debug, Default)]
 pub struct StoreState {
     topics: IndexMap<String, Topic>,
+    /// Number of restores so far; answers carry it.
+    pub era: u64,
     /// Faults to inject, in this order. The first fault is injected into the next call
     /// whose path contains the fault's text.
     pub faults: VecDeque<(&'static str, StoreFault)>,
@@ -170,6 +185,20 @@
         self.topics.get_mut(topic).unwrap().first = before;
     }
 
+    /// Returns a copy of all records.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy {
+            topics: self.topics.clone(),
+        }
+    }
+
+    /// Replaces all records by those of a copy, so that later records are lost and their
+    /// offsets are given out again.
+    pub fn restore(&mut self, copy: StoreCopy) {
+        self.topics = copy.topics;
+        self.era += 1;
+    }
+
     /// Returns the newest value of each key, with its offset.
     pub fn newest(&self, topic: &str) -> IndexMap<String, (u64, Bytes)> {
         let mut newest = IndexMap::new();
@@ -247,6 +276,17 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns a copy of all records.
+    pub fn copy(&self) -> StoreCopy {
+        self.state.lock().unwrap().copy()
+    }
+
+    /// Replaces all records by those of a copy; see [`StoreState::restore`].
+    pub fn restore(&self, copy: &StoreCopy) {
+        self.state.lock().unwrap().restore(copy.clone());
+        self.changed.notify_waiters();
+    }
+
     /// Injects a fault into the next call whose path contains `path`.
     pub fn fault(&self, path: &'static str, fault: StoreFault) {
         self.state.lock().unwrap().faults.push_back((path, fault));
@@ -290,7 +330,7 @@
         let arrival = async {
             loop {
                 let notified = changed.notified();
-                if state.lock().unwrap().end(&topic) > from {
+                if state.lock().unwrap().end(&topic) != from {
                     return;
                 }
                 notified.await;
@@ -321,13 +361,26 @@
     Response::new(body.boxed_unsync())
 }
 
+/// Executes a call, and names the store's era in the answer.
 fn execute(
     state: &Mutex<StoreState>,
     path: &str,
     query: &IndexMap<String, String>,
-    mut body: Bytes,
+    body: Bytes,
 ) -> Response<AnswerBody> {
     let mut state = state.lock().unwrap();
+    let mut response = execute_call(&mut state, path, query, body);
+    let era = state.era.to_string().parse().unwrap();
+    response.headers_mut().insert("store-era", era);
+    response
+}
+
+fn execute_call(
+    state: &mut StoreState,
+    path: &str,
+    query: &IndexMap<String, String>,
+    mut body: Bytes,
+) -> Response<AnswerBody> {
     let name = &query["topic"];
     let end = state.end(name);
     match path {
@@ -350,7 +403,7 @@
         "/log-read" => {
             let from: u64 = query["from"].parse().unwrap();
             let first = state.topics.get(name).map_or(0, |topic| topic.first);
-            if from < first {
+            if from < first || from > end {
                 return status(410, json!({"first_offset": first}).to_string());
             }
             let mut bytes = BytesMut::new();
