Keep usage true when the store is restored

- A figure names the era in which it was stored.
In a later era, a holder whose lease was not broken stores its newest figure again, the greater of the known and the stored one, before it goes on.
- Any other holder cannot know what was reported, and stores that the windows are skipped which ended before it learned of the new era.
The platform can't be asked.
- Slices are written again by their instances, which keep the counts; a holder never takes a slice for an older state of it, so that it still has those of instances that have died.

Ruled out: to tell peers the figures (9,500 accounts each 5 s are beyond 2 KB/s an instance); to tell them only the numbers of windows, since a holder that is cut off from its peers is not heard.

--- a/src/gateway/duty/reports.rs
+++ b/src/gateway/duty/reports.rs
@@ -6,6 +6,12 @@
 //! the topic's end offset is still the one that the holder has read, so that a
 //! window has only one figure. A new holder first sends the newest stored figure
 //! again and only then determines the figure of the next window.
+//!
+//! A restored store may lack the newest figures, which the platform already has. A figure
+//! names the era of the store in which it was stored. In a later era, only a holder that
+//! has held the lease all the while knows the newest figure. It stores that figure again.
+//! Any other holder cannot know whether a window that ended in the earlier era was
+//! reported, and stores that these windows are skipped.
 
 use std::{
     sync::Arc,
@@ -58,13 +64,25 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct Figure {
     window: u64,
-    counts: Counts,
+    /// `None` if this window and all earlier ones are skipped.
+    counts: Option<Counts>,
+    /// Era of the store in which the figure was stored.
+    #[serde(default)]
+    era: u64,
+}
+
+/// The newest figure, and the lease under which it is known to be the newest.
+#[derive(Clone, Debug)]
+struct KnownFigure {
+    figure: Option<Figure>,
+    /// Fencing token of the lease.
+    fence: u64,
 }
 
 /// Slices and the newest figure, as read from the store.
 #[derive(Debug, Default)]
 struct UsageRecords {
-    /// Slices by their record key in the store.
+    /// The newest state of each slice, by its record key in the store.
     slices: IndexMap<Arc<str>, Slice>,
     figure: Option<Figure>,
     /// Known end of [`FIGURE_TOPIC`].
@@ -72,19 +90,31 @@
 }
 
 impl UsageRecords {
+    /// Applies a slice, unless a newer state of it is known: a restored store may have
+    /// older slices.
     fn apply_slice(&mut self, record: &KeyedRecord) {
         let Some(value) = &record.value else {
             self.slices.swap_remove(&record.key);
             return;
         };
-        match serde_json::from_slice(value) {
-            Ok(slice) => {
-                self.slices.insert(record.key.clone(), slice);
+        let slice: Slice = match serde_json::from_slice(value) {
+            Ok(slice) => slice,
+            Err(error) => {
+                tracing::warn!("usage: cannot decode slice {}: {error}", record.key);
+                return;
             }
-            Err(error) => tracing::warn!("usage: cannot decode slice {}: {error}", record.key),
+        };
+        let known = self.slices.get(&record.key);
+        if known.is_none_or(|known| known.revision() <= slice.revision()) {
+            self.slices.insert(record.key.clone(), slice);
         }
     }
 
+    /// Forgets the slices of the windows before `window`.
+    fn forget_before(&mut self, window: u64) {
+        self.slices.retain(|_, slice| slice.window >= window);
+    }
+
     /// Returns the window whose figure is determined next; `None` if there are
     /// neither figures nor slices.
     fn next_window(&self) -> Option<u64> {
@@ -103,7 +133,7 @@
 
     /// Returns the sum of the slices of a window. Accounts without requests are left
     /// out.
-    fn figure_of(&self, window: u64, accounts: &[Arc<str>]) -> Figure {
+    fn counts_of(&self, window: u64, accounts: &[Arc<str>]) -> Counts {
         let mut counts = Counts::new();
         for account in accounts {
             counts.insert(account.clone(), 0);
@@ -114,7 +144,7 @@
             }
         }
         counts.retain(|_, count| *count > 0);
-        Figure { window, counts }
+        counts
     }
 }
 
@@ -125,6 +155,9 @@
     lease: Arc<DutyLease>,
     store: StoreClient,
     cloud: CloudClient,
+    records: UsageRecords,
+    /// The newest figure under the last lease of this instance.
+    known: Option<KnownFigure>,
 }
 
 /// Reports usage windows while this instance holds the lease. Never returns.
@@ -134,11 +167,13 @@
     store: StoreClient,
     cloud: CloudClient,
 ) {
-    let reporter = Reporter {
+    let mut reporter = Reporter {
         state,
         lease,
         store,
         cloud,
+        records: UsageRecords::default(),
+        known: None,
     };
     loop {
         let Some(holder) = reporter.lease.holder() else {
@@ -152,36 +187,37 @@
 impl Reporter {
     /// Reports windows until the lease with fencing token `fence` ends or the
     /// figures cannot be read or stored.
-    async fn report_while_held(&self, fence: u64) {
-        let mut usage_records = UsageRecords::default();
+    async fn report_while_held(&mut self, fence: u64) {
         let mut slices = Follower::new(self.store.clone(), SLICE_TOPIC);
-        if !self.read_figure(&mut usage_records).await {
+        if !self.begin(fence).await {
             return;
         }
-        if let Some(figure) = usage_records.figure.clone() {
-            self.send_figure(&figure, fence).await;
-        }
+        self.send_newest(fence).await;
         while self.current_holder(fence).is_some() {
             let Ok(update) = slices.next_update(READ_WAIT).await else {
                 continue;
             };
             for record in &update.into_records() {
-                usage_records.apply_slice(record);
+                self.records.apply_slice(record);
             }
-            let Some(window) = usage_records.next_window() else {
+            let Some(window) = self.records.next_window() else {
                 continue;
             };
-            if !self.is_due(&usage_records, window) {
+            self.records.forget_before(window);
+            if !self.is_due(window) {
                 // Batches the slices of many instances into one read.
                 sleep(CHECK_PERIOD).await;
                 continue;
             }
-            if !self.store_figure(&mut usage_records, window).await {
+            let accounts = match self.state.catalog() {
+                Some(catalog) => catalog.account_names(),
+                None => Vec::new(),
+            };
+            let counts = self.records.counts_of(window, &accounts);
+            if !self.store_figure(window, Some(counts), fence).await {
                 return;
             }
-            if let Some(figure) = usage_records.figure.clone() {
-                self.send_figure(&figure, fence).await;
-            }
+            self.send_newest(fence).await;
         }
     }
 
@@ -191,29 +227,85 @@
         self.lease.holder().filter(|holder| holder.fence == fence)
     }
 
-    /// Reads the newest stored figure. Returns false if that fails.
-    async fn read_figure(&self, usage_records: &mut UsageRecords) -> bool {
-        match self.store.newest(FIGURE_TOPIC).await {
-            Ok(newest) => {
-                usage_records.end = Some(newest.next);
-                let record = newest
-                    .records
-                    .iter()
-                    .find(|record| *record.key == *FIGURE_KEY);
-                let value = record.and_then(|record| record.value.as_deref());
-                usage_records.figure = match value.map(serde_json::from_slice).transpose() {
-                    Ok(figure) => figure,
-                    Err(error) => {
-                        tracing::error!("usage: cannot decode figure: {error}");
-                        return false;
-                    }
-                };
-                true
-            }
+    /// Finds the newest figure under the lease with fencing token `fence`, and stores it
+    /// again if the store was restored since. Returns false if that fails.
+    async fn begin(&mut self, fence: u64) -> bool {
+        let Some((stored, end)) = self.read_figure().await else {
+            return false;
+        };
+        self.records.end = Some(end);
+        let is_first = end.era == 0 && stored.is_none();
+        let is_current = stored.as_ref().is_some_and(|figure| figure.era == end.era);
+        if is_first || is_current {
+            self.set_figure(stored, fence);
+            return true;
+        }
+        let unbroken_since = self.lease.unbroken_since();
+        let known = self.known.clone();
+        let known = known.filter(|known| known.fence >= unbroken_since);
+        let Some(known) = known else {
+            return self.skip_windows(stored.as_ref(), end, fence).await;
+        };
+        let window_of = |figure: &Figure| figure.window;
+        let newest = known.figure.into_iter().chain(stored).max_by_key(window_of);
+        let Some(newest) = newest else {
+            self.set_figure(None, fence);
+            return true;
+        };
+        tracing::info!(
+            window = newest.window,
+            era = end.era,
+            "usage: newest figure stored again after a restore of the store"
+        );
+        self.store_figure(newest.window, newest.counts, fence).await
+    }
+
+    /// Stores that the windows are skipped that may have been reported before the store
+    /// was restored. These have ended before this instance learned of the restore. Returns
+    /// false if that fails.
+    async fn skip_windows(&mut self, stored: Option<&Figure>, end: Position, fence: u64) -> bool {
+        let era = self.store.era();
+        if era.number != end.era {
+            return false;
+        }
+        let first_window = self.state.usage().window_before(era.seen_at.elapsed());
+        let stored_window = stored.map_or(0, |figure| figure.window);
+        let window = first_window.saturating_sub(1).max(stored_window);
+        tracing::warn!(
+            window,
+            stored_window,
+            era = end.era,
+            "usage: windows up to this one are skipped: the store was restored, and they may \
+             have been reported before"
+        );
+        self.store_figure(window, None, fence).await
+    }
+
+    fn set_figure(&mut self, figure: Option<Figure>, fence: u64) {
+        self.records.figure = figure.clone();
+        self.known = Some(KnownFigure { figure, fence });
+    }
+
+    /// Reads the newest stored figure, and the end of the topic. Returns `None` if that
+    /// fails.
+    async fn read_figure(&self) -> Option<(Option<Figure>, Position)> {
+        let newest = match self.store.newest(FIGURE_TOPIC).await {
+            Ok(newest) => newest,
             Err(error) => {
                 tracing::info!("usage: cannot read figures: {error}");
                 sleep(RESEND_DELAY).await;
-                false
+                return None;
+            }
+        };
+        let mut records = newest.records.iter();
+        let record = records.find(|record| *record.key == *FIGURE_KEY);
+        let value = record.and_then(|record| record.value.as_deref());
+        match value.map(serde_json::from_slice).transpose() {
+            Ok(figure) => Some((figure, newest.next)),
+            Err(error) => {
+                tracing::error!("usage: cannot decode figure: {error}");
+                sleep(RESEND_DELAY).await;
+                None
             }
         }
     }
@@ -221,34 +313,35 @@
     /// Returns whether the figure of a window can be determined: the window has ended,
     /// and either all running instances have closed their slices or the time to wait
     /// for the slices has passed.
-    fn is_due(&self, usage_records: &UsageRecords, window: u64) -> bool {
+    fn is_due(&self, window: u64) -> bool {
         let since_end_ms = self.state.usage().ms_since_end(window);
         if since_end_ms < 0 {
             return false;
         }
         let running = self.state.instances();
         let max_wait_ms = decision_delay_ms(&self.state.tuning().timing);
-        usage_records.closed_slices(window) >= running || since_end_ms >= max_wait_ms
+        self.records.closed_slices(window) >= running || since_end_ms >= max_wait_ms
     }
 
     /// Stores the figure of a window. Returns false if the append failed, for example
     /// because another holder has appended a figure.
-    async fn store_figure(&self, usage_records: &mut UsageRecords, window: u64) -> bool {
-        let accounts = match self.state.catalog() {
-            Some(catalog) => catalog.account_names(),
-            None => Vec::new(),
+    async fn store_figure(&mut self, window: u64, counts: Option<Counts>, fence: u64) -> bool {
+        let Some(at) = self.records.end else {
+            return false;
+        };
+        let figure = Figure {
+            window,
+            counts,
+            era: at.era,
         };
-        let figure = usage_records.figure_of(window, &accounts);
         let value = serde_json::to_vec(&figure).unwrap_or_default();
-        let at = usage_records.end;
-        match self
+        let append = self
             .store
-            .append(FIGURE_TOPIC, FIGURE_KEY, &value, at)
-            .await
-        {
+            .append(FIGURE_TOPIC, FIGURE_KEY, &value, Some(at));
+        match append.await {
             Ok(appended) => {
-                usage_records.end = Some(appended.end);
-                usage_records.figure = Some(figure);
+                self.records.end = Some(appended.end);
+                self.set_figure(Some(figure), fence);
                 true
             }
             Err(error) => {
@@ -261,21 +354,27 @@
         }
     }
 
+    /// Sends the newest figure, unless its window is skipped.
+    async fn send_newest(&self, fence: u64) {
+        let Some(figure) = &self.records.figure else {
+            return;
+        };
+        if let Some(counts) = &figure.counts {
+            self.send_figure(figure.window, counts, fence).await;
+        }
+    }
+
     /// Sends a figure until the platform accepts or rejects it, the report is
     /// overdue, or the lease ends.
-    async fn send_figure(&self, figure: &Figure, fence: u64) {
+    async fn send_figure(&self, window: u64, counts: &Counts, fence: u64) {
         let due_ms = self.state.tuning().timing.usage_due_ms as i64;
-        let window = figure.window;
         let started_at = Instant::now();
         while let Some(holder) = self.current_holder(fence) {
-            let result = self
-                .cloud
-                .report_usage(&holder, window, &figure.counts)
-                .await;
+            let result = self.cloud.report_usage(&holder, window, counts).await;
             let elapsed_ms = started_at.elapsed().as_millis() as u64;
             match result {
                 Ok(()) => {
-                    let requests: u64 = figure.counts.values().sum();
+                    let requests: u64 = counts.values().sum();
                     tracing::info!(
                         window,
                         fence,
--- a/src/gateway/duty/slices.rs
+++ b/src/gateway/duty/slices.rs
@@ -1,4 +1,5 @@
-//! This instance's slice of each usage window, written to the store.
+//! This instance's slice of each usage window, written to the store, and again after the
+//! store was restored from an older copy.
 //!
 //! A usage window is a fixed interval of time, for which the numbers of requests
 //! are reported together. A slice contains one instance's request counts for one
@@ -39,6 +40,10 @@
 /// time.
 const MAX_JITTER: Duration = Duration::from_millis(500);
 
+/// Longest random delay, for each instance, before slices are written again to a restored
+/// store.
+const RESTORE_SPREAD: Duration = Duration::from_millis(5);
+
 /// Time after a window's end at which its slice is closed, in milliseconds, so
 /// that requests that began just before the end are counted.
 const CLOSE_DELAY_MS: i64 = 150;
@@ -75,6 +80,11 @@
         } = self;
         format!("{instance}/{}/{incarnation}", window % KEPT_WINDOWS)
     }
+
+    /// Returns values that order the states of the slice with the same key by time.
+    pub(super) fn revision(&self) -> (u64, bool, u64) {
+        (self.window, self.closed, self.counts.values().sum())
+    }
 }
 
 /// Writes the counts of this instance to the store. Never returns.
@@ -85,10 +95,27 @@
 ) {
     // The last written slice of each window.
     let mut flushed: IndexMap<u64, Slice> = IndexMap::new();
-    let mut oldest_window = state.usage().current_window();
+    let first_window = state.usage().current_window();
+    let mut oldest_window = first_window;
+    let mut written_era = store.era().number;
+    let mut era = store.watch_era();
     loop {
-        sleep(flush_delay(&state)).await;
+        tokio::select! {
+            () = sleep(flush_delay(&state)) => {}
+            Ok(()) = era.changed() => sleep(rewrite_delay(&state)).await,
+        }
         let current = state.usage().current_window();
+        let oldest_kept = current.saturating_sub(KEPT_WINDOWS - 1);
+        let latest_era = store.era().number;
+        if written_era != latest_era {
+            // The store may lack what was written in the earlier era.
+            written_era = latest_era;
+            flushed.clear();
+            oldest_window = first_window;
+        }
+        // Slices that could not be written within the last `KEPT_WINDOWS` windows
+        // are given up; their requests are missing from the usage report.
+        oldest_window = oldest_window.max(oldest_kept);
         let mut due = Vec::new();
         for window in oldest_window..=current {
             let slice = current_slice(&state, window, incarnation);
@@ -112,12 +139,14 @@
             flushed.shift_remove(&oldest_window);
             oldest_window += 1;
         }
-        // Slices that could not be written within the last `KEPT_WINDOWS` windows
-        // are given up; their requests are missing from the usage report.
-        oldest_window = oldest_window.max(current.saturating_sub(KEPT_WINDOWS - 1));
     }
 }
 
+/// Returns a random delay before slices are written again to a restored store.
+fn rewrite_delay(state: &State) -> Duration {
+    RESTORE_SPREAD.mul_f64(state.instances() as f64 * rand::random::<f64>())
+}
+
 /// Returns the delay before the next write: a period that grows with the number of
 /// instances and ends at the latest when the current window's slice is closed, plus
 /// jitter.
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -3,7 +3,7 @@
 //! A usage window is a fixed interval of time. Its number is the Unix time of its start
 //! divided by its length.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
 
@@ -48,6 +48,12 @@
         self.clock.now_ms() / self.window_ms
     }
 
+    /// Returns the number of the window that was current this long ago.
+    pub(super) fn window_before(&self, age: Duration) -> u64 {
+        let age_ms = age.as_millis() as u64;
+        self.clock.now_ms().saturating_sub(age_ms) / self.window_ms
+    }
+
     /// Returns the time since the end of a window, in milliseconds; negative
     /// before the end.
     pub(super) fn ms_since_end(&self, window: u64) -> i64 {
