Wait for the slices of instances that have just started

A figure lacked the requests of instances that had started with the holder: until it is connected to its peers, the holder counts itself alone, and takes the figure for complete with its own slice.

A window that ends within 6 s after the holder's start is determined only after the time to wait for slices. So long, a slice has to stay in the store: the number of kept windows now follows that time (4 as before at the users' 5 s and 10 s), where windows of 1 s lost slices after 4 s.

--- a/src/gateway/duty/mod.rs
+++ b/src/gateway/duty/mod.rs
@@ -20,4 +20,4 @@
 pub(super) use ordering::maintain_targets;
 pub(super) use reports::report_usage;
 pub(super) use roles::maintain_roles;
-pub(super) use slices::flush_slices;
+pub(super) use slices::{flush_slices, kept_windows};
--- a/src/gateway/duty/reports.rs
+++ b/src/gateway/duty/reports.rs
@@ -51,6 +51,9 @@
 /// the platform.
 const REPORT_MARGIN_MS: i64 = 3_500;
 
+/// Time after its start within which an instance learns of all peers, in milliseconds.
+const JOIN_MS: i64 = 6_000;
+
 /// Delay before a failed store call or report is repeated.
 const RESEND_DELAY: Duration = Duration::from_millis(300);
 
@@ -312,15 +315,17 @@
 
     /// Returns whether the figure of a window can be determined: the window has ended,
     /// and either all running instances have closed their slices or the time to wait
-    /// for the slices has passed.
+    /// for the slices has passed. At the end of a window just after its start, this
+    /// instance does not know which instances run.
     fn is_due(&self, window: u64) -> bool {
         let since_end_ms = self.state.usage().ms_since_end(window);
         if since_end_ms < 0 {
             return false;
         }
-        let running = self.state.instances();
+        let knew_peers = self.state.now_ms() as i64 - since_end_ms >= JOIN_MS;
+        let are_closed = self.records.closed_slices(window) >= self.state.instances();
         let max_wait_ms = decision_delay_ms(&self.state.tuning().timing);
-        self.records.closed_slices(window) >= running || since_end_ms >= max_wait_ms
+        knew_peers && are_closed || since_end_ms >= max_wait_ms
     }
 
     /// Stores the figure of a window. Returns false if the append failed, for example
--- a/src/gateway/duty/slices.rs
+++ b/src/gateway/duty/slices.rs
@@ -16,13 +16,15 @@
     gateway::{state::State, usage::Counts},
     platform::{StoreClient, Topic},
     policy::cache_locality::rendezvous_weight,
+    settings::GatewayTiming,
 };
 
 /// Store topic to which every instance writes its usage slices.
 pub(super) const SLICE_TOPIC: Topic = Topic("keyed.usage-slices");
 
-/// Number of recent windows whose slices an instance keeps in the store.
-const KEPT_WINDOWS: u64 = 4;
+/// Number of windows whose slices an instance keeps in the store besides those that pass
+/// until the figure of a window is determined.
+const EXTRA_KEPT_WINDOWS: u64 = 3;
 
 /// Shortest time between two writes of the counts of an open window.
 const MIN_FLUSH_PERIOD: Duration = Duration::from_millis(2_000);
@@ -69,16 +71,16 @@
 
 impl Slice {
     /// Returns the key of the slice in [`SLICE_TOPIC`]. Two windows whose numbers
-    /// differ by [`KEPT_WINDOWS`] have the same key, so that the newer slice replaces
+    /// differ by `kept_windows` have the same key, so that the newer slice replaces
     /// the older one.
-    fn key(&self) -> String {
+    fn key(&self, kept_windows: u64) -> String {
         let Self {
             instance,
             incarnation,
             window,
             ..
         } = self;
-        format!("{instance}/{}/{incarnation}", window % KEPT_WINDOWS)
+        format!("{instance}/{}/{incarnation}", window % kept_windows)
     }
 
     /// Returns values that order the states of the slice with the same key by time.
@@ -99,13 +101,14 @@
     let mut oldest_window = first_window;
     let mut written_era = store.era().number;
     let mut era = store.watch_era();
+    let kept_windows = kept_windows(&state.settings.timing);
     loop {
         tokio::select! {
             () = sleep(flush_delay(&state)) => {}
             Ok(()) = era.changed() => sleep(rewrite_delay(&state)).await,
         }
         let current = state.usage().current_window();
-        let oldest_kept = current.saturating_sub(KEPT_WINDOWS - 1);
+        let oldest_kept = current.saturating_sub(kept_windows - 1);
         let latest_era = store.era().number;
         if written_era != latest_era {
             // The store may lack what was written in the earlier era.
@@ -113,7 +116,7 @@
             flushed.clear();
             oldest_window = first_window;
         }
-        // Slices that could not be written within the last `KEPT_WINDOWS` windows
+        // Slices that could not be written within the last `kept_windows` windows
         // are given up; their requests are missing from the usage report.
         oldest_window = oldest_window.max(oldest_kept);
         let mut due = Vec::new();
@@ -127,7 +130,7 @@
                 due.push(slice);
             }
         }
-        if !due.is_empty() && write_slices(&store, &due).await {
+        if !due.is_empty() && write_slices(&store, &due, kept_windows).await {
             for slice in due {
                 flushed.insert(slice.window, slice);
             }
@@ -142,6 +145,11 @@
     }
 }
 
+/// Returns the number of recent windows whose slices an instance keeps in the store.
+pub(in crate::gateway) fn kept_windows(timing: &GatewayTiming) -> u64 {
+    decision_delay_ms(timing).max(0) as u64 / timing.usage_window_ms.max(1) + EXTRA_KEPT_WINDOWS
+}
+
 /// Returns a random delay before slices are written again to a restored store.
 fn rewrite_delay(state: &State) -> Duration {
     RESTORE_SPREAD.mul_f64(state.instances() as f64 * rand::random::<f64>())
@@ -204,10 +212,13 @@
 
 /// Writes slices in one append. Returns false if the append failed or its result
 /// is unknown.
-async fn write_slices(store: &StoreClient, slices: &[Slice]) -> bool {
+async fn write_slices(store: &StoreClient, slices: &[Slice], kept_windows: u64) -> bool {
     let mut records = Vec::with_capacity(slices.len());
     for slice in slices {
-        records.push((slice.key(), serde_json::to_vec(slice).unwrap_or_default()));
+        records.push((
+            slice.key(kept_windows),
+            serde_json::to_vec(slice).unwrap_or_default(),
+        ));
     }
     match store.append_all(SLICE_TOPIC, &records, None).await {
         Ok(_) => true,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,8 +9,8 @@
 use tokio::{sync::Notify, time::Instant};
 
 use super::{
-    crash::CallsInFlight, engines::Engines, loads::Loads, notices::Notices, pool::Pool,
-    usage::UsageCounter,
+    crash::CallsInFlight, duty::kept_windows, engines::Engines, loads::Loads, notices::Notices,
+    pool::Pool, usage::UsageCounter,
 };
 use crate::{
     catalog::{Catalog, Engine},
@@ -69,7 +69,8 @@
 
 impl State {
     pub(super) fn new(settings: GatewaySettings) -> Self {
-        let usage = UsageCounter::new(settings.timing.usage_window_ms);
+        let max_windows = 2 * kept_windows(&settings.timing) as usize;
+        let usage = UsageCounter::new(settings.timing.usage_window_ms, max_windows);
         Self {
             tuning: Mutex::new(settings.tuning()),
             settings,
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -9,9 +9,6 @@
 
 use super::clock::WallClock;
 
-/// Number of latest windows whose counts are kept.
-const MAX_WINDOWS: usize = 8;
-
 /// Number of started requests by client account.
 pub(super) type Counts = IndexMap<Arc<str>, u64>;
 
@@ -20,15 +17,18 @@
 pub(super) struct UsageCounter {
     clock: WallClock,
     window_ms: u64,
+    /// Number of latest windows whose counts are kept.
+    max_windows: usize,
     /// Counts by window number.
     windows: IndexMap<u64, Counts>,
 }
 
 impl UsageCounter {
-    pub(super) fn new(window_ms: u64) -> Self {
+    pub(super) fn new(window_ms: u64, max_windows: usize) -> Self {
         Self {
             clock: WallClock::new(),
             window_ms,
+            max_windows,
             windows: IndexMap::new(),
         }
     }
@@ -38,7 +38,7 @@
         let window = self.current_window();
         let counts = self.windows.entry(window).or_default();
         *counts.entry(account.clone()).or_insert(0) += 1;
-        while self.windows.len() > MAX_WINDOWS {
+        while self.windows.len() > self.max_windows {
             self.windows.shift_remove_index(0);
         }
     }
--- a/tests/gateway_duties.rs
+++ b/tests/gateway_duties.rs
@@ -3,12 +3,15 @@
 
 mod platform_support;
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hyper::Method;
 use indexmap::{IndexMap, IndexSet};
 use platform_support::{Cloud, Gateway, Store, Worker, configuration, eventually, signed};
 
+/// Number of instances that start at once.
+const INSTANCES: usize = 6;
+
 #[tokio::test]
 async fn window_counts_consistent() {
     let (store, cloud) = (Store::start().await, Cloud::start().await);
@@ -73,3 +76,36 @@
         "{fences:?}"
     );
 }
+
+/// Guards against the figure of a window that lacks the requests of an instance which has
+/// just started, so that the holder does not know it yet.
+#[tokio::test]
+async fn starting_instances_counted() {
+    let (store, cloud) = (Store::start().await, Cloud::start().await);
+    store.put("keyed.op", "config", &configuration(1));
+    let worker = Worker::start("i-0", |arrival| Some(signed(arrival, 200, ""))).await;
+    store.put("keyed.servers", "i-0", &worker.entry("desk", None));
+    // The window ends before the instances are connected with each other.
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let into_window_ms = since_epoch.as_millis() as u64 % 1_000;
+    tokio::time::sleep(Duration::from_millis(1_600 - into_window_ms)).await;
+    let mut gateways = Vec::new();
+    for index in 0..INSTANCES {
+        gateways.push(Gateway::start(&format!("entry-{index}"), &store, &cloud).await);
+    }
+    for gateway in &gateways {
+        gateway.wait_until_served().await;
+    }
+    let served = worker.count() as u64;
+    let calls = cloud.calls.clone();
+    eventually("all requests are reported", || {
+        let calls = calls.lock().unwrap();
+        let mut figures = IndexMap::new();
+        for call in calls.iter().filter(|call| call.path == "/usage") {
+            let count = call.body["counts"]["mill"].as_u64().unwrap_or(0);
+            figures.insert(call.body["window"].as_u64().unwrap(), count);
+        }
+        figures.values().sum::<u64>() == served
+    })
+    .await;
+}
