Announce an instance again when the store has lost its announcement

An instance that had started within the time that a restore loses was no longer listed: instances that started later did not connect to it, and the others took it out of the count by which they judge an outage.

The others keep what they know until then.

--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -41,6 +41,10 @@
 /// Longest delay after a read of announcements.
 const MAX_BATCH_WAIT: Duration = Duration::from_secs(6);
 
+/// Longest random delay, for each instance, before the announcements in a restored store
+/// are read.
+const RESTORE_SPREAD: Duration = Duration::from_millis(10);
+
 /// Delay after the first failed call to the store.
 const FIRST_RETRY: Duration = Duration::from_millis(100);
 
@@ -93,6 +97,10 @@
     members: IndexMap<Arc<str>, LiveInstance>,
     /// Stored crashes that have led to a quarantine.
     crashes: Vec<TargetCrash>,
+    /// Announcement of this instance; `None` before its incarnation is known.
+    own: Option<LiveInstance>,
+    /// Whether the last snapshot lacked the announcement of this instance.
+    is_own_missing: bool,
 }
 
 impl MemberTail {
@@ -101,6 +109,8 @@
             follower: Follower::new(store, MEMBER_TOPIC),
             members: IndexMap::new(),
             crashes: Vec::new(),
+            own: None,
+            is_own_missing: false,
         }
     }
 
@@ -123,33 +133,77 @@
 
     /// Reads the next announcements. Returns false if the read failed or returned none.
     async fn read(&mut self) -> bool {
-        let records = match self.follower.next_update(READ_WAIT).await {
+        match self.follower.next_update(READ_WAIT).await {
             Err(()) => return false,
             Ok(Update::Changes(records)) if records.is_empty() => return false,
-            Ok(Update::Changes(records)) => records,
-            Ok(Update::Snapshot(records) | Update::Restored(records)) => {
-                self.members.clear();
-                records
+            Ok(Update::Changes(records)) => self.apply(&records),
+            Ok(Update::Snapshot(records)) => {
+                self.replace(&records);
+            }
+            Ok(Update::Restored(records)) => {
+                let known = self.replace(&records);
+                self.keep_newer(known);
             }
-        };
-        for record in &records {
+        }
+        let spread = RESTORE_SPREAD.saturating_mul(self.members.len() as u32);
+        self.follower.set_restore_spread(spread);
+        true
+    }
+
+    fn apply(&mut self, records: &[KeyedRecord]) {
+        for record in records {
             if *record.key == *quarantine::KEY {
                 self.crashes = quarantine::read(record);
                 continue;
             }
             apply_announcement(&mut self.members, record);
         }
-        true
+    }
+
+    /// Replaces the announcements by those of a snapshot, and returns the earlier ones.
+    fn replace(&mut self, records: &[KeyedRecord]) -> IndexMap<Arc<str>, LiveInstance> {
+        let known = std::mem::take(&mut self.members);
+        self.apply(records);
+        if let Some(own) = &self.own {
+            let stored = self.members.get(&own.name);
+            self.is_own_missing = stored.is_none_or(|stored| stored.incarnation < own.incarnation);
+        }
+        known
+    }
+
+    /// Keeps the announcements that a restored store lacks or has in an older state. The
+    /// instances that run announce themselves again.
+    fn keep_newer(&mut self, known: IndexMap<Arc<str>, LiveInstance>) {
+        for (name, member) in known {
+            let stored = self.members.get(&name);
+            if stored.is_none_or(|stored| stored.incarnation < member.incarnation) {
+                self.members.insert(name, member);
+            }
+        }
     }
 }
 
-/// Follows the announcements and passes the list of instances to the peer
-/// connections. Never returns.
-pub(super) async fn follow(mut tail: MemberTail, peers: PeerHandle) {
+/// Follows the announcements and passes the list of instances to the peer connections.
+/// Announces this instance again if a snapshot of the store lacks its announcement, `own`.
+/// Never returns.
+pub(super) async fn follow(
+    mut tail: MemberTail,
+    store: StoreClient,
+    peers: PeerHandle,
+    own: LiveInstance,
+) {
+    tail.own = Some(own.clone());
     loop {
         if !tail.read().await {
             continue;
         }
+        if std::mem::take(&mut tail.is_own_missing) {
+            tracing::info!(
+                incarnation = own.incarnation,
+                "gateway: the store lacks the announcement of this instance; writing it again"
+            );
+            announce(&store, &own).await;
+        }
         let list: Vec<LiveInstance> = tail.members.values().cloned().collect();
         tracing::info!(members = list.len(), "gateway: list of instances updated");
         peers.apply_list(&list);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -221,7 +221,7 @@
         spawn_task(&supervisor, "members", move || {
             let tail = members.take();
             let tail = tail.unwrap_or_else(|| MemberTail::new(store.clone()));
-            members::follow(tail, handle.clone())
+            members::follow(tail, store.clone(), handle.clone(), member.clone())
         });
         tracing::info!(incarnation, "gateway: connected to the mesh of instances");
         self.track_instances(live, peers).await;
