Store the quarantine again under each lease

A quarantine that was stored within the time that a restore loses was gone for good: instances know it from each other, but after a restart of all of them, engines crashed again.

The holder of the lease stores the crashes once under each lease, so also after each restore, whoever holds it then.

--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -2,7 +2,8 @@
 //! instances.
 //!
 //! The crashes are one record in the topic that each instance reads when it starts.
-//! Running instances learn of crashes from their peers.
+//! Running instances learn of crashes from their peers. An instance that takes the duty
+//! lease stores them again, and so does its holder after a restore of the store.
 
 use std::{sync::Arc, time::Duration};
 
@@ -10,6 +11,7 @@
 use tokio::time::sleep;
 
 use super::{
+    duty::DutyLease,
     members::{MEMBER_TOPIC, unix_ms},
     state::State,
 };
@@ -29,6 +31,9 @@
 /// Longest delay after a failed write.
 const MAX_RETRY: Duration = Duration::from_secs(10);
 
+/// Interval between two checks for a new lease.
+const LEASE_CHECK_PERIOD: Duration = Duration::from_secs(1);
+
 /// Value of the record.
 #[derive(Debug, Deserialize, Serialize)]
 struct StoredCrashes {
@@ -67,6 +72,26 @@
     }
 }
 
+/// Stores the crashes once under each lease of this instance, as a restored store may lack
+/// them. After a restore, the lease is always a new one. Never returns.
+pub(super) async fn store_under_lease(
+    lease: Arc<DutyLease>,
+    store: StoreClient,
+    peers: PeerHandle,
+) {
+    let mut stored_fence = 0;
+    loop {
+        sleep(LEASE_CHECK_PERIOD).await;
+        let Some(holder) = lease.holder() else {
+            continue;
+        };
+        let is_due = holder.fence != stored_fence && !peers.quarantined_crashes().is_empty();
+        if is_due && store_crashes(&store, &peers).await {
+            stored_fence = holder.fence;
+        }
+    }
+}
+
 /// Stores the crashes; returns whether that succeeded.
 async fn store_crashes(store: &StoreClient, peers: &PeerHandle) -> bool {
     let stored = StoredCrashes {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -201,7 +201,7 @@
             name: settings.name.clone(),
             incarnation,
         };
-        self.spawn_duties(&supervisor, identity, &peers.handle);
+        let lease = self.spawn_duties(&supervisor, identity, &peers.handle);
         let (state, handle) = (self.state.clone(), peers.handle.clone());
         spawn_task(&supervisor, "work", move || {
             engines::exchange_work(state.clone(), handle.clone())
@@ -215,6 +215,10 @@
             quarantine::store_changes(context.state.clone(), context.store.clone(), handle.clone())
         });
         let (store, handle) = (self.store.clone(), peers.handle.clone());
+        spawn_task(&supervisor, "quarantine-lease", move || {
+            quarantine::store_under_lease(lease.clone(), store.clone(), handle.clone())
+        });
+        let (store, handle) = (self.store.clone(), peers.handle.clone());
         // Continues after the announcements that were just read; a restarted task reads
         // them again.
         let mut members = Some(members);
@@ -228,8 +232,13 @@
     }
 
     /// Starts the task that maintains the duty lease, and the tasks of the duties that
-    /// the settings enable.
-    fn spawn_duties(&self, supervisor: &Supervisor, identity: Identity, peers: &PeerHandle) {
+    /// the settings enable. Returns the lease.
+    fn spawn_duties(
+        &self,
+        supervisor: &Supervisor,
+        identity: Identity,
+        peers: &PeerHandle,
+    ) -> Arc<DutyLease> {
         let timing = self.state.settings.timing;
         let duties = self.state.settings.duties;
         let incarnation = identity.incarnation;
@@ -265,7 +274,7 @@
             });
         }
         if duties.ordering {
-            let (context, task_lease) = (self.clone(), lease);
+            let (context, task_lease) = (self.clone(), lease.clone());
             spawn_task(supervisor, "ordering", move || {
                 let Context {
                     state,
@@ -275,6 +284,7 @@
                 duty::maintain_targets(state, task_lease.clone(), store, cloud)
             });
         }
+        lease
     }
 
     /// Keeps the number of live instances up to date; limits of the whole fleet are
--- a/tests/crash_inducing_part.rs
+++ b/tests/crash_inducing_part.rs
@@ -30,6 +30,9 @@
 const MAX_CRASHES: usize = 5;
 /// Time for which a crashed engine is down.
 const RESTART_TIME: Duration = Duration::from_millis(50);
+/// Time in which instances read each other's announcements, which they do once a second,
+/// and connect.
+const CONNECT_TIME: Duration = Duration::from_millis(2_500);
 /// Pause between two requests with the part.
 const PAUSE: Duration = Duration::from_millis(400);
 
@@ -120,6 +123,7 @@
             members.state.lock().unwrap().newest("keyed.members").len() == instances
         })
         .await;
+        sleep(CONNECT_TIME).await;
         Self {
             store,
             cloud,
@@ -159,6 +163,27 @@
         crashes
     }
 
+    async fn wait_until_stored(&self) {
+        let store = self.store.clone();
+        eventually("the quarantine is stored", move || {
+            let state = store.state.lock().unwrap();
+            let newest = state.newest("keyed.members");
+            newest.contains_key("quarantine/crashes")
+        })
+        .await;
+    }
+
+    /// Kills all instances, and starts one again.
+    async fn restart_all(&mut self) {
+        for gateway in self.gateways.drain(..) {
+            gateway.kill();
+        }
+        let restarted = Gateway::start("entry-0", &self.store, &self.cloud).await;
+        restarted.wait_until_ready().await;
+        sleep(PAUSE * 3).await;
+        self.gateways.push(restarted);
+    }
+
     /// Checks that an instance refuses four other requests with the part.
     async fn expect_refusals(&self, instance: usize) {
         for number in 4..8 {
@@ -234,20 +259,23 @@
 async fn restart_of_all_remembers() {
     let mut fixture = Fixture::start(1).await;
     let crashes = fixture.crash_engines().await;
-    let store = fixture.store.clone();
-    eventually("the quarantine is stored", move || {
-        let state = store.state.lock().unwrap();
-        let newest = state.newest("keyed.members");
-        newest.contains_key("quarantine/crashes")
-    })
-    .await;
-    for gateway in fixture.gateways.drain(..) {
-        gateway.task.abort();
-    }
-    let restarted = Gateway::start("entry-0", &fixture.store, &fixture.cloud).await;
-    restarted.wait_until_ready().await;
-    sleep(PAUSE * 3).await;
-    fixture.gateways.push(restarted);
+    fixture.wait_until_stored().await;
+    fixture.restart_all().await;
+    fixture.expect_refusals(0).await;
+    assert_eq!(fixture.engines.crashes(), crashes);
+}
+
+/// Guards against a quarantine that ends as all instances are restarted after a restore of
+/// the store to a copy without it.
+#[tokio::test]
+async fn restore_keeps_quarantine() {
+    let mut fixture = Fixture::start(2).await;
+    let copy = fixture.store.copy();
+    let crashes = fixture.crash_engines().await;
+    fixture.wait_until_stored().await;
+    fixture.store.restore(&copy);
+    fixture.wait_until_stored().await;
+    fixture.restart_all().await;
     fixture.expect_refusals(0).await;
     assert_eq!(fixture.engines.crashes(), crashes);
 }
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -665,6 +665,7 @@
         let settings = GatewaySettings::parse(&text, path).unwrap();
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
+            .thread_name(name)
             .enable_all()
             .build()
             .unwrap();
