Keep to what targets said when the store is restored

A restored store has older entries of targets: one that was draining looked ready again, and one that was removed was back, so that both got requests.

For the time that targets have to register again, such an entry is ignored if it tells of the same boot as a target that announced its stop, or that was removed in the last two minutes. After that the list is read once more and taken as it is. Missing entries are removed only after that time, as after an outage.

--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -2,13 +2,17 @@
 
 use std::{sync::Arc, time::Duration};
 
+use indexmap::IndexMap;
 use tokio::time::{Instant, sleep};
 
 use super::{
     follower::{Follower, Update},
     state::State,
 };
-use crate::platform::{KeyedRecord, StoreClient, TARGET_TOPIC, read_target};
+use crate::{
+    platform::{KeyedRecord, StoreClient, TARGET_TOPIC, read_target},
+    roster::Target,
+};
 
 /// Longest wait of a read for the next record. A dead connection is noticed
 /// only after this wait and the client's timeout.
@@ -19,11 +23,19 @@
 /// read return several changes.
 const BATCH_SHARE: f64 = 0.6;
 
+/// Time for which removed targets are remembered. Longer than a restored store is old.
+const REMOVED_PERIOD: Duration = Duration::from_secs(120);
+
 /// Follows the list of targets. Never returns.
 pub(super) async fn follow(state: Arc<State>, store: StoreClient) {
     let mut follower = Follower::new(store, TARGET_TOPIC);
     let mut removals = Removals::new(&state);
+    let mut recheck_at = None;
     loop {
+        if recheck_at.is_some_and(|at| Instant::now() >= at) {
+            recheck_at = None;
+            follower.read_snapshot_next();
+        }
         let had_failed = follower.last_read_failed();
         let Ok(update) = follower.next_update(READ_WAIT).await else {
             continue;
@@ -32,27 +44,41 @@
             removals.note_recovery();
         }
         match update {
-            Update::Snapshot(records) | Update::Restored(records) => {
-                replace_targets(&state, &removals, &records);
+            Update::Snapshot(records) => {
+                apply_records(&state, &mut removals, &records);
+                remove_missing(&state, &mut removals, &records);
             }
-            Update::Changes(records) => {
-                for record in &records {
-                    apply_record(&state, &removals, record);
+            Update::Restored(records) => {
+                removals.note_recovery();
+                let is_current = |record: &&KeyedRecord| !is_outdated(&state, &removals, record);
+                let current: Vec<_> = records.iter().filter(is_current).cloned().collect();
+                if current.len() < records.len() {
+                    // Targets that run have registered again by then.
+                    recheck_at = Some(Instant::now() + removals.grace_period);
                 }
+                apply_records(&state, &mut removals, &current);
+                remove_missing(&state, &mut removals, &records);
+            }
+            Update::Changes(records) => {
+                apply_records(&state, &mut removals, &records);
                 if !records.is_empty() {
                     let drain = Duration::from_millis(state.tuning().timing.drain_ms);
                     sleep(drain.mul_f64(BATCH_SHARE)).await;
                 }
             }
         }
-        remove_expired(&state);
+        remove_expired(&state, &mut removals);
     }
 }
 
-fn replace_targets(state: &State, removals: &Removals, records: &[KeyedRecord]) {
+fn apply_records(state: &State, removals: &mut Removals, records: &[KeyedRecord]) {
     for record in records {
         apply_record(state, removals, record);
     }
+}
+
+/// Removes the known targets that have no record.
+fn remove_missing(state: &State, removals: &mut Removals, records: &[KeyedRecord]) {
     let known: Vec<Arc<str>> =
         state.with_roster(|roster| roster.iter().map(|target| target.id.clone()).collect());
     for id in known {
@@ -62,7 +88,33 @@
     }
 }
 
-fn apply_record(state: &State, removals: &Removals, record: &KeyedRecord) {
+/// Returns whether a record of a restored store is older than what is known: the target
+/// was removed since, or has announced that it stops.
+fn is_outdated(state: &State, removals: &Removals, record: &KeyedRecord) -> bool {
+    let Some(value) = &record.value else {
+        return false;
+    };
+    let Ok(target) = read_target(&record.key, value, Instant::now()) else {
+        return false;
+    };
+    let known = state.with_roster(|roster| roster.get(&target.id).cloned());
+    let is_outdated = match known {
+        Some(known) => {
+            known.is_same_boot(&target) && known.state.is_draining() && target.state.is_ready()
+        }
+        None => removals.has_removed(&target),
+    };
+    if is_outdated {
+        tracing::info!(
+            target = &*target.id,
+            offset = record.offset,
+            "gateway: older entry of a target in the restored store ignored"
+        );
+    }
+    is_outdated
+}
+
+fn apply_record(state: &State, removals: &mut Removals, record: &KeyedRecord) {
     let Some(value) = &record.value else {
         removals.remove(state, &record.key);
         return;
@@ -94,8 +146,9 @@
 
 /// Removes expired targets, and the connections and loads of targets that are
 /// no longer known.
-fn remove_expired(state: &State) {
+fn remove_expired(state: &State, removals: &mut Removals) {
     for target in state.with_roster(|roster| roster.remove_expired(Instant::now())) {
+        removals.note_removed(&target);
         tracing::info!(
             target = &*target.id,
             "gateway: target expired: no new registration after a store outage"
@@ -120,6 +173,15 @@
 struct Removals {
     grace_period: Duration,
     recovered_at: Option<Instant>,
+    /// Boots of the targets that were removed in the last [`REMOVED_PERIOD`], by identifier.
+    removed: IndexMap<Arc<str>, RemovedBoot>,
+}
+
+/// Boot of a target that was removed.
+#[derive(Debug)]
+struct RemovedBoot {
+    target: Arc<Target>,
+    removed_at: Instant,
 }
 
 impl Removals {
@@ -127,9 +189,27 @@
         Self {
             grace_period: Duration::from_millis(state.settings.timing.return_ms),
             recovered_at: None,
+            removed: IndexMap::new(),
         }
     }
 
+    /// Notes that a target was removed.
+    fn note_removed(&mut self, target: &Arc<Target>) {
+        self.removed
+            .retain(|_, boot| boot.removed_at.elapsed() < REMOVED_PERIOD);
+        let boot = RemovedBoot {
+            target: target.clone(),
+            removed_at: Instant::now(),
+        };
+        self.removed.insert(target.id.clone(), boot);
+    }
+
+    /// Returns whether this boot of a target was removed.
+    fn has_removed(&self, target: &Target) -> bool {
+        let boot = self.removed.get(&target.id);
+        boot.is_some_and(|boot| boot.target.is_same_boot(target))
+    }
+
     /// Notes that the store answers again after an outage.
     fn note_recovery(&mut self) {
         self.recovered_at = Some(Instant::now());
@@ -137,10 +217,10 @@
 
     /// Removes a target, after the grace period if the store has just
     /// recovered, otherwise at once.
-    fn remove(&self, state: &State, id: &Arc<str>) {
+    fn remove(&mut self, state: &State, id: &Arc<str>) {
         let expires_at = self.recovered_at.map(|at| at + self.grace_period);
         let Some(expires_at) = expires_at.filter(|expires_at| *expires_at > Instant::now()) else {
-            remove_now(state, id);
+            self.remove_now(state, id);
             return;
         };
         if state.with_roster(|roster| roster.expire_at(id, expires_at)) {
@@ -150,10 +230,12 @@
             );
         }
     }
-}
 
-fn remove_now(state: &State, id: &Arc<str>) {
-    if state.with_roster(|roster| roster.remove(id)).is_some() {
+    fn remove_now(&mut self, state: &State, id: &Arc<str>) {
+        let Some(target) = state.with_roster(|roster| roster.remove(id)) else {
+            return;
+        };
+        self.note_removed(&target);
         tracing::info!(target = &**id, "gateway: target is gone");
     }
 }
