Write the required capacity again after a restore of the store

The capacity on which orders of targets rest was written when it changed. After a restore the stored one was older or missing, also for the holder itself, which read it again, since it gave up the lease for a moment.

A holder whose lease was not broken keeps its plan and writes the capacity again. A later holder starts from the newest that is left and what callers need.

Not covered by a test of its own: the gateways of tests do not order targets.

--- a/src/gateway/duty/ordering.rs
+++ b/src/gateway/duty/ordering.rs
@@ -62,12 +62,18 @@
     cloud: CloudClient,
 ) {
     let mut fleets: IndexMap<Arc<str>, ServiceFleet> = IndexMap::new();
+    // Fencing token of the lease under which `fleets` were last used.
+    let mut fence = 0;
     loop {
         sleep(CHECK_PERIOD).await;
-        if lease.holder().is_none() {
-            fleets.clear();
+        let Some(holder) = lease.holder() else {
             continue;
+        };
+        if fence < lease.unbroken_since() {
+            // Another instance may have ordered since.
+            fleets.clear();
         }
+        fence = holder.fence;
         let Some(catalog) = state.catalog() else {
             continue;
         };
@@ -80,18 +86,23 @@
                 let Some(stored) = required_capacity::read(&store, name).await else {
                     continue;
                 };
-                fleets.insert(name.clone(), ServiceFleet::new(stored.needed));
+                let fleet = ServiceFleet::new(stored.needed, store.era().number);
+                fleets.insert(name.clone(), fleet);
             }
             let Some(fleet) = fleets.get_mut(name) else {
                 continue;
             };
             let previous = fleet.stored_needed;
             let orders = fleet.due_orders(&state, service, scaling);
-            if fleet.stored_needed != previous
-                && !required_capacity::write(&store, name, fleet.stored_needed).await
-            {
-                fleet.stored_needed = previous;
-                continue;
+            let era = store.era().number;
+            let is_lost = fleet.stored_needed.is_some() && fleet.stored_era < era;
+            if fleet.stored_needed != previous || is_lost {
+                let written_era = required_capacity::write(&store, name, fleet.stored_needed).await;
+                let Some(written_era) = written_era else {
+                    fleet.stored_needed = previous;
+                    continue;
+                };
+                fleet.stored_era = written_era;
             }
             for order in orders {
                 fleet.send_order(&lease, &cloud, order).await;
@@ -121,6 +132,8 @@
     /// Required capacity, in targets, on which the last orders were based, as stored
     /// for later holders of the lease; `None` if none is stored.
     stored_needed: Option<u32>,
+    /// Era of the store in which `stored_needed` was read or written.
+    stored_era: u64,
     /// Maximum of the required capacity over [`NEED_WINDOW`].
     need: NeedWindow,
     accepted_orders: IndexMap<TargetGroup, AcceptedOrder>,
@@ -131,10 +144,11 @@
 }
 
 impl ServiceFleet {
-    fn new(stored_needed: Option<u32>) -> Self {
+    fn new(stored_needed: Option<u32>, stored_era: u64) -> Self {
         Self {
             started_at: Instant::now(),
             stored_needed,
+            stored_era,
             need: NeedWindow::new(NEED_WINDOW.as_millis() as u64),
             accepted_orders: IndexMap::new(),
             out_of_capacity: IndexMap::new(),
--- a/src/gateway/duty/required_capacity.rs
+++ b/src/gateway/duty/required_capacity.rs
@@ -40,15 +40,15 @@
     }
 }
 
-/// Stores the required capacity for later holders; returns false if the write
-/// failed.
-pub(super) async fn write(store: &StoreClient, service: &str, needed: Option<u32>) -> bool {
+/// Stores the required capacity for later holders. Returns the era of the store in which
+/// it was written, or `None` if the write failed.
+pub(super) async fn write(store: &StoreClient, service: &str, needed: Option<u32>) -> Option<u64> {
     let value = serde_json::to_vec(&RequiredCapacity { needed }).unwrap_or_default();
     match store.append(FLEET_TOPIC, service, &value, None).await {
-        Ok(_) => true,
+        Ok(appended) => Some(appended.end.era),
         Err(error) => {
             tracing::info!("ordering: cannot store required capacity: {error}");
-            false
+            None
         }
     }
 }
