Give requests a final answer at the end of a planned stop

It happened here too: what was still in progress 0.8 s before the end, or had not yet arrived whole, was cut with the process.

A stop now has phases.

Left: a stream in progress at the end breaks off, as there is nothing more to say.

--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -32,6 +32,10 @@
     ReadTimeout,
     /// the instance does not know the configuration
     NotReady,
+    /// the instance stops and takes no more requests
+    Stopping,
+    /// the instance has stopped before the answer; the request may have run
+    Stopped,
     /// the instance has no memory left for the request
     NoMemory,
     /// no target can take the request now
@@ -79,6 +83,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::ReadTimeout => StatusCode::REQUEST_TIMEOUT,
             Self::NotReady
+            | Self::Stopping
             | Self::NoMemory
             | Self::NoTarget
             | Self::TargetsRefused
@@ -86,7 +91,7 @@
             | Self::TargetsPaused { .. }
             | Self::Overloaded { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
-            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Self::Stopped | Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
@@ -100,6 +105,8 @@
             Self::BodyTooLarge => "BodyTooLarge",
             Self::ReadTimeout => "ReadTimeout",
             Self::NotReady => "NotReady",
+            Self::Stopping => "Stopping",
+            Self::Stopped => "Stopped",
             Self::NoMemory => "NoMemory",
             Self::NoTarget => "NoTarget",
             Self::TargetsRefused => "TargetsRefused",
@@ -116,7 +123,12 @@
     fn ends_connection(self) -> bool {
         matches!(
             self,
-            Self::BadRequest | Self::HeadTooLarge | Self::BodyTooLarge | Self::ReadTimeout
+            Self::BadRequest
+                | Self::HeadTooLarge
+                | Self::BodyTooLarge
+                | Self::ReadTimeout
+                | Self::Stopping
+                | Self::Stopped
         )
     }
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -17,7 +17,7 @@
     listeners::Listeners,
     members::{self, MemberTail},
     notices, quarantine, readiness, reload, server,
-    state::State,
+    state::{State, StopPhase},
     targets,
 };
 use crate::{
@@ -51,6 +51,9 @@
 /// kills the instance.
 const STOP_MARGIN: Duration = Duration::from_millis(800);
 
+/// Time at the end of a graceful stop for the final answers to requests in progress.
+const FINAL_ANSWER_TIME: Duration = Duration::from_millis(300);
+
 /// Result of starting or running an instance.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -332,21 +335,29 @@
 }
 
 /// Makes the instance unready, closes the listener for callers after
-/// [`UNREADY_BEFORE_CLOSE`], and waits for the requests in progress until
-/// [`STOP_MARGIN`] before the end of the configured stop time.
+/// [`UNREADY_BEFORE_CLOSE`], and waits for the requests in progress. Those that are still
+/// in progress [`FINAL_ANSWER_TIME`] and [`STOP_MARGIN`] before the end of the configured
+/// stop time get their final answers then.
 async fn stop_gracefully(
     state: &State,
     close: &CancellationToken,
-    serving: tokio::task::JoinHandle<io::Result<()>>,
+    mut serving: tokio::task::JoinHandle<io::Result<()>>,
 ) {
-    let end_at = Instant::now() + state.tuning().timing.stop().saturating_sub(STOP_MARGIN);
+    let stop_time = state.tuning().timing.stop();
+    let end_at = Instant::now() + stop_time.saturating_sub(STOP_MARGIN + FINAL_ANSWER_TIME);
     tracing::info!("gateway: stopping; waiting for requests in progress");
     state.begin_stop();
     sleep(UNREADY_BEFORE_CLOSE).await;
+    state.enter_stop_phase(StopPhase::Closing);
     close.cancel();
     let left = end_at.saturating_duration_since(Instant::now());
-    if timeout(left, serving).await.is_err() {
-        tracing::warn!("gateway: requests still in progress at the end of the graceful stop");
+    if timeout(left, &mut serving).await.is_ok() {
+        return;
+    }
+    tracing::warn!("gateway: requests still in progress at the end of the graceful stop");
+    state.enter_stop_phase(StopPhase::Ended);
+    if timeout(FINAL_ANSWER_TIME, serving).await.is_err() {
+        tracing::warn!("gateway: connections still open after the graceful stop");
     }
 }
 
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -19,7 +19,7 @@
     admission::{ReceivedRequest, admit, permit},
     connection, generation, plain,
     reply::{Body, Refusal, set_connection_close},
-    state::{BodyMemory, State},
+    state::{BodyMemory, State, StopPhase},
 };
 use crate::{
     call::Call,
@@ -119,7 +119,14 @@
     let permission = permit(&catalog, head, parts.uri.path())?;
     let timeout = head.deadline.unwrap_or(permission.route.timeout);
     let read_deadline = received_at + timeout.min(MAX_BODY_READ_TIME);
-    let (body, memory) = read_body(state, &catalog, body, read_deadline).await?;
+    let (body, memory) = tokio::select! {
+        biased;
+        read = read_body(state, &catalog, body, read_deadline) => read?,
+        () = state.stop_ended() => return Err(Refusal::Stopping),
+    };
+    if state.stop_phase() >= StopPhase::Closing {
+        return Err(Refusal::Stopping);
+    }
     let received = ReceivedRequest {
         head,
         parts,
@@ -131,9 +138,16 @@
     if let Some(left) = state.quarantine_left(&call) {
         return Err(Refusal::quarantined(left));
     }
-    let forwarded = match call.route.kind {
-        RouteKind::Stream { .. } => generation::forward(state, &call, head, memory).await,
-        RouteKind::Idempotent | RouteKind::Once => plain::forward(state, &call, head).await,
+    let forwarding = async {
+        match call.route.kind {
+            RouteKind::Stream { .. } => generation::forward(state, &call, head, memory).await,
+            RouteKind::Idempotent | RouteKind::Once => plain::forward(state, &call, head).await,
+        }
+    };
+    let forwarded = tokio::select! {
+        biased;
+        forwarded = forwarding => forwarded,
+        () = state.stop_ended() => Err(Refusal::Stopped),
     };
     let response = forwarded.map_err(|refusal| name_pause(state, &call, refusal))?;
     Ok((response, call))
@@ -202,7 +216,11 @@
 /// The delay is random, so that refused callers do not all retry at the same time.
 fn retry_after(refusal: Refusal) -> Option<Duration> {
     match refusal {
-        Refusal::NotReady | Refusal::NoMemory | Refusal::NoTarget | Refusal::TargetsRefused => {
+        Refusal::NotReady
+        | Refusal::Stopping
+        | Refusal::NoMemory
+        | Refusal::NoTarget
+        | Refusal::TargetsRefused => {
             let delay_s = rand::random_range(RETRY_AFTER_RANGE_S);
             Some(Duration::from_secs_f64(delay_s))
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -2,11 +2,14 @@
 
 use std::sync::{
     Arc, Mutex, MutexGuard, OnceLock, PoisonError,
-    atomic::{AtomicBool, AtomicUsize, Ordering},
+    atomic::{AtomicUsize, Ordering},
 };
 
 use indexmap::IndexMap;
-use tokio::{sync::Notify, time::Instant};
+use tokio::{
+    sync::{Notify, watch},
+    time::Instant,
+};
 
 use super::{
     crash::CallsInFlight, duty::kept_windows, engines::Engines, loads::Loads, notices::Notices,
@@ -37,6 +40,19 @@
 
 const BYTES_PER_MB: u64 = 1 << 20;
 
+/// Phase of an instance with respect to its stop.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum StopPhase {
+    /// The instance does not stop.
+    Running,
+    /// Requests are still accepted, but the instance is not ready.
+    Draining,
+    /// No requests are accepted; those in progress are still answered.
+    Closing,
+    /// Requests in progress get a final answer at once.
+    Ended,
+}
+
 /// Shared state of an instance.
 #[derive(Debug)]
 pub(super) struct State {
@@ -58,7 +74,7 @@
     body_bytes: AtomicUsize,
     /// Number of live instances.
     instances: AtomicUsize,
-    stopping: AtomicBool,
+    stop_phase: watch::Sender<StopPhase>,
     /// Notified when the crashes that have led to a quarantine have changed.
     pub(super) quarantine_changed: Notify,
     started_at: Instant,
@@ -85,7 +101,7 @@
             calls_in_flight: Mutex::default(),
             body_bytes: AtomicUsize::new(0),
             instances: AtomicUsize::new(1),
-            stopping: AtomicBool::new(false),
+            stop_phase: watch::Sender::new(StopPhase::Running),
             quarantine_changed: Notify::new(),
             started_at: Instant::now(),
             catalog_read_at: Mutex::default(),
@@ -281,12 +297,30 @@
 
     /// Returns whether the instance is stopping.
     pub(super) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Acquire)
+        self.stop_phase() > StopPhase::Running
+    }
+
+    /// Returns the phase of the instance's stop.
+    pub(super) fn stop_phase(&self) -> StopPhase {
+        *self.stop_phase.borrow()
+    }
+
+    /// Enters a later phase of the instance's stop.
+    pub(super) fn enter_stop_phase(&self, phase: StopPhase) {
+        self.stop_phase.send_replace(phase);
+    }
+
+    /// Waits until requests in progress must get their final answers, because the instance
+    /// stops.
+    pub(super) async fn stop_ended(&self) {
+        let mut phase = self.stop_phase.subscribe();
+        // The channel is open as long as this state exists.
+        let _ = phase.wait_for(|phase| *phase == StopPhase::Ended).await;
     }
 
     /// Marks the instance as stopping, and announces that to its peers.
     pub(super) fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Release);
+        self.enter_stop_phase(StopPhase::Draining);
         if let Some(peers) = self.peers.get() {
             peers.announce_leaving();
         }
