--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -214,9 +214,10 @@
             self.next = None;
             return ReadOutcome::Trimmed;
         }
-        if matches!(error, StoreError::Restored) {
+        let lost_position = self.next.filter(|_| matches!(error, StoreError::Restored));
+        if let Some(lost) = lost_position {
             tracing::info!(
-                next_offset = self.next.map(|next| next.offset),
+                next_offset = lost.offset,
                 era = self.store.era().number,
                 "gateway: store was restored; reading a new snapshot of {}",
                 self.topic
--- a/src/platform/store/mod.rs
+++ b/src/platform/store/mod.rs
@@ -256,7 +256,7 @@
     /// # Errors
     ///
     /// Fails if a page cannot be read or decoded, and with [`StoreError::Restored`] if the
-    /// pages are of different eras.
+    /// pages are of different eras, or of one before the latest known era.
     pub async fn newest(&self, topic: Topic) -> Result<Newest, StoreError> {
         self.newest_within(topic, self.timeout).await
     }
@@ -282,7 +282,7 @@
                 .await?;
             received_bytes += page.received_bytes;
             let next = *next.get_or_insert(page.end);
-            if page.end.era != next.era {
+            if page.end.era != next.era || page.end.era < self.era().number {
                 return Err(StoreError::Restored);
             }
             for item in page.content.items {
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -201,6 +201,16 @@
     assert!(error.may_be_executed());
 }
 
+/// A snapshot of an earlier era than the latest known one is refused.
+#[tokio::test]
+async fn earlier_snapshot_refused() {
+    let (_store, client) = start_store().await;
+    client.append(TOPIC, "a", b"1", None).await.unwrap();
+    client.note_era(3);
+    let error = client.newest(TOPIC).await.unwrap_err();
+    assert!(matches!(error, StoreError::Restored), "{error}");
+}
+
 /// Positions of a later era have greater numbers, from which they are found again.
 #[test]
 fn position_numbers() {
