Count the end of a lease from when the new era was first seen

The holder took the moment at which its task noticed the new era, up to a store timeout after the first answer that named it, and so gave up leases that it could have kept. Found by reading; restored_store passes as before.

--- a/src/gateway/duty/duty_lease.rs
+++ b/src/gateway/duty/duty_lease.rs
@@ -224,11 +224,11 @@
     }
 
     /// Notes that the store is in a new era. The lease can be resumed if nobody can have
-    /// claimed it in the earlier era, that is, until `grace_ms` after its end.
-    fn note_restore(&self, era: u64, grace_ms: u64) {
+    /// claimed it in the earlier era, which then ended within `grace_ms` after the lease.
+    fn note_restore(&self, era: &StoreEra, grace_ms: u64) {
+        let seen_ms = boot_ms().saturating_sub(era.seen_at.elapsed().as_millis() as u64);
         let mut known = self.lock();
-        let now_ms = boot_ms();
-        let valid = known.clock.epoch(now_ms.saturating_sub(grace_ms));
+        let valid = known.clock.epoch(seen_ms.saturating_sub(grace_ms));
         let own = known.entry.as_ref().filter(|entry| self.is_own(entry));
         let may_resume = own.is_some_and(|entry| valid == Some(entry.epoch));
         if own.is_some() {
@@ -239,7 +239,7 @@
             );
         }
         known.may_resume = may_resume;
-        if known.next.is_none_or(|next| next.era < era) {
+        if known.next.is_none_or(|next| next.era < era.number) {
             known.read_at_ms = 0;
         }
     }
@@ -356,12 +356,12 @@
         if state.is_stopping() {
             continue;
         }
-        let latest_era = store.era().number;
-        if latest_era != era {
-            era = latest_era;
+        let latest_era = store.era();
+        if latest_era.number != era {
+            era = latest_era.number;
             // What was observed before tells nothing about the lease in the restored store.
             rules = new_rules();
-            lease.note_restore(era, timing.grace_ms);
+            lease.note_restore(&latest_era, timing.grace_ms);
         }
         let Some((step, at)) = next_step(&lease, &mut rules, era, &timing, &peers) else {
             continue;
