--- a/src/gateway/duty/mod.rs
+++ b/src/gateway/duty/mod.rs
@@ -7,16 +7,19 @@
 //! `ordering` orders targets and stores the required capacity with
 //! `required_capacity`. `roles` assigns roles to engines. Every instance writes its
 //! request counts to the store with `slices`; `reports` reports their sums to the
-//! platform.
+//! platform, from what `usage_records` holds. `lease_claims` claims and renews the lease.
 
 mod duty_lease;
+mod lease_claims;
 mod ordering;
 mod reports;
 mod required_capacity;
 mod roles;
 mod slices;
+mod usage_records;
 
-pub(super) use duty_lease::{DutyLease, maintain_lease};
+pub(super) use duty_lease::DutyLease;
+pub(super) use lease_claims::maintain_lease;
 pub(super) use ordering::maintain_targets;
 pub(super) use reports::report_usage;
 pub(super) use roles::maintain_roles;
--- a/src/gateway/duty/reports.rs
+++ b/src/gateway/duty/reports.rs
@@ -18,19 +18,16 @@
     time::{Duration, Instant},
 };
 
-use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
 use super::{
     duty_lease::DutyLease,
-    slices::{SLICE_TOPIC, Slice},
+    slices::SLICE_TOPIC,
+    usage_records::{Figure, UsageRecords},
 };
 use crate::{
     gateway::{follower::Follower, state::State, usage::Counts},
-    platform::{
-        CloudClient, CloudError, Holder, KeyedRecord, Position, StoreClient, StoreError, Topic,
-    },
+    platform::{CloudClient, CloudError, Holder, Position, StoreClient, StoreError, Topic},
     settings::GatewayTiming,
 };
 
@@ -63,17 +60,6 @@
     timing.usage_due_ms as i64 - REPORT_MARGIN_MS
 }
 
-/// Final request counts of a window.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-struct Figure {
-    window: u64,
-    /// `None` if this window and all earlier ones are skipped.
-    counts: Option<Counts>,
-    /// Era of the store in which the figure was stored.
-    #[serde(default)]
-    era: u64,
-}
-
 /// The newest figure, and the lease under which it is known to be the newest.
 #[derive(Clone, Debug)]
 struct KnownFigure {
@@ -82,75 +68,6 @@
     fence: u64,
 }
 
-/// Slices and the newest figure, as read from the store.
-#[derive(Debug, Default)]
-struct UsageRecords {
-    /// The newest state of each slice, by its record key in the store.
-    slices: IndexMap<Arc<str>, Slice>,
-    figure: Option<Figure>,
-    /// Known end of [`FIGURE_TOPIC`].
-    end: Option<Position>,
-}
-
-impl UsageRecords {
-    /// Applies a slice, unless a newer state of it is known: a restored store may have
-    /// older slices.
-    fn apply_slice(&mut self, record: &KeyedRecord) {
-        let Some(value) = &record.value else {
-            self.slices.swap_remove(&record.key);
-            return;
-        };
-        let slice: Slice = match serde_json::from_slice(value) {
-            Ok(slice) => slice,
-            Err(error) => {
-                tracing::warn!("usage: cannot decode slice {}: {error}", record.key);
-                return;
-            }
-        };
-        let known = self.slices.get(&record.key);
-        if known.is_none_or(|known| known.revision() <= slice.revision()) {
-            self.slices.insert(record.key.clone(), slice);
-        }
-    }
-
-    /// Forgets the slices of the windows before `window`.
-    fn forget_before(&mut self, window: u64) {
-        self.slices.retain(|_, slice| slice.window >= window);
-    }
-
-    /// Returns the window whose figure is determined next; `None` if there are
-    /// neither figures nor slices.
-    fn next_window(&self) -> Option<u64> {
-        match &self.figure {
-            Some(figure) => Some(figure.window + 1),
-            None => self.slices.values().map(|slice| slice.window).min(),
-        }
-    }
-
-    fn closed_slices(&self, window: u64) -> usize {
-        self.slices
-            .values()
-            .filter(|slice| slice.window == window && slice.closed)
-            .count()
-    }
-
-    /// Returns the sum of the slices of a window. Accounts without requests are left
-    /// out.
-    fn counts_of(&self, window: u64, accounts: &[Arc<str>]) -> Counts {
-        let mut counts = Counts::new();
-        for account in accounts {
-            counts.insert(account.clone(), 0);
-        }
-        for slice in self.slices.values().filter(|slice| slice.window == window) {
-            for (account, count) in &slice.counts {
-                *counts.entry(account.clone()).or_insert(0) += count;
-            }
-        }
-        counts.retain(|_, count| *count > 0);
-        counts
-    }
-}
-
 /// State and clients of the usage reporter.
 #[derive(Debug)]
 struct Reporter {
