Let other tasks run while a target sends without end

A target that sends small interim answers without end kept the only thread of a gateway busy for seconds: the parser of answers reads on as long as there is something, and a turn of its task may read many megabytes. Meanwhile nothing else was served, and the instance turned unready, as it had not read the configuration in time.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,8 @@
 //!
 //! - Callers: `connection` serves one connection, `admission` checks the route and
 //!   the key of a request, and `reply` builds responses.
-//! - Attempts: `attempt` makes one attempt over a connection of `pool`,
+//! - Attempts: `attempt` makes one attempt over a connection of `pool`
+//!   (`yielding_stream`),
 //!   `attempt_history` decides on retries, `crash` detects targets that crash, and
 //!   `quarantine` stores which requests crash them.
 //! - Choice of engines: `placement` selects the engine that prefills a prompt,
@@ -61,6 +62,7 @@
 mod stream_times;
 mod targets;
 mod usage;
+mod yielding_stream;
 
 pub use events::{EventSplitter, Events};
 pub use listeners::Listeners;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -27,6 +27,7 @@
 };
 use tokio_util::task::AbortOnDropHandle;
 
+use super::yielding_stream::YieldingStream;
 use crate::roster::Target;
 
 /// Time limit for opening a TCP connection to a target.
@@ -238,7 +239,7 @@
     set_liveness_options(&stream).map_err(Error::Connect)?;
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(YieldingStream::new(stream)))
         .await
         .map_err(Error::NotWritten)?;
     let driver = tokio::spawn(async move {
