Review: a lost relay cuts the crash reports of its group

The stand-ins now take ports outside the range that the system gives to connections: two runs beside others could not start, as a port was taken. A script that is ended ends what it started.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,5 +7,16 @@
 [ -x target/review/standins ] && [ -x target/release/lavenderwind ] || exit 2
 CASE_TMP=$(mktemp -d) || exit 2
 export CASE_TMP TROUBLE=${TROUBLE:-1}
-trap 'rm -rf "$CASE_TMP"' EXIT
-target/review/standins deadly-bursts "$case/record.txt"
+
+finish() {
+	kill -9 "$standins" 2>/dev/null
+	while read -r pid; do
+		kill -9 "$pid" 2>/dev/null
+	done < <(cat "$CASE_TMP/pids" 2>/dev/null)
+	rm -rf "$CASE_TMP"
+}
+target/review/standins deadly-sessions "$case/record.txt" &
+standins=$!
+trap finish EXIT
+trap 'exit 2' INT TERM
+wait "$standins"
--- a/review/standins/endless_body.rs
+++ b/review/standins/endless_body.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::{
-    Case,
+    Case, ZONES,
     client::{Prompt, Wanted, configuration, keep_sending},
     platform::wait_until_ready,
     worker::{Trouble, WorkerOptions},
@@ -29,14 +29,14 @@
         engines.push(case.start_worker(WorkerOptions {
             id: format!("i-model{number}"),
             service: "models",
-            zone: ["eibar", "bilbao"][number % 2],
+            zone: ZONES[number % ZONES.len()],
             stage: "decode",
             work: Duration::from_millis(60),
             event_gap: Duration::from_millis(100),
             down: Duration::ZERO,
         })?);
     }
-    let mut machines = case.start_machines(2, MEMORY_MB)?;
+    let mut machines = case.start_machines(2, &ZONES, MEMORY_MB)?;
     if !wait_until_ready(&machines) {
         return Err(io::Error::other("the machines are not ready"));
     }
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -6,12 +6,17 @@
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     thread,
     time::Duration,
 };
 
+/// Ports that servers get, and about how many a run needs.
+const FIRST_PORT: u16 = 11_000;
+const PORTS: u32 = 20_000;
+const PORTS_OF_A_RUN: u32 = 101;
+
 /// Largest head line that is read, in bytes.
 const MAX_LINE_BYTES: u64 = 64 << 10;
 
@@ -218,6 +223,23 @@
     }
 }
 
+/// Returns an address that is free, and whose port is below those that the system gives to
+/// connections, so that it stays free while nobody listens there.
+pub fn free_address() -> io::Result<SocketAddr> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    for _ in 0..PORTS {
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        // Two processes begin at different ports.
+        let first = std::process::id().wrapping_mul(PORTS_OF_A_RUN);
+        let port = FIRST_PORT + (first.wrapping_add(number) % PORTS) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
+
 /// Sends one request on a new connection.
 pub fn get(address: SocketAddr, path: &str, patience: Duration) -> io::Result<Response> {
     let head = format!("GET {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\n");
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -19,6 +19,9 @@
 use record::Record;
 use worker::{Seen, Worker, WorkerOptions};
 
+/// Zones of the machines and workers, if no more is needed.
+pub const ZONES: [&str; 2] = ["eibar", "bilbao"];
+
 /// What all cases use.
 pub struct Case {
     pub record: Arc<Record>,
@@ -42,13 +45,18 @@
         })
     }
 
-    /// Starts `count` machines in two zones.
-    pub fn start_machines(&self, count: usize, memory_mb: u64) -> io::Result<Vec<Machine>> {
+    /// Starts `count` machines, in turn in each zone.
+    pub fn start_machines(
+        &self,
+        count: usize,
+        zones: &[&str],
+        memory_mb: u64,
+    ) -> io::Result<Vec<Machine>> {
         let mut machines = Vec::new();
         for index in 0..count {
             machines.push(Machine::start(&MachineOptions {
                 name: &format!("front-{}", index + 1),
-                zone: ["eibar", "bilbao"][index % 2],
+                zone: zones[index % zones.len()],
                 store: self.store.address,
                 cloud: self.cloud,
                 memory_mb,
@@ -72,6 +80,7 @@
         "endless-body" => endless_body::run(&case),
         "restored-list" => restored_list::run(&case),
         "deadly-bursts" => deadly_part::run_bursts(&case),
+        "lost-machine" => deadly_part::run_lost_machine(&case),
         "deadly-sessions" => deadly_part::run_sessions(&case),
         _ => Err(io::Error::other("no such case")),
     });
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -2,8 +2,9 @@
 
 use std::{
     collections::HashMap,
-    fs, io,
-    net::{SocketAddr, TcpListener, TcpStream},
+    fs,
+    io::{self, Write},
+    net::{SocketAddr, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{Arc, Condvar, Mutex},
@@ -72,7 +73,7 @@
             is_away: Mutex::new(false),
         });
         let answering = shared.clone();
-        let server = Server::start("127.0.0.1:0", move |request, stream| {
+        let server = Server::start(&http::free_address()?.to_string(), move |request, stream| {
             answer_store(&answering, &request, stream)?;
             Ok(true)
         })?;
@@ -212,7 +213,7 @@
 
 /// Starts the platform's interface for duties, which accepts each call.
 pub fn start_cloud() -> io::Result<SocketAddr> {
-    let server = Server::start("127.0.0.1:0", |_, stream| {
+    let server = Server::start(&http::free_address()?.to_string(), |_, stream| {
         write_answer(stream, 200, "", b"{}")?;
         Ok(true)
     })?;
@@ -241,7 +242,12 @@
     /// Starts an instance with the command of the deploy file, and the settings that its
     /// template gives on the site `anfach-taller`.
     pub fn start(options: &MachineOptions<'_>) -> io::Result<Self> {
-        let [front, ready, peer, metrics] = free_addresses()?;
+        let [front, ready, peer, metrics] = [
+            http::free_address()?,
+            http::free_address()?,
+            http::free_address()?,
+            http::free_address()?,
+        ];
         let MachineOptions {
             name,
             zone,
@@ -270,6 +276,11 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        // The script ends these processes if this one is ended before.
+        let mut options = fs::OpenOptions::new();
+        options.create(true).append(true);
+        let mut pids = options.open(PathBuf::from(&folder).join("pids"))?;
+        writeln!(pids, "{}", child.id())?;
         Ok(Self {
             name: (*name).to_owned(),
             front,
@@ -321,13 +332,3 @@
     }
     false
 }
-
-fn free_addresses() -> io::Result<[SocketAddr; 4]> {
-    let bind = || TcpListener::bind("127.0.0.1:0");
-    let listeners = [bind()?, bind()?, bind()?, bind()?];
-    let mut addresses = [SocketAddr::from(([127, 0, 0, 1], 0)); 4];
-    for (address, listener) in addresses.iter_mut().zip(&listeners) {
-        *address = listener.local_addr()?;
-    }
-    Ok(addresses)
-}
--- a/review/standins/restored_list.rs
+++ b/review/standins/restored_list.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::{
-    Case,
+    Case, ZONES,
     client::{Prompt, Wanted, keep_sending},
     platform::wait_until_ready,
     worker::{HEARTBEAT, WorkerOptions},
@@ -36,14 +36,14 @@
         workers.push(case.start_worker(WorkerOptions {
             id: format!("i-model{number}"),
             service: "models",
-            zone: ["eibar", "bilbao"][number % 2],
+            zone: ZONES[number % ZONES.len()],
             stage: "decode",
             work: Duration::from_millis(60),
             event_gap: Duration::from_millis(200),
             down: Duration::ZERO,
         })?);
     }
-    let machines = case.start_machines(MACHINES, 260)?;
+    let machines = case.start_machines(MACHINES, &ZONES, 260)?;
     if !wait_until_ready(&machines) {
         return Err(io::Error::other("the machines are not ready"));
     }
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    http::{Request, Server, write_answer},
+    http::{self, Request, Server, write_answer},
     platform::Store,
     record::Record,
 };
@@ -100,9 +100,7 @@
         record: &Arc<Record>,
         seen: &Arc<Seen>,
     ) -> io::Result<Arc<Self>> {
-        let free = std::net::TcpListener::bind("127.0.0.1:0")?;
-        let address = free.local_addr()?.to_string();
-        drop(free);
+        let address = http::free_address()?.to_string();
         let worker = Arc::new(Self {
             address,
             state: Mutex::new(State {
