--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -91,15 +91,23 @@
         let sent_at = record.now();
         record.note(&format!("client sends {id} to machine {machine}"));
         let patience = wanted.deadline + Duration::from_secs(1);
-        let opened = connection.take().map_or_else(|| Connection::open(address, patience), Ok);
+        let opened = connection
+            .take()
+            .map_or_else(|| Connection::open(address, patience), Ok);
         let mut told_at = None;
         let answer = opened.and_then(|mut opened| {
             let answer = opened.exchange(&head, id.as_bytes(), |headers| {
-                if headers.get("server-leaving").is_some_and(|text| text == "1") {
+                if headers
+                    .get("server-leaving")
+                    .is_some_and(|text| text == "1")
+                {
                     told_at = Some(record.now());
                 }
             })?;
-            let closes = answer.headers.get("connection").is_some_and(|text| text == "close");
+            let closes = answer
+                .headers
+                .get("connection")
+                .is_some_and(|text| text == "close");
             *connection = Some(opened).filter(|_| answer.complete && !closes);
             Ok(answer)
         });
@@ -117,8 +125,16 @@
             "client has {} from machine {machine}: {}{}{}",
             attempt.request,
             attempt.status,
-            if attempt.complete { "" } else { ", not complete" },
-            if attempt.told_at.is_some() { ", worker leaves" } else { "" },
+            if attempt.complete {
+                ""
+            } else {
+                ", not complete"
+            },
+            if attempt.told_at.is_some() {
+                ", worker leaves"
+            } else {
+                ""
+            },
         ));
         self.attempts.lock().unwrap().push(attempt.clone());
         attempt
--- a/review/standins/deadly_part.rs
+++ b/review/standins/deadly_part.rs
@@ -56,7 +56,9 @@
             contact: Duration::from_millis(3_000),
             lost: None,
             stop_at: Duration::from_secs(38),
-            common: (0..CLIENTS).map(|client| format!("c0de{client:02x}:2500,")).collect(),
+            common: (0..CLIENTS)
+                .map(|client| format!("c0de{client:02x}:2500,"))
+                .collect(),
             at_once: 6,
             gap: Duration::from_secs(8),
         },
@@ -91,7 +93,9 @@
             contact: Duration::from_millis(4_000),
             lost: Some(LOST_MACHINE),
             stop_at: Duration::from_secs(50),
-            common: (0..CLIENTS).map(|client| format!("c0de{client:02x}:2500,")).collect(),
+            common: (0..CLIENTS)
+                .map(|client| format!("c0de{client:02x}:2500,"))
+                .collect(),
             at_once: 1,
             gap: Duration::from_millis(800),
         },
@@ -145,7 +149,9 @@
         }),
         deadline: Duration::from_millis(3_000),
     };
-    let in_use: Vec<_> = (0..machines.len()).filter(|index| Some(*index) != lost).collect();
+    let in_use: Vec<_> = (0..machines.len())
+        .filter(|index| Some(*index) != lost)
+        .collect();
     let mut clients = Vec::new();
     for (client, common) in common.iter().enumerate() {
         let index = in_use[client % in_use.len()];
@@ -181,7 +187,9 @@
             });
         }
     }
-    record.say(&format!("requests with the part {part}: {sent}, {at_once} at a time"));
+    record.say(&format!(
+        "requests with the part {part}: {sent}, {at_once} at a time"
+    ));
     for client in clients {
         let _ = client.join();
     }
@@ -195,13 +203,19 @@
     let arrivals = case.seen.arrivals.lock().unwrap();
     let crashes = case.seen.crashes.lock().unwrap();
     let (mut cut, mut sound) = (0, 0);
-    for attempt in attempts.iter().filter(|attempt| attempt.request.starts_with("sound")) {
+    for attempt in attempts
+        .iter()
+        .filter(|attempt| attempt.request.starts_with("sound"))
+    {
         sound += 1;
         cut += usize::from(attempt.status != 200 && attempt.status != 503 || !attempt.complete);
     }
     let fifth = crashes.get(4).copied();
     let mut late = 0;
-    for arrival in arrivals.iter().filter(|arrival| arrival.parts.contains(part)) {
+    for arrival in arrivals
+        .iter()
+        .filter(|arrival| arrival.parts.contains(part))
+    {
         let is_late = fifth.is_some_and(|fifth| arrival.at > fifth + contact);
         late += usize::from(is_late && !arrival.prefill);
     }
--- a/review/standins/endless_body.rs
+++ b/review/standins/endless_body.rs
@@ -98,7 +98,10 @@
     for client in clients {
         let _ = client.join();
     }
-    let sound: Vec<String> = engines[IN_TROUBLE..].iter().map(|engine| engine.id()).collect();
+    let sound: Vec<String> = engines[IN_TROUBLE..]
+        .iter()
+        .map(|engine| engine.id())
+        .collect();
     let lost = count_lost(case, &sound);
     record.say(&format!(
         "memory at its peak: {peak_mb:?} MB; machines killed: {killed}; requests that were passed \
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -137,14 +137,18 @@
     };
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let headers = read_headers(reader)?;
-    let length = headers.get("content-length").and_then(|text| text.parse().ok());
+    let length = headers
+        .get("content-length")
+        .and_then(|text| text.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     reader.read_exact(&mut body)?;
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     Ok(Some(Request {
         method: method.to_owned(),
         path: path.to_owned(),
-        query: pairs.map(|(name, value)| (name.to_owned(), value.to_owned())).collect(),
+        query: pairs
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .collect(),
         headers,
         body,
     }))
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -73,10 +73,13 @@
             is_away: Mutex::new(false),
         });
         let answering = shared.clone();
-        let server = Server::start(&http::free_address()?.to_string(), move |request, stream| {
-            answer_store(&answering, &request, stream)?;
-            Ok(true)
-        })?;
+        let server = Server::start(
+            &http::free_address()?.to_string(),
+            move |request, stream| {
+                answer_store(&answering, &request, stream)?;
+                Ok(true)
+            },
+        )?;
         Ok(Self {
             shared,
             address: server.address,
@@ -89,7 +92,11 @@
         record.extend_from_slice(key.as_bytes());
         record.extend_from_slice(value.as_bytes());
         let mut records = self.shared.records.lock().unwrap();
-        records.topics.entry(topic.to_owned()).or_default().push(record);
+        records
+            .topics
+            .entry(topic.to_owned())
+            .or_default()
+            .push(record);
         self.shared.changed.notify_all();
     }
 
--- a/review/standins/restored_list.rs
+++ b/review/standins/restored_list.rs
@@ -1,10 +1,7 @@
 //! A worker has left the list and says in its answers that it leaves. The store then comes
 //! back from an older copy, which still has the worker's entry.
 
-use std::{
-    io, thread,
-    time::Duration,
-};
+use std::{io, thread, time::Duration};
 
 use crate::{
     Case, ZONES,
@@ -142,7 +139,10 @@
             ));
         }
     }
-    let answered = attempts.iter().filter(|attempt| attempt.status == 200).count();
+    let answered = attempts
+        .iter()
+        .filter(|attempt| attempt.status == 200)
+        .count();
     case.record.say(&format!(
         "requests: {}, answered 200: {answered}, machines told: {}, late requests at the leaving \
          worker: {late}, of these not answered 200: {lost}",
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -150,7 +150,8 @@
         if !state.registered || state.server.is_none() || self.store.is_away() {
             return;
         }
-        self.store.put("keyed.servers", &state.id, &self.entry(&state));
+        self.store
+            .put("keyed.servers", &state.id, &self.entry(&state));
     }
 
     fn entry(&self, state: &State) -> String {
@@ -184,7 +185,8 @@
         let mut state = self.state.lock().unwrap();
         state.registered = false;
         self.store.put("keyed.servers", &state.id, "");
-        self.record.note(&format!("worker {} leaves: its entry is removed", state.id));
+        self.record
+            .note(&format!("worker {} leaves: its entry is removed", state.id));
     }
 
     /// Ends the process of the worker.
@@ -223,7 +225,9 @@
                 state.busy = false;
             }
             match worker.listen() {
-                Ok(()) => worker.record.note(&format!("worker {} starts", worker.id())),
+                Ok(()) => worker
+                    .record
+                    .note(&format!("worker {} starts", worker.id())),
                 Err(error) => worker.record.note(&format!("worker cannot start: {error}")),
             }
             worker.write_entry();
@@ -263,7 +267,12 @@
              \"kv_total\":500000,\"kv_handles\":0,\"born\":{born}}}"
         );
         drop(state);
-        write_answer(stream, 200, "Content-Type: application/json\r\n", body.as_bytes())
+        write_answer(
+            stream,
+            200,
+            "Content-Type: application/json\r\n",
+            body.as_bytes(),
+        )
     }
 
     fn order(self: &Arc<Self>, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
@@ -281,7 +290,8 @@
         }
         state.busy = true;
         state.orders += 1;
-        self.record.note(&format!("worker {} takes the order {body}", state.id));
+        self.record
+            .note(&format!("worker {} takes the order {body}", state.id));
         drop(state);
         let worker = self.clone();
         thread::spawn(move || {
@@ -323,7 +333,8 @@
         }
         let trouble = *self.trouble.lock().unwrap();
         if trouble == Trouble::Endless {
-            self.record.note(&format!("worker {worker} sends bytes without end for {id}"));
+            self.record
+                .note(&format!("worker {worker} sends bytes without end for {id}"));
             return self.write_endlessly(stream, &head);
         }
         thread::sleep(self.options.work);
