Log the links of an instance and the crash reports that it gets

The lines at hand tell which crashes an instance saw by itself, not over which links it reports them, nor what its peers reported. Two lines more: `peer: links changed` with the relay and the number of links of each kind, and `peer: crash of a target reported` with the boot, the peer and how many fingerprints counted.

--- a/src/peer/state.rs
+++ b/src/peer/state.rs
@@ -361,7 +361,11 @@
                 failure_domain: peer.failure_domain,
             });
         }
-        self.link_kinds = Topology::new(&nodes).links(&self.own.name);
+        let link_kinds = Topology::new(&nodes).links(&self.own.name);
+        if link_kinds != self.link_kinds {
+            log_links(&link_kinds);
+        }
+        self.link_kinds = link_kinds;
         self.loads.invalidate();
     }
 }
@@ -389,6 +393,21 @@
     kinds.get(name).copied().unwrap_or(LinkKind::Backup)
 }
 
+/// Logs over which links this instance sends reports.
+fn log_links(link_kinds: &IndexMap<Arc<str>, LinkKind>) {
+    let named = |wanted| {
+        let links = link_kinds.iter().filter(move |(_, kind)| **kind == wanted);
+        links.map(|(name, _)| &**name)
+    };
+    tracing::info!(
+        relay = named(LinkKind::Relay).next().unwrap_or("-"),
+        peers = named(LinkKind::Peer).count(),
+        members = named(LinkKind::Member).count(),
+        backups = named(LinkKind::Backup).count(),
+        "peer: links changed"
+    );
+}
+
 fn outdated(peer: &PeerIdentity) -> Error {
     Error::OutdatedIncarnation {
         name: peer.name.clone(),
--- a/src/peer/suspects.rs
+++ b/src/peer/suspects.rs
@@ -137,6 +137,15 @@
         from: Option<&str>,
     ) -> bool {
         let reported = self.crashes.record_crash(boot, in_flight);
+        if let Some(from) = from {
+            tracing::info!(
+                boot = &**boot,
+                from,
+                fingerprints = in_flight.len(),
+                counted = reported.len(),
+                "peer: crash of a target reported"
+            );
+        }
         if reported.is_empty() {
             return false;
         }
