Choose another relay if that of a group does not respond

The list of a gateway names an instance that is gone for good, so that it stayed the relay; members report crashes and notices to their relay only, and it forwards nothing any more. Each member had to learn of a crashing part from three crashes of its own: 26 crashes instead of 3 in 18 instances with one lost.

Change: `reachability` tracks which linked instances respond. One that does not for 3 s, or three heartbeats if that is longer, stays in its group, so that all instances agree on the groups, but the next one in the order of the hash becomes relay. It is dialed further and takes its place again when it responds. An instance that was stopped itself does not blame the others for its silence.

Ruled out: leaving unreachable instances out of the groups. Instances that know of different losses would then disagree on whether there are groups at all, and reports would end at an instance that takes itself for part of a mesh.

--- a/benches/peer.rs
+++ b/benches/peer.rs
@@ -108,6 +108,7 @@
             nodes.push(Node {
                 name: format!("entry-{index}").into(),
                 failure_domain: format!("domain-{}", index % 6).into(),
+                is_unreachable: false,
             });
         }
         group.bench_function(BenchmarkId::new("instances", instances), |bencher| {
--- a/src/peer/dial.rs
+++ b/src/peer/dial.rs
@@ -100,7 +100,8 @@
 
 /// Returns the addresses that this instance dials: the seed peers until the live list
 /// has been read, and after that the linked peers whose names sort after the name of
-/// this instance.
+/// this instance. Peers that do not respond are dialed as well, since they may consider
+/// themselves linked to this instance when they respond again.
 fn dial_addresses(shared: &Shared, seed_peers: &[SocketAddr]) -> Vec<Arc<str>> {
     let state = shared.state();
     if !state.membership.has_live_list() {
@@ -110,7 +111,9 @@
             .collect();
     }
     let mut addresses = Vec::new();
-    for name in state.link_kinds.keys() {
+    let unlinked = state.reachability.unreachable();
+    let unlinked = unlinked.filter(|name| !state.link_kinds.contains_key(*name));
+    for name in state.link_kinds.keys().chain(unlinked) {
         let peer = state.membership.get(name);
         let Some(address) = peer.and_then(|peer| peer.peer_address.clone()) else {
             continue;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -8,7 +8,8 @@
 //!
 //! - Connections: `dial` opens and accepts them, `connection` runs one of them,
 //!   `frame` encodes its frames, and `link` is its state.
-//! - State: `shared` is shared by all tasks and contains `state`. `load` sums up the
+//! - State: `shared` is shared by all tasks and contains `state`. `reachability` tracks
+//!   which linked instances respond. `load` sums up the
 //!   reported loads, `usage` keeps copies of other instances' usage slices,
 //!   `unflushed_usage` this instance's slices, `quarantine` the requests that the log
 //!   quarantines, `suspects` those that reported crashes do, and `notices` what targets say
@@ -32,6 +33,7 @@
 pub mod membership;
 mod notices;
 mod quarantine;
+mod reachability;
 mod relay;
 mod shared;
 mod spawn;
--- a/src/peer/state.rs
+++ b/src/peer/state.rs
@@ -15,6 +15,7 @@
     membership::{Membership, PeerIdentity, PeerState},
     notices::TargetNotices,
     quarantine::{QuarantineSet, QuarantinedRequest},
+    reachability::Reachability,
     suspects::ReportedCrashes,
     topology::{LinkKind, Node, Topology},
     unflushed_usage::UnflushedUsage,
@@ -45,6 +46,8 @@
     pub(super) max_age: Duration,
     /// Known instances.
     pub(super) membership: Membership,
+    /// Which of the linked instances respond.
+    pub(super) reachability: Reachability,
     /// Link kinds in the current topology, by peer name.
     pub(super) link_kinds: IndexMap<Arc<str>, LinkKind>,
     /// Open connections by peer name.
@@ -84,6 +87,7 @@
         Self {
             quorum,
             membership: Membership::new(own.name.clone(), silence_timeout),
+            reachability: Reachability::new(silence_timeout),
             own,
             max_age,
             link_kinds: IndexMap::new(),
@@ -119,10 +123,15 @@
         reachable
     }
 
-    /// Removes and returns the instances that are no longer running.
+    /// Removes and returns the instances that are no longer running. Instances that do not
+    /// respond are no longer used as relays.
     pub(super) fn expire(&mut self, now: Instant) -> Vec<PeerState> {
         let terminated = self.membership.expire(now);
-        if !terminated.is_empty() {
+        let lost = self.reachability.check(now);
+        for name in &lost {
+            tracing::info!(instance = &**name, "peer: instance does not respond");
+        }
+        if !terminated.is_empty() || !lost.is_empty() {
             self.update_topology(now);
         }
         terminated
@@ -205,6 +214,8 @@
         if !heartbeat.loads.is_empty() {
             self.loads.invalidate();
         }
+        let interval = Duration::from_millis(heartbeat.interval_ms.into());
+        self.reachability.set_interval(&peer.name, interval);
         self.receive_amounts(&peer.name, amounts);
         Ok(())
     }
@@ -215,10 +226,14 @@
     ///
     /// Fails if the peer's incarnation is outdated.
     pub(super) fn observe_frame(&mut self, peer: &PeerIdentity, now: Instant) -> Result<()> {
-        if self.membership.observe_frame(peer, now) {
-            return Ok(());
+        if !self.membership.observe_frame(peer, now) {
+            return Err(outdated(peer));
         }
-        Err(outdated(peer))
+        if self.reachability.record_frame(&peer.name, now) {
+            tracing::info!(instance = &*peer.name, "peer: instance responds again");
+            self.update_topology(now);
+        }
+        Ok(())
     }
 
     /// Adds an amount of this instance to the outgoing reports.
@@ -351,12 +366,15 @@
     }
 
     fn update_topology(&mut self, now: Instant) {
+        self.reachability.forget_ended(&self.membership);
         let mut nodes = vec![Node {
             name: self.own.name.clone(),
             failure_domain: self.own.failure_domain.clone(),
+            is_unreachable: false,
         }];
         for peer in self.membership.live(now) {
             nodes.push(Node {
+                is_unreachable: self.reachability.is_unreachable(&peer.name),
                 name: peer.name,
                 failure_domain: peer.failure_domain,
             });
@@ -366,6 +384,8 @@
             log_links(&link_kinds);
         }
         self.link_kinds = link_kinds;
+        self.reachability
+            .expect(self.link_kinds.keys(), &self.membership, now);
         self.loads.invalidate();
     }
 }
--- a/src/peer/topology.rs
+++ b/src/peer/topology.rs
@@ -5,10 +5,13 @@
 //! hashing selects a relay and a backup in each group. Members connect to the relay
 //! and the backup of their group, and relays also connect to all other relays. Of
 //! `n` instances, each therefore has at most about `2 * sqrt(n)` links.
+//!
+//! An instance that does not respond stays in its group, so that all instances agree on
+//! the groups, but is neither relay nor backup while another instance can be.
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use sha2::{Digest, Sha256};
 
 /// Maximum number of instances in a full mesh.
@@ -24,6 +27,8 @@
     pub name: Arc<str>,
     /// Failure domain of the instance.
     pub failure_domain: Arc<str>,
+    /// Whether the instance does not respond, as far as is known.
+    pub is_unreachable: bool,
 }
 
 /// Role of the other end of a link, as seen by this instance.
@@ -65,6 +70,7 @@
 /// let nodes = ["a", "b"].map(|name| Node {
 ///     name: name.into(),
 ///     failure_domain: "d1".into(),
+///     is_unreachable: false,
 /// });
 /// let links = Topology::new(&nodes).links("a");
 /// assert_eq!(links["b"], LinkKind::Peer);
@@ -144,8 +150,16 @@
 }
 
 impl Group {
-    fn new(key: &str, members: Vec<Arc<str>>) -> Self {
-        let order = rendezvous_order(key, &members);
+    fn new(key: &str, nodes: &[&Node]) -> Self {
+        let members: Vec<Arc<str>> = nodes.iter().map(|node| node.name.clone()).collect();
+        let mut order = rendezvous_order(key, &members);
+        let unreachable: IndexSet<&Arc<str>> = nodes
+            .iter()
+            .filter(|node| node.is_unreachable)
+            .map(|node| &node.name)
+            .collect();
+        // The sort is stable and thus keeps the rendezvous order otherwise.
+        order.sort_by_key(|name| unreachable.contains(name));
         Self {
             relay: order[0].clone(),
             backup: order.get(1).map(|&backup| backup.clone()),
@@ -191,13 +205,13 @@
     let mut groups = Vec::new();
     for (domain, nodes) in domains {
         let keys = group_keys(domain, nodes.len());
-        let mut members: IndexMap<&Arc<str>, Vec<Arc<str>>> = IndexMap::new();
+        let mut members: IndexMap<&Arc<str>, Vec<&Node>> = IndexMap::new();
         for node in nodes {
             let key = rendezvous_order(&node.name, &keys)[0];
-            members.entry(key).or_default().push(node.name.clone());
+            members.entry(key).or_default().push(node);
         }
         for (key, members) in members {
-            groups.push(Group::new(key, members));
+            groups.push(Group::new(key, &members));
         }
     }
     groups
--- a/tests/peer_topology.rs
+++ b/tests/peer_topology.rs
@@ -13,6 +13,7 @@
         nodes.push(Node {
             name: format!("entry-{index}").into(),
             failure_domain: format!("domain-{}", index % domains).into(),
+            is_unreachable: false,
         });
     }
     nodes
