Send each report over each link, also after a link was lost

They were lost if the relay was gone and its group had not noticed, if the outbox (256 frames) was full, and a new link was told only of quarantines. What was lost was never sent again, so a crash counted at some instances only.

Change: the reports of an instance form a log, and each link continues after the last report that was sent over it. A link that was just opened, whose kind has changed or that is further behind than the log reaches is sent all that is known. So the limits of the log lose nothing. What a peer tells in this way is forwarded if it is new.

The field `quarantined` of a crash report is now `counts`, with the same number and meaning: it counts whenever it arrives.

--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -7,7 +7,7 @@
 use prost::Message;
 use tokio::{
     net::TcpStream,
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::{Instant, sleep_until},
 };
 
@@ -25,7 +25,7 @@
 use crate::log::records::UsageSlice;
 
 /// Capacity, in frames, of a connection's outbox, which queues all frames other than
-/// heartbeats.
+/// heartbeats and reports.
 const OUTBOX_FRAMES: usize = 256;
 
 /// Timeout for receiving the peer's `Hello`, and for sending any frame.
@@ -81,7 +81,7 @@
         () = opened.replaced.cancelled() => Err(Error::Replaced {
             name: connection.peer.name.clone(),
         }),
-        outcome = connection.send_frames(&mut sink, outbox_frames) => outcome,
+        outcome = connection.send_frames(&mut sink, outbox_frames, opened.reports) => outcome,
         outcome = connection.receive_frames(&mut source) => outcome,
     }
 }
@@ -100,6 +100,7 @@
         &self,
         sink: &mut FrameSink,
         mut outbox_frames: mpsc::Receiver<Body>,
+        mut reports: watch::Receiver<u64>,
     ) -> Result<()> {
         let mut next_heartbeat = Instant::now();
         loop {
@@ -110,6 +111,10 @@
                     self.send(sink, body).await?;
                     continue;
                 }
+                Ok(()) = reports.changed() => {
+                    self.send_reports(sink).await?;
+                    continue;
+                }
             }
             next_heartbeat = Instant::now() + self.interval();
             self.send_heartbeat(sink).await?;
@@ -128,6 +133,17 @@
         self.send(sink, Body::Heartbeat(heartbeat?)).await
     }
 
+    async fn send_reports(&self, sink: &mut FrameSink) -> Result<()> {
+        let frames = {
+            let mut state = self.shared.state();
+            state.take_reports(&self.peer.name, self.link_id)?
+        };
+        for frame in frames {
+            self.send(sink, frame).await?;
+        }
+        Ok(())
+    }
+
     async fn send(&self, sink: &mut FrameSink, body: Body) -> Result<()> {
         send(sink, body, FRAME_TIMEOUT, &self.shared.traffic).await
     }
@@ -234,11 +250,12 @@
     fn handle_crash_report(&self, report: CrashReport) {
         let boot = report.boot.into();
         let mut state = self.shared.state();
-        if report.quarantined {
-            state.restore_crashes(&[TargetCrash {
+        if report.counts {
+            let crash = TargetCrash {
                 boot,
                 fingerprints: report.fingerprints,
-            }]);
+            };
+            state.add_known_crash(&crash, &self.peer.name);
             return;
         }
         let mut in_flight = Vec::with_capacity(report.fingerprints.len());
--- a/src/peer/lavenderwind.peer.rs
+++ b/src/peer/lavenderwind.peer.rs
@@ -215,10 +215,10 @@
     pub boot: ::prost::alloc::string::String,
     #[prost(fixed64, repeated, tag = "2")]
     pub fingerprints: ::prost::alloc::vec::Vec<u64>,
-    /// Whether the crash has led to a quarantine, so that it counts whenever the report
-    /// arrives.
+    /// Whether the crash counts whenever the report arrives. Set in reports that tell a peer
+    /// all that the sender knows.
     #[prost(bool, tag = "3")]
-    pub quarantined: bool,
+    pub counts: bool,
     /// Time since the latest request with each fingerprint was sent, in milliseconds.
     #[prost(uint32, repeated, tag = "4")]
     pub sent_ages_ms: ::prost::alloc::vec::Vec<u32>,
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -25,7 +25,7 @@
     pub(super) id: u64,
     /// Identity of the peer.
     pub(super) peer: PeerIdentity,
-    /// Queue of outgoing frames other than heartbeats.
+    /// Queue of outgoing frames other than heartbeats and reports.
     pub(super) outbox: mpsc::Sender<Body>,
     /// Cancelled when a newer connection to the peer replaces this one.
     pub(super) replaced: CancellationToken,
@@ -40,6 +40,8 @@
     pub(super) missing_offset: Option<Offset>,
     /// Number of the last quarantine notice that the peer acknowledged.
     pub(super) acknowledged_notice: u64,
+    /// Number of the next report to send; `None` if all that is known is to be sent.
+    pub(super) next_report: Option<u64>,
     last_received_sequence: u64,
     last_sent_sequence: u64,
     /// Sent heartbeats that the peer has not echoed yet, in the order sent.
@@ -87,6 +89,7 @@
             log_requested_at: None,
             missing_offset: None,
             acknowledged_notice: 0,
+            next_report: None,
             last_received_sequence: 0,
             last_sent_sequence: 0,
             unechoed: VecDeque::new(),
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -13,7 +13,7 @@
 //!   reported loads, `usage` keeps copies of other instances' usage slices,
 //!   `unflushed_usage` this instance's slices, `quarantine` the requests that the log
 //!   quarantines, `suspects` those that reported crashes do, and `notices` what targets say
-//!   in their answers.
+//!   in their answers. `reports` are those of the last two that are sent to peers.
 //! - Tasks: `heartbeat` builds heartbeats, `relay` relays log records, `live_list`
 //!   polls the platform's list of instances, `upkeep` does periodic maintenance, and
 //!   `spawn` starts the tasks.
@@ -35,6 +35,7 @@
 mod quarantine;
 mod reachability;
 mod relay;
+mod reports;
 mod shared;
 mod spawn;
 mod state;
--- a/src/peer/notices.rs
+++ b/src/peer/notices.rs
@@ -39,7 +39,7 @@
         std::mem::take(&mut self.unread)
     }
 
-    /// Returns the frames that tell a newly connected peer about targets.
+    /// Returns the frames that tell a peer about all targets.
     pub(super) fn frames(&self) -> Vec<Body> {
         let notices = self.by_target.values();
         let in_force =
@@ -58,6 +58,6 @@
         if from.is_some() {
             self.notices.unread.push(notice.clone());
         }
-        self.send_to_peers(&Body::TargetNotice(notice), from);
+        self.reports.push(Body::TargetNotice(notice), from);
     }
 }
--- a/src/peer/state.rs
+++ b/src/peer/state.rs
@@ -3,7 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
-use tokio::{sync::mpsc, time::Instant};
+use tokio::{
+    sync::{mpsc, watch},
+    time::Instant,
+};
 
 use super::{
     Error, Result,
@@ -16,6 +19,7 @@
     notices::TargetNotices,
     quarantine::{QuarantineSet, QuarantinedRequest},
     reachability::Reachability,
+    reports::ReportLog,
     suspects::ReportedCrashes,
     topology::{LinkKind, Node, Topology},
     unflushed_usage::UnflushedUsage,
@@ -60,6 +64,8 @@
     pub(super) crashes: ReportedCrashes,
     /// What targets have said in their answers.
     pub(super) notices: TargetNotices,
+    /// Reports that are sent to the peers.
+    pub(super) reports: ReportLog,
     /// Copies of other instances' unflushed usage slices.
     pub(super) usage_copies: UsageCopies,
     /// This instance's unflushed usage slices and the peer with their copies.
@@ -96,6 +102,7 @@
             quarantine: QuarantineSet::default(),
             crashes: ReportedCrashes::default(),
             notices: TargetNotices::default(),
+            reports: ReportLog::default(),
             usage_copies: UsageCopies::default(),
             unflushed_usage: UnflushedUsage::default(),
             loads: LoadTotals::default(),
@@ -154,16 +161,11 @@
         }
         self.observe_frame(&peer, now)?;
         self.last_link_id += 1;
-        let mut frames = self.quarantine_frames();
-        frames.extend(self.notices.frames());
-        for frame in frames {
-            // If the outbox is full, the peer learns the rest from later reports.
-            let _ = outbox.try_send(frame);
-        }
         let link = Link::new(self.last_link_id, peer, outbox);
         let opened = OpenedLink {
             id: link.id,
             replaced: link.replaced.clone(),
+            reports: self.reports.subscribe(),
         };
         let name = link.peer.name.clone();
         if let Some(old_link) = self.links.insert(name.clone(), link) {
@@ -280,22 +282,6 @@
         sent
     }
 
-    /// Sends a frame over all links over which it is to be sent or forwarded. A frame is
-    /// dropped if the outbox of a link is full.
-    pub(super) fn send_to_peers(&self, frame: &Body, from: Option<&str>) {
-        let from_kind = from.map(|from| self.link_kind(from));
-        for (name, link) in &self.links {
-            let kind = link_kind_of(&self.link_kinds, name);
-            let is_receiver = match from_kind {
-                None => kind != LinkKind::Backup,
-                Some(from_kind) => from_kind.forwards_to(kind) && Some(&**name) != from,
-            };
-            if is_receiver && link.outbox.try_send(frame.clone()).is_err() {
-                metrics::counter!("peer_reports_dropped_total").increment(1);
-            }
-        }
-    }
-
     /// Returns whether an acknowledgement of a notice may still arrive: the connection
     /// over which the notice was sent is open, and the peer has not acknowledged it.
     pub(super) fn is_unacknowledged(&self, notice: &SentNotice) -> bool {
@@ -379,15 +365,27 @@
                 failure_domain: peer.failure_domain,
             });
         }
-        let link_kinds = Topology::new(&nodes).links(&self.own.name);
-        if link_kinds != self.link_kinds {
-            log_links(&link_kinds);
-        }
-        self.link_kinds = link_kinds;
+        self.set_link_kinds(Topology::new(&nodes).links(&self.own.name));
         self.reachability
             .expect(self.link_kinds.keys(), &self.membership, now);
         self.loads.invalidate();
     }
+
+    /// Replaces the kinds of the links. All that is known is sent over a link whose kind
+    /// has changed, since not all earlier reports were sent over it.
+    fn set_link_kinds(&mut self, link_kinds: IndexMap<Arc<str>, LinkKind>) {
+        if link_kinds == self.link_kinds {
+            return;
+        }
+        log_links(&link_kinds);
+        for (name, link) in &mut self.links {
+            if link_kind_of(&link_kinds, name) != link_kind_of(&self.link_kinds, name) {
+                link.next_report = None;
+            }
+        }
+        self.link_kinds = link_kinds;
+        self.reports.wake_links();
+    }
 }
 
 /// A connection registered by [`State::open_link`].
@@ -397,6 +395,8 @@
     pub(super) id: u64,
     /// Cancelled when a newer connection replaces this one.
     pub(super) replaced: tokio_util::sync::CancellationToken,
+    /// Changes when there are reports to send.
+    pub(super) reports: watch::Receiver<u64>,
 }
 
 /// Identifies a quarantine notice sent over a connection.
--- a/src/peer/suspects.rs
+++ b/src/peer/suspects.rs
@@ -20,6 +20,9 @@
 /// Maximum number of crashes that are stored or sent to a new peer.
 const MAX_STORED_CRASHES: usize = 64;
 
+/// Maximum number of fingerprints in one report to a peer.
+const MAX_REPORT_FINGERPRINTS: usize = 16_384;
+
 /// Interval at which old crashes are forgotten, in milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 10_000;
 
@@ -150,21 +153,22 @@
             return false;
         }
         let now_ms = self.crashes.now_ms();
-        let mut report = CrashReport {
-            boot: boot.to_string(),
-            ..CrashReport::default()
-        };
         let mut is_quarantined = false;
-        for sent in &reported {
-            let age_ms = now_ms.saturating_sub(sent.sent_ms);
-            report.fingerprints.push(sent.fingerprint);
-            report
-                .sent_ages_ms
-                .push(u32::try_from(age_ms).unwrap_or(u32::MAX));
-            let crashes = self.crashes.history.crash_count(&sent.fingerprint);
-            is_quarantined |= crashes >= MAX_SHARED_CRASHES;
+        for reported in reported.chunks(MAX_REPORT_FINGERPRINTS) {
+            let mut report = CrashReport {
+                boot: boot.to_string(),
+                ..CrashReport::default()
+            };
+            for sent in reported {
+                let age_ms = now_ms.saturating_sub(sent.sent_ms);
+                let age_ms = u32::try_from(age_ms).unwrap_or(u32::MAX);
+                report.fingerprints.push(sent.fingerprint);
+                report.sent_ages_ms.push(age_ms);
+                let crashes = self.crashes.history.crash_count(&sent.fingerprint);
+                is_quarantined |= crashes >= MAX_SHARED_CRASHES;
+            }
+            self.reports.push(Body::CrashReport(report), from);
         }
-        self.send_to_peers(&Body::CrashReport(report), from);
         is_quarantined
     }
 
@@ -182,40 +186,62 @@
         let report = SoundReport {
             fingerprints: cleared,
         };
-        self.send_to_peers(&Body::SoundReport(report), from);
+        self.reports.push(Body::SoundReport(report), from);
         was_quarantined
     }
 
-    /// Records crashes that have led to a quarantine, as stored or as told by a peer.
+    /// Records crashes that this or another instance has stored.
     pub(super) fn restore_crashes(&mut self, crashes: &[TargetCrash]) {
-        let now_ms = self.crashes.now_ms();
         for crash in crashes {
-            let history = &mut self.crashes.history;
-            history.record_crash(&crash.boot, &crash.fingerprints, now_ms);
+            self.record_known(crash);
+        }
+    }
+
+    /// Records a crash that the peer `from` knew before, and tells other peers what they may
+    /// not know yet.
+    pub(super) fn add_known_crash(&mut self, crash: &TargetCrash, from: &str) {
+        let counted = self.record_known(crash);
+        if counted.is_empty() {
+            return;
         }
+        let report = CrashReport {
+            boot: crash.boot.to_string(),
+            fingerprints: counted,
+            counts: true,
+            sent_ages_ms: Vec::new(),
+        };
+        self.reports.push(Body::CrashReport(report), Some(from));
+    }
+
+    /// Records a crash whenever it was. Returns the fingerprints for which it was not known.
+    fn record_known(&mut self, crash: &TargetCrash) -> Vec<u64> {
+        let now_ms = self.crashes.now_ms();
+        let history = &mut self.crashes.history;
+        history.record_crash(&crash.boot, &crash.fingerprints, now_ms)
     }
 
     /// Returns the newest crashes that have led to a quarantine.
     pub(super) fn quarantined_crashes(&self) -> Vec<TargetCrash> {
         let mut crashes = Vec::new();
-        let by_boot = self.crashes.history.quarantined_crashes();
+        let by_boot = self.crashes.history.crashes(MAX_SHARED_CRASHES);
         for (boot, fingerprints) in by_boot.into_iter().rev().take(MAX_STORED_CRASHES) {
             crashes.push(TargetCrash { boot, fingerprints });
         }
         crashes
     }
 
-    /// Returns the frames that tell a newly connected peer about requests that are
-    /// refused.
-    pub(super) fn quarantine_frames(&self) -> Vec<Body> {
+    /// Returns the frames that tell a peer about all suspects.
+    pub(super) fn suspect_frames(&self) -> Vec<Body> {
         let mut frames = Vec::new();
-        for crash in self.quarantined_crashes() {
-            frames.push(Body::CrashReport(CrashReport {
-                boot: crash.boot.to_string(),
-                fingerprints: crash.fingerprints,
-                quarantined: true,
-                sent_ages_ms: Vec::new(),
-            }));
+        for (boot, fingerprints) in self.crashes.history.crashes(1) {
+            for fingerprints in fingerprints.chunks(MAX_REPORT_FINGERPRINTS) {
+                frames.push(Body::CrashReport(CrashReport {
+                    boot: boot.to_string(),
+                    fingerprints: fingerprints.to_vec(),
+                    counts: true,
+                    sent_ages_ms: Vec::new(),
+                }));
+            }
         }
         frames
     }
--- a/src/policy/suspects.rs
+++ b/src/policy/suspects.rs
@@ -216,12 +216,13 @@
         longest_ms
     }
 
-    /// Returns the crashes of all fingerprints that have led to a quarantine, by boot.
+    /// Returns the crashes of all fingerprints that were in flight at `min_crashes` or more,
+    /// by boot.
     #[must_use]
-    pub fn quarantined_crashes(&self) -> IndexMap<Arc<str>, Vec<F>> {
+    pub fn crashes(&self, min_crashes: usize) -> IndexMap<Arc<str>, Vec<F>> {
         let mut crashes: IndexMap<Arc<str>, Vec<F>> = IndexMap::new();
         for (fingerprint, suspect) in &self.suspects {
-            if suspect.boots.len() < MAX_SHARED_CRASHES {
+            if suspect.boots.len() < min_crashes {
                 continue;
             }
             for boot in &suspect.boots {
--- a/tests/lost_relay.rs
+++ b/tests/lost_relay.rs
@@ -8,7 +8,8 @@
     infra::protocol::{LiveInstance, LiveState},
     log::{Offset, RecentEntries, TailStatus},
     peer::{
-        PeerHandle, PeerLog, PeerOptions, Peers, Quorum, SentFingerprint, spawn_without_live_list,
+        PeerHandle, PeerLog, PeerOptions, Peers, Quorum, SentFingerprint, TargetNotice,
+        spawn_without_live_list,
         topology::{LinkKind, MAX_MESH_INSTANCES, Node, Topology},
     },
 };
@@ -226,3 +227,47 @@
     fleet.report_crash(&member, 1);
     eventually("the crash is known to all", || fleet.all_have_suspects()).await;
 }
+
+/// Guards against reports that are lost for good because their relay was gone when they were
+/// made, before its group has noticed.
+#[tokio::test]
+async fn reports_survive_loss() {
+    let mut fleet = Fleet::start().await;
+    let (relay, member) = fleet.relay_and_member();
+    fleet.kill(&relay).await;
+    fleet.report_crash(&member, 1);
+    eventually("the crash is known to all that remain", || {
+        fleet.all_have_suspects()
+    })
+    .await;
+}
+
+/// Guards against reports that a peer never gets, because more of them were made than the
+/// queue of its link takes.
+#[tokio::test]
+async fn many_reports_arrive() {
+    const TARGETS: usize = 2_000;
+    let fleet = Fleet::start().await;
+    let (_, member) = fleet.relay_and_member();
+    for target in 0..TARGETS {
+        fleet.instances[&member]
+            .handle()
+            .report_notice(TargetNotice {
+                target: format!("t-{target}"),
+                started_at_unix_ms: 1,
+                limit_milli_per_s: None,
+                leaving: true,
+            });
+    }
+    for (name, instance) in &fleet.instances {
+        if *name == member {
+            continue;
+        }
+        let mut arrived = 0;
+        eventually("all notices have arrived", || {
+            arrived += instance.handle().take_notices().len();
+            arrived == TARGETS
+        })
+        .await;
+    }
+}
