Remove the announcements of instances that do not respond

What callers would see: after enough instances were lost for good, those that remain refuse all requests during an outage of the store, and each of them uses a share of limits that is too small.

Cause: an announcement in the store stays for good. An instance that is gone counts in the quorum that confirms an outage, among the instances that limits are divided by, and as one that may send to a target with a limit.

Change: the instances that are linked to one that does not respond for 10 s remove its announcement, after a random delay of up to 3 s, and only if the topic has not changed since they read it: of several, one succeeds, and a new announcement is never removed. An instance that reads that its announcement is gone writes it again. One that hears no other instance waits for 60 s, as it is likely the one that is cut off.

--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -1,5 +1,9 @@
 //! Announces this instance in the store, and follows the announcements of the other
 //! instances.
+//!
+//! The announcement of an instance that does not respond to those linked to it is removed,
+//! so that no relay, quorum or share counts on it. An instance that runs nevertheless
+//! announces itself again as soon as it reads of that.
 
 use std::{
     net::SocketAddr,
@@ -18,7 +22,7 @@
 use crate::{
     infra::protocol::{LiveInstance, LiveState},
     log::backoff::Backoff,
-    peer::{PeerHandle, TargetCrash},
+    peer::{PeerHandle, PeerState, TargetCrash},
     platform::{KeyedRecord, StoreClient, StoreError, Topic},
 };
 
@@ -45,6 +49,20 @@
 /// are read.
 const RESTORE_SPREAD: Duration = Duration::from_millis(10);
 
+/// Time without a response after which the announcement of an instance is removed.
+const REMOVAL_SILENCE: Duration = Duration::from_secs(10);
+
+/// The same while no other instance responds. It is then likely that this instance is the
+/// one that is cut off.
+const ISOLATED_REMOVAL_SILENCE: Duration = Duration::from_secs(60);
+
+/// Longest random delay of a removal. Most instances then read that another one has removed
+/// an announcement before they do so themselves.
+const REMOVAL_SPREAD: Duration = Duration::from_secs(3);
+
+/// Interval between two checks for instances that do not respond.
+const SILENCE_CHECK_PERIOD: Duration = Duration::from_secs(1);
+
 /// Delay after the first failed call to the store.
 const FIRST_RETRY: Duration = Duration::from_millis(100);
 
@@ -99,7 +117,7 @@
     crashes: Vec<TargetCrash>,
     /// Announcement of this instance; `None` before its incarnation is known.
     own: Option<LiveInstance>,
-    /// Whether the last snapshot lacked the announcement of this instance.
+    /// Whether the store lacks the announcement of this instance.
     is_own_missing: bool,
 }
 
@@ -136,7 +154,10 @@
         match self.follower.next_update(READ_WAIT).await {
             Err(()) => return false,
             Ok(Update::Changes(records)) if records.is_empty() => return false,
-            Ok(Update::Changes(records)) => self.apply(&records),
+            Ok(Update::Changes(records)) => {
+                self.apply(&records);
+                self.check_own();
+            }
             Ok(Update::Snapshot(records)) => {
                 self.replace(&records);
             }
@@ -164,11 +185,60 @@
     fn replace(&mut self, records: &[KeyedRecord]) -> IndexMap<Arc<str>, LiveInstance> {
         let known = std::mem::take(&mut self.members);
         self.apply(records);
+        self.check_own();
+        known
+    }
+
+    fn check_own(&mut self) {
         if let Some(own) = &self.own {
             let stored = self.members.get(&own.name);
             self.is_own_missing = stored.is_none_or(|stored| stored.incarnation < own.incarnation);
         }
-        known
+    }
+
+    /// Reads the next announcements as [`read`](Self::read) does. Returns `None` if `stop`
+    /// completes before, while this instance follows the topic without failures.
+    async fn read_until<F>(&mut self, stop: F) -> Option<bool>
+    where
+        F: Future<Output = ()>,
+    {
+        if self.follower.next_position().is_none() || self.follower.last_read_failed() {
+            return Some(self.read().await);
+        }
+        tokio::select! {
+            biased;
+            read = self.read() => Some(read),
+            () = stop => None,
+        }
+    }
+
+    /// Removes the announcements of instances that do not respond, unless the topic has
+    /// changed since the last read.
+    async fn remove(&self, store: &StoreClient, silent: &[PeerState]) {
+        let Some(at) = self.follower.next_position() else {
+            return;
+        };
+        let mut records = Vec::with_capacity(silent.len());
+        for peer in silent {
+            records.push((peer.name.to_string(), Vec::new()));
+        }
+        match store.append_all(MEMBER_TOPIC, &records, Some(at)).await {
+            Ok(_) => {
+                for peer in silent {
+                    tracing::warn!(
+                        instance = &*peer.name,
+                        incarnation = peer.incarnation,
+                        offset = at.offset,
+                        "gateway: instance does not respond; its announcement is removed"
+                    );
+                }
+            }
+            Err(error) => tracing::info!(
+                offset = at.offset,
+                instances = silent.len(),
+                "gateway: announcements of silent instances not removed: {error}"
+            ),
+        }
     }
 
     /// Keeps the announcements that a restored store lacks or has in an older state. The
@@ -184,8 +254,8 @@
 }
 
 /// Follows the announcements and passes the list of instances to the peer connections.
-/// Announces this instance again if a snapshot of the store lacks its announcement, `own`.
-/// Never returns.
+/// Announces this instance again if the store lacks its announcement, `own`, and removes the
+/// announcements of instances that do not respond. Never returns.
 pub(super) async fn follow(
     mut tail: MemberTail,
     store: StoreClient,
@@ -194,8 +264,13 @@
 ) {
     tail.own = Some(own.clone());
     loop {
-        if !tail.read().await {
-            continue;
+        match tail.read_until(any_silent(&peers)).await {
+            Some(true) => {}
+            Some(false) => continue,
+            None => {
+                remove_silent(&tail, &store, &peers).await;
+                continue;
+            }
         }
         if std::mem::take(&mut tail.is_own_missing) {
             tracing::info!(
@@ -212,6 +287,31 @@
     }
 }
 
+/// Waits until there are instances that do not respond.
+async fn any_silent(peers: &PeerHandle) {
+    while silent(peers).is_empty() {
+        sleep(SILENCE_CHECK_PERIOD).await;
+    }
+    sleep(REMOVAL_SPREAD.mul_f64(rand::random())).await;
+}
+
+/// Removes the announcements of the instances that still do not respond.
+async fn remove_silent(tail: &MemberTail, store: &StoreClient, peers: &PeerHandle) {
+    let silent = silent(peers);
+    if !silent.is_empty() {
+        tail.remove(store, &silent).await;
+    }
+}
+
+/// Returns the instances that have not responded for so long that they count as gone.
+fn silent(peers: &PeerHandle) -> Vec<PeerState> {
+    let min_silence = match peers.connected().is_empty() {
+        true => ISOLATED_REMOVAL_SILENCE,
+        false => REMOVAL_SILENCE,
+    };
+    peers.silent(min_silence)
+}
+
 fn apply_announcement(members: &mut IndexMap<Arc<str>, LiveInstance>, record: &KeyedRecord) {
     let Some(value) = &record.value else {
         members.swap_remove(&record.key);
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -43,6 +43,19 @@
         self.shared.state().reachable(Instant::now())
     }
 
+    /// Returns the listed instances that this one is linked to and that have not responded
+    /// for `min_silence` or longer.
+    pub fn silent(&self, min_silence: Duration) -> Vec<PeerState> {
+        let now = Instant::now();
+        let state = self.shared.state();
+        let mut silent = state.membership.live(now);
+        silent.retain(|peer| {
+            let silence = state.reachability.silence(&peer.name, now);
+            peer.listed && silence.is_some_and(|silence| silence >= min_silence)
+        });
+        silent
+    }
+
     /// Returns whether the platform's live list has been read at least once.
     pub fn has_live_list(&self) -> bool {
         self.shared.state().membership.has_live_list()
--- a/src/peer/reachability.rs
+++ b/src/peer/reachability.rs
@@ -122,6 +122,13 @@
             .is_some_and(|expected| expected.is_unreachable)
     }
 
+    /// Returns the time since the last frame of an instance if it is unreachable.
+    pub(super) fn silence(&self, name: &str, now: Instant) -> Option<Duration> {
+        let expected = self.expected.get(name)?;
+        let silence = now.saturating_duration_since(expected.silent_since);
+        expected.is_unreachable.then_some(silence)
+    }
+
     /// Returns the unreachable instances.
     pub(super) fn unreachable(&self) -> impl Iterator<Item = &Arc<str>> {
         let unreachable = self.expected.iter();
