Suspect each part of a prompt, and report each suspect

Cause: only the first 32 shared parts of a prompt had fingerprints, so that the part was never suspected. Beside it, an instance reported at most 256 new suspects a second and dropped the others, which six calls with 42 parts exceed.

Change: both limits are gone. A prompt's parts are limited by the size of its head.

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -22,9 +22,6 @@
     roster::Target,
 };
 
-/// Maximum number of prompt parts of a call that are suspected.
-const MAX_PARTS: usize = 32;
-
 /// A call that was sent to a target and is not answered completely.
 #[derive(Debug)]
 struct CallInFlight {
@@ -218,7 +215,7 @@
     ];
     let mut fingerprints = vec![fingerprint(&request)];
     let parts = call.prompt.iter().flat_map(Prompt::shared_parts);
-    for part in parts.take(MAX_PARTS) {
+    for part in parts {
         fingerprints.push(fingerprint(&[
             call.service.as_bytes(),
             &part.id.to_le_bytes(),
--- a/src/peer/suspects.rs
+++ b/src/peer/suspects.rs
@@ -12,11 +12,6 @@
 };
 use crate::policy::suspects::{self, CrashHistory, MAX_SHARED_CRASHES};
 
-/// Maximum number of fingerprints, not suspected before, that an instance reports or
-/// forwards in a second. A fingerprint that was in flight at an earlier crash is always
-/// reported.
-const MAX_NEW_SUSPECTS_PER_S: usize = 256;
-
 /// Maximum number of crashes that are stored or sent to a new peer.
 const MAX_STORED_CRASHES: usize = 64;
 
@@ -26,8 +21,6 @@
 /// Interval at which old crashes are forgotten, in milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 10_000;
 
-const SECOND: Duration = Duration::from_secs(1);
-
 /// A crash of a target.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetCrash {
@@ -53,21 +46,15 @@
 pub(super) struct ReportedCrashes {
     history: CrashHistory<u64>,
     started_at: Instant,
-    /// Start of the current second of [`MAX_NEW_SUSPECTS_PER_S`].
-    second_started_at: Instant,
-    new_suspects: usize,
     /// When old crashes are forgotten next.
     expires_ms: u64,
 }
 
 impl Default for ReportedCrashes {
     fn default() -> Self {
-        let now = Instant::now();
         Self {
             history: CrashHistory::default(),
-            started_at: now,
-            second_started_at: now,
-            new_suspects: 0,
+            started_at: Instant::now(),
             expires_ms: 0,
         }
     }
@@ -107,21 +94,7 @@
                 sent_ms: now_ms.saturating_sub(request.age_ms.into()),
             });
         }
-        let mut reported = self.history.record_separate_crash(boot, &sent, now_ms);
-        reported.retain(|sent| {
-            let is_new = self.history.crash_count(&sent.fingerprint) == 1;
-            !is_new || self.take_new_suspect()
-        });
-        reported
-    }
-
-    fn take_new_suspect(&mut self) -> bool {
-        if self.second_started_at.elapsed() >= SECOND {
-            self.second_started_at = Instant::now();
-            self.new_suspects = 0;
-        }
-        self.new_suspects += 1;
-        self.new_suspects <= MAX_NEW_SUSPECTS_PER_S
+        self.history.record_separate_crash(boot, &sent, now_ms)
     }
 
     fn now_ms(&self) -> u64 {
--- a/tests/crash_inducing_part.rs
+++ b/tests/crash_inducing_part.rs
@@ -199,6 +199,15 @@
     format!("{COMMON_PART}:400,{CRASHING_PART}:200,{number:x}1:300")
 }
 
+/// Returns the parts that all prompts of a session begin with.
+fn session_parts(session: usize, parts: usize) -> String {
+    let mut prefix = String::new();
+    for part in 0..parts {
+        prefix.push_str(&format!("5{session}{part:x}:3,"));
+    }
+    prefix
+}
+
 /// Guards against requests of one kind that crash engine after engine, because no
 /// instance remembers what was in flight at the crashes before.
 #[tokio::test]
@@ -222,6 +231,29 @@
     }
 }
 
+/// Guards against engines that a part far back in a prompt crashes again and again, because
+/// only the first parts of a prompt are suspected or reported.
+#[tokio::test]
+async fn far_part_suspected() {
+    const PARTS: usize = 300;
+    const SESSIONS: usize = 3;
+    let fixture = Fixture::start(2).await;
+    for number in 0..12 {
+        let session = session_parts(number % SESSIONS, PARTS);
+        let parts = format!("{session}{CRASHING_PART}:200,{number:x}1:300");
+        fixture
+            .send(number % 2, &format!("r-crashing-{number}"), &parts)
+            .await;
+        sleep(PAUSE).await;
+        let sound = format!("{session}{number:x}2:300");
+        let id = format!("r-sound-{number}");
+        let status = fixture.send(number % 2, &id, &sound).await;
+        assert_eq!(status, Some(200), "sound request {number}");
+    }
+    let crashes = fixture.engines.crashes();
+    assert!(crashes <= MAX_CRASHES, "{crashes} crashes of engines");
+}
+
 /// Guards against a request that comes again unchanged and crashes engine after engine,
 /// because no instance remembers under which requests engines crashed.
 #[tokio::test]
--- a/tests/lost_relay.rs
+++ b/tests/lost_relay.rs
@@ -171,11 +171,21 @@
     }
 
     fn report_crash(&self, at: &str, crash: u64) {
+        self.report_fingerprints(at, crash, [crash]);
+    }
+
+    fn report_fingerprints<I>(&self, at: &str, crash: u64, fingerprints: I)
+    where
+        I: IntoIterator<Item = u64>,
+    {
         let boot = format!("boot-{crash}").into();
-        let in_flight = [SentFingerprint {
-            fingerprint: crash,
-            age_ms: 0,
-        }];
+        let mut in_flight = Vec::new();
+        for fingerprint in fingerprints {
+            in_flight.push(SentFingerprint {
+                fingerprint,
+                age_ms: 0,
+            });
+        }
         self.instances[at].handle().report_crash(&boot, &in_flight);
     }
 
@@ -271,3 +281,26 @@
         .await;
     }
 }
+
+/// Guards against a fingerprint that no peer hears of, because too many others were in flight
+/// at the same crash.
+#[tokio::test]
+async fn large_reports_arrive() {
+    const CAUSE: u64 = 7;
+    const OTHERS: u64 = 2_500;
+    let fleet = Fleet::start().await;
+    let names: Vec<&Arc<str>> = fleet.instances.keys().collect();
+    for crash in 1..=3 {
+        let first = crash * OTHERS;
+        let fingerprints = (first..first + OTHERS).chain([CAUSE]);
+        fleet.report_fingerprints(names[crash as usize], crash, fingerprints);
+        // A crash counts only for requests that were sent after the one before.
+        sleep(Duration::from_millis(50)).await;
+    }
+    for instance in fleet.instances.values() {
+        eventually("the cause is known", || {
+            instance.handle().quarantine_left(&[CAUSE]).is_some()
+        })
+        .await;
+    }
+}
