--- a/src/entry/suspect.rs
+++ b/src/entry/suspect.rs
@@ -13,7 +13,10 @@
 
 use crate::{
     entry::call::Call,
-    policy::suspects::{CrashHistory, Fingerprint, MAX_CRASHES},
+    policy::{
+        crash_history::CrashHistory,
+        suspects::{Fingerprint, MAX_CRASHES},
+    },
 };
 
 /// Time of all crashes: the ledger, not this instance, decides when a quarantine ends.
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -3,7 +3,7 @@
 //! A target has crashed if an answer broke off and the target refuses a new
 //! connection. If it still accepts connections, only the connection of the answer was
 //! lost. Crashes are reported to peers, and calls that crash targets are refused (see
-//! [`crate::policy::suspects`]).
+//! [`crate::policy::crash_history`]).
 
 use std::{sync::Arc, time::Duration};
 
--- a/src/gateway/quarantine.rs
+++ b/src/gateway/quarantine.rs
@@ -19,7 +19,7 @@
     log::backoff::Backoff,
     peer::{PeerHandle, TargetCrash},
     platform::{KeyedRecord, StoreClient},
-    policy::suspects::QUARANTINE_MS,
+    policy::crash_history::QUARANTINE_MS,
 };
 
 /// Key of the record. Names of instances have no slash.
--- a/src/peer/suspects.rs
+++ b/src/peer/suspects.rs
@@ -10,7 +10,7 @@
     frames::{CrashReport, SoundReport, frame::Body},
     state::State,
 };
-use crate::policy::suspects::{self, CrashHistory, MAX_SHARED_CRASHES};
+use crate::policy::crash_history::{self, CrashHistory, MAX_SHARED_CRASHES};
 
 /// Maximum number of crashes that are stored or sent to a new peer.
 const MAX_STORED_CRASHES: usize = 64;
@@ -39,7 +39,7 @@
     pub age_ms: u32,
 }
 
-type InFlight = suspects::InFlight<u64>;
+type InFlight = crash_history::InFlight<u64>;
 
 /// Crashes that this instance knows of.
 #[derive(Debug)]
--- /dev/null
+++ b/src/policy/crash_history.rs
@@ -0,0 +1,253 @@
+//! Crashes of targets, and the fingerprints of requests that were in flight at them.
+//!
+//! A request that was in flight on a target when the target crashed is a suspect, by
+//! each of its fingerprints: one identifies the request, others a part of its prompt
+//! that other requests may share. After [`MAX_SHARED_CRASHES`] crashes, requests are refused if
+//! they carry a fingerprint that was in flight at all of these crashes, and with it
+//! everything else that was. Requests that carry only some of it still run. Each of
+//! their answers shows that what they carry does no harm, until only the cause is left.
+
+use std::{hash::Hash, sync::Arc};
+
+use indexmap::{IndexMap, IndexSet};
+
+/// Number of crashes after which requests are quarantined by what they share with others.
+/// Requests that share a frequent part may be in flight at two crashes by chance.
+pub const MAX_SHARED_CRASHES: usize = 3;
+
+/// Time after the last crash at which a quarantine ends, in milliseconds. One further
+/// crash within the same time after that restores it.
+pub const QUARANTINE_MS: u64 = 600_000;
+
+/// Maximum number of suspected fingerprints.
+const MAX_SUSPECTS: usize = 10_000;
+
+/// Maximum number of crashes that are remembered for a fingerprint.
+const MAX_REMEMBERED_CRASHES: usize = 8;
+
+/// Crashes at which a fingerprint was in flight and since which no request that carries
+/// it was answered completely.
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    /// Boots of the crashed targets. Each boot crashes at most once.
+    boots: IndexSet<Arc<str>>,
+    last_crash_ms: u64,
+}
+
+impl Suspect {
+    fn quarantine_left_ms(&self, now_ms: u64) -> Option<u64> {
+        if self.boots.len() < MAX_SHARED_CRASHES {
+            return None;
+        }
+        let ends_ms = self.last_crash_ms + QUARANTINE_MS;
+        ends_ms.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)
+    }
+
+    /// Counts a crash unless it is known. Returns whether it was counted.
+    fn count(&mut self, boot: &Arc<str>, now_ms: u64) -> bool {
+        self.last_crash_ms = now_ms;
+        if self.boots.len() >= MAX_REMEMBERED_CRASHES {
+            return false;
+        }
+        self.boots.insert(boot.clone())
+    }
+
+    /// Forgets the crashes if the last one is old. All but one of those that
+    /// led to a quarantine count for the same time again.
+    fn expire(&mut self, now_ms: u64) {
+        while !self.boots.is_empty() && now_ms >= self.last_crash_ms + QUARANTINE_MS {
+            let kept = match self.boots.len() >= MAX_SHARED_CRASHES {
+                true => MAX_SHARED_CRASHES - 1,
+                false => 0,
+            };
+            self.boots.truncate(kept);
+            self.last_crash_ms += QUARANTINE_MS;
+        }
+    }
+}
+
+/// Fingerprint of a request that was in flight at a crash.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct InFlight<F> {
+    /// The fingerprint.
+    pub fingerprint: F,
+    /// When the request was sent; the latest one if several requests carry the fingerprint.
+    pub sent_ms: u64,
+}
+
+/// Suspected fingerprints, with the crashes at which they were in flight.
+///
+/// ```
+/// use lavenderwind::policy::crash_history::CrashHistory;
+///
+/// let mut history = CrashHistory::default();
+/// history.record_crash(&"engine-1".into(), &["common", "cause"], 0);
+/// history.record_crash(&"engine-2".into(), &["common", "cause"], 700);
+/// assert!(history.quarantine_left_ms(&["common", "cause"], 700).is_none());
+/// history.record_crash(&"engine-3".into(), &["common", "cause"], 750);
+/// assert!(history.quarantine_left_ms(&["common", "cause"], 800).is_some());
+/// assert!(history.quarantine_left_ms(&["common", "other"], 800).is_none());
+/// history.clear(&["common", "other"]);
+/// assert!(history.quarantine_left_ms(&["cause"], 900).is_some());
+/// ```
+#[derive(Clone, Debug)]
+pub struct CrashHistory<F> {
+    suspects: IndexMap<F, Suspect>,
+}
+
+impl<F> Default for CrashHistory<F> {
+    fn default() -> Self {
+        Self {
+            suspects: IndexMap::new(),
+        }
+    }
+}
+
+impl<F> CrashHistory<F>
+where
+    F: Clone + Eq + Hash,
+{
+    /// Records a crash at which requests with these fingerprints were in flight. Returns
+    /// the fingerprints for which the crash was not known yet.
+    pub fn record_crash(&mut self, boot: &Arc<str>, fingerprints: &[F], now_ms: u64) -> Vec<F> {
+        let mut counted = Vec::new();
+        for fingerprint in fingerprints {
+            if self.count(boot, fingerprint, now_ms, None) {
+                counted.push(fingerprint.clone());
+            }
+        }
+        counted
+    }
+
+    /// Records a crash as [`Self::record_crash`] does, except that it counts only for
+    /// fingerprints of requests that were sent after the last crash that counted.
+    ///
+    /// Targets that fail together for another reason, such as the loss of a failure domain,
+    /// thus count once for a frequent part: requests with it were in flight on several of
+    /// them.
+    pub fn record_separate_crash(
+        &mut self,
+        boot: &Arc<str>,
+        in_flight: &[InFlight<F>],
+        now_ms: u64,
+    ) -> Vec<InFlight<F>> {
+        let mut counted = Vec::new();
+        for sent in in_flight {
+            if self.count(boot, &sent.fingerprint, now_ms, Some(sent.sent_ms)) {
+                counted.push(sent.clone());
+            }
+        }
+        counted
+    }
+
+    fn count(
+        &mut self,
+        boot: &Arc<str>,
+        fingerprint: &F,
+        now_ms: u64,
+        sent_ms: Option<u64>,
+    ) -> bool {
+        if !self.suspects.contains_key(fingerprint) {
+            self.make_room();
+        }
+        let suspect = self.suspects.entry(fingerprint.clone()).or_default();
+        suspect.expire(now_ms);
+        let was_sent_before = !suspect.boots.is_empty()
+            && sent_ms.is_some_and(|sent_ms| sent_ms <= suspect.last_crash_ms);
+        if was_sent_before || suspect.boots.contains(boot) {
+            return false;
+        }
+        suspect.count(boot, now_ms)
+    }
+
+    /// Records that a request with these fingerprints was answered completely. Returns
+    /// those that were suspected.
+    pub fn clear(&mut self, fingerprints: &[F]) -> Vec<F> {
+        let mut cleared = Vec::new();
+        for fingerprint in fingerprints {
+            if self.suspects.swap_remove(fingerprint).is_some() {
+                cleared.push(fingerprint.clone());
+            }
+        }
+        cleared
+    }
+
+    /// Forgets crashes that are old.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.suspects.retain(|_, suspect| {
+            suspect.expire(now_ms);
+            !suspect.boots.is_empty()
+        });
+    }
+
+    /// Returns whether no fingerprint is suspected.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Returns the number of crashes at which a fingerprint was in flight.
+    #[must_use]
+    pub fn crash_count(&self, fingerprint: &F) -> usize {
+        let suspect = self.suspects.get(fingerprint);
+        suspect.map_or(0, |suspect| suspect.boots.len())
+    }
+
+    /// Returns the time for which requests with these fingerprints are refused, in
+    /// milliseconds, or `None` if they may run.
+    #[must_use]
+    pub fn quarantine_left_ms(&self, fingerprints: &[F], now_ms: u64) -> Option<u64> {
+        let mut longest_ms = None;
+        for fingerprint in fingerprints {
+            let Some(suspect) = self.suspects.get(fingerprint) else {
+                continue;
+            };
+            let Some(left_ms) = suspect.quarantine_left_ms(now_ms) else {
+                continue;
+            };
+            if self.carries_whole_cause(fingerprints, suspect) {
+                longest_ms = longest_ms.max(Some(left_ms));
+            }
+        }
+        longest_ms
+    }
+
+    /// Returns the crashes of all fingerprints that were in flight at `min_crashes` or more,
+    /// by boot.
+    #[must_use]
+    pub fn crashes(&self, min_crashes: usize) -> IndexMap<Arc<str>, Vec<F>> {
+        let mut crashes: IndexMap<Arc<str>, Vec<F>> = IndexMap::new();
+        for (fingerprint, suspect) in &self.suspects {
+            if suspect.boots.len() < min_crashes {
+                continue;
+            }
+            for boot in &suspect.boots {
+                let fingerprints = crashes.entry(boot.clone()).or_default();
+                fingerprints.push(fingerprint.clone());
+            }
+        }
+        crashes
+    }
+
+    /// Returns whether `fingerprints` contain everything that was in flight at all
+    /// crashes of a suspect.
+    fn carries_whole_cause(&self, fingerprints: &[F], suspect: &Suspect) -> bool {
+        for (other_fingerprint, other) in &self.suspects {
+            let was_at_all = suspect.boots.is_subset(&other.boots);
+            if was_at_all && !fingerprints.contains(other_fingerprint) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Removes the oldest suspect that is not quarantined if there are too many.
+    fn make_room(&mut self) {
+        if self.suspects.len() < MAX_SUSPECTS {
+            return;
+        }
+        let mut suspects = self.suspects.values();
+        let oldest = suspects.position(|suspect| suspect.boots.len() < MAX_SHARED_CRASHES);
+        self.suspects.shift_remove_index(oldest.unwrap_or(0));
+    }
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,7 @@
 pub mod baseline;
 pub mod breaker;
 pub mod cache_locality;
+pub mod crash_history;
 pub mod decode;
 pub mod engine_profile;
 pub mod limits;
--- a/tests/suspect_parts.rs
+++ b/tests/suspect_parts.rs
@@ -7,7 +7,9 @@
     arbtest,
 };
 use indexmap::IndexMap;
-use lavenderwind::policy::suspects::{CrashHistory, InFlight, MAX_SHARED_CRASHES, QUARANTINE_MS};
+use lavenderwind::policy::crash_history::{
+    CrashHistory, InFlight, MAX_SHARED_CRASHES, QUARANTINE_MS,
+};
 
 const SEEDS: std::ops::Range<u64> = 0..50;
 /// Number of random bytes of a run, in the lower half of an `arbtest` seed.
