Keep suspects and their crashes without bounds that lose the cause

A record of 64 crashes was stored for a restart of all instances.

Change: 100,000 crashes are remembered, counted for each suspect. Beyond that, the suspects of the fewest crashes are forgotten, the oldest first, with a log line and a counter. No bound for a single suspect. A search for the cause looks only at suspects that were at three crashes. 4,000 crashes, counted likewise, are stored, the newest suspects first, each with all its crashes.

--- a/src/peer/suspects.rs
+++ b/src/peer/suspects.rs
@@ -12,8 +12,9 @@
 };
 use crate::policy::crash_history::{self, CrashHistory, MAX_SHARED_CRASHES};
 
-/// Maximum number of crashes that are stored or sent to a new peer.
-const MAX_STORED_CRASHES: usize = 64;
+/// Maximum number of crashes that are stored, each fingerprint's counted separately, so that
+/// they fit into one record.
+const MAX_STORED_CRASHES: usize = 4_000;
 
 /// Maximum number of fingerprints in one report to a peer.
 const MAX_REPORT_FINGERPRINTS: usize = 16_384;
@@ -48,6 +49,8 @@
     started_at: Instant,
     /// When old crashes are forgotten next.
     expires_ms: u64,
+    /// Number of suspects that had been forgotten then because there were too many.
+    forgotten: u64,
 }
 
 impl Default for ReportedCrashes {
@@ -56,6 +59,7 @@
             history: CrashHistory::default(),
             started_at: Instant::now(),
             expires_ms: 0,
+            forgotten: 0,
         }
     }
 }
@@ -66,12 +70,22 @@
         self.history.is_empty()
     }
 
-    /// Forgets crashes that are old.
+    /// Forgets crashes that are old, and tells if some were forgotten before.
     pub(super) fn expire(&mut self) {
         let now_ms = self.now_ms();
-        if now_ms >= self.expires_ms {
-            self.history.expire(now_ms);
-            self.expires_ms = now_ms + EXPIRY_INTERVAL_MS;
+        if now_ms < self.expires_ms {
+            return;
+        }
+        self.history.expire(now_ms);
+        self.expires_ms = now_ms + EXPIRY_INTERVAL_MS;
+        let forgotten = self.history.forgotten();
+        let since_last = forgotten - std::mem::replace(&mut self.forgotten, forgotten);
+        if since_last > 0 {
+            tracing::warn!(
+                suspects = since_last,
+                "peer: too many suspects; those of the fewest crashes are forgotten"
+            );
+            metrics::counter!("peer_suspects_forgotten_total").increment(since_last);
         }
     }
 
@@ -195,9 +209,9 @@
 
     /// Returns the newest crashes that have led to a quarantine.
     pub(super) fn quarantined_crashes(&self) -> Vec<TargetCrash> {
+        let history = &self.crashes.history;
         let mut crashes = Vec::new();
-        let by_boot = self.crashes.history.crashes(MAX_SHARED_CRASHES);
-        for (boot, fingerprints) in by_boot.into_iter().rev().take(MAX_STORED_CRASHES) {
+        for (boot, fingerprints) in history.quarantined_crashes(MAX_STORED_CRASHES) {
             crashes.push(TargetCrash { boot, fingerprints });
         }
         crashes
@@ -206,7 +220,7 @@
     /// Returns the frames that tell a peer about all suspects.
     pub(super) fn suspect_frames(&self) -> Vec<Body> {
         let mut frames = Vec::new();
-        for (boot, fingerprints) in self.crashes.history.crashes(1) {
+        for (boot, fingerprints) in self.crashes.history.crashes() {
             for fingerprints in fingerprints.chunks(MAX_REPORT_FINGERPRINTS) {
                 frames.push(Body::CrashReport(CrashReport {
                     boot: boot.to_string(),
--- a/src/policy/crash_history.rs
+++ b/src/policy/crash_history.rs
@@ -7,7 +7,7 @@
 //! everything else that was. Requests that carry only some of it still run. Each of
 //! their answers shows that what they carry does no harm, until only the cause is left.
 
-use std::{hash::Hash, sync::Arc};
+use std::{cmp::Reverse, hash::Hash, sync::Arc};
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -19,44 +19,46 @@
 /// crash within the same time after that restores it.
 pub const QUARANTINE_MS: u64 = 600_000;
 
-/// Maximum number of suspected fingerprints.
-const MAX_SUSPECTS: usize = 10_000;
+/// Maximum number of crashes that are remembered, each fingerprint's counted separately.
+/// The parts of a few hundred long prompts take a tenth of it.
+pub const MAX_REMEMBERED: usize = 100_000;
 
-/// Maximum number of crashes that are remembered for a fingerprint.
-const MAX_REMEMBERED_CRASHES: usize = 8;
+/// Share of [`MAX_REMEMBERED`] that is left after crashes were forgotten to make room.
+const KEPT_SHARE: f64 = 0.75;
 
 /// Crashes at which a fingerprint was in flight and since which no request that carries
 /// it was answered completely.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     /// Boots of the crashed targets. Each boot crashes at most once.
-    boots: IndexSet<Arc<str>>,
+    boots: Vec<Arc<str>>,
     last_crash_ms: u64,
 }
 
 impl Suspect {
+    fn is_quarantinable(&self) -> bool {
+        self.boots.len() >= MAX_SHARED_CRASHES
+    }
+
     fn quarantine_left_ms(&self, now_ms: u64) -> Option<u64> {
-        if self.boots.len() < MAX_SHARED_CRASHES {
+        if !self.is_quarantinable() {
             return None;
         }
         let ends_ms = self.last_crash_ms + QUARANTINE_MS;
         ends_ms.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)
     }
 
-    /// Counts a crash unless it is known. Returns whether it was counted.
-    fn count(&mut self, boot: &Arc<str>, now_ms: u64) -> bool {
-        self.last_crash_ms = now_ms;
-        if self.boots.len() >= MAX_REMEMBERED_CRASHES {
-            return false;
-        }
-        self.boots.insert(boot.clone())
+    /// Returns whether this suspect was in flight at all crashes of another one.
+    fn was_at_all(&self, other: &Self) -> bool {
+        let mut boots = other.boots.iter();
+        self.boots.len() >= other.boots.len() && boots.all(|boot| self.boots.contains(boot))
     }
 
     /// Forgets the crashes if the last one is old. All but one of those that
     /// led to a quarantine count for the same time again.
     fn expire(&mut self, now_ms: u64) {
         while !self.boots.is_empty() && now_ms >= self.last_crash_ms + QUARANTINE_MS {
-            let kept = match self.boots.len() >= MAX_SHARED_CRASHES {
+            let kept = match self.is_quarantinable() {
                 true => MAX_SHARED_CRASHES - 1,
                 false => 0,
             };
@@ -93,12 +95,21 @@
 #[derive(Clone, Debug)]
 pub struct CrashHistory<F> {
     suspects: IndexMap<F, Suspect>,
+    /// Suspects with enough crashes for a quarantine.
+    quarantinable: IndexSet<F>,
+    /// Sum of the crashes of all suspects.
+    remembered: usize,
+    /// Number of suspects that were forgotten to make room.
+    forgotten: u64,
 }
 
 impl<F> Default for CrashHistory<F> {
     fn default() -> Self {
         Self {
             suspects: IndexMap::new(),
+            quarantinable: IndexSet::new(),
+            remembered: 0,
+            forgotten: 0,
         }
     }
 }
@@ -147,17 +158,18 @@
         now_ms: u64,
         sent_ms: Option<u64>,
     ) -> bool {
-        if !self.suspects.contains_key(fingerprint) {
-            self.make_room();
-        }
-        let suspect = self.suspects.entry(fingerprint.clone()).or_default();
+        let mut suspect = self.take(fingerprint).unwrap_or_default();
         suspect.expire(now_ms);
         let was_sent_before = !suspect.boots.is_empty()
             && sent_ms.is_some_and(|sent_ms| sent_ms <= suspect.last_crash_ms);
-        if was_sent_before || suspect.boots.contains(boot) {
-            return false;
+        let counts = !was_sent_before && !suspect.boots.contains(boot);
+        if counts {
+            suspect.boots.push(boot.clone());
+            suspect.last_crash_ms = now_ms;
         }
-        suspect.count(boot, now_ms)
+        self.put(fingerprint, suspect);
+        self.make_room();
+        counts
     }
 
     /// Records that a request with these fingerprints was answered completely. Returns
@@ -165,7 +177,7 @@
     pub fn clear(&mut self, fingerprints: &[F]) -> Vec<F> {
         let mut cleared = Vec::new();
         for fingerprint in fingerprints {
-            if self.suspects.swap_remove(fingerprint).is_some() {
+            if self.take(fingerprint).is_some() {
                 cleared.push(fingerprint.clone());
             }
         }
@@ -174,10 +186,34 @@
 
     /// Forgets crashes that are old.
     pub fn expire(&mut self, now_ms: u64) {
-        self.suspects.retain(|_, suspect| {
+        self.quarantinable.clear();
+        self.remembered = 0;
+        for (fingerprint, mut suspect) in std::mem::take(&mut self.suspects) {
             suspect.expire(now_ms);
-            !suspect.boots.is_empty()
-        });
+            self.put(&fingerprint, suspect);
+        }
+    }
+
+    /// Removes a suspect.
+    fn take(&mut self, fingerprint: &F) -> Option<Suspect> {
+        let suspect = self.suspects.swap_remove(fingerprint)?;
+        self.remembered -= suspect.boots.len();
+        if suspect.is_quarantinable() {
+            self.quarantinable.swap_remove(fingerprint);
+        }
+        Some(suspect)
+    }
+
+    /// Adds a suspect that was removed or is new, if it has crashes.
+    fn put(&mut self, fingerprint: &F, suspect: Suspect) {
+        if suspect.boots.is_empty() {
+            return;
+        }
+        self.remembered += suspect.boots.len();
+        if suspect.is_quarantinable() {
+            self.quarantinable.insert(fingerprint.clone());
+        }
+        self.suspects.insert(fingerprint.clone(), suspect);
     }
 
     /// Returns whether no fingerprint is suspected.
@@ -212,42 +248,85 @@
         longest_ms
     }
 
-    /// Returns the crashes of all fingerprints that were in flight at `min_crashes` or more,
-    /// by boot.
+    /// Returns the crashes of all suspects, by boot.
     #[must_use]
-    pub fn crashes(&self, min_crashes: usize) -> IndexMap<Arc<str>, Vec<F>> {
-        let mut crashes: IndexMap<Arc<str>, Vec<F>> = IndexMap::new();
-        for (fingerprint, suspect) in &self.suspects {
-            if suspect.boots.len() < min_crashes {
-                continue;
-            }
-            for boot in &suspect.boots {
-                let fingerprints = crashes.entry(boot.clone()).or_default();
-                fingerprints.push(fingerprint.clone());
-            }
+    pub fn crashes(&self) -> IndexMap<Arc<str>, Vec<F>> {
+        by_boot(self.suspects.iter())
+    }
+
+    /// Returns the crashes of the suspects that have led to a quarantine, by boot. If there
+    /// are more than `max_crashes`, counted for each suspect, those of the oldest suspects
+    /// are left out.
+    #[must_use]
+    pub fn quarantined_crashes(&self, max_crashes: usize) -> IndexMap<Arc<str>, Vec<F>> {
+        let mut quarantined: Vec<(&F, &Suspect)> = Vec::new();
+        for fingerprint in &self.quarantinable {
+            quarantined.push((fingerprint, &self.suspects[fingerprint]));
         }
-        crashes
+        quarantined.sort_by_key(|(_, suspect)| Reverse(suspect.last_crash_ms));
+        let mut crashes = 0;
+        let newest = quarantined.into_iter().take_while(|(_, suspect)| {
+            crashes += suspect.boots.len();
+            crashes <= max_crashes
+        });
+        by_boot(newest)
+    }
+
+    /// Returns the number of suspects that were forgotten because there were too many.
+    #[must_use]
+    pub fn forgotten(&self) -> u64 {
+        self.forgotten
     }
 
     /// Returns whether `fingerprints` contain everything that was in flight at all
     /// crashes of a suspect.
     fn carries_whole_cause(&self, fingerprints: &[F], suspect: &Suspect) -> bool {
-        for (other_fingerprint, other) in &self.suspects {
-            let was_at_all = suspect.boots.is_subset(&other.boots);
-            if was_at_all && !fingerprints.contains(other_fingerprint) {
+        for other in &self.quarantinable {
+            let was_at_all = self.suspects[other].was_at_all(suspect);
+            if was_at_all && !fingerprints.contains(other) {
                 return false;
             }
         }
         true
     }
 
-    /// Removes the oldest suspect that is not quarantined if there are too many.
+    /// Forgets suspects if there are too many crashes: those with the fewest crashes, the
+    /// oldest of them first.
     fn make_room(&mut self) {
-        if self.suspects.len() < MAX_SUSPECTS {
+        if self.remembered <= MAX_REMEMBERED {
             return;
         }
-        let mut suspects = self.suspects.values();
-        let oldest = suspects.position(|suspect| suspect.boots.len() < MAX_SHARED_CRASHES);
-        self.suspects.shift_remove_index(oldest.unwrap_or(0));
+        let mut order: Vec<(usize, u64, F)> = Vec::with_capacity(self.suspects.len());
+        for (fingerprint, suspect) in &self.suspects {
+            order.push((
+                suspect.boots.len(),
+                suspect.last_crash_ms,
+                fingerprint.clone(),
+            ));
+        }
+        order.sort_by_key(|(crashes, last_crash_ms, _)| (*crashes, *last_crash_ms));
+        let kept = (MAX_REMEMBERED as f64 * KEPT_SHARE) as usize;
+        for (_, _, fingerprint) in order {
+            if self.remembered <= kept {
+                break;
+            }
+            self.take(&fingerprint);
+            self.forgotten += 1;
+        }
+    }
+}
+
+fn by_boot<'a, F, I>(suspects: I) -> IndexMap<Arc<str>, Vec<F>>
+where
+    F: Clone + 'a,
+    I: Iterator<Item = (&'a F, &'a Suspect)>,
+{
+    let mut crashes: IndexMap<Arc<str>, Vec<F>> = IndexMap::new();
+    for (fingerprint, suspect) in suspects {
+        for boot in &suspect.boots {
+            let fingerprints = crashes.entry(boot.clone()).or_default();
+            fingerprints.push(fingerprint.clone());
+        }
     }
+    crashes
 }
--- a/tests/lost_relay.rs
+++ b/tests/lost_relay.rs
@@ -287,7 +287,7 @@
 #[tokio::test]
 async fn large_reports_arrive() {
     const CAUSE: u64 = 7;
-    const OTHERS: u64 = 2_500;
+    const OTHERS: u64 = 20_000;
     let fleet = Fleet::start().await;
     let names: Vec<&Arc<str>> = fleet.instances.keys().collect();
     for crash in 1..=3 {
--- a/tests/suspect_parts.rs
+++ b/tests/suspect_parts.rs
@@ -8,7 +8,7 @@
 };
 use indexmap::IndexMap;
 use lavenderwind::policy::crash_history::{
-    CrashHistory, InFlight, MAX_SHARED_CRASHES, QUARANTINE_MS,
+    CrashHistory, InFlight, MAX_REMEMBERED, MAX_SHARED_CRASHES, QUARANTINE_MS,
 };
 
 const SEEDS: std::ops::Range<u64> = 0..50;
@@ -255,3 +255,49 @@
     assert!(history.record_crash(&boot, &[CAUSE], 1).is_empty());
     assert_eq!(history.quarantine_left_ms(&[CAUSE], 2), None);
 }
+
+/// Guards against a cause that is forgotten because many other parts were in flight at the
+/// same crashes.
+#[test]
+fn cause_kept_among_many() {
+    const OTHERS: u32 = 30_000;
+    let mut history = CrashHistory::default();
+    for crash in 1..=3 {
+        let first = 10_000 + crash * OTHERS;
+        let mut fingerprints = vec![CAUSE];
+        fingerprints.extend(first..first + OTHERS);
+        history.record_crash(&format!("boot-{crash}").into(), &fingerprints, crash.into());
+    }
+    assert!(history.quarantine_left_ms(&[CAUSE], 4).is_some());
+}
+
+/// Guards against parts that are taken for the whole cause of more crashes than are
+/// remembered for each of them.
+#[test]
+fn long_series_attributed() {
+    const COMPANION: u32 = 7;
+    let mut history = CrashHistory::default();
+    for crash in 0..12 {
+        let boot = format!("boot-{crash}").into();
+        history.record_crash(&boot, &[CAUSE, COMPANION], crash);
+    }
+    assert_eq!(history.quarantine_left_ms(&[CAUSE], 20), None);
+    history.record_crash(&"boot-alone".into(), &[CAUSE], 20);
+    assert!(history.quarantine_left_ms(&[CAUSE], 21).is_some());
+    assert_eq!(history.quarantine_left_ms(&[COMPANION], 21), None);
+}
+
+/// Suspects have a bound, within which those that were at several crashes are kept.
+#[test]
+fn suspects_bounded() {
+    let mut history = CrashHistory::default();
+    for crash in 0..2 {
+        history.record_crash(&format!("boot-{crash}").into(), &[CAUSE], crash);
+    }
+    let many: Vec<u32> = (10_000..).take(2 * MAX_REMEMBERED).collect();
+    history.record_crash(&"boot-many".into(), &many, 2);
+    assert!(history.forgotten() > 0);
+    assert_eq!(history.crash_count(&CAUSE), 2);
+    let crashes: usize = history.crashes().values().map(Vec::len).sum();
+    assert!(crashes <= MAX_REMEMBERED, "{crashes} crashes remembered");
+}
