Count each crash for what was not answered meanwhile

Cause: a crash counted only for requests that were sent after the last one that counted, so that all crashes of a burst were one.

Change: a crash counts for a fingerprint unless a request with it was answered completely since a second before the request was sent, at any instance. A part that crashes targets is never answered, a frequent part all the time. Answers of the last 60 s are remembered (`policy/recent_answers.rs`); crash reports and reports of answers carry ages, and an instance that gets a report of something that it has answered says so. Crashes at the same moment count each.

Tests: suspect_parts::burst_crashes_count_each, crash_inducing_part:: burst_crashes_bounded (FAILED before: the second burst was not refused). The other side: lost_domain_refuses_nobody, simultaneous_crashes_count_once (as it was) and lost_engines_refuse_nobody FAIL if answers are passed over (trial).

--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -122,7 +122,7 @@
         let Some(peers) = self.state.peers() else {
             return;
         };
-        if peers.has_suspects() && peers.report_sound(fingerprints(call)) {
+        if peers.report_answer(fingerprints(call)) {
             self.state.quarantine_changed.notify_one();
         }
     }
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -19,7 +19,7 @@
     membership::PeerIdentity,
     quarantine::QuarantinedRequest,
     shared::Shared,
-    suspects::{SentFingerprint, TargetCrash},
+    suspects::SentFingerprint,
     usage::Source,
 };
 use crate::log::records::UsageSlice;
@@ -203,9 +203,8 @@
                 Ok(())
             }
             Body::SoundReport(report) => {
-                let from = Some(&*self.peer.name);
                 let mut state = self.shared.state();
-                state.clear_suspects(&report.fingerprints, from);
+                state.add_sound_report(&report, &self.peer.name);
                 Ok(())
             }
             Body::TargetNotice(notice) => {
@@ -248,24 +247,15 @@
     }
 
     fn handle_crash_report(&self, report: CrashReport) {
-        let boot = report.boot.into();
-        let mut state = self.shared.state();
-        if report.counts {
-            let crash = TargetCrash {
-                boot,
-                fingerprints: report.fingerprints,
-            };
-            state.add_known_crash(&crash, &self.peer.name);
-            return;
-        }
         let mut in_flight = Vec::with_capacity(report.fingerprints.len());
-        for (&fingerprint, &age_ms) in report.fingerprints.iter().zip(&report.sent_ages_ms) {
+        for (index, &fingerprint) in report.fingerprints.iter().enumerate() {
             in_flight.push(SentFingerprint {
                 fingerprint,
-                age_ms,
+                age_ms: report.sent_ages_ms.get(index).copied().unwrap_or(0),
             });
         }
-        state.add_crash(&boot, &in_flight, Some(&self.peer.name));
+        let mut state = self.shared.state();
+        state.add_crash(&report.boot.into(), &in_flight, Some(&self.peer.name));
     }
 
     fn handle_usage_copy(&self, copy: &UsageCopy) -> Result<()> {
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -168,10 +168,10 @@
     }
 
     /// Records that a request with these fingerprints was answered completely, so that
-    /// they are no longer suspected to crash targets, and reports it to peers. Returns
-    /// whether requests were quarantined for any.
-    pub fn report_sound(&self, fingerprints: &[u64]) -> bool {
-        self.shared.state().clear_suspects(fingerprints, None)
+    /// they are not suspected to crash targets, and reports it to peers that suspect them.
+    /// Returns whether requests were quarantined for any.
+    pub fn report_answer(&self, fingerprints: &[u64]) -> bool {
+        self.shared.state().add_answer(fingerprints)
     }
 
     /// Records crashes that this or another instance has stored, without reporting them.
--- a/src/peer/lavenderwind.peer.rs
+++ b/src/peer/lavenderwind.peer.rs
@@ -215,10 +215,6 @@
     pub boot: ::prost::alloc::string::String,
     #[prost(fixed64, repeated, tag = "2")]
     pub fingerprints: ::prost::alloc::vec::Vec<u64>,
-    /// Whether the crash counts whenever the report arrives. Set in reports that tell a peer
-    /// all that the sender knows.
-    #[prost(bool, tag = "3")]
-    pub counts: bool,
     /// Time since the latest request with each fingerprint was sent, in milliseconds.
     #[prost(uint32, repeated, tag = "4")]
     pub sent_ages_ms: ::prost::alloc::vec::Vec<u32>,
@@ -229,6 +225,9 @@
 pub struct SoundReport {
     #[prost(fixed64, repeated, tag = "1")]
     pub fingerprints: ::prost::alloc::vec::Vec<u64>,
+    /// Time since the last answer with each fingerprint, in milliseconds.
+    #[prost(uint32, repeated, tag = "2")]
+    pub ages_ms: ::prost::alloc::vec::Vec<u32>,
 }
 /// What a target has said in its latest answer.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/src/peer/suspects.rs
+++ b/src/peer/suspects.rs
@@ -41,6 +41,8 @@
 }
 
 type InFlight = crash_history::InFlight<u64>;
+type Answered = crash_history::Answered<u64>;
+type CountedCrash = crash_history::CountedCrash<u64>;
 
 /// Crashes that this instance knows of.
 #[derive(Debug)]
@@ -98,8 +100,7 @@
         Some(Duration::from_millis(left_ms))
     }
 
-    /// Records a crash. Returns the fingerprints that are reported to peers.
-    fn record_crash(&mut self, boot: &Arc<str>, in_flight: &[SentFingerprint]) -> Vec<InFlight> {
+    fn record_crash(&mut self, boot: &Arc<str>, in_flight: &[SentFingerprint]) -> CountedCrash {
         let now_ms = self.now_ms();
         let mut sent = Vec::with_capacity(in_flight.len());
         for request in in_flight {
@@ -108,12 +109,45 @@
                 sent_ms: now_ms.saturating_sub(request.age_ms.into()),
             });
         }
-        self.history.record_separate_crash(boot, &sent, now_ms)
+        self.history.record_timed_crash(boot, &sent, now_ms)
+    }
+
+    /// Returns whether requests are quarantined for one of these fingerprints, or would be
+    /// if they carried no other suspect.
+    fn any_quarantined<'a, I>(&self, fingerprints: I) -> bool
+    where
+        I: IntoIterator<Item = &'a u64>,
+    {
+        let mut fingerprints = fingerprints.into_iter();
+        fingerprints.any(|found| self.history.crash_count(found) >= MAX_SHARED_CRASHES)
+    }
+
+    /// Returns the time since `at_ms`, in milliseconds.
+    fn age_ms(&self, at_ms: u64) -> u32 {
+        let age_ms = self.now_ms().saturating_sub(at_ms);
+        u32::try_from(age_ms).unwrap_or(u32::MAX)
     }
 
     fn now_ms(&self) -> u64 {
         self.started_at.elapsed().as_millis() as u64
     }
+
+    /// Returns the frames that report a crash.
+    fn crash_frames(&self, boot: &str, in_flight: &[InFlight]) -> Vec<Body> {
+        let mut frames = Vec::new();
+        for in_flight in in_flight.chunks(MAX_REPORT_FINGERPRINTS) {
+            let mut report = CrashReport {
+                boot: boot.to_owned(),
+                ..CrashReport::default()
+            };
+            for sent in in_flight {
+                report.fingerprints.push(sent.fingerprint);
+                report.sent_ages_ms.push(self.age_ms(sent.sent_ms));
+            }
+            frames.push(Body::CrashReport(report));
+        }
+        frames
+    }
 }
 
 impl State {
@@ -126,92 +160,92 @@
         in_flight: &[SentFingerprint],
         from: Option<&str>,
     ) -> bool {
-        let reported = self.crashes.record_crash(boot, in_flight);
+        let crash = self.crashes.record_crash(boot, in_flight);
         if let Some(from) = from {
             tracing::info!(
                 boot = &**boot,
                 from,
                 fingerprints = in_flight.len(),
-                counted = reported.len(),
+                counted = crash.counted.len(),
+                answered = crash.answered.len(),
                 "peer: crash of a target reported"
             );
+            // The peer that counts these fingerprints does not know of the answers.
+            self.report_answered(&crash.answered);
         }
-        if reported.is_empty() {
-            return false;
+        for frame in self.crashes.crash_frames(boot, &crash.counted) {
+            self.reports.push(frame, from);
         }
-        let now_ms = self.crashes.now_ms();
-        let mut is_quarantined = false;
-        for reported in reported.chunks(MAX_REPORT_FINGERPRINTS) {
-            let mut report = CrashReport {
-                boot: boot.to_string(),
-                ..CrashReport::default()
-            };
-            for sent in reported {
-                let age_ms = now_ms.saturating_sub(sent.sent_ms);
-                let age_ms = u32::try_from(age_ms).unwrap_or(u32::MAX);
-                report.fingerprints.push(sent.fingerprint);
-                report.sent_ages_ms.push(age_ms);
-                let crashes = self.crashes.history.crash_count(&sent.fingerprint);
-                is_quarantined |= crashes >= MAX_SHARED_CRASHES;
+        let counted = crash.counted.iter().map(|sent| &sent.fingerprint);
+        self.crashes.any_quarantined(counted)
+    }
+
+    fn report_answered(&mut self, answered: &[Answered]) {
+        for answered in answered.chunks(MAX_REPORT_FINGERPRINTS) {
+            let mut report = SoundReport::default();
+            for answered in answered {
+                report.fingerprints.push(answered.fingerprint);
+                report
+                    .ages_ms
+                    .push(self.crashes.age_ms(answered.answered_ms));
             }
-            self.reports.push(Body::CrashReport(report), from);
+            self.reports.push(Body::SoundReport(report), None);
         }
-        is_quarantined
     }
 
-    /// Records that a request with these fingerprints was answered completely. Peers are
-    /// told which of them are no longer suspected; `from` is the peer that reported it, if
-    /// any did. Returns whether requests were quarantined for any.
-    pub(super) fn clear_suspects(&mut self, fingerprints: &[u64], from: Option<&str>) -> bool {
-        let history = &mut self.crashes.history;
-        let mut counts = fingerprints.iter().map(|found| history.crash_count(found));
-        let was_quarantined = counts.any(|crashes| crashes >= MAX_SHARED_CRASHES);
-        let cleared = history.clear(fingerprints);
+    /// Records that this instance has answered a request with these fingerprints completely.
+    /// Peers are told which of them are no longer suspected. Returns whether requests were
+    /// quarantined for any.
+    pub(super) fn add_answer(&mut self, fingerprints: &[u64]) -> bool {
+        let now_ms = self.crashes.now_ms();
+        let was_quarantined = self.crashes.any_quarantined(fingerprints);
+        let cleared = self.crashes.history.record_answer(fingerprints, now_ms);
         if cleared.is_empty() {
             return false;
         }
         let report = SoundReport {
+            ages_ms: vec![0; cleared.len()],
             fingerprints: cleared,
         };
-        self.reports.push(Body::SoundReport(report), from);
+        self.reports.push(Body::SoundReport(report), None);
         was_quarantined
     }
 
-    /// Records crashes that this or another instance has stored.
-    pub(super) fn restore_crashes(&mut self, crashes: &[TargetCrash]) {
-        for crash in crashes {
-            self.record_known(crash);
+    /// Records that peers have answered requests completely. Other peers are told of those
+    /// that were suspected here.
+    pub(super) fn add_sound_report(&mut self, report: &SoundReport, from: &str) {
+        let now_ms = self.crashes.now_ms();
+        let mut cleared = SoundReport::default();
+        for (index, fingerprint) in report.fingerprints.iter().enumerate() {
+            let age_ms = report.ages_ms.get(index).copied().unwrap_or(0);
+            let answered_ms = now_ms.saturating_sub(age_ms.into());
+            let fingerprints = std::slice::from_ref(fingerprint);
+            let history = &mut self.crashes.history;
+            if !history.record_answer(fingerprints, answered_ms).is_empty() {
+                cleared.fingerprints.push(*fingerprint);
+                cleared.ages_ms.push(age_ms);
+            }
         }
-    }
-
-    /// Records a crash that the peer `from` knew before, and tells other peers what they may
-    /// not know yet.
-    pub(super) fn add_known_crash(&mut self, crash: &TargetCrash, from: &str) {
-        let counted = self.record_known(crash);
-        if counted.is_empty() {
-            return;
+        if !cleared.fingerprints.is_empty() {
+            self.reports.push(Body::SoundReport(cleared), Some(from));
         }
-        let report = CrashReport {
-            boot: crash.boot.to_string(),
-            fingerprints: counted,
-            counts: true,
-            sent_ages_ms: Vec::new(),
-        };
-        self.reports.push(Body::CrashReport(report), Some(from));
     }
 
-    /// Records a crash whenever it was. Returns the fingerprints for which it was not known.
-    fn record_known(&mut self, crash: &TargetCrash) -> Vec<u64> {
+    /// Records crashes that this or another instance has stored.
+    pub(super) fn restore_crashes(&mut self, crashes: &[TargetCrash]) {
         let now_ms = self.crashes.now_ms();
         let history = &mut self.crashes.history;
-        history.record_crash(&crash.boot, &crash.fingerprints, now_ms)
+        for crash in crashes {
+            history.record_crash(&crash.boot, &crash.fingerprints, now_ms);
+        }
     }
 
     /// Returns the newest crashes that have led to a quarantine.
     pub(super) fn quarantined_crashes(&self) -> Vec<TargetCrash> {
         let history = &self.crashes.history;
         let mut crashes = Vec::new();
-        for (boot, fingerprints) in history.quarantined_crashes(MAX_STORED_CRASHES) {
+        for (boot, in_flight) in history.quarantined_crashes(MAX_STORED_CRASHES) {
+            let fingerprints = in_flight.iter().map(|sent| sent.fingerprint).collect();
             crashes.push(TargetCrash { boot, fingerprints });
         }
         crashes
@@ -220,15 +254,8 @@
     /// Returns the frames that tell a peer about all suspects.
     pub(super) fn suspect_frames(&self) -> Vec<Body> {
         let mut frames = Vec::new();
-        for (boot, fingerprints) in self.crashes.history.crashes() {
-            for fingerprints in fingerprints.chunks(MAX_REPORT_FINGERPRINTS) {
-                frames.push(Body::CrashReport(CrashReport {
-                    boot: boot.to_string(),
-                    fingerprints: fingerprints.to_vec(),
-                    counts: true,
-                    sent_ages_ms: Vec::new(),
-                }));
-            }
+        for (boot, in_flight) in self.crashes.history.crashes() {
+            frames.extend(self.crashes.crash_frames(&boot, &in_flight));
         }
         frames
     }
--- a/src/policy/crash_history.rs
+++ b/src/policy/crash_history.rs
@@ -6,11 +6,18 @@
 //! they carry a fingerprint that was in flight at all of these crashes, and with it
 //! everything else that was. Requests that carry only some of it still run. Each of
 //! their answers shows that what they carry does no harm, until only the cause is left.
+//!
+//! A crash does not count for what was answered at about the time at which the request was
+//! sent, or later. So targets that fail together for another reason, such as the loss of a
+//! failure domain, do not make a frequent part a suspect, while requests with a part that is
+//! never answered count with each target that they crash, also if they come all at once.
 
 use std::{cmp::Reverse, hash::Hash, sync::Arc};
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::recent_answers::RecentAnswers;
+
 /// Number of crashes after which requests are quarantined by what they share with others.
 /// Requests that share a frequent part may be in flight at two crashes by chance.
 pub const MAX_SHARED_CRASHES: usize = 3;
@@ -23,6 +30,11 @@
 /// The parts of a few hundred long prompts take a tenth of it.
 pub const MAX_REMEMBERED: usize = 100_000;
 
+/// Time before a request was sent, in milliseconds, from which on an answer clears what the
+/// request carries. Longer than the pause between two answers with a part that is frequent
+/// enough to be in flight on several targets.
+pub const ANSWER_MARGIN_MS: u64 = 1_000;
+
 /// Share of [`MAX_REMEMBERED`] that is left after crashes were forgotten to make room.
 const KEPT_SHARE: f64 = 0.75;
 
@@ -30,14 +42,23 @@
 /// it was answered completely.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
-    /// Boots of the crashed targets. Each boot crashes at most once.
-    boots: Vec<Arc<str>>,
+    /// Crashes of different boots. Each boot crashes at most once.
+    crashes: Vec<Crash>,
     last_crash_ms: u64,
 }
 
+/// Crash of a target, as remembered for one fingerprint.
+#[derive(Clone, Debug)]
+struct Crash {
+    /// Boot of the target.
+    boot: Arc<str>,
+    /// When the last request with the fingerprint was sent to the target.
+    sent_ms: u64,
+}
+
 impl Suspect {
     fn is_quarantinable(&self) -> bool {
-        self.boots.len() >= MAX_SHARED_CRASHES
+        self.crashes.len() >= MAX_SHARED_CRASHES
     }
 
     fn quarantine_left_ms(&self, now_ms: u64) -> Option<u64> {
@@ -50,19 +71,23 @@
 
     /// Returns whether this suspect was in flight at all crashes of another one.
     fn was_at_all(&self, other: &Self) -> bool {
-        let mut boots = other.boots.iter();
-        self.boots.len() >= other.boots.len() && boots.all(|boot| self.boots.contains(boot))
+        let mut others = other.crashes.iter();
+        self.crashes.len() >= other.crashes.len() && others.all(|crash| self.knows(&crash.boot))
+    }
+
+    fn knows(&self, boot: &str) -> bool {
+        self.crashes.iter().any(|crash| *crash.boot == *boot)
     }
 
     /// Forgets the crashes if the last one is old. All but one of those that
     /// led to a quarantine count for the same time again.
     fn expire(&mut self, now_ms: u64) {
-        while !self.boots.is_empty() && now_ms >= self.last_crash_ms + QUARANTINE_MS {
+        while !self.crashes.is_empty() && now_ms >= self.last_crash_ms + QUARANTINE_MS {
             let kept = match self.is_quarantinable() {
                 true => MAX_SHARED_CRASHES - 1,
                 false => 0,
             };
-            self.boots.truncate(kept);
+            self.crashes.truncate(kept);
             self.last_crash_ms += QUARANTINE_MS;
         }
     }
@@ -77,6 +102,41 @@
     pub sent_ms: u64,
 }
 
+impl<F> InFlight<F> {
+    /// Returns whether an answer with the fingerprint shows that the request did no harm by
+    /// it.
+    fn is_cleared_by(&self, answered_ms: u64) -> bool {
+        self.sent_ms <= answered_ms + ANSWER_MARGIN_MS
+    }
+}
+
+/// Fingerprint of a request that was answered completely.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Answered<F> {
+    /// The fingerprint.
+    pub fingerprint: F,
+    /// When a request with the fingerprint was last answered.
+    pub answered_ms: u64,
+}
+
+/// What a crash counts for.
+#[derive(Clone, Debug)]
+pub struct CountedCrash<F> {
+    /// Fingerprints for which the crash counts and was not known yet.
+    pub counted: Vec<InFlight<F>>,
+    /// Fingerprints that an answer has cleared of it.
+    pub answered: Vec<Answered<F>>,
+}
+
+impl<F> Default for CountedCrash<F> {
+    fn default() -> Self {
+        Self {
+            counted: Vec::new(),
+            answered: Vec::new(),
+        }
+    }
+}
+
 /// Suspected fingerprints, with the crashes at which they were in flight.
 ///
 /// ```
@@ -95,6 +155,7 @@
 #[derive(Clone, Debug)]
 pub struct CrashHistory<F> {
     suspects: IndexMap<F, Suspect>,
+    answers: RecentAnswers<F>,
     /// Suspects with enough crashes for a quarantine.
     quarantinable: IndexSet<F>,
     /// Sum of the crashes of all suspects.
@@ -107,6 +168,7 @@
     fn default() -> Self {
         Self {
             suspects: IndexMap::new(),
+            answers: RecentAnswers::default(),
             quarantinable: IndexSet::new(),
             remembered: 0,
             forgotten: 0,
@@ -118,53 +180,59 @@
 where
     F: Clone + Eq + Hash,
 {
-    /// Records a crash at which requests with these fingerprints were in flight. Returns
-    /// the fingerprints for which the crash was not known yet.
+    /// Records a crash at which requests with these fingerprints were in flight, whatever was
+    /// answered before. Returns the fingerprints for which the crash was not known yet.
     pub fn record_crash(&mut self, boot: &Arc<str>, fingerprints: &[F], now_ms: u64) -> Vec<F> {
         let mut counted = Vec::new();
         for fingerprint in fingerprints {
-            if self.count(boot, fingerprint, now_ms, None) {
-                counted.push(fingerprint.clone());
+            let sent = InFlight {
+                fingerprint: fingerprint.clone(),
+                sent_ms: now_ms,
+            };
+            if self.count(boot, &sent, now_ms) {
+                counted.push(sent.fingerprint);
             }
         }
         counted
     }
 
-    /// Records a crash as [`Self::record_crash`] does, except that it counts only for
-    /// fingerprints of requests that were sent after the last crash that counted.
-    ///
-    /// Targets that fail together for another reason, such as the loss of a failure domain,
-    /// thus count once for a frequent part: requests with it were in flight on several of
-    /// them.
-    pub fn record_separate_crash(
+    /// Records a crash at which requests with these fingerprints were in flight. It does not
+    /// count for those that were answered since [`ANSWER_MARGIN_MS`] before the request was
+    /// sent.
+    pub fn record_timed_crash(
         &mut self,
         boot: &Arc<str>,
         in_flight: &[InFlight<F>],
         now_ms: u64,
-    ) -> Vec<InFlight<F>> {
-        let mut counted = Vec::new();
+    ) -> CountedCrash<F> {
+        let mut crash = CountedCrash::default();
         for sent in in_flight {
-            if self.count(boot, &sent.fingerprint, now_ms, Some(sent.sent_ms)) {
-                counted.push(sent.clone());
+            let last_ms = self.answers.last_ms(&sent.fingerprint);
+            let answered_ms = last_ms.filter(|last_ms| sent.is_cleared_by(*last_ms));
+            if let Some(answered_ms) = answered_ms {
+                crash.answered.push(Answered {
+                    fingerprint: sent.fingerprint.clone(),
+                    answered_ms,
+                });
+                continue;
+            }
+            if self.count(boot, sent, now_ms) {
+                crash.counted.push(sent.clone());
             }
         }
-        counted
+        crash
     }
 
-    fn count(
-        &mut self,
-        boot: &Arc<str>,
-        fingerprint: &F,
-        now_ms: u64,
-        sent_ms: Option<u64>,
-    ) -> bool {
+    fn count(&mut self, boot: &Arc<str>, sent: &InFlight<F>, now_ms: u64) -> bool {
+        let fingerprint = &sent.fingerprint;
         let mut suspect = self.take(fingerprint).unwrap_or_default();
         suspect.expire(now_ms);
-        let was_sent_before = !suspect.boots.is_empty()
-            && sent_ms.is_some_and(|sent_ms| sent_ms <= suspect.last_crash_ms);
-        let counts = !was_sent_before && !suspect.boots.contains(boot);
+        let counts = !suspect.knows(boot);
         if counts {
-            suspect.boots.push(boot.clone());
+            suspect.crashes.push(Crash {
+                boot: boot.clone(),
+                sent_ms: sent.sent_ms,
+            });
             suspect.last_crash_ms = now_ms;
         }
         self.put(fingerprint, suspect);
@@ -172,8 +240,31 @@
         counts
     }
 
-    /// Records that a request with these fingerprints was answered completely. Returns
-    /// those that were suspected.
+    /// Records that requests with these fingerprints were answered completely. Returns the
+    /// suspected fingerprints that are cleared of crashes by that.
+    pub fn record_answer(&mut self, fingerprints: &[F], answered_ms: u64) -> Vec<F> {
+        self.answers.record(fingerprints, answered_ms);
+        let mut cleared = Vec::new();
+        if self.is_empty() {
+            return cleared;
+        }
+        for fingerprint in fingerprints {
+            let Some(mut suspect) = self.take(fingerprint) else {
+                continue;
+            };
+            let crashes = suspect.crashes.len();
+            suspect
+                .crashes
+                .retain(|crash| crash.sent_ms > answered_ms + ANSWER_MARGIN_MS);
+            if suspect.crashes.len() < crashes {
+                cleared.push(fingerprint.clone());
+            }
+            self.put(fingerprint, suspect);
+        }
+        cleared
+    }
+
+    /// Clears fingerprints of all crashes. Returns those that were suspected.
     pub fn clear(&mut self, fingerprints: &[F]) -> Vec<F> {
         let mut cleared = Vec::new();
         for fingerprint in fingerprints {
@@ -184,8 +275,9 @@
         cleared
     }
 
-    /// Forgets crashes that are old.
+    /// Forgets crashes and answers that are old.
     pub fn expire(&mut self, now_ms: u64) {
+        self.answers.expire(now_ms);
         self.quarantinable.clear();
         self.remembered = 0;
         for (fingerprint, mut suspect) in std::mem::take(&mut self.suspects) {
@@ -197,7 +289,7 @@
     /// Removes a suspect.
     fn take(&mut self, fingerprint: &F) -> Option<Suspect> {
         let suspect = self.suspects.swap_remove(fingerprint)?;
-        self.remembered -= suspect.boots.len();
+        self.remembered -= suspect.crashes.len();
         if suspect.is_quarantinable() {
             self.quarantinable.swap_remove(fingerprint);
         }
@@ -206,10 +298,10 @@
 
     /// Adds a suspect that was removed or is new, if it has crashes.
     fn put(&mut self, fingerprint: &F, suspect: Suspect) {
-        if suspect.boots.is_empty() {
+        if suspect.crashes.is_empty() {
             return;
         }
-        self.remembered += suspect.boots.len();
+        self.remembered += suspect.crashes.len();
         if suspect.is_quarantinable() {
             self.quarantinable.insert(fingerprint.clone());
         }
@@ -226,7 +318,7 @@
     #[must_use]
     pub fn crash_count(&self, fingerprint: &F) -> usize {
         let suspect = self.suspects.get(fingerprint);
-        suspect.map_or(0, |suspect| suspect.boots.len())
+        suspect.map_or(0, |suspect| suspect.crashes.len())
     }
 
     /// Returns the time for which requests with these fingerprints are refused, in
@@ -250,7 +342,7 @@
 
     /// Returns the crashes of all suspects, by boot.
     #[must_use]
-    pub fn crashes(&self) -> IndexMap<Arc<str>, Vec<F>> {
+    pub fn crashes(&self) -> IndexMap<Arc<str>, Vec<InFlight<F>>> {
         by_boot(self.suspects.iter())
     }
 
@@ -258,7 +350,7 @@
     /// are more than `max_crashes`, counted for each suspect, those of the oldest suspects
     /// are left out.
     #[must_use]
-    pub fn quarantined_crashes(&self, max_crashes: usize) -> IndexMap<Arc<str>, Vec<F>> {
+    pub fn quarantined_crashes(&self, max_crashes: usize) -> IndexMap<Arc<str>, Vec<InFlight<F>>> {
         let mut quarantined: Vec<(&F, &Suspect)> = Vec::new();
         for fingerprint in &self.quarantinable {
             quarantined.push((fingerprint, &self.suspects[fingerprint]));
@@ -266,7 +358,7 @@
         quarantined.sort_by_key(|(_, suspect)| Reverse(suspect.last_crash_ms));
         let mut crashes = 0;
         let newest = quarantined.into_iter().take_while(|(_, suspect)| {
-            crashes += suspect.boots.len();
+            crashes += suspect.crashes.len();
             crashes <= max_crashes
         });
         by_boot(newest)
@@ -299,7 +391,7 @@
         let mut order: Vec<(usize, u64, F)> = Vec::with_capacity(self.suspects.len());
         for (fingerprint, suspect) in &self.suspects {
             order.push((
-                suspect.boots.len(),
+                suspect.crashes.len(),
                 suspect.last_crash_ms,
                 fingerprint.clone(),
             ));
@@ -316,16 +408,19 @@
     }
 }
 
-fn by_boot<'a, F, I>(suspects: I) -> IndexMap<Arc<str>, Vec<F>>
+fn by_boot<'a, F, I>(suspects: I) -> IndexMap<Arc<str>, Vec<InFlight<F>>>
 where
     F: Clone + 'a,
     I: Iterator<Item = (&'a F, &'a Suspect)>,
 {
-    let mut crashes: IndexMap<Arc<str>, Vec<F>> = IndexMap::new();
+    let mut crashes: IndexMap<Arc<str>, Vec<InFlight<F>>> = IndexMap::new();
     for (fingerprint, suspect) in suspects {
-        for boot in &suspect.boots {
-            let fingerprints = crashes.entry(boot.clone()).or_default();
-            fingerprints.push(fingerprint.clone());
+        for crash in &suspect.crashes {
+            let in_flight = crashes.entry(crash.boot.clone()).or_default();
+            in_flight.push(InFlight {
+                fingerprint: fingerprint.clone(),
+                sent_ms: crash.sent_ms,
+            });
         }
     }
     crashes
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,6 +17,7 @@
 pub mod prefix;
 pub mod queue;
 pub mod read_backoff;
+pub mod recent_answers;
 pub mod retry;
 pub mod retry_window;
 pub mod role_split;
--- a/tests/crash_inducing_part.rs
+++ b/tests/crash_inducing_part.rs
@@ -4,12 +4,13 @@
 
 use std::{
     sync::{
-        Arc, OnceLock,
+        Arc, Mutex, OnceLock,
         atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
+use futures_util::future::{join, join_all};
 use hyper::Method;
 use platform_support::{
     Arrival, Cloud, Gateway, Store, Worker, WorkerAnswer, configuration, eventually, stream,
@@ -21,6 +22,11 @@
 };
 
 const COMPLETE: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const EVENT: &str = "id: 1\ndata: a\n\n";
+/// Number of events of a slow answer, which takes over a second.
+const SLOW_EVENTS: usize = 240;
+/// Beginning of the identifiers of requests that are answered slowly.
+const SLOW_ID: &str = "r-slow-";
 /// Part that crashes engines.
 const CRASHING_PART: &str = "dead";
 /// Part that all prompts begin with.
@@ -39,29 +45,61 @@
 /// Engines that crash on [`CRASHING_PART`] and start again under another identifier.
 struct Engines {
     crashes: Arc<AtomicUsize>,
+    running: Arc<Mutex<Vec<RunningEngine>>>,
     _tasks: JoinSet<()>,
 }
 
+/// The present process of an engine.
+#[derive(Clone)]
+struct RunningEngine {
+    server: AbortHandle,
+    arrivals: Arc<Mutex<Vec<Arrival>>>,
+}
+
 impl Engines {
     fn start(store: &Store) -> Self {
         let crashes: Arc<AtomicUsize> = Arc::default();
+        let running: Arc<Mutex<Vec<RunningEngine>>> = Arc::default();
         let mut tasks = JoinSet::new();
         for index in 0..ENGINES {
-            tasks.spawn(run_engine(index, store.clone(), crashes.clone()));
+            tasks.spawn(run_engine(
+                index,
+                store.clone(),
+                crashes.clone(),
+                running.clone(),
+            ));
         }
         Self {
             crashes,
+            running,
             _tasks: tasks,
         }
     }
 
+    /// Ends engines for good, all at once. Returns how many of them had slow requests.
+    fn lose(&self, count: usize) -> usize {
+        let running = self.running.lock().unwrap();
+        let mut busy = 0;
+        for engine in running.iter().take(count) {
+            engine.server.abort();
+            let arrivals = engine.arrivals.lock().unwrap();
+            busy += usize::from(arrivals.iter().any(is_slow));
+        }
+        busy
+    }
+
     fn crashes(&self) -> usize {
         self.crashes.load(Ordering::SeqCst)
     }
 }
 
 /// Runs an engine, and starts it again after each crash.
-async fn run_engine(index: usize, store: Store, crashes: Arc<AtomicUsize>) {
+async fn run_engine(
+    index: usize,
+    store: Store,
+    crashes: Arc<AtomicUsize>,
+    running: Arc<Mutex<Vec<RunningEngine>>>,
+) {
     for start in 0.. {
         let id = format!("i-{index}-{start}");
         let crashed = Arc::new(Notify::new());
@@ -73,6 +111,10 @@
             Worker::start(&id, answer).await
         };
         server.set(worker.server.abort_handle()).unwrap();
+        running.lock().unwrap().push(RunningEngine {
+            server: worker.server.abort_handle(),
+            arrivals: worker.arrivals.clone(),
+        });
         store.put(
             "keyed.servers",
             &id,
@@ -90,8 +132,10 @@
     server: &OnceLock<AbortHandle>,
     crashed: &Notify,
 ) -> WorkerAnswer {
-    let prefix = arrival.header("prompt-prefix").unwrap_or("");
-    if !prefix.contains(&format!("{CRASHING_PART}:")) {
+    if is_slow(arrival) {
+        return Some(stream(arrival, vec![Ok(EVENT); SLOW_EVENTS]));
+    }
+    if !has_part(arrival, CRASHING_PART) {
         return Some(stream(arrival, vec![Ok(COMPLETE)]));
     }
     crashes.fetch_add(1, Ordering::SeqCst);
@@ -100,6 +144,17 @@
     None
 }
 
+fn is_slow(arrival: &Arrival) -> bool {
+    let id = arrival.header("request-id");
+    id.is_some_and(|id| id.starts_with(SLOW_ID))
+}
+
+fn has_part(arrival: &Arrival, part: &str) -> bool {
+    let prefix = arrival.header("prompt-prefix").unwrap_or("");
+    let mut parts = prefix.split(',').filter_map(|part| part.split(':').next());
+    parts.any(|id| id == part)
+}
+
 struct Fixture {
     store: Store,
     cloud: Cloud,
@@ -138,9 +193,25 @@
         self.send_body(instance, id, parts, id).await
     }
 
+    /// Sends a prompt as [`send`](Self::send) does, on a route without retries.
+    async fn send_once(&self, instance: usize, id: &str, parts: &str) -> Option<u16> {
+        self.send_to("/once/", instance, id, parts, id).await
+    }
+
     /// Sends a prompt as [`send`](Self::send) does, with a body of its own.
     async fn send_body(&self, instance: usize, id: &str, parts: &str, body: &str) -> Option<u16> {
-        let request = self.gateways[instance].request(Method::POST, "/chat/", id);
+        self.send_to("/chat/", instance, id, parts, body).await
+    }
+
+    async fn send_to(
+        &self,
+        path: &str,
+        instance: usize,
+        id: &str,
+        parts: &str,
+        body: &str,
+    ) -> Option<u16> {
+        let request = self.gateways[instance].request(Method::POST, path, id);
         let request = request
             .header("model", "m")
             .header("token-count", "900,20")
@@ -223,12 +294,7 @@
         "{} crashes of engines",
         fixture.engines.crashes()
     );
-    for number in 0..12 {
-        let sound = format!("{COMMON_PART}:400,{number:x}2:300");
-        let id = format!("r-sound-{number}");
-        let status = fixture.send(number % 2, &id, &sound).await;
-        assert_eq!(status, Some(200), "sound request {number}");
-    }
+    send_sound(&fixture, 0..12).await;
 }
 
 /// Guards against engines that a part far back in a prompt crashes again and again, because
@@ -254,6 +320,68 @@
     assert!(crashes <= MAX_CRASHES, "{crashes} crashes of engines");
 }
 
+/// Guards against requests that come many at once and crash as many engines each time, because
+/// the crashes of a burst count as one.
+#[tokio::test]
+async fn burst_crashes_bounded() {
+    const BURST: usize = 6;
+    let fixture = Fixture::start(3).await;
+    for burst in 0..4 {
+        let mut sending = Vec::new();
+        for request in 0..BURST {
+            let number = burst * BURST + request;
+            let parts = format!("{number:x}3:400,{CRASHING_PART}:200,{number:x}1:300");
+            let id = format!("r-crashing-{number}");
+            let fixture = &fixture;
+            sending.push(async move { fixture.send_once(number % 3, &id, &parts).await });
+        }
+        let statuses = join_all(sending).await;
+        if burst > 0 {
+            assert_eq!(statuses, [Some(503); BURST], "burst {burst}");
+        }
+        sleep(PAUSE).await;
+    }
+    assert!(
+        fixture.engines.crashes() <= BURST,
+        "{} crashes of engines",
+        fixture.engines.crashes()
+    );
+}
+
+/// Guards against refusals of requests with a frequent part after engines were lost all at
+/// once, while such requests were in flight on them.
+#[tokio::test]
+async fn lost_engines_refuse_nobody() {
+    const LOST: usize = 4;
+    let fixture = Fixture::start(2).await;
+    let slow = |number: usize| {
+        let parts = format!("{COMMON_PART}:40,{number:x}4:400,{number:x}5:300");
+        let id = format!("{SLOW_ID}{number}");
+        let fixture = &fixture;
+        async move { fixture.send(number % 2, &id, &parts).await }
+    };
+    let lose = async {
+        sleep(PAUSE).await;
+        send_sound(&fixture, 0..4).await;
+        let busy = fixture.engines.lose(LOST);
+        assert!(busy >= 3, "only {busy} of the lost engines were in use");
+        // The crashes are noticed while no request with the part is answered.
+        sleep(PAUSE / 2).await;
+        send_sound(&fixture, 4..24).await;
+    };
+    join(join_all((0..24).map(slow)), lose).await;
+}
+
+/// Sends sound requests with the part that all prompts begin with.
+async fn send_sound(fixture: &Fixture, numbers: std::ops::Range<usize>) {
+    for number in numbers {
+        let parts = format!("{COMMON_PART}:400,{number:x}2:300");
+        let id = format!("r-sound-{number}");
+        let status = fixture.send(number % 2, &id, &parts).await;
+        assert_eq!(status, Some(200), "sound request {number}");
+    }
+}
+
 /// Guards against a request that comes again unchanged and crashes engine after engine,
 /// because no instance remembers under which requests engines crashed.
 #[tokio::test]
--- a/tests/suspect_parts.rs
+++ b/tests/suspect_parts.rs
@@ -7,8 +7,11 @@
     arbtest,
 };
 use indexmap::IndexMap;
-use lavenderwind::policy::crash_history::{
-    CrashHistory, InFlight, MAX_REMEMBERED, MAX_SHARED_CRASHES, QUARANTINE_MS,
+use lavenderwind::policy::{
+    crash_history::{
+        ANSWER_MARGIN_MS, CrashHistory, InFlight, MAX_REMEMBERED, MAX_SHARED_CRASHES, QUARANTINE_MS,
+    },
+    recent_answers::{ANSWER_PERIOD_MS, MAX_ANSWERED, RecentAnswers},
 };
 
 const SEEDS: std::ops::Range<u64> = 0..50;
@@ -90,12 +93,22 @@
         }
         if !requests[0].fingerprints.contains(&CAUSE) {
             let answered = requests.remove(0);
-            self.history.clear(&answered.fingerprints);
+            self.history
+                .record_answer(&answered.fingerprints, self.now_ms);
             return Vec::new();
         }
         self.crash(engine)
     }
 
+    /// Returns whether a request with the cause is in flight on an engine.
+    fn crashes_on(&self, engine: usize) -> bool {
+        let requests = self.in_flight.get(&engine);
+        requests.is_some_and(|requests| {
+            let mut fingerprints = requests.iter().map(|request| &request.fingerprints);
+            fingerprints.any(|fingerprints| fingerprints.contains(&CAUSE))
+        })
+    }
+
     fn crash(&mut self, engine: usize) -> Vec<Vec<u32>> {
         self.crashes += 1;
         if self.crashes == ALLOWED_CRASHES {
@@ -117,7 +130,7 @@
         // A fingerprint counts by the latest request that carries it.
         in_flight.sort_by_key(|sent| std::cmp::Reverse(sent.sent_ms));
         self.history
-            .record_separate_crash(&boot, &in_flight, self.now_ms);
+            .record_timed_crash(&boot, &in_flight, self.now_ms);
         requests
     }
 }
@@ -216,6 +229,102 @@
     assert!(refused * 1_000 <= sent, "{refused} of {sent} refused");
 }
 
+/// Guards against requests with one part that come many at once and crash as many engines
+/// each time, because the crashes of a burst count once.
+#[test]
+fn burst_crashes_count_each() {
+    const BURST: usize = 6;
+    check_seeds(|u| {
+        let mut fleet = Fleet::new();
+        let mut number = 0;
+        for _ in 0..4 {
+            for _ in 0..100 {
+                number += 1;
+                let request = sound_request(u, number)?;
+                assert!(fleet.send(u.choose_index(ENGINES)?, request), "{number}");
+                fleet.step(u.choose_index(ENGINES)?);
+                fleet.step(u.choose_index(ENGINES)?);
+            }
+            for engine in 0..BURST {
+                number += 1;
+                let session = 2_000 + u.int_in_range(0..=5)?;
+                fleet.send(engine, vec![10_000 + number, session, CAUSE]);
+            }
+            for engine in 0..BURST {
+                while fleet.crashes_on(engine) {
+                    fleet.step(engine);
+                }
+            }
+        }
+        assert!(fleet.crashes <= BURST, "{} crashes", fleet.crashes);
+        assert_eq!(fleet.late, 0, "{} sent too late", fleet.late);
+        Ok(())
+    });
+}
+
+/// Guards against refusals of sound requests after a failure domain was lost or reclaimed
+/// within seconds, if they carry frequent parts.
+#[test]
+fn lost_domain_refuses_nobody() {
+    const COMMON: u32 = 5_000;
+    const LOST: usize = 6;
+    check_seeds(|u| {
+        let mut fleet = Fleet::new();
+        for number in 0..1_000 {
+            let request = vec![10_000 + number, 2_000 + u.int_in_range(0..=5)?, COMMON];
+            let was_sent = fleet.send(u.choose_index(ENGINES)?, request);
+            assert!(was_sent, "sound request {number} refused");
+            fleet.step(u.choose_index(ENGINES)?);
+            // The engines of one domain fail one after the other, in a third of a second.
+            if number % 100 >= 90 && number % 100 < 90 + LOST as u32 {
+                fleet.crash((number % 100 - 90) as usize);
+            }
+        }
+        Ok(())
+    });
+}
+
+/// An answer clears a fingerprint of the crashes of requests that were sent before it, and
+/// of no others.
+#[test]
+fn answers_clear_earlier_crashes() {
+    let sent = |sent_ms| InFlight {
+        fingerprint: CAUSE,
+        sent_ms,
+    };
+    let mut history = CrashHistory::default();
+    history.record_answer(&[CAUSE], 10_000);
+    let before = history.record_timed_crash(&"boot-1".into(), &[sent(9_000)], 11_500);
+    assert!(before.counted.is_empty());
+    assert_eq!(before.answered[0].answered_ms, 10_000);
+    let later_ms = 10_000 + ANSWER_MARGIN_MS + 1;
+    for (crash, boot) in ["boot-2", "boot-3", "boot-4"].into_iter().enumerate() {
+        let at_ms = later_ms + crash as u64;
+        let after = history.record_timed_crash(&boot.into(), &[sent(at_ms)], at_ms);
+        assert_eq!(after.counted, [sent(at_ms)]);
+    }
+    assert!(history.quarantine_left_ms(&[CAUSE], later_ms).is_some());
+    // A peer tells later of the answer that is known.
+    assert!(history.record_answer(&[CAUSE], 10_000).is_empty());
+    assert_eq!(history.crash_count(&CAUSE), 3);
+    assert_eq!(history.record_answer(&[CAUSE], later_ms), [CAUSE]);
+    assert!(history.is_empty());
+}
+
+/// Answers are remembered within bounds, the newest ones for longest.
+#[test]
+fn answers_bounded() {
+    let mut answers = RecentAnswers::default();
+    let many: Vec<u32> = (0..).take(MAX_ANSWERED).collect();
+    answers.record(&many, 1);
+    answers.record(&[CAUSE + MAX_ANSWERED as u32], 2);
+    assert_eq!(answers.last_ms(&(CAUSE + MAX_ANSWERED as u32)), Some(2));
+    let kept = many.iter().filter(|found| answers.last_ms(found).is_some());
+    assert!(kept.count() >= MAX_ANSWERED / 2);
+    answers.expire(2 + ANSWER_PERIOD_MS);
+    assert_eq!(answers.last_ms(&(CAUSE + MAX_ANSWERED as u32)), None);
+}
+
 /// A quarantine ends, and one further crash restores it.
 #[test]
 fn quarantine_expires() {
