Examine a target again that still accepted a connection

A target is examined once, as soon as an answer broke off; if it still accepts a connection then, its calls are forgotten, and with them the evidence. An engine whose listening socket outlives its connections by some milliseconds is thus never suspected of anything.

Change: a target that accepted the connection is examined again after 0.1 and 0.5 s, in a task of its own and once at a time. The retry of the call waits for the first look only, as before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -150,7 +150,7 @@
 /// gateway itself gave up the attempt. If the connection was lost, the target is
 /// examined for a crash.
 pub(super) async fn record_failure(
-    state: &State,
+    state: &Arc<State>,
     call: &Call,
     target: &Arc<Target>,
     error: &AttemptError,
@@ -182,7 +182,7 @@
     /// [`MAX_BUFFERED_BYTES`], or if the body is incomplete at `deadline`.
     pub(super) async fn collect(
         self,
-        state: &State,
+        state: &Arc<State>,
         call: &Call,
         deadline: Instant,
     ) -> Result<BufferedAnswer, AttemptError> {
--- a/src/gateway/crash.rs
+++ b/src/gateway/crash.rs
@@ -1,15 +1,15 @@
 //! Detection of crashed targets, and of the calls that were in flight on them.
 //!
 //! A target has crashed if an answer broke off and the target refuses a new
-//! connection. If it still accepts connections, only the connection of the answer was
-//! lost. Crashes are reported to peers, and calls that crash targets are refused (see
+//! connection. If it still accepts connections a moment later, only the connection of the
+//! answer was lost. Crashes are reported to peers, and calls that crash targets are refused (see
 //! [`crate::policy::crash_history`]).
 
 use std::{sync::Arc, time::Duration};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use sha2::{Digest, Sha256};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use super::{
     loads::AttemptOutcome,
@@ -22,6 +22,10 @@
     roster::Target,
 };
 
+/// Delays before a target that accepted a connection is examined again, as a process that
+/// ends may close the connections of its answers before the socket that it listens on.
+const REPEAT_DELAYS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(400)];
+
 /// A call that was sent to a target and is not answered completely.
 #[derive(Debug)]
 struct CallInFlight {
@@ -38,6 +42,8 @@
 pub(super) struct CallsInFlight {
     calls: IndexMap<u64, CallInFlight>,
     last_number: u64,
+    /// Targets that are going to be examined again.
+    examined: IndexSet<TargetBoot>,
 }
 
 impl CallsInFlight {
@@ -140,25 +146,49 @@
     }
 }
 
-/// Examines whether a target has crashed, after an answer from it broke off.
+/// Examines whether a target has crashed, after an answer from it broke off. Returns after
+/// the first look at it.
 ///
 /// A target that was about to stop does not count as crashed.
-pub(super) async fn examine(state: &State, target: &Arc<Target>) {
+pub(super) async fn examine(state: &Arc<State>, target: &Arc<Target>) {
     let boot = TargetBoot::from(&**target);
     if !state.calls_in_flight().has_broken(&boot) {
         return;
     }
-    let is_stopping = state.announced_leaving(target) || !state.is_ready_target(target);
-    let has_crashed = !is_stopping && pool::refuses_connections(target.address).await;
-    if !has_crashed {
-        state.calls_in_flight().discard_broken(&boot);
+    if has_ended(state, target, &boot).await {
         return;
     }
-    let calls = state.calls_in_flight().take(&boot);
-    if calls.is_empty() {
-        return;
+    if state.calls_in_flight().examined.insert(boot.clone()) {
+        tokio::spawn(examine_again(state.clone(), target.clone(), boot));
+    }
+}
+
+async fn examine_again(state: Arc<State>, target: Arc<Target>, boot: TargetBoot) {
+    for delay in REPEAT_DELAYS {
+        sleep(delay).await;
+        if has_ended(&state, &target, &boot).await {
+            break;
+        }
+    }
+    let mut calls = state.calls_in_flight();
+    calls.examined.swap_remove(&boot);
+    calls.discard_broken(&boot);
+}
+
+/// Returns whether a target has crashed or is about to stop. Records a crash.
+async fn has_ended(state: &State, target: &Arc<Target>, boot: &TargetBoot) -> bool {
+    if state.announced_leaving(target) || !state.is_ready_target(target) {
+        state.calls_in_flight().discard_broken(boot);
+        return true;
+    }
+    if !pool::refuses_connections(target.address).await {
+        return false;
+    }
+    let calls = state.calls_in_flight().take(boot);
+    if !calls.is_empty() {
+        record_crash(state, target, &calls);
     }
-    record_crash(state, target, &calls);
+    true
 }
 
 fn record_crash(state: &State, target: &Arc<Target>, calls: &[CallInFlight]) {
--- a/tests/crash_inducing_part.rs
+++ b/tests/crash_inducing_part.rs
@@ -57,7 +57,7 @@
 }
 
 impl Engines {
-    fn start(store: &Store) -> Self {
+    fn start(store: &Store, close_delay: Duration) -> Self {
         let crashes: Arc<AtomicUsize> = Arc::default();
         let running: Arc<Mutex<Vec<RunningEngine>>> = Arc::default();
         let mut tasks = JoinSet::new();
@@ -67,6 +67,7 @@
                 store.clone(),
                 crashes.clone(),
                 running.clone(),
+                close_delay,
             ));
         }
         Self {
@@ -99,6 +100,7 @@
     store: Store,
     crashes: Arc<AtomicUsize>,
     running: Arc<Mutex<Vec<RunningEngine>>>,
+    close_delay: Duration,
 ) {
     for start in 0.. {
         let id = format!("i-{index}-{start}");
@@ -106,8 +108,17 @@
         let server: Arc<OnceLock<AbortHandle>> = Arc::default();
         let worker = {
             let (crashed, server, crashes) = (crashed.clone(), server.clone(), crashes.clone());
-            let answer =
-                move |arrival: &Arrival| answer_or_crash(arrival, &crashes, &server, &crashed);
+            let answer = move |arrival: &Arrival| {
+                let answer = answer_unless_crashed(arrival);
+                if answer.is_none() {
+                    crashes.fetch_add(1, Ordering::SeqCst);
+                    if close_delay.is_zero() {
+                        server.get().unwrap().abort();
+                    }
+                    crashed.notify_one();
+                }
+                answer
+            };
             Worker::start(&id, answer).await
         };
         server.set(worker.server.abort_handle()).unwrap();
@@ -121,27 +132,20 @@
             &worker.entry("models", Some("decode")),
         );
         crashed.notified().await;
+        sleep(close_delay).await;
+        server.get().unwrap().abort();
         sleep(RESTART_TIME).await;
         store.put("keyed.servers", &id, &serde_json::Value::Null);
     }
 }
 
-fn answer_or_crash(
-    arrival: &Arrival,
-    crashes: &AtomicUsize,
-    server: &OnceLock<AbortHandle>,
-    crashed: &Notify,
-) -> WorkerAnswer {
+/// Returns the answer to a request, or `None` if the request crashes the engine.
+fn answer_unless_crashed(arrival: &Arrival) -> WorkerAnswer {
     if is_slow(arrival) {
         return Some(stream(arrival, vec![Ok(EVENT); SLOW_EVENTS]));
     }
-    if !has_part(arrival, CRASHING_PART) {
-        return Some(stream(arrival, vec![Ok(COMPLETE)]));
-    }
-    crashes.fetch_add(1, Ordering::SeqCst);
-    server.get().unwrap().abort();
-    crashed.notify_one();
-    None
+    let is_sound = !has_part(arrival, CRASHING_PART);
+    is_sound.then(|| stream(arrival, vec![Ok(COMPLETE)]))
 }
 
 fn is_slow(arrival: &Arrival) -> bool {
@@ -164,9 +168,14 @@
 
 impl Fixture {
     async fn start(instances: usize) -> Self {
+        Self::start_with(instances, Duration::ZERO).await
+    }
+
+    /// Starts instances, and engines that stop listening `close_delay` after a crash.
+    async fn start_with(instances: usize, close_delay: Duration) -> Self {
         let (store, cloud) = (Store::start().await, Cloud::start().await);
         store.put("keyed.op", "config", &configuration(1));
-        let engines = Engines::start(&store);
+        let engines = Engines::start(&store, close_delay);
         let mut gateways = Vec::new();
         for index in 0..instances {
             let gateway = Gateway::start(&format!("entry-{index}"), &store, &cloud).await;
@@ -382,6 +391,23 @@
     }
 }
 
+/// Guards against crashes that are not noticed, because the engine still accepts connections
+/// just after its answers broke off.
+#[tokio::test]
+async fn late_close_noticed() {
+    let fixture = Fixture::start_with(2, Duration::from_millis(60)).await;
+    for number in 0..12 {
+        let id = format!("r-crashing-{number}");
+        fixture
+            .send_once(number % 2, &id, &crashing_parts(number))
+            .await;
+        sleep(PAUSE).await;
+    }
+    let crashes = fixture.engines.crashes();
+    assert!(crashes <= MAX_CRASHES, "{crashes} crashes of engines");
+    send_sound(&fixture, 0..12).await;
+}
+
 /// Guards against a request that comes again unchanged and crashes engine after engine,
 /// because no instance remembers under which requests engines crashed.
 #[tokio::test]
