Bound the memory of all answers in flight

Cause: an answer that is read whole was buffered up to 16 MiB, an incomplete event up to 1 MiB, and nothing bounded the sum. A chunk of one byte took 32 bytes besides.

Change: one limit for all answers, a fifth of the instance's memory: bodies that are read whole, incomplete events, answers of engines to calls of the gateway itself. If it is reached, the largest answer that still arrives is given up (`policy/ answer_budget`); complete ones are kept until they are delivered. Up to twice the limit is used while those that were given up release theirs. A body is read into one buffer, whatever its chunks. Heads have 32 KiB instead of 64, and the kernel's receive buffer of a connection to a target 256 KiB.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -3,11 +3,12 @@
 use std::{fmt, sync::Arc};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode, Uri, body::Incoming};
 use tokio::time::{Instant, timeout_at};
 
 use super::{
+    answer_memory::{self, read_whole},
     crash::{self, CallGuard},
     loads::AttemptOutcome,
     pool::{self, Connection},
@@ -38,7 +39,7 @@
 }
 
 /// A target's answer with its complete body.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(super) struct BufferedAnswer {
     pub(super) status: StatusCode,
     pub(super) headers: HeaderMap,
@@ -178,25 +179,23 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection breaks, if the body exceeds
-    /// [`MAX_BUFFERED_BYTES`], or if the body is incomplete at `deadline`.
+    /// Fails if the connection breaks, if the body exceeds [`MAX_BUFFERED_BYTES`] or its
+    /// share of the memory for answers, or if the body is incomplete at `deadline`.
     pub(super) async fn collect(
         self,
         state: &Arc<State>,
         call: &Call,
         deadline: Instant,
     ) -> Result<BufferedAnswer, AttemptError> {
-        let limited = Limited::new(self.body, MAX_BUFFERED_BYTES);
-        let result = match timeout_at(deadline, limited.collect()).await {
+        let reading = read_whole(&state.answer_memory, self.body, MAX_BUFFERED_BYTES);
+        let result = match timeout_at(deadline, reading).await {
             Err(_) => Err(AttemptError::timeout()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(
-                AttemptError::incomplete_answer("answer body exceeds 16 MiB"),
-            ),
-            Ok(Err(error)) => {
+            Ok(Err(error @ answer_memory::Error::Broken(_))) => {
                 self.in_flight.mark_broken();
                 Err(AttemptError::connection_lost(error))
             }
-            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) => Err(AttemptError::incomplete_answer(error)),
+            Ok(Ok(bytes)) => Ok(bytes),
         };
         match result {
             Ok(bytes) => {
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -4,11 +4,11 @@
 use std::{fmt, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Method, Request, StatusCode, Uri};
 use tokio::time::timeout;
 
-use super::{pool, state::State};
+use super::{answer_memory::read_whole, pool, state::State};
 use crate::{
     platform::{
         Holder, LoadReport, RoleOrder, engine_headers, prefill_release_path, read_target_hints,
@@ -161,8 +161,8 @@
         })?;
     let status = response.status();
     state.note_hints(target, &read_target_hints(status, response.headers()));
-    let limited = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-    let body = limited.collect().await.map_err(CallError::unknown)?;
+    let reading = read_whole(&state.answer_memory, response.into_body(), MAX_ANSWER_BYTES);
+    let body = reading.await.map_err(CallError::unknown)?;
     state.pool.put_back(target, connection);
-    Ok((status, body.to_bytes()))
+    Ok((status, body))
 }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -57,6 +57,12 @@
         self.pending.split().freeze()
     }
 
+    /// Returns the size of the incomplete event.
+    #[must_use]
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns whether the incomplete event exceeds the maximum size.
     #[must_use]
     pub fn exceeds_limit(&self) -> bool {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 //!   machine.
 
 mod admission;
+mod answer_memory;
 mod attempt;
 mod attempt_history;
 mod catalog;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -49,8 +49,12 @@
 /// Idle time before the first TCP keep-alive probe, and between probes.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Maximum size of an answer's head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Size of the kernel's buffer for bytes that have arrived on a connection, in bytes. They
+/// count as memory of the instance.
+const RECEIVE_BUFFER_BYTES: usize = 256 << 10;
+
+/// Maximum size of an answer's head, in bytes. A connection buffers as much at most.
+const MAX_HEAD_BYTES: usize = 32 << 10;
 
 /// Failure to send a request or to receive the head of its answer.
 #[derive(Debug, Display)]
@@ -236,7 +240,7 @@
         .await
         .map_err(|_| Error::Connect(io::ErrorKind::TimedOut.into()))?
         .map_err(Error::Connect)?;
-    set_liveness_options(&stream).map_err(Error::Connect)?;
+    set_options(&stream).map_err(Error::Connect)?;
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(YieldingStream::new(stream)))
@@ -265,14 +269,15 @@
     error.kind() == io::ErrorKind::ConnectionRefused
 }
 
-/// Disables Nagle's algorithm, and makes the kernel close a connection whose peer
-/// no longer responds.
-fn set_liveness_options(stream: &TcpStream) -> io::Result<()> {
+/// Disables Nagle's algorithm, makes the kernel close a connection whose peer no longer
+/// responds, and limits what it buffers.
+fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
         .with_time(PROBE_INTERVAL)
         .with_interval(PROBE_INTERVAL);
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::{
+    answer_memory::{self, MemoryShare},
     attempt::{self, Answer, AttemptError},
     attempt_history::AttemptHistory,
     crash::CallGuard,
@@ -62,6 +63,8 @@
     /// has ended.
     source: Option<EngineStream>,
     splitter: EventSplitter,
+    /// Memory of the incomplete event.
+    event_memory: MemoryShare,
     history: AttemptHistory,
     last_event_id: Option<Arc<str>>,
     event_count: usize,
@@ -80,6 +83,13 @@
     Failed(AttemptError),
 }
 
+impl StreamRead {
+    fn out_of_memory() -> Self {
+        let error = answer_memory::Error::OutOfMemory;
+        Self::Failed(AttemptError::incomplete_answer(error))
+    }
+}
+
 impl Relay {
     pub(super) fn new(
         state: Arc<State>,
@@ -89,7 +99,9 @@
         memory: Option<BodyMemory>,
     ) -> Self {
         let last_event_id = call.resume_after.clone();
+        let event_memory = state.answer_memory.share();
         Self {
+            event_memory,
             state,
             call,
             source: Some(source),
@@ -139,7 +151,13 @@
             ));
         };
         loop {
-            let frame = match timeout_at(self.call.deadline, source.body.frame()).await {
+            let reading = timeout_at(self.call.deadline, source.body.frame());
+            let read = tokio::select! {
+                biased;
+                () = self.event_memory.evicted() => return StreamRead::out_of_memory(),
+                read = reading => read,
+            };
+            let frame = match read {
                 Err(_) => return StreamRead::Failed(AttemptError::timeout()),
                 Ok(Some(Err(error))) => {
                     source.call_in_flight.mark_broken();
@@ -156,11 +174,15 @@
             let Some(bytes) = frame.data_ref() else {
                 continue;
             };
-            let Some(events) = self.splitter.push(bytes) else {
+            let events = self.splitter.push(bytes);
+            let has_memory = self.event_memory.resize(self.splitter.pending_bytes());
+            let Some(events) = events else {
                 if self.splitter.exceeds_limit() {
-                    return StreamRead::Failed(AttemptError::incomplete_answer(
-                        "event exceeds 1 MiB",
-                    ));
+                    let cause = "event exceeds 1 MiB";
+                    return StreamRead::Failed(AttemptError::incomplete_answer(cause));
+                }
+                if has_memory.is_err() {
+                    return StreamRead::out_of_memory();
                 }
                 continue;
             };
@@ -219,6 +241,7 @@
             self.history.tried.push(target.id.clone());
         }
         self.splitter.take_pending();
+        self.event_memory = self.state.answer_memory.share();
         let mut failure = error.failure;
         loop {
             let decision = self
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,8 +12,8 @@
 };
 
 use super::{
-    crash::CallsInFlight, duty::kept_windows, engines::Engines, loads::Loads, notices::Notices,
-    pool::Pool, usage::UsageCounter,
+    answer_memory::AnswerMemory, crash::CallsInFlight, duty::kept_windows, engines::Engines,
+    loads::Loads, notices::Notices, pool::Pool, usage::UsageCounter,
 };
 use crate::{
     catalog::{Catalog, Engine},
@@ -70,6 +70,8 @@
     retries: Mutex<IndexMap<Arc<str>, RetryWindow>>,
     usage: Mutex<UsageCounter>,
     calls_in_flight: Mutex<CallsInFlight>,
+    /// Memory for the answers of targets.
+    pub(super) answer_memory: Arc<AnswerMemory>,
     /// Memory reserved for request bodies.
     body_bytes: AtomicUsize,
     /// Number of live instances.
@@ -87,7 +89,10 @@
     pub(super) fn new(settings: GatewaySettings) -> Self {
         let max_windows = 2 * kept_windows(&settings.timing) as usize;
         let usage = UsageCounter::new(settings.timing.usage_window_ms, max_windows);
+        let answer_memory = Arc::<AnswerMemory>::default();
+        answer_memory.set_limit(settings.limits.memory_mb * BYTES_PER_MB);
         Self {
+            answer_memory,
             tuning: Mutex::new(settings.tuning()),
             settings,
             pool: Pool::default(),
@@ -116,6 +121,8 @@
 
     /// Replaces the settings that can be reloaded.
     pub(super) fn set_tuning(&self, tuning: Tuning) {
+        self.answer_memory
+            .set_limit(tuning.limits.memory_mb * BYTES_PER_MB);
         *lock(&self.tuning) = tuning;
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,6 +4,7 @@
 //! are arguments. Nothing here does I/O, reads a clock or generates random
 //! numbers.
 
+pub mod answer_budget;
 pub mod baseline;
 pub mod breaker;
 pub mod cache_locality;
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -652,12 +652,17 @@
 
 impl Gateway {
     pub async fn start(name: &str, store: &Store, cloud: &Cloud) -> Self {
+        Self::start_with(name, store, cloud, "").await
+    }
+
+    /// Starts a gateway with further settings, in YAML.
+    pub async fn start_with(name: &str, store: &Store, cloud: &Cloud, more: &str) -> Self {
         let free = "127.0.0.1:0";
         let text = format!(
             "name: {name}\nfailure_domain: z1\ncaller_address: {free}\n\
              readiness_address: {free}\npeer_address: {free}\nmetrics_address: {free}\n\
              store_address: {}\ncloud_address: {}\nduties: {{usage: true}}\n\
-             timing: {{lease_ms: 900, usage_window_ms: 1000, stop_ms: 4000}}\n",
+             timing: {{lease_ms: 900, usage_window_ms: 1000, stop_ms: 4000}}\n{more}\n",
             store.address(),
             cloud.server.address
         );
