Keep targets that have left out of a restored list

Cause: older entries were passed over for 1.7 s, the time in which targets that run register again; the store removes entries of those that don't run after three heartbeats, 3.6 s. And what a target had said of itself was forgotten as it left the list.

Change: older entries are passed over for four heartbeats (`target_heartbeat_ms`, from the platform's settings). That a target leaves is remembered for 10 minutes after it has left the list.

--- a/src/gateway/notices.rs
+++ b/src/gateway/notices.rs
@@ -20,11 +20,25 @@
 /// Interval at which notices of peers are applied.
 const EXCHANGE_PERIOD: Duration = Duration::from_millis(250);
 
+/// Time for which it is remembered that a target leaves after it has left the list. A restored
+/// store may list it again.
+const LEFT_PERIOD_MS: u64 = 600_000;
+
 /// Notices of one boot of a target.
 #[derive(Debug, Default)]
 struct BootNotices {
     started_at_unix_ms: u64,
     notices: TargetNotices,
+    /// Since when the list does not have the target.
+    unlisted_since_ms: Option<u64>,
+}
+
+impl BootNotices {
+    /// Returns whether the notices are still needed for a target that is not listed.
+    fn outlive_entry(&mut self, now_ms: u64) -> bool {
+        let since_ms = *self.unlisted_since_ms.get_or_insert(now_ms);
+        self.notices.is_leaving() && now_ms < since_ms + LEFT_PERIOD_MS
+    }
 }
 
 /// Notices of all targets.
@@ -55,18 +69,25 @@
         if known.started_at_unix_ms < started_at_unix_ms {
             *known = BootNotices {
                 started_at_unix_ms,
-                notices: TargetNotices::default(),
+                ..BootNotices::default()
             };
         }
         Some(&mut known.notices)
     }
 
-    /// Removes the notices of targets for which `keep` returns false.
-    pub(super) fn retain<F>(&mut self, mut keep: F)
+    /// Removes the notices of targets for which `is_listed` returns false, but for those that
+    /// have announced that they leave.
+    pub(super) fn retain<F>(&mut self, is_listed: F, now_ms: u64)
     where
-        F: FnMut(&str) -> bool,
+        F: Fn(&str) -> bool,
     {
-        self.targets.retain(|id, _| keep(id));
+        self.targets.retain(|id, boot| {
+            if !is_listed(id) {
+                return boot.outlive_entry(now_ms);
+            }
+            boot.unlisted_since_ms = None;
+            true
+        });
     }
 }
 
--- a/src/gateway/targets.rs
+++ b/src/gateway/targets.rs
@@ -23,6 +23,10 @@
 /// read return several changes.
 const BATCH_SHARE: f64 = 0.6;
 
+/// Number of heartbeats of targets after which a restored store has removed the entries of
+/// those that do not run. The platform removes an entry after three.
+const EXPIRED_HEARTBEATS: u32 = 4;
+
 /// Time for which removed targets are remembered. Longer than a restored store is old.
 const REMOVED_PERIOD: Duration = Duration::from_secs(120);
 
@@ -53,8 +57,8 @@
                 let is_current = |record: &&KeyedRecord| !is_outdated(&state, &removals, record);
                 let current: Vec<_> = records.iter().filter(is_current).cloned().collect();
                 if current.len() < records.len() {
-                    // Targets that run have registered again by then.
-                    recheck_at = Some(Instant::now() + removals.grace_period);
+                    // Only targets that run have entries by then.
+                    recheck_at = Some(Instant::now() + removals.expiry_period);
                 }
                 apply_records(&state, &mut removals, &current);
                 remove_missing(&state, &mut removals, &records);
@@ -159,7 +163,10 @@
         .pool
         .prune(Instant::now(), |id| known.get(id).is_some());
     state.loads().retain(|id| known.get(id).is_some());
-    state.notices().retain(|id| known.get(id).is_some());
+    let now_ms = state.now_ms();
+    let mut notices = state.notices();
+    notices.retain(|id| known.get(id).is_some(), now_ms);
+    drop(notices);
     let mut calls = state.calls_in_flight();
     calls.discard_unknown(|id| known.get(id).is_some());
 }
@@ -172,6 +179,8 @@
 #[derive(Debug)]
 struct Removals {
     grace_period: Duration,
+    /// Time after which a restored store has no entries of targets that do not run.
+    expiry_period: Duration,
     recovered_at: Option<Instant>,
     /// Boots of the targets that were removed in the last [`REMOVED_PERIOD`], by identifier.
     removed: IndexMap<Arc<str>, RemovedBoot>,
@@ -186,8 +195,11 @@
 
 impl Removals {
     fn new(state: &State) -> Self {
+        let timing = &state.settings.timing;
+        let heartbeat = Duration::from_millis(timing.target_heartbeat_ms);
         Self {
-            grace_period: Duration::from_millis(state.settings.timing.return_ms),
+            grace_period: Duration::from_millis(timing.return_ms),
+            expiry_period: heartbeat * EXPIRED_HEARTBEATS,
             recovered_at: None,
             removed: IndexMap::new(),
         }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -73,6 +73,9 @@
     /// Time after a store outage for which targets whose entries lapsed during the
     /// outage are kept, since their entries may reappear.
     pub return_ms: u64,
+    /// Interval at which targets write their entries. The platform removes an entry after
+    /// three of them without a write.
+    pub target_heartbeat_ms: u64,
     /// Time from the notice that a target is leaving until no more requests are sent
     /// to the target.
     pub drain_ms: u64,
@@ -90,6 +93,7 @@
             stop_ms: 7_000,
             freshness_ms: 6_500,
             return_ms: 1_700,
+            target_heartbeat_ms: 1_200,
             drain_ms: 2_000,
             settle_ms: 3_000,
         }
@@ -192,6 +196,7 @@
             ("usage_due_ms", self.timing.usage_due_ms),
             ("stop_ms", self.timing.stop_ms),
             ("freshness_ms", self.timing.freshness_ms),
+            ("target_heartbeat_ms", self.timing.target_heartbeat_ms),
             ("drain_ms", self.timing.drain_ms),
             ("settle_ms", self.timing.settle_ms),
             ("window_ms", self.retries.window_ms),
--- a/tests/restored_store.rs
+++ b/tests/restored_store.rs
@@ -319,3 +319,54 @@
     fixture.send_requests(SEVERAL_WINDOWS).await;
     assert!(removed.count() > counts.1);
 }
+
+/// Time in which the platform removes the entry of a target that does not write it: three
+/// heartbeats.
+const ENTRY_EXPIRY: Duration = Duration::from_millis(3_600);
+
+/// Guards against targets that have left and are used again some time after a restore, until
+/// the platform removes their older entries.
+#[tokio::test]
+async fn left_target_stays_out() {
+    let fixture = Fixture::start(2).await;
+    let left = start_worker("i-1").await;
+    let store = &fixture.store;
+    store.put("keyed.servers", "i-1", &left.entry("desk", None));
+    fixture.send_requests(SEVERAL_WINDOWS).await;
+    let copy = store.copy();
+    store.put("keyed.servers", "i-1", &Value::Null);
+    fixture.send_requests(SEVERAL_WINDOWS).await;
+    let count = left.count();
+    store.restore(&copy);
+    fixture.send_requests(ENTRY_EXPIRY).await;
+    store.put("keyed.servers", "i-1", &Value::Null);
+    fixture.send_requests(SEVERAL_WINDOWS).await;
+    assert!(count > 0);
+    assert_eq!(left.count(), count);
+}
+
+/// Guards against a target that has said that it leaves and is used again because a restored
+/// store lists it.
+#[tokio::test]
+async fn announced_leaving_remembered() {
+    let fixture = Fixture::start(2).await;
+    let leaving = Worker::start("i-1", |arrival| {
+        let mut answer = signed(arrival, 200, "done");
+        let headers = answer.headers_mut();
+        headers.insert("server-leaving", "1".parse().unwrap());
+        Some(answer)
+    })
+    .await;
+    let store = &fixture.store;
+    let copy_without = store.copy();
+    store.put("keyed.servers", "i-1", &leaving.entry("desk", None));
+    let copy = store.copy();
+    fixture.send_requests(SEVERAL_WINDOWS).await;
+    store.restore(&copy_without);
+    fixture.send_requests(SEVERAL_WINDOWS).await;
+    let count = leaving.count();
+    store.restore(&copy);
+    fixture.send_requests(2 * ENTRY_EXPIRY).await;
+    assert!(count > 0);
+    assert_eq!(leaving.count(), count);
+}
