--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -8,12 +8,12 @@
 //!
 //! - Connections: `dial` opens and accepts them, `connection` runs one of them,
 //!   `frame` encodes its frames, and `link` is its state.
-//! - State: `shared` is shared by all tasks and contains `state`. `reachability` tracks
-//!   which linked instances respond. `load` sums up the
-//!   reported loads, `usage` keeps copies of other instances' usage slices,
-//!   `unflushed_usage` this instance's slices, `quarantine` the requests that the log
-//!   quarantines, `suspects` those that reported crashes do, and `notices` what targets say
-//!   in their answers. `reports` are those of the last two that are sent to peers.
+//! - State: `shared` is shared by all tasks and contains `state`. `linking` updates the known
+//!   instances and the links to them, and `reachability` tracks which of these respond.
+//!   `load` sums up the reported loads, `usage` keeps copies of other instances' usage
+//!   slices, `unflushed_usage` this instance's slices, `quarantine` the requests that the
+//!   log quarantines, `suspects` those that reported crashes do, and `notices` what targets
+//!   say in their answers. `reports` are those of the last two that are sent to peers.
 //! - Tasks: `heartbeat` builds heartbeats, `relay` relays log records, `live_list`
 //!   polls the platform's list of instances, `upkeep` does periodic maintenance, and
 //!   `spawn` starts the tasks.
@@ -28,6 +28,7 @@
 mod handle;
 mod heartbeat;
 mod link;
+mod linking;
 mod live_list;
 mod load;
 pub mod membership;
--- a/src/policy/crash_history.rs
+++ b/src/policy/crash_history.rs
@@ -16,15 +16,12 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::recent_answers::RecentAnswers;
+use super::{
+    recent_answers::RecentAnswers,
+    suspect::{Crash, Suspect},
+};
 
-/// Number of crashes after which requests are quarantined by what they share with others.
-/// Requests that share a frequent part may be in flight at two crashes by chance.
-pub const MAX_SHARED_CRASHES: usize = 3;
-
-/// Time after the last crash at which a quarantine ends, in milliseconds. One further
-/// crash within the same time after that restores it.
-pub const QUARANTINE_MS: u64 = 600_000;
+pub use super::suspect::{MAX_SHARED_CRASHES, QUARANTINE_MS};
 
 /// Maximum number of crashes that are remembered, each fingerprint's counted separately.
 /// The parts of a few hundred long prompts take a tenth of it.
@@ -38,61 +35,6 @@
 /// Share of [`MAX_REMEMBERED`] that is left after crashes were forgotten to make room.
 const KEPT_SHARE: f64 = 0.75;
 
-/// Crashes at which a fingerprint was in flight and since which no request that carries
-/// it was answered completely.
-#[derive(Clone, Debug, Default)]
-struct Suspect {
-    /// Crashes of different boots. Each boot crashes at most once.
-    crashes: Vec<Crash>,
-    last_crash_ms: u64,
-}
-
-/// Crash of a target, as remembered for one fingerprint.
-#[derive(Clone, Debug)]
-struct Crash {
-    /// Boot of the target.
-    boot: Arc<str>,
-    /// When the last request with the fingerprint was sent to the target.
-    sent_ms: u64,
-}
-
-impl Suspect {
-    fn is_quarantinable(&self) -> bool {
-        self.crashes.len() >= MAX_SHARED_CRASHES
-    }
-
-    fn quarantine_left_ms(&self, now_ms: u64) -> Option<u64> {
-        if !self.is_quarantinable() {
-            return None;
-        }
-        let ends_ms = self.last_crash_ms + QUARANTINE_MS;
-        ends_ms.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)
-    }
-
-    /// Returns whether this suspect was in flight at all crashes of another one.
-    fn was_at_all(&self, other: &Self) -> bool {
-        let mut others = other.crashes.iter();
-        self.crashes.len() >= other.crashes.len() && others.all(|crash| self.knows(&crash.boot))
-    }
-
-    fn knows(&self, boot: &str) -> bool {
-        self.crashes.iter().any(|crash| *crash.boot == *boot)
-    }
-
-    /// Forgets the crashes if the last one is old. All but one of those that
-    /// led to a quarantine count for the same time again.
-    fn expire(&mut self, now_ms: u64) {
-        while !self.crashes.is_empty() && now_ms >= self.last_crash_ms + QUARANTINE_MS {
-            let kept = match self.is_quarantinable() {
-                true => MAX_SHARED_CRASHES - 1,
-                false => 0,
-            };
-            self.crashes.truncate(kept);
-            self.last_crash_ms += QUARANTINE_MS;
-        }
-    }
-}
-
 /// Fingerprint of a request that was in flight at a crash.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct InFlight<F> {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -28,6 +28,7 @@
 pub mod snapshot_pace;
 pub mod spending;
 pub mod spread;
+mod suspect;
 pub mod suspects;
 pub mod target_notices;
 pub mod token_bucket;
