Look at alike suspects once, and keep notices in force

The notices of targets had a bound of 4,096, above which the oldest went, also one that a running target keeps to: now 16,384, and those that no longer hold go first.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -5,6 +5,7 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use lavenderwind::{
     policy::{
+        crash_history::CrashHistory,
         prefix::PrefixIndex,
         queue::{FairQueue, QueueRequest, QueueSettings},
         routing::{Availability, RouteRequest, RouteSettings, RouteTable},
@@ -178,5 +179,28 @@
     }
 }
 
-criterion_group!(benches, routing, queue, prefix, spending);
+/// Requests of 300 parts while 3,000 parts were in flight at three crashes each.
+fn crashes(c: &mut Criterion) {
+    const PARTS: u64 = 300;
+    let mut group = c.benchmark_group("crash_history");
+    let mut history = CrashHistory::default();
+    for session in 0..10 {
+        let parts: Vec<u64> = (session * PARTS..(session + 1) * PARTS).collect();
+        for crash in 0..3 {
+            let boot = format!("engine-{crash}@{session}").into();
+            history.record_crash(&boot, &parts, 0);
+        }
+    }
+    let refused: Vec<u64> = (0..PARTS).collect();
+    group.bench_function("refused", |bencher| {
+        bencher.iter(|| black_box(history.quarantine_left_ms(&refused, 1)));
+    });
+    let sound: Vec<u64> = (100_000..100_000 + PARTS).collect();
+    group.bench_function("answered", |bencher| {
+        bencher.iter(|| black_box(history.record_answer(&sound, 1)));
+    });
+    group.finish();
+}
+
+criterion_group!(benches, routing, queue, prefix, spending, crashes);
 criterion_main!(benches);
--- a/benches/policy_memory.rs
+++ b/benches/policy_memory.rs
@@ -7,6 +7,7 @@
 
 use lavenderwind::{
     policy::{
+        crash_history::CrashHistory,
         limits::{AccountLimiter, AccountLimits},
         prefix::PrefixIndex,
         queue::{FairQueue, QueueRequest, QueueSettings},
@@ -69,10 +70,23 @@
     const BLOCKS: u64 = 1_000_000;
     const ACCOUNTS: u64 = 95_000;
     const MEMBERS: u64 = 8;
+    const SUSPECTS: u64 = 100_000;
     let names: Vec<Arc<str>> = (0..ACCOUNTS)
         .map(|index| format!("shop/{index}").into())
         .collect();
 
+    measure("crash of a suspect", SUSPECTS, || {
+        let mut history = CrashHistory::default();
+        let fingerprints: Vec<u64> = (0..SUSPECTS).collect();
+        history.record_crash(&"engine-1@1".into(), &fingerprints, 0);
+        history
+    });
+    measure("answered fingerprint", SUSPECTS, || {
+        let mut history = CrashHistory::default();
+        let fingerprints: Vec<u64> = (0..SUSPECTS).collect();
+        history.record_answer(&fingerprints, 0);
+        history
+    });
     measure("target", TARGETS, || {
         let mut table = RouteTable::new(RouteSettings::default());
         // Targets are added as not live, so that the table doesn't rebuild its
--- a/src/peer/notices.rs
+++ b/src/peer/notices.rs
@@ -9,8 +9,9 @@
     state::State,
 };
 
-/// Maximum number of targets whose notices are kept. Above it, the oldest is removed.
-const MAX_TARGETS: usize = 4_096;
+/// Maximum number of targets whose notices are kept. Above it, the oldest that is no longer
+/// in force is removed, or else the oldest one.
+const MAX_TARGETS: usize = 16_384;
 
 /// Latest notice of each target.
 #[derive(Debug, Default)]
@@ -28,7 +29,9 @@
             return false;
         }
         if self.by_target.len() >= MAX_TARGETS && !self.by_target.contains_key(&target) {
-            self.by_target.shift_remove_index(0);
+            let mut notices = self.by_target.values();
+            let oldest = notices.position(|notice| !is_in_force(notice));
+            self.by_target.shift_remove_index(oldest.unwrap_or(0));
         }
         self.by_target.insert(target, notice.clone());
         true
@@ -42,12 +45,16 @@
     /// Returns the frames that tell a peer about all targets.
     pub(super) fn frames(&self) -> Vec<Body> {
         let notices = self.by_target.values();
-        let in_force =
-            notices.filter(|notice| notice.leaving || notice.limit_milli_per_s.is_some());
+        let in_force = notices.filter(|notice| is_in_force(notice));
         in_force.cloned().map(Body::TargetNotice).collect()
     }
 }
 
+/// Returns whether a notice says anything that holds on.
+fn is_in_force(notice: &TargetNotice) -> bool {
+    notice.leaving || notice.limit_milli_per_s.is_some()
+}
+
 impl State {
     /// Adds a notice, and tells peers if it is new. `from` is the peer that reported it,
     /// if any did.
--- a/src/policy/crash_history.rs
+++ b/src/policy/crash_history.rs
@@ -268,6 +268,8 @@
     #[must_use]
     pub fn quarantine_left_ms(&self, fingerprints: &[F], now_ms: u64) -> Option<u64> {
         let mut longest_ms = None;
+        // All parts of a prompt may have been at the same crashes.
+        let mut examined: Vec<(&Suspect, bool)> = Vec::new();
         for fingerprint in fingerprints {
             let Some(suspect) = self.suspects.get(fingerprint) else {
                 continue;
@@ -275,7 +277,16 @@
             let Some(left_ms) = suspect.quarantine_left_ms(now_ms) else {
                 continue;
             };
-            if self.carries_whole_cause(fingerprints, suspect) {
+            let alike = examined.iter().find(|(other, _)| other.is_alike(suspect));
+            let is_refused = match alike {
+                Some((_, is_refused)) => *is_refused,
+                None => {
+                    let is_refused = self.carries_whole_cause(fingerprints, suspect);
+                    examined.push((suspect, is_refused));
+                    is_refused
+                }
+            };
+            if is_refused {
                 longest_ms = longest_ms.max(Some(left_ms));
             }
         }
--- a/src/policy/suspect.rs
+++ b/src/policy/suspect.rs
@@ -50,6 +50,11 @@
         self.crashes.len() >= other.crashes.len() && others.all(|crash| self.knows(&crash.boot))
     }
 
+    /// Returns whether this suspect was in flight at the same crashes as another one.
+    pub(super) fn is_alike(&self, other: &Self) -> bool {
+        self.crashes.len() == other.crashes.len() && self.was_at_all(other)
+    }
+
     /// Returns whether the crash of a boot was counted.
     pub(super) fn knows(&self, boot: &str) -> bool {
         self.crashes.iter().any(|crash| *crash.boot == *boot)
