Log requests whose callers leave, and how late tasks run

The users report work for callers that have left. No line told that a caller had left, where its request stood then, when the connection to the target was closed, or how long a close waits for the instance's only thread.

No logic is changed.

--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -1,5 +1,7 @@
 //! A caller's request, as used by routing, attempts and accounting.
 
+mod caller;
+
 use std::{
     sync::{Arc, OnceLock},
     time::Duration,
@@ -11,6 +13,8 @@
 
 use crate::catalog::{Account, Route};
 
+pub use caller::{Caller, Progress, Step};
+
 /// A caller's request that was admitted to a route.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -46,6 +50,8 @@
     pub deadline: Instant,
     /// Fingerprints by which the call is suspected to crash targets, once they are needed.
     pub fingerprints: OnceLock<Vec<u64>>,
+    /// The caller that waits for the answer.
+    pub caller: Caller,
 }
 
 impl Call {
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -9,7 +9,7 @@
 
 use super::{reply::Refusal, state::State};
 use crate::{
-    call::Call,
+    call::{Call, Caller},
     catalog::{Account, Catalog, Route},
     platform::CallerHead,
 };
@@ -54,6 +54,7 @@
     pub(super) parts: &'a Parts,
     pub(super) body: Bytes,
     pub(super) received_at: Instant,
+    pub(super) caller: Caller,
 }
 
 /// Converts a received request into a [`Call`], under the latest configuration.
@@ -96,6 +97,7 @@
         received_at: received.received_at,
         deadline: received.received_at + timeout,
         fingerprints: OnceLock::new(),
+        caller: received.caller,
         route,
     })
 }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -247,8 +247,9 @@
     head.time_left = call.time_left(Instant::now());
     let request = build_request(call, &head)?;
     let in_flight = CallGuard::new(state, target, call);
+    call.caller.record_send(&target.id);
     let response = connection
-        .send(request)
+        .send(&call.id, request)
         .await
         .map_err(|error| match error {
             pool::Error::Broken(_) => {
--- a/src/gateway/engine_call.rs
+++ b/src/gateway/engine_call.rs
@@ -152,13 +152,14 @@
     *request.method_mut() = method;
     *request.uri_mut() = path.parse::<Uri>().map_err(CallError::not_run)?;
     *request.headers_mut() = engine_headers(&target.id, target.address);
-    let response = connection
-        .send(request)
-        .await
-        .map_err(|error| match error {
-            pool::Error::Broken(_) => CallError::unknown(error),
-            _ => CallError::not_run(error),
-        })?;
+    let response =
+        connection
+            .send(&Arc::from(path), request)
+            .await
+            .map_err(|error| match error {
+                pool::Error::Broken(_) => CallError::unknown(error),
+                _ => CallError::not_run(error),
+            })?;
     let status = response.status();
     state.note_hints(target, &read_target_hints(status, response.headers()));
     let reading = read_whole(&state.answer_memory, response.into_body(), MAX_ANSWER_BYTES);
--- a/src/gateway/generation.rs
+++ b/src/gateway/generation.rs
@@ -20,7 +20,7 @@
     stream_times::{StartWork, StreamTimes},
 };
 use crate::{
-    call::Call,
+    call::{Call, Step},
     platform::{AttemptHead, CallerHead, caller_headers},
     policy::retry::{Failure, RetryDecision},
     roster::Target,
@@ -224,6 +224,7 @@
         ..AttemptHead::default()
     };
     let target = &plan.target;
+    call.caller.enter(Step::Decode);
     let answer = attempt::send(state, call, target, head, deadline).await?;
     if answer.status.is_success() && !answer.head.is_signed {
         let error = AttemptError::incomplete_answer("answer without signature");
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,7 +9,8 @@
 //! The other modules:
 //!
 //! - Callers: `connection` serves one connection, `admission` checks the route and
-//!   the key of a request, and `reply` builds responses.
+//!   the key of a request, `reply` builds responses, and `answer_guard` notices requests
+//!   that are dropped.
 //! - Attempts: `attempt` makes one attempt over a connection of `pool`
 //!   (`yielding_stream`),
 //!   `attempt_history` decides on retries, `crash` detects targets that crash, and
@@ -25,10 +26,11 @@
 //!   event streams for `relay`.
 //! - Process: `run` starts and stops the tasks, `listeners` contains their sockets,
 //!   `state` is shared by them, `reload` reloads the settings file, `readiness` serves
-//!   readiness checks and metrics, and `clock` measures time across suspension of the
+//!   readiness checks and metrics, `lag` measures how late tasks run, and `clock` measures time across suspension of the
 //!   machine.
 
 mod admission;
+mod answer_guard;
 mod answer_memory;
 mod attempt;
 mod attempt_history;
@@ -44,6 +46,7 @@
 mod follower;
 mod generation;
 mod in_flight;
+mod lag;
 mod listeners;
 mod loads;
 mod members;
--- a/src/gateway/plain.rs
+++ b/src/gateway/plain.rs
@@ -16,7 +16,7 @@
     state::State,
 };
 use crate::{
-    call::Call,
+    call::{Call, Step},
     platform::{AttemptHead, CallerHead, caller_headers},
     policy::{
         retry::{Failure, RetryDecision},
@@ -98,6 +98,7 @@
     target: &Arc<Target>,
     history: &AttemptHistory,
 ) -> Result<BufferedAnswer, AttemptError> {
+    call.caller.enter(Step::Plain);
     let _in_flight = InFlightGuard::new(state, &target.id, 0);
     let may_retry = call.route.is_repeatable() && history.attempts + 1 < call.route.max_attempts;
     let deadline = match may_retry {
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -27,7 +27,7 @@
 };
 use tokio_util::task::AbortOnDropHandle;
 
-use super::yielding_stream::YieldingStream;
+use super::yielding_stream::{RequestInFlight, YieldingStream};
 use crate::roster::Target;
 
 /// Time limit for opening a TCP connection to a target.
@@ -113,16 +113,20 @@
     sender: SendRequest<Full<Bytes>>,
     /// Idle timeout that the target announced in its last answer.
     pub(super) idle_timeout: Option<Duration>,
+    in_flight: RequestInFlight,
     _driver: AbortOnDropHandle<()>,
     _open: OpenGuard,
 }
 
 impl Connection {
-    /// Sends a request and returns once the head of the answer has arrived.
+    /// Sends a request and returns once the head of the answer has arrived. Log lines name
+    /// the request by `id`.
     pub(super) async fn send(
         &mut self,
+        id: &Arc<str>,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
+        self.in_flight.begin(id);
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => {
@@ -175,9 +179,10 @@
         connect(target.address, guard).await
     }
 
-    /// Returns a connection to the pool, unless it is closed or its idle timeout
-    /// leaves no time to reuse it.
+    /// Returns a connection to the pool after a complete answer, unless it is closed or its
+    /// idle timeout leaves no time to reuse it.
     pub(super) fn put_back(&self, target: &Target, connection: Connection) {
+        connection.in_flight.end();
         if connection.sender.is_closed() {
             return;
         }
@@ -241,9 +246,11 @@
         .map_err(|_| Error::Connect(io::ErrorKind::TimedOut.into()))?
         .map_err(Error::Connect)?;
     set_options(&stream).map_err(Error::Connect)?;
+    let in_flight = RequestInFlight::default();
+    let stream = YieldingStream::new(stream, in_flight.clone());
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(YieldingStream::new(stream)))
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(Error::NotWritten)?;
     let driver = tokio::spawn(async move {
@@ -254,6 +261,7 @@
     Ok(Connection {
         sender,
         idle_timeout: None,
+        in_flight,
         _driver: AbortOnDropHandle::new(driver),
         _open: open,
     })
--- a/src/gateway/prefill.rs
+++ b/src/gateway/prefill.rs
@@ -14,7 +14,7 @@
     state::State,
 };
 use crate::{
-    call::{Call, Prompt},
+    call::{Call, Prompt, Step},
     platform::{AttemptHead, KvSource, Prefilled},
     policy::cache_locality::chain_hash,
     roster::Target,
@@ -102,6 +102,7 @@
     let mut tried = Vec::new();
     let mut attempts = 0;
     while attempts < MAX_PREFILL_ATTEMPTS && tried.len() < MAX_PREFILL_TARGETS {
+        call.caller.enter(Step::Placement);
         let chosen = choose_engine(state, call, prompt, &tried).await;
         if tried.is_empty() {
             let uncached = chosen.as_ref().map(|chosen| chosen.uncached_tokens);
@@ -153,6 +154,7 @@
     state.loads().record_send(&target.id, state.now_ms());
     let _in_flight = InFlightGuard::new(state, &target.id, u64::from(uncached_tokens));
     let started_at = Instant::now();
+    call.caller.enter(Step::Prefill);
     let deadline = started_at + call.time_left(started_at).saturating_sub(MIN_DECODE_TIME);
     let head = AttemptHead {
         prefill_only: true,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::{
+    answer_guard::AnswerGuard,
     answer_memory::{self, MemoryShare},
     attempt::{self, Answer, AttemptError},
     attempt_history::AttemptHistory,
@@ -22,7 +23,12 @@
     state::{BodyMemory, State},
     stream_times::{StartWork, StreamTimes},
 };
-use crate::{call::Call, platform::AttemptHead, policy::retry::RetryDecision, roster::Target};
+use crate::{
+    call::{Call, Step},
+    platform::AttemptHead,
+    policy::retry::RetryDecision,
+    roster::Target,
+};
 
 /// The stream of the engine that currently generates the answer.
 #[derive(Debug)]
@@ -66,6 +72,7 @@
     /// Memory of the incomplete event.
     event_memory: MemoryShare,
     history: AttemptHistory,
+    guard: AnswerGuard,
     last_event_id: Option<Arc<str>>,
     event_count: usize,
     ended: bool,
@@ -100,7 +107,10 @@
     ) -> Self {
         let last_event_id = call.resume_after.clone();
         let event_memory = state.answer_memory.share();
+        let guard = AnswerGuard::new(Some(call.id.clone()), call.caller.clone(), call.received_at);
+        call.caller.enter(Step::Relay);
         Self {
+            guard,
             event_memory,
             state,
             call,
@@ -136,7 +146,7 @@
                     if self.resume(&error).await {
                         continue;
                     }
-                    self.ended = true;
+                    self.end();
                     return Some(Err(io::Error::other(error.to_string())));
                 }
             }
@@ -199,10 +209,15 @@
         }
     }
 
+    fn end(&mut self) {
+        self.ended = true;
+        self.guard.finish();
+    }
+
     /// Records that the engine has ended the stream, and returns the connection to
     /// the pool.
     fn finish(&mut self) {
-        self.ended = true;
+        self.end();
         let Some(source) = self.source.take() else {
             return;
         };
@@ -254,6 +269,7 @@
             match self.resume_once().await {
                 Some(Ok(source)) => {
                     self.source = Some(source);
+                    self.call.caller.enter(Step::Relay);
                     return true;
                 }
                 Some(Err(error)) => failure = error.failure,
@@ -276,6 +292,7 @@
         let tried = &self.history.tried;
         let decode = decode::choose_engine(&self.state, &self.call, failure_domain, tried)?;
         let target = decode.target;
+        self.call.caller.enter(Step::Resumption);
         self.state
             .loads()
             .record_send(&target.id, self.state.now_ms());
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -13,7 +13,7 @@
 use super::{
     catalog::CatalogTail,
     duty::{self, DutyLease},
-    engines,
+    engines, lag,
     listeners::Listeners,
     members::{self, MemberTail},
     notices, quarantine, readiness, reload, server,
@@ -126,6 +126,7 @@
     spawn_task(&supervisor, "settings", move || {
         reload::watch(watched.clone(), path.clone())
     });
+    spawn_task(&supervisor, "lag", lag::watch);
     let close = CancellationToken::new();
     let serving = tokio::spawn(server::serve(
         state.clone(),
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -17,12 +17,13 @@
 
 use super::{
     admission::{ReceivedRequest, admit, permit},
+    answer_guard::AnswerGuard,
     connection, generation, plain,
     reply::{Body, Refusal, set_connection_close},
     state::{BodyMemory, State, StopPhase},
 };
 use crate::{
-    call::Call,
+    call::{Call, Caller, Step},
     catalog::{CallerLimits, Catalog, RouteKind},
     platform::{CallerHead, HeadError, read_caller_head},
 };
@@ -83,9 +84,11 @@
     let (parts, body) = request.into_parts();
     let read = read_caller_head(&parts);
     let id = read.as_ref().ok().map(|head| head.id.clone());
+    let caller = Caller::default();
+    let mut guard = AnswerGuard::new(id.clone(), caller.clone(), received_at);
     let result = match &read {
         Ok(head) => {
-            let handled = handle(&state, head, &parts, body, received_at).await;
+            let handled = handle(&state, head, &parts, body, received_at, caller).await;
             handled.map(|(response, call)| {
                 record_answer(&call, &response);
                 response
@@ -97,6 +100,7 @@
         record_refusal(&state, id.as_deref(), refusal, received_at);
         refusal.response(id.as_deref(), retry_after(refusal))
     });
+    guard.finish();
     if state.is_stopping() {
         set_connection_close(response.headers_mut());
     }
@@ -110,6 +114,7 @@
     parts: &hyper::http::request::Parts,
     body: Incoming,
     received_at: Instant,
+    caller: Caller,
 ) -> Result<(Response<Body>, Arc<Call>), Refusal> {
     let catalog = state.catalog().ok_or(Refusal::NotReady)?;
     if !state.knows_targets() || state.is_stale() {
@@ -127,11 +132,13 @@
     if state.stop_phase() >= StopPhase::Closing {
         return Err(Refusal::Stopping);
     }
+    caller.enter(Step::Admission);
     let received = ReceivedRequest {
         head,
         parts,
         body,
         received_at,
+        caller,
     };
     let call = Arc::new(admit(state, received)?);
     state.record_request(&call.service);
--- a/src/gateway/yielding_stream.rs
+++ b/src/gateway/yielding_stream.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     pin::Pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll},
 };
 
@@ -15,23 +16,58 @@
 /// one thread, and small messages without end keep their parser busy for long.
 const BYTES_PER_TURN: usize = 64 << 10;
 
+/// The request that is in flight on a connection, if any. Clones refer to the same
+/// connection.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RequestInFlight(Arc<Mutex<Option<Arc<str>>>>);
+
+impl RequestInFlight {
+    /// Records that a request is sent.
+    pub(super) fn begin(&self, id: &Arc<str>) {
+        *self.lock() = Some(id.clone());
+    }
+
+    /// Records that the request is answered completely.
+    pub(super) fn end(&self) {
+        *self.lock() = None;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<Arc<str>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// TCP stream whose reader yields after [`BYTES_PER_TURN`].
 #[derive(Debug)]
 pub(super) struct YieldingStream {
     stream: TcpStream,
+    in_flight: RequestInFlight,
     /// Bytes that may be read before the next yield.
     left_bytes: usize,
 }
 
 impl YieldingStream {
-    pub(super) fn new(stream: TcpStream) -> Self {
+    pub(super) fn new(stream: TcpStream, in_flight: RequestInFlight) -> Self {
         Self {
             stream,
+            in_flight,
             left_bytes: BYTES_PER_TURN,
         }
     }
 }
 
+impl Drop for YieldingStream {
+    fn drop(&mut self) {
+        let in_flight = self.in_flight.lock();
+        if let Some(id) = &*in_flight {
+            tracing::info!(
+                request = &**id,
+                "gateway: connection to a target closed during a request"
+            );
+        }
+    }
+}
+
 impl AsyncRead for YieldingStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/tests/platform_headers.rs
+++ b/tests/platform_headers.rs
@@ -63,6 +63,7 @@
         received_at: now,
         deadline: now + Duration::from_secs(5),
         fingerprints: OnceLock::new(),
+        caller: Default::default(),
     }
 }
 
