--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -731,6 +731,18 @@
         timeout(DEADLINE, poll).await.expect("no request is served");
     }
 
+    /// Keeps the gateway's thread busy, as a lack of processor time does. Returns once it is
+    /// busy.
+    pub async fn keep_busy(&self, time: Duration) {
+        let (begin, begun) = oneshot::channel();
+        let runtime = self.runtime.as_ref().unwrap();
+        runtime.spawn(async move {
+            begin.send(()).unwrap();
+            std::thread::sleep(time);
+        });
+        begun.await.unwrap();
+    }
+
     pub fn stop(&mut self) {
         if let Some(stop) = self.stop.take() {
             let _ = stop.send(());
