Watch the connection of each caller until its answer is complete

Callers saw: work went on, until the deadline, for a caller that had sent bytes behind its request and had left; and a caller that closed only its sending side was cut without an answer.

Cause: whether a caller has left was derived from the server library's reads. It looks for the end of a connection only while it holds no unread bytes, and takes any end for the caller's leave.

Change: gateway/caller_socket.rs watches the connection while a request is in progress, reads what follows the request (up to 4 KiB; beyond that it asks the kernel whether the end was announced), and tells a caller that has left from one that has only closed its sending side: it sends the first byte of what comes next in the answer anyway (the H of the status line, or a leading zero of the size of the next chunk). A closed connection rejects it; the answer of one that still reads stays the same. Before each send to a target the socket is looked at once more, so that nothing is sent for a caller that has left, and a caller that may have left is waited for up to 150 ms.

Ruled out as ways of judging: the kernel's announcement of the end alone (it is the same for both callers), interim answers (some clients take only some of them), and a pause after which the end counts as a leave (cuts half-closed callers).

--- a/src/call/caller.rs
+++ b/src/call/caller.rs
@@ -7,7 +7,7 @@
 };
 
 use displaydoc::Display;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// What is being done for a request.
 #[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
@@ -31,6 +31,17 @@
     Resumption,
 }
 
+/// Whether a caller still waits for its answer, as far as its connection tells.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Presence {
+    /// It waits.
+    Present,
+    /// It has closed its sending side, and may have left.
+    Unknown,
+    /// It has left.
+    Left,
+}
+
 /// The current step of a request.
 #[derive(Clone, Debug)]
 pub struct Progress {
@@ -58,14 +69,29 @@
     }
 }
 
+/// Interval at which a caller is looked at again while it may have left.
+const LOOK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// The caller of one request. Clones refer to the same caller.
 #[derive(Clone)]
 pub struct Caller {
     progress: Arc<Mutex<Progress>>,
+    look: Arc<dyn Fn() -> Presence + Send + Sync>,
 }
 
 impl Default for Caller {
+    /// Returns a caller that never leaves.
     fn default() -> Self {
+        Self::new(|| Presence::Present)
+    }
+}
+
+impl Caller {
+    /// Returns the caller of a request; `look` looks at its connection.
+    pub fn new<F>(look: F) -> Self
+    where
+        F: Fn() -> Presence + Send + Sync + 'static,
+    {
         let progress = Progress {
             step: Step::default(),
             target: None,
@@ -74,11 +100,21 @@
         };
         Self {
             progress: Arc::new(Mutex::new(progress)),
+            look: Arc::new(look),
+        }
+    }
+
+    /// Waits until it is known whether the caller is there, and returns whether it is.
+    pub async fn is_present(&self) -> bool {
+        loop {
+            match (self.look)() {
+                Presence::Present => return true,
+                Presence::Left => return false,
+                Presence::Unknown => sleep(LOOK_INTERVAL).await,
+            }
         }
     }
-}
 
-impl Caller {
     /// Records that the request enters a step.
     pub fn enter(&self, step: Step) {
         let mut progress = self.lock();
--- a/src/call/mod.rs
+++ b/src/call/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::catalog::{Account, Route};
 
-pub use caller::{Caller, Progress, Step};
+pub use caller::{Caller, Presence, Progress, Step};
 
 /// A caller's request that was admitted to a route.
 #[derive(Clone, Debug)]
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -236,6 +236,10 @@
         pool::Error::NoConnection => AttemptError::local(error),
         _ => AttemptError::new(Failure::NotWritten, error),
     })?;
+    if !call.caller.is_present().await {
+        // The connection of the caller drops the call.
+        std::future::pending::<()>().await;
+    }
     // The target may have started to drain while the connection was set up.
     if !state.is_ready_target(target) {
         return Err(AttemptError::local("target no longer accepts requests"));
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -15,20 +15,26 @@
 
 use bytes::Bytes;
 use hyper::{
-    body::{Frame, SizeHint},
+    Request, Response, Version,
+    body::{Body as _, Frame, Incoming, SizeHint},
+    header::CONTENT_LENGTH,
     server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
     time::{Instant, sleep_until},
 };
 use tokio_util::sync::CancellationToken;
 
-use super::{reply::Body, server, state::State};
-use crate::catalog::CallerLimits;
+use super::{
+    caller_socket::{CallerSocket, CallerStream},
+    reply::Body,
+    server,
+    state::State,
+};
+use crate::{call::Caller, catalog::CallerLimits};
 
 /// Minimum size of the buffer for a request head.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
@@ -95,22 +101,30 @@
 }
 
 /// Marks a connection as serving a request until the response body is dropped.
-struct RequestGuard(Arc<Activity>);
+struct RequestGuard {
+    activity: Arc<Activity>,
+    socket: Arc<CallerSocket>,
+}
 
 impl RequestGuard {
-    fn new(activity: &Arc<Activity>) -> Self {
+    fn new(activity: &Arc<Activity>, socket: &Arc<CallerSocket>) -> Self {
         activity.in_request.store(true, Ordering::Release);
-        Self(activity.clone())
+        socket.begin_request();
+        Self {
+            activity: activity.clone(),
+            socket: socket.clone(),
+        }
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        *self.0.lock() = ReadTimes {
+        self.socket.end_request();
+        *self.activity.lock() = ReadTimes {
             head_started_at: None,
             idle_since: Instant::now(),
         };
-        self.0.in_request.store(false, Ordering::Release);
+        self.activity.in_request.store(false, Ordering::Release);
     }
 }
 
@@ -153,9 +167,10 @@
         .catalog()
         .map_or_else(CallerLimits::default, |catalog| *catalog.limits());
     let activity = Arc::new(Activity::new());
+    let socket = CallerSocket::new(stream);
     let service = service_fn(|request| {
-        let guard = RequestGuard::new(&activity);
-        let answering = server::answer(state.clone(), request);
+        let guard = RequestGuard::new(&activity, &socket);
+        let answering = answer(state.clone(), socket.clone(), request);
         async move {
             let response = answering.await;
             Ok::<_, Infallible>(response.map(|body| GuardedBody {
@@ -165,25 +180,28 @@
         }
     });
     let buffer_bytes = (HEAD_BUFFER_FACTOR * limits.max_header_bytes).max(MIN_HEAD_BUFFER_BYTES);
-    let tracked = TrackedStream {
-        stream,
-        activity: activity.clone(),
-    };
+    let reads = activity.clone();
+    let stream = CallerStream::new(socket.clone(), move || reads.record_read());
     let mut connection = pin!(
         http1::Builder::new()
             .max_buf_size(buffer_bytes)
-            .serve_connection(TokioIo::new(tracked), service)
+            // Whether the caller has left is decided by its socket.
+            .half_close(true)
+            .serve_connection(TokioIo::new(stream), service)
     );
+    let mut left = pin!(socket.left());
     let mut closing = false;
     loop {
         let close_deadline = activity.close_deadline(&limits);
         tokio::select! {
+            biased;
             ended = &mut connection => {
                 if let Err(error) = ended {
                     tracing::debug!("gateway: caller connection failed: {error}");
                 }
                 return;
             }
+            () = &mut left => return,
             () = sleep_until(close_deadline) => {
                 if activity.close_deadline(&limits) <= Instant::now() {
                     return;
@@ -197,41 +215,18 @@
     }
 }
 
-/// A TCP stream that records in [`Activity`] when bytes arrive from the caller.
-struct TrackedStream {
-    stream: TcpStream,
-    activity: Arc<Activity>,
-}
-
-impl AsyncRead for TrackedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.activity.record_read();
-        }
-        polled
-    }
-}
-
-impl AsyncWrite for TrackedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
+/// Answers a request, and tells the socket how far the answer has come.
+async fn answer(
+    state: Arc<State>,
+    socket: Arc<CallerSocket>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    let may_have_chunks = request.version() >= Version::HTTP_11;
+    let looked_at = socket.clone();
+    let caller = Caller::new(move || looked_at.look());
+    let response = server::answer(state, request, caller).await;
+    let has_length = response.body().size_hint().exact().is_some()
+        || response.headers().contains_key(CONTENT_LENGTH);
+    socket.begin_answer(may_have_chunks && !has_length);
+    response
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,7 +8,7 @@
 //!
 //! The other modules:
 //!
-//! - Callers: `connection` serves one connection, `admission` checks the route and
+//! - Callers: `connection` serves one connection (`caller_socket`), `admission` checks the route and
 //!   the key of a request, `reply` builds responses, and `answer_guard` notices requests
 //!   that are dropped.
 //! - Attempts: `attempt` makes one attempt over a connection of `pool`
@@ -34,6 +34,7 @@
 mod answer_memory;
 mod attempt;
 mod attempt_history;
+mod caller_socket;
 mod catalog;
 mod clock;
 mod connection;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -79,12 +79,15 @@
 }
 
 /// Handles one request and returns its response, which may be a refusal.
-pub(super) async fn answer(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+pub(super) async fn answer(
+    state: Arc<State>,
+    request: Request<Incoming>,
+    caller: Caller,
+) -> Response<Body> {
     let received_at = Instant::now();
     let (parts, body) = request.into_parts();
     let read = read_caller_head(&parts);
     let id = read.as_ref().ok().map(|head| head.id.clone());
-    let caller = Caller::default();
     let mut guard = AnswerGuard::new(id.clone(), caller.clone(), received_at);
     let result = match &read {
         Ok(head) => {
