Reset connections to targets that close during a request

Targets saw: a request that its instance had given up, as the caller had left, still arrived whole, if it waited for a narrow link or for a target that reads slowly.

Cause: the connection was closed in order, so that the kernel first delivered what the instance had already written. Only then came the end.

Change: a connection that closes while a request is in flight is reset, which discards what was not delivered, and which the target learns of at once. Idle connections still close in order.

undelivered_request_discarded failed before (the target read 1,048,780 bytes, a whole request, after the caller had left) and passes now.

--- a/src/gateway/yielding_stream.rs
+++ b/src/gateway/yielding_stream.rs
@@ -5,8 +5,10 @@
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll},
+    time::Duration,
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -56,10 +58,22 @@
     }
 }
 
+impl YieldingStream {
+    /// Makes the kernel reset the connection when it is closed. Otherwise it would first
+    /// deliver the bytes that still wait, and the target would get a request that was given up.
+    fn reset_on_close(&self) {
+        let socket = SockRef::from(&self.stream);
+        if let Err(error) = socket.set_linger(Some(Duration::ZERO)) {
+            tracing::warn!("gateway: cannot reset a connection to a target: {error}");
+        }
+    }
+}
+
 impl Drop for YieldingStream {
     fn drop(&mut self) {
         let in_flight = self.in_flight.lock();
         if let Some(id) = &*in_flight {
+            self.reset_on_close();
             tracing::info!(
                 request = &**id,
                 "gateway: connection to a target closed during a request"
