Let no call keep the connection of its caller open

Callers would have seen: a broken stream whose connection closed only 0.5 s later. It now refers to the socket weakly.

--- a/src/gateway/caller_socket.rs
+++ b/src/gateway/caller_socket.rs
@@ -46,6 +46,8 @@
 const LEADING_DIGIT: u8 = b'0';
 
 /// What has been sent in answer to the current request.
+///
+/// Only between two whole parts of an answer is it known what the next byte may be.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 enum Sent {
     /// Nothing of the answer.
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -34,7 +34,10 @@
     server,
     state::State,
 };
-use crate::{call::Caller, catalog::CallerLimits};
+use crate::{
+    call::{Caller, Presence},
+    catalog::CallerLimits,
+};
 
 /// Minimum size of the buffer for a request head.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 << 10;
@@ -222,8 +225,12 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     let may_have_chunks = request.version() >= Version::HTTP_11;
-    let looked_at = socket.clone();
-    let caller = Caller::new(move || looked_at.look());
+    // A call may outlast its connection, and must not keep it open.
+    let looked_at = Arc::downgrade(&socket);
+    let caller = Caller::new(move || {
+        let socket = looked_at.upgrade();
+        socket.map_or(Presence::Left, |socket| socket.look())
+    });
     let response = server::answer(state, request, caller).await;
     let has_length = response.body().size_hint().exact().is_some()
         || response.headers().contains_key(CONTENT_LENGTH);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,9 +8,9 @@
 //!
 //! The other modules:
 //!
-//! - Callers: `connection` serves one connection (`caller_socket`), `admission` checks the route and
-//!   the key of a request, `reply` builds responses, and `answer_guard` notices requests
-//!   that are dropped.
+//! - Callers: `connection` serves one connection, whose `caller_socket` tells whether the
+//!   caller is there, `admission` checks the route and the key of a request, `reply` builds
+//!   responses, and `answer_guard` notices requests that are dropped.
 //! - Attempts: `attempt` makes one attempt over a connection of `pool`
 //!   (`yielding_stream`),
 //!   `attempt_history` decides on retries, `crash` detects targets that crash, and
@@ -26,8 +26,8 @@
 //!   event streams for `relay`.
 //! - Process: `run` starts and stops the tasks, `listeners` contains their sockets,
 //!   `state` is shared by them, `reload` reloads the settings file, `readiness` serves
-//!   readiness checks and metrics, `lag` measures how late tasks run, and `clock` measures time across suspension of the
-//!   machine.
+//!   readiness checks and metrics, `lag` measures how late tasks run, and `clock` measures
+//!   time across suspension of the machine.
 
 mod admission;
 mod answer_guard;
--- a/tests/caller_left.rs
+++ b/tests/caller_left.rs
@@ -25,7 +25,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::watch,
-    time::sleep,
+    time::{Instant, sleep},
 };
 
 /// Time limit of requests. It is far above the time limit of waits, so that no work ends by
@@ -42,6 +42,9 @@
 /// Size of an answer that does not fit into the buffers of a connection.
 const LARGE_BYTES: usize = 12 << 20;
 
+/// Time for which a target is examined after it has broken off an answer.
+const EXAMINATION_TIME: Duration = Duration::from_millis(500);
+
 /// Size of a request that fits into the buffers of a connection, but not into that of its
 /// receiver alone.
 const UNDELIVERED_BYTES: usize = 1 << 20;
@@ -552,6 +555,25 @@
     }
 }
 
+/// Guards against a connection that stays open after its end, because a call that is still
+/// examined holds it.
+#[tokio::test]
+async fn broken_stream_closes() {
+    let reactions = [("models", Some("decode"), Reaction::BreakStream)];
+    let fixture = Fixture::start(&reactions).await;
+    let mut quickest = Duration::MAX;
+    for _ in 0..5 {
+        let mut stream = fixture.connect().await;
+        let request = request("/once/", "x");
+        stream.write_all(request.as_bytes()).await.unwrap();
+        read_until(&mut stream, FIRST_EVENT).await;
+        let event_at = Instant::now();
+        read_all(&mut stream).await;
+        quickest = quickest.min(event_at.elapsed());
+    }
+    assert!(quickest < EXAMINATION_TIME, "{quickest:?}");
+}
+
 /// Guards against a caller that reads slowly and is taken for one that has left.
 #[tokio::test]
 async fn slow_caller_served() {
