--- a/tests/caller_left.rs
+++ b/tests/caller_left.rs
@@ -225,6 +225,13 @@
         stream
     }
 
+    /// Closes the sending side of a caller, and checks that the work for it goes on.
+    async fn close_sending_side(&self, stream: &mut TcpStream) {
+        stream.shutdown().await.unwrap();
+        sleep(SETTLE_TIME).await;
+        assert_eq!(self.targets.held(), 1, "work has ended");
+    }
+
     async fn wait_until_held(&self, count: usize) {
         eventually("targets hold the requests", || self.targets.held() == count).await;
     }
@@ -450,9 +457,7 @@
     for (path, reactions) in steps() {
         let fixture = Fixture::start(&reactions).await;
         let mut stream = fixture.send(path, "").await;
-        stream.shutdown().await.unwrap();
-        sleep(SETTLE_TIME).await;
-        assert_eq!(fixture.targets.held(), 1, "work ended: {reactions:?}");
+        fixture.close_sending_side(&mut stream).await;
         fixture.targets.released.send_replace(true);
         let answer = read_all(&mut stream).await;
         assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
@@ -506,9 +511,7 @@
             stream.write_all(second.as_bytes()).await.unwrap();
             fixture.wait_until_held(1).await;
             if is_half_closed {
-                stream.shutdown().await.unwrap();
-                sleep(SETTLE_TIME).await;
-                assert_eq!(fixture.targets.held(), 1, "work ended: {path}");
+                fixture.close_sending_side(&mut stream).await;
             }
             drop(stream);
             fixture.wait_until_held(0).await;
@@ -527,8 +530,7 @@
     .await;
     let requests = ["/look/", "/chat/", "/look/"].map(|path| request(path, "x"));
     let mut stream = fixture.send("/look/", &requests.concat()).await;
-    stream.shutdown().await.unwrap();
-    sleep(SETTLE_TIME).await;
+    fixture.close_sending_side(&mut stream).await;
     fixture.targets.released.send_replace(true);
     let answer = read_all(&mut stream).await;
     assert_eq!(answer.matches("HTTP/1.1 200 OK\r\n").count(), 4, "{answer}");
@@ -547,9 +549,7 @@
     for (path, reactions) in steps() {
         let fixture = Fixture::start(&reactions).await;
         let mut stream = fixture.send(path, "").await;
-        stream.shutdown().await.unwrap();
-        sleep(SETTLE_TIME).await;
-        assert_eq!(fixture.targets.held(), 1, "work ended: {reactions:?}");
+        fixture.close_sending_side(&mut stream).await;
         drop(stream);
         fixture.wait_until_held(0).await;
     }
