--- a/src/explain/line.rs
+++ b/src/explain/line.rs
@@ -79,6 +79,13 @@
             let events = self.number("events").unwrap_or(0.0);
             return Some(format!("cut after {events} events: {cause}"));
         }
+        if let Some(outcome) = message.strip_prefix("request dropped, as its caller has left; ") {
+            let step = self.fields.get("step").and_then(Value::as_str);
+            let step = step.unwrap_or("-");
+            return Some(format!(
+                "caller left after {elapsed_ms} ms, during {step}; {outcome}"
+            ));
+        }
         match message {
             "stream ended" => Some(format!("stream completed in {elapsed_ms} ms")),
             "request answered" => Some(format!("answered {status} after {elapsed_ms} ms")),
--- a/tests/explain_request.rs
+++ b/tests/explain_request.rs
@@ -55,6 +55,12 @@
             "gateway: stream broken off: Cut: error reading a body",
             ",\"request\":\"r-3\",\"events\":7,\"attempts\":1",
         ),
+        line(
+            "entry-3",
+            12.5,
+            "gateway: request dropped, as its caller has left; outcome unknown",
+            ",\"request\":\"r-4\",\"step\":\"prefill\",\"sends\":1,\"elapsed_ms\":180",
+        ),
     ]
 }
 
@@ -82,6 +88,10 @@
     let cases = [
         ("r-2", "answered 200 after 20 ms"),
         ("r-3", "cut after 7 events: Cut: error reading a body"),
+        (
+            "r-4",
+            "caller left after 180 ms, during prefill; outcome unknown",
+        ),
         (
             "r-9",
             "no log line names the request: it reached no instance, or lines were dropped",
