--- a/src/gateway/yielding_stream.rs
+++ b/src/gateway/yielding_stream.rs
@@ -1,4 +1,5 @@
-//! A connection to a target that lets other tasks run while much arrives.
+//! A connection to a target that lets other tasks run while much arrives, and that is reset
+//! if it closes during a request.
 
 use std::{
     io,
