Add the setting that asks for shared placement

Cause: what is new must take effect only where a deployment's settings ask for it.

Nothing reads it yet.

--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -38,6 +38,9 @@
     /// Resource limits of the instance.
     #[serde(default)]
     pub limits: InstanceLimits,
+    /// Placement of prompts on engines.
+    #[serde(default)]
+    pub placement: PlacementSettings,
     /// Log output.
     #[serde(default)]
     pub logging: Logging,
@@ -143,6 +146,15 @@
     }
 }
 
+/// Placement of prompts on engines.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlacementSettings {
+    /// Whether one instance at a time places the prompts of all instances, refuses those
+    /// that cannot be served in time, and learns how fast each engine is.
+    pub shared: bool,
+}
+
 /// Settings that may change while an instance runs.
 #[derive(Clone, Copy, Debug)]
 pub struct Tuning {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -12,7 +12,7 @@
 
 use self::checker::Checker;
 pub use self::gateway::{
-    Duties, GatewaySettings, GatewayTiming, InstanceLimits, RetryLimits, Tuning,
+    Duties, GatewaySettings, GatewayTiming, InstanceLimits, PlacementSettings, RetryLimits, Tuning,
 };
 pub use self::policy::{Division, Policy, QueueOrder, RoleControl};
 
