Place the prompts of all instances at one instance

Cause: with 65 to 89 instances, each chose engines by loads that were averaged over a second and reported late, so that many prompts met on one engine: predicted 40 ms, measured 480 ms.

Change: the dispatcher of a service, chosen by rendezvous hashing, is asked by datagram, knows each outstanding prompt and what engines have cached. Off unless placement.shared is set.

Ruled out: faster load reports, since 2 KB/s an instance do not carry each change.

--- a/examples/generate_protocol.rs
+++ b/examples/generate_protocol.rs
@@ -5,9 +5,10 @@
 use std::error::Error;
 
 /// Protocol files and the folders for their generated code.
-const PROTOCOLS: [(&str, &str); 2] = [
+const PROTOCOLS: [(&str, &str); 3] = [
     ("proto/records.proto", "src/log"),
     ("proto/peer.proto", "src/peer"),
+    ("proto/dispatch.proto", "src/gateway/dispatch"),
 ];
 
 fn main() -> Result<(), Box<dyn Error>> {
--- /dev/null
+++ b/src/gateway/dispatch/client.rs
@@ -0,0 +1,413 @@
+//! Queries the dispatcher of a service, and reports placements to it.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use indexmap::IndexMap;
+use tokio::{
+    net::UdpSocket,
+    sync::oneshot,
+    time::{Instant, timeout},
+};
+
+use super::{
+    datagram::{encode, encode_prompt},
+    frames::{Ended, Failure, Notice, Placed, Prefilled, Query, datagram::Body},
+    ticket::Ticket,
+};
+use crate::{
+    call::{Call, Prompt},
+    gateway::{caller::reply::Refusal, engine::placement::PrefillChoice, state::State},
+    peer::rendezvous_order,
+    policy::{cache_locality::rendezvous_weight, dispatch::Preference},
+    roster::Target,
+};
+
+/// Time limit for the answer to a query. An instance on a small share of a processor may
+/// take some tens of milliseconds.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(40);
+
+/// Time for which the rendezvous order of a service is reused.
+const ORDER_PERIOD: Duration = Duration::from_millis(250);
+
+/// Bits of the first placement number below the time of the start, so that an instance that
+/// starts again does not reuse numbers.
+const NUMBER_BITS: u32 = 20;
+
+/// Outcome of a query.
+#[derive(Debug)]
+pub(in crate::gateway) enum QueryOutcome {
+    /// The dispatcher has chosen an engine.
+    Placed(PrefillChoice),
+    /// The dispatcher refuses the request.
+    Refused(Refusal),
+    /// There is no usable answer. The placement that the instance decides on itself gets
+    /// this number.
+    Unanswered {
+        /// Number of the placement.
+        number: u64,
+    },
+}
+
+/// Placement of this instance whose request has not ended.
+#[derive(Debug)]
+struct Outstanding {
+    notice: Notice,
+    sent_at: Instant,
+    deadline: Instant,
+}
+
+/// Rendezvous order of the instances for a service.
+#[derive(Debug)]
+struct Order {
+    addresses: Vec<SocketAddr>,
+    computed_at: Instant,
+}
+
+/// Placements that one instance decides on for all.
+#[derive(Debug)]
+pub(in crate::gateway) struct Dispatch {
+    pub(super) socket: UdpSocket,
+    own_address: SocketAddr,
+    next_number: AtomicU64,
+    waiting: Mutex<IndexMap<u64, oneshot::Sender<Body>>>,
+    outstanding: Mutex<IndexMap<u64, Outstanding>>,
+    preference: Mutex<Preference>,
+    orders: Mutex<IndexMap<Arc<str>, Order>>,
+    /// Dispatcher of each service to which the outstanding placements are reported.
+    dispatchers: Mutex<IndexMap<Arc<str>, SocketAddr>>,
+}
+
+impl Dispatch {
+    /// Creates the shared placement over `socket`. `started_at_unix_ms` is the start of the
+    /// instance.
+    pub(in crate::gateway) fn new(
+        socket: UdpSocket,
+        own_address: SocketAddr,
+        started_at_unix_ms: u64,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            socket,
+            own_address,
+            next_number: AtomicU64::new(started_at_unix_ms << NUMBER_BITS),
+            waiting: Mutex::default(),
+            outstanding: Mutex::default(),
+            preference: Mutex::default(),
+            orders: Mutex::default(),
+            dispatchers: Mutex::default(),
+        })
+    }
+
+    /// Asks the dispatcher of the call's service to place its prompt.
+    pub(in crate::gateway) async fn query(
+        self: &Arc<Self>,
+        state: &State,
+        call: &Call,
+        prompt: &Prompt,
+        tried: &[Arc<str>],
+        may_refuse: bool,
+    ) -> QueryOutcome {
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let unanswered = QueryOutcome::Unanswered { number };
+        let Some(dispatcher) = self.dispatcher(state, &call.service) else {
+            return unanswered;
+        };
+        let asked_at = Instant::now();
+        let query = build_query(call, prompt, tried, may_refuse, number);
+        let (sender, receiver) = oneshot::channel();
+        lock(&self.waiting).insert(number, sender);
+        self.send(dispatcher, Body::Query(query));
+        let answer = timeout(QUERY_TIMEOUT, receiver).await;
+        lock(&self.waiting).swap_remove(&number);
+        let Ok(Ok(answer)) = answer else {
+            lock(&self.preference).record_miss(dispatcher, state.now_ms());
+            record_query("unanswered", asked_at);
+            tracing::info!(
+                request = &*call.id,
+                dispatcher = %dispatcher,
+                "dispatch: query not answered"
+            );
+            return unanswered;
+        };
+        lock(&self.preference).record_answer(dispatcher);
+        match answer {
+            Body::Refused(refused) => {
+                record_query("refused", asked_at);
+                QueryOutcome::Refused(Refusal::Overloaded {
+                    wait_ms: refused.wait_ms,
+                })
+            }
+            Body::Placed(placed) => {
+                let Some(mut choice) = decode_choice(state, call, &placed) else {
+                    record_query("unusable", asked_at);
+                    return unanswered;
+                };
+                record_query("placed", asked_at);
+                choice.ticket = Some(self.announce_to_self(call, prompt, &choice, number));
+                QueryOutcome::Placed(choice)
+            }
+            _ => {
+                record_query("declined", asked_at);
+                unanswered
+            }
+        }
+    }
+
+    /// Tells the dispatcher of a placement that this instance has decided on itself.
+    pub(in crate::gateway) fn announce(
+        self: &Arc<Self>,
+        state: &State,
+        call: &Call,
+        prompt: &Prompt,
+        choice: &PrefillChoice,
+        number: u64,
+    ) -> Ticket {
+        let ticket = self.announce_to_self(call, prompt, choice, number);
+        if let Some(dispatcher) = self.dispatcher(state, &call.service) {
+            let notice = lock(&self.outstanding)
+                .get(&number)
+                .map(|outstanding| outstanding.notice.clone());
+            if let Some(notice) = notice {
+                self.send(dispatcher, Body::Notice(notice));
+            }
+        }
+        ticket
+    }
+
+    /// Keeps a placement as outstanding until its ticket is dropped.
+    fn announce_to_self(
+        self: &Arc<Self>,
+        call: &Call,
+        prompt: &Prompt,
+        choice: &PrefillChoice,
+        number: u64,
+    ) -> Ticket {
+        let now = Instant::now();
+        let decode_target = choice.decode_target.as_ref();
+        let notice = Notice {
+            number,
+            service: call.service.to_string(),
+            prompt: Some(encode_prompt(prompt)),
+            target: choice.target.id.to_string(),
+            decode_target: decode_target.map_or_else(String::new, |target| target.id.to_string()),
+            local_prefill: choice.is_local_prefill,
+            uncached_tokens: choice.uncached_tokens,
+            prefilled: false,
+            left_ms: call.time_left(now).as_millis() as u32,
+        };
+        let outstanding = Outstanding {
+            notice,
+            sent_at: now,
+            deadline: call.deadline,
+        };
+        lock(&self.outstanding).insert(number, outstanding);
+        Ticket::new(self, &call.service, number)
+    }
+
+    /// Reports that the prompt of a placement is prefilled.
+    pub(super) fn report_prefilled(&self, service: &Arc<str>, number: u64) {
+        let mut all = lock(&self.outstanding);
+        let Some(outstanding) = all.get_mut(&number) else {
+            return;
+        };
+        outstanding.notice.prefilled = true;
+        let elapsed_ms = outstanding.sent_at.elapsed().as_millis() as u32;
+        drop(all);
+        self.report(
+            service,
+            Body::Prefilled(Prefilled {
+                number,
+                service: service.to_string(),
+                elapsed_ms,
+            }),
+        );
+    }
+
+    /// Reports that a placement has ended.
+    pub(super) fn report_end(&self, service: &Arc<str>, number: u64) {
+        lock(&self.outstanding).swap_remove(&number);
+        self.report(
+            service,
+            Body::Ended(Ended {
+                number,
+                service: service.to_string(),
+            }),
+        );
+    }
+
+    /// Reports that an attempt failed at a target.
+    pub(in crate::gateway) fn report_failure(&self, target: &Target, refused: bool) {
+        let failure = Failure {
+            target: target.id.to_string(),
+            refused,
+        };
+        self.report(&target.service, Body::Failure(failure));
+    }
+
+    /// Passes an answer on to the query that waits for it.
+    pub(super) fn complete(&self, number: u64, answer: Body) {
+        let waiting = lock(&self.waiting).swap_remove(&number);
+        if let Some(waiting) = waiting {
+            // The query may have timed out meanwhile.
+            let _ = waiting.send(answer);
+        }
+    }
+
+    /// Sends a message. A message that cannot be sent at once is dropped, as any datagram
+    /// may be.
+    pub(super) fn send(&self, address: SocketAddr, body: Body) {
+        let Some(bytes) = encode(body) else {
+            metrics::counter!("dispatch_datagrams_dropped_total", "cause" => "size").increment(1);
+            return;
+        };
+        if self.socket.try_send_to(&bytes, address).is_err() {
+            metrics::counter!("dispatch_datagrams_dropped_total", "cause" => "socket").increment(1);
+        }
+    }
+
+    /// Sends a message to the dispatcher of a service that was last queried.
+    fn report(&self, service: &Arc<str>, body: Body) {
+        let dispatcher = lock(&self.dispatchers).get(service).copied();
+        if let Some(dispatcher) = dispatcher {
+            self.send(dispatcher, body);
+        }
+    }
+
+    /// Returns the dispatcher of a service. If it is another one than before, it is sent all
+    /// outstanding placements first.
+    fn dispatcher(&self, state: &State, service: &Arc<str>) -> Option<SocketAddr> {
+        let order = self.order(state, service);
+        let chosen = lock(&self.preference).choose(&order, state.now_ms())?;
+        let previous = lock(&self.dispatchers).insert(service.clone(), chosen);
+        if previous != Some(chosen) {
+            self.send_outstanding(service, chosen);
+        }
+        Some(chosen)
+    }
+
+    fn send_outstanding(&self, service: &Arc<str>, dispatcher: SocketAddr) {
+        let now = Instant::now();
+        let mut notices = Vec::new();
+        for outstanding in lock(&self.outstanding).values() {
+            if *outstanding.notice.service != **service {
+                continue;
+            }
+            let mut notice = outstanding.notice.clone();
+            let left = outstanding.deadline.saturating_duration_since(now);
+            notice.left_ms = left.as_millis() as u32;
+            notices.push(notice);
+        }
+        tracing::info!(
+            service = &**service,
+            dispatcher = %dispatcher,
+            outstanding = notices.len(),
+            "dispatch: dispatcher changed"
+        );
+        for notice in notices {
+            self.send(dispatcher, Body::Notice(notice));
+        }
+    }
+
+    /// Returns the addresses of the live instances in rendezvous order.
+    fn order(&self, state: &State, service: &Arc<str>) -> Vec<SocketAddr> {
+        let mut orders = lock(&self.orders);
+        if let Some(order) = orders.get(service)
+            && order.computed_at.elapsed() < ORDER_PERIOD
+        {
+            return order.addresses.clone();
+        }
+        let addresses = self.compute_order(state, service);
+        let order = Order {
+            addresses: addresses.clone(),
+            computed_at: Instant::now(),
+        };
+        orders.insert(service.clone(), order);
+        addresses
+    }
+
+    fn compute_order(&self, state: &State, service: &str) -> Vec<SocketAddr> {
+        let Some(peers) = state.peers() else {
+            return Vec::new();
+        };
+        let mut instances: IndexMap<Arc<str>, SocketAddr> = IndexMap::new();
+        for peer in peers.reachable() {
+            let address = peer
+                .peer_address
+                .as_ref()
+                .and_then(|text| text.parse().ok());
+            if let Some(address) = address.filter(|_| !peer.leaving) {
+                instances.insert(peer.name, address);
+            }
+        }
+        if !state.is_stopping() {
+            instances.insert(state.settings.name.clone(), self.own_address);
+        }
+        let mut addresses = Vec::with_capacity(instances.len());
+        for name in rendezvous_order(service, instances.keys()) {
+            addresses.push(instances[name]);
+        }
+        addresses
+    }
+}
+
+fn build_query(
+    call: &Call,
+    prompt: &Prompt,
+    tried: &[Arc<str>],
+    may_refuse: bool,
+    number: u64,
+) -> Query {
+    let event_objective = call.route.event_objective;
+    let event_objective = event_objective.unwrap_or(call.route.latency_objective);
+    Query {
+        number,
+        service: call.service.to_string(),
+        prompt: Some(encode_prompt(prompt)),
+        objective_ms: call.route.latency_objective.as_millis() as u32,
+        event_objective_ms: event_objective.as_millis() as u32,
+        left_ms: call.time_left(Instant::now()).as_millis() as u32,
+        priority: call.priority.into(),
+        account: rendezvous_weight(0, call.account_name()),
+        tried: tried.iter().map(|id| id.to_string()).collect(),
+        may_refuse,
+    }
+}
+
+/// Returns the choice that an answer describes; `None` if this instance does not know the
+/// engine or the engine takes no request now.
+fn decode_choice(state: &State, call: &Call, placed: &Placed) -> Option<PrefillChoice> {
+    let find = |id: &str| state.with_roster(|roster| roster.get(id).cloned());
+    let target = find(&placed.target).filter(|target| target.service == call.service)?;
+    if !state.is_ready_target(&target) || !state.admits(&target) {
+        return None;
+    }
+    Some(PrefillChoice {
+        target,
+        queued_tokens: placed.queued_tokens.into(),
+        requests: placed.requests.into(),
+        uncached_tokens: placed.uncached_tokens,
+        fetch_from: find(&placed.fetch_from),
+        is_local_prefill: placed.local_prefill,
+        first_event_ms: placed.first_event_ms.into(),
+        wait_ms: placed.wait_ms.into(),
+        // The dispatcher refuses what would wait too long.
+        is_overloaded: false,
+        decode_target: find(&placed.decode_target),
+        ticket: None,
+    })
+}
+
+fn record_query(outcome: &'static str, asked_at: Instant) {
+    metrics::counter!("dispatch_queries_total", "outcome" => outcome).increment(1);
+    metrics::histogram!("dispatch_query_ms").record(asked_at.elapsed().as_secs_f64() * 1_000.0);
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/gateway/engine/decode.rs
+++ b/src/gateway/engine/decode.rs
@@ -19,7 +19,7 @@
 
 /// Costs added to an engine's load in the selection, as shares of the engine's
 /// slots.
-const WEIGHTS: SpreadWeights = SpreadWeights {
+pub(in crate::gateway) const WEIGHTS: SpreadWeights = SpreadWeights {
     other_domain: 0.05,
     failing: 3.0,
     role_change: 0.4,
@@ -32,7 +32,7 @@
 
 /// Lower bound of the predicted time for which a stream occupies a slot, in
 /// milliseconds; prevents a division by zero.
-const MIN_SLOT_TIME_MS: f64 = 1.0;
+pub(in crate::gateway) const MIN_SLOT_TIME_MS: f64 = 1.0;
 
 /// Time within which the role of a new engine is decided, before the change
 /// itself.
@@ -124,6 +124,30 @@
     })
 }
 
+/// Returns the choice of an engine that the dispatcher has selected; `None` if the engine
+/// takes no request now or was tried.
+pub(in crate::gateway) fn accept(
+    state: &State,
+    target: Arc<Target>,
+    tried: &[Arc<str>],
+) -> Option<DecodeChoice> {
+    if tried.contains(&target.id) || !state.is_ready_target(&target) || !state.admits(&target) {
+        return None;
+    }
+    let now_ms = state.now_ms();
+    let loads = state.loads();
+    if !loads.allows(&target.id, now_ms) {
+        return None;
+    }
+    let in_flight = loads.in_flight(&target.id, now_ms);
+    drop(loads);
+    Some(DecodeChoice {
+        target,
+        queued_tokens: in_flight.queued_tokens,
+        requests: in_flight.requests,
+    })
+}
+
 /// Returns whether any engine of a service decodes and may be sent a request now.
 pub(in crate::gateway) fn has_engine(state: &State, service: &str) -> bool {
     state.with_roster(|roster| {
--- a/src/gateway/engine/generation.rs
+++ b/src/gateway/engine/generation.rs
@@ -10,6 +10,7 @@
     gateway::{
         admission::permit::is_still_permitted,
         caller::reply::{Body, Refusal, stream_body},
+        dispatch::Ticket,
         engine::{
             decode,
             placement::{PrefillChoice, record_cached_prompt},
@@ -68,6 +69,7 @@
                 PrefillOutcome::Overloaded { wait_ms } => {
                     return Err(Refusal::Overloaded { wait_ms });
                 }
+                PrefillOutcome::Refused(refusal) => return Err(refusal),
                 PrefillOutcome::OverBudget => return Err(history.refusal(last_error.as_ref())),
             };
         }
@@ -79,13 +81,15 @@
             return Err(history.quarantine_refusal(left, last_error.as_ref()));
         }
         let choice = local_prefill.take();
-        let Some(plan) = plan_decode(state, call, handle.as_ref(), choice, &history.tried) else {
+        let planned = plan_decode(state, call, handle.as_mut(), choice, &history.tried);
+        let Some(mut plan) = planned else {
             break;
         };
         let target = plan.target.clone();
         state.loads().record_send(&target.id, state.now_ms());
         let times = plan.stream_times(call);
-        let in_flight = InFlightGuard::new(state, &target.id, u64::from(plan.uncached_tokens));
+        let in_flight = InFlightGuard::new(state, &target.id, u64::from(plan.uncached_tokens))
+            .with_ticket(plan.ticket.take());
         let deadline = start_deadline(call, &history);
         let result = send_to_engine(state, call, &plan, handle.as_ref(), deadline).await;
         let failure = match result {
@@ -142,6 +146,8 @@
     requests_in_flight: f64,
     /// Whether prompts were waiting for prefill on `target` when it was selected.
     has_queued_prefills: bool,
+    /// Reports the progress of the placement to the dispatcher, if there is one.
+    ticket: Option<Ticket>,
 }
 
 impl DecodePlan {
@@ -168,7 +174,7 @@
 fn plan_decode(
     state: &State,
     call: &Call,
-    handle: Option<&PrefillHandle>,
+    mut handle: Option<&mut PrefillHandle>,
     local_prefill: Option<PrefillChoice>,
     tried: &[Arc<str>],
 ) -> Option<DecodePlan> {
@@ -182,12 +188,22 @@
             fetch_from: choice.fetch_from,
             requests_in_flight: choice.requests,
             has_queued_prefills: choice.queued_tokens > 0.0,
+            ticket: choice.ticket,
         });
     }
-    let failure_domain = handle.map_or(&state.settings.failure_domain, |handle| {
-        &handle.target.failure_domain
-    });
-    let chosen = decode::choose_engine(state, call, failure_domain, tried)?;
+    let ticket = handle.as_mut().and_then(|handle| handle.ticket.take());
+    let dispatched = handle
+        .as_mut()
+        .and_then(|handle| handle.decode_target.take());
+    let failure_domain = match &handle {
+        Some(handle) => &handle.target.failure_domain,
+        None => &state.settings.failure_domain,
+    };
+    let dispatched = dispatched.and_then(|target| decode::accept(state, target, tried));
+    let chosen = match dispatched {
+        Some(chosen) => chosen,
+        None => decode::choose_engine(state, call, failure_domain, tried)?,
+    };
     let prompt_tokens = call
         .prompt
         .as_ref()
@@ -209,6 +225,7 @@
         fetch_from: None,
         requests_in_flight: chosen.requests,
         has_queued_prefills: chosen.queued_tokens > 0.0,
+        ticket,
     })
 }
 
--- a/src/gateway/engine/placement.rs
+++ b/src/gateway/engine/placement.rs
@@ -8,9 +8,14 @@
 use crate::{
     call::{Call, Prompt},
     gateway::{
+        caller::reply::Refusal,
+        dispatch::{QueryOutcome, Ticket},
         engine::decode::role_settle_time,
         state::State,
-        target::{engine_call, loads::Report},
+        target::{
+            engine_call,
+            loads::{FleetLoad, Loads, Report},
+        },
     },
     peer::MAX_MESH_INSTANCES,
     policy::{
@@ -28,7 +33,7 @@
 
 /// Share of an engine's KV memory that is assumed to hold cached prompt parts besides
 /// the running requests.
-const CACHE_SHARE: f64 = 0.8;
+pub(in crate::gateway) const CACHE_SHARE: f64 = 0.8;
 
 /// Cost of an engine whose requests all fail, as a multiple of the latency
 /// objective.
@@ -45,6 +50,17 @@
 /// Timeout of a load query before a placement.
 const LOAD_QUERY_TIMEOUT: Duration = Duration::from_millis(25);
 
+/// Result of the choice of an engine.
+#[derive(Debug)]
+pub(in crate::gateway) enum Choice {
+    /// An engine is selected.
+    Engine(PrefillChoice),
+    /// The dispatcher refuses the request.
+    Refused(Refusal),
+    /// No engine accepts the prompt.
+    NoEngine,
+}
+
 /// The engine selected to prefill a prompt.
 #[derive(Debug)]
 pub(in crate::gateway) struct PrefillChoice {
@@ -65,16 +81,47 @@
     pub(in crate::gateway) wait_ms: f64,
     /// Whether `wait_ms` alone exceeds the limit above which prompts are refused.
     pub(in crate::gateway) is_overloaded: bool,
+    /// Engine that is to decode the answer, if the dispatcher has chosen one.
+    pub(in crate::gateway) decode_target: Option<Arc<Target>>,
+    /// Reports the progress of the placement to the dispatcher, if there is one.
+    pub(in crate::gateway) ticket: Option<Ticket>,
 }
 
 /// Selects the engine that prefills a prompt; engines in `tried` are not selected.
 ///
-/// In a large fleet, the candidates' loads may be queried first.
+/// The dispatcher of the service is asked if the settings say so and it answers in time.
+/// `may_refuse` tells whether it may refuse the request.
 pub(in crate::gateway) async fn choose_engine(
     state: &Arc<State>,
     call: &Call,
     prompt: &Prompt,
     tried: &[Arc<str>],
+    may_refuse: bool,
+) -> Choice {
+    let Some(dispatch) = state.dispatch() else {
+        let chosen = choose_alone(state, call, prompt, tried).await;
+        return chosen.map_or(Choice::NoEngine, Choice::Engine);
+    };
+    let number = match dispatch.query(state, call, prompt, tried, may_refuse).await {
+        QueryOutcome::Placed(choice) => return Choice::Engine(choice),
+        QueryOutcome::Refused(refusal) => return Choice::Refused(refusal),
+        QueryOutcome::Unanswered { number } => number,
+    };
+    let Some(mut choice) = choose_alone(state, call, prompt, tried).await else {
+        return Choice::NoEngine;
+    };
+    choice.ticket = Some(dispatch.announce(state, call, prompt, &choice, number));
+    Choice::Engine(choice)
+}
+
+/// Selects the engine by what this instance knows.
+///
+/// In a large fleet, the candidates' loads may be queried first.
+async fn choose_alone(
+    state: &Arc<State>,
+    call: &Call,
+    prompt: &Prompt,
+    tried: &[Arc<str>],
 ) -> Option<PrefillChoice> {
     let targets = state.targets(&call.service);
     let sample_point = rand::random();
@@ -104,6 +151,8 @@
         first_event_ms: placement.first_event_ms,
         wait_ms: placement.wait_ms,
         is_overloaded: placement.is_overloaded(objective_ms),
+        decode_target: None,
+        ticket: None,
     })
 }
 
@@ -134,6 +183,7 @@
         prefers_copy: sample_point as f64 / u64::MAX as f64 <= COPY_SHARE,
         prefill_share,
         sample_point,
+        fleet_cached: None,
     })
 }
 
@@ -229,7 +279,8 @@
     (CACHE_SHARE * kv_tokens as f64 / state.instances() as f64) as u64
 }
 
-/// Returns one candidate for each of `targets`, in the same order.
+/// Returns one candidate for each of `targets`, in the same order, with the loads that this
+/// instance knows.
 fn engine_candidates(
     state: &State,
     call: &Call,
@@ -237,15 +288,36 @@
     tried: &[Arc<str>],
 ) -> Vec<EngineCandidate> {
     let now_ms = state.now_ms();
-    let now = Instant::now();
     let objective_ms = call.route.latency_objective.as_secs_f64() * 1_000.0;
-    let settle_time = role_settle_time(state, &call.service);
+    let is_tried = |id: &Arc<str>| tried.contains(id);
+    candidates_with(state, targets, objective_ms, is_tried, |loads, target| {
+        loads.in_flight(&target.id, now_ms)
+    })
+}
+
+/// Returns one candidate for each of `targets`, which are engines of one service, in the same
+/// order. `load_of` returns the load of an engine.
+pub(in crate::gateway) fn candidates_with<T, L>(
+    state: &State,
+    targets: &[Arc<Target>],
+    objective_ms: f64,
+    is_tried: T,
+    load_of: L,
+) -> Vec<EngineCandidate>
+where
+    T: Fn(&Arc<str>) -> bool,
+    L: Fn(&Loads, &Target) -> FleetLoad,
+{
+    let now_ms = state.now_ms();
+    let now = Instant::now();
+    let settle_time = targets.first().map_or(Duration::ZERO, |target| {
+        role_settle_time(state, &target.service)
+    });
     let loads = state.loads();
     let mut candidates = Vec::with_capacity(targets.len());
     for target in targets {
-        let is_open =
-            target.takes_requests(now) && !tried.contains(&target.id) && state.admits(target);
-        let in_flight = loads.in_flight(&target.id, now_ms);
+        let is_open = target.takes_requests(now) && !is_tried(&target.id) && state.admits(target);
+        let in_flight = load_of(&loads, target);
         let is_allowed = loads.allows(&target.id, now_ms);
         let mut penalty = FAILURE_COST_OBJECTIVES * loads.failure_rate(&target.id);
         if target.first_seen_at.elapsed() < settle_time {
@@ -261,6 +333,7 @@
             requests: in_flight.requests,
             slots: target.slots,
             penalty_ms: penalty * objective_ms,
+            slowness: 1.0,
         });
     }
     candidates
--- a/src/gateway/engine/prefill.rs
+++ b/src/gateway/engine/prefill.rs
@@ -8,9 +8,11 @@
 use crate::{
     call::{Call, Prompt, Step},
     gateway::{
+        caller::reply::Refusal,
+        dispatch::Ticket,
         engine::{
             decode,
-            placement::{PrefillChoice, choose_engine, record_cached_prompt, record_work},
+            placement::{Choice, PrefillChoice, choose_engine, record_cached_prompt, record_work},
         },
         state::State,
         target::{
@@ -43,6 +45,10 @@
 pub(in crate::gateway) struct PrefillHandle {
     pub(in crate::gateway) source: KvSource,
     pub(in crate::gateway) target: Arc<Target>,
+    /// Engine that is to decode the answer, if the dispatcher has chosen one.
+    pub(in crate::gateway) decode_target: Option<Arc<Target>>,
+    /// Reports the progress of the placement to the dispatcher, if there is one.
+    pub(in crate::gateway) ticket: Option<Ticket>,
     state: Arc<State>,
     is_fetched: bool,
 }
@@ -84,6 +90,8 @@
         /// Predicted wait for an engine, in milliseconds.
         wait_ms: u32,
     },
+    /// The dispatcher refuses the request.
+    Refused(Refusal),
     /// A prefill request failed, and the retry budget allows no further request.
     OverBudget,
 }
@@ -108,7 +116,12 @@
     let mut attempts = 0;
     while attempts < MAX_PREFILL_ATTEMPTS && tried.len() < MAX_PREFILL_TARGETS {
         call.caller.enter(Step::Placement);
-        let chosen = choose_engine(state, call, prompt, &tried).await;
+        let may_refuse = may_refuse && tried.is_empty();
+        let chosen = match choose_engine(state, call, prompt, &tried, may_refuse).await {
+            Choice::Engine(chosen) => Some(chosen),
+            Choice::Refused(refusal) => return PrefillOutcome::Refused(refusal),
+            Choice::NoEngine => None,
+        };
         if tried.is_empty() {
             let uncached = chosen.as_ref().map(|chosen| chosen.uncached_tokens);
             record_work(
@@ -121,7 +134,7 @@
         let Some(chosen) = chosen else {
             break;
         };
-        if may_refuse && tried.is_empty() && chosen.is_overloaded {
+        if may_refuse && chosen.is_overloaded {
             let wait_ms = chosen.wait_ms as u32;
             return PrefillOutcome::Overloaded { wait_ms };
         }
@@ -129,7 +142,7 @@
             return PrefillOutcome::Local(chosen);
         }
         tried.push(chosen.target.id.clone());
-        match attempt_once(state, call, prompt, &chosen).await {
+        match attempt_once(state, call, prompt, chosen).await {
             Ok(handle) => return PrefillOutcome::Done(handle),
             Err(error) if error.failure.is_not_written() => {}
             Err(_) => {
@@ -147,14 +160,10 @@
     state: &Arc<State>,
     call: &Arc<Call>,
     prompt: &Prompt,
-    chosen: &PrefillChoice,
+    chosen: PrefillChoice,
 ) -> Result<PrefillHandle, AttemptError> {
-    let PrefillChoice {
-        target,
-        uncached_tokens,
-        ..
-    } = chosen;
-    let uncached_tokens = *uncached_tokens;
+    let target = &chosen.target;
+    let uncached_tokens = chosen.uncached_tokens;
     let queued_tokens = chosen.queued_tokens as u64;
     state.loads().record_send(&target.id, state.now_ms());
     let _in_flight = InFlightGuard::new(state, &target.id, u64::from(uncached_tokens));
@@ -190,6 +199,9 @@
     state.engines().update_profile(&call.service, |profile| {
         profile.observe_remote_prefill(tokens_ahead, elapsed_ms);
     });
+    if let Some(ticket) = &chosen.ticket {
+        ticket.record_prefilled();
+    }
     metrics::histogram!("gateway_prefill_ms").record(elapsed_ms);
     tracing::info!(
         request = &*call.id,
@@ -209,6 +221,8 @@
             handle: prefilled.handle,
         },
         target: target.clone(),
+        decode_target: chosen.decode_target,
+        ticket: chosen.ticket,
         state: state.clone(),
         is_fetched: false,
     })
--- a/src/gateway/listeners.rs
+++ b/src/gateway/listeners.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr};
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 
 use crate::{
     gateway::run::{Error, Result},
@@ -16,6 +16,8 @@
     pub(super) readiness: TcpListener,
     pub(super) peers: TcpListener,
     pub(super) metrics: TcpListener,
+    /// Socket for placements, on the port of `peers`; `None` if placement is not shared.
+    pub(super) placements: Option<UdpSocket>,
 }
 
 impl Listeners {
@@ -25,11 +27,17 @@
     ///
     /// Fails if an address cannot be used.
     pub async fn bind(settings: &GatewaySettings) -> Result<Self> {
+        let peers = listen(settings.peer_address).await?;
+        let placements = match settings.placement.shared {
+            true => Some(bind_datagrams(&peers).await?),
+            false => None,
+        };
         Ok(Self {
             callers: listen(settings.caller_address).await?,
             readiness: listen(settings.readiness_address).await?,
-            peers: listen(settings.peer_address).await?,
+            peers,
             metrics: listen(settings.metrics_address).await?,
+            placements,
         })
     }
 
@@ -61,6 +69,18 @@
     }
 }
 
+/// Binds a datagram socket to the address of a listener.
+async fn bind_datagrams(listener: &TcpListener) -> Result<UdpSocket> {
+    let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
+    let address = listener.local_addr();
+    let address = address.map_err(|source| Error::Listen {
+        address: unknown,
+        source,
+    })?;
+    let bound = UdpSocket::bind(address).await;
+    bound.map_err(|source| Error::Listen { address, source })
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|source| Error::Listen { address, source })
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,9 @@
 //!   sends it to a target and buffers the answer,
 //! - `target` makes the attempts, and keeps what is known about each target.
 //!
+//! If the settings ask for shared placement, `dispatch` lets one instance place the prompts
+//! of all.
+//!
 //! The other modules:
 //!
 //! - `notices` contains what instances tell each other about targets and about requests
@@ -22,6 +25,7 @@
 mod admission;
 mod caller;
 mod clock;
+mod dispatch;
 mod duty;
 mod engine;
 mod lag;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -4,7 +4,7 @@
 
 use displaydoc::Display;
 use tokio::{
-    net::TcpListener,
+    net::{TcpListener, UdpSocket},
     sync::watch,
     time::{Instant, sleep, timeout},
 };
@@ -14,6 +14,7 @@
     control::Identity,
     gateway::{
         caller::server,
+        dispatch::{self, Dispatch},
         duty::{self, DutyLease},
         engine::profiles,
         lag,
@@ -117,6 +118,9 @@
         cloud,
     };
     let peer_log = context.spawn_followers(&supervisor);
+    if let Some(socket) = listeners.placements {
+        spawn_dispatch(&state, &supervisor, socket);
+    }
     let joining =
         context
             .clone()
@@ -313,6 +317,17 @@
     }
 }
 
+/// Starts the shared placement of prompts over `socket`.
+fn spawn_dispatch(state: &Arc<State>, supervisor: &Supervisor, socket: UdpSocket) {
+    let own_address = socket.local_addr().unwrap_or(state.settings.peer_address);
+    let dispatch = Dispatch::new(socket, own_address, members::unix_ms());
+    state.set_dispatch(dispatch.clone());
+    let state = state.clone();
+    spawn_task(supervisor, "dispatch", move || {
+        dispatch::serve(state.clone(), dispatch.clone())
+    });
+}
+
 /// Starts a supervised task. `start` creates the task's future, again after each
 /// restart.
 fn spawn_task<F, R>(supervisor: &Supervisor, name: &str, mut start: F)
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use crate::{
     catalog::{Catalog, Engine},
     gateway::{
+        dispatch::Dispatch,
         duty::kept_windows,
         engine::profiles::Engines,
         notices::target_notices::Notices,
@@ -86,6 +87,7 @@
     /// When the last successful read of the configuration was sent.
     catalog_read_at: Mutex<Option<Instant>>,
     peers: OnceLock<PeerHandle>,
+    dispatch: OnceLock<Arc<Dispatch>>,
 }
 
 impl State {
@@ -114,6 +116,7 @@
             started_at: Instant::now(),
             catalog_read_at: Mutex::default(),
             peers: OnceLock::new(),
+            dispatch: OnceLock::new(),
         }
     }
 
@@ -149,6 +152,18 @@
         self.peers.get()
     }
 
+    /// Sets the shared placement of prompts.
+    pub(super) fn set_dispatch(&self, dispatch: Arc<Dispatch>) {
+        if self.dispatch.set(dispatch).is_err() {
+            tracing::error!("gateway: shared placement is already set");
+        }
+    }
+
+    /// Returns the shared placement of prompts; `None` if each instance places its own.
+    pub(super) fn dispatch(&self) -> Option<&Arc<Dispatch>> {
+        self.dispatch.get()
+    }
+
     /// Returns whether this instance may have missed a newer configuration. This is
     /// so if the last read of the configuration is too old and the peers do not
     /// confirm that the known configuration is the newest.
--- a/src/gateway/target/attempt.rs
+++ b/src/gateway/target/attempt.rs
@@ -171,11 +171,23 @@
     }
     let now_ms = state.now_ms();
     state.loads().observe(&target.id, error.outcome(), now_ms);
+    report_failure(state, target, error.failure);
     if error.is_connection_lost {
         crash::examine(state, target).await;
     }
 }
 
+/// Tells the dispatcher, if there is one, that a target refused a request or could not be
+/// reached.
+fn report_failure(state: &State, target: &Target, failure: Failure) {
+    let Some(dispatch) = state.dispatch() else {
+        return;
+    };
+    if failure.is_refused() || failure.is_not_written() {
+        dispatch.report_failure(target, failure.is_refused());
+    }
+}
+
 impl Answer {
     /// Reads the complete body and returns the connection to the pool.
     ///
--- a/src/policy/cache_locality.rs
+++ b/src/policy/cache_locality.rs
@@ -80,6 +80,14 @@
         self.engines.swap_remove(engine);
     }
 
+    /// Removes all chains of the engines for which `keep` returns false.
+    pub fn retain<F>(&mut self, mut keep: F)
+    where
+        F: FnMut(&str) -> bool,
+    {
+        self.engines.retain(|engine, _| keep(engine));
+    }
+
     /// Returns the number of leading tokens of a prompt that an engine is estimated
     /// to have cached.
     ///
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 pub mod cache_locality;
 pub mod crash_history;
 pub mod decode;
+pub mod dispatch;
 pub mod engine_profile;
 pub mod limits;
 pub mod line_fit;
--- a/src/policy/placement/evaluator.rs
+++ b/src/policy/placement/evaluator.rs
@@ -44,6 +44,9 @@
     pub(super) weights: Vec<u64>,
     /// Number of leading prompt tokens that each candidate is known to have cached.
     cached_tokens: Vec<u32>,
+    /// Number of leading prompt tokens that other engines can fetch from each candidate;
+    /// empty if only the prompts of this instance are known.
+    fetchable_tokens: Vec<u32>,
     /// Index of the open prefill engine with the highest weight.
     home: Option<usize>,
     /// Index of the open prefill engine with the highest weight outside the home's
@@ -66,7 +69,15 @@
         let home_key = chain_hash(prompt.cache_affinity_parts());
         let mut weights = Vec::with_capacity(candidates.len());
         let mut cached_tokens = Vec::with_capacity(candidates.len());
+        let mut fetchable_tokens = Vec::new();
         for candidate in candidates {
+            if let Some(fetchable) = input.fleet_cached {
+                fetchable_tokens.push(fetchable.cached_tokens(
+                    &candidate.id,
+                    &prompt.parts,
+                    input.capacity_tokens,
+                ));
+            }
             weights.push(rendezvous_weight(home_key, &candidate.id));
             cached_tokens.push(input.cached.cached_tokens(
                 &candidate.id,
@@ -99,6 +110,7 @@
             slot_time_ms: input.profile.slot_time_ms(prompt.max_output_tokens),
             weights,
             cached_tokens,
+            fetchable_tokens,
             home,
             copy,
             decode_home,
@@ -137,7 +149,10 @@
     /// addition to the home, the copy and the decode home.
     fn sample_candidates(&self) -> Vec<bool> {
         let open = self.candidates.iter().map(EngineCandidate::is_open);
-        sample_engines(open, self.input.sample_point)
+        match self.input.fleet_cached {
+            Some(_) => open.collect(),
+            None => sample_engines(open, self.input.sample_point),
+        }
     }
 
     /// Predicts the prefill of the prompt on the candidate at `index`.
@@ -152,30 +167,30 @@
             true => profile.local_prefill_ms_per_token(),
             false => profile.remote_prefill_ms_per_token(),
         };
+        let prefill_ms_per_token = prefill_ms_per_token * candidate.slowness;
         let known_cached_tokens = self.cached_tokens[index];
-        let missing_tokens = self.shared_tokens.saturating_sub(known_cached_tokens);
+        let (source, fetchable_tokens) = self.find_source(index);
+        let missing_tokens = fetchable_tokens.saturating_sub(known_cached_tokens);
         let transfer_ms = f64::from(missing_tokens) * self.input.token_transfer_ms;
         let is_worth_fetching =
             missing_tokens > 0 && transfer_ms < f64::from(missing_tokens) * prefill_ms_per_token;
-        let fetch_from = is_worth_fetching
-            .then(|| self.fetch_source(index))
-            .flatten();
+        let fetch_from = source.filter(|_| is_worth_fetching);
         let (cached_tokens, fetch_ms) = match fetch_from {
-            Some(_) => (self.shared_tokens, transfer_ms),
+            Some(_) => (fetchable_tokens, transfer_ms),
             None => (known_cached_tokens, 0.0),
         };
         let uncached_tokens = self.prompt.prompt_tokens.saturating_sub(cached_tokens);
         let prefill_tokens = candidate.queued_tokens + f64::from(uncached_tokens);
         let (prefill_ms, slot_wait_ms) = match is_local_prefill {
             true => (
-                profile.local_prefill_ms(prefill_tokens),
+                profile.local_prefill_ms(prefill_tokens) * candidate.slowness,
                 self.slot_wait_ms(candidate),
             ),
             false => {
                 let prompt_tokens = f64::from(self.prompt.prompt_tokens);
                 let kv_fetch_ms = profile.kv_fetch_ms(prompt_tokens);
                 (
-                    profile.remote_prefill_ms(prefill_tokens) + kv_fetch_ms,
+                    profile.remote_prefill_ms(prefill_tokens) * candidate.slowness + kv_fetch_ms,
                     decode_wait_ms,
                 )
             }
@@ -215,7 +230,9 @@
     /// The cost is 0 for the decode home and for the preferred one of the home and the
     /// copy.
     fn caching_cost(&self, index: usize) -> f64 {
-        if Some(index) == self.decode_home {
+        let is_cached =
+            self.input.fleet_cached.is_some() && self.cached_tokens[index] >= self.shared_tokens;
+        if is_cached || Some(index) == self.decode_home {
             return 0.0;
         }
         let (first, second) = match self.input.prefers_copy && self.is_prefill_majority {
@@ -268,6 +285,25 @@
             <= self.input.event_objective_ms
     }
 
+    /// Returns the candidate from which the candidate at `index` may fetch KV cache, and the
+    /// number of leading prompt tokens that it is assumed to have cached then.
+    fn find_source(&self, index: usize) -> (Option<usize>, u32) {
+        if self.input.fleet_cached.is_none() {
+            return (self.fetch_source(index), self.shared_tokens);
+        }
+        let domain = &self.candidates[index].failure_domain;
+        let others = (0..self.candidates.len())
+            .filter(|&other| other != index && !self.candidates[other].is_unreachable);
+        let source = others.max_by_key(|&other| {
+            let is_near = self.candidates[other].failure_domain == *domain;
+            (self.fetchable_tokens[other], is_near, self.weights[other])
+        });
+        (
+            source,
+            source.map_or(0, |source| self.fetchable_tokens[source]),
+        )
+    }
+
     /// Returns the reachable candidate other than `index` that is most likely to
     /// have the shared parts cached.
     ///
--- a/src/policy/placement/mod.rs
+++ b/src/policy/placement/mod.rs
@@ -70,6 +70,8 @@
     /// Additional cost of using this engine, in milliseconds, which is added to the
     /// predicted time to the first event when engines are compared.
     pub penalty_ms: f64,
+    /// Time that the engine takes for a prefill, as a multiple of the profile's.
+    pub slowness: f64,
 }
 
 impl EngineCandidate {
@@ -108,6 +110,12 @@
     pub prefill_share: f64,
     /// Random number that selects the engines sampled from a large fleet.
     pub sample_point: u64,
+    /// Prompt parts that each engine has cached, if this instance places the prompts of all
+    /// instances; `None` if it places only its own.
+    ///
+    /// With it, all engines are compared, since their backlogs are known, and KV cache is
+    /// fetched only from engines that have it.
+    pub fleet_cached: Option<&'a CachedChains>,
 }
 
 /// Selects the engines to compare, and returns for each engine whether it is
--- a/tests/prompt_placement.rs
+++ b/tests/prompt_placement.rs
@@ -28,6 +28,7 @@
             requests: 0.0,
             slots: 64,
             penalty_ms: 0.0,
+            slowness: 1.0,
         })
         .collect()
 }
@@ -64,6 +65,7 @@
         prefers_copy,
         prefill_share: 1.0,
         sample_point: chain_hash(&prompt.parts),
+        fleet_cached: None,
     };
     choose_prefill_engine(prompt, engines, &input)
 }
