--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -25,6 +25,7 @@
 pub mod roles;
 pub mod routing;
 pub mod share;
+pub mod shortage;
 pub mod snapshot_pace;
 pub mod spending;
 pub mod spread;
