--- a/src/policy/shortage/limits.rs
+++ b/src/policy/shortage/limits.rs
@@ -6,6 +6,10 @@
 /// Wait that is accepted from every request, as a fraction of the objective.
 pub(super) const LOWEST_LIMIT: f64 = 0.25;
 
+/// Wait limit of the most urgent requests, including their own time, as a fraction of the
+/// objective. The rest covers errors of the predicted times.
+const HIGHEST_LIMIT: f64 = 0.9;
+
 /// Time for which an objective is remembered, in slices.
 const SLICES: usize = 6;
 
@@ -98,8 +102,9 @@
 
     /// Returns the range of the wait limits of a priority that was recently seen.
     ///
-    /// The ranges of the priorities divide the span from [`LOWEST_LIMIT`] to the whole
-    /// of the smallest objective of the priority and all more urgent ones evenly.
+    /// The ranges of the priorities divide the span from [`LOWEST_LIMIT`] to
+    /// [`HIGHEST_LIMIT`] of the smallest objective of the priority and all more urgent ones
+    /// evenly.
     pub(super) fn range(&self, priority: usize) -> LimitRange {
         let mut basis_ms = f64::INFINITY;
         let (mut seen, mut rank) = (0_u32, 0_u32);
@@ -116,8 +121,8 @@
                 rank += 1;
             }
         }
-        let step = (1.0 - LOWEST_LIMIT) / f64::from(seen.max(1));
-        let factor = 1.0 - step * f64::from(rank);
+        let step = (HIGHEST_LIMIT - LOWEST_LIMIT) / f64::from(seen.max(1));
+        let factor = HIGHEST_LIMIT - step * f64::from(rank);
         LimitRange {
             low_ms: basis_ms * (factor - step).max(LOWEST_LIMIT),
             high_ms: basis_ms * factor,
--- a/src/policy/shortage/mod.rs
+++ b/src/policy/shortage/mod.rs
@@ -33,7 +33,7 @@
 use self::{
     accounts::AccountShares,
     condition::ShortageCondition,
-    decay::DecayingSum,
+    decay::Rate,
     limits::{LimitRange, PRIORITIES, UrgencyLimits},
     returns::{MAX_RETURN_MS, Return, ReturnSchedule},
     sizes::SizeShares,
@@ -48,9 +48,12 @@
 /// Part of its remaining time for which a refused caller waits before it comes back.
 const RETURN_PART: f64 = 1.0 / 3.0;
 
-/// Time in which the weight of a priority's work falls to 1/e.
+/// Time in which the weight of a priority's work falls to 1/e, for its demand now.
 const DEMAND_DECAY_MS: f64 = 1_000.0;
 
+/// The same for its lasting demand, in which a short burst counts little.
+const LASTING_DECAY_MS: f64 = 10_000.0;
+
 /// Assumed smallest part of the capacity that more urgent requests leave.
 const MIN_FREE_PART: f64 = 0.1;
 
@@ -69,7 +72,7 @@
     pub priority: u8,
     /// Objective for the time to the first event, in milliseconds.
     pub objective_ms: f64,
-    /// Time until the caller's deadline, in milliseconds.
+    /// Time until the caller's deadline, counted from its first attempt, in milliseconds.
     pub left_ms: f64,
     /// Hash of the client account.
     pub account: u64,
@@ -136,8 +139,9 @@
     accounts: AccountShares,
     sizes: SizeShares,
     returns: ReturnSchedule,
-    /// Recent work of each priority.
-    demand: [DecayingSum; PRIORITIES],
+    /// Demand of each priority, in engines.
+    demand: [Rate; PRIORITIES],
+    lasting_demand: [Rate; PRIORITIES],
     now_ms: u64,
 }
 
@@ -155,7 +159,7 @@
         self.record_offered(&request, &offer, now_ms);
         let Some(reason) = self.refusal(&request, &offer) else {
             self.accounts
-                .record_admitted(request.account, request.work_ms, now_ms);
+                .record_admitted(request.sender(), request.work_ms, now_ms);
             self.sizes.record_admitted(priority, offer.own_ms, now_ms);
             return Decision::Admit;
         };
@@ -187,8 +191,9 @@
         let priority = request.rank();
         self.limits.observe(priority, request.objective_ms, now_ms);
         self.demand[priority].add(request.work_ms, now_ms, DEMAND_DECAY_MS);
+        self.lasting_demand[priority].add(request.work_ms, now_ms, LASTING_DECAY_MS);
         self.accounts
-            .record_offered(request.account, request.work_ms, now_ms);
+            .record_offered(request.sender(), request.work_ms, now_ms);
         self.sizes.record_offered(priority, offer.own_ms, now_ms);
         self.returns.advance(now_ms);
         let smallest_ms = self.limits.smallest_ms();
@@ -211,8 +216,10 @@
         if offer.wait_ms <= self.limit_below_share_ms(range, request, offer) {
             return Some(Reason::AccountShare);
         }
-        let most_urgent = self.limits.range(self.limits.most_urgent());
-        Some(match offer.wait_ms <= most_urgent.for_size(offer.own_ms) {
+        let most_urgent = self.limits.most_urgent();
+        let urgent_limit_ms = self.limits.range(most_urgent).for_size(offer.own_ms);
+        let is_urgency = request.rank() > most_urgent && offer.wait_ms <= urgent_limit_ms;
+        Some(match is_urgency {
             true => Reason::Urgency,
             false => Reason::Shortage,
         })
@@ -221,7 +228,7 @@
     /// Returns the longest wait with which a new request is admitted in a shortage.
     fn wait_limit_ms(&self, request: &Request, offer: &Offer) -> f64 {
         let range = self.limits.range(request.rank());
-        let exceeded = self.accounts.exceeded_part(request.account, self.now_ms);
+        let exceeded = self.accounts.exceeded_part(request.sender(), self.now_ms);
         match exceeded.is_some() {
             true => range.low_ms,
             false => self.limit_below_share_ms(range, request, offer),
@@ -232,41 +239,48 @@
     fn limit_below_share_ms(&self, range: LimitRange, request: &Request, offer: &Offer) -> f64 {
         let reserved_ms = self.returns.reserved_ms(request.rank(), offer.capacity);
         let reserved_ms = reserved_ms.min((range.high_ms - range.low_ms) / 2.0);
-        range.for_size(offer.own_ms + reserved_ms)
+        // Small requests leave room for the usual ones, which would be late otherwise.
+        let typical_ms = self.sizes.typical_ms(request.rank(), self.now_ms);
+        range.for_size(offer.own_ms.max(typical_ms) + reserved_ms)
     }
 
     /// Returns `true` if the whole range of wait limits is open to the request: its caller
     /// was told to come back now, or requests of its size would be starved.
     fn is_exempt(&mut self, request: &Request, offer: &Offer) -> bool {
         let priority = request.rank();
-        let (account, now_ms) = (request.account, self.now_ms);
-        if self.returns.take_due(account, priority, now_ms) {
+        let (sender, now_ms) = (request.sender(), self.now_ms);
+        if self.returns.take_due(sender, request.left_ms, now_ms) {
             return true;
         }
-        let has_share = self.accounts.exceeded_part(account, now_ms).is_none();
+        let has_share = self
+            .accounts
+            .exceeded_part(request.sender(), now_ms)
+            .is_none();
         has_share && self.sizes.is_starved(priority, offer.own_ms, now_ms)
     }
 
     /// Returns the time after which a refused caller should come back.
     fn return_time(&mut self, request: &Request, offer: &Offer) -> u64 {
         let priority = request.rank();
-        let mut urgent_work_ms = 0.0;
-        for demand in &self.demand[..priority] {
-            urgent_work_ms += demand.get(self.now_ms, DEMAND_DECAY_MS);
+        let (mut urgent, mut used, mut lasting) = (0.0, 0.0, 0.0);
+        for index in 0..=priority {
+            urgent = used;
+            used += self.demand[index].get(self.now_ms, DEMAND_DECAY_MS);
+            lasting += self.lasting_demand[index].get(self.now_ms, LASTING_DECAY_MS);
         }
-        let busy_part = match offer.capacity > 0.0 {
-            true => (urgent_work_ms / DEMAND_DECAY_MS / offer.capacity).min(1.0),
-            false => 1.0,
-        };
-        let exceeded = self.accounts.exceeded_part(request.account, self.now_ms);
+        let urgent_part = busy_part(urgent, offer.capacity);
+        let used_part = busy_part(f64::min(used, lasting), offer.capacity);
+        let exceeded = self.accounts.exceeded_part(request.sender(), self.now_ms);
         let excess_ms = (offer.wait_ms - self.wait_limit_ms(request, offer)).max(0.0);
         let refused = Return {
             account: request.account,
             priority,
             work_ms: request.work_ms,
             capacity: offer.capacity,
-            free_part: (1.0 - busy_part) * exceeded.unwrap_or(1.0),
-            earliest_ms: excess_ms / (1.0 - busy_part).max(MIN_FREE_PART),
+            open_part: (1.0 - urgent_part) * exceeded.unwrap_or(1.0),
+            unused_part: 1.0 - used_part,
+            earliest_ms: excess_ms / (1.0 - urgent_part).max(MIN_FREE_PART),
+            left_ms: request.left_ms,
             latest_ms: (request.left_ms * RETURN_PART).min(MAX_RETURN_MS),
         };
         self.returns.book(&refused, self.now_ms)
@@ -278,6 +292,10 @@
         usize::from(self.priority).min(PRIORITIES - 1)
     }
 
+    fn sender(&self) -> (u64, usize) {
+        (self.account, self.rank())
+    }
+
     fn sanitized(self) -> Self {
         Self {
             objective_ms: finite(self.objective_ms, MAX_TIME_MS).max(MIN_OBJECTIVE_MS),
@@ -298,6 +316,14 @@
     }
 }
 
+/// Returns the part of the capacity that a demand needs, at most 1.
+fn busy_part(demand: f64, capacity: f64) -> f64 {
+    match capacity > 0.0 {
+        true => (demand / capacity).min(1.0),
+        false => 1.0,
+    }
+}
+
 /// Returns the value between 0 and `max`; 0 if it is not a number.
 fn finite(value: f64, max: f64) -> f64 {
     match value.is_nan() {
--- a/src/policy/shortage/returns.rs
+++ b/src/policy/shortage/returns.rs
@@ -16,10 +16,14 @@
 
 /// Part of a caller's latest return time up to which work is booked. Callers for which
 /// no room is left before come back in the rest of the time.
-const BOOKED_PART: f64 = 0.75;
+const BOOKED_PART: f64 = 0.5;
 
-/// Part of the capacity that is booked for returning work. The rest is for new requests.
-const RETURN_SHARE: f64 = 0.5;
+/// Part of the capacity that is booked for returning work if new requests need all of it.
+/// More would let callers who already waited delay those who can still be served in time.
+const MIN_RETURN_SHARE: f64 = 0.1;
+
+/// Part of the capacity that is booked for returning work if there are no new requests.
+const MAX_RETURN_SHARE: f64 = 0.9;
 
 /// Time before new requests that is kept free for work that returns.
 const RESERVE_SLOTS: u64 = 4;
@@ -30,6 +34,18 @@
 /// Maximum number of callers that are remembered until they come back.
 pub(super) const MAX_PROMISES: usize = 4_096;
 
+/// Difference of a caller's remaining time from the one that it should have when it comes
+/// back. Other requests of the account have their whole time left.
+const LEFT_TOLERANCE_MS: f64 = 300.0;
+
+/// A caller that was told when to come back.
+#[derive(Clone, Copy, Debug)]
+struct Promise {
+    due_ms: u64,
+    /// Time until the caller's deadline when it comes back.
+    left_ms: f64,
+}
+
 /// Work that is refused, and by when it should come back.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Return {
@@ -40,11 +56,15 @@
     pub(super) capacity: f64,
     /// Part of the capacity that more urgent requests and the shares of other accounts
     /// leave.
-    pub(super) free_part: f64,
+    pub(super) open_part: f64,
+    /// Part of the capacity that requests of this and more urgent priorities leave.
+    pub(super) unused_part: f64,
     /// Time until the wait is under the limit.
     pub(super) earliest_ms: f64,
     /// Longest time that the caller accepts.
     pub(super) latest_ms: f64,
+    /// Time until the caller's deadline.
+    pub(super) left_ms: f64,
 }
 
 /// Returning work by time, and the callers that were told when to come back.
@@ -54,8 +74,8 @@
     booked_ms: Vec<[f64; PRIORITIES]>,
     /// First slot that has not passed.
     first_slot: u64,
-    /// Times at which callers come back, by account and priority.
-    promises: IndexMap<(u64, usize), Vec<u64>>,
+    /// Callers that come back, by account and priority.
+    promises: IndexMap<(u64, usize), Vec<Promise>>,
     promise_count: usize,
     /// Number of the refusals, from which jitter is derived.
     refusals: u64,
@@ -86,10 +106,10 @@
         }
         self.first_slot = slot;
         let mut count = 0;
-        self.promises.retain(|_, times| {
-            times.retain(|due_ms| due_ms.saturating_add(GRACE_MS) >= now_ms);
-            count += times.len();
-            !times.is_empty()
+        self.promises.retain(|_, promises| {
+            promises.retain(|promise| promise.due_ms.saturating_add(GRACE_MS) >= now_ms);
+            count += promises.len();
+            !promises.is_empty()
         });
         self.promise_count = count;
     }
@@ -114,23 +134,29 @@
         if self.promise_count < MAX_PROMISES {
             self.promise_count += 1;
             let key = (refused.account, refused.priority);
-            let times = self.promises.entry(key).or_default();
-            times.push(now_ms.saturating_add(return_ms));
+            self.promises.entry(key).or_default().push(Promise {
+                due_ms: now_ms.saturating_add(return_ms),
+                left_ms: refused.left_ms - return_ms as f64,
+            });
         }
         return_ms
     }
 
-    /// Forgets a caller of this account and priority that was told to come back about now,
-    /// and returns whether there was one.
-    pub(super) fn take_due(&mut self, account: u64, priority: usize, now_ms: u64) -> bool {
-        let Some(times) = self.promises.get_mut(&(account, priority)) else {
+    /// Forgets a caller that was told to come back about now, and returns whether there was
+    /// one with this account, priority and remaining time.
+    pub(super) fn take_due(&mut self, sender: (u64, usize), left_ms: f64, now_ms: u64) -> bool {
+        let Some(promises) = self.promises.get_mut(&sender) else {
             return false;
         };
         let soon_ms = now_ms.saturating_add(SLOT_MS);
-        let Some(due) = times.iter().position(|due_ms| *due_ms <= soon_ms) else {
+        let due = promises.iter().position(|promise| {
+            let difference_ms = (promise.left_ms - left_ms).abs();
+            promise.due_ms <= soon_ms && difference_ms <= LEFT_TOLERANCE_MS
+        });
+        let Some(due) = due else {
             return false;
         };
-        times.swap_remove(due);
+        promises.swap_remove(due);
         self.promise_count = self.promise_count.saturating_sub(1);
         true
     }
@@ -184,7 +210,10 @@
     fn room_ms(&self, slot: u64, refused: &Return) -> f64 {
         let booked_ms = &self.booked_ms[index(slot)];
         let capacity_ms = refused.capacity * SLOT_MS as f64;
-        let share_ms = capacity_ms * RETURN_SHARE * refused.free_part;
+        let share = refused
+            .unused_part
+            .clamp(MIN_RETURN_SHARE, MAX_RETURN_SHARE);
+        let share_ms = capacity_ms * share * refused.open_part;
         let as_urgent_ms: f64 = booked_ms[..=refused.priority].iter().sum();
         let all_ms: f64 = booked_ms.iter().sum();
         (share_ms - as_urgent_ms).min(capacity_ms - all_ms).max(0.0)
--- a/src/policy/shortage/sizes.rs
+++ b/src/policy/shortage/sizes.rs
@@ -36,6 +36,10 @@
 pub(super) struct SizeShares {
     sizes: [[Counts; SIZES]; PRIORITIES],
     priorities: [Counts; PRIORITIES],
+    /// Sum of the times that requests take, by priority.
+    own_ms: [DecayingSum; PRIORITIES],
+    /// Sum of the squares of these times.
+    own_squared: [DecayingSum; PRIORITIES],
 }
 
 impl SizeShares {
@@ -44,6 +48,8 @@
         let size = &mut self.sizes[priority][class(own_ms)];
         size.offered.add(1.0, now_ms, DECAY_MS);
         self.priorities[priority].offered.add(1.0, now_ms, DECAY_MS);
+        self.own_ms[priority].add(own_ms, now_ms, DECAY_MS);
+        self.own_squared[priority].add(own_ms * own_ms, now_ms, DECAY_MS);
     }
 
     /// Records an admitted request.
@@ -55,6 +61,15 @@
             .add(1.0, now_ms, DECAY_MS);
     }
 
+    /// Returns the mean time that recent requests of a priority take, weighted by this time.
+    pub(super) fn typical_ms(&self, priority: usize, now_ms: u64) -> f64 {
+        let sum_ms = self.own_ms[priority].get(now_ms, DECAY_MS);
+        match sum_ms > 0.0 {
+            true => self.own_squared[priority].get(now_ms, DECAY_MS) / sum_ms,
+            false => 0.0,
+        }
+    }
+
     /// Returns `true` if far fewer of the requests of this size were admitted than of
     /// all requests of the priority.
     pub(super) fn is_starved(&self, priority: usize, own_ms: f64, now_ms: u64) -> bool {
