Tell from the log why a request was refused

Cause: a refusal's line named only the message, so that an operator could not tell a quota from a shortage or from an account's share.

Change: explain reads the fields reason, wait_ms and retry_after_ms of the line "gateway: request refused", and describes the reason by its label. Lines without them read as before.

--- a/src/explain/line.rs
+++ b/src/explain/line.rs
@@ -4,6 +4,8 @@
 
 use serde_json::{Map, Value};
 
+use super::refusal::RefusalFields;
+
 /// Fields of every log line; the list of `name=value` pairs in the output leaves
 /// them out.
 const COMMON_FIELDS: [&str; 3] = ["timestamp", "level", "message"];
@@ -73,7 +75,11 @@
         let status = self.number("status").unwrap_or(0.0);
         let message = self.message.strip_prefix("gateway: ")?;
         if let Some(reason) = message.strip_prefix("request refused: ") {
-            return Some(format!("refused with status {status}: {reason}"));
+            let outcome = format!("refused with status {status}: {reason}");
+            return Some(match self.refusal_fields() {
+                Some(fields) => format!("{outcome} ({})", fields.describe()),
+                None => outcome,
+            });
         }
         if let Some(cause) = message.strip_prefix("stream broken off: ") {
             let events = self.number("events").unwrap_or(0.0);
@@ -93,6 +99,15 @@
         }
     }
 
+    /// Returns the fields that tell why a request was refused, if the line has them.
+    fn refusal_fields(&self) -> Option<RefusalFields<'_>> {
+        Some(RefusalFields {
+            reason: self.fields.get("reason")?.as_str()?,
+            wait_ms: self.number("wait_ms"),
+            retry_after_ms: self.number("retry_after_ms"),
+        })
+    }
+
     fn number(&self, field: &str) -> Option<f64> {
         self.fields.get(field)?.as_f64()
     }
--- a/src/explain/mod.rs
+++ b/src/explain/mod.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod line;
+mod refusal;
 
 use std::{fmt, sync::Arc};
 
--- a/tests/explain_request.rs
+++ b/tests/explain_request.rs
@@ -115,3 +115,47 @@
         assert!(trace.is_empty(), "{line}");
     }
 }
+
+/// An operator must see from the outcome which rule refused a request, and what its caller was
+/// told.
+#[test]
+fn refusal_reasons() {
+    let cases = [
+        (
+            "\"status\":429,\"reason\":\"OverQuota\",\"wait_ms\":120,\"retry_after_ms\":120",
+            "429: busy (the account is over its quota; predicted wait 120 ms; \
+             told to come back after 120 ms)",
+        ),
+        (
+            "\"status\":503,\"reason\":\"Urgency\",\"wait_ms\":612.4,\"retry_after_ms\":850",
+            "503: busy (engines are short, and more urgent requests come first; \
+             predicted wait 612 ms; told to come back after 850 ms)",
+        ),
+        (
+            "\"status\":503,\"reason\":\"Shortage\",\"wait_ms\":900",
+            "503: busy (engines are short, also for the most urgent requests; \
+             predicted wait 900 ms)",
+        ),
+        (
+            "\"status\":503,\"reason\":\"AccountShare\"",
+            "503: busy (engines are short, and the account had more than its fair share)",
+        ),
+        (
+            "\"status\":503,\"reason\":\"Hopeless\"",
+            "503: busy (the request would not be served before its caller leaves)",
+        ),
+        (
+            "\"status\":503,\"reason\":\"NoRoom\"",
+            "503: busy (reason NoRoom)",
+        ),
+        ("\"status\":503", "503: busy"),
+    ];
+    for (fields, outcome) in cases {
+        let line = format!(
+            "entry-1 {{\"timestamp\":\"2026-04-30T03:07:08.5Z\",\"level\":\"INFO\",\
+             \"message\":\"gateway: request refused: busy\",\"request\":\"r-1\",{fields}}}"
+        );
+        let trace = trace_request("r-1", [line]);
+        assert_eq!(trace.outcome(), format!("refused with status {outcome}"));
+    }
+}
