Add learned speeds of targets

Cause: targets of one service differ in speed and some slow down before they are full; no part of the system noticed.

Change: policy/target_speed keeps, for each target, a level and a curve over the load as means with decaying weights and a prior of 1.0. Memory, values and the effect of one observation are bounded. Nothing uses it yet.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -31,5 +31,6 @@
 mod suspect;
 pub mod suspects;
 pub mod target_notices;
+pub mod target_speed;
 pub mod token_bucket;
 pub mod work_meter;
