Let the speed of an engine count in the placement of prompts

Cause: engines of one service differ in speed, and the predicted prefill time is that of the usual one.

Change: EngineCandidate has a slowness that multiplies the predicted prefill time and the wait behind queued prompts; 1.0 gives the same predictions as before. Nothing sets another value yet.

--- a/src/gateway/engine/placement.rs
+++ b/src/gateway/engine/placement.rs
@@ -261,6 +261,7 @@
             requests: in_flight.requests,
             slots: target.slots,
             penalty_ms: penalty * objective_ms,
+            slowness: 1.0,
         });
     }
     candidates
--- a/src/policy/placement/evaluator.rs
+++ b/src/policy/placement/evaluator.rs
@@ -168,14 +168,14 @@
         let prefill_tokens = candidate.queued_tokens + f64::from(uncached_tokens);
         let (prefill_ms, slot_wait_ms) = match is_local_prefill {
             true => (
-                profile.local_prefill_ms(prefill_tokens),
+                candidate.slowness * profile.local_prefill_ms(prefill_tokens),
                 self.slot_wait_ms(candidate),
             ),
             false => {
                 let prompt_tokens = f64::from(self.prompt.prompt_tokens);
                 let kv_fetch_ms = profile.kv_fetch_ms(prompt_tokens);
                 (
-                    profile.remote_prefill_ms(prefill_tokens) + kv_fetch_ms,
+                    candidate.slowness * profile.remote_prefill_ms(prefill_tokens) + kv_fetch_ms,
                     decode_wait_ms,
                 )
             }
@@ -186,7 +186,8 @@
             fetch_from,
             is_local_prefill,
             first_event_ms: prefill_ms + slot_wait_ms + fetch_ms,
-            wait_ms: candidate.queued_tokens * prefill_ms_per_token + slot_wait_ms,
+            wait_ms: candidate.queued_tokens * prefill_ms_per_token * candidate.slowness
+                + slot_wait_ms,
         }
     }
 
--- a/src/policy/placement/mod.rs
+++ b/src/policy/placement/mod.rs
@@ -70,6 +70,8 @@
     /// Additional cost of using this engine, in milliseconds, which is added to the
     /// predicted time to the first event when engines are compared.
     pub penalty_ms: f64,
+    /// Time that a prefill takes on the engine, as a multiple of what the profile predicts.
+    pub slowness: f64,
 }
 
 impl EngineCandidate {
--- a/tests/prompt_placement.rs
+++ b/tests/prompt_placement.rs
@@ -28,6 +28,7 @@
             requests: 0.0,
             slots: 64,
             penalty_ms: 0.0,
+            slowness: 1.0,
         })
         .collect()
 }
@@ -269,6 +270,33 @@
     );
 }
 
+/// A prompt must not go to its home if that is so slow that other engines read the prompt
+/// sooner, and the prediction must tell how slow the chosen engine is.
+#[test]
+fn slow_home_avoided() {
+    let prompt = long_prompt();
+    let usual = engines(4);
+    let cached = CachedChains::default();
+    let profile = profile(50.0);
+    let place = |engines: &[EngineCandidate]| {
+        place_with_profile(&profile, &prompt, engines, &cached, false).unwrap()
+    };
+    let home = place(&usual);
+    let mut slow_home = usual.clone();
+    slow_home[home.index].slowness = 3.0;
+    assert_ne!(place(&slow_home).index, home.index);
+    let mut all_slow = usual;
+    for engine in &mut all_slow {
+        engine.slowness = 2.0;
+    }
+    let slow = place(&all_slow);
+    assert_eq!(slow.index, home.index);
+    assert!(
+        slow.first_event_ms > 1.8 * home.first_event_ms,
+        "{slow:?} {home:?}"
+    );
+}
+
 /// Returns a prefill engine and a decode engine.
 fn prefill_and_decode_engine() -> Vec<EngineCandidate> {
     let mut engines = engines(2);
