Merge learned speeds and admission under shortage into shared placement

Cause: the dispatcher refused by a wait of 1.25 own objectives, so that the least urgent requests with the longest objective filled the queues.

Change: the dispatcher asks the admission of policy::shortage and weighs the learned speed of each engine. Refusals name their reason, the predicted wait and the time to come back.

--- a/src/gateway/caller/reply.rs
+++ b/src/gateway/caller/reply.rs
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{HeaderMap, Response, StatusCode, body::Frame};
 
-use crate::platform::refusal_headers;
+use crate::{platform::refusal_headers, policy::shortage::Reason};
 
 /// Body of a response. An error in the body closes the connection before the body is
 /// complete.
@@ -57,6 +57,15 @@
         /// Predicted wait for an engine, in milliseconds.
         wait_ms: u32,
     },
+    /// {reason}; the wait is {wait_ms} ms
+    Short {
+        /// Why this request is refused rather than another one.
+        reason: Reason,
+        /// Predicted wait for an engine, in milliseconds.
+        wait_ms: u32,
+        /// Time after which the caller may come back, in milliseconds.
+        retry_after_ms: u32,
+    },
     /// the request may have run, and its answer is lost
     AnswerLost,
     /// the request was not answered in time and may have run
@@ -89,7 +98,8 @@
             | Self::TargetsRefused
             | Self::Quarantined { .. }
             | Self::TargetsPaused { .. }
-            | Self::Overloaded { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Overloaded { .. }
+            | Self::Short { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::Stopped | Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -113,11 +123,23 @@
             Self::Quarantined { .. } => "Quarantined",
             Self::TargetsPaused { .. } => "TargetsPaused",
             Self::Overloaded { .. } => "Overloaded",
+            Self::Short { reason, .. } => reason.label(),
             Self::AnswerLost => "AnswerLost",
             Self::Timeout => "Timeout",
         }
     }
 
+    /// Returns the predicted wait for a target, in milliseconds, if the request is refused
+    /// for it.
+    pub(in crate::gateway) fn wait_ms(self) -> Option<u32> {
+        match self {
+            Self::TargetsPaused { wait_ms }
+            | Self::Overloaded { wait_ms }
+            | Self::Short { wait_ms, .. } => Some(wait_ms),
+            _ => None,
+        }
+    }
+
     /// Returns whether the connection must be closed because the request may not have
     /// been read completely.
     fn ends_connection(self) -> bool {
--- a/src/gateway/caller/server.rs
+++ b/src/gateway/caller/server.rs
@@ -104,8 +104,9 @@
         Err(error) => Err(refuse_head(*error)),
     };
     let mut response = result.unwrap_or_else(|refusal| {
-        record_refusal(&state, id.as_deref(), refusal, received_at);
-        refusal.response(id.as_deref(), retry_after(refusal))
+        let retry_after = retry_after(refusal);
+        record_refusal(&state, id.as_deref(), refusal, retry_after, received_at);
+        refusal.response(id.as_deref(), retry_after)
     });
     guard.finish();
     if state.is_stopping() {
@@ -238,6 +239,7 @@
             let delay_s = rand::random_range(RETRY_AFTER_RANGE_S);
             Some(Duration::from_secs_f64(delay_s))
         }
+        Refusal::Short { retry_after_ms, .. } => Some(Duration::from_millis(retry_after_ms.into())),
         Refusal::Quarantined { left_s } => Some(Duration::from_secs(left_s.into())),
         Refusal::TargetsPaused { wait_ms } => {
             let jitter = Duration::from_secs_f64(rand::random_range(RETRY_AFTER_RANGE_S));
@@ -267,10 +269,19 @@
         .increment(1);
 }
 
-fn record_refusal(state: &State, id: Option<&str>, refusal: Refusal, received_at: Instant) {
+fn record_refusal(
+    state: &State,
+    id: Option<&str>,
+    refusal: Refusal,
+    retry_after: Option<Duration>,
+    received_at: Instant,
+) {
     tracing::info!(
         request = id.unwrap_or("-"),
         status = refusal.status().as_u16(),
+        reason = refusal.label(),
+        wait_ms = refusal.wait_ms(),
+        retry_after_ms = retry_after.map(|delay| delay.as_millis() as u64),
         config_version = state.catalog().map_or(0, |catalog| catalog.version()),
         elapsed_ms = received_at.elapsed().as_millis() as u64,
         "gateway: request refused: {refusal}"
--- a/src/gateway/dispatch/client.rs
+++ b/src/gateway/dispatch/client.rs
@@ -17,7 +17,7 @@
 };
 
 use super::{
-    datagram::{encode, encode_prompt},
+    datagram::{decode_reason, encode, encode_prompt},
     frames::{Ended, Failure, Notice, Placed, Prefilled, Query, datagram::Body},
     ticket::Ticket,
 };
@@ -139,8 +139,10 @@
         match answer {
             Body::Refused(refused) => {
                 record_query("refused", asked_at);
-                QueryOutcome::Refused(Refusal::Overloaded {
+                QueryOutcome::Refused(Refusal::Short {
+                    reason: decode_reason(refused.reason()),
                     wait_ms: refused.wait_ms,
+                    retry_after_ms: refused.retry_after_ms,
                 })
             }
             Body::Placed(placed) => {
--- a/src/gateway/dispatch/datagram.rs
+++ b/src/gateway/dispatch/datagram.rs
@@ -2,8 +2,11 @@
 
 use prost::{DecodeError, Message};
 
-use super::frames::{Datagram, Part, Prompt as PromptFrame, datagram::Body};
-use crate::call::{Prompt, PromptPart};
+use super::frames::{Datagram, Part, Prompt as PromptFrame, RefusalReason, datagram::Body};
+use crate::{
+    call::{Prompt, PromptPart},
+    policy::shortage::Reason,
+};
 
 /// Maximum size of a datagram, in bytes. Larger ones would be fragmented on usual links.
 pub(super) const MAX_BYTES: usize = 1_400;
@@ -54,3 +57,22 @@
         parts,
     }
 }
+
+pub(super) fn encode_reason(reason: Reason) -> RefusalReason {
+    match reason {
+        Reason::Hopeless => RefusalReason::Hopeless,
+        Reason::Shortage => RefusalReason::Shortage,
+        Reason::Urgency => RefusalReason::Urgency,
+        Reason::AccountShare => RefusalReason::AccountShare,
+    }
+}
+
+/// Decodes a reason. One that this instance does not know counts as a shortage.
+pub(super) fn decode_reason(reason: RefusalReason) -> Reason {
+    match reason {
+        RefusalReason::Hopeless => Reason::Hopeless,
+        RefusalReason::Urgency => Reason::Urgency,
+        RefusalReason::AccountShare => Reason::AccountShare,
+        RefusalReason::Shortage | RefusalReason::Unspecified => Reason::Shortage,
+    }
+}
--- a/src/gateway/dispatch/lavenderwind.dispatch.rs
+++ b/src/gateway/dispatch/lavenderwind.dispatch.rs
@@ -115,9 +115,8 @@
     /// Predicted wait for an engine, in milliseconds.
     #[prost(uint32, tag = "3")]
     pub wait_ms: u32,
-    /// Index of the reason.
-    #[prost(uint32, tag = "4")]
-    pub reason: u32,
+    #[prost(enumeration = "RefusalReason", tag = "4")]
+    pub reason: i32,
 }
 /// Answers a query that the receiver cannot decide.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -179,3 +178,39 @@
     #[prost(bool, tag = "2")]
     pub refused: bool,
 }
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
+#[repr(i32)]
+pub enum RefusalReason {
+    Unspecified = 0,
+    Hopeless = 1,
+    Shortage = 2,
+    Urgency = 3,
+    AccountShare = 4,
+}
+impl RefusalReason {
+    /// String value of the enum field names used in the ProtoBuf definition.
+    ///
+    /// The values are not transformed in any way and thus are considered stable
+    /// (if the ProtoBuf definition does not change) and safe for programmatic use.
+    pub fn as_str_name(&self) -> &'static str {
+        match self {
+            Self::Unspecified => "REFUSAL_REASON_UNSPECIFIED",
+            Self::Hopeless => "REFUSAL_REASON_HOPELESS",
+            Self::Shortage => "REFUSAL_REASON_SHORTAGE",
+            Self::Urgency => "REFUSAL_REASON_URGENCY",
+            Self::AccountShare => "REFUSAL_REASON_ACCOUNT_SHARE",
+        }
+    }
+    /// Creates an enum from field names used in the ProtoBuf definition.
+    pub fn from_str_name(value: &str) -> ::core::option::Option<Self> {
+        match value {
+            "REFUSAL_REASON_UNSPECIFIED" => Some(Self::Unspecified),
+            "REFUSAL_REASON_HOPELESS" => Some(Self::Hopeless),
+            "REFUSAL_REASON_SHORTAGE" => Some(Self::Shortage),
+            "REFUSAL_REASON_URGENCY" => Some(Self::Urgency),
+            "REFUSAL_REASON_ACCOUNT_SHARE" => Some(Self::AccountShare),
+            _ => None,
+        }
+    }
+}
--- a/src/gateway/dispatch/planner.rs
+++ b/src/gateway/dispatch/planner.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 
 use super::{
-    datagram::decode_prompt,
+    datagram::{decode_prompt, encode_reason},
     frames::{Declined, Failure, Notice, Placed, Prefilled, Query, Refused, datagram::Body},
 };
 use crate::{
@@ -21,9 +21,11 @@
     policy::{
         cache_locality::CachedChains,
         dispatch::{Backlog, Ledger, OutstandingPlacement, PlacementKey},
-        engine_profile::EngineProfile,
+        engine_profile::{EngineProfile, LOCAL_PREFILL_FACTOR},
         placement::{EngineCandidate, Placement, PlacementInput, choose_prefill_engine},
+        shortage::{Admission, Decision, Offer, Request, ShortageState},
         spread::{SpreadCandidate, choose_least_loaded},
+        target_speed::TargetSpeeds,
     },
     roster::Target,
 };
@@ -37,6 +39,8 @@
     planned: CachedChains,
     /// Prompt parts that engines have cached.
     cached: CachedChains,
+    admission: Admission,
+    speeds: TargetSpeeds,
     /// Start of each known engine. An engine that starts again has nothing cached.
     boots: IndexMap<Arc<str>, u64>,
 }
@@ -59,9 +63,58 @@
         };
         self.planned.retain(is_same);
         self.cached.retain(is_same);
+        self.speeds.retain(is_same);
         self.boots = boots;
     }
 
+    /// Returns the refusal of a request that the engines cannot serve in time; `None` if it
+    /// is admitted.
+    fn refuse(
+        &mut self,
+        query: &Query,
+        placement: &Placement,
+        candidates: &[EngineCandidate],
+        profile: &EngineProfile,
+        now_ms: u64,
+    ) -> Option<Refused> {
+        let candidate = &candidates[placement.index];
+        let ms_per_token = match placement.is_local_prefill {
+            true => profile.local_prefill_ms_per_token(),
+            false => profile.remote_prefill_ms_per_token(),
+        };
+        let request = Request {
+            priority: query.priority.min(u8::MAX.into()) as u8,
+            objective_ms: query.objective_ms.into(),
+            left_ms: query.left_ms.into(),
+            account: query.account,
+            work_ms: f64::from(placement.uncached_tokens) * ms_per_token * candidate.slowness,
+        };
+        let offer = Offer {
+            wait_ms: placement.wait_ms,
+            own_ms: placement.first_event_ms - placement.wait_ms,
+            capacity: open_capacity(candidates),
+        };
+        let before = self.admission.state();
+        let decision = self.admission.decide(&request, &offer, now_ms);
+        let after = self.admission.state();
+        if before != after {
+            record_state(&query.service, after, &offer);
+        }
+        let Decision::Refuse {
+            retry_after_ms,
+            reason,
+        } = decision
+        else {
+            return None;
+        };
+        Some(Refused {
+            number: query.number,
+            retry_after_ms: u32::try_from(retry_after_ms).unwrap_or(u32::MAX),
+            wait_ms: placement.wait_ms as u32,
+            reason: encode_reason(reason) as i32,
+        })
+    }
+
     fn load(&self, target: &Target) -> FleetLoad {
         let Backlog {
             requests,
@@ -99,21 +152,24 @@
             .expire(state.now_ms(), |engine| boots.contains_key(engine));
         let is_tried = |id: &Arc<str>| query.tried.iter().any(|tried| **tried == **id);
         let objective_ms = f64::from(query.objective_ms);
-        let candidates = candidates_with(state, &targets, objective_ms, is_tried, |_, target| {
-            plan.load(target)
-        });
+        let mut candidates =
+            candidates_with(state, &targets, objective_ms, is_tried, |_, target| {
+                plan.load(target)
+            });
+        let now_ms = state.now_ms();
+        for candidate in &mut candidates {
+            let load = candidate.requests;
+            candidate.slowness = plan.speeds.slowness(&candidate.id, load, now_ms);
+        }
         let profile = state.engines().profile(&service);
         let chosen = choose(state, plan, query, &prompt, &candidates, &profile);
         let Some(placement) = chosen else {
             return declined;
         };
-        if query.may_refuse && placement.is_overloaded(objective_ms) {
-            return Body::Refused(Refused {
-                number: query.number,
-                retry_after_ms: placement.wait_ms as u32,
-                wait_ms: placement.wait_ms as u32,
-                reason: 0,
-            });
+        if query.may_refuse
+            && let Some(refused) = plan.refuse(query, &placement, &candidates, &profile, now_ms)
+        {
+            return Body::Refused(refused);
         }
         let target = &targets[placement.index];
         let decode_target = match placement.is_local_prefill {
@@ -197,6 +253,18 @@
                 .insert(engine, &prefilled.parts, capacity_tokens);
         }
         let elapsed_ms = f64::from(report.elapsed_ms);
+        let profile = state.engines().profile(&report.service);
+        let expected_ms = match prefilled.is_local_prefill {
+            true => profile.local_prefill_ms(prefilled.tokens),
+            false => profile.remote_prefill_ms(prefilled.tokens),
+        };
+        plan.speeds.observe(
+            &prefilled.engine,
+            prefilled.requests_ahead,
+            expected_ms,
+            elapsed_ms,
+            state.now_ms(),
+        );
         state.engines().update_profile(&report.service, |profile| {
             match prefilled.is_local_prefill {
                 true => profile.observe_local_prefill(prefilled.tokens, elapsed_ms),
@@ -231,6 +299,34 @@
     }
 }
 
+/// Returns the number of engines that take prompts. An engine that decodes prefills at a
+/// part of the speed.
+fn open_capacity(candidates: &[EngineCandidate]) -> f64 {
+    let mut capacity = 0.0;
+    for candidate in candidates {
+        if candidate.is_excluded || candidate.is_unreachable {
+            continue;
+        }
+        capacity += match candidate.prefills() {
+            true => 1.0,
+            false => 1.0 / LOCAL_PREFILL_FACTOR,
+        };
+    }
+    capacity
+}
+
+fn record_state(service: &str, state: ShortageState, offer: &Offer) {
+    tracing::info!(
+        service,
+        is_short = state.is_short(),
+        wait_ms = offer.wait_ms as u64,
+        capacity = offer.capacity,
+        "dispatch: shortage of engines is now {state:?}"
+    );
+    let value = f64::from(u8::from(state.is_short()));
+    metrics::gauge!("dispatch_shortage", "service" => service.to_owned()).set(value);
+}
+
 /// Adds a placement to the ledger, and its parts to those that the engine will have cached.
 fn insert(
     state: &State,
@@ -297,6 +393,7 @@
             in_same_domain: candidate.failure_domain == *domain,
             failure_rate: 0.0,
             may_change_role: false,
+            slowness: candidate.slowness,
         });
         indices.push(index);
     }
--- a/src/policy/engine_profile.rs
+++ b/src/policy/engine_profile.rs
@@ -21,7 +21,7 @@
 
 /// Ratio of the prefill time per token on a decode engine to that on a prefill
 /// engine, as documented by the platform.
-pub(super) const LOCAL_PREFILL_FACTOR: f64 = 2.0;
+pub const LOCAL_PREFILL_FACTOR: f64 = 2.0;
 
 /// Prefill time per token on a prefill engine, in milliseconds, assumed before any
 /// prefill was observed.
--- a/src/policy/placement/mod.rs
+++ b/src/policy/placement/mod.rs
@@ -70,7 +70,7 @@
     /// Additional cost of using this engine, in milliseconds, which is added to the
     /// predicted time to the first event when engines are compared.
     pub penalty_ms: f64,
-    /// Time that the engine takes for a prefill, as a multiple of the profile's.
+    /// Time that a prefill takes on the engine, as a multiple of what the profile predicts.
     pub slowness: f64,
 }
 
