Bound the idle timeout that targets announce

Cause: the timeout of a Keep-Alive header was added to the current time unchecked. A number near 2^64 seconds overflowed, which panicked the task of the caller's connection.

Change: the timeout counts as one hour at most, and the pool checks the addition.

--- a/src/gateway/target/pool.rs
+++ b/src/gateway/target/pool.rs
@@ -196,11 +196,14 @@
         let Some(reuse_time) = idle_timeout.checked_sub(IDLE_MARGIN) else {
             return;
         };
+        let Some(reusable_until) = Instant::now().checked_add(reuse_time) else {
+            return;
+        };
         let mut targets = self.lock();
         let connections = targets.entry(TargetBoot::from(target)).or_default();
         connections.idle.push(IdleConnection {
             connection,
-            reusable_until: Instant::now() + reuse_time,
+            reusable_until,
         });
     }
 
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -75,6 +75,9 @@
 /// Longest pause that a target may ask for, in seconds.
 const MAX_PAUSE_S: f64 = 3_600.0;
 
+/// Longest idle timeout of a target that is used, in seconds. Targets may announce any number.
+const MAX_IDLE_TIMEOUT_S: u64 = 3_600;
+
 /// Least urgent priority that targets accept.
 const MAX_PRIORITY: u8 = 9;
 
@@ -358,14 +361,15 @@
     })
 }
 
-/// Returns the timeout of a `Keep-Alive` header.
+/// Returns the timeout of a `Keep-Alive` header, at most [`MAX_IDLE_TIMEOUT_S`].
 fn read_keep_alive(value: &str) -> Option<Duration> {
     for parameter in value.split(',') {
         let Some((name, seconds)) = parameter.split_once('=') else {
             continue;
         };
         if name.trim().eq_ignore_ascii_case("timeout") {
-            return seconds.trim().parse().ok().map(Duration::from_secs);
+            let seconds: u64 = seconds.trim().parse().ok()?;
+            return Some(Duration::from_secs(seconds.min(MAX_IDLE_TIMEOUT_S)));
         }
     }
     None
