Finish the examination of a target whose caller left

Cause: after an answer broke off, the call stayed on the list of calls in flight until the target was examined. The examination ran in the call's own task. If the caller left during its first look, the examination ended with the task and the call stayed on the list, so that it was suspected of each later crash.

Change: the examination runs in a task of its own.

left_call_forgotten failed on the code before (two calls suspected instead of one) and passes now.

--- a/src/gateway/target/crash.rs
+++ b/src/gateway/target/crash.rs
@@ -157,11 +157,19 @@
     if !state.calls_in_flight().has_broken(&boot) {
         return;
     }
-    if has_ended(state, target, &boot).await {
+    // The caller of the call may leave meanwhile, which drops the call but must not end the
+    // examination: it removes the call from the list of calls in flight.
+    let first_look = tokio::spawn(look(state.clone(), target.clone(), boot));
+    let _ = first_look.await;
+}
+
+/// Looks at a target for the first time. If it has not ended, it is examined again.
+async fn look(state: Arc<State>, target: Arc<Target>, boot: TargetBoot) {
+    if has_ended(&state, &target, &boot).await {
         return;
     }
     if state.calls_in_flight().examined.insert(boot.clone()) {
-        tokio::spawn(examine_again(state.clone(), target.clone(), boot));
+        tokio::spawn(examine_again(state, target, boot));
     }
 }
 
