Keep calls of duties within their lease, and claim again after a rejection

Cause: a call of a duty could last 1.5 s and was closed without a reset, so that it could arrive after the lease had ended and another instance had called. A platform that checks no fencing tokens then got a lower token after a higher one. A 409 to an order of regular targets, or to a usage report, invalidated the lease, which its holder nevertheless went on renewing: no instance performed duties until it ended.

Change: calls are made one at a time over connections that are reset when the call is given up. A call ends a quarter of the lease before the lease, its body is handed over only while that much is left, and an answer that breaks off leaves its outcome open. Redirects of the platform are not followed. A holder whose token is rejected claims the lease again, once within 60 s; a group whose order was rejected is not ordered for 5 s.

--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -91,6 +91,15 @@
         self.invalidated_epoch = self.invalidated_epoch.max(epoch);
     }
 
+    /// Returns the time until the lease lapses, in milliseconds; 0 if it has lapsed or was
+    /// invalidated.
+    pub fn left_ms(&self, now_ms: u64) -> u64 {
+        match self.epoch(now_ms) {
+            Some(_) => self.valid_until_ms - now_ms,
+            None => 0,
+        }
+    }
+
     /// Returns the epoch of the lease, or `None` if the lease has lapsed or was
     /// invalidated.
     pub fn epoch(&self, now_ms: u64) -> Option<u64> {
--- a/src/gateway/duty/duty_lease.rs
+++ b/src/gateway/duty/duty_lease.rs
@@ -7,7 +7,10 @@
 //! A restored store may lack the newest claims and renewals. A lease of an earlier era of
 //! the store is therefore no longer used.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -19,6 +22,27 @@
     platform::{Appended, Holder, KeyedRecord, Position, StoreEra},
 };
 
+/// Lease duration divided by the time before the end of the lease after which a duty makes no
+/// call. A call that is on its way then arrives, or is given up, before another instance can
+/// hold the lease.
+const CALL_MARGIN_DIVISOR: u64 = 4;
+
+/// Lease duration divided by the time for which a call's bytes may stay unacknowledged. The
+/// quotient is less than the margin of calls, as the kernel goes on sending while this process
+/// is paused.
+const UNACKNOWLEDGED_DIVISOR: u64 = 5;
+
+/// Time after a claim that followed a rejected fencing token in which a rejection is no reason
+/// for another claim, in milliseconds. The token was then the newest one, so that the cause is
+/// another.
+const RECLAIM_PERIOD_MS: u64 = 60_000;
+
+/// Returns the time for which the bytes of a call may stay unacknowledged before the kernel
+/// closes its connection.
+pub(in crate::gateway) fn unacknowledged_limit(lease_ms: u64) -> Duration {
+    Duration::from_millis(lease_ms / UNACKNOWLEDGED_DIVISOR)
+}
+
 /// A claim of the lease, or a renewal.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) struct DutyRecord {
@@ -45,6 +69,7 @@
     pub(super) identity: Identity,
     era: watch::Receiver<StoreEra>,
     known: Mutex<LeaseState>,
+    call_margin_ms: u64,
 }
 
 #[derive(Debug)]
@@ -64,6 +89,19 @@
     /// First fencing token since which no other instance can have held the lease, if this
     /// instance holds it.
     pub(super) unbroken_since: u64,
+    /// Fencing token that was rejected as too low; the lease is claimed again if it is that
+    /// of the lease.
+    rejected_fence: u64,
+    /// When the lease was last claimed again after a rejection, on the clock of [`boot_ms`].
+    pub(super) reclaimed_at_ms: Option<u64>,
+}
+
+impl LeaseState {
+    /// Returns whether the fencing token of the lease was rejected.
+    pub(super) fn is_rejected(&self) -> bool {
+        let entry = self.entry.as_ref();
+        entry.is_some_and(|entry| entry.epoch == self.rejected_fence)
+    }
 }
 
 impl DutyLease {
@@ -84,7 +122,10 @@
                 clock: LeaseClock::new(lease_ms),
                 may_resume: false,
                 unbroken_since: 0,
+                rejected_fence: 0,
+                reclaimed_at_ms: None,
             }),
+            call_margin_ms: lease_ms / CALL_MARGIN_DIVISOR,
         }
     }
 
@@ -103,6 +144,16 @@
         })
     }
 
+    /// Returns the time in which a call under the lease with fencing token `fence` may be made
+    /// and must end.
+    pub(in crate::gateway) fn call_time(&self, fence: u64) -> Duration {
+        if self.holder().is_none_or(|holder| holder.fence != fence) {
+            return Duration::ZERO;
+        }
+        let left_ms = self.lock().clock.left_ms(boot_ms());
+        Duration::from_millis(left_ms.saturating_sub(self.call_margin_ms))
+    }
+
     /// Returns the first fencing token since which no other instance can have held the
     /// lease. Meaningful only while this instance holds the lease.
     pub(super) fn unbroken_since(&self) -> u64 {
@@ -113,13 +164,28 @@
         entry.held_by(&self.identity.name, self.identity.incarnation)
     }
 
-    /// Invalidates a lease whose fencing token was rejected as too low.
+    /// Invalidates a lease whose fencing token was rejected as too low. If no other instance
+    /// has claimed the lease, it is claimed again, unless that was done a short time ago.
     pub(in crate::gateway) fn invalidate(&self, fence: u64) {
+        let now_ms = boot_ms();
+        let mut known = self.lock();
+        let was_reclaimed = known
+            .reclaimed_at_ms
+            .is_some_and(|at_ms| now_ms < at_ms + RECLAIM_PERIOD_MS);
+        if was_reclaimed {
+            tracing::warn!(
+                fence,
+                "duty: call rejected under the newest fencing token; lease kept"
+            );
+            return;
+        }
         tracing::warn!(
             fence,
-            "duty: lease given up: a higher fencing token is in use"
+            "duty: lease given up: a higher fencing token may be in use"
         );
-        self.lock().clock.invalidate(fence);
+        metrics::counter!("gateway_fences_rejected_total").increment(1);
+        known.clock.invalidate(fence);
+        known.rejected_fence = known.rejected_fence.max(fence);
     }
 
     pub(super) fn apply_record(&self, record: &KeyedRecord) {
--- a/src/gateway/duty/lease_claims.rs
+++ b/src/gateway/duty/lease_claims.rs
@@ -185,8 +185,16 @@
     if is_outdated_own && known.may_resume && known.read_at_ms != 0 {
         return Some((DutyStep::Claim(DutyClaim::default()), at));
     }
+    let is_rejected_own = !is_outdated_own
+        && known.is_rejected()
+        && entry.as_ref().is_some_and(|entry| lease.is_own(entry));
     let observed = match is_outdated_own || (entry.is_none() && era > 0) {
         true => Some(unknown_holder(entry.as_ref())),
+        // Nobody else holds the lease, so that it can be claimed at once.
+        false if is_rejected_own => Some(DutyEntry {
+            resigned: true,
+            ..unknown_holder(entry.as_ref())
+        }),
         false => entry.clone(),
     };
     let now_ms = boot_ms();
@@ -194,7 +202,10 @@
         entry: observed.as_ref(),
         is_tail_current: now_ms.saturating_sub(known.read_at_ms)
             < MAX_READ_AGE_LEASES * timing.lease_ms,
-        rank: own_rank(lease, entry.as_ref(), peers),
+        rank: match is_rejected_own {
+            true => 0,
+            false => own_rank(lease, entry.as_ref(), peers),
+        },
         stopping: false,
         idle: false,
         last_read_ms: known.read_at_ms,
@@ -202,7 +213,10 @@
     };
     let step = rules.step(&input);
     if let DutyStep::Claim(_) = step {
-        known.unbroken_since = at.number();
+        match is_rejected_own {
+            true => known.reclaimed_at_ms = Some(now_ms),
+            false => known.unbroken_since = at.number(),
+        }
     }
     Some((step, at))
 }
--- a/src/gateway/duty/mod.rs
+++ b/src/gateway/duty/mod.rs
@@ -18,7 +18,7 @@
 mod slices;
 mod usage_records;
 
-pub(super) use duty_lease::DutyLease;
+pub(super) use duty_lease::{DutyLease, unacknowledged_limit};
 pub(super) use lease_claims::maintain_lease;
 pub(super) use ordering::maintain_targets;
 pub(super) use reports::report_usage;
--- a/src/gateway/duty/ordering.rs
+++ b/src/gateway/duty/ordering.rs
@@ -336,9 +336,14 @@
     /// Sends an order to the platform and records the result.
     ///
     /// A conflict on an order of reclaimable targets is taken to mean that the failure
-    /// domain is out of capacity, and one on an order of regular targets that another
-    /// instance holds the lease.
-    async fn send_order(&mut self, lease: &DutyLease, cloud: &CloudClient, order: TargetCount) {
+    /// domain is out of capacity. One on an order of regular targets may also mean that
+    /// another instance holds the lease, which is then claimed again.
+    async fn send_order(
+        &mut self,
+        lease: &Arc<DutyLease>,
+        cloud: &CloudClient,
+        order: TargetCount,
+    ) {
         let Some(holder) = lease.holder() else {
             return;
         };
@@ -346,7 +351,9 @@
             failure_domain: order.failure_domain.clone(),
             reclaimable: order.reclaimable,
         };
-        let result = cloud.order_targets(&holder, &order).await;
+        let (called_lease, fence) = (lease.clone(), holder.fence);
+        let time_left = move || called_lease.call_time(fence);
+        let result = cloud.order_targets(&holder, &order, time_left).await;
         let outcome = match &result {
             Ok(()) => "accepted".to_owned(),
             Err(error) => error.to_string(),
@@ -371,7 +378,10 @@
                 self.out_of_capacity.insert(group, Instant::now());
                 self.shortage.record_refusal();
             }
-            Err(CloudError::Conflict(_)) => lease.invalidate(holder.fence),
+            Err(CloudError::Conflict(_)) => {
+                self.out_of_capacity.insert(group, Instant::now());
+                lease.invalidate(holder.fence);
+            }
             Err(_) => {}
         }
     }
--- a/src/gateway/duty/reports.rs
+++ b/src/gateway/duty/reports.rs
@@ -292,7 +292,10 @@
         let due_ms = self.state.tuning().timing.usage_due_ms as i64;
         let started_at = Instant::now();
         while let Some(holder) = self.current_holder(fence) {
-            let result = self.cloud.report_usage(&holder, window, counts).await;
+            let lease = self.lease.clone();
+            let time_left = move || lease.call_time(fence);
+            let reporting = self.cloud.report_usage(&holder, window, counts, time_left);
+            let result = reporting.await;
             let elapsed_ms = started_at.elapsed().as_millis() as u64;
             match result {
                 Ok(()) => {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -3,6 +3,7 @@
 use std::{convert::Infallible, io, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use displaydoc::Display;
+use reqwest::redirect::Policy;
 use tokio::{
     net::TcpListener,
     sync::watch,
@@ -107,8 +108,12 @@
     let [callers, readiness_address, metrics_address] = addresses;
     let metrics = metrics_handle().map_err(|error| Error::Metrics(error.to_string()))?;
     let client = platform_client().map_err(Error::Client)?;
-    let store = StoreClient::new(client.clone(), settings.store_address, STORE_TIMEOUT);
-    let cloud = CloudClient::new(client, settings.cloud_address, CLOUD_TIMEOUT);
+    let store = StoreClient::new(client, settings.store_address, STORE_TIMEOUT);
+    let cloud = CloudClient::new(
+        settings.cloud_address,
+        CLOUD_TIMEOUT,
+        duty::unacknowledged_limit(settings.timing.lease_ms),
+    );
     let state = Arc::new(State::new(settings));
     let supervisor = Supervisor::new("gateway");
     let context = Context {
@@ -380,6 +385,7 @@
 
 fn platform_client() -> reqwest::Result<reqwest::Client> {
     reqwest::Client::builder()
+        .redirect(Policy::none())
         .tcp_nodelay(true)
         .tcp_user_timeout(PLATFORM_USER_TIMEOUT)
         .connect_timeout(STORE_TIMEOUT)
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -449,6 +449,8 @@
     pub holder: String,
     pub fence: u64,
     pub body: Value,
+    /// When the call arrived.
+    pub at: Instant,
 }
 
 /// Stand-in for the platform's API for duties, which records all calls.
@@ -476,6 +478,7 @@
                     holder,
                     fence: fence.parse().unwrap(),
                     body: serde_json::from_slice(&body).unwrap(),
+                    at: Instant::now(),
                 });
                 let code = *code.lock().unwrap();
                 Some(status(code, "{}"))
@@ -657,14 +660,17 @@
 
     /// Starts a gateway with further settings, in YAML.
     pub async fn start_with(name: &str, store: &Store, cloud: &Cloud, more: &str) -> Self {
+        Self::start_at(name, store.address(), cloud.server.address, more).await
+    }
+
+    /// Starts a gateway that reaches the store and the platform's API at these addresses.
+    pub async fn start_at(name: &str, store: SocketAddr, cloud: SocketAddr, more: &str) -> Self {
         let free = "127.0.0.1:0";
         let text = format!(
             "name: {name}\nfailure_domain: z1\ncaller_address: {free}\n\
              readiness_address: {free}\npeer_address: {free}\nmetrics_address: {free}\n\
-             store_address: {}\ncloud_address: {}\nduties: {{usage: true}}\n\
-             timing: {{lease_ms: 900, usage_window_ms: 1000, stop_ms: 4000}}\n{more}\n",
-            store.address(),
-            cloud.server.address
+             store_address: {store}\ncloud_address: {cloud}\nduties: {{usage: true}}\n\
+             timing: {{lease_ms: 900, usage_window_ms: 1000, stop_ms: 4000}}\n{more}\n"
         );
         let path = Path::new("gateway.yaml");
         let settings = GatewaySettings::parse(&text, path).unwrap();
