Take no part of an answer and no invalid status from a target

Cause: the end of a connection was taken for the end of an answer without length, also if the target had not read the whole request. The HTTP library accepts statuses from 600 to 999 and 101, which were forwarded to callers, and counted as answers of the store.

Change: the gateway's connections report an error if the target closes them while the request is being written. The client of plain services that serve uses hands its body over in pieces that are written one by one, and refuses an answer without length that ends before the last one. Statuses outside 200 to 599 make an answer invalid, on all paths that take one; 502 for callers.

--- a/src/gateway/target/attempt.rs
+++ b/src/gateway/target/attempt.rs
@@ -21,6 +21,7 @@
     platform::{AnswerHead, AttemptHead, attempt_headers, read_answer_head},
     policy::retry::Failure,
     roster::Target,
+    target::is_final_status,
 };
 
 /// Maximum body size of an answer that is buffered before it is forwarded, in bytes.
@@ -292,9 +293,13 @@
     Ok(request)
 }
 
-/// Checks that an answer carries the call's request identifier, that the target
-/// ran the call, and that the body has no content encoding.
+/// Checks that an answer has a valid status and the call's request identifier, that the
+/// target ran the call, and that the body has no content encoding.
 fn check_head(call: &Call, status: StatusCode, head: &AnswerHead) -> Result<(), AttemptError> {
+    if !is_final_status(status.as_u16()) {
+        let cause = format!("answer has the invalid status {}", status.as_u16());
+        return Err(AttemptError::incomplete_answer(cause));
+    }
     if head.request_id.as_deref() != Some(&*call.id) {
         return Err(AttemptError::incomplete_answer(
             "answer has the identifier of another request",
--- a/src/gateway/target/engine_call.rs
+++ b/src/gateway/target/engine_call.rs
@@ -17,7 +17,7 @@
         Holder, LoadReport, RoleOrder, engine_headers, prefill_release_path, read_target_hints,
     },
     roster::Target,
-    target::protocol::EngineRole,
+    target::{is_final_status, protocol::EngineRole},
 };
 
 /// Timeout of one call, including the time to connect.
@@ -168,6 +168,10 @@
                 _ => CallError::not_run(error),
             })?;
     let status = response.status();
+    if !is_final_status(status.as_u16()) {
+        let cause = format!("answer has the invalid status {}", status.as_u16());
+        return Err(CallError::unknown(cause));
+    }
     state.note_hints(target, &read_target_hints(status, response.headers()));
     let reading = read_whole(&state.answer_memory, response.into_body(), MAX_ANSWER_BYTES);
     let body = reading.await.map_err(CallError::unknown)?;
--- a/src/gateway/target/yielding_stream.rs
+++ b/src/gateway/target/yielding_stream.rs
@@ -1,5 +1,6 @@
 //! A connection to a target that lets other tasks run while much arrives, and that is reset
-//! if it closes during a request.
+//! if it closes during a request. If the target closes it before the whole request is sent,
+//! that is an error: the target cannot have answered a request that it has not read.
 
 use std::{
     io,
@@ -47,6 +48,9 @@
     in_flight: RequestInFlight,
     /// Bytes that may be read before the next yield.
     left_bytes: usize,
+    /// Whether bytes of the request are still to be written. The HTTP library flushes the
+    /// stream once it has written all of them.
+    is_sending: bool,
 }
 
 impl YieldingStream {
@@ -55,6 +59,7 @@
             stream,
             in_flight,
             left_bytes: BYTES_PER_TURN,
+            is_sending: false,
         }
     }
 }
@@ -95,8 +100,16 @@
             return Poll::Pending;
         }
         let before = buf.filled().len();
+        let has_room = buf.remaining() > 0;
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
         let read_bytes = buf.filled().len() - before;
+        let is_closed = has_room && read_bytes == 0 && matches!(polled, Poll::Ready(Ok(())));
+        if is_closed && self.is_sending {
+            // Otherwise the end of the connection would count as the end of an answer
+            // without length.
+            let cause = "closed by the target before the request was sent";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::ConnectionReset, cause)));
+        }
         self.left_bytes = match polled {
             Poll::Ready(_) => self.left_bytes.saturating_sub(read_bytes),
             Poll::Pending => BYTES_PER_TURN,
@@ -111,6 +124,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.is_sending = true;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -119,6 +133,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.is_sending = true;
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -127,7 +142,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let polled = Pin::new(&mut self.stream).poll_flush(cx);
+        if matches!(polled, Poll::Ready(Ok(()))) {
+            self.is_sending = false;
+        }
+        polled
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/platform/store/call.rs
+++ b/src/platform/store/call.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use super::{StoreError, Topic, era::EraTracker};
+use crate::target::is_final_status;
 
 /// Complete answer of the store.
 #[derive(Debug)]
@@ -59,8 +60,9 @@
 ///
 /// # Errors
 ///
-/// Returns [`StoreError::NotSent`] if there is no connection to the store, and
-/// [`StoreError::Unknown`] if the answer did not arrive completely.
+/// Returns [`StoreError::NotSent`] if there is no connection to the store,
+/// [`StoreError::Unknown`] if the answer did not arrive completely, and
+/// [`StoreError::Malformed`] if its status is invalid.
 pub(super) async fn call(
     name: &'static str,
     topic: Topic,
@@ -96,6 +98,9 @@
         }
     })?;
     let status = response.status();
+    if !is_final_status(status.as_u16()) {
+        return Err(StoreError::Malformed("invalid status"));
+    }
     let era = eras.observe(response.headers());
     let mut body = BytesMut::new();
     loop {
--- a/src/target/error.rs
+++ b/src/target/error.rs
@@ -68,6 +68,18 @@
         /// Index of the received token.
         got: u32,
     },
+    /// response from {address} has the invalid status {status}
+    InvalidStatus {
+        /// Address of the target.
+        address: Arc<str>,
+        /// The number in the place of the status.
+        status: u16,
+    },
+    /// response from {address} ended before the request was sent
+    EarlyEnd {
+        /// Address of the target.
+        address: Arc<str>,
+    },
     /// stream from {address} ended before its final event
     Cut {
         /// Address of the target.
--- a/src/target/http.rs
+++ b/src/target/http.rs
@@ -30,6 +30,12 @@
         .build()
 }
 
+/// Returns whether a status is one of a final response: from 200 to 599. The HTTP library
+/// also accepts 101 and numbers up to 999.
+pub(crate) fn is_final_status(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 /// Reads a complete response body.
 pub(super) async fn read_body(address: &str, mut response: Response) -> Result<Bytes> {
     let mut body = BytesMut::new();
--- a/src/target/mod.rs
+++ b/src/target/mod.rs
@@ -6,7 +6,7 @@
 //! engines in [`standin`](crate::standin) use the same definitions.
 //!
 //! `engine` and `plain` are the clients for the two types of targets, both based on
-//! `http`. `stream` validates the events of one attempt, which `sse` parses.
+//! `http`. `upload` tells how much of a request was sent. `stream` validates the events of one attempt, which `sse` parses.
 
 mod engine;
 mod error;
@@ -17,7 +17,9 @@
 mod stream;
 pub mod table;
 pub mod tokens;
+mod upload;
 
+pub(crate) use self::http::is_final_status;
 pub use self::{
     engine::EngineClient,
     error::{Error, Result},
--- a/src/target/plain.rs
+++ b/src/target/plain.rs
@@ -4,11 +4,15 @@
 
 use bytes::Bytes;
 use reqwest::{
-    Method,
-    header::{HeaderMap, HeaderName, HeaderValue},
+    Body, Method, Response,
+    header::{HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING},
 };
 
-use super::{Error, Result, http::read_body};
+use super::{
+    Error, Result,
+    http::{is_final_status, read_body},
+    upload::{Progress, Upload},
+};
 
 /// Header with the identifier of a request. A plain service may return the header
 /// in its response; a value other than the one sent is an error.
@@ -83,28 +87,42 @@
     /// # Errors
     ///
     /// Fails if the service cannot be reached, or if the response is truncated,
-    /// too large or belongs to another request. An error status is returned as
-    /// a response, not as an error.
+    /// too large or belongs to another request, has no valid status, or has no length and
+    /// ends before the request was sent. An error status is returned as a response, not as
+    /// an error.
     pub async fn call(&self, address: &str, request: PlainRequest) -> Result<PlainResponse> {
         let url = format!("http://{address}{}", request.path_and_query);
         let request_id = Arc::clone(&request.request_id);
+        let (body, progress) = sent_body(&request.body);
         let sent = self
             .http
             .request(request.method.clone(), url)
             .headers(forwarded_headers(&request))
-            .body(request.body)
+            .body(body)
             .send()
             .await;
         let response = sent.map_err(|cause| Error::from_http(address, cause))?;
+        let status = response.status().as_u16();
+        if !is_final_status(status) {
+            return Err(Error::InvalidStatus {
+                address: address.into(),
+                status,
+            });
+        }
         if !answers_request(response.headers(), &request_id) {
             return Err(Error::WrongRequest {
                 address: address.into(),
             });
         }
-        let status = response.status().as_u16();
+        let ends_with_connection = has_no_length(&response);
         let mut headers = response.headers().clone();
         remove_non_forwarded(&mut headers);
         let body = read_body(address, response).await?;
+        if ends_with_connection && !progress.is_none_or(|progress| progress.is_complete()) {
+            return Err(Error::EarlyEnd {
+                address: address.into(),
+            });
+        }
         Ok(PlainResponse {
             status,
             headers,
@@ -113,6 +131,20 @@
     }
 }
 
+/// Returns the body to send, and its progress unless it is empty.
+fn sent_body(bytes: &Bytes) -> (Body, Option<Progress>) {
+    if bytes.is_empty() {
+        return (Body::from(bytes.clone()), None);
+    }
+    let (upload, progress) = Upload::new(bytes.clone());
+    (Body::wrap(upload), Some(progress))
+}
+
+/// Whether only the end of the connection marks the end of a response.
+fn has_no_length(response: &Response) -> bool {
+    response.content_length().is_none() && !response.headers().contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns the headers to send: those of the caller that may be forwarded, the
 /// request identifier, and the idempotency key if there is one.
 fn forwarded_headers(request: &PlainRequest) -> HeaderMap {
