Read the store less often in large fleets with shared placement

Cause: each instance read the configuration about each 2 s, though its peers already reported in heartbeats that there was nothing new. The list of targets was read 0.6 x drain_ms after the last answer, and that read waited 2 s, so that a silent connection could hide a draining target for 4.5 s.

Change: with placement.shared and more than 16 instances, an instance reads the configuration only while no linked peer confirms that it is current, and at once if a peer knows a later record. The list of targets is read each 0.7 x drain_ms, without a wait. Other fleets keep their intervals.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,7 +20,7 @@
         target::{answer_memory::AnswerMemory, crash::CallsInFlight, loads::Loads, pool::Pool},
         usage::UsageCounter,
     },
-    peer::PeerHandle,
+    peer::{MAX_MESH_INSTANCES, PeerHandle},
     policy::retry_window::{RetryWindow, WindowBounds},
     roster::{Roster, Target},
     settings::{GatewaySettings, Tuning},
@@ -268,6 +268,12 @@
         self.instances.load(Ordering::Relaxed).max(1)
     }
 
+    /// Returns whether instances save reads of the store: in large fleets with shared
+    /// placement.
+    pub(super) fn shares_store_reads(&self) -> bool {
+        self.settings.placement.shared && self.instances() > MAX_MESH_INSTANCES
+    }
+
     /// Sets the number of live instances.
     pub(super) fn set_instances(&self, instances: usize) {
         self.instances.store(instances, Ordering::Relaxed);
--- a/src/gateway/store/catalog.rs
+++ b/src/gateway/store/catalog.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use tokio::{
     sync::{mpsc, watch},
-    time::Instant,
+    time::{Instant, sleep},
 };
 
 use crate::{
@@ -42,6 +42,18 @@
 /// which together have to fit within `settle_ms`.
 const READ_WAIT_SHARE: f64 = 0.65;
 
+/// Times for which the configuration may go unconfirmed in a large fleet, as fractions of
+/// `settle_ms`. A member of a group relies on its relay, which reads more often. The rest of
+/// `settle_ms` is left for a read that fails and is repeated.
+const UNCONFIRMED_SHARE: f64 = 0.6;
+const RELAY_UNCONFIRMED_SHARE: f64 = 0.27;
+
+/// Interval at which the peers' reports are evaluated in a large fleet.
+const CONFIRMATION_PERIOD: Duration = Duration::from_millis(100);
+
+/// Shortest time between two reads because a peer knows of a later record.
+const MIN_READ_PERIOD: Duration = Duration::from_millis(500);
+
 /// A read of the topic.
 #[derive(Debug)]
 struct TimedRead {
@@ -105,12 +117,11 @@
     pub(in crate::gateway) async fn run(mut self) {
         let (sender, mut reads) = mpsc::channel(1);
         let follower = Follower::new(self.store.clone(), OPERATOR_TOPIC);
-        let settle = Duration::from_millis(self.state.settings.timing.settle_ms);
-        let mut reading = pin!(read_topic(
-            follower,
-            settle.mul_f64(READ_WAIT_SHARE),
-            sender
-        ));
+        let pace = ReadPace {
+            state: self.state.clone(),
+            status: self.status.clone(),
+        };
+        let mut reading = pin!(read_topic(follower, pace, sender));
         loop {
             tokio::select! {
                 () = &mut reading => return,
@@ -234,12 +245,66 @@
     }
 }
 
+/// Decides when the topic is read, and how long a read waits.
+///
+/// In a large fleet, an instance does not read while its peers show that it knows the newest
+/// configuration. Reads then do not wait, so that a silent connection is noticed at once.
+#[derive(Debug)]
+struct ReadPace {
+    state: Arc<State>,
+    status: watch::Sender<TailStatus>,
+}
+
+impl ReadPace {
+    /// Waits until a read is due, and returns how long it waits for the next record.
+    /// `last_read_at` is when the last successful read was sent; its result may not be
+    /// applied yet.
+    async fn next_read(&self, last_read_at: Option<Instant>) -> Duration {
+        let settle = Duration::from_millis(self.state.settings.timing.settle_ms);
+        // Spreads the reads of the relays over time.
+        let jitter = 0.9 + 0.1 * rand::random::<f64>();
+        loop {
+            let (Some(peers), Some(last_read_at)) = (self.state.peers(), last_read_at) else {
+                return settle.mul_f64(READ_WAIT_SHARE);
+            };
+            if !self.state.shares_store_reads() {
+                return settle.mul_f64(READ_WAIT_SHARE);
+            }
+            if let Some(as_of) = peers.confirmed_as_of() {
+                self.status.send_if_modified(|status| {
+                    let is_later = as_of > status.current_as_of;
+                    status.current_as_of = status.current_as_of.max(as_of);
+                    is_later
+                });
+            }
+            let status = *self.status.borrow();
+            let share = match peers.is_relay() {
+                true => RELAY_UNCONFIRMED_SHARE,
+                false => UNCONFIRMED_SHARE,
+            };
+            let as_of = status.current_as_of.max(last_read_at);
+            let is_unconfirmed = as_of.elapsed() >= settle.mul_f64(share * jitter);
+            let knows_of_later =
+                last_read_at.elapsed() >= MIN_READ_PERIOD && peers.knows_of_later_record();
+            if !status.live || is_unconfirmed || knows_of_later {
+                return Duration::ZERO;
+            }
+            sleep(CONFIRMATION_PERIOD).await;
+        }
+    }
+}
+
 /// Reads the topic and sends the result of each read to `reads`, until the channel
 /// closes.
-async fn read_topic(mut follower: Follower, wait: Duration, reads: mpsc::Sender<TimedRead>) {
+async fn read_topic(mut follower: Follower, pace: ReadPace, reads: mpsc::Sender<TimedRead>) {
+    let mut last_read_at = None;
     loop {
+        let wait = pace.next_read(last_read_at).await;
         let sent_at = Instant::now();
         let update = follower.next_update(wait).await.ok();
+        if update.is_some() {
+            last_read_at = Some(sent_at);
+        }
         let read = TimedRead {
             update: update.zip(follower.next_position()),
             sent_at,
--- a/src/gateway/store/targets.rs
+++ b/src/gateway/store/targets.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::{
     gateway::{
@@ -23,6 +23,11 @@
 /// read return several changes.
 const BATCH_SHARE: f64 = 0.6;
 
+/// Time between two reads in a large fleet, as a fraction of `drain_ms`. These reads do not
+/// wait for records. The rest of `drain_ms` is left for one read that gets no answer, and for
+/// its repetition.
+const SHARED_BATCH_SHARE: f64 = 0.7;
+
 /// Number of heartbeats of targets after which a restored store has removed the entries of
 /// those that do not run. The platform removes an entry after three.
 const EXPIRED_HEARTBEATS: u32 = 4;
@@ -41,7 +46,13 @@
             follower.read_snapshot_next();
         }
         let had_failed = follower.last_read_failed();
-        let Ok(update) = follower.next_update(READ_WAIT).await else {
+        let shares_reads = state.shares_store_reads();
+        let wait = match shares_reads {
+            true => Duration::ZERO,
+            false => READ_WAIT,
+        };
+        let sent_at = Instant::now();
+        let Ok(update) = follower.next_update(wait).await else {
             continue;
         };
         if had_failed {
@@ -65,8 +76,10 @@
             }
             Update::Changes(records) => {
                 apply_records(&state, &mut removals, &records);
-                if !records.is_empty() {
-                    let drain = Duration::from_millis(state.tuning().timing.drain_ms);
+                let drain = Duration::from_millis(state.tuning().timing.drain_ms);
+                if shares_reads {
+                    sleep_until(sent_at + drain.mul_f64(SHARED_BATCH_SHARE)).await;
+                } else if !records.is_empty() {
                     sleep(drain.mul_f64(BATCH_SHARE)).await;
                 }
             }
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -85,6 +85,26 @@
         self.shared.state().freshness(&log, Instant::now())
     }
 
+    /// Returns the latest time for which a linked peer shows that this instance knows all
+    /// records of the log that were appended before; `None` if none does. The peer knows all
+    /// of them, and has applied none that this instance has not.
+    pub fn confirmed_as_of(&self) -> Option<Instant> {
+        let applied = self.shared.log_view().applied_offset;
+        self.shared.state().confirmed_as_of(applied)
+    }
+
+    /// Returns whether a linked peer knows of a record of the log that this instance has not
+    /// applied.
+    pub fn knows_of_later_record(&self) -> bool {
+        let applied = self.shared.log_view().applied_offset;
+        self.shared.state().knows_of_record_after(applied)
+    }
+
+    /// Returns whether this instance is the relay of a group.
+    pub fn is_relay(&self) -> bool {
+        self.shared.state().is_relay()
+    }
+
     /// Returns whether requests that need an API key may be served.
     pub fn may_serve_keyed(&self) -> bool {
         self.freshness().may_serve_keyed()
--- a/src/peer/relay.rs
+++ b/src/peer/relay.rs
@@ -7,8 +7,10 @@
 use super::{
     frames::{LogRequest, LogTail, RelayedRecord, frame::Body},
     heartbeat::age_ms,
+    link::Link,
     shared::Shared,
     state::{LogView, State},
+    topology::LinkKind,
 };
 use crate::{
     infra::protocol::LogEntry,
@@ -46,6 +48,34 @@
         }
     }
 
+    /// Returns the latest time of which a linked peer that has applied no record after
+    /// `applied` knows all records.
+    pub(super) fn confirmed_as_of(&self, applied: Offset) -> Option<Instant> {
+        let mut latest = None;
+        for link in self.links.values() {
+            let Some(echoed_state) = link.echoed_state() else {
+                continue;
+            };
+            if echoed_state.complete && echoed_state.applied_offset <= applied {
+                latest = latest.max(Some(echoed_state.current_as_of));
+            }
+        }
+        latest
+    }
+
+    /// Returns whether a linked peer, or an instance that its report covers, knows of a record
+    /// after `applied`.
+    pub(super) fn knows_of_record_after(&self, applied: Offset) -> bool {
+        let mut states = self.links.values().filter_map(Link::echoed_state);
+        states.any(|echoed_state| echoed_state.end_offset > applied)
+    }
+
+    /// Returns whether this instance is the relay of a group.
+    pub(super) fn is_relay(&self) -> bool {
+        let mut kinds = self.link_kinds.values();
+        kinds.any(|kind| *kind == LinkKind::Member)
+    }
+
     /// Returns the peer with the newest records. Considers only peers that may have
     /// all records from offset `from` on and that have no pending request. Prefers
     /// peers that can read the log.
