--- a/src/policy/token_bucket.rs
+++ b/src/policy/token_bucket.rs
@@ -13,6 +13,8 @@
 pub struct TokenBucket {
     /// Rate at which the bucket is refilled; `None` for no limit.
     rate_milli_per_s: Option<u64>,
+    /// Capacity; `None` for the amount refilled in one second.
+    burst_milli: Option<u64>,
     level_milli: i64,
     refilled_at_ms: u64,
 }
@@ -29,6 +31,20 @@
         self.level_milli = self.level_milli.min(self.capacity_milli());
     }
 
+    /// Changes the rate and the capacity, in whole units. A bucket that had no limit becomes
+    /// empty.
+    pub fn set_burst(&mut self, burst: u64, rate_milli_per_s: u64, now_ms: u64) {
+        self.refill(now_ms);
+        self.burst_milli = Some(burst.saturating_mul(MILLI));
+        self.set_rate(Some(rate_milli_per_s), now_ms);
+    }
+
+    /// Returns the level in whole units.
+    #[must_use]
+    pub fn level(&self) -> i64 {
+        self.level_milli / MILLI as i64
+    }
+
     /// Fills the bucket to its capacity.
     pub fn fill(&mut self) {
         self.level_milli = self.capacity_milli();
@@ -53,11 +69,12 @@
             .min(self.capacity_milli());
     }
 
-    /// Returns the capacity: the amount refilled in one second, at least one
-    /// unit.
+    /// Returns the capacity: the configured one or the amount refilled in one second, at
+    /// least one unit.
     fn capacity_milli(&self) -> i64 {
         let rate_milli_per_s = self.rate_milli_per_s.unwrap_or(0);
-        i64::try_from(rate_milli_per_s.max(MILLI)).unwrap_or(i64::MAX)
+        let capacity_milli = self.burst_milli.unwrap_or(rate_milli_per_s);
+        i64::try_from(capacity_milli.max(MILLI)).unwrap_or(i64::MAX)
     }
 
     /// Returns the time until `amount` units are accepted, in milliseconds; 0 if they
