Decode the quotas of client accounts

Cause: nothing read `unit`, `rate_per_s`, `burst` and `plain_tokens` of an account, nor the token count of a request without a model.

Change: `Account::quota`, `Catalog::quota`, and the tokens in the head of a request. A quota with an unknown unit is ignored with a warning.

--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -110,6 +110,30 @@
     pub name: Arc<str>,
     /// Priority of the account's requests; overrides that of the route.
     pub priority: Option<u8>,
+    /// Quota of all instances together; `None` if there is no limit.
+    pub quota: Option<Quota>,
+}
+
+/// Unit in which an account's quota is counted.
+#[derive(Clone, Copy, Debug, Eq, IsVariant, PartialEq)]
+pub enum QuotaUnit {
+    /// Each request counts 1.
+    Requests,
+    /// A request counts the tokens of its prompt and the maximum of its answer.
+    Tokens,
+}
+
+/// Limit on the rate of a client account.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Quota {
+    /// Unit of the other fields.
+    pub unit: QuotaUnit,
+    /// Units per second; not 0.
+    pub rate_per_s: u64,
+    /// Units that may be used at once after a pause; 0 if not configured.
+    pub burst: u64,
+    /// Tokens that a request without a token count counts as.
+    pub plain_tokens: u64,
 }
 
 /// A service that runs on targets.
@@ -220,6 +244,8 @@
     services: IndexMap<Arc<str>, Arc<Service>>,
     /// Client accounts by API key; `None` if no route needs a key.
     accounts: Option<IndexMap<Arc<str>, Arc<Account>>>,
+    /// Quotas by the names of the client accounts that have one.
+    quotas: IndexMap<Arc<str>, Quota>,
 }
 
 impl Catalog {
@@ -238,7 +264,14 @@
         for service in config.services {
             services.insert(service.name.clone(), Arc::new(service));
         }
+        let mut quotas = IndexMap::new();
+        for (account, _) in config.accounts.iter().flatten() {
+            if let Some(quota) = account.quota {
+                quotas.insert(account.name.clone(), quota);
+            }
+        }
         Self {
+            quotas,
             version: config.version,
             limits: config.limits,
             routes,
@@ -281,6 +314,18 @@
         self.accounts.as_ref()?.get(key)
     }
 
+    /// Returns the quota of a client account.
+    #[must_use]
+    pub fn quota(&self, account: &str) -> Option<&Quota> {
+        self.quotas.get(account)
+    }
+
+    /// Returns whether any client account has a quota.
+    #[must_use]
+    pub fn has_quotas(&self) -> bool {
+        !self.quotas.is_empty()
+    }
+
     /// Returns the service with this name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -6,8 +6,8 @@
 use serde::Deserialize;
 
 use crate::catalog::{
-    Account, CallerLimits, Catalog, CatalogConfig, Engine, Route, RouteKind, Scaling, Service,
-    ServiceShare,
+    Account, CallerLimits, Catalog, CatalogConfig, Engine, Quota, QuotaUnit, Route, RouteKind,
+    Scaling, Service, ServiceShare,
 };
 
 /// Weight of the only service of a route without a traffic split; any value above 0 has
@@ -101,6 +101,10 @@
     #[serde(default)]
     api_keys: Vec<Arc<str>>,
     priority: Option<u8>,
+    unit: Option<Arc<str>>,
+    rate_per_s: Option<u64>,
+    burst: Option<u64>,
+    plain_tokens: Option<u64>,
 }
 
 /// Decodes a configuration document.
@@ -189,12 +193,34 @@
 
 fn decode_account(wire: WireTenant) -> (Account, Vec<Arc<str>>) {
     let account = Account {
+        quota: decode_quota(&wire),
         name: wire.name,
         priority: wire.priority,
     };
     (account, wire.api_keys)
 }
 
+fn decode_quota(wire: &WireTenant) -> Option<Quota> {
+    let rate_per_s = wire.rate_per_s.filter(|rate_per_s| *rate_per_s > 0)?;
+    let unit = match wire.unit.as_deref() {
+        None | Some("requests") => QuotaUnit::Requests,
+        Some("tokens") => QuotaUnit::Tokens,
+        Some(unit) => {
+            tracing::warn!(
+                account = &*wire.name,
+                "platform: quota ignored: unknown unit {unit}"
+            );
+            return None;
+        }
+    };
+    Some(Quota {
+        unit,
+        rate_per_s,
+        burst: wire.burst.unwrap_or(0),
+        plain_tokens: wire.plain_tokens.unwrap_or(0),
+    })
+}
+
 fn decode_limits(wire: WireLimits) -> CallerLimits {
     CallerLimits {
         max_header_bytes: wire.max_header_bytes,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -14,6 +14,7 @@
 mod engine;
 mod request;
 mod store;
+mod token_count;
 mod workers;
 
 pub use cloud::{CloudClient, CloudError, Holder, TargetCount};
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -13,13 +13,12 @@
     http::{request, response},
 };
 
-use super::KvSource;
+use super::{KvSource, token_count::read_tokens};
 use crate::call::{Call, Prompt, PromptPart};
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
 const DEADLINE: HeaderName = HeaderName::from_static("deadline-ms");
 const MODEL: HeaderName = HeaderName::from_static("model");
-const TOKEN_COUNT: HeaderName = HeaderName::from_static("token-count");
 const PROMPT_PREFIX: HeaderName = HeaderName::from_static("prompt-prefix");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -91,6 +90,8 @@
     pub key: Option<Arc<str>>,
     /// Description of the prompt, if the request has one.
     pub prompt: Option<Prompt>,
+    /// Tokens of the prompt and the maximum of the answer, if the request names both.
+    pub tokens: Option<u64>,
     /// Identifier of the last event that the caller has received, if the request
     /// resumes a stream.
     pub resume_after: Option<Arc<str>>,
@@ -128,6 +129,7 @@
             .and_then(|value| value.strip_prefix(KEY_SCHEME))
             .map(|key| key.trim().into()),
         prompt: read_prompt(headers),
+        tokens: read_tokens(headers).map(|(prompt, output)| prompt.saturating_add(output)),
         resume_after: header_text(headers, &LAST_EVENT_ID).map(Arc::from),
         headers: forwarded_headers(headers, &GATEWAY_HEADERS),
     })
@@ -336,7 +338,7 @@
 /// request.
 fn read_prompt(headers: &HeaderMap) -> Option<Prompt> {
     let model = header_text(headers, &MODEL)?.into();
-    let (prompt_tokens, max_output_tokens) = header_text(headers, &TOKEN_COUNT)?.split_once(',')?;
+    let (prompt_tokens, max_output_tokens) = read_tokens(headers)?;
     let mut parts = Vec::new();
     for entry in header_text(headers, &PROMPT_PREFIX)
         .unwrap_or("")
@@ -352,8 +354,8 @@
     }
     Some(Prompt {
         model,
-        prompt_tokens: prompt_tokens.trim().parse().ok()?,
-        max_output_tokens: max_output_tokens.trim().parse().ok()?,
+        prompt_tokens: prompt_tokens.try_into().ok()?,
+        max_output_tokens: max_output_tokens.try_into().ok()?,
         parts,
     })
 }
--- a/tests/platform_config.rs
+++ b/tests/platform_config.rs
@@ -6,7 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use lavenderwind::{
-    catalog::RouteKind,
+    catalog::{Quota, QuotaUnit, RouteKind},
     platform::{read_catalog, read_target},
     target::protocol::EngineRole,
 };
@@ -156,3 +156,41 @@
     }
     assert!(read_target("i-1", b"\xff\x00", now).is_err());
 }
+
+/// The quota of an account is not read, or limits an account that has none.
+#[test]
+fn account_quota() {
+    let quota = |unit, rate_per_s, burst, plain_tokens| {
+        Some(Quota {
+            unit,
+            rate_per_s,
+            burst,
+            plain_tokens,
+        })
+    };
+    let cases = [
+        (json!({}), None),
+        (json!({"unit": "tokens", "rate_per_s": 0, "burst": 9}), None),
+        (json!({"unit": "bytes", "rate_per_s": 5}), None),
+        (
+            json!({"rate_per_s": 5}),
+            quota(QuotaUnit::Requests, 5, 0, 0),
+        ),
+        (
+            json!({"unit": "tokens", "rate_per_s": 1_439_339, "burst": 7, "plain_tokens": 40}),
+            quota(QuotaUnit::Tokens, 1_439_339, 7, 40),
+        ),
+    ];
+    for (fields, expected) in cases {
+        let mut config = configuration(1);
+        let account = config["tenants"][0].as_object_mut().unwrap();
+        account.extend(fields.as_object().unwrap().clone());
+        let catalog = read_catalog(&bytes(&config)).unwrap();
+        assert_eq!(
+            catalog.account("key-1").unwrap().quota,
+            expected,
+            "{fields}"
+        );
+        assert_eq!(catalog.quota("mill").copied(), expected, "{fields}");
+    }
+}
--- a/tests/platform_headers.rs
+++ b/tests/platform_headers.rs
@@ -52,6 +52,7 @@
         account: Some(Arc::new(Account {
             name: "mill".into(),
             priority: None,
+            quota: None,
         })),
         method: Method::POST,
         path: "/chat/1?x=2".parse().unwrap(),
