Enforce the quotas of client accounts in the gateway

Change: a request is charged once, at admission; over the quota it gets 429 with `Retry-After`. A refusal without a run refunds the charge. A task reports usage to the peers under `quota/ACCOUNT`, and amounts of peers are taken by name, so that the work of engines and the usage of quotas each get theirs.

Not measured in a run of the whole system.

--- a/src/gateway/caller/reply.rs
+++ b/src/gateway/caller/reply.rs
@@ -57,6 +57,11 @@
         /// Predicted wait for an engine, in milliseconds.
         wait_ms: u32,
     },
+    /// the account is over its quota; the request is accepted in {wait_ms} ms
+    OverQuota {
+        /// Time until the request is accepted, in milliseconds.
+        wait_ms: u32,
+    },
     /// the request may have run, and its answer is lost
     AnswerLost,
     /// the request was not answered in time and may have run
@@ -90,11 +95,17 @@
             | Self::Quarantined { .. }
             | Self::TargetsPaused { .. }
             | Self::Overloaded { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::Stopped | Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
+    /// Returns whether the request has not run and will not run.
+    pub(in crate::gateway) fn is_not_run(self) -> bool {
+        !matches!(self, Self::AnswerLost | Self::Stopped | Self::Timeout)
+    }
+
     /// Returns the reason as a metric label.
     pub(in crate::gateway) fn label(self) -> &'static str {
         match self {
@@ -113,6 +124,7 @@
             Self::Quarantined { .. } => "Quarantined",
             Self::TargetsPaused { .. } => "TargetsPaused",
             Self::Overloaded { .. } => "Overloaded",
+            Self::OverQuota { .. } => "OverQuota",
             Self::AnswerLost => "AnswerLost",
             Self::Timeout => "Timeout",
         }
--- a/src/gateway/caller/server.rs
+++ b/src/gateway/caller/server.rs
@@ -19,7 +19,10 @@
     call::{Call, Caller, Step},
     catalog::{CallerLimits, Catalog, RouteKind},
     gateway::{
-        admission::permit::{ReceivedRequest, admit, permit},
+        admission::{
+            permit::{ReceivedRequest, admit, permit},
+            quota,
+        },
         caller::{
             answer_guard::AnswerGuard,
             connection,
@@ -152,6 +155,7 @@
     if let Some(left) = state.quarantine_left(&call) {
         return Err(Refusal::quarantined(left));
     }
+    let charge = quota::charge(state, &call, head)?;
     let forwarding = async {
         match call.route.kind {
             RouteKind::Stream { .. } => generation::forward(state, &call, head, memory).await,
@@ -163,7 +167,12 @@
         forwarded = forwarding => forwarded,
         () = state.stop_ended() => Err(Refusal::Stopped),
     };
-    let response = forwarded.map_err(|refusal| name_pause(state, &call, refusal))?;
+    let response = forwarded.map_err(|refusal| {
+        if refusal.is_not_run() {
+            quota::refund(state, charge);
+        }
+        name_pause(state, &call, refusal)
+    })?;
     Ok((response, call))
 }
 
@@ -238,6 +247,10 @@
             let delay_s = rand::random_range(RETRY_AFTER_RANGE_S);
             Some(Duration::from_secs_f64(delay_s))
         }
+        // The header has hundredths of a second.
+        Refusal::OverQuota { wait_ms } => Some(Duration::from_millis(
+            u64::from(wait_ms).next_multiple_of(10),
+        )),
         Refusal::Quarantined { left_s } => Some(Duration::from_secs(left_s.into())),
         Refusal::TargetsPaused { wait_ms } => {
             let jitter = Duration::from_secs_f64(rand::random_range(RETRY_AFTER_RANGE_S));
--- a/src/gateway/engine/profiles.rs
+++ b/src/gateway/engine/profiles.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    gateway::state::State,
+    gateway::{admission::quota, state::State},
     peer::{PeerAmount, PeerHandle},
     policy::{
         engine_profile::{EngineProfile, EngineWork, PromptSize},
@@ -117,7 +117,7 @@
     let mut last = Instant::now();
     // Discards reports from before this task started, because they do not belong
     // to the first measured interval.
-    peers.take_peer_amounts();
+    peers.take_peer_amounts_of(is_work);
     loop {
         sleep(REPORT_PERIOD).await;
         let elapsed_ms = last.elapsed().as_secs_f64() * 1_000.0;
@@ -127,7 +127,7 @@
             continue;
         };
         let mut reported = IndexMap::new();
-        for PeerAmount { name, amount } in peers.take_peer_amounts() {
+        for PeerAmount { name, amount } in peers.take_peer_amounts_of(is_work) {
             reported.insert(name, amount as f64 / WORK_UNITS_PER_MS);
         }
         let mut engines = state.engines();
@@ -164,3 +164,8 @@
         }
     }
 }
+
+/// Returns whether an amount that peers report under this name is work of engines.
+fn is_work(name: &str) -> bool {
+    !quota::is_quota_name(name)
+}
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -13,6 +13,7 @@
 use crate::{
     control::Identity,
     gateway::{
+        admission::quota,
         caller::server,
         duty::{self, DutyLease},
         engine::profiles,
@@ -42,7 +43,7 @@
 const CLOUD_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Shortest interval between two heartbeats to a peer.
-const PEER_HEARTBEAT: Duration = Duration::from_millis(100);
+pub(super) const PEER_HEARTBEAT: Duration = Duration::from_millis(100);
 
 /// Time for which sent data may stay unacknowledged before a connection to the
 /// platform is closed (`TCP_USER_TIMEOUT`).
@@ -216,6 +217,10 @@
             profiles::exchange_work(state.clone(), handle.clone())
         });
         let (state, handle) = (self.state.clone(), peers.handle.clone());
+        spawn_task(&supervisor, "quotas", move || {
+            quota::exchange_usage(state.clone(), handle.clone())
+        });
+        let (state, handle) = (self.state.clone(), peers.handle.clone());
         spawn_task(&supervisor, "notices", move || {
             target_notices::exchange(state.clone(), handle.clone())
         });
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use crate::{
     catalog::{Catalog, Engine},
     gateway::{
+        admission::quota::Quotas,
         duty::kept_windows,
         engine::profiles::Engines,
         notices::target_notices::Notices,
@@ -72,6 +73,7 @@
     /// Retry budget of each service, by service name.
     retries: Mutex<IndexMap<Arc<str>, RetryWindow>>,
     usage: Mutex<UsageCounter>,
+    quotas: Mutex<Quotas>,
     calls_in_flight: Mutex<CallsInFlight>,
     /// Memory for the answers of targets.
     pub(super) answer_memory: Arc<AnswerMemory>,
@@ -92,6 +94,7 @@
     pub(super) fn new(settings: GatewaySettings) -> Self {
         let max_windows = 2 * kept_windows(&settings.timing) as usize;
         let usage = UsageCounter::new(settings.timing.usage_window_ms, max_windows);
+        let quotas = Quotas::new(settings.quotas);
         let answer_memory = Arc::<AnswerMemory>::default();
         answer_memory.set_limit(settings.limits.memory_mb * BYTES_PER_MB);
         Self {
@@ -106,6 +109,7 @@
             engines: Mutex::default(),
             retries: Mutex::default(),
             usage: Mutex::new(usage),
+            quotas: Mutex::new(quotas),
             calls_in_flight: Mutex::default(),
             body_bytes: AtomicUsize::new(0),
             instances: AtomicUsize::new(1),
@@ -234,6 +238,11 @@
         lock(&self.usage)
     }
 
+    /// Locks and returns the quotas of client accounts.
+    pub(super) fn quotas(&self) -> MutexGuard<'_, Quotas> {
+        lock(&self.quotas)
+    }
+
     /// Locks and returns the calls that are in flight on targets.
     pub(super) fn calls_in_flight(&self) -> MutexGuard<'_, CallsInFlight> {
         lock(&self.calls_in_flight)
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -97,11 +97,26 @@
 
     /// Returns the amounts that peers reported since the last call.
     pub fn take_peer_amounts(&self) -> Vec<PeerAmount> {
-        let amounts = std::mem::take(&mut self.shared.state().peer_amounts);
-        let mut taken = Vec::with_capacity(amounts.len());
-        for (name, amount) in amounts {
-            taken.push(PeerAmount { name, amount });
-        }
+        self.take_peer_amounts_of(|_| true)
+    }
+
+    /// Returns the amounts that peers reported since the last call under the names that
+    /// `is_wanted` selects. The others are kept for their consumers.
+    pub fn take_peer_amounts_of<F>(&self, is_wanted: F) -> Vec<PeerAmount>
+    where
+        F: Fn(&str) -> bool,
+    {
+        let mut taken = Vec::new();
+        self.shared.state().peer_amounts.retain(|name, amount| {
+            if !is_wanted(name) {
+                return true;
+            }
+            taken.push(PeerAmount {
+                name: name.clone(),
+                amount: *amount,
+            });
+            false
+        });
         taken
     }
 
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -41,6 +41,9 @@
     /// Placement of prompts on engines.
     #[serde(default)]
     pub placement: PlacementSettings,
+    /// Bounds of the quotas of client accounts.
+    #[serde(default)]
+    pub quotas: QuotaSettings,
     /// Log output.
     #[serde(default)]
     pub logging: Logging,
@@ -155,6 +158,28 @@
     pub shared: bool,
 }
 
+/// Bounds of the quotas of client accounts, over all instances.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct QuotaSettings {
+    /// Length of the sliding window in which an account's usage is bounded, in seconds.
+    pub quota_window_s: u64,
+    /// Fraction by which the usage of a window may exceed rate and burst.
+    pub overage: f64,
+    /// Tokens by which the usage of a window may exceed that.
+    pub slack_tokens: u64,
+}
+
+impl Default for QuotaSettings {
+    fn default() -> Self {
+        Self {
+            quota_window_s: 8,
+            overage: 0.1,
+            slack_tokens: 190_000,
+        }
+    }
+}
+
 /// Settings that may change while an instance runs.
 #[derive(Clone, Copy, Debug)]
 pub struct Tuning {
@@ -218,6 +243,10 @@
         for (field, value) in positive {
             checker.require(field, value > 0, "must be over 0")?;
         }
+        let is_window_valid = (1..=60).contains(&self.quotas.quota_window_s);
+        checker.require("quota_window_s", is_window_valid, "must be from 1 to 60")?;
+        let is_overage_valid = (0.0..=10.0).contains(&self.quotas.overage);
+        checker.require("overage", is_overage_valid, "must be from 0 to 10")?;
         let is_ratio_valid = (0.0..=10.0).contains(&self.retries.ratio);
         checker.require("ratio", is_ratio_valid, "must be from 0 to 10")?;
         let is_slack_valid = self.retries.slack >= 0.0 && self.retries.slack.is_finite();
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -12,7 +12,8 @@
 
 use self::checker::Checker;
 pub use self::gateway::{
-    Duties, GatewaySettings, GatewayTiming, InstanceLimits, PlacementSettings, RetryLimits, Tuning,
+    Duties, GatewaySettings, GatewayTiming, InstanceLimits, PlacementSettings, QuotaSettings,
+    RetryLimits, Tuning,
 };
 pub use self::policy::{Division, Policy, QueueOrder, RoleControl};
 
--- a/tests/explain_request.rs
+++ b/tests/explain_request.rs
@@ -49,6 +49,18 @@
             "gateway: request answered",
             ",\"request\":\"r-2\",\"status\":200,\"elapsed_ms\":20",
         ),
+        line(
+            "entry-1",
+            11.5,
+            "gateway: request is over the account's quota",
+            ",\"request\":\"r-5\",\"account\":\"mill\",\"units\":9000,\"wait_ms\":400,\"level\":-120",
+        ),
+        line(
+            "entry-1",
+            11.5,
+            "gateway: request refused: the account is over its quota; the request is accepted in 400 ms",
+            ",\"request\":\"r-5\",\"status\":429,\"elapsed_ms\":2",
+        ),
         line(
             "entry-3",
             12.0,
@@ -92,6 +104,10 @@
             "r-4",
             "caller left after 180 ms, during prefill; outcome unknown",
         ),
+        (
+            "r-5",
+            "refused with status 429: the account is over its quota; the request is accepted in 400 ms",
+        ),
         (
             "r-9",
             "no log line names the request: it reached no instance, or lines were dropped",
--- a/tests/gateway_settings.rs
+++ b/tests/gateway_settings.rs
@@ -32,6 +32,16 @@
         ("name: entry-1", "name: \"\"", "entry.yaml:1: name"),
         ("lease_ms: 3000", "lease_ms: 0", "entry.yaml:10: lease_ms"),
         ("ratio: 0.2", "ratio: -1", "entry.yaml:12: ratio"),
+        (
+            "ratio: 0.2",
+            "ratio: 0.2\nquotas:\n  quota_window_s: 0",
+            "entry.yaml:14: quota_window_s",
+        ),
+        (
+            "ratio: 0.2",
+            "ratio: 0.2\nquotas:\n  overage: -1",
+            "entry.yaml:14: overage",
+        ),
         ("127.0.0.1:5", "here", "line 7"),
         ("lease_ms", "leese_ms", "unknown field `leese_ms`"),
         (
--- a/tests/peer_exchange.rs
+++ b/tests/peer_exchange.rs
@@ -47,6 +47,13 @@
 
     a.handle.report_amount("quotes/x", 70);
     a.handle.report_amount("quotes/x", 30);
+    a.handle.report_amount("other", 5);
+    // Amounts under other names stay for their consumers.
+    eventually("other at b", || {
+        let taken = b.handle.take_peer_amounts_of(|name| name == "other");
+        taken.iter().map(|reported| reported.amount).sum::<u64>() == 5
+    })
+    .await;
     let mut tokens = 0;
     eventually("tokens at b", || {
         for reported in b.handle.take_peer_amounts() {
