Count only the time in queues in the admission, and prefer free engines

Cause: the slowdown of a stream by those that run with it counted as a wait, so that requests were refused though engines were free, and the state Short lasted through calm times.

--- a/src/gateway/dispatch/planner.rs
+++ b/src/gateway/dispatch/planner.rs
@@ -90,8 +90,8 @@
             work_ms: f64::from(placement.uncached_tokens) * ms_per_token * candidate.slowness,
         };
         let offer = Offer {
-            wait_ms: placement.wait_ms,
-            own_ms: placement.first_event_ms - placement.wait_ms,
+            wait_ms: placement.queue_ms,
+            own_ms: placement.first_event_ms - placement.queue_ms,
             capacity: open_capacity(candidates),
         };
         let before = self.admission.state();
@@ -110,7 +110,7 @@
         Some(Refused {
             number: query.number,
             retry_after_ms: u32::try_from(retry_after_ms).unwrap_or(u32::MAX),
-            wait_ms: placement.wait_ms as u32,
+            wait_ms: placement.queue_ms as u32,
             reason: encode_reason(reason) as i32,
         })
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,8 +14,8 @@
 use crate::{
     catalog::{Catalog, Engine},
     gateway::{
-        dispatch::Dispatch,
         admission::quota::Quotas,
+        dispatch::Dispatch,
         duty::kept_windows,
         engine::profiles::Engines,
         notices::target_notices::Notices,
--- a/src/policy/placement/evaluator.rs
+++ b/src/policy/placement/evaluator.rs
@@ -19,6 +19,11 @@
 /// there evicts parts of other prompts.
 const ADDITIONAL_COPY_COST: f64 = 0.6;
 
+/// The same if the backlogs and caches of all engines are known. The parts are then fetched
+/// from an engine that has them, and an engine is used for its free time rather than by
+/// chance.
+const FLEET_COPY_COST: f64 = 0.2;
+
 /// Slowdown of a stream by the other streams on an engine whose slots are all in
 /// use, as a fraction of the time for which a stream occupies a slot.
 const FULL_SLOTS_COST: f64 = 0.1;
@@ -57,6 +62,8 @@
     /// Whether at least half of the open candidates are prefill engines. Prompt parts
     /// stay cached for longer on engines of the more frequent role.
     is_prefill_majority: bool,
+    /// Shortest wait for a slot that is in use, on any open decode engine.
+    decode_full_wait_ms: f64,
 }
 
 impl<'a> PlacementEvaluator<'a> {
@@ -101,7 +108,7 @@
         });
         let decode_home = open(false).max().map(|(_, index)| index);
         let is_prefill_majority = open(true).count() >= open(false).count();
-        Self {
+        let mut evaluator = Self {
             prompt,
             candidates,
             input,
@@ -115,7 +122,10 @@
             copy,
             decode_home,
             is_prefill_majority,
-        }
+            decode_full_wait_ms: 0.0,
+        };
+        evaluator.decode_full_wait_ms = evaluator.least_full_wait_ms();
+        evaluator
     }
 
     /// Returns the indices of the candidates to compare.
@@ -181,10 +191,11 @@
         };
         let uncached_tokens = self.prompt.prompt_tokens.saturating_sub(cached_tokens);
         let prefill_tokens = candidate.queued_tokens + f64::from(uncached_tokens);
-        let (prefill_ms, slot_wait_ms) = match is_local_prefill {
+        let (prefill_ms, slot_wait_ms, full_wait_ms) = match is_local_prefill {
             true => (
                 candidate.slowness * profile.local_prefill_ms(prefill_tokens),
                 self.slot_wait_ms(candidate),
+                self.full_wait_ms(candidate),
             ),
             false => {
                 let prompt_tokens = f64::from(self.prompt.prompt_tokens);
@@ -192,6 +203,7 @@
                 (
                     candidate.slowness * profile.remote_prefill_ms(prefill_tokens) + kv_fetch_ms,
                     decode_wait_ms,
+                    self.decode_full_wait_ms,
                 )
             }
         };
@@ -201,8 +213,8 @@
             fetch_from,
             is_local_prefill,
             first_event_ms: prefill_ms + slot_wait_ms + fetch_ms,
-            wait_ms: candidate.queued_tokens * prefill_ms_per_token * candidate.slowness
-                + slot_wait_ms,
+            wait_ms: candidate.queued_tokens * prefill_ms_per_token + slot_wait_ms,
+            queue_ms: candidate.queued_tokens * prefill_ms_per_token + full_wait_ms,
         }
     }
 
@@ -243,6 +255,7 @@
         match Some(index) {
             engine if engine == first => 0.0,
             engine if engine == second => SECOND_HOME_COST,
+            _ if self.input.fleet_cached.is_some() => FLEET_COPY_COST,
             _ => ADDITIONAL_COPY_COST,
         }
     }
@@ -258,6 +271,24 @@
         (waiting / slots + slowdown) * self.slot_time_ms
     }
 
+    /// Predicts the wait of a new stream on a decode engine whose slots are all in use, in
+    /// milliseconds.
+    fn full_wait_ms(&self, candidate: &EngineCandidate) -> f64 {
+        let slots = f64::from(candidate.slots.max(1));
+        let waiting = (candidate.requests + 1.0 - slots).max(0.0);
+        waiting / slots * self.slot_time_ms
+    }
+
+    /// Returns the shortest of these waits on any open decode engine; 0 if none is open.
+    fn least_full_wait_ms(&self) -> f64 {
+        let decoders = self.candidates.iter();
+        let decoders = decoders.filter(|candidate| !candidate.prefills() && candidate.is_open());
+        let least = decoders
+            .map(|candidate| self.full_wait_ms(candidate))
+            .reduce(f64::min);
+        least.unwrap_or(0.0)
+    }
+
     /// Returns the shortest predicted wait for a slot on any open decode engine, in
     /// milliseconds; 0 if no decode engine is open.
     pub(super) fn decode_wait_ms(&self) -> f64 {
--- a/src/policy/placement/mod.rs
+++ b/src/policy/placement/mod.rs
@@ -162,6 +162,9 @@
     pub first_event_ms: f64,
     /// Portion of `first_event_ms` spent behind other requests, in milliseconds.
     pub wait_ms: f64,
+    /// Portion of `wait_ms` for which the request does not run, in milliseconds. The rest is
+    /// the slowdown by requests that run at the same time.
+    pub queue_ms: f64,
 }
 
 impl Placement {
--- a/src/policy/shortage/limits.rs
+++ b/src/policy/shortage/limits.rs
@@ -8,7 +8,7 @@
 
 /// Wait limit of the most urgent requests, including their own time, as a fraction of the
 /// objective. The rest covers errors of the predicted times.
-const HIGHEST_LIMIT: f64 = 0.9;
+const HIGHEST_LIMIT: f64 = 0.75;
 
 /// Time for which an objective is remembered, in slices.
 const SLICES: usize = 6;
