--- a/src/policy/shortage/returns.rs
+++ b/src/policy/shortage/returns.rs
@@ -18,6 +18,11 @@
 /// no room is left before come back in the rest of the time.
 const BOOKED_PART: f64 = 0.5;
 
+/// Part of a caller's latest return time after which callers for whom no work is booked
+/// come back, if the predicted time is later. At the latest time itself, those that are
+/// refused at once would also come back at once.
+const LATE_PART: f64 = 0.8;
+
 /// Part of the capacity that is booked for returning work if new requests need all of it.
 /// More would let callers who already waited delay those who can still be served in time.
 const MIN_RETURN_SHARE: f64 = 0.1;
@@ -121,9 +126,7 @@
         let hash = splitmix64(refused.account ^ splitmix64(self.refusals));
         let jitter = (hash >> 11) as f64 / (1_u64 << 53) as f64;
         let Some(slot) = self.find_slot(refused, now_ms) else {
-            let unbooked_ms = refused.latest_ms * (BOOKED_PART + (1.0 - BOOKED_PART) * jitter);
-            let return_ms = unbooked_ms.max(refused.earliest_ms).min(refused.latest_ms);
-            return return_ms.ceil().min(refused.latest_ms) as u64;
+            return unbooked_return_ms(refused, jitter);
         };
         // At most the span of the unbooked times, so that a longer wait never gives an
         // earlier time.
@@ -220,6 +223,15 @@
     }
 }
 
+/// Returns the time after which a caller comes back for whom no work is booked.
+fn unbooked_return_ms(refused: &Return, jitter: f64) -> u64 {
+    let booked_ms = refused.latest_ms * BOOKED_PART;
+    let late_ms = refused.latest_ms * LATE_PART;
+    let first_ms = refused.earliest_ms.clamp(booked_ms, late_ms);
+    let return_ms = first_ms + (refused.latest_ms - first_ms) * jitter;
+    return_ms.ceil().min(refused.latest_ms) as u64
+}
+
 fn index(slot: u64) -> usize {
     (slot % SLOTS as u64) as usize
 }
