--- a/src/gateway/duty/mod.rs
+++ b/src/gateway/duty/mod.rs
@@ -4,7 +4,7 @@
 //! A duty is a task of the whole fleet. The instance that holds the one
 //! [`DutyLease`] performs all duties.
 //!
-//! `ordering` orders targets and stores the required capacity with
+//! `ordering` orders targets, which `target_counts` counts, and stores the required capacity with
 //! `required_capacity`. `roles` assigns roles to engines. Every instance writes its
 //! request counts to the store with `slices`; `reports` reports their sums to the
 //! platform, from what `usage_records` holds. `lease_claims` claims and renews the lease.
@@ -16,6 +16,7 @@
 mod required_capacity;
 mod roles;
 mod slices;
+mod target_counts;
 mod usage_records;
 
 pub(super) use duty_lease::{DutyLease, unacknowledged_limit};
--- a/src/gateway/duty/ordering.rs
+++ b/src/gateway/duty/ordering.rs
@@ -9,7 +9,11 @@
 use indexmap::IndexMap;
 use tokio::time::{Instant, sleep};
 
-use super::{duty_lease::DutyLease, required_capacity};
+use super::{
+    duty_lease::DutyLease,
+    required_capacity,
+    target_counts::{count_regular, count_running, reclaimable_equivalent, settled_targets},
+};
 use crate::{
     catalog::{Scaling, Service},
     gateway::state::State,
@@ -26,10 +30,6 @@
 /// Engine utilization up to which requests are queued only briefly.
 const MAX_UTILIZATION: f64 = 0.7;
 
-/// Number of reclaimable targets that replace one regular target. It is above 1
-/// because reclaimable targets lose their caches when the platform reclaims them.
-const RECLAIMABLE_PER_REGULAR: f64 = 1.33;
-
 /// Time for which the first holder of the duty lease counts the existing targets
 /// before it stores the required capacity.
 const INITIAL_COUNT_PERIOD: Duration = Duration::from_millis(3_500);
@@ -386,36 +386,3 @@
         }
     }
 }
-
-/// Returns the targets first seen at least `settle_time` ago. By then a new target
-/// has taken on its role.
-fn settled_targets(targets: &[Arc<Target>], settle_time: Duration) -> Vec<Arc<Target>> {
-    let mut settled = Vec::with_capacity(targets.len());
-    for target in targets {
-        if target.first_seen_at.elapsed() >= settle_time {
-            settled.push(target.clone());
-        }
-    }
-    settled
-}
-
-/// Counts the running reclaimable or regular targets of a failure domain.
-fn count_running(targets: &[Arc<Target>], failure_domain: &str, reclaimable: bool) -> u32 {
-    let mut count = 0;
-    for target in targets {
-        let counts = *target.failure_domain == *failure_domain && target.reclaimable == reclaimable;
-        count += u32::from(counts);
-    }
-    count
-}
-
-/// Counts the running regular targets.
-fn count_regular(targets: &[Arc<Target>]) -> u32 {
-    targets.iter().filter(|target| !target.reclaimable).count() as u32
-}
-
-/// Returns the number of reclaimable targets that replace `regular` regular
-/// ones.
-fn reclaimable_equivalent(regular: u32) -> u32 {
-    (RECLAIMABLE_PER_REGULAR * f64::from(regular)).ceil() as u32
-}
--- a/tests/duty_fences.rs
+++ b/tests/duty_fences.rs
@@ -4,7 +4,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use platform_support::{Cloud, DutyCall, Gateway, Store, configuration, eventually};
+use platform_support::{
+    Cloud, DutyCall, Gateway, Store, Worker, configuration, eventually, signed,
+};
+use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -237,6 +240,39 @@
     check_order(&cloud);
 }
 
+/// Guards against duties that end for good after one order of regular targets was rejected.
+#[tokio::test(flavor = "multi_thread")]
+async fn rejected_order() {
+    let (store, cloud) = (Store::start().await, Cloud::start().await);
+    let mut configuration = configuration(1);
+    configuration["services"][0]["scaling"] = json!({
+        "min": 2, "max": 6, "boot_s": 1.0, "spot_price": 0.3,
+        "zone_prices": {"z1": 1.0, "z2": 1.0, "z3": 1.0},
+    });
+    store.put("keyed.op", "config", &configuration);
+    let worker = Worker::start("i-0", |arrival| Some(signed(arrival, 200, ""))).await;
+    store.put("keyed.servers", "i-0", &worker.entry("desk", None));
+    *cloud.answer_code.lock().unwrap() = 409;
+    let _gateway = Gateway::start_with("entry-1", &store, &cloud, "duties: {ordering: true}").await;
+    let is_regular = |call: &DutyCall| call.path == "/scale" && call.body["spot"].is_null();
+    eventually("an order of regular targets is rejected", || {
+        calls(&cloud).iter().any(is_regular)
+    })
+    .await;
+    *cloud.answer_code.lock().unwrap() = 200;
+    let before = calls(&cloud).len();
+    let first_fence = calls(&cloud)[0].fence;
+    eventually("a later order is sent", || {
+        let calls = calls(&cloud);
+        let mut later = calls.iter().skip(before);
+        later.any(|call| is_regular(call) && call.fence > first_fence)
+    })
+    .await;
+    let mut fences: Vec<u64> = calls(&cloud).iter().map(|call| call.fence).collect();
+    fences.dedup();
+    assert_eq!(fences.len(), 2, "one new claim: {fences:?}");
+}
+
 /// Guards against claims without end if the platform rejects each call.
 #[tokio::test(flavor = "multi_thread")]
 async fn all_calls_rejected() {
--- a/tests/early_answers.rs
+++ b/tests/early_answers.rs
@@ -156,3 +156,19 @@
     let answer = client.call(&target.address.to_string(), request).await;
     assert_eq!(answer.unwrap().body, "whole");
 }
+
+/// Guards against the refusal of a whole answer that comes before the upload is read, as
+/// targets give to uploads that are too long.
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_early_answer() {
+    let refusal = "HTTP/1.1 413 Too Long\r\nrequest-id: ID\r\nresponse-seal: 1.2.3\r\n\
+                   content-length: 8\r\n\r\ntoo long";
+    for end in [End::Keep, End::HalfClose(Duration::from_millis(20))] {
+        let target = RawTarget::start(refusal, end);
+        let (_store, _cloud, gateway) = start_gateway(&target, "desk", None).await;
+        let request = gateway.request(Method::POST, "/order/", "r-1");
+        let response = request.body(vec![b'x'; UPLOAD_BYTES]).send().await.unwrap();
+        assert_eq!(response.status(), 413, "{end:?}");
+        assert_eq!(response.text().await.unwrap(), "too long", "{end:?}");
+    }
+}
