Check the configuration that an instance without peers takes

Cause: the last part of shared_reads passed at once, as the instance still had the earlier configuration with the later route.

Change: the test waits until that route is gone before the peers end.

--- a/tests/store_calls.rs
+++ b/tests/store_calls.rs
@@ -85,12 +85,12 @@
     configuration
 }
 
-/// Waits until a gateway has the later configuration in force.
-async fn wait_for_later(gateway: &Gateway) {
+/// Waits until a gateway has a configuration in force that has the later route or lacks it.
+async fn wait_for_route(gateway: &Gateway, exists: bool) {
     let polling = async {
         loop {
             let request = gateway.request(Method::POST, "/late/", "r-1").body("x");
-            if request.send().await.unwrap().status() != 404 {
+            if (request.send().await.unwrap().status() != 404) == exists {
                 return;
             }
             sleep(Duration::from_millis(20)).await;
@@ -113,7 +113,7 @@
     let written_at = Instant::now();
     store.put("keyed.op", "config", &later_configuration());
     for gateway in &fleet {
-        wait_for_later(gateway).await;
+        wait_for_route(gateway, true).await;
     }
     println!(
         "in force everywhere after {} ms",
@@ -122,12 +122,13 @@
 
     store.put("keyed.op", "config", &configuration(3));
     let last = fleet.pop().unwrap();
+    wait_for_route(&last, false).await;
     fleet.clear();
     let mut later = later_configuration();
     later["version"] = json!(4);
     let written_at = Instant::now();
     store.put("keyed.op", "config", &later);
-    wait_for_later(&last).await;
+    wait_for_route(&last, true).await;
     println!(
         "in force without peers after {} ms",
         written_at.elapsed().as_millis()
