Detect a shortage by the mean wait on all engines

More prefill engines and cheaper copies moved prompts to engines that had nothing cached, where they were read again.

Change: Offer has the mean wait on all engines, on which the state rests. The bounds of roles and the cost of copies are as they were before.

--- a/src/gateway/dispatch/planner.rs
+++ b/src/gateway/dispatch/planner.rs
@@ -91,6 +91,7 @@
         };
         let offer = Offer {
             wait_ms: placement.queue_ms,
+            mean_wait_ms: mean_wait_ms(candidates, profile),
             own_ms: placement.first_event_ms - placement.queue_ms,
             capacity: open_capacity(candidates),
         };
@@ -315,6 +316,22 @@
     capacity
 }
 
+/// Returns the mean time until an engine has prefilled the prompts that are queued on it, in
+/// milliseconds.
+fn mean_wait_ms(candidates: &[EngineCandidate], profile: &EngineProfile) -> f64 {
+    let mut wait_ms = 0.0;
+    let mut engines = 0.0;
+    for candidate in candidates {
+        if candidate.is_excluded || candidate.is_unreachable || !candidate.prefills() {
+            continue;
+        }
+        let ms_per_token = profile.remote_prefill_ms_per_token() * candidate.slowness;
+        wait_ms += candidate.queued_tokens * ms_per_token;
+        engines += 1.0;
+    }
+    wait_ms / f64::max(engines, 1.0)
+}
+
 fn record_state(service: &str, state: ShortageState, offer: &Offer) {
     tracing::info!(
         service,
--- a/src/gateway/duty/roles.rs
+++ b/src/gateway/duty/roles.rs
@@ -9,7 +9,7 @@
 use super::duty_lease::DutyLease;
 use crate::{
     gateway::{state::State, target::engine_call},
-    policy::role_split::{SplitBounds, SplitEngine, plan_changes, wanted_prefill_engines},
+    policy::role_split::{SplitEngine, plan_changes, wanted_prefill_engines},
     roster::Target,
     target::protocol::EngineRole,
 };
@@ -105,11 +105,7 @@
     let load = state.engines().load(service);
     let is_prefilling = |engine: &&SplitEngine| engine.role == EngineRole::Prefill;
     let prefilling = engines.iter().filter(is_prefilling).count();
-    let bounds = match state.settings.placement.shared {
-        true => SplitBounds::SHARED_PLACEMENT,
-        false => SplitBounds::default(),
-    };
-    let wanted = wanted_prefill_engines(&load, engines.len(), prefilling, &bounds);
+    let wanted = wanted_prefill_engines(&load, engines.len(), prefilling);
     let changes = plan_changes(&engines, wanted);
     if !changes.is_empty() {
         tracing::info!(
--- a/src/policy/placement/evaluator.rs
+++ b/src/policy/placement/evaluator.rs
@@ -19,11 +19,6 @@
 /// there evicts parts of other prompts.
 const ADDITIONAL_COPY_COST: f64 = 0.6;
 
-/// The same if the backlogs and caches of all engines are known. The parts are then fetched
-/// from an engine that has them, and an engine is used for its free time rather than by
-/// chance.
-const FLEET_COPY_COST: f64 = 0.2;
-
 /// Slowdown of a stream by the other streams on an engine whose slots are all in
 /// use, as a fraction of the time for which a stream occupies a slot.
 const FULL_SLOTS_COST: f64 = 0.1;
@@ -255,7 +250,6 @@
         match Some(index) {
             engine if engine == first => 0.0,
             engine if engine == second => SECOND_HOME_COST,
-            _ if self.input.fleet_cached.is_some() => FLEET_COPY_COST,
             _ => ADDITIONAL_COPY_COST,
         }
     }
--- a/src/policy/role_split.rs
+++ b/src/policy/role_split.rs
@@ -5,36 +5,11 @@
 
 use indexmap::IndexSet;
 
-use super::work_meter::{EngineLoad, MAX_PREFILL_UTILIZATION};
+use super::work_meter::EngineLoad;
 use crate::target::protocol::EngineRole;
 
-/// Utilizations between which engines are divided.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SplitBounds {
-    /// Utilization of the decode engines below which no role is changed.
-    pub min_change_utilization: f64,
-    /// Highest utilization of the prefill engines.
-    pub max_prefill_utilization: f64,
-}
-
-impl Default for SplitBounds {
-    fn default() -> Self {
-        Self {
-            min_change_utilization: 0.45,
-            max_prefill_utilization: MAX_PREFILL_UTILIZATION,
-        }
-    }
-}
-
-impl SplitBounds {
-    /// Bounds for shared placement, which sends prompts to decode engines only if that is
-    /// faster. Prompts then queue at the prefill engines while the decode engines are nearly
-    /// idle, so that more engines prefill, and at a lower load.
-    pub const SHARED_PLACEMENT: Self = Self {
-        min_change_utilization: 0.2,
-        max_prefill_utilization: 0.5,
-    };
-}
+/// Utilization of the decode engines below which no role is changed.
+const MIN_CHANGE_UTILIZATION: f64 = 0.45;
 
 /// Smallest ratio of the current utilization to that with the best split at which
 /// roles are changed. A smaller improvement isn't worth a change, during which the
@@ -82,24 +57,16 @@
 ///
 /// The result is the current number, lowered if necessary so that at least two
 /// engines (or all, if there are fewer) decode. If the utilization of the decode
-/// engines is at least `min_change_utilization`, and the best number of prefill
+/// engines is at least `MIN_CHANGE_UTILIZATION`, and the best number of prefill
 /// engines reduces it by at least the factor `MIN_IMPROVEMENT_FACTOR`, the result is
 /// the best number.
 #[must_use]
-pub fn wanted_prefill_engines(
-    load: &EngineLoad,
-    engines: usize,
-    prefilling: usize,
-    bounds: &SplitBounds,
-) -> usize {
+pub fn wanted_prefill_engines(load: &EngineLoad, engines: usize, prefilling: usize) -> usize {
     let max_prefill = engines.saturating_sub(MIN_DECODE_ENGINES);
-    let max_utilization = bounds.max_prefill_utilization;
-    let utilization = |prefilling| load.utilization_within(engines, prefilling, max_utilization);
-    let best = load.best_prefill_engines_within(engines, max_utilization);
-    let best = best.min(max_prefill);
-    let current_utilization = utilization(prefilling);
-    let best_utilization = utilization(best);
-    if current_utilization < bounds.min_change_utilization
+    let current_utilization = load.utilization(engines, prefilling);
+    let best = load.best_prefill_engines(engines).min(max_prefill);
+    let best_utilization = load.utilization(engines, best);
+    if current_utilization < MIN_CHANGE_UTILIZATION
         || current_utilization < best_utilization * MIN_IMPROVEMENT_FACTOR
     {
         return prefilling.min(max_prefill);
--- a/src/policy/shortage/mod.rs
+++ b/src/policy/shortage/mod.rs
@@ -16,7 +16,7 @@
 //! let request = Request {
 //!     priority: 0, objective_ms: 800.0, left_ms: 6_000.0, account: 7, work_ms: 120.0,
 //! };
-//! let idle = Offer { wait_ms: 0.0, own_ms: 120.0, capacity: 20.0 };
+//! let idle = Offer { wait_ms: 0.0, mean_wait_ms: 0.0, own_ms: 120.0, capacity: 20.0 };
 //! assert_eq!(Admission::default().decide(&request, &idle, 0), Decision::Admit);
 //! ```
 
@@ -85,6 +85,9 @@
 pub struct Offer {
     /// Predicted wait behind other requests, in milliseconds.
     pub wait_ms: f64,
+    /// Mean wait on all engines, in milliseconds. A single engine may be busy while others
+    /// are free, which is no shortage.
+    pub mean_wait_ms: f64,
     /// Time that the request itself needs to its first event, in milliseconds.
     pub own_ms: f64,
     /// Number of engines that work for such requests.
@@ -197,7 +200,8 @@
         self.sizes.record_offered(priority, offer.own_ms, now_ms);
         self.returns.advance(now_ms);
         let smallest_ms = self.limits.smallest_ms();
-        self.condition.observe(offer.wait_ms, smallest_ms, now_ms);
+        self.condition
+            .observe(offer.mean_wait_ms, smallest_ms, now_ms);
     }
 
     /// Returns why the request is refused; `None` if it is admitted.
@@ -310,6 +314,7 @@
     fn sanitized(self) -> Self {
         Self {
             wait_ms: finite(self.wait_ms, MAX_TIME_MS),
+            mean_wait_ms: finite(self.mean_wait_ms, MAX_TIME_MS),
             own_ms: finite(self.own_ms, MAX_TIME_MS),
             capacity: finite(self.capacity, MAX_CAPACITY),
         }
--- a/src/policy/work_meter.rs
+++ b/src/policy/work_meter.rs
@@ -4,7 +4,7 @@
 
 /// Highest utilization of the prefill engines at which prompts hardly wait in the
 /// engines' queues.
-pub const MAX_PREFILL_UTILIZATION: f64 = 0.7;
+const MAX_PREFILL_UTILIZATION: f64 = 0.7;
 
 /// Lowest utilization of the decode engines at which requests often queue behind
 /// others.
@@ -30,22 +30,10 @@
     /// engines. The utilization is infinite if there are no decode engines.
     #[must_use]
     pub fn utilization(&self, engines: usize, prefilling: usize) -> f64 {
-        self.utilization_within(engines, prefilling, MAX_PREFILL_UTILIZATION)
-    }
-
-    /// Returns the utilization as [`utilization`](Self::utilization) does, if the prefill
-    /// engines are to be utilized up to `max_prefill_utilization`.
-    #[must_use]
-    pub fn utilization_within(
-        &self,
-        engines: usize,
-        prefilling: usize,
-        max_prefill_utilization: f64,
-    ) -> f64 {
         let decoding = engines.saturating_sub(prefilling);
         let served_remotely = self
             .remote_prefill
-            .min(max_prefill_utilization * prefilling as f64);
+            .min(MAX_PREFILL_UTILIZATION * prefilling as f64);
         let local_overflow = (self.remote_prefill - served_remotely) * LOCAL_PREFILL_FACTOR;
         let work = self.local_prefill + self.decode + local_overflow;
         match decoding {
@@ -76,20 +64,9 @@
     /// of the decode engines is lowest.
     #[must_use]
     pub fn best_prefill_engines(&self, engines: usize) -> usize {
-        self.best_prefill_engines_within(engines, MAX_PREFILL_UTILIZATION)
-    }
-
-    /// Returns how many of `engines` engines should prefill if the prefill engines are to be
-    /// utilized up to `max_prefill_utilization`.
-    #[must_use]
-    pub fn best_prefill_engines_within(
-        &self,
-        engines: usize,
-        max_prefill_utilization: f64,
-    ) -> usize {
         let mut best = (f64::INFINITY, 0);
         for prefilling in 0..engines {
-            let utilization = self.utilization_within(engines, prefilling, max_prefill_utilization);
+            let utilization = self.utilization(engines, prefilling);
             if utilization < best.0 {
                 best = (utilization, prefilling);
             }
--- a/tests/role_split.rs
+++ b/tests/role_split.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexSet;
 use lavenderwind::{
     policy::{
-        role_split::{SplitBounds, SplitEngine, plan_change, plan_changes, wanted_prefill_engines},
+        role_split::{SplitEngine, plan_change, plan_changes, wanted_prefill_engines},
         work_meter::EngineLoad,
     },
     target::protocol::EngineRole,
@@ -66,12 +66,7 @@
         },
     ];
     for case in cases {
-        let wanted = wanted_prefill_engines(
-            &case.load,
-            case.engines,
-            case.engines / 3,
-            &SplitBounds::default(),
-        );
+        let wanted = wanted_prefill_engines(&case.load, case.engines, case.engines / 3);
         assert!(case.prefilling.contains(&wanted), "{}: {wanted}", case.name);
     }
 }
@@ -85,12 +80,9 @@
         decode: 0.5,
     };
     for prefilling in 1..8 {
-        assert_eq!(
-            wanted_prefill_engines(&load, 12, prefilling, &SplitBounds::default()),
-            prefilling
-        );
+        assert_eq!(wanted_prefill_engines(&load, 12, prefilling), prefilling);
     }
-    let wanted = wanted_prefill_engines(&load, 12, 12, &SplitBounds::default());
+    let wanted = wanted_prefill_engines(&load, 12, 12);
     assert!(
         (2..=10).contains(&wanted),
         "at least two engines must decode: {wanted}"
@@ -114,7 +106,7 @@
     let mut prefilling = 4;
     let mut changes = 0;
     for load in [prompts, prompts, answers, answers, prompts, answers] {
-        let wanted = wanted_prefill_engines(&load, 12, prefilling, &SplitBounds::default());
+        let wanted = wanted_prefill_engines(&load, 12, prefilling);
         changes += u32::from(wanted != prefilling);
         prefilling = wanted;
         assert!(load.utilization(12, prefilling) <= 0.8, "{load:?}");
@@ -139,7 +131,7 @@
             decode: fleet * fraction()? / 2.0,
         };
         let prefilling = u.int_in_range(0..=engines - 2)?;
-        let wanted = wanted_prefill_engines(&load, engines, prefilling, &SplitBounds::default());
+        let wanted = wanted_prefill_engines(&load, engines, prefilling);
         let best = (0..=engines - 2)
             .map(|prefilling| load.utilization(engines, prefilling))
             .fold(f64::INFINITY, f64::min);
@@ -216,11 +208,11 @@
         local_prefill: 0.5,
         decode: 1.5,
     };
-    let wanted = wanted_prefill_engines(&load, 15, 12, &SplitBounds::default());
+    let wanted = wanted_prefill_engines(&load, 15, 12);
     assert_eq!(plan_change(&engines, wanted), None);
-    let wanted = wanted_prefill_engines(&load, 14, 11, &SplitBounds::default());
+    let wanted = wanted_prefill_engines(&load, 14, 11);
     assert_eq!(plan_change(&engines[1..], wanted), None);
-    let wanted = wanted_prefill_engines(&load, 14, 12, &SplitBounds::default());
+    let wanted = wanted_prefill_engines(&load, 14, 12);
     assert_eq!(plan_change(&engines[..14], wanted), None);
 }
 
