--- a/tests/shortage_bounds.rs
+++ b/tests/shortage_bounds.rs
@@ -37,6 +37,7 @@
     };
     let offer = Offer {
         wait_ms: any_number(u)?,
+        mean_wait_ms: any_number(u)?,
         own_ms: any_number(u)?,
         capacity: any_number(u)?,
     };
@@ -55,8 +56,10 @@
         account: u.int_in_range(0..=5)?,
         work_ms,
     };
+    let wait_ms = f64::from(u.int_in_range(0..=2_000_u32)?);
     let offer = Offer {
-        wait_ms: f64::from(u.int_in_range(0..=2_000_u32)?),
+        wait_ms,
+        mean_wait_ms: wait_ms,
         own_ms: work_ms,
         capacity: ENGINES,
     };
@@ -172,6 +175,7 @@
             };
             let long = Offer {
                 wait_ms: 900.0,
+                mean_wait_ms: 900.0,
                 ..offer
             };
             admission.decide(&known, &long, now_ms);
@@ -182,6 +186,7 @@
         }
         let other_offer = Offer {
             wait_ms: offer.wait_ms,
+            mean_wait_ms: offer.mean_wait_ms,
             ..other_offer
         };
         let less_urgent = admission.clone().decide(&request, &offer, now_ms);
@@ -206,6 +211,7 @@
         let (request, offer) = valid_request(u)?;
         let idle = Offer {
             wait_ms: 0.0,
+            mean_wait_ms: 0.0,
             ..offer
         };
         if request.left_ms < idle.own_ms {
@@ -229,6 +235,7 @@
     };
     let offer = Offer {
         wait_ms: 300.0,
+        mean_wait_ms: 300.0,
         own_ms: 100.0,
         capacity: ENGINES,
     };
@@ -246,6 +253,7 @@
 fn hopeless_refused() {
     let offer = Offer {
         wait_ms: 300.0,
+        mean_wait_ms: 300.0,
         own_ms: 1_000.0,
         capacity: ENGINES,
     };
@@ -291,6 +299,7 @@
     };
     let offer = |wait_ms| Offer {
         wait_ms,
+        mean_wait_ms: wait_ms,
         own_ms: 50.0,
         capacity: ENGINES,
     };
--- a/tests/shortage_returns.rs
+++ b/tests/shortage_returns.rs
@@ -21,6 +21,7 @@
 fn offer(wait_ms: f64, capacity: f64) -> Offer {
     Offer {
         wait_ms,
+        mean_wait_ms: wait_ms,
         own_ms: 100.0,
         capacity,
     }
--- a/tests/shortage_support/mod.rs
+++ b/tests/shortage_support/mod.rs
@@ -188,6 +188,7 @@
         let mut predict = |time_ms: f64| time_ms * (1.0 + load.error * errors.next_error());
         let offer = Offer {
             wait_ms: predict(wait_ms),
+            mean_wait_ms: predict(wait_ms),
             own_ms: predict(kind.work_ms),
             capacity: backlogs_ms.len() as f64,
         };
