Add usual answer times and speed reports

Cause: a target's speed is relative to a usual time, which plain services did not have; and one instance of a large fleet gets too few answers of a target to learn its speed within seconds.

Change: target_speed::answer_times learns the usual time of each route's answers. target_speed::report encodes the number of answers and their mean slowness as one number that relays may add up. Both are bounded. EngineProfile tells which predictions are learned. Nothing uses them yet.

--- a/src/policy/engine_profile.rs
+++ b/src/policy/engine_profile.rs
@@ -175,6 +175,20 @@
         learned.unwrap_or_else(|| tokens * self.remote_prefill_ms_per_token())
     }
 
+    /// Predicts the time of a remote prefill as [`Self::remote_prefill_ms`] does; `None`
+    /// before enough were observed.
+    #[must_use]
+    pub fn learned_remote_prefill_ms(&self, tokens: f64) -> Option<f64> {
+        self.remote_prefill.predict(tokens)
+    }
+
+    /// Predicts the time to the first event of a stream with a local prefill as
+    /// [`Self::local_prefill_ms`] does; `None` before enough were observed.
+    #[must_use]
+    pub fn learned_local_prefill_ms(&self, tokens: f64) -> Option<f64> {
+        self.local_prefill.predict(tokens)
+    }
+
     /// Predicts the time to the first event of a stream whose engine has to
     /// prefill `tokens` tokens itself, in milliseconds.
     #[must_use]
--- a/src/policy/target_speed/mod.rs
+++ b/src/policy/target_speed/mod.rs
@@ -7,7 +7,9 @@
 //! answer changes little, and the estimate of a target that gets no requests moves back
 //! towards 1.0.
 
+pub mod answer_times;
 mod estimate;
+pub mod report;
 
 use std::sync::Arc;
 
--- a/tests/target_speed.rs
+++ b/tests/target_speed.rs
@@ -4,7 +4,11 @@
 
 use lavenderwind::policy::{
     spread::{SpreadCandidate, SpreadWeights, choose_by_cost},
-    target_speed::{MAX_ANSWERS, MAX_SLOWNESS, MAX_TARGETS, MIN_SLOWNESS, TargetSpeeds},
+    target_speed::{
+        MAX_ANSWERS, MAX_SLOWNESS, MAX_TARGETS, MIN_SLOWNESS, TargetSpeeds,
+        answer_times::{AnswerTimes, MAX_ROUTES},
+        report::{MAX_REPORTED_ANSWERS, MAX_REPORTED_TARGETS, SpeedReport, UnreportedAnswers},
+    },
 };
 
 const EXPECTED_MS: f64 = 45.0;
@@ -293,3 +297,80 @@
         );
     }
 }
+
+/// Reports that relays add up must give the mean of all answers, and odd sums must neither
+/// panic nor give values out of bounds.
+#[test]
+fn reports_added_up() {
+    let target = Arc::from("target");
+    let mut sum = 0;
+    for slowness in [0.6, 1.0, 1.6, 2.5] {
+        let mut unreported = UnreportedAnswers::default();
+        for _ in 0..5 {
+            unreported.add(&target, slowness);
+        }
+        let reports = unreported.take();
+        assert_eq!(reports.len(), 1);
+        sum += reports[&target];
+        assert!(unreported.take().is_empty());
+    }
+    let report = SpeedReport::decode(sum).unwrap();
+    assert_eq!(report.answers, 20);
+    let mean = (0.6_f64 * 1.0 * 1.6 * 2.5).powf(0.25);
+    assert!((report.slowness / mean - 1.0).abs() < 0.05, "{report:?}");
+    assert_eq!(SpeedReport::decode(0), None);
+    assert_eq!(SpeedReport::decode(5), None);
+    for odd in [u64::MAX, u64::MAX / 2, 1 << 11, (1 << 12) - 1] {
+        let report = SpeedReport::decode(odd).unwrap();
+        assert!((MIN_SLOWNESS..=MAX_SLOWNESS).contains(&report.slowness));
+    }
+}
+
+/// Reports that cannot be sent must not grow, neither by targets nor by answers.
+#[test]
+fn unreported_bounded() {
+    let mut unreported = UnreportedAnswers::default();
+    for index in 0..3 * MAX_REPORTED_TARGETS {
+        let target = Arc::from(format!("target-{index}"));
+        for _ in 0..1_000 {
+            unreported.add(&target, MAX_SLOWNESS);
+            unreported.add(&target, f64::NAN);
+        }
+    }
+    let reports = unreported.take();
+    assert_eq!(reports.len(), MAX_REPORTED_TARGETS);
+    for amount in reports.values() {
+        let report = SpeedReport::decode(*amount).unwrap();
+        assert_eq!(report.answers, MAX_REPORTED_ANSWERS);
+        assert!(report.slowness > 0.9 * MAX_SLOWNESS, "{report:?}");
+    }
+}
+
+/// The usual time of a route must follow a lasting change, must not follow one slow answer,
+/// and must not be learned without bound for routes that come and go.
+#[test]
+fn answer_times_learned() {
+    let route = Arc::from("route");
+    let mut times = AnswerTimes::default();
+    assert_eq!(times.expected_ms("route"), None);
+    for odd in [f64::NAN, f64::INFINITY, 0.0, -1.0] {
+        times.observe(&route, odd);
+    }
+    assert_eq!(times.expected_ms("route"), None);
+    for _ in 0..50 {
+        times.observe(&route, 40.0);
+    }
+    times.observe(&route, 4_000.0);
+    let usual = times.expected_ms("route").unwrap();
+    assert!((40.0..55.0).contains(&usual), "{usual}");
+    for _ in 0..100 {
+        times.observe(&route, 80.0);
+    }
+    let usual = times.expected_ms("route").unwrap();
+    assert!((75.0..85.0).contains(&usual), "{usual}");
+    for index in 0..MAX_ROUTES {
+        times.observe(&Arc::from(format!("route-{index}")), 40.0);
+    }
+    assert_eq!(times.expected_ms("route"), None);
+    assert!(times.expected_ms("route-1").is_some());
+}
