Use learned speeds in the choice of targets

Cause: slow targets got as many requests as fast ones, and targets that slow down under load were loaded further.

Change: with placement.shared, plain services' answers and time-outs, remote and local prefills and the intervals of events are compared with what the profiles predict. The slowness counts in the choice of plain targets, of decoding engines and, where an instance places prompts itself, of prefill engines. Plain targets are chosen at random by cost. Without the setting choices are as before.

--- a/src/gateway/engine/decode.rs
+++ b/src/gateway/engine/decode.rs
@@ -112,7 +112,7 @@
             in_same_domain: *target.failure_domain == *failure_domain,
             failure_rate: loads.failure_rate(&target.id),
             may_change_role: prefers_settled && !is_settled(target),
-            slowness: 1.0,
+            slowness: state.slowness(&target.id, in_flight.requests),
         });
     }
     let index = choose_least_loaded(&candidates, &WEIGHTS, rand::random())?;
--- a/src/gateway/engine/generation.rs
+++ b/src/gateway/engine/generation.rs
@@ -151,9 +151,8 @@
             .prompt
             .as_ref()
             .map_or(0, |prompt| prompt.max_output_tokens);
-        let slots = self.target.slots;
         let objective = call.route.event_objective;
-        StreamTimes::new(&call.service, self.start, self.requests_in_flight, slots)
+        StreamTimes::new(&self.target, self.start, self.requests_in_flight)
             .with_max_output_tokens(output)
             .with_pause_objective(objective.filter(|_| self.has_queued_prefills))
     }
--- a/src/gateway/engine/placement.rs
+++ b/src/gateway/engine/placement.rs
@@ -261,7 +261,7 @@
             requests: in_flight.requests,
             slots: target.slots,
             penalty_ms: penalty * objective_ms,
-            slowness: 1.0,
+            slowness: state.slowness(&target.id, in_flight.requests),
         });
     }
     candidates
--- a/src/gateway/engine/prefill.rs
+++ b/src/gateway/engine/prefill.rs
@@ -187,9 +187,12 @@
     record_cached_prompt(state, call, target);
     let elapsed_ms = started_at.elapsed().as_secs_f64() * 1_000.0;
     let tokens_ahead = chosen.queued_tokens + f64::from(uncached_tokens);
+    let mut expected_ms = None;
     state.engines().update_profile(&call.service, |profile| {
+        expected_ms = profile.learned_remote_prefill_ms(tokens_ahead);
         profile.observe_remote_prefill(tokens_ahead, elapsed_ms);
     });
+    state.observe_speed(&target.id, chosen.requests, expected_ms, elapsed_ms);
     metrics::histogram!("gateway_prefill_ms").record(elapsed_ms);
     tracing::info!(
         request = &*call.id,
--- a/src/gateway/engine/profiles.rs
+++ b/src/gateway/engine/profiles.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    gateway::state::State,
+    gateway::{state::State, target::speeds},
     peer::{PeerAmount, PeerHandle},
     policy::{
         engine_profile::{EngineProfile, EngineWork, PromptSize},
@@ -128,8 +128,12 @@
         };
         let mut reported = IndexMap::new();
         for PeerAmount { name, amount } in peers.take_peer_amounts() {
+            if speeds::take_report(&state, &name, amount) {
+                continue;
+            }
             reported.insert(name, amount as f64 / WORK_UNITS_PER_MS);
         }
+        speeds::review(&state, &peers);
         let mut engines = state.engines();
         engines.add_services(catalog.services().filter_map(|service| {
             let engine = service.engine.as_ref()?;
--- a/src/gateway/engine/relay.rs
+++ b/src/gateway/engine/relay.rs
@@ -305,12 +305,7 @@
             .loads()
             .record_send(&target.id, self.state.now_ms());
         self.history.tried.push(target.id.clone());
-        let times = StreamTimes::new(
-            &self.call.service,
-            StartWork::Resumed,
-            decode.requests,
-            target.slots,
-        );
+        let times = StreamTimes::new(&target, StartWork::Resumed, decode.requests);
         let in_flight = InFlightGuard::new(&self.state, &target.id, 0);
         let head = AttemptHead {
             resume_after: self.last_event_id.as_deref(),
--- a/src/gateway/engine/stream_times.rs
+++ b/src/gateway/engine/stream_times.rs
@@ -6,7 +6,7 @@
 use derive_more::Display;
 use tokio::time::Instant;
 
-use crate::gateway::state::State;
+use crate::{gateway::state::State, roster::Target};
 
 /// Work that an engine had to do before the first event of a stream.
 #[derive(Clone, Copy, Debug, Display, PartialEq)]
@@ -31,7 +31,7 @@
 /// Timing of one stream.
 #[derive(Debug)]
 pub(in crate::gateway) struct StreamTimes {
-    service: Arc<str>,
+    target: Arc<Target>,
     start: StartWork,
     max_output_tokens: u32,
     /// Other requests in flight on the engine when the stream's request was sent.
@@ -49,21 +49,20 @@
 }
 
 impl StreamTimes {
-    /// Starts timing when a request is sent to an engine with `slots` slots and
-    /// `requests_in_flight` other requests in flight.
+    /// Starts timing when a request is sent to an engine with `requests_in_flight` other
+    /// requests in flight.
     pub(in crate::gateway) fn new(
-        service: &Arc<str>,
+        target: &Arc<Target>,
         start: StartWork,
         requests_in_flight: f64,
-        slots: u32,
     ) -> Self {
         let now = Instant::now();
         Self {
-            service: service.clone(),
+            target: target.clone(),
             start,
             max_output_tokens: 0,
             requests_in_flight,
-            had_slot: requests_in_flight < f64::from(slots),
+            had_slot: requests_in_flight < f64::from(target.slots),
             sent_at: now,
             first_event_at: None,
             last_event_at: now,
@@ -104,15 +103,20 @@
         }
         let elapsed_ms = (now - self.sent_at).as_secs_f64() * 1_000.0;
         let start = self.start;
+        let mut expected_ms = None;
+        let service = &self.target.service;
         state
             .engines()
-            .update_profile(&self.service, |profile| match start {
+            .update_profile(service, |profile| match start {
                 StartWork::LocalPrefill { tokens } => {
-                    profile.observe_local_prefill(tokens, elapsed_ms)
+                    expected_ms = profile.learned_local_prefill_ms(tokens);
+                    profile.observe_local_prefill(tokens, elapsed_ms);
                 }
                 StartWork::KvFetch { tokens } => profile.observe_kv_fetch(tokens, elapsed_ms),
                 StartWork::Resumed => {}
             });
+        let load = self.requests_in_flight;
+        state.observe_speed(&self.target.id, load, expected_ms, elapsed_ms);
     }
 
     /// Returns the work that the engine had to do before the first event.
@@ -150,14 +154,24 @@
         let pause_count = self.event_count.saturating_sub(1) as f64;
         let max_output_tokens = self.max_output_tokens;
         let requests_in_flight = self.requests_in_flight;
-        state.engines().update_profile(&self.service, |profile| {
+        let mut expected_ms = None;
+        let service = &self.target.service;
+        state.engines().update_profile(service, |profile| {
             profile.observe_decode_time(max_output_tokens, decode_ms);
             if pause_count > 0.0 {
+                let event_ms = profile.event_ms(requests_in_flight);
+                expected_ms = event_ms.map(|event_ms| event_ms * pause_count);
                 profile.observe_event(requests_in_flight, all_pauses_ms / pause_count);
             }
             if let Some(objective) = self.pause_objective {
                 profile.observe_pause(self.longest_pause > objective);
             }
         });
+        state.observe_speed(
+            &self.target.id,
+            requests_in_flight,
+            expected_ms,
+            all_pauses_ms,
+        );
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -17,7 +17,10 @@
         duty::kept_windows,
         engine::profiles::Engines,
         notices::target_notices::Notices,
-        target::{answer_memory::AnswerMemory, crash::CallsInFlight, loads::Loads, pool::Pool},
+        target::{
+            answer_memory::AnswerMemory, crash::CallsInFlight, loads::Loads, pool::Pool,
+            speeds::Speeds,
+        },
         usage::UsageCounter,
     },
     peer::PeerHandle,
@@ -67,6 +70,7 @@
     /// Known targets; `None` until the list of targets has been read.
     roster: Mutex<Option<Roster>>,
     loads: Mutex<Loads>,
+    speeds: Mutex<Speeds>,
     notices: Mutex<Notices>,
     engines: Mutex<Engines>,
     /// Retry budget of each service, by service name.
@@ -102,6 +106,7 @@
             catalog: Mutex::default(),
             roster: Mutex::default(),
             loads: Mutex::default(),
+            speeds: Mutex::default(),
             notices: Mutex::default(),
             engines: Mutex::default(),
             retries: Mutex::default(),
@@ -219,6 +224,12 @@
         lock(&self.loads)
     }
 
+    /// Locks and returns the learned speeds of targets. The loads may already be locked, but
+    /// must not be locked afterwards.
+    pub(super) fn speeds(&self) -> MutexGuard<'_, Speeds> {
+        lock(&self.speeds)
+    }
+
     /// Locks and returns what targets have said in their answers.
     pub(super) fn notices(&self) -> MutexGuard<'_, Notices> {
         lock(&self.notices)
--- a/src/gateway/store/targets.rs
+++ b/src/gateway/store/targets.rs
@@ -163,6 +163,7 @@
         .pool
         .prune(Instant::now(), |id| known.get(id).is_some());
     state.loads().retain(|id| known.get(id).is_some());
+    state.speeds().retain(|id| known.get(id).is_some());
     let now_ms = state.now_ms();
     let mut notices = state.notices();
     notices.retain(|id| known.get(id).is_some(), now_ms);
--- a/src/gateway/target/mod.rs
+++ b/src/gateway/target/mod.rs
@@ -3,8 +3,8 @@
 //! `attempt` makes one attempt over a connection of `pool` (`yielding_stream`), and
 //! `attempt_history` decides on retries. `plain` forwards requests whose answers are
 //! buffered in `answer_memory`, and `engine_call` makes the gateway's own calls to engines.
-//! `loads` keeps the load of each target, which `in_flight` counts, and `crash` detects
-//! targets that crash.
+//! `loads` keeps the load of each target, which `in_flight` counts, `speeds` learns how fast
+//! each target answers, and `crash` detects targets that crash.
 
 pub(in crate::gateway) mod answer_memory;
 pub(in crate::gateway) mod attempt;
@@ -15,4 +15,5 @@
 pub(in crate::gateway) mod loads;
 pub(in crate::gateway) mod plain;
 pub(in crate::gateway) mod pool;
+pub(in crate::gateway) mod speeds;
 pub(in crate::gateway) mod yielding_stream;
--- a/src/gateway/target/plain.rs
+++ b/src/gateway/target/plain.rs
@@ -17,12 +17,13 @@
             attempt_history::AttemptHistory,
             in_flight::InFlightGuard,
             loads::AttemptOutcome,
+            speeds::AttemptTiming,
         },
     },
     platform::{AttemptHead, CallerHead, caller_headers},
     policy::{
         retry::{Failure, RetryDecision},
-        spread::{SpreadCandidate, SpreadWeights, choose_least_loaded},
+        spread::{SpreadCandidate, SpreadWeights, choose_by_cost, choose_least_loaded},
     },
     roster::Target,
 };
@@ -99,6 +100,25 @@
     call: &Arc<Call>,
     target: &Arc<Target>,
     history: &AttemptHistory,
+) -> Result<BufferedAnswer, AttemptError> {
+    let timing = AttemptTiming::start(state, target);
+    let result = exchange(state, call, target, history).await;
+    let Some(timing) = timing else {
+        return result;
+    };
+    match &result {
+        Ok(answer) if answer.status.is_success() => timing.finish(state, call, Ok(())),
+        Ok(_) => {}
+        Err(error) => timing.finish(state, call, Err(error.failure)),
+    }
+    result
+}
+
+async fn exchange(
+    state: &Arc<State>,
+    call: &Arc<Call>,
+    target: &Arc<Target>,
+    history: &AttemptHistory,
 ) -> Result<BufferedAnswer, AttemptError> {
     call.caller.enter(Step::Plain);
     let _in_flight = InFlightGuard::new(state, &target.id, 0);
@@ -147,16 +167,21 @@
     }
     let mut candidates = Vec::with_capacity(allowed.len());
     for target in &allowed {
+        let in_flight = loads.in_flight(&target.id, now_ms).requests;
         candidates.push(SpreadCandidate {
-            in_flight: loads.in_flight(&target.id, now_ms).requests,
+            in_flight,
             slots: target.slots,
             in_same_domain: target.failure_domain == state.settings.failure_domain,
             failure_rate: loads.failure_rate(&target.id),
             may_change_role: false,
-            slowness: 1.0,
+            slowness: state.slowness(&target.id, in_flight),
         });
     }
-    let index = choose_least_loaded(&candidates, &WEIGHTS, rand::random())?;
+    let point = rand::random();
+    let index = match state.settings.placement.shared {
+        true => choose_by_cost(&candidates, &WEIGHTS, point),
+        false => choose_least_loaded(&candidates, &WEIGHTS, point),
+    }?;
     let chosen = allowed.swap_remove(index);
     loads.record_send(&chosen.id, now_ms);
     Some(chosen)
