Test that loads at which a target slows down are avoided

Cause: the simulated fleet had targets of different speeds only, none that slows at half load.

Change: a fleet with one target that slows by 2.5 once half of its slots are in use.

--- a/tests/target_speed.rs
+++ b/tests/target_speed.rs
@@ -188,6 +188,9 @@
 
 /// Targets of the fleet in [`run_fleet`].
 const SPEEDS: [f64; 3] = [0.6, 1.0, 1.6];
+/// Share of its slots from which on a target of the usual speed slows down by the factor.
+const SLOWS_FROM: f64 = 0.5;
+const SLOWS_BY: f64 = 2.5;
 const SLOTS: f64 = 6.0;
 const INSTANCES: usize = 60;
 const STEP_MS: u64 = 10;
@@ -196,6 +199,12 @@
 /// Time constant of the mean loads.
 const MEAN_LOAD_MS: f64 = 1_000.0;
 
+/// Returns the time of a request on a target of the fleet, by the requests in flight there.
+/// It takes longer if more than the slots are in use.
+fn taken_ms(speed: f64, load: f64) -> f64 {
+    EXPECTED_MS / speed * (load / SLOTS).max(1.0)
+}
+
 /// What a simulated fleet did.
 #[derive(Debug)]
 struct FleetRun {
@@ -204,10 +213,14 @@
     max_share: f64,
 }
 
-/// Simulates 60 instances that send `requests_per_s` to three targets of different speeds,
-/// know their mean loads half a second late, and learn their speeds from each other's answers if
-/// `learns`. A target's requests take longer if more than its slots are in use.
-fn run_fleet(requests_per_s: u64, learns: bool) -> FleetRun {
+/// Simulates 60 instances that send `requests_per_s` to three targets, on which a request
+/// takes the time `taken_ms`, given the target and the requests in flight there. The
+/// instances know the mean loads half a second late, and learn the speeds from each other's
+/// answers if `learns`.
+fn run_fleet<F>(requests_per_s: u64, learns: bool, taken_ms: F) -> FleetRun
+where
+    F: Fn(usize, f64) -> f64,
+{
     let names: [Arc<str>; 3] = ["slow".into(), "usual".into(), "fast".into()];
     let weights = SpreadWeights {
         other_domain: 0.0,
@@ -262,8 +275,7 @@
                 .collect();
             let target = choose_by_cost(&candidates, &weights, point).unwrap();
             loads[target] += 1.0;
-            let crowding = (loads[target] / SLOTS).max(1.0);
-            let taken_ms = EXPECTED_MS / SPEEDS[target] * crowding;
+            let taken_ms = taken_ms(target, loads[target]);
             running.push((now_ms + taken_ms as u64, target, loads[target], taken_ms));
             sent += 1;
             total_ms += taken_ms;
@@ -288,9 +300,10 @@
 /// must not all send their requests to one of them in turn.
 #[test]
 fn no_common_swing() {
+    let by_speed = |target: usize, load| taken_ms(SPEEDS[target], load);
     for requests_per_s in [60, 150, 220, 300] {
-        let unaware = run_fleet(requests_per_s, false);
-        let aware = run_fleet(requests_per_s, true);
+        let unaware = run_fleet(requests_per_s, false, by_speed);
+        let aware = run_fleet(requests_per_s, true, by_speed);
         assert!(
             aware.mean_ms < unaware.mean_ms && aware.max_share < 0.9,
             "{requests_per_s} requests per second: {aware:?}, without learning {unaware:?}"
@@ -298,6 +311,24 @@
     }
 }
 
+/// A fleet must load a target less that slows down once half of its slots are in use.
+#[test]
+fn slowing_load_avoided() {
+    let slowing_first = |target: usize, load: f64| {
+        let is_slowed = target == 0 && load > SLOWS_FROM * SLOTS;
+        let factor = if is_slowed { SLOWS_BY } else { 1.0 };
+        factor * taken_ms(1.0, load)
+    };
+    for (requests_per_s, most) in [(60, 1.0), (150, 0.95), (220, 0.9)] {
+        let unaware = run_fleet(requests_per_s, false, slowing_first);
+        let aware = run_fleet(requests_per_s, true, slowing_first);
+        assert!(
+            aware.mean_ms <= most * unaware.mean_ms && aware.max_share < 0.9,
+            "{requests_per_s} requests per second: {aware:?}, without learning {unaware:?}"
+        );
+    }
+}
+
 /// Reports that relays add up must give the mean of all answers, and odd sums must neither
 /// panic nor give values out of bounds.
 #[test]
