Add the command where, which tells where a request would go

Cause: it was only visible afterwards, from log lines, why a request went to its target.

Change: GET /destination of the metrics address answers for a host, a path and a request's headers; the command sends the question and prints the answer. Route, account, candidates and choice come from the code that serves callers: the choice of a plain target is divided into its candidates and the choice among them, without a change of either. Nothing is sent, except that an instance of a large fleet may ask engines for their loads. Engines are those that the instance chooses by itself.

Tests: targets, engines and refusals are told, and no target gets a request.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod demo;
+mod destination;
 mod explain;
 mod gateway;
 mod key;
@@ -112,6 +113,7 @@
         .subcommand(key::command())
         .subcommand(status::command())
         .subcommand(explain::command())
+        .subcommand(destination::command())
         .subcommand(report::command())
         .subcommand(load::command())
         .subcommand(standin::command())
@@ -155,6 +157,7 @@
         "key" => key::run(matches).await,
         "status" => status::run(matches).await,
         "explain" => explain::run(matches),
+        destination::NAME => destination::run(matches).await,
         "report" => report::run(matches).await,
         "load" => {
             start_logging(&Logging::default());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,12 +16,13 @@
 //!   whole fleet, which only one instance performs at a time.
 //! - `run` starts and stops the tasks, `listeners` contains their sockets, `state` is
 //!   shared by them, `reload` reloads the settings file, `readiness` serves readiness
-//!   checks and metrics, `usage` counts started requests, `lag` measures how late tasks
+//!   checks and metrics, `destination` tells where a request would go, `usage` counts started requests, `lag` measures how late tasks
 //!   run, and `clock` measures time across suspension of the machine.
 
 mod admission;
 mod caller;
 mod clock;
+mod destination;
 mod duty;
 mod engine;
 mod lag;
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -8,7 +8,7 @@
 };
 use tokio::net::TcpListener;
 
-use crate::gateway::state::State;
+use crate::gateway::{destination::Destination, state::State};
 
 /// Serves the readiness of the instance at `/ready` on `listener`: status 200 if the
 /// instance is ready, otherwise 503 and the reason.
@@ -21,16 +21,20 @@
     serve(router, listener).await
 }
 
-/// Serves the metrics at `/metrics` on `listener`, in the Prometheus text format.
+/// Serves the metrics at `/metrics` on `listener`, in the Prometheus text format, and at
+/// `/destination` where a request would go.
 ///
 /// # Errors
 ///
 /// Fails if the listener fails.
 pub(super) async fn serve_metrics(
+    state: Arc<State>,
     metrics: PrometheusHandle,
     listener: TcpListener,
 ) -> io::Result<()> {
-    let router = Router::with_path("metrics").get(Metrics(metrics));
+    let router = Router::new()
+        .push(Router::with_path("metrics").get(Metrics(metrics)))
+        .push(Router::with_path("destination").get(Destination(state)));
     serve(router, listener).await
 }
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -126,7 +126,11 @@
         state.clone(),
         listeners.readiness,
     ));
-    let _metrics = spawn_listener(readiness::serve_metrics(metrics, listeners.metrics));
+    let _metrics = spawn_listener(readiness::serve_metrics(
+        state.clone(),
+        metrics,
+        listeners.metrics,
+    ));
     let watched = state.clone();
     spawn_task(&supervisor, "settings", move || {
         reload::watch(watched.clone(), path.clone())
--- a/src/gateway/target/plain.rs
+++ b/src/gateway/target/plain.rs
@@ -36,7 +36,7 @@
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
 
 /// Costs added to a target's load in the selection, as shares of the target's slots.
-const WEIGHTS: SpreadWeights = SpreadWeights {
+pub(in crate::gateway) const WEIGHTS: SpreadWeights = SpreadWeights {
     other_domain: 0.35,
     failing: 3.0,
     role_change: 0.0,
@@ -150,10 +150,28 @@
 }
 
 fn choose_target(state: &State, call: &Call, tried: &[Arc<str>]) -> Option<Arc<Target>> {
+    let mut candidates = candidates(state, call, tried);
+    let index = choose(state, &candidates)?;
+    let chosen = candidates.targets.swap_remove(index);
+    let now_ms = state.now_ms();
+    state.loads().record_send(&chosen.id, now_ms);
+    Some(chosen)
+}
+
+/// Targets to which a call may be sent.
+#[derive(Debug)]
+pub(in crate::gateway) struct Candidates {
+    pub(in crate::gateway) targets: Vec<Arc<Target>>,
+    /// What the choice is based on, for each of `targets`.
+    pub(in crate::gateway) spread: Vec<SpreadCandidate>,
+}
+
+/// Returns the targets to which a call may be sent; those in `tried` are left out.
+pub(in crate::gateway) fn candidates(state: &State, call: &Call, tried: &[Arc<str>]) -> Candidates {
     let now_ms = state.now_ms();
     let mut targets = state.ready_targets(&call.service);
     targets.retain(|target| !tried.contains(&target.id) && state.admits(target));
-    let mut loads = state.loads();
+    let loads = state.loads();
     let mut allowed = Vec::new();
     for target in &targets {
         if loads.allows(&target.id, now_ms) {
@@ -165,10 +183,10 @@
     if allowed.is_empty() {
         allowed = targets;
     }
-    let mut candidates = Vec::with_capacity(allowed.len());
+    let mut spread = Vec::with_capacity(allowed.len());
     for target in &allowed {
         let in_flight = loads.in_flight(&target.id, now_ms).requests;
-        candidates.push(SpreadCandidate {
+        spread.push(SpreadCandidate {
             in_flight,
             slots: target.slots,
             in_same_domain: target.failure_domain == state.settings.failure_domain,
@@ -177,14 +195,19 @@
             slowness: state.slowness(&target.id, in_flight),
         });
     }
+    Candidates {
+        targets: allowed,
+        spread,
+    }
+}
+
+/// Returns the index of the candidate that is chosen, if there is one.
+pub(in crate::gateway) fn choose(state: &State, candidates: &Candidates) -> Option<usize> {
     let point = rand::random();
-    let index = match state.settings.placement.shared {
-        true => choose_by_cost(&candidates, &WEIGHTS, point),
-        false => choose_least_loaded(&candidates, &WEIGHTS, point),
-    }?;
-    let chosen = allowed.swap_remove(index);
-    loads.record_send(&chosen.id, now_ms);
-    Some(chosen)
+    match state.settings.placement.shared {
+        true => choose_by_cost(&candidates.spread, &WEIGHTS, point),
+        false => choose_least_loaded(&candidates.spread, &WEIGHTS, point),
+    }
 }
 
 /// Returns whether an answer is a server error on a route that allows retries.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,9 +6,11 @@
 //!
 //! `store` is the client of the store. `config` decodes the configuration document in
 //! it and `workers` the entries that targets register there. `cloud` is the client of
-//! the platform's API. `request` contains the HTTP headers of requests and answers, and
-//! `engine` the messages of engine calls.
+//! the platform's API. `request` contains the HTTP headers of requests and answers, `asked`
+//! those of requests whose destination an operator asks for, and `engine` the messages of
+//! engine calls.
 
+mod asked;
 mod cloud;
 mod config;
 mod engine;
@@ -16,6 +18,7 @@
 mod store;
 mod workers;
 
+pub use asked::{AskedRequest, asked_parts};
 pub use cloud::{CloudClient, CloudError, Holder, TargetCount};
 pub use config::read_catalog;
 pub use engine::{KvSource, LoadReport, Prefilled, RoleOrder, prefill_release_path};
--- a/src/platform/request.rs
+++ b/src/platform/request.rs
@@ -16,11 +16,11 @@
 use super::KvSource;
 use crate::call::{Call, Prompt, PromptPart};
 
-const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
+pub(super) const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
 const DEADLINE: HeaderName = HeaderName::from_static("deadline-ms");
-const MODEL: HeaderName = HeaderName::from_static("model");
-const TOKEN_COUNT: HeaderName = HeaderName::from_static("token-count");
-const PROMPT_PREFIX: HeaderName = HeaderName::from_static("prompt-prefix");
+pub(super) const MODEL: HeaderName = HeaderName::from_static("model");
+pub(super) const TOKEN_COUNT: HeaderName = HeaderName::from_static("token-count");
+pub(super) const PROMPT_PREFIX: HeaderName = HeaderName::from_static("prompt-prefix");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 // The platform's "tenant" is a client account.
@@ -70,7 +70,7 @@
 ];
 
 /// Authorization scheme of an API key, with the separating space.
-const KEY_SCHEME: &str = "Token ";
+pub(super) const KEY_SCHEME: &str = "Token ";
 
 /// Longest pause that a target may ask for, in seconds.
 const MAX_PAUSE_S: f64 = 3_600.0;
@@ -384,7 +384,7 @@
 
 /// Sets a header. If the value is not a valid header value, the header is left out and
 /// a warning is logged; values from validated sources are always valid.
-fn insert_header(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+pub(super) fn insert_header(headers: &mut HeaderMap, name: HeaderName, value: &str) {
     match HeaderValue::from_str(value) {
         Ok(value) => {
             headers.insert(name, value);
--- a/src/policy/spread.rs
+++ b/src/policy/spread.rs
@@ -33,6 +33,23 @@
     pub slowness: f64,
 }
 
+impl SpreadCandidate {
+    /// Returns the candidate's load plus the costs that apply of `weights`. The load is
+    /// multiplied by the slowness, and with it a share for the request itself.
+    #[must_use]
+    pub fn cost(&self, weights: &SpreadWeights) -> f64 {
+        let load = self.in_flight / f64::from(self.slots.max(1));
+        let mut cost = load + (self.slowness - 1.0) * (load + REQUEST_LOAD);
+        if !self.in_same_domain {
+            cost += weights.other_domain;
+        }
+        if self.may_change_role {
+            cost += weights.role_change;
+        }
+        cost + weights.failing * self.failure_rate
+    }
+}
+
 /// Costs that are added to a target's load, which is the number of requests in
 /// flight on the target divided by its slots.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -63,7 +80,7 @@
     let mut min_cost = f64::INFINITY;
     let mut ties = Vec::new();
     for (index, candidate) in candidates.iter().enumerate() {
-        let cost = cost(candidate, weights);
+        let cost = candidate.cost(weights);
         if cost < min_cost {
             min_cost = cost;
             ties.clear();
@@ -87,14 +104,9 @@
     weights: &SpreadWeights,
     point: f64,
 ) -> Option<usize> {
-    let mut shares = Vec::with_capacity(candidates.len());
-    for candidate in candidates {
-        let cost = cost(candidate, weights).max(MIN_COST);
-        shares.push((1.0 + cost).powf(-COST_EXPONENT));
-    }
-    let mut left = point * shares.iter().sum::<f64>();
-    for (index, share) in shares.iter().enumerate() {
-        left -= share;
+    let mut left = point;
+    for (index, chance) in chances(candidates, weights).iter().enumerate() {
+        left -= chance;
         if left < 0.0 {
             return Some(index);
         }
@@ -102,14 +114,17 @@
     candidates.len().checked_sub(1)
 }
 
-fn cost(candidate: &SpreadCandidate, weights: &SpreadWeights) -> f64 {
-    let load = candidate.in_flight / f64::from(candidate.slots.max(1));
-    let mut cost = load + (candidate.slowness - 1.0) * (load + REQUEST_LOAD);
-    if !candidate.in_same_domain {
-        cost += weights.other_domain;
+/// Returns the probability with which [`choose_by_cost`] chooses each candidate.
+#[must_use]
+pub fn chances(candidates: &[SpreadCandidate], weights: &SpreadWeights) -> Vec<f64> {
+    let mut chances = Vec::with_capacity(candidates.len());
+    for candidate in candidates {
+        let cost = candidate.cost(weights).max(MIN_COST);
+        chances.push((1.0 + cost).powf(-COST_EXPONENT));
     }
-    if candidate.may_change_role {
-        cost += weights.role_change;
+    let total: f64 = chances.iter().sum();
+    for chance in &mut chances {
+        *chance /= total;
     }
-    cost + weights.failing * candidate.failure_rate
+    chances
 }
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -637,6 +637,7 @@
 pub struct Gateway {
     pub url: String,
     pub readiness_url: String,
+    pub metrics_address: SocketAddr,
     stop: Option<oneshot::Sender<()>>,
     pub task: JoinHandle<lavenderwind::gateway::Result<()>>,
     runtime: Option<Runtime>,
@@ -679,6 +680,7 @@
         let listeners = binding.await.unwrap().unwrap();
         let url = format!("http://{}", listeners.caller_address().unwrap());
         let readiness_url = format!("http://{}/ready", listeners.readiness_address().unwrap());
+        let metrics_address = listeners.metrics_address().unwrap();
         let (stop, stopped) = oneshot::channel();
         let running = lavenderwind::gateway::run(settings, path.to_owned(), listeners, async {
             let _ = stopped.await;
@@ -687,6 +689,7 @@
         Self {
             url,
             readiness_url,
+            metrics_address,
             stop: Some(stop),
             task,
             runtime: Some(runtime),
