--- a/src/gateway/engine/placement.rs
+++ b/src/gateway/engine/placement.rs
@@ -117,7 +117,7 @@
 /// Selects the engine by what this instance knows.
 ///
 /// In a large fleet, the candidates' loads may be queried first.
-async fn choose_alone(
+pub(in crate::gateway) async fn choose_alone(
     state: &Arc<State>,
     call: &Call,
     prompt: &Prompt,
@@ -333,7 +333,7 @@
             requests: in_flight.requests,
             slots: target.slots,
             penalty_ms: penalty * objective_ms,
-            slowness: 1.0,
+            slowness: state.slowness(&target.id, in_flight.requests),
         });
     }
     candidates
--- a/src/gateway/target/plain.rs
+++ b/src/gateway/target/plain.rs
@@ -17,12 +17,13 @@
             attempt_history::AttemptHistory,
             in_flight::InFlightGuard,
             loads::AttemptOutcome,
+            speeds::AttemptTiming,
         },
     },
     platform::{AttemptHead, CallerHead, caller_headers},
     policy::{
         retry::{Failure, RetryDecision},
-        spread::{SpreadCandidate, SpreadWeights, choose_least_loaded},
+        spread::{SpreadCandidate, SpreadWeights, choose_by_cost, choose_least_loaded},
     },
     roster::Target,
 };
@@ -35,7 +36,7 @@
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
 
 /// Costs added to a target's load in the selection, as shares of the target's slots.
-const WEIGHTS: SpreadWeights = SpreadWeights {
+pub(in crate::gateway) const WEIGHTS: SpreadWeights = SpreadWeights {
     other_domain: 0.35,
     failing: 3.0,
     role_change: 0.0,
@@ -99,6 +100,25 @@
     call: &Arc<Call>,
     target: &Arc<Target>,
     history: &AttemptHistory,
+) -> Result<BufferedAnswer, AttemptError> {
+    let timing = AttemptTiming::start(state, target);
+    let result = exchange(state, call, target, history).await;
+    let Some(timing) = timing else {
+        return result;
+    };
+    match &result {
+        Ok(answer) if answer.status.is_success() => timing.finish(state, call, Ok(())),
+        Ok(_) => {}
+        Err(error) => timing.finish(state, call, Err(error.failure)),
+    }
+    result
+}
+
+async fn exchange(
+    state: &Arc<State>,
+    call: &Arc<Call>,
+    target: &Arc<Target>,
+    history: &AttemptHistory,
 ) -> Result<BufferedAnswer, AttemptError> {
     call.caller.enter(Step::Plain);
     let _in_flight = InFlightGuard::new(state, &target.id, 0);
@@ -130,10 +150,28 @@
 }
 
 fn choose_target(state: &State, call: &Call, tried: &[Arc<str>]) -> Option<Arc<Target>> {
+    let mut candidates = candidates(state, call, tried);
+    let index = choose(state, &candidates)?;
+    let chosen = candidates.targets.swap_remove(index);
+    let now_ms = state.now_ms();
+    state.loads().record_send(&chosen.id, now_ms);
+    Some(chosen)
+}
+
+/// Targets to which a call may be sent.
+#[derive(Debug)]
+pub(in crate::gateway) struct Candidates {
+    pub(in crate::gateway) targets: Vec<Arc<Target>>,
+    /// What the choice is based on, for each of `targets`.
+    pub(in crate::gateway) spread: Vec<SpreadCandidate>,
+}
+
+/// Returns the targets to which a call may be sent; those in `tried` are left out.
+pub(in crate::gateway) fn candidates(state: &State, call: &Call, tried: &[Arc<str>]) -> Candidates {
     let now_ms = state.now_ms();
     let mut targets = state.ready_targets(&call.service);
     targets.retain(|target| !tried.contains(&target.id) && state.admits(target));
-    let mut loads = state.loads();
+    let loads = state.loads();
     let mut allowed = Vec::new();
     for target in &targets {
         if loads.allows(&target.id, now_ms) {
@@ -145,21 +183,31 @@
     if allowed.is_empty() {
         allowed = targets;
     }
-    let mut candidates = Vec::with_capacity(allowed.len());
+    let mut spread = Vec::with_capacity(allowed.len());
     for target in &allowed {
-        candidates.push(SpreadCandidate {
-            in_flight: loads.in_flight(&target.id, now_ms).requests,
+        let in_flight = loads.in_flight(&target.id, now_ms).requests;
+        spread.push(SpreadCandidate {
+            in_flight,
             slots: target.slots,
             in_same_domain: target.failure_domain == state.settings.failure_domain,
             failure_rate: loads.failure_rate(&target.id),
             may_change_role: false,
-            slowness: 1.0,
+            slowness: state.slowness(&target.id, in_flight),
         });
     }
-    let index = choose_least_loaded(&candidates, &WEIGHTS, rand::random())?;
-    let chosen = allowed.swap_remove(index);
-    loads.record_send(&chosen.id, now_ms);
-    Some(chosen)
+    Candidates {
+        targets: allowed,
+        spread,
+    }
+}
+
+/// Returns the index of the candidate that is chosen, if there is one.
+pub(in crate::gateway) fn choose(state: &State, candidates: &Candidates) -> Option<usize> {
+    let point = rand::random();
+    match state.settings.placement.shared {
+        true => choose_by_cost(&candidates.spread, &WEIGHTS, point),
+        false => choose_least_loaded(&candidates.spread, &WEIGHTS, point),
+    }
 }
 
 /// Returns whether an answer is a server error on a route that allows retries.
--- a/src/platform/token_count.rs
+++ b/src/platform/token_count.rs
@@ -1,8 +1,8 @@
 //! Decoding of the header with the numbers of a request's tokens.
 
-use hyper::HeaderMap;
+use hyper::{HeaderMap, header::HeaderName};
 
-const TOKEN_COUNT: &str = "token-count";
+pub(super) const TOKEN_COUNT: HeaderName = HeaderName::from_static("token-count");
 
 /// Returns the number of tokens of the prompt and the maximum of the answer. Returns `None`
 /// if the header is missing or malformed.
--- a/tests/target_speed.rs
+++ b/tests/target_speed.rs
@@ -4,7 +4,11 @@
 
 use lavenderwind::policy::{
     spread::{SpreadCandidate, SpreadWeights, choose_by_cost},
-    target_speed::{MAX_ANSWERS, MAX_SLOWNESS, MAX_TARGETS, MIN_SLOWNESS, TargetSpeeds},
+    target_speed::{
+        MAX_ANSWERS, MAX_SLOWNESS, MAX_TARGETS, MIN_SLOWNESS, TargetSpeeds,
+        answer_times::{AnswerTimes, MAX_ROUTES},
+        report::{MAX_REPORTED_ANSWERS, MAX_REPORTED_TARGETS, SpeedReport, UnreportedAnswers},
+    },
 };
 
 const EXPECTED_MS: f64 = 45.0;
@@ -184,6 +188,9 @@
 
 /// Targets of the fleet in [`run_fleet`].
 const SPEEDS: [f64; 3] = [0.6, 1.0, 1.6];
+/// Share of its slots from which on a target of the usual speed slows down by the factor.
+const SLOWS_FROM: f64 = 0.5;
+const SLOWS_BY: f64 = 2.5;
 const SLOTS: f64 = 6.0;
 const INSTANCES: usize = 60;
 const STEP_MS: u64 = 10;
@@ -192,6 +199,12 @@
 /// Time constant of the mean loads.
 const MEAN_LOAD_MS: f64 = 1_000.0;
 
+/// Returns the time of a request on a target of the fleet, by the requests in flight there.
+/// It takes longer if more than the slots are in use.
+fn taken_ms(speed: f64, load: f64) -> f64 {
+    EXPECTED_MS / speed * (load / SLOTS).max(1.0)
+}
+
 /// What a simulated fleet did.
 #[derive(Debug)]
 struct FleetRun {
@@ -200,10 +213,14 @@
     max_share: f64,
 }
 
-/// Simulates 60 instances that send `requests_per_s` to three targets of different speeds,
-/// know their mean loads half a second late, and learn their speeds from each other's answers if
-/// `learns`. A target's requests take longer if more than its slots are in use.
-fn run_fleet(requests_per_s: u64, learns: bool) -> FleetRun {
+/// Simulates 60 instances that send `requests_per_s` to three targets, on which a request
+/// takes the time `taken_ms`, given the target and the requests in flight there. The
+/// instances know the mean loads half a second late, and learn the speeds from each other's
+/// answers if `learns`.
+fn run_fleet<F>(requests_per_s: u64, learns: bool, taken_ms: F) -> FleetRun
+where
+    F: Fn(usize, f64) -> f64,
+{
     let names: [Arc<str>; 3] = ["slow".into(), "usual".into(), "fast".into()];
     let weights = SpreadWeights {
         other_domain: 0.0,
@@ -258,8 +275,7 @@
                 .collect();
             let target = choose_by_cost(&candidates, &weights, point).unwrap();
             loads[target] += 1.0;
-            let crowding = (loads[target] / SLOTS).max(1.0);
-            let taken_ms = EXPECTED_MS / SPEEDS[target] * crowding;
+            let taken_ms = taken_ms(target, loads[target]);
             running.push((now_ms + taken_ms as u64, target, loads[target], taken_ms));
             sent += 1;
             total_ms += taken_ms;
@@ -284,12 +300,131 @@
 /// must not all send their requests to one of them in turn.
 #[test]
 fn no_common_swing() {
+    let by_speed = |target: usize, load| taken_ms(SPEEDS[target], load);
     for requests_per_s in [60, 150, 220, 300] {
-        let unaware = run_fleet(requests_per_s, false);
-        let aware = run_fleet(requests_per_s, true);
+        let unaware = run_fleet(requests_per_s, false, by_speed);
+        let aware = run_fleet(requests_per_s, true, by_speed);
         assert!(
             aware.mean_ms < unaware.mean_ms && aware.max_share < 0.9,
             "{requests_per_s} requests per second: {aware:?}, without learning {unaware:?}"
         );
     }
 }
+
+/// A fleet must load a target less that slows down once half of its slots are in use.
+#[test]
+fn slowing_load_avoided() {
+    let slowing_first = |target: usize, load: f64| {
+        let is_slowed = target == 0 && load > SLOWS_FROM * SLOTS;
+        let factor = if is_slowed { SLOWS_BY } else { 1.0 };
+        factor * taken_ms(1.0, load)
+    };
+    for (requests_per_s, most) in [(60, 1.0), (150, 0.95), (220, 0.9)] {
+        let unaware = run_fleet(requests_per_s, false, slowing_first);
+        let aware = run_fleet(requests_per_s, true, slowing_first);
+        assert!(
+            aware.mean_ms <= most * unaware.mean_ms && aware.max_share < 0.9,
+            "{requests_per_s} requests per second: {aware:?}, without learning {unaware:?}"
+        );
+    }
+}
+
+/// Reports that relays add up must give the mean of all answers, and odd sums must neither
+/// panic nor give values out of bounds.
+#[test]
+fn reports_added_up() {
+    let target = Arc::from("target");
+    let mut sum = 0;
+    for slowness in [0.6, 1.0, 1.6, 2.5] {
+        let mut unreported = UnreportedAnswers::default();
+        for _ in 0..5 {
+            unreported.add(&target, slowness);
+        }
+        let reports = unreported.take();
+        assert_eq!(reports.len(), 1);
+        sum += reports[0].1;
+        assert!(unreported.take().is_empty());
+    }
+    let report = SpeedReport::decode(sum).unwrap();
+    assert_eq!(report.answers, 20);
+    let mean = (0.6_f64 * 1.0 * 1.6 * 2.5).powf(0.25);
+    assert!((report.slowness / mean - 1.0).abs() < 0.05, "{report:?}");
+    assert_eq!(SpeedReport::decode(0), None);
+    assert_eq!(SpeedReport::decode(5), None);
+    for odd in [u64::MAX, u64::MAX / 2, 1 << 9, (1 << 10) - 1] {
+        let report = SpeedReport::decode(odd).unwrap();
+        assert!((MIN_SLOWNESS..=MAX_SLOWNESS).contains(&report.slowness));
+    }
+}
+
+/// Reports that cannot be sent must not grow, neither by targets nor by answers.
+#[test]
+fn unreported_bounded() {
+    let mut unreported = UnreportedAnswers::default();
+    for index in 0..3 * MAX_REPORTED_TARGETS {
+        let target = Arc::from(format!("target-{index}"));
+        for _ in 0..1_000 {
+            unreported.add(&target, MAX_SLOWNESS);
+            unreported.add(&target, f64::NAN);
+        }
+    }
+    let reports = unreported.take();
+    assert_eq!(reports.len(), MAX_REPORTED_TARGETS);
+    for (_, amount) in &reports {
+        let report = SpeedReport::decode(*amount).unwrap();
+        assert_eq!(report.answers, MAX_REPORTED_ANSWERS);
+        assert!(report.slowness > 0.9 * MAX_SLOWNESS, "{report:?}");
+    }
+    // Targets that are gone must make room for others.
+    unreported.retain(|target| target == "target-0");
+    unreported.add(&Arc::from("later"), 1.0);
+    assert_eq!(unreported.take()[0].0.as_ref(), "later");
+}
+
+/// Reports of single answers must give the right mean in the long run, although each number
+/// is rounded.
+#[test]
+fn rounding_made_up() {
+    let target = Arc::from("target");
+    for slowness in [0.6, 1.0, 1.2, 1.6] {
+        let mut unreported = UnreportedAnswers::default();
+        let mut sum = 0;
+        for _ in 0..50 {
+            unreported.add(&target, slowness);
+            sum += unreported.take()[0].1;
+        }
+        let report = SpeedReport::decode(sum).unwrap();
+        assert_eq!(report.answers, 50);
+        let error = report.slowness / slowness - 1.0;
+        assert!(error.abs() < 0.02, "{report:?} of {slowness}");
+    }
+}
+
+/// The usual time of a route must follow a lasting change, must not follow one slow answer,
+/// and must not be learned without bound for routes that come and go.
+#[test]
+fn answer_times_learned() {
+    let route = Arc::from("route");
+    let mut times = AnswerTimes::default();
+    assert_eq!(times.expected_ms("route"), None);
+    for odd in [f64::NAN, f64::INFINITY, 0.0, -1.0] {
+        times.observe(&route, odd);
+    }
+    assert_eq!(times.expected_ms("route"), None);
+    for _ in 0..50 {
+        times.observe(&route, 40.0);
+    }
+    times.observe(&route, 4_000.0);
+    let usual = times.expected_ms("route").unwrap();
+    assert!((40.0..55.0).contains(&usual), "{usual}");
+    for _ in 0..100 {
+        times.observe(&route, 80.0);
+    }
+    let usual = times.expected_ms("route").unwrap();
+    assert!((75.0..85.0).contains(&usual), "{usual}");
+    for index in 0..MAX_ROUTES {
+        times.observe(&Arc::from(format!("route-{index}")), 40.0);
+    }
+    assert_eq!(times.expected_ms("route"), None);
+    assert!(times.expected_ms("route-1").is_some());
+}
