Charge quotas for the instances that are not heard

Cause: what is heard was divided by the fraction of the instances heard. After the loss of a relay the reports that still arrived counted many times, and the relay's group refused almost everything for 10 s.

Change: instances that are not heard are charged for by time, at the mean usage of the others.

--- a/src/gateway/admission/quota.rs
+++ b/src/gateway/admission/quota.rs
@@ -67,7 +67,6 @@
 pub(in crate::gateway) struct Charge {
     account: Arc<str>,
     units: u64,
-    reach: Reach,
 }
 
 /// Returns whether peers report usage of quotas under this name.
@@ -145,14 +144,13 @@
             }
         }
         self.heard.add(presence_ms, now_ms);
-        let reach = self.reach(now_ms);
         for PeerAmount { name, amount } in amounts {
             let account = name.strip_prefix(NAME_PREFIX).unwrap_or_default();
             let Some(quota) = catalog.quota(account) else {
                 continue;
             };
             let limit = self.limit(&account.into(), quota, now_ms);
-            limit.hear(amount, reach, now_ms);
+            limit.hear(amount, now_ms);
         }
     }
 
@@ -228,7 +226,6 @@
     Ok(Some(Charge {
         account: account.name.clone(),
         units,
-        reach,
     }))
 }
 
@@ -238,7 +235,7 @@
         return;
     };
     if let Some(limit) = state.quotas().limits.get_mut(&charge.account) {
-        limit.refund(charge.units, charge.reach);
+        limit.refund(charge.units);
     }
     metrics::counter!("gateway_quota_refunds_total").increment(1);
 }
--- a/src/policy/share/fleet_limit.rs
+++ b/src/policy/share/fleet_limit.rs
@@ -9,9 +9,8 @@
 //!   each may use its part without waiting for reports. The parts depend half on the
 //!   instance count and half on the usage of the last seconds.
 //!
-//! What is heard is divided by the fraction of the instances that are heard: instances that
-//! are not heard are assumed to use as much as the others. An instance that hears nobody
-//! thus uses an even part of the limit.
+//! Instances that are not heard are assumed to use as much as the others. An instance that
+//! hears nobody thus uses an even part of the limit.
 
 use super::usage_window::UsageWindow;
 use crate::policy::token_bucket::{MILLI, TokenBucket};
@@ -30,7 +29,7 @@
 
 /// Fraction of the permitted overage and slack that is used. The rest covers instances that
 /// have not noticed yet that they don't hear each other.
-const OVERAGE_USED: f64 = 0.9;
+const OVERAGE_USED: f64 = 0.6;
 
 /// Fraction of the rest of the window's bound, as a divisor, that one request may take at an
 /// instance that has used nothing lately. The parts of small limits are less than a request.
@@ -39,6 +38,13 @@
 /// Decrease of the fraction of instances heard that is not caused by delays alone.
 const NOTICED_LOSS: f64 = 0.1;
 
+/// Time until an instance notices that it doesn't hear others, as a multiple of the report
+/// delay.
+const NOTICE_DELAYS: f64 = 1.5;
+
+/// Time constant of recent usage and presence, in milliseconds.
+const RECENT_TIME_CONSTANT_MS: f64 = 1_000.0;
+
 /// Step in which the end of a refusal is searched, in milliseconds.
 const WAIT_STEP_MS: u64 = 100;
 
@@ -85,6 +91,9 @@
     pub instances: u32,
     /// Fraction of them that are heard, including this one.
     pub fraction: f64,
+    /// Recent presence of those that are heard, in instance-milliseconds; decays as
+    /// [`recent_decay`] says.
+    pub recent_presence_ms: f64,
     /// Time after which the usage of an instance counts as known to the others, in
     /// milliseconds.
     pub report_delay_ms: u64,
@@ -117,7 +126,9 @@
     /// Mean usage for each of [`MEAN_TIME_CONSTANTS_MS`].
     means: [MeanUsage; 2],
     means_at_ms: u64,
-    /// Fraction of the instances that were heard at the last use.
+    /// Usage that is known, as a decaying sum.
+    recent: f64,
+    /// Fraction of the instances that were heard last.
     fraction: f64,
     /// Usage that is not reported yet; negative after refunds.
     unreported: i64,
@@ -151,6 +162,7 @@
             others: UsageWindow::filled(limit.rate_per_s, limit.window_ms, now_ms),
             means: Default::default(),
             means_at_ms: now_ms,
+            recent: 0.0,
             fraction: 0.0,
             unreported: 0,
             used_at_ms: now_ms,
@@ -178,7 +190,6 @@
     pub fn charge(&mut self, cost: u64, reach: Reach, now_ms: u64) -> Result<(), OverLimit> {
         self.used_at_ms = now_ms;
         self.bucket.refill(now_ms);
-        self.observe_fraction(reach, now_ms);
         let bucket_wait_ms = self.bucket.wait_ms(cost);
         let part_wait_ms = self.part_wait_ms(cost, reach, now_ms);
         let wait_ms = bucket_wait_ms.max(part_wait_ms);
@@ -192,48 +203,47 @@
             });
         }
         self.own.add(cost, now_ms);
-        self.bucket.spend(extrapolate(cost, reach) as i64);
+        self.bucket.spend(cost as i64);
         self.unreported += cost as i64;
         Ok(())
     }
 
     /// Takes back the charge of a request that has not run.
-    pub fn refund(&mut self, cost: u64, reach: Reach) {
+    pub fn refund(&mut self, cost: u64) {
         self.own.remove(cost);
-        self.bucket.spend(-(extrapolate(cost, reach) as i64));
+        self.bucket.spend(-(cost as i64));
         self.unreported -= cost as i64;
     }
 
     /// Adds the sum of what other instances have got from [`Self::take_report`].
-    pub fn hear(&mut self, parts: u64, reach: Reach, now_ms: u64) {
+    pub fn hear(&mut self, parts: u64, now_ms: u64) {
         self.used_at_ms = now_ms;
         let amount = scale(parts, self.limit.rate_per_s, REPORT_PARTS);
         self.bucket.refill(now_ms);
-        self.observe_fraction(reach, now_ms);
-        let amount = extrapolate(amount, reach);
         self.bucket.spend(amount as i64);
         self.others.add(amount, now_ms);
+        self.recent += amount as f64;
         for mean in &mut self.means {
             mean.all += amount as f64;
         }
     }
 
-    /// Extrapolates the usage of the last seconds as well if this instance notices that it
-    /// doesn't hear many others: their reports were missing before that.
-    fn observe_fraction(&mut self, reach: Reach, now_ms: u64) {
-        let fraction = reach.fraction;
-        if fraction < self.fraction - NOTICED_LOSS {
-            let own = self.own.sum(0, reach.report_delay_ms, now_ms);
-            let others = self.others.sum(0, reach.report_delay_ms, now_ms);
-            let factor = 1.0 / fraction.max(1.0 / f64::from(reach.instances.max(1)));
-            let missed = (own + others) as f64 * (factor - 1.0 / self.fraction);
-            self.others.add(missed as u64, now_ms);
-            self.bucket.spend(missed as i64);
-            self.fraction = fraction;
-        }
-        if fraction > self.fraction {
-            self.fraction = fraction;
+    /// Charges the usage of the instances that are not heard: they are assumed to use as much
+    /// as the others. If this instance notices that it doesn't hear many others, their reports
+    /// were missing for a while before that.
+    fn charge_unheard(&mut self, elapsed_ms: u64, reach: Reach, now_ms: u64) {
+        let mut unheard_ms = (1.0 - reach.fraction) * elapsed_ms as f64;
+        if reach.fraction < self.fraction - NOTICED_LOSS {
+            unheard_ms +=
+                (self.fraction - reach.fraction) * NOTICE_DELAYS * reach.report_delay_ms as f64;
+            self.fraction = reach.fraction;
         }
+        self.fraction = self.fraction.max(reach.fraction);
+        let usage_per_ms = self.recent / reach.recent_presence_ms.max(1.0);
+        let unheard = unheard_ms * f64::from(reach.instances) * usage_per_ms;
+        self.bucket.refill(now_ms);
+        self.bucket.spend(unheard as i64);
+        self.others.add(unheard as u64, now_ms);
     }
 
     /// Updates the means that determine the parts, and returns the usage to be reported to
@@ -256,6 +266,8 @@
             mean.all = mean.all * decay + reported as f64;
         }
         self.unreported -= reported as i64;
+        self.recent = self.recent * recent_decay(elapsed_ms) + reported as f64;
+        self.charge_unheard(elapsed_ms, reach, now_ms);
         parts
     }
 
@@ -334,11 +346,7 @@
     u64::try_from(scaled).unwrap_or(u64::MAX)
 }
 
-/// Returns the usage of all instances if those that are heard use `amount`.
-fn extrapolate(amount: u64, reach: Reach) -> u64 {
-    let fraction = reach
-        .fraction
-        .max(1.0 / f64::from(reach.instances.max(1)))
-        .min(1.0);
-    (amount as f64 / fraction) as u64
+/// Returns by how much a recent sum decays in `elapsed_ms`.
+pub(super) fn recent_decay(elapsed_ms: u64) -> f64 {
+    (-(elapsed_ms as f64) / RECENT_TIME_CONSTANT_MS).exp()
 }
--- a/tests/account_quotas.rs
+++ b/tests/account_quotas.rs
@@ -108,6 +108,24 @@
     assert!(fleet.worst_window() <= 1.0, "{}", fleet.worst_window());
 }
 
+/// Instances whose relay has ended refuse requests for long, or run too much.
+#[test]
+fn lost_relay() {
+    let mut fleet = Fleet::new(limit(RATE));
+    fleet.run(30, even(RATE as f64 * 0.5));
+    fleet.alone = 16;
+    fleet.run(3, even(RATE as f64 * 0.5));
+    fleet.alone = 0;
+    fleet.run(10, even(RATE as f64 * 0.5));
+    let refused = fleet.refused_fraction();
+    assert!(refused < 0.05, "{refused}");
+    fleet.alone = 16;
+    fleet.run(3, even(RATE as f64 * 6.0));
+    fleet.alone = 0;
+    fleet.run(10, even(RATE as f64 * 6.0));
+    assert!(fleet.worst_window() <= 1.0, "{}", fleet.worst_window());
+}
+
 /// Each start of an instance grants a new burst.
 #[test]
 fn restarts() {
@@ -177,11 +195,15 @@
     let reach = Reach {
         instances: INSTANCES as u32,
         fraction: 1.0 / INSTANCES as f64,
+        recent_presence_ms: 1_000.0,
         report_delay_ms: 1_400,
     };
     let mut lone = FleetLimit::unknown(bounds, 0);
     let mut used = 0;
     for now_ms in (0..60_000).step_by(10) {
+        if now_ms % 100 == 0 {
+            lone.take_report(reach, now_ms);
+        }
         if lone.charge(5_500, reach, now_ms).is_ok() {
             used += 5_500;
         }
@@ -197,6 +219,7 @@
     let reach = Reach {
         instances: 1,
         fraction: 1.0,
+        recent_presence_ms: 1_000.0,
         report_delay_ms: 1_400,
     };
     let mut limit = FleetLimit::idle(limit(100_000), 0);
@@ -213,11 +236,12 @@
     let reach = Reach {
         instances: 1,
         fraction: 1.0,
+        recent_presence_ms: 1_000.0,
         report_delay_ms: 1_400,
     };
     let mut limit = FleetLimit::idle(limit(100_000), 0);
     limit.charge(90_000, reach, 0).unwrap();
-    limit.refund(90_000, reach);
+    limit.refund(90_000);
     limit.charge(95_000, reach, 0).unwrap();
     // 95,000 of 100,000 units, in parts of 65,536.
     assert_eq!(limit.take_report(reach, 250), 62_259);
--- a/tests/quota_fleet/mod.rs
+++ b/tests/quota_fleet/mod.rs
@@ -69,6 +69,8 @@
     random: Random,
     pub(crate) now_ms: u64,
     pub(crate) is_split: bool,
+    /// Number of instances, the first ones, that exchange no reports with any other.
+    pub(crate) alone: usize,
     /// Usage of each step.
     pub(crate) used: Vec<u64>,
     offered: u64,
@@ -86,6 +88,7 @@
             random: Random(0x9E37_79B9_7F4A_7C15),
             now_ms: START_MS,
             is_split: false,
+            alone: 0,
             used: Vec::new(),
             offered: 0,
             refused: 0,
@@ -154,7 +157,7 @@
         instance.heard.add(presence_ms, now_ms);
         let reach = instance.heard.reach(now_ms);
         if amount > 0 {
-            instance.limit.hear(amount, reach, now_ms);
+            instance.limit.hear(amount, now_ms);
         }
         let requests = load_per_s * STEP_MS as f64 / 1_000.0 / 11_250.0;
         for _ in 0..self.random.events(requests) {
@@ -194,11 +197,17 @@
         // Sums by group and side of the partition.
         let mut sums = [[(0u64, 0.0); 2]; GROUPS];
         for (from, &(amount, presence_ms)) in reports.iter().enumerate() {
+            if from < self.alone {
+                continue;
+            }
             let sum = &mut sums[from / GROUP][usize::from(from < CUT_OFF)];
             sum.0 += amount;
             sum.1 += presence_ms;
         }
         for (to, own) in reports.iter().enumerate() {
+            if to < self.alone {
+                continue;
+            }
             let side = usize::from(to < CUT_OFF);
             let mut arrivals = Vec::new();
             for (group, sums) in sums.iter().enumerate() {
