--- a/src/policy/share/fleet_limit.rs
+++ b/src/policy/share/fleet_limit.rs
@@ -91,8 +91,7 @@
     pub instances: u32,
     /// Fraction of them that are heard, including this one.
     pub fraction: f64,
-    /// Recent presence of those that are heard, in instance-milliseconds; decays as
-    /// [`recent_decay`] says.
+    /// Recent presence of those that are heard, in instance-milliseconds; a decaying sum.
     pub recent_presence_ms: f64,
     /// Time after which the usage of an instance counts as known to the others, in
     /// milliseconds.
--- a/src/policy/share/heard.rs
+++ b/src/policy/share/heard.rs
@@ -58,7 +58,7 @@
 
     /// Sets the number of known instances, including this one, and the interval of the
     /// heartbeats of relays in a fleet of that size. A smaller number applies after
-    /// [`REMEMBERED_MS`].
+    /// 10 s.
     pub fn set_known(&mut self, instances: u32, heartbeat_ms: u64, now_ms: u64) {
         if instances >= self.known || now_ms >= self.known_at_ms + REMEMBERED_MS {
             self.known = instances.max(1);
