--- a/src/policy/share/fleet_limit.rs
+++ b/src/policy/share/fleet_limit.rs
@@ -6,8 +6,8 @@
 //! - A token bucket for the whole limit decides whether a request is within the limit.
 //! - The usage of the last window bounds what the instances may use before they know of
 //!   each other's usage. What is left of the bound is divided between the instances, and
-//!   each may use its part without waiting for reports. The parts depend half on the
-//!   instance count and half on the usage of the last seconds.
+//!   each may use its part without waiting for reports. A third or more of it
+//!   is divided evenly, the rest by the usage of the last seconds.
 //!
 //! Instances that are not heard are assumed to use as much as the others. An instance that
 //! hears nobody thus uses an even part of the limit.
