--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -139,6 +139,10 @@
     pub log_appends_per_s: u32,
     /// Maximum number of models fetched from the weight store per minute.
     pub weight_fetches_per_min: u32,
+    /// Memory limit of the instance, in megabytes.
+    pub memory_mb: u64,
+    /// Maximum number of open file descriptors.
+    pub max_descriptors: u64,
 }
 
 impl Default for Limits {
@@ -149,6 +153,8 @@
             max_queued: 10_000,
             log_appends_per_s: 300,
             weight_fetches_per_min: 30,
+            memory_mb: 512,
+            max_descriptors: 4_096,
         }
     }
 }
@@ -342,6 +348,12 @@
             "log_appends_per_s",
             self.log_appends_per_s > 0,
             "must be over 0",
+        )?;
+        checker.require("memory_mb", self.memory_mb > 0, "must be over 0")?;
+        checker.require(
+            "max_descriptors",
+            self.max_descriptors > 0,
+            "must be over 0",
         )
     }
 }
