--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Returns the identifier of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id().expect("the process runs")
+    }
+
     /// Returns a string field of the ready line.
     pub fn text(&self, field: &str) -> &str {
         self.ready[field].as_str().expect("the field is a string")
