Bound the times that a retry window keeps

Cause: a request's time was kept until the next retry of its service, and each took an entry: a service without retries grew without bound.

Change: one entry for each millisecond with events, and old ones can be removed when a request is recorded. Decisions are the same.

--- a/src/policy/retry_window.rs
+++ b/src/policy/retry_window.rs
@@ -37,19 +37,48 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct RetryWindow {
-    request_times_ms: VecDeque<u64>,
-    extra_send_times_ms: VecDeque<u64>,
+    requests: EventTimes,
+    extra_sends: EventTimes,
+}
+
+/// Times of events, with one entry for each millisecond in which there were some. Their
+/// number is thus bounded by the length of the window, whatever the load.
+#[derive(Clone, Debug, Default)]
+struct EventTimes {
+    /// Time in milliseconds, and number of events.
+    times: VecDeque<(u64, u64)>,
+    count: u64,
+}
+
+impl EventTimes {
+    fn record(&mut self, now_ms: u64) {
+        self.count += 1;
+        match self.times.back_mut() {
+            Some((time_ms, events)) if *time_ms == now_ms => *events += 1,
+            _ => self.times.push_back((now_ms, 1)),
+        }
+    }
+
+    fn remove_expired(&mut self, window_ms: u64, now_ms: u64) {
+        while let Some(&(time_ms, events)) = self.times.front() {
+            if now_ms.saturating_sub(time_ms) <= window_ms {
+                return;
+            }
+            self.count -= events;
+            self.times.pop_front();
+        }
+    }
 }
 
 impl RetryWindow {
     /// Records a request, which allows a fraction of an extra send.
     pub fn record_request(&mut self, now_ms: u64) {
-        self.request_times_ms.push_back(now_ms);
+        self.requests.record(now_ms);
     }
 
     /// Records an extra send that was made without [`RetryWindow::withdraw`].
     pub fn record_extra_send(&mut self, now_ms: u64) {
-        self.extra_send_times_ms.push_back(now_ms);
+        self.extra_sends.record(now_ms);
     }
 
     /// Takes one extra send from this instance's budget; returns `false` if none is
@@ -60,23 +89,17 @@
     pub fn withdraw(&mut self, bounds: &WindowBounds, instances: usize, now_ms: u64) -> bool {
         self.remove_expired(bounds.window_ms, now_ms);
         let slack = bounds.slack / instances.max(1) as f64;
-        let allowed = SAFETY_FACTOR * (bounds.ratio * self.request_times_ms.len() as f64 + slack);
-        if self.extra_send_times_ms.len() as f64 + 1.0 > allowed {
+        let allowed = SAFETY_FACTOR * (bounds.ratio * self.requests.count as f64 + slack);
+        if self.extra_sends.count as f64 + 1.0 > allowed {
             return false;
         }
-        self.extra_send_times_ms.push_back(now_ms);
+        self.extra_sends.record(now_ms);
         true
     }
 
     /// Removes the times that are no longer within the window.
-    fn remove_expired(&mut self, window_ms: u64, now_ms: u64) {
-        for times in [&mut self.request_times_ms, &mut self.extra_send_times_ms] {
-            while times
-                .front()
-                .is_some_and(|&time_ms| now_ms.saturating_sub(time_ms) > window_ms)
-            {
-                times.pop_front();
-            }
-        }
+    pub fn remove_expired(&mut self, window_ms: u64, now_ms: u64) {
+        self.requests.remove_expired(window_ms, now_ms);
+        self.extra_sends.remove_expired(window_ms, now_ms);
     }
 }
