Admit connections and bytes of callers in one module

Cause: nothing bounded the connections of a listener, so that a crowd used up the descriptors; bodies in small pieces kept a read buffer for each piece; what callers did not read was copied out of the memory that is counted; the listeners for readiness and metrics had no bounds at all.

Change: `intake` admits connections, heads and bodies for every listener of `gateway` and `serve`. At a limit, the caller that the process has waited for longest gives way (`policy/caller_choice`); requests in progress never do. Bodies are copied into one counted buffer; parts of answers are handed to the server 16 KiB at a time. Settings `intake`; counter `intake_refusals_total`; one log line a second for each reason. An instance that cannot confirm its configuration announces that the connection closes. Samples of histograms are summed up every 2 s also if nobody reads the metrics.

--- a/src/entry/acceptor.rs
+++ b/src/entry/acceptor.rs
@@ -1,6 +1,6 @@
 //! Accepts callers' TCP connections until the instance stops gracefully.
 
-use std::{io, time::Duration};
+use std::{io, sync::Arc, time::Duration};
 
 use salvo::{
     ConnCtrl,
@@ -11,6 +11,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use crate::intake::{Intake, IntakeStream, Listener};
+
 /// Time without progress in a write after which a connection is closed, because
 /// its caller reads no data.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
@@ -19,6 +21,7 @@
 #[derive(Debug)]
 pub(super) struct EntryAcceptor {
     listener: Option<TcpListener>,
+    intake: Arc<Intake>,
     holdings: Vec<Holding>,
     fuse: FuseConfig,
     close_requested: CancellationToken,
@@ -56,6 +59,7 @@
     pub(super) fn new(
         listener: TcpListener,
         header_timeout: Duration,
+        intake: Arc<Intake>,
     ) -> io::Result<(Self, CloseHandle)> {
         let holding = Holding {
             local_addr: listener.local_addr()?.into(),
@@ -68,6 +72,7 @@
         };
         let acceptor = Self {
             listener: Some(listener),
+            intake,
             holdings: vec![holding],
             fuse: FuseConfig::default()
                 .with_http1_header_timeout(header_timeout)
@@ -96,7 +101,7 @@
 
 impl Acceptor for EntryAcceptor {
     type Coupler = TcpCoupler<Self::Stream>;
-    type Stream = StraightStream<TcpStream>;
+    type Stream = StraightStream<IntakeStream<TcpStream>>;
 
     fn holdings(&self) -> &[Holding] {
         &self.holdings
@@ -106,10 +111,16 @@
         &mut self,
         _policy: Option<ArcFusePolicy>,
     ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
-        let (stream, remote_addr) = self.accept_stream().await?;
+        let (stream, admitted, remote_addr) = loop {
+            let (stream, peer) = self.accept_stream().await?;
+            if let Some((stream, admitted)) = self.intake.admit(Listener::Callers, stream, peer) {
+                break (stream, admitted, peer);
+            }
+        };
         // Tokens are written one at a time; Nagle's algorithm would delay each
         // until the previous one is acknowledged.
         stream.set_nodelay(true)?;
+        let stream = IntakeStream::new(stream, admitted);
         let conn_ctrl = ConnCtrl::new();
         Ok(Accepted {
             coupler: TcpCoupler::new(),
--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -1,16 +1,18 @@
 //! Reading of caller requests with limits on size and time.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use bytes::Bytes;
 use salvo::{
     Request,
-    http::{HeaderMap, ReqBody, header::CONTENT_LENGTH},
+    http::{HeaderMap, header::CONTENT_LENGTH},
 };
-use tokio::time::timeout;
+use tokio::time::Instant;
 
-use crate::entry::error::{Error, Result};
+use crate::{
+    entry::error::{Error, Result},
+    intake::{self, HeldMemory, Intake, Listener},
+};
 
 /// Maximum total length of a request's header names and values, in bytes.
 pub(super) const MAX_HEADER_BYTES: usize = 32 << 10;
@@ -33,15 +35,17 @@
     Ok(())
 }
 
-/// Reads a request's body to its end.
+/// Reads a request's body to its end. Its memory is released with the last reference to it.
 ///
 /// # Errors
 ///
 /// Returns [`Error::BodyTooLarge`] if the body exceeds `limit_bytes`,
 /// [`Error::ReadTimeout`] if the body is incomplete after `limit_ms`
-/// milliseconds, and [`Error::BodyRead`] if the connection fails.
+/// milliseconds or does not go on, [`Error::NoMemory`] if no memory is left for it, and
+/// [`Error::BodyRead`] if the connection fails.
 pub(super) async fn read_body(
     request: &mut Request,
+    intake: &Arc<Intake>,
     limit_bytes: u64,
     limit_ms: u64,
 ) -> Result<Bytes> {
@@ -49,45 +53,37 @@
     if declared_bytes.is_some_and(|length| length > limit_bytes) {
         return Err(Error::BodyTooLarge { limit_bytes });
     }
+    let peer = request.remote_addr().clone().into_std();
+    let connection = peer.and_then(|peer| intake.find(Listener::Callers, peer));
+    let deadline = Instant::now() + Duration::from_millis(limit_ms);
+    let max_bytes = usize::try_from(limit_bytes).unwrap_or(usize::MAX);
     let body = request.take_body();
-    match timeout(
-        Duration::from_millis(limit_ms),
-        collect_body(body, limit_bytes),
-    )
-    .await
-    {
-        Ok(result) => result,
-        Err(_) => Err(Error::ReadTimeout { limit_ms }),
+    let read = intake::read_body(intake, connection.as_ref(), body, max_bytes, deadline);
+    match read.await {
+        Ok((bytes, _)) if bytes.is_empty() => Ok(bytes),
+        Ok((bytes, memory)) => Ok(Bytes::from_owner(HeldBody {
+            bytes,
+            _memory: memory,
+        })),
+        Err(intake::Error::TooLarge { .. }) => Err(Error::BodyTooLarge { limit_bytes }),
+        Err(intake::Error::Timeout) => Err(Error::ReadTimeout { limit_ms }),
+        Err(intake::Error::OutOfMemory) => Err(Error::NoMemory),
+        Err(intake::Error::Broken(reason)) => Err(Error::BodyRead { reason }),
     }
 }
 
-fn content_length(headers: &HeaderMap) -> Option<u64> {
-    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+/// A body with its memory.
+struct HeldBody {
+    bytes: Bytes,
+    _memory: HeldMemory,
 }
 
-async fn collect_body(mut body: ReqBody, limit_bytes: u64) -> Result<Bytes> {
-    let mut buffer = BytesMut::new();
-    let mut single_frame = None;
-    while let Some(frame) = body.next().await {
-        let frame = frame.map_err(|error| Error::BodyRead {
-            reason: error.to_string(),
-        })?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        let length = buffer.len() + single_frame.as_ref().map_or(0, Bytes::len) + data.len();
-        if length as u64 > limit_bytes {
-            return Err(Error::BodyTooLarge { limit_bytes });
-        }
-        // A body of one frame is returned without a copy.
-        if buffer.is_empty() && single_frame.is_none() {
-            single_frame = Some(data);
-            continue;
-        }
-        if let Some(first) = single_frame.take() {
-            buffer.extend_from_slice(&first);
-        }
-        buffer.extend_from_slice(&data);
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
     }
-    Ok(single_frame.unwrap_or_else(|| buffer.freeze()))
+}
+
+fn content_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -29,6 +29,7 @@
         scheduler::Scheduler,
         suspect::Suspects,
     },
+    intake::{Intake, IntakeLimits},
     ledger::{ApplyResult, LedgerHandle},
     log::{self, Offset, records::record::Body},
     policy::{queue::cost_tokens, retry::RetryBudget},
@@ -93,6 +94,7 @@
     pending_claims: Arc<Semaphore>,
     tasks: TaskTracker,
     stopping: AtomicBool,
+    intake: Arc<Intake>,
 }
 
 /// Builds an [`EntryContext`].
@@ -160,7 +162,13 @@
 
     /// Builds the context with an empty queue and a full retry budget.
     pub fn build(self) -> EntryContext {
-        let max_queued = self.settings.limits.max_queued;
+        let limits = self.settings.limits;
+        let max_queued = limits.max_queued;
+        let intake_limits = IntakeLimits::new(
+            &self.settings.intake,
+            limits.memory_mb,
+            limits.max_descriptors,
+        );
         EntryContext {
             inner: Arc::new(Inner {
                 partition: PartitionUpdater::new(),
@@ -181,6 +189,7 @@
                 pending_claims: Arc::new(Semaphore::new(MAX_PENDING_CLAIMS)),
                 tasks: TaskTracker::new(),
                 stopping: AtomicBool::new(false),
+                intake: Intake::new(intake_limits),
             }),
         }
     }
@@ -191,6 +200,11 @@
         &self.inner.settings
     }
 
+    /// Connections and memory of callers.
+    pub fn intake(&self) -> &Arc<Intake> {
+        &self.inner.intake
+    }
+
     pub(super) fn ledger(&self) -> &LedgerHandle {
         &self.inner.ledger
     }
--- a/src/entry/error.rs
+++ b/src/entry/error.rs
@@ -127,6 +127,8 @@
         /// Time after which a retry may succeed, in milliseconds.
         retry_after_ms: u64,
     },
+    /// this instance has no memory left for the request's body
+    NoMemory,
     /// too many requests wait for a target
     QueueFull,
     /// the request cannot be served before its deadline
@@ -194,6 +196,7 @@
             Self::DeadlineExceeded { .. } => StatusCode::GATEWAY_TIMEOUT,
             Self::Internal { .. } => StatusCode::INTERNAL_SERVER_ERROR,
             Self::Stale
+            | Self::NoMemory
             | Self::QueueFull
             | Self::Overloaded { .. }
             | Self::NoTarget
@@ -219,6 +222,7 @@
             Self::InvalidHeader { .. } => "invalid_header",
             Self::ModelNotFound { .. } => "model_not_found",
             Self::RateLimited { .. } => "rate_limit_exceeded",
+            Self::NoMemory => "no_memory",
             Self::QueueFull => "queue_full",
             Self::Overloaded { .. } => "overloaded",
             Self::NoTarget => "no_target_available",
@@ -253,6 +257,7 @@
                 Some(*retry_after_ms)
             }
             Self::Stale
+            | Self::NoMemory
             | Self::QueueFull
             | Self::NoTarget
             | Self::LogUnavailable
@@ -271,6 +276,8 @@
             Self::BodyTooLarge { .. }
                 | Self::ReadTimeout { .. }
                 | Self::BodyRead { .. }
+                | Self::NoMemory
+                | Self::Stale
                 | Self::HeadersTooLarge { .. }
         )
     }
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -97,7 +97,13 @@
         }
         let limits = &context.settings().limits;
         let max_body_bytes = route_entry.route.max_body_bytes.min(limits.max_body_bytes);
-        let body = read_body(request, max_body_bytes, limits.request_read_ms).await?;
+        let body = read_body(
+            request,
+            context.intake(),
+            max_body_bytes,
+            limits.request_read_ms,
+        )
+        .await?;
         let parsed = self.parse(&route_entry, request, &body)?;
         let instances = (context.peers().live_instances)();
         let limit_guard = context
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -13,6 +13,7 @@
     acceptor::EntryAcceptor, body::MAX_HEADER_BYTES, cache_events::poll_cache_events,
     context::EntryContext, exchange::exchange_with_peers, handler::EntryHandler,
 };
+use crate::intake::{self, Listener};
 
 /// Interval at which the scheduler tries to dispatch queued requests.
 const SCHEDULER_PERIOD: Duration = Duration::from_millis(10);
@@ -42,13 +43,20 @@
         context: context.clone(),
     };
     let router = Router::with_path("{**path}").goal(handler);
-    let (acceptor, close_handle) = EntryAcceptor::new(listener, header_timeout)?;
+    let intake = context.intake().clone();
+    let max_fields = intake.limits().max_header_fields;
+    let service = intake::service(router, Listener::Callers, intake.clone());
+    let (acceptor, close_handle) = EntryAcceptor::new(listener, header_timeout, intake.clone())?;
     let mut server = Server::new(acceptor);
-    server.http1_mut().max_buf_size(4 * MAX_HEADER_BYTES);
+    server
+        .http1_mut()
+        .max_headers(max_fields)
+        .max_buf_size(4 * MAX_HEADER_BYTES);
     let handle = server.handle();
-    let serving = server.try_serve(router);
+    let serving = server.try_serve(service);
     tokio::pin!(serving);
     let _cache_events = AbortOnDropHandle::new(tokio::spawn(poll_cache_events(context.clone())));
+    let _intake = AbortOnDropHandle::new(tokio::spawn(intake.watch(|| false)));
     let mut tick = tokio::time::interval(SCHEDULER_PERIOD);
     tick.set_missed_tick_behavior(MissedTickBehavior::Skip);
     let mut exchange_tick = tokio::time::interval(EXCHANGE_PERIOD);
--- a/src/gateway/caller/connection.rs
+++ b/src/gateway/caller/connection.rs
@@ -9,7 +9,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -39,6 +39,7 @@
         },
         state::State,
     },
+    intake::{self, Admitted, IntakeStream, Listener, Reason},
 };
 
 /// Minimum size of the buffer for a request head.
@@ -49,6 +50,10 @@
 /// request with status 431.
 const HEAD_BUFFER_FACTOR: usize = 2;
 
+/// Maximum size of a part of an answer that is handed to the server at once. The server copies
+/// what it is handed, and the copy does not count as memory for answers.
+const MAX_FRAME_BYTES: usize = 16 << 10;
+
 /// Interval at which the timeouts of a connection are checked again while a request
 /// is in progress.
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -109,21 +114,29 @@
 struct RequestGuard {
     activity: Arc<Activity>,
     socket: Arc<CallerSocket>,
+    admission: Arc<intake::Connection>,
 }
 
 impl RequestGuard {
-    fn new(activity: &Arc<Activity>, socket: &Arc<CallerSocket>) -> Self {
+    fn new(
+        activity: &Arc<Activity>,
+        socket: &Arc<CallerSocket>,
+        admission: &Arc<intake::Connection>,
+    ) -> Self {
         activity.in_request.store(true, Ordering::Release);
         socket.begin_request();
+        admission.begin_work();
         Self {
             activity: activity.clone(),
             socket: socket.clone(),
+            admission: admission.clone(),
         }
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
+        self.admission.end_request();
         self.socket.end_request();
         *self.activity.lock() = ReadTimes {
             head_started_at: None,
@@ -136,6 +149,8 @@
 /// A response body that keeps the connection marked as serving a request.
 struct GuardedBody {
     body: Body,
+    /// Rest of a part that is larger than [`MAX_FRAME_BYTES`].
+    rest: Bytes,
     _guard: RequestGuard,
 }
 
@@ -147,13 +162,26 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        if self.rest.is_empty() {
+            let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+            let data = match frame.map(|frame| frame.map(Frame::into_data)) {
+                Some(Ok(Ok(data))) => data,
+                Some(Ok(Err(frame))) => return Poll::Ready(Some(Ok(frame))),
+                Some(Err(error)) => return Poll::Ready(Some(Err(error))),
+                None => return Poll::Ready(None),
+            };
+            self.rest = data;
+        }
+        let count = self.rest.len().min(MAX_FRAME_BYTES);
+        let part = self.rest.split_to(count);
+        Poll::Ready(Some(Ok(Frame::data(part))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.rest.is_empty() && self.body.is_end_stream()
     }
 
+    /// The size is only asked for before the first part.
     fn size_hint(&self) -> SizeHint {
         self.body.size_hint()
     }
@@ -166,6 +194,7 @@
 pub(in crate::gateway) async fn serve(
     state: Arc<State>,
     stream: TcpStream,
+    admitted: Admitted,
     close: CancellationToken,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
@@ -177,13 +206,16 @@
         .map_or_else(CallerLimits::default, |catalog| *catalog.limits());
     let activity = Arc::new(Activity::new());
     let socket = CallerSocket::new(stream);
-    let service = service_fn(|request| {
-        let guard = RequestGuard::new(&activity, &socket);
+    let admission = admitted.connection().clone();
+    let service = service_fn(|mut request: Request<Incoming>| {
+        let guard = RequestGuard::new(&activity, &socket, &admission);
+        request.extensions_mut().insert(admission.clone());
         let answering = answer(state.clone(), socket.clone(), request);
         async move {
             let response = answering.await;
             Ok::<_, Infallible>(response.map(|body| GuardedBody {
                 body,
+                rest: Bytes::new(),
                 _guard: guard,
             }))
         }
@@ -191,9 +223,11 @@
     let buffer_bytes = (HEAD_BUFFER_FACTOR * limits.max_header_bytes).max(MIN_HEAD_BUFFER_BYTES);
     let reads = activity.clone();
     let stream = CallerStream::new(socket.clone(), move || reads.record_read());
+    let stream = IntakeStream::new(stream, admitted);
     let mut connection = pin!(
         http1::Builder::new()
             .max_buf_size(buffer_bytes)
+            .max_headers(state.intake.limits().max_header_fields)
             // Whether the caller has left is decided by its socket.
             .half_close(true)
             .serve_connection(TokioIo::new(stream), service)
@@ -206,11 +240,16 @@
             biased;
             ended = &mut connection => {
                 if let Err(error) = ended {
+                    if error.is_parse_too_large() {
+                        let peer = admission.peer();
+                        state.intake.refuse(Reason::HeadTooLarge, Listener::Callers, peer);
+                    }
                     tracing::debug!("gateway: caller connection failed: {error}");
                 }
                 return;
             }
             () = &mut left => return,
+            () = admission.closed() => return,
             () = sleep_until(close_deadline) => {
                 if activity.close_deadline(&limits) <= Instant::now() {
                     return;
--- a/src/gateway/caller/reply.rs
+++ b/src/gateway/caller/reply.rs
@@ -127,6 +127,8 @@
                 | Self::HeadTooLarge
                 | Self::BodyTooLarge
                 | Self::ReadTimeout
+                | Self::NotReady
+                | Self::NoMemory
                 | Self::Stopping
                 | Self::Stopped
         )
--- a/src/gateway/caller/server.rs
+++ b/src/gateway/caller/server.rs
@@ -4,20 +4,16 @@
 use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     HeaderMap, Request, Response,
     body::{Body as _, Incoming},
 };
-use tokio::{
-    net::TcpListener,
-    time::{Instant, timeout_at},
-};
+use tokio::{net::TcpListener, time::Instant};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
     call::{Call, Caller, Step},
-    catalog::{CallerLimits, Catalog, RouteKind},
+    catalog::{CallerLimits, RouteKind},
     gateway::{
         admission::permit::{ReceivedRequest, admit, permit},
         caller::{
@@ -26,9 +22,10 @@
             reply::{Body, Refusal, set_connection_close},
         },
         engine::generation,
-        state::{BodyMemory, State, StopPhase},
+        state::{State, StopPhase},
         target::plain,
     },
+    intake::{self, Connection, HeldMemory, Listener},
     platform::{CallerHead, HeadError, read_caller_head},
 };
 
@@ -67,8 +64,13 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                connections.spawn(connection::serve(state.clone(), stream, close.clone()));
+            Ok((stream, peer)) => {
+                let admitted = state.intake.admit(Listener::Callers, stream, peer);
+                let Some((stream, admitted)) = admitted else {
+                    continue;
+                };
+                let serving = connection::serve(state.clone(), stream, admitted, close.clone());
+                connections.spawn(serving);
             }
             Err(error) => {
                 tracing::warn!("gateway: cannot accept a connection: {error}");
@@ -131,9 +133,10 @@
     let permission = permit(&catalog, head, parts.uri.path())?;
     let timeout = head.deadline.unwrap_or(permission.route.timeout);
     let read_deadline = received_at + timeout.min(MAX_BODY_READ_TIME);
+    let max_body_bytes = catalog.limits().max_body_bytes;
     let (body, memory) = tokio::select! {
         biased;
-        read = read_body(state, &catalog, body, read_deadline) => read?,
+        read = read_body(state, parts, max_body_bytes, body, read_deadline) => read?,
         () = state.stop_ended() => return Err(Refusal::Stopping),
     };
     if state.stop_phase() >= StopPhase::Closing {
@@ -192,31 +195,24 @@
 }
 
 /// Reads a request body, and returns it with the memory reserved for it.
-///
-/// Memory is reserved for the announced length, or for the maximum size if the length
-/// is not announced.
 async fn read_body(
     state: &Arc<State>,
-    catalog: &Catalog,
+    parts: &hyper::http::request::Parts,
+    max_bytes: usize,
     body: Incoming,
     read_deadline: Instant,
-) -> Result<(Bytes, Option<BodyMemory>), Refusal> {
+) -> Result<(Bytes, Option<HeldMemory>), Refusal> {
     if body.is_end_stream() {
         return Ok((Bytes::new(), None));
     }
-    let max_bytes = catalog.limits().max_body_bytes;
-    let announced = body.size_hint().exact();
-    if announced.is_some_and(|bytes| bytes > max_bytes as u64) {
-        return Err(Refusal::BodyTooLarge);
-    }
-    let reserved = announced.map_or(max_bytes, |bytes| bytes as usize);
-    let memory = state.reserve_body(reserved).ok_or(Refusal::NoMemory)?;
-    let limited = Limited::new(body, max_bytes);
-    match timeout_at(read_deadline, limited.collect()).await {
-        Err(_) => Err(Refusal::ReadTimeout),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Ok(Err(_)) => Err(Refusal::BadRequest),
-        Ok(Ok(body)) => Ok((body.to_bytes(), Some(memory))),
+    let connection = parts.extensions.get::<Arc<Connection>>();
+    let read = intake::read_body(&state.intake, connection, body, max_bytes, read_deadline);
+    match read.await {
+        Ok((body, memory)) => Ok((body, Some(memory))),
+        Err(intake::Error::TooLarge { .. }) => Err(Refusal::BodyTooLarge),
+        Err(intake::Error::Timeout) => Err(Refusal::ReadTimeout),
+        Err(intake::Error::OutOfMemory) => Err(Refusal::NoMemory),
+        Err(intake::Error::Broken(_)) => Err(Refusal::BadRequest),
     }
 }
 
--- a/src/gateway/engine/generation.rs
+++ b/src/gateway/engine/generation.rs
@@ -17,7 +17,7 @@
             relay::{EngineStream, Relay},
             stream_times::{StartWork, StreamTimes},
         },
-        state::{BodyMemory, State},
+        state::State,
         target::{
             attempt::{self, Answer, AttemptError},
             attempt_history::AttemptHistory,
@@ -25,6 +25,7 @@
             plain::{answer_response, is_retryable_failure},
         },
     },
+    intake::HeldMemory,
     platform::{AttemptHead, CallerHead, caller_headers},
     policy::retry::{Failure, RetryDecision},
     roster::Target,
@@ -48,7 +49,7 @@
     state: &Arc<State>,
     call: &Arc<Call>,
     head: &CallerHead,
-    memory: Option<BodyMemory>,
+    memory: Option<HeldMemory>,
 ) -> Result<Response<Body>, Refusal> {
     let mut history = AttemptHistory::default();
     let mut last_error = None;
@@ -272,7 +273,7 @@
     in_flight: InFlightGuard,
     times: StreamTimes,
     history: AttemptHistory,
-    memory: Option<BodyMemory>,
+    memory: Option<HeldMemory>,
 ) -> Response<Body> {
     let status = answer.status;
     let headers = caller_headers(&answer.headers);
--- a/src/gateway/engine/relay.rs
+++ b/src/gateway/engine/relay.rs
@@ -18,7 +18,7 @@
             events::EventSplitter,
             stream_times::{StartWork, StreamTimes},
         },
-        state::{BodyMemory, State},
+        state::State,
         target::{
             answer_memory::{self, MemoryShare},
             attempt::{self, Answer, AttemptError},
@@ -29,6 +29,7 @@
             pool::Connection,
         },
     },
+    intake::HeldMemory,
     platform::AttemptHead,
     policy::retry::RetryDecision,
     roster::Target,
@@ -86,7 +87,7 @@
     ended: bool,
     /// Memory of the request body, which is kept to be sent again if the stream is
     /// resumed.
-    _memory: Option<BodyMemory>,
+    _memory: Option<HeldMemory>,
 }
 
 /// Result of waiting for more bytes of a stream.
@@ -111,7 +112,7 @@
         call: Arc<Call>,
         source: EngineStream,
         history: AttemptHistory,
-        memory: Option<BodyMemory>,
+        memory: Option<HeldMemory>,
     ) -> Self {
         let last_event_id = call.resume_after.clone();
         let event_memory = state.answer_memory.share();
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -3,12 +3,13 @@
 use std::{io, sync::Arc};
 
 use metrics_exporter_prometheus::PrometheusHandle;
-use salvo::{
-    Response, Router, Server, conn::tcp::TcpAcceptor, handler, http::StatusCode, writing::Text,
-};
+use salvo::{Response, Router, handler, http::StatusCode, writing::Text};
 use tokio::net::TcpListener;
 
-use crate::gateway::state::State;
+use crate::{
+    gateway::state::State,
+    intake::{self, Intake, Listener},
+};
 
 /// Serves the readiness of the instance at `/ready` on `listener`: status 200 if the
 /// instance is ready, otherwise 503 and the reason.
@@ -17,8 +18,11 @@
 ///
 /// Fails if the listener fails.
 pub(super) async fn serve_readiness(state: Arc<State>, listener: TcpListener) -> io::Result<()> {
+    let intake = state.intake.clone();
     let router = Router::with_path("ready").get(Readiness(state));
-    serve(router, listener).await
+    let server = intake::server(listener, Listener::Readiness, intake.clone())?;
+    let service = intake::service(router, Listener::Readiness, intake);
+    server.try_serve(service).await
 }
 
 /// Serves the metrics at `/metrics` on `listener`, in the Prometheus text format.
@@ -28,15 +32,13 @@
 /// Fails if the listener fails.
 pub(super) async fn serve_metrics(
     metrics: PrometheusHandle,
+    intake: Arc<Intake>,
     listener: TcpListener,
 ) -> io::Result<()> {
     let router = Router::with_path("metrics").get(Metrics(metrics));
-    serve(router, listener).await
-}
-
-async fn serve(router: Router, listener: TcpListener) -> io::Result<()> {
-    let acceptor = TcpAcceptor::try_from(listener)?;
-    Server::new(acceptor).try_serve(router).await
+    let server = intake::server(listener, Listener::Metrics, intake.clone())?;
+    let service = intake::service(router, Listener::Metrics, intake);
+    server.try_serve(service).await
 }
 
 struct Readiness(Arc<State>);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -27,7 +27,7 @@
             targets,
         },
     },
-    instance::metrics_handle,
+    instance::{maintain_histograms, metrics_handle},
     peer::{self, PeerHandle, PeerLog, PeerOptions, Peers, Quorum},
     platform::{CloudClient, StoreClient},
     settings::GatewaySettings,
@@ -126,7 +126,20 @@
         state.clone(),
         listeners.readiness,
     ));
-    let _metrics = spawn_listener(readiness::serve_metrics(metrics, listeners.metrics));
+    let (kept, intake) = (metrics.clone(), state.intake.clone());
+    spawn_task(&supervisor, "histograms", move || {
+        maintain_histograms(kept.clone())
+    });
+    let answer_memory = state.answer_memory.clone();
+    spawn_task(&supervisor, "intake", move || {
+        let memory = answer_memory.clone();
+        intake.clone().watch(move || memory.is_short())
+    });
+    let _metrics = spawn_listener(readiness::serve_metrics(
+        metrics,
+        state.intake.clone(),
+        listeners.metrics,
+    ));
     let watched = state.clone();
     spawn_task(&supervisor, "settings", move || {
         reload::watch(watched.clone(), path.clone())
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,6 +20,7 @@
         target::{answer_memory::AnswerMemory, crash::CallsInFlight, loads::Loads, pool::Pool},
         usage::UsageCounter,
     },
+    intake::{Intake, IntakeLimits},
     peer::PeerHandle,
     policy::retry_window::{RetryWindow, WindowBounds},
     roster::{Roster, Target},
@@ -37,10 +38,6 @@
 /// instances together.
 const DEFAULT_CONNECTIONS: u32 = 256;
 
-/// Divisor of the instance's memory limit; the quotient is the limit for request
-/// bodies.
-const BODY_MEMORY_DIVISOR: u64 = 4;
-
 const BYTES_PER_MB: u64 = 1 << 20;
 
 /// Phase of an instance with respect to its stop.
@@ -75,8 +72,8 @@
     calls_in_flight: Mutex<CallsInFlight>,
     /// Memory for the answers of targets.
     pub(super) answer_memory: Arc<AnswerMemory>,
-    /// Memory reserved for request bodies.
-    body_bytes: AtomicUsize,
+    /// Connections and memory of callers.
+    pub(super) intake: Arc<Intake>,
     /// Number of live instances.
     instances: AtomicUsize,
     stop_phase: watch::Sender<StopPhase>,
@@ -96,6 +93,7 @@
         answer_memory.set_limit(settings.limits.memory_mb * BYTES_PER_MB);
         Self {
             answer_memory,
+            intake: Intake::new(intake_limits(&settings.tuning())),
             tuning: Mutex::new(settings.tuning()),
             settings,
             pool: Pool::default(),
@@ -107,7 +105,6 @@
             retries: Mutex::default(),
             usage: Mutex::new(usage),
             calls_in_flight: Mutex::default(),
-            body_bytes: AtomicUsize::new(0),
             instances: AtomicUsize::new(1),
             stop_phase: watch::Sender::new(StopPhase::Running),
             quarantine_changed: Notify::new(),
@@ -126,6 +123,7 @@
     pub(super) fn set_tuning(&self, tuning: Tuning) {
         self.answer_memory
             .set_limit(tuning.limits.memory_mb * BYTES_PER_MB);
+        self.intake.set_limits(intake_limits(&tuning));
         *lock(&self.tuning) = tuning;
     }
 
@@ -241,9 +239,11 @@
 
     /// Counts a request for a service, which adds to the service's retry budget.
     pub(super) fn record_request(&self, service: &Arc<str>) {
+        let window_ms = self.tuning().retries.window_ms;
         let now_ms = self.now_ms();
         let mut retries = lock(&self.retries);
         let window = retries.entry(service.clone()).or_default();
+        window.remove_expired(window_ms, now_ms);
         window.record_request(now_ms);
     }
 
@@ -289,22 +289,6 @@
         (share as usize).max(MIN_CONNECTIONS)
     }
 
-    /// Reserves memory for a request body; `None` if the limit would be
-    /// exceeded.
-    pub(super) fn reserve_body(self: &Arc<Self>, bytes: usize) -> Option<BodyMemory> {
-        let max_bytes = self.tuning().limits.memory_mb * BYTES_PER_MB / BODY_MEMORY_DIVISOR;
-        let reserved =
-            self.body_bytes
-                .fetch_update(Ordering::AcqRel, Ordering::Acquire, |reserved_bytes| {
-                    let reserved_bytes = reserved_bytes + bytes;
-                    (reserved_bytes as u64 <= max_bytes).then_some(reserved_bytes)
-                });
-        reserved.is_ok().then(|| BodyMemory {
-            state: self.clone(),
-            bytes,
-        })
-    }
-
     /// Returns whether the instance is stopping.
     pub(super) fn is_stopping(&self) -> bool {
         self.stop_phase() > StopPhase::Running
@@ -359,19 +343,9 @@
     }
 }
 
-/// Memory reserved for a request body; released on drop.
-#[derive(Debug)]
-pub(super) struct BodyMemory {
-    state: Arc<State>,
-    bytes: usize,
-}
-
-impl Drop for BodyMemory {
-    fn drop(&mut self) {
-        self.state
-            .body_bytes
-            .fetch_sub(self.bytes, Ordering::AcqRel);
-    }
+fn intake_limits(tuning: &Tuning) -> IntakeLimits {
+    let limits = tuning.limits;
+    IntakeLimits::new(&tuning.intake, limits.memory_mb, limits.max_descriptors)
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/src/gateway/target/answer_memory.rs
+++ b/src/gateway/target/answer_memory.rs
@@ -54,6 +54,12 @@
         self.limit_bytes.store(limit_bytes, Ordering::Relaxed);
     }
 
+    /// Returns whether more than three quarters of the limit are in use.
+    pub(in crate::gateway) fn is_short(&self) -> bool {
+        let limit_bytes = self.limit_bytes.load(Ordering::Relaxed);
+        self.lock().budget.total_bytes() > limit_bytes / 4 * 3
+    }
+
     /// Returns the share of a new answer, which has no memory yet.
     pub(in crate::gateway) fn share(self: &Arc<Self>) -> MemoryShare {
         let evicted = CancellationToken::new();
--- a/src/instance/admin.rs
+++ b/src/instance/admin.rs
@@ -3,15 +3,15 @@
 use std::{sync::Arc, time::Duration};
 
 use metrics_exporter_prometheus::PrometheusHandle;
-use salvo::{
-    Response, Router, Server, conn::tcp::TcpAcceptor, handler, http::StatusCode, prelude::Json,
-    writing::Text,
-};
+use salvo::{Response, Router, handler, http::StatusCode, prelude::Json, writing::Text};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
 use super::{Error, Result, status::InstanceStatus};
-use crate::report::BurnSample;
+use crate::{
+    intake::{self, Intake, Listener},
+    report::BurnSample,
+};
 
 /// Timeout for requests in progress when the interface stops.
 const STOP_TIMEOUT: Duration = Duration::from_secs(1);
@@ -35,19 +35,18 @@
 pub(super) async fn serve(
     listener: TcpListener,
     sources: AdminSources,
+    intake: Arc<Intake>,
     stop: CancellationToken,
 ) -> Result<()> {
-    let acceptor = TcpAcceptor::try_from(listener).map_err(Error::Listen)?;
-    let server = Server::new(acceptor);
+    let server = intake::server(listener, Listener::Admin, intake.clone());
+    let server = server.map_err(Error::Listen)?;
+    let service = intake::service(router(sources), Listener::Admin, intake);
     let handle = server.handle();
     tokio::spawn(async move {
         stop.cancelled().await;
         handle.stop_graceful(STOP_TIMEOUT);
     });
-    server
-        .try_serve(router(sources))
-        .await
-        .map_err(Error::Listen)
+    server.try_serve(service).await.map_err(Error::Listen)
 }
 
 fn router(sources: AdminSources) -> Router {
--- a/src/instance/components.rs
+++ b/src/instance/components.rs
@@ -23,6 +23,7 @@
     control::{self, ControlInputs, Identity, UsageRecorder},
     entry::{self, EntryContext, UsageEntry},
     infra::{LiveClient, TargetsClient},
+    intake::Intake,
     ledger::{Ledger, LedgerHandle, UsageCounts},
     log::{self, Log, LogOptions},
     peer::{self, PeerHandle, PeerInputs},
@@ -34,6 +35,9 @@
     },
 };
 
+/// Interval at which the samples of histograms are summed up.
+const HISTOGRAM_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Resources shared by all components of an instance.
 pub(super) struct Shared {
     pub(super) settings: Arc<Settings>,
@@ -283,6 +287,7 @@
     listener: StdListener,
     status: &StatusSources,
     burn: BurnSampler,
+    intake: Arc<Intake>,
 ) -> Result<()> {
     let status = status.clone();
     let sources = AdminSources {
@@ -290,10 +295,21 @@
         burn: Arc::new(move || burn.samples()),
         metrics: metrics_handle()?,
     };
+    let metrics = sources.metrics.clone();
+    admin.spawn("histograms", move |stop| {
+        let maintaining = maintain_histograms(metrics.clone());
+        async move {
+            tokio::select! {
+                () = stop.cancelled() => {}
+                () = maintaining => {}
+            }
+            Ok::<_, Error>(())
+        }
+    });
     admin.spawn("interface", move |stop| {
         let listener = duplicate(&listener);
-        let sources = sources.clone();
-        async move { admin::serve(listener?, sources, stop).await }
+        let (sources, intake) = (sources.clone(), intake.clone());
+        async move { admin::serve(listener?, sources, intake, stop).await }
     });
     Ok(())
 }
@@ -315,6 +331,16 @@
     Ok(installed)
 }
 
+/// Sums up the samples of histograms, which would otherwise be kept until the metrics are
+/// read. Never returns.
+pub(crate) async fn maintain_histograms(metrics: PrometheusHandle) {
+    let mut tick = tokio::time::interval(HISTOGRAM_INTERVAL);
+    loop {
+        tick.tick().await;
+        metrics.run_upkeep();
+    }
+}
+
 /// Passes a usage entry on to the recorder.
 pub(super) fn record_usage(recorder: &UsageRecorder, entry: &UsageEntry) {
     let counts = UsageCounts {
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -10,7 +10,7 @@
 mod components;
 mod listeners;
 
-pub(crate) use components::metrics_handle;
+pub(crate) use components::{maintain_histograms, metrics_handle};
 pub mod status;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -111,7 +111,13 @@
             peers: components.peers.clone(),
             stopping: callers.stop_token(),
         };
-        components::start_admin(&admin, listeners.admin, &status, burn)?;
+        components::start_admin(
+            &admin,
+            listeners.admin,
+            &status,
+            burn,
+            context.intake().clone(),
+        )?;
         tracing::info!(
             "instance: {} listens for callers on {}",
             settings.name,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod gateway;
 pub mod infra;
 pub mod instance;
+pub mod intake;
 pub mod ledger;
 pub mod load;
 pub mod log;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 pub mod baseline;
 pub mod breaker;
 pub mod cache_locality;
+pub mod caller_choice;
 pub mod crash_history;
 pub mod decode;
 pub mod engine_profile;
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use super::{Checker, Logging, Result, parse_yaml, read_text};
+use super::{Checker, IntakeSettings, Logging, Result, parse_yaml, read_text};
 
 /// Settings of a gateway instance, which forwards callers' requests to targets.
 #[derive(Clone, Debug, Deserialize)]
@@ -38,6 +38,9 @@
     /// Resource limits of the instance.
     #[serde(default)]
     pub limits: InstanceLimits,
+    /// Limits on callers that do not go on.
+    #[serde(default)]
+    pub intake: IntakeSettings,
     /// Placement of prompts on engines.
     #[serde(default)]
     pub placement: PlacementSettings,
@@ -164,6 +167,8 @@
     pub retries: RetryLimits,
     /// Resource limits of the instance.
     pub limits: InstanceLimits,
+    /// Limits on callers that do not go on.
+    pub intake: IntakeSettings,
 }
 
 impl GatewaySettings {
@@ -174,6 +179,7 @@
             timing: self.timing,
             retries: self.retries,
             limits: self.limits,
+            intake: self.intake,
         }
     }
 
@@ -221,7 +227,8 @@
         let is_ratio_valid = (0.0..=10.0).contains(&self.retries.ratio);
         checker.require("ratio", is_ratio_valid, "must be from 0 to 10")?;
         let is_slack_valid = self.retries.slack >= 0.0 && self.retries.slack.is_finite();
-        checker.require("slack", is_slack_valid, "must be 0 or more")
+        checker.require("slack", is_slack_valid, "must be 0 or more")?;
+        self.intake.check(checker)
     }
 }
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod checker;
 mod gateway;
+mod intake;
 mod policy;
 
 use std::{net::SocketAddr, path::Path, sync::Arc};
@@ -14,6 +15,7 @@
 pub use self::gateway::{
     Duties, GatewaySettings, GatewayTiming, InstanceLimits, PlacementSettings, RetryLimits, Tuning,
 };
+pub use self::intake::IntakeSettings;
 pub use self::policy::{Division, Policy, QueueOrder, RoleControl};
 
 /// Maximum length of a lease, in milliseconds.
@@ -45,6 +47,9 @@
     /// Limits on callers, appends and weight fetches.
     #[serde(default)]
     pub limits: Limits,
+    /// Limits on callers that do not go on.
+    #[serde(default)]
+    pub intake: IntakeSettings,
     /// Policies for routing, queueing and engine roles.
     #[serde(default)]
     pub policy: Policy,
@@ -248,7 +253,8 @@
         self.check_addresses(checker)?;
         self.check_urls(checker)?;
         self.timing.check(checker)?;
-        self.limits.check(checker)
+        self.limits.check(checker)?;
+        self.intake.check(checker)
     }
 
     fn check_addresses(&self, checker: &Checker<'_>) -> Result<()> {
