Notice callers of serve that leave or close their sending side

Cause: `serve` relied on its server library, which takes the end of what a caller sends for its leaving, and does not see it behind further bytes. A half-closed caller was cut off, and a call whose caller had left went on.

Change: the socket of the gateway's callers moves to `intake` and serves both front ends; the connection is aborted once the caller has left. The answer's parts of at most 16 KiB apply to `serve` as well.

--- a/src/entry/acceptor.rs
+++ b/src/entry/acceptor.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use crate::intake::{Intake, IntakeStream, Listener};
+use crate::intake::{CallerSocket, CallerStream, Intake, IntakeStream, Listener, watch_caller};
 
 /// Time without progress in a write after which a connection is closed, because
 /// its caller reads no data.
@@ -101,7 +101,7 @@
 
 impl Acceptor for EntryAcceptor {
     type Coupler = TcpCoupler<Self::Stream>;
-    type Stream = StraightStream<IntakeStream<TcpStream>>;
+    type Stream = StraightStream<IntakeStream<CallerStream<fn()>>>;
 
     fn holdings(&self) -> &[Holding] {
         &self.holdings
@@ -120,8 +120,12 @@
         // Tokens are written one at a time; Nagle's algorithm would delay each
         // until the previous one is acknowledged.
         stream.set_nodelay(true)?;
-        let stream = IntakeStream::new(stream, admitted);
         let conn_ctrl = ConnCtrl::new();
+        let socket = CallerSocket::new(stream);
+        let connection = admitted.connection().clone();
+        tokio::spawn(watch_caller(socket.clone(), connection, conn_ctrl.clone()));
+        let on_read: fn() = || ();
+        let stream = IntakeStream::new(CallerStream::new(socket, on_read), admitted);
         Ok(Accepted {
             coupler: TcpCoupler::new(),
             stream: StraightStream::new(stream, Some(self.fuse), conn_ctrl.clone(), None),
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -51,6 +51,8 @@
     server
         .http1_mut()
         .max_headers(max_fields)
+        // Whether the caller has left is decided by its socket.
+        .half_close(true)
         .max_buf_size(4 * MAX_HEADER_BYTES);
     let handle = server.handle();
     let serving = server.try_serve(service);
--- a/src/gateway/caller/connection.rs
+++ b/src/gateway/caller/connection.rs
@@ -3,20 +3,17 @@
 
 use std::{
     convert::Infallible,
-    io,
-    pin::{Pin, pin},
+    pin::pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
-    task::{Context, Poll, ready},
     time::Duration,
 };
 
-use bytes::Bytes;
 use hyper::{
     Request, Response, Version,
-    body::{Body as _, Frame, Incoming, SizeHint},
+    body::{Body as _, Incoming},
     header::CONTENT_LENGTH,
     server::conn::http1,
     service::service_fn,
@@ -32,14 +29,12 @@
     call::{Caller, Presence},
     catalog::CallerLimits,
     gateway::{
-        caller::{
-            caller_socket::{CallerSocket, CallerStream},
-            reply::Body,
-            server,
-        },
+        caller::{reply::Body, server},
         state::State,
     },
-    intake::{self, Admitted, IntakeStream, Listener, Reason},
+    intake::{
+        self, Admitted, AnswerBody, CallerSocket, CallerStream, IntakeStream, Listener, Reason,
+    },
 };
 
 /// Minimum size of the buffer for a request head.
@@ -50,10 +45,6 @@
 /// request with status 431.
 const HEAD_BUFFER_FACTOR: usize = 2;
 
-/// Maximum size of a part of an answer that is handed to the server at once. The server copies
-/// what it is handed, and the copy does not count as memory for answers.
-const MAX_FRAME_BYTES: usize = 16 << 10;
-
 /// Interval at which the timeouts of a connection are checked again while a request
 /// is in progress.
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -146,47 +137,6 @@
     }
 }
 
-/// A response body that keeps the connection marked as serving a request.
-struct GuardedBody {
-    body: Body,
-    /// Rest of a part that is larger than [`MAX_FRAME_BYTES`].
-    rest: Bytes,
-    _guard: RequestGuard,
-}
-
-impl hyper::body::Body for GuardedBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        if self.rest.is_empty() {
-            let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-            let data = match frame.map(|frame| frame.map(Frame::into_data)) {
-                Some(Ok(Ok(data))) => data,
-                Some(Ok(Err(frame))) => return Poll::Ready(Some(Ok(frame))),
-                Some(Err(error)) => return Poll::Ready(Some(Err(error))),
-                None => return Poll::Ready(None),
-            };
-            self.rest = data;
-        }
-        let count = self.rest.len().min(MAX_FRAME_BYTES);
-        let part = self.rest.split_to(count);
-        Poll::Ready(Some(Ok(Frame::data(part))))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.rest.is_empty() && self.body.is_end_stream()
-    }
-
-    /// The size is only asked for before the first part.
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// Serves a connection until it closes or times out.
 ///
 /// Cancelling `close` shuts the connection down gracefully: a request in progress is
@@ -213,11 +163,7 @@
         let answering = answer(state.clone(), socket.clone(), request);
         async move {
             let response = answering.await;
-            Ok::<_, Infallible>(response.map(|body| GuardedBody {
-                body,
-                rest: Bytes::new(),
-                _guard: guard,
-            }))
+            Ok::<_, Infallible>(response.map(|body| AnswerBody::new(body, guard)))
         }
     });
     let buffer_bytes = (HEAD_BUFFER_FACTOR * limits.max_header_bytes).max(MIN_HEAD_BUFFER_BYTES);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -126,20 +126,17 @@
         state.clone(),
         listeners.readiness,
     ));
-    let (kept, intake) = (metrics.clone(), state.intake.clone());
+    let kept = metrics.clone();
     spawn_task(&supervisor, "histograms", move || {
         maintain_histograms(kept.clone())
     });
-    let answer_memory = state.answer_memory.clone();
+    let watched = state.clone();
     spawn_task(&supervisor, "intake", move || {
-        let memory = answer_memory.clone();
-        intake.clone().watch(move || memory.is_short())
+        let memory = watched.answer_memory.clone();
+        watched.intake.clone().watch(move || memory.is_short())
     });
-    let _metrics = spawn_listener(readiness::serve_metrics(
-        metrics,
-        state.intake.clone(),
-        listeners.metrics,
-    ));
+    let intake = state.intake.clone();
+    let _metrics = spawn_listener(readiness::serve_metrics(metrics, intake, listeners.metrics));
     let watched = state.clone();
     spawn_task(&supervisor, "settings", move || {
         reload::watch(watched.clone(), path.clone())
--- a/src/intake/acceptor.rs
+++ b/src/intake/acceptor.rs
@@ -10,7 +10,7 @@
 };
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{Intake, IntakeStream, Listener};
+use super::{Intake, IntakeStream, Listener, watch::RequestGuard};
 
 /// Buffer for the head of a request of an operator's tool, in bytes.
 const OPERATOR_HEAD_BYTES: usize = 16 << 10;
@@ -132,12 +132,9 @@
             ctrl.call_next(request, depot, response).await;
             return;
         };
-        connection.begin_work();
+        let guard = RequestGuard::new(connection);
+        let version = request.version();
         ctrl.call_next(request, depot, response).await;
-        let body = &response.body;
-        match body.is_none() || body.is_once() || body.is_chunks() {
-            true => connection.end_request(),
-            false => connection.begin_stream(),
-        }
+        guard.guard_answer(response, version);
     }
 }
--- a/src/gateway/caller/caller_socket.rs
+++ b/src/intake/caller_socket.rs
@@ -93,7 +93,7 @@
 
     /// Records that the caller has closed its sending side.
     fn note_close(&mut self) {
-        tracing::debug!("gateway: caller closed its sending side");
+        tracing::debug!("intake: caller closed its sending side");
         self.closed_at.get_or_insert_with(Instant::now);
     }
 
@@ -117,7 +117,7 @@
 
 /// Connection of a caller.
 #[derive(Debug)]
-pub(in crate::gateway) struct CallerSocket {
+pub(crate) struct CallerSocket {
     stream: TcpStream,
     state: Mutex<SocketState>,
     /// Notified when a request begins, and when the caller is found to have left.
@@ -125,7 +125,7 @@
 }
 
 impl CallerSocket {
-    pub(in crate::gateway) fn new(stream: TcpStream) -> Arc<Self> {
+    pub(crate) fn new(stream: TcpStream) -> Arc<Self> {
         Arc::new(Self {
             stream,
             state: Mutex::default(),
@@ -135,7 +135,7 @@
 
     /// Records that the head of a request has been read. From now on, the connection is
     /// watched until the answer is complete.
-    pub(in crate::gateway) fn begin_request(&self) {
+    pub(crate) fn begin_request(&self) {
         let mut state = self.lock();
         state.is_waiting = true;
         if state.closed_at.take().is_some() {
@@ -147,7 +147,7 @@
     }
 
     /// Records that the answer begins.
-    pub(in crate::gateway) fn begin_answer(&self, has_chunks: bool) {
+    pub(crate) fn begin_answer(&self, has_chunks: bool) {
         let mut state = self.lock();
         state.has_begun = true;
         state.has_chunks = has_chunks;
@@ -157,7 +157,7 @@
     }
 
     /// Records that the answer is complete, and that the server is about to write its end.
-    pub(in crate::gateway) fn end_request(&self) {
+    pub(crate) fn end_request(&self) {
         let mut state = self.lock();
         state.is_waiting = false;
         state.has_begun = false;
@@ -168,7 +168,7 @@
     }
 
     /// Looks at the connection, and returns whether the caller is there.
-    pub(in crate::gateway) fn look(&self) -> Presence {
+    pub(crate) fn look(&self) -> Presence {
         let mut state = self.lock();
         let socket = SockRef::from(&self.stream);
         self.read_ahead(&mut state, |buffer| (&*socket).read(buffer));
@@ -182,7 +182,7 @@
     }
 
     /// Waits until the caller is found to have left while it waited for an answer.
-    pub(in crate::gateway) async fn left(&self) {
+    pub(crate) async fn left(&self) {
         loop {
             let (is_waiting, is_full, is_closed) = {
                 let state = self.lock();
@@ -282,14 +282,14 @@
 
 /// The connection of a caller as the server reads and writes it.
 #[derive(Debug)]
-pub(in crate::gateway) struct CallerStream<F> {
+pub(crate) struct CallerStream<F> {
     socket: Arc<CallerSocket>,
     /// Called when bytes have been read.
     on_read: F,
 }
 
 impl<F> CallerStream<F> {
-    pub(in crate::gateway) fn new(socket: Arc<CallerSocket>, on_read: F) -> Self {
+    pub(crate) fn new(socket: Arc<CallerSocket>, on_read: F) -> Self {
         Self { socket, on_read }
     }
 }
--- a/src/intake/connection.rs
+++ b/src/intake/connection.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak,
         atomic::{AtomicUsize, Ordering},
     },
 };
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use super::{Activity, Phase};
+use super::{Activity, CallerSocket, Phase};
 
 /// Listener on which a connection has arrived.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
@@ -37,6 +37,10 @@
     /// Memory reserved for the request that arrives.
     held_bytes: AtomicUsize,
     closed: CancellationToken,
+    /// Cancelled once the server has given the connection up.
+    ended: CancellationToken,
+    /// Socket that tells whether the caller is there, at listeners where that is watched.
+    socket: OnceLock<Weak<CallerSocket>>,
 }
 
 impl Connection {
@@ -56,6 +60,8 @@
             activity: Mutex::new(activity),
             held_bytes: AtomicUsize::new(0),
             closed: CancellationToken::new(),
+            ended: CancellationToken::new(),
+            socket: OnceLock::new(),
         }
     }
 
@@ -69,11 +75,6 @@
         self.enter(Phase::Running);
     }
 
-    /// Records that an answer without a known end is sent.
-    pub fn begin_stream(&self) {
-        self.enter(Phase::Streaming);
-    }
-
     /// Records that the answer to a request is complete.
     pub fn end_request(&self) {
         self.enter(Phase::Idle);
@@ -84,6 +85,24 @@
         self.closed.cancelled().await;
     }
 
+    /// Waits until the server has given the connection up.
+    pub(super) async fn ended(&self) {
+        self.ended.cancelled().await;
+    }
+
+    pub(super) fn end(&self) {
+        self.ended.cancel();
+    }
+
+    pub(super) fn set_socket(&self, socket: &Arc<CallerSocket>) {
+        // A connection has only one socket.
+        let _ = self.socket.set(Arc::downgrade(socket));
+    }
+
+    pub(super) fn socket(&self) -> Option<Arc<CallerSocket>> {
+        self.socket.get()?.upgrade()
+    }
+
     pub(super) fn listener(&self) -> Listener {
         self.listener
     }
@@ -131,7 +150,7 @@
     pub(super) fn note_read(&self, bytes: usize) -> u64 {
         let now_ms = self.now_ms();
         let mut activity = self.lock();
-        if matches!(activity.phase, Phase::Idle | Phase::Streaming) {
+        if activity.phase == Phase::Idle {
             activity.phase = Phase::Head;
             activity.phase_at_ms = now_ms;
             activity.phase_bytes = 0;
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -5,12 +5,15 @@
 //! reached, the caller that the process has waited for longest gives way.
 
 mod acceptor;
+mod answer_body;
 mod body;
+mod caller_socket;
 mod connection;
 mod limits;
 mod memory;
 mod refusals;
 mod stream;
+mod watch;
 
 use std::{
     io,
@@ -32,6 +35,12 @@
 use self::refusals::Refusals;
 use crate::policy::caller_choice::{Activity, Phase, choose};
 
+pub(crate) use self::{
+    answer_body::AnswerBody,
+    caller_socket::{CallerSocket, CallerStream},
+    watch::watch_caller,
+};
+
 pub use self::{
     acceptor::{IntakeAcceptor, IntakeHoop, server, service},
     body::{Error, read_body},
@@ -45,10 +54,6 @@
 /// Interval at which callers that do not read their answers are looked for.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time after which an answer without a known end counts as complete if nothing is sent, in
-/// milliseconds. It only matters if connections run short.
-const STREAMING_IDLE_MS: u64 = 15_000;
-
 /// Answer to a connection that is not admitted. The request has not been read.
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
                          connection: close\r\ncontent-length: 0\r\n\r\n";
@@ -175,7 +180,7 @@
             .collect();
         let activities = candidates.iter().map(|open| open.activity());
         let min_ms = limits.min_wait_ms(listener);
-        let Some(index) = choose(activities, min_ms, STREAMING_IDLE_MS, self.now_ms()) else {
+        let Some(index) = choose(activities, min_ms, self.now_ms()) else {
             return false;
         };
         self.close(candidates[index], Reason::GaveWay);
@@ -190,7 +195,7 @@
         let candidates: Vec<_> = open.values().filter(holds_memory).cloned().collect();
         drop(open);
         let activities = candidates.iter().map(|open| open.activity());
-        let chosen = choose(activities, limits.short_stall_ms, u64::MAX, self.now_ms());
+        let chosen = choose(activities, limits.short_stall_ms, self.now_ms());
         let Some(index) = chosen else {
             return false;
         };
--- a/src/intake/stream.rs
+++ b/src/intake/stream.rs
@@ -36,6 +36,7 @@
 
 impl Drop for Admitted {
     fn drop(&mut self) {
+        self.connection.end();
         self.intake.remove(&self.connection);
     }
 }
--- a/src/policy/caller_choice.rs
+++ b/src/policy/caller_choice.rs
@@ -21,8 +21,6 @@
     Body,
     /// A request is in progress.
     Running,
-    /// An answer without a known end is sent.
-    Streaming,
     /// The last request is answered.
     Idle,
 }
@@ -59,19 +57,14 @@
                 let is_stalled = age_ms >= RATE_AFTER_MS && is_slow;
                 Some(if is_stalled { age_ms } else { quiet_ms })
             }
-            Phase::Running | Phase::Streaming | Phase::Idle => None,
+            Phase::Running | Phase::Idle => None,
         }
     }
 
-    /// Returns how long the connection has been idle. Of an answer without a known end it is
-    /// not known whether it is complete.
-    fn idle_ms(&self, now_ms: u64, streaming_idle_ms: u64) -> Option<u64> {
+    /// Returns how long the connection has been idle.
+    fn idle_ms(&self, now_ms: u64) -> Option<u64> {
         let quiet_ms = now_ms.saturating_sub(self.progress_at_ms);
-        match self.phase {
-            Phase::Idle => Some(quiet_ms),
-            Phase::Streaming => quiet_ms.checked_sub(streaming_idle_ms),
-            Phase::Head | Phase::Body | Phase::Running => None,
-        }
+        (self.phase == Phase::Idle).then_some(quiet_ms)
     }
 }
 
@@ -85,20 +78,20 @@
 ///                      progress_at_ms: 0, blocked_at_ms: None };
 /// let running = Activity { phase: Phase::Running, ..new };
 /// let idle = Activity { phase: Phase::Idle, ..new };
-/// assert_eq!(choose([running, idle, new], 500, 15_000, 2_000), Some(2));
-/// assert_eq!(choose([running, idle], 500, 15_000, 2_000), Some(1));
-/// assert_eq!(choose([running], 500, 15_000, 2_000), None);
-/// assert_eq!(choose([new, idle], 500, 15_000, 400), None);
+/// assert_eq!(choose([running, idle, new], 500, 2_000), Some(2));
+/// assert_eq!(choose([running, idle], 500, 2_000), Some(1));
+/// assert_eq!(choose([running], 500, 2_000), None);
+/// assert_eq!(choose([new, idle], 500, 400), None);
 /// ```
 #[must_use]
-pub fn choose<I>(connections: I, min_ms: u64, streaming_idle_ms: u64, now_ms: u64) -> Option<usize>
+pub fn choose<I>(connections: I, min_ms: u64, now_ms: u64) -> Option<usize>
 where
     I: IntoIterator<Item = Activity>,
 {
     let (mut waiting, mut idle) = (None, None);
     for (index, connection) in connections.into_iter().enumerate() {
         let waited = connection.waited_ms(now_ms).map(|ms| (ms, index));
-        let rested = connection.idle_ms(now_ms, streaming_idle_ms);
+        let rested = connection.idle_ms(now_ms);
         waiting = waiting.max(waited.filter(|(ms, _)| *ms >= min_ms));
         idle = idle.max(rested.map(|ms| (ms, index)).filter(|(ms, _)| *ms >= min_ms));
     }
