--- a/src/gateway/caller/connection.rs
+++ b/src/gateway/caller/connection.rs
@@ -3,20 +3,17 @@
 
 use std::{
     convert::Infallible,
-    io,
-    pin::{Pin, pin},
+    pin::pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
-    task::{Context, Poll},
     time::Duration,
 };
 
-use bytes::Bytes;
 use hyper::{
     Request, Response, Version,
-    body::{Body as _, Frame, Incoming, SizeHint},
+    body::{Body as _, Incoming},
     header::CONTENT_LENGTH,
     server::conn::http1,
     service::service_fn,
@@ -32,13 +29,12 @@
     call::{Caller, Presence},
     catalog::CallerLimits,
     gateway::{
-        caller::{
-            caller_socket::{CallerSocket, CallerStream},
-            reply::Body,
-            server,
-        },
+        caller::{reply::Body, server},
         state::State,
     },
+    intake::{
+        self, Admitted, AnswerBody, CallerSocket, CallerStream, IntakeStream, Listener, Reason,
+    },
 };
 
 /// Minimum size of the buffer for a request head.
@@ -109,21 +105,29 @@
 struct RequestGuard {
     activity: Arc<Activity>,
     socket: Arc<CallerSocket>,
+    admission: Arc<intake::Connection>,
 }
 
 impl RequestGuard {
-    fn new(activity: &Arc<Activity>, socket: &Arc<CallerSocket>) -> Self {
+    fn new(
+        activity: &Arc<Activity>,
+        socket: &Arc<CallerSocket>,
+        admission: &Arc<intake::Connection>,
+    ) -> Self {
         activity.in_request.store(true, Ordering::Release);
         socket.begin_request();
+        admission.begin_work();
         Self {
             activity: activity.clone(),
             socket: socket.clone(),
+            admission: admission.clone(),
         }
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
+        self.admission.end_request();
         self.socket.end_request();
         *self.activity.lock() = ReadTimes {
             head_started_at: None,
@@ -133,32 +137,6 @@
     }
 }
 
-/// A response body that keeps the connection marked as serving a request.
-struct GuardedBody {
-    body: Body,
-    _guard: RequestGuard,
-}
-
-impl hyper::body::Body for GuardedBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// Serves a connection until it closes or times out.
 ///
 /// Cancelling `close` shuts the connection down gracefully: a request in progress is
@@ -166,6 +144,7 @@
 pub(in crate::gateway) async fn serve(
     state: Arc<State>,
     stream: TcpStream,
+    admitted: Admitted,
     close: CancellationToken,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
@@ -177,23 +156,24 @@
         .map_or_else(CallerLimits::default, |catalog| *catalog.limits());
     let activity = Arc::new(Activity::new());
     let socket = CallerSocket::new(stream);
-    let service = service_fn(|request| {
-        let guard = RequestGuard::new(&activity, &socket);
+    let admission = admitted.connection().clone();
+    let service = service_fn(|mut request: Request<Incoming>| {
+        let guard = RequestGuard::new(&activity, &socket, &admission);
+        request.extensions_mut().insert(admission.clone());
         let answering = answer(state.clone(), socket.clone(), request);
         async move {
             let response = answering.await;
-            Ok::<_, Infallible>(response.map(|body| GuardedBody {
-                body,
-                _guard: guard,
-            }))
+            Ok::<_, Infallible>(response.map(|body| AnswerBody::new(body, guard)))
         }
     });
     let buffer_bytes = (HEAD_BUFFER_FACTOR * limits.max_header_bytes).max(MIN_HEAD_BUFFER_BYTES);
     let reads = activity.clone();
     let stream = CallerStream::new(socket.clone(), move || reads.record_read());
+    let stream = IntakeStream::new(stream, admitted);
     let mut connection = pin!(
         http1::Builder::new()
             .max_buf_size(buffer_bytes)
+            .max_headers(state.intake.limits().max_header_fields)
             // Whether the caller has left is decided by its socket.
             .half_close(true)
             .serve_connection(TokioIo::new(stream), service)
@@ -206,11 +186,16 @@
             biased;
             ended = &mut connection => {
                 if let Err(error) = ended {
+                    if error.is_parse_too_large() {
+                        let peer = admission.peer();
+                        state.intake.refuse(Reason::HeadTooLarge, Listener::Callers, peer);
+                    }
                     tracing::debug!("gateway: caller connection failed: {error}");
                 }
                 return;
             }
             () = &mut left => return,
+            () = admission.closed() => return,
             () = sleep_until(close_deadline) => {
                 if activity.close_deadline(&limits) <= Instant::now() {
                     return;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -30,7 +30,7 @@
             targets,
         },
     },
-    instance::metrics_handle,
+    instance::{maintain_histograms, metrics_handle},
     peer::{self, PeerHandle, PeerLog, PeerOptions, Peers, Quorum},
     platform::{CloudClient, StoreClient},
     settings::GatewaySettings,
@@ -136,6 +136,15 @@
         state.clone(),
         listeners.readiness,
     ));
+    let kept = metrics.clone();
+    spawn_task(&supervisor, "histograms", move || {
+        maintain_histograms(kept.clone())
+    });
+    let watched = state.clone();
+    spawn_task(&supervisor, "intake", move || {
+        let memory = watched.answer_memory.clone();
+        watched.intake.clone().watch(move || memory.is_short())
+    });
     let _metrics = spawn_listener(readiness::serve_metrics(
         state.clone(),
         metrics,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod checker;
 mod gateway;
+mod intake;
 mod policy;
 
 use std::{net::SocketAddr, path::Path, sync::Arc};
@@ -15,6 +16,7 @@
     Duties, GatewaySettings, GatewayTiming, InstanceLimits, PlacementSettings, QuotaSettings,
     RetryLimits, Tuning,
 };
+pub use self::intake::IntakeSettings;
 pub use self::policy::{Division, Policy, QueueOrder, RoleControl};
 
 /// Maximum length of a lease, in milliseconds.
@@ -46,6 +48,9 @@
     /// Limits on callers, appends and weight fetches.
     #[serde(default)]
     pub limits: Limits,
+    /// Limits on callers that do not go on.
+    #[serde(default)]
+    pub intake: IntakeSettings,
     /// Policies for routing, queueing and engine roles.
     #[serde(default)]
     pub policy: Policy,
@@ -140,6 +145,10 @@
     pub log_appends_per_s: u32,
     /// Maximum number of models fetched from the weight store per minute.
     pub weight_fetches_per_min: u32,
+    /// Memory limit of the instance, in megabytes.
+    pub memory_mb: u64,
+    /// Maximum number of open file descriptors.
+    pub max_descriptors: u64,
 }
 
 impl Default for Limits {
@@ -150,6 +159,8 @@
             max_queued: 10_000,
             log_appends_per_s: 300,
             weight_fetches_per_min: 30,
+            memory_mb: 512,
+            max_descriptors: 4_096,
         }
     }
 }
@@ -243,7 +254,8 @@
         self.check_addresses(checker)?;
         self.check_urls(checker)?;
         self.timing.check(checker)?;
-        self.limits.check(checker)
+        self.limits.check(checker)?;
+        self.intake.check(checker)
     }
 
     fn check_addresses(&self, checker: &Checker<'_>) -> Result<()> {
@@ -343,6 +355,12 @@
             "log_appends_per_s",
             self.log_appends_per_s > 0,
             "must be over 0",
+        )?;
+        checker.require("memory_mb", self.memory_mb > 0, "must be over 0")?;
+        checker.require(
+            "max_descriptors",
+            self.max_descriptors > 0,
+            "must be over 0",
         )
     }
 }
