--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -7,14 +7,17 @@
 //! instance whose query is not answered in time decides alone, and each instance sends its
 //! outstanding placements again when another instance becomes dispatcher.
 //!
-//! `client` queries the dispatcher and reports to it (`ticket`), `server` receives datagrams
-//! (`datagram`), and `planner` places prompts by the decisions in
+//! `client` queries the dispatcher (`query`) and reports to it (`ticket`), `server` receives
+//! datagrams (`datagram`), and `planner` places prompts by what `service_plan` knows and by the
+//! decisions in
 //! [`crate::policy::dispatch`] and [`crate::policy::placement`].
 
 mod client;
 mod datagram;
 mod planner;
+mod query;
 mod server;
+mod service_plan;
 mod ticket;
 
 /// Protobuf messages generated from `proto/dispatch.proto`.
--- a/src/gateway/dispatch/planner.rs
+++ b/src/gateway/dispatch/planner.rs
@@ -5,8 +5,9 @@
 use indexmap::IndexMap;
 
 use super::{
-    datagram::{decode_prompt, encode_reason},
-    frames::{Declined, Failure, Notice, Placed, Prefilled, Query, Refused, datagram::Body},
+    datagram::decode_prompt,
+    frames::{Declined, Failure, Notice, Placed, Prefilled, Query, datagram::Body},
+    service_plan::ServicePlan,
 };
 use crate::{
     call::Prompt,
@@ -16,118 +17,17 @@
             placement::{CACHE_SHARE, candidates_with},
         },
         state::State,
-        target::loads::{AttemptOutcome, FleetLoad},
+        target::loads::AttemptOutcome,
     },
     policy::{
-        cache_locality::CachedChains,
-        dispatch::{Backlog, Ledger, OutstandingPlacement, PlacementKey},
-        engine_profile::{EngineProfile, LOCAL_PREFILL_FACTOR},
+        dispatch::{OutstandingPlacement, PlacementKey},
+        engine_profile::EngineProfile,
         placement::{EngineCandidate, Placement, PlacementInput, choose_prefill_engine},
-        shortage::{Admission, Decision, Offer, Request, ShortageState},
         spread::{SpreadCandidate, choose_least_loaded},
-        target_speed::TargetSpeeds,
     },
     roster::Target,
 };
 
-/// What the dispatcher of a service knows.
-#[derive(Debug, Default)]
-struct ServicePlan {
-    ledger: Ledger,
-    /// Prompt parts that engines have cached, or will have once they have prefilled the
-    /// prompts that were placed on them.
-    planned: CachedChains,
-    /// Prompt parts that engines have cached.
-    cached: CachedChains,
-    admission: Admission,
-    speeds: TargetSpeeds,
-    /// Start of each known engine. An engine that starts again has nothing cached.
-    boots: IndexMap<Arc<str>, u64>,
-}
-
-impl ServicePlan {
-    /// Forgets what is known of engines that are gone or have started again.
-    fn update_engines(&mut self, targets: &[Arc<Target>]) {
-        let mut boots = IndexMap::with_capacity(targets.len());
-        for target in targets {
-            boots.insert(target.id.clone(), target.started_at_unix_ms);
-        }
-        if boots == self.boots {
-            return;
-        }
-        let previous = &self.boots;
-        let is_same = |id: &str| {
-            boots
-                .get(id)
-                .is_some_and(|boot| previous.get(id) == Some(boot))
-        };
-        self.planned.retain(is_same);
-        self.cached.retain(is_same);
-        self.speeds.retain(is_same);
-        self.boots = boots;
-    }
-
-    /// Returns the refusal of a request that the engines cannot serve in time; `None` if it
-    /// is admitted.
-    fn refuse(
-        &mut self,
-        query: &Query,
-        placement: &Placement,
-        candidates: &[EngineCandidate],
-        profile: &EngineProfile,
-        now_ms: u64,
-    ) -> Option<Refused> {
-        let candidate = &candidates[placement.index];
-        let ms_per_token = match placement.is_local_prefill {
-            true => profile.local_prefill_ms_per_token(),
-            false => profile.remote_prefill_ms_per_token(),
-        };
-        let request = Request {
-            priority: query.priority.min(u8::MAX.into()) as u8,
-            objective_ms: query.objective_ms.into(),
-            left_ms: query.left_ms.into(),
-            account: query.account,
-            work_ms: f64::from(placement.uncached_tokens) * ms_per_token * candidate.slowness,
-        };
-        let offer = Offer {
-            wait_ms: placement.queue_ms,
-            mean_wait_ms: mean_wait_ms(candidates, profile),
-            own_ms: placement.first_event_ms - placement.queue_ms,
-            capacity: open_capacity(candidates),
-        };
-        let before = self.admission.state();
-        let decision = self.admission.decide(&request, &offer, now_ms);
-        let after = self.admission.state();
-        if before != after {
-            record_state(&query.service, after, &offer);
-        }
-        let Decision::Refuse {
-            retry_after_ms,
-            reason,
-        } = decision
-        else {
-            return None;
-        };
-        Some(Refused {
-            number: query.number,
-            retry_after_ms: u32::try_from(retry_after_ms).unwrap_or(u32::MAX),
-            wait_ms: placement.queue_ms as u32,
-            reason: encode_reason(reason) as i32,
-        })
-    }
-
-    fn load(&self, target: &Target) -> FleetLoad {
-        let Backlog {
-            requests,
-            queued_tokens,
-        } = self.ledger.backlog(&target.id);
-        FleetLoad {
-            requests: requests.into(),
-            queued_tokens: queued_tokens as f64,
-        }
-    }
-}
-
 /// Places prompts for all instances. Does nothing until it is queried.
 #[derive(Debug, Default)]
 pub(super) struct Planner {
@@ -300,50 +200,6 @@
     }
 }
 
-/// Returns the number of engines that take prompts. An engine that decodes prefills at a
-/// part of the speed.
-fn open_capacity(candidates: &[EngineCandidate]) -> f64 {
-    let mut capacity = 0.0;
-    for candidate in candidates {
-        if candidate.is_excluded || candidate.is_unreachable {
-            continue;
-        }
-        capacity += match candidate.prefills() {
-            true => 1.0,
-            false => 1.0 / LOCAL_PREFILL_FACTOR,
-        };
-    }
-    capacity
-}
-
-/// Returns the mean time until an engine has prefilled the prompts that are queued on it, in
-/// milliseconds.
-fn mean_wait_ms(candidates: &[EngineCandidate], profile: &EngineProfile) -> f64 {
-    let mut wait_ms = 0.0;
-    let mut engines = 0.0;
-    for candidate in candidates {
-        if candidate.is_excluded || candidate.is_unreachable || !candidate.prefills() {
-            continue;
-        }
-        let ms_per_token = profile.remote_prefill_ms_per_token() * candidate.slowness;
-        wait_ms += candidate.queued_tokens * ms_per_token;
-        engines += 1.0;
-    }
-    wait_ms / f64::max(engines, 1.0)
-}
-
-fn record_state(service: &str, state: ShortageState, offer: &Offer) {
-    tracing::info!(
-        service,
-        is_short = state.is_short(),
-        wait_ms = offer.wait_ms as u64,
-        capacity = offer.capacity,
-        "dispatch: shortage of engines is now {state:?}"
-    );
-    let value = f64::from(u8::from(state.is_short()));
-    metrics::gauge!("dispatch_shortage", "service" => service.to_owned()).set(value);
-}
-
 /// Adds a placement to the ledger, and its parts to those that the engine will have cached.
 fn insert(
     state: &State,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,7 +17,7 @@
 //!   that crash them.
 //! - `store` follows topics of the platform's store, and `duty` contains the tasks of the
 //!   whole fleet, which only one instance performs at a time.
-//! - `run` starts and stops the tasks, `listeners` contains their sockets, `state` is
+//! - `run` starts the tasks and `stop` ends them, `listeners` contains their sockets, `state` is
 //!   shared by them, `reload` reloads the settings file, `readiness` serves readiness
 //!   checks and metrics, `destination` tells where a request would go, `usage` counts started requests, `lag` measures how late tasks
 //!   run, and `clock` measures time across suspension of the machine.
@@ -36,6 +36,7 @@
 mod reload;
 mod run;
 mod state;
+mod stop;
 mod store;
 mod target;
 mod usage;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -7,7 +7,6 @@
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::watch,
-    time::{Instant, sleep, timeout},
 };
 use tokio_util::{sync::CancellationToken, task::AbortOnDropHandle};
 
@@ -23,7 +22,8 @@
         listeners::Listeners,
         notices::{quarantine, target_notices},
         readiness, reload,
-        state::{State, StopPhase},
+        state::State,
+        stop::{STOP_MARGIN, stop_gracefully},
         store::{
             catalog::CatalogTail,
             members::{self, MemberTail},
@@ -51,17 +51,6 @@
 /// platform is closed (`TCP_USER_TIMEOUT`).
 const PLATFORM_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Time for which new connections of callers are still accepted after the instance
-/// has become unready, so that the load balancer notices first.
-const UNREADY_BEFORE_CLOSE: Duration = Duration::from_millis(2_500);
-
-/// Margin between the end of a graceful stop and the time at which the platform
-/// kills the instance.
-const STOP_MARGIN: Duration = Duration::from_millis(800);
-
-/// Time at the end of a graceful stop for the final answers to requests in progress.
-const FINAL_ANSWER_TIME: Duration = Duration::from_millis(300);
-
 /// Result of starting or running an instance.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -378,33 +367,6 @@
     }
 }
 
-/// Makes the instance unready, closes the listener for callers after
-/// [`UNREADY_BEFORE_CLOSE`], and waits for the requests in progress. Those that are still
-/// in progress [`FINAL_ANSWER_TIME`] and [`STOP_MARGIN`] before the end of the configured
-/// stop time get their final answers then.
-async fn stop_gracefully(
-    state: &State,
-    close: &CancellationToken,
-    mut serving: tokio::task::JoinHandle<io::Result<()>>,
-) {
-    let stop_time = state.tuning().timing.stop();
-    let end_at = Instant::now() + stop_time.saturating_sub(STOP_MARGIN + FINAL_ANSWER_TIME);
-    tracing::info!("gateway: stopping; waiting for requests in progress");
-    state.begin_stop();
-    sleep(UNREADY_BEFORE_CLOSE).await;
-    state.enter_stop_phase(StopPhase::Closing);
-    close.cancel();
-    let left = end_at.saturating_duration_since(Instant::now());
-    if timeout(left, &mut serving).await.is_ok() {
-        return;
-    }
-    tracing::warn!("gateway: requests still in progress at the end of the graceful stop");
-    state.enter_stop_phase(StopPhase::Ended);
-    if timeout(FINAL_ANSWER_TIME, serving).await.is_err() {
-        tracing::warn!("gateway: connections still open after the graceful stop");
-    }
-}
-
 fn spawn_listener<F>(serving: F) -> AbortOnDropHandle<()>
 where
     F: Future<Output = io::Result<()>> + Send + 'static,
--- a/tests/prompt_placement.rs
+++ b/tests/prompt_placement.rs
@@ -531,3 +531,73 @@
         assert_eq!(engines[source].role, EngineRole::Decode);
     }
 }
+
+/// Places a prompt with what the fleet has cached.
+fn place_in_fleet(
+    prompt: &Prompt,
+    engines: &[EngineCandidate],
+    planned: &CachedChains,
+    cached: &CachedChains,
+) -> Placement {
+    let profile = profile(50.0);
+    let input = PlacementInput {
+        profile: &profile,
+        cached: planned,
+        capacity_tokens: CAPACITY_TOKENS,
+        token_transfer_ms: 0.0004,
+        event_objective_ms: 250.0,
+        latency_objective_ms: 500.0,
+        prefers_copy: false,
+        prefill_share: 1.0,
+        sample_point: 0,
+        fleet_cached: Some(cached),
+    };
+    choose_prefill_engine(prompt, engines, &input).unwrap()
+}
+
+/// A prompt with a long shared part that no engine has must count with all its tokens: cold
+/// caches after a start or a loss of engines made placements look 10 times too cheap.
+#[test]
+fn cold_parts_counted() {
+    let none = CachedChains::default();
+    let prompt = long_prompt();
+    let placed = place_in_fleet(&prompt, &engines(40), &none, &none);
+    assert_eq!(placed.fetch_from, None);
+    assert_eq!(placed.uncached_tokens, prompt.prompt_tokens);
+}
+
+/// Shared parts that some engine has must be fetched from that engine, not from one that would
+/// probably have them, and not read again.
+#[test]
+fn known_source_fetched() {
+    let prompt = long_prompt();
+    let mut engines = engines(40);
+    for source in 0..engines.len() {
+        let mut cached = CachedChains::default();
+        cached.insert(&engines[source].id, prompt.shared_parts(), CAPACITY_TOKENS);
+        engines[source].queued_tokens = 200_000.0;
+        let placed = place_in_fleet(&prompt, &engines, &CachedChains::default(), &cached);
+        engines[source].queued_tokens = 0.0;
+        assert_eq!(placed.fetch_from, Some(source));
+        assert_eq!(placed.uncached_tokens, prompt.unshared_tokens());
+    }
+}
+
+/// A busy engine must not get a prompt because it has the shared parts, if a free one can
+/// fetch them; in a large fleet all engines must be compared, not a sample.
+#[test]
+fn free_engine_found() {
+    let prompt = long_prompt();
+    let mut engines = engines(60);
+    for engine in &mut engines {
+        engine.queued_tokens = 100_000.0;
+    }
+    let mut cached = CachedChains::default();
+    cached.insert(&engines[3].id, prompt.shared_parts(), CAPACITY_TOKENS);
+    for free in 0..engines.len() {
+        engines[free].queued_tokens = 0.0;
+        let placed = place_in_fleet(&prompt, &engines, &cached, &cached);
+        engines[free].queued_tokens = 100_000.0;
+        assert_eq!(placed.index, free);
+    }
+}
