Keep the limits of waits as low as before

Change: limits reach from 0.25 to 0.75 of the smallest objective again, and the wait on the chosen engine counts whole.

--- a/src/policy/shortage/limits.rs
+++ b/src/policy/shortage/limits.rs
@@ -4,11 +4,11 @@
 pub(super) const PRIORITIES: usize = 8;
 
 /// Wait that is accepted from every request, as a fraction of the objective.
-pub(super) const LOWEST_LIMIT: f64 = 0.5;
+pub(super) const LOWEST_LIMIT: f64 = 0.25;
 
 /// Wait limit of the most urgent requests, including their own time, as a fraction of the
 /// objective. The rest covers errors of the predicted times.
-const HIGHEST_LIMIT: f64 = 0.9;
+const HIGHEST_LIMIT: f64 = 0.75;
 
 /// Time for which an objective is remembered, in slices.
 const SLICES: usize = 6;
--- a/src/policy/shortage/mod.rs
+++ b/src/policy/shortage/mod.rs
@@ -63,10 +63,6 @@
 /// Longer times count as this value.
 const MAX_TIME_MS: f64 = 600_000.0;
 
-/// Wait on one engine that counts as a shortage, as a multiple of the mean wait on all. A
-/// longer one is chosen for what the engine has cached.
-const MAX_MEAN_WAITS: f64 = 2.0;
-
 const MAX_CAPACITY: f64 = 1_000_000.0;
 
 /// A request to an engine.
@@ -214,20 +210,19 @@
         if offer.wait_ms + offer.own_ms > patience_ms.min(request.left_ms) {
             return Some(Reason::Hopeless);
         }
-        let wait_ms = offer.shortage_wait_ms();
         let range = self.limits.range(request.rank());
         let is_admitted = !self.condition.state().is_short()
-            || wait_ms <= self.wait_limit_ms(request, offer)
-            || (wait_ms <= range.high_ms && self.is_exempt(request, offer));
+            || offer.wait_ms <= self.wait_limit_ms(request, offer)
+            || (offer.wait_ms <= range.high_ms && self.is_exempt(request, offer));
         if is_admitted {
             return None;
         }
-        if wait_ms <= self.limit_below_share_ms(range, request, offer) {
+        if offer.wait_ms <= self.limit_below_share_ms(range, request, offer) {
             return Some(Reason::AccountShare);
         }
         let most_urgent = self.limits.most_urgent();
         let urgent_limit_ms = self.limits.range(most_urgent).for_size(offer.own_ms);
-        let is_urgency = request.rank() > most_urgent && wait_ms <= urgent_limit_ms;
+        let is_urgency = request.rank() > most_urgent && offer.wait_ms <= urgent_limit_ms;
         Some(match is_urgency {
             true => Reason::Urgency,
             false => Reason::Shortage,
@@ -280,7 +275,7 @@
         let urgent_part = busy_part(urgent, offer.capacity);
         let used_part = busy_part(f64::min(used, lasting), offer.capacity);
         let exceeded = self.accounts.exceeded_part(request.sender(), self.now_ms);
-        let excess_ms = (offer.shortage_wait_ms() - self.wait_limit_ms(request, offer)).max(0.0);
+        let excess_ms = (offer.wait_ms - self.wait_limit_ms(request, offer)).max(0.0);
         let refused = Return {
             account: request.account,
             priority,
@@ -316,11 +311,6 @@
 }
 
 impl Offer {
-    /// Returns the part of the wait that a shortage causes, in milliseconds.
-    fn shortage_wait_ms(&self) -> f64 {
-        self.wait_ms.min(MAX_MEAN_WAITS * self.mean_wait_ms)
-    }
-
     fn sanitized(self) -> Self {
         Self {
             wait_ms: finite(self.wait_ms, MAX_TIME_MS),
