--- a/tests/shared_placement.rs
+++ b/tests/shared_placement.rs
@@ -28,7 +28,8 @@
     store.put("keyed.op", "config", &configuration(1));
     let mut workers = Vec::new();
     for index in 0..2 {
-        let prefill = Worker::start(&format!("i-p{index}"), |arrival| {
+        let (prefill_id, decode_id) = (format!("i-p{index}"), format!("i-d{index}"));
+        let prefill = Worker::start(&prefill_id, |arrival| {
             let body = r#"{"kv_handle":"h1","tokens":900,"version":1}"#;
             Some(signed(arrival, 200, body))
         });
@@ -38,7 +39,7 @@
             &prefill.id,
             &prefill.entry("models", Some("prefill")),
         );
-        let decode = Worker::start(&format!("i-d{index}"), |arrival| {
+        let decode = Worker::start(&decode_id, |arrival| {
             Some(stream(arrival, vec![Ok(COMPLETE)]))
         });
         let decode = decode.await;
