Resend the request of left_call_forgotten until it arrives

Change: a refused request is sent again. The prompts of the new tests of placement have shared parts.

--- a/tests/left_examination.rs
+++ b/tests/left_examination.rs
@@ -68,6 +68,23 @@
     }
 }
 
+/// Sends a request until it arrives at the target. It is refused while the connections that
+/// fill the target's queue are not all closed.
+async fn send_until_accepted(
+    gateway: &Gateway,
+    listener: &TcpListener,
+    id: &str,
+) -> (TcpStream, TcpStream) {
+    loop {
+        let mut caller = send(gateway, id).await;
+        let mut refusal = [0; 1_024];
+        tokio::select! {
+            answering = accept_request(listener) => return (caller, answering),
+            _ = caller.read(&mut refusal) => {}
+        }
+    }
+}
+
 /// Opens connections until a further one is not answered. Returns the open ones.
 async fn fill_queue(address: SocketAddr) -> Vec<TcpStream> {
     let mut open = Vec::new();
@@ -101,8 +118,7 @@
     let gateway = Gateway::start("entry-1", &store, &cloud).await;
     gateway.wait_until_ready().await;
 
-    let caller = send(&gateway, "r-left").await;
-    let answering = accept_request(&listener).await;
+    let (caller, answering) = send_until_accepted(&gateway, &listener, "r-left").await;
     // The examination waits for a connection while the target's queue is full.
     let queued = fill_queue(address).await;
     answering.set_zero_linger().unwrap();
@@ -113,8 +129,7 @@
     sleep(Duration::from_millis(1_500)).await;
     drop(queued);
 
-    let _caller = send(&gateway, "r-crash").await;
-    let answering = accept_request(&listener).await;
+    let (_caller, answering) = send_until_accepted(&gateway, &listener, "r-crash").await;
     drop(listener);
     answering.set_zero_linger().unwrap();
     drop(answering);
--- a/tests/prompt_placement.rs
+++ b/tests/prompt_placement.rs
@@ -560,7 +560,7 @@
 #[test]
 fn cold_parts_counted() {
     let none = CachedChains::default();
-    let prompt = long_prompt();
+    let prompt = prompt(1, 2);
     let placed = place_in_fleet(&prompt, &engines(40), &none, &none);
     assert_eq!(placed.fetch_from, None);
     assert_eq!(placed.uncached_tokens, prompt.prompt_tokens);
@@ -570,7 +570,7 @@
 /// probably have them, and not read again.
 #[test]
 fn known_source_fetched() {
-    let prompt = long_prompt();
+    let prompt = prompt(1, 2);
     let mut engines = engines(40);
     for source in 0..engines.len() {
         let mut cached = CachedChains::default();
@@ -587,7 +587,7 @@
 /// fetch them; in a large fleet all engines must be compared, not a sample.
 #[test]
 fn free_engine_found() {
-    let prompt = long_prompt();
+    let prompt = prompt(1, 2);
     let mut engines = engines(60);
     for engine in &mut engines {
         engine.queued_tokens = 100_000.0;
