--- a/src/policy/share/fleet_limit.rs
+++ b/src/policy/share/fleet_limit.rs
@@ -35,6 +35,14 @@
 /// instance that has used nothing lately. The parts of small limits are less than a request.
 const SINGLE_REQUEST_DIVISOR: f64 = 4.0;
 
+/// Fraction of the window's bound that must be left for requests to be admitted beyond this
+/// instance's part. An account that uses little is limited by the bucket alone; the rest of
+/// the bound covers what others use before it is known.
+const LIGHT_LEFT: f64 = 0.5;
+
+/// Fraction of the other instances that must be heard for that.
+const WELL_HEARD: f64 = 0.9;
+
 /// Decrease of the fraction of instances heard that is not caused by delays alone.
 const NOTICED_LOSS: f64 = 0.1;
 
@@ -326,6 +334,11 @@
         if unknown == 0 && cost as f64 <= left / SINGLE_REQUEST_DIVISOR {
             return true;
         }
+        let is_light =
+            unknown as f64 + cost as f64 <= left - LIGHT_LEFT * self.limit.window_bound();
+        if is_light && reach.fraction >= WELL_HEARD {
+            return true;
+        }
         unknown as f64 + cost as f64 <= left * self.weight(cost, reach)
     }
 }
--- a/tests/shortage_bounds.rs
+++ b/tests/shortage_bounds.rs
@@ -318,11 +318,11 @@
     // A wait over the smallest objective begins a shortage at once.
     assert_eq!(decide(request(2, 2), 900.0, 500), Some(Reason::Shortage));
     for _ in 0..40 {
-        assert_eq!(decide(request(2, 2), 600.0, 550), Some(Reason::Urgency));
+        assert_eq!(decide(request(2, 2), 540.0, 550), Some(Reason::Urgency));
     }
-    assert_eq!(decide(request(0, 3), 600.0, 700), None);
+    assert_eq!(decide(request(0, 3), 540.0, 700), None);
     assert_eq!(decide(request(0, 3), 790.0, 700), Some(Reason::Shortage));
-    // The range of priority 2 is 200 to 460 ms, as two priorities were seen.
+    // The range of priority 2 is 200 to 400 ms, as two priorities were seen.
     assert_eq!(
         decide(request(2, 1), 300.0, 700),
         Some(Reason::AccountShare)
