--- a/src/policy/share/fleet_limit.rs
+++ b/src/policy/share/fleet_limit.rs
@@ -31,9 +31,6 @@
 /// have not noticed yet that they don't hear each other.
 const OVERAGE_USED: f64 = 0.6;
 
-/// Fraction of the used overage and slack that may be used at once.
-const EXCESS_AT_ONCE: f64 = 0.8;
-
 /// Fraction of the rest of the window's bound, as a divisor, that one request may take at an
 /// instance that has used nothing lately. The parts of small limits are less than a request.
 const SINGLE_REQUEST_DIVISOR: f64 = 4.0;
@@ -87,17 +84,11 @@
         base * (1.0 + self.overage * OVERAGE_USED) + self.slack as f64 * OVERAGE_USED
     }
 
-    /// Returns what may be used at once after a pause: the burst, and a part of what a window
-    /// may exceed. The burst alone is a few requests of a small account, which come at once
-    /// by chance far below the rate.
     fn capacity(&self) -> u64 {
-        let burst = match self.burst {
+        match self.burst {
             0 => self.rate_per_s / 2,
             burst => burst,
-        };
-        let base = self.rate_per_s as f64 * self.window_ms as f64 / 1_000.0 + self.burst as f64;
-        let excess = self.window_bound() - base;
-        burst.saturating_add((excess * EXCESS_AT_ONCE) as u64)
+        }
     }
 }
 
--- a/tests/shortage_returns.rs
+++ b/tests/shortage_returns.rs
@@ -5,7 +5,7 @@
 const DEADLINE_MS: f64 = 6_000.0;
 
 /// Wait with which a new request of 100 ms is refused, but which is under the upper end of the
-/// range of the only priority, 720 ms.
+/// range of the only priority, 600 ms.
 const HIGH_WAIT_MS: f64 = 580.0;
 
 fn request(left_ms: f64) -> Request {
