--- a/src/policy/dispatch/ledger.rs
+++ b/src/policy/dispatch/ledger.rs
@@ -175,7 +175,7 @@
     }
 
     /// Removes the placements whose deadline has passed, at most once in
-    /// [`EXPIRY_MARGIN_MS`], and the engines for which `keep` returns false.
+    /// second, and the engines for which `keep` returns false.
     pub fn expire<F>(&mut self, now_ms: u64, keep: F)
     where
         F: Fn(&str) -> bool,
