--- a/src/policy/dispatch/ledger.rs
+++ b/src/policy/dispatch/ledger.rs
@@ -174,7 +174,7 @@
         self.entries.is_empty()
     }
 
-    /// Removes the placements whose deadline has passed, at most once in
+    /// Removes the placements whose deadline has passed, at most once a
     /// second, and the engines for which `keep` returns false.
     pub fn expire<F>(&mut self, now_ms: u64, keep: F)
     where
