Notice crashes of engines that are removed from the list at once

Cause: an engine whose listener outlives its answers by a moment is examined again. Change: a target was going to stop only if its entry or an answer said so while the call was in flight. Calls whose answers broke off lately are kept while their target is unknown.

--- a/src/gateway/store/targets.rs
+++ b/src/gateway/store/targets.rs
@@ -9,6 +9,7 @@
     gateway::{
         state::State,
         store::follower::{Follower, Update},
+        target::pool::TargetBoot,
     },
     platform::{KeyedRecord, StoreClient, TARGET_TOPIC, read_target},
     roster::Target,
@@ -150,6 +151,10 @@
                     target.role
                 );
             }
+            if target.state.is_draining() {
+                let boot = TargetBoot::from(&target);
+                state.calls_in_flight().mark_stopping(&boot);
+            }
             state.with_roster(|roster| roster.insert(target));
         }
         Err(error) => {
--- a/src/gateway/target/crash.rs
+++ b/src/gateway/target/crash.rs
@@ -1,8 +1,8 @@
 //! Detection of crashed targets, and of the calls that were in flight on them.
 //!
 //! A target has crashed if an answer broke off and the target refuses a new
-//! connection. If it still accepts connections a moment later, only the connection of the
-//! answer was lost. Crashes are reported to peers, and calls that crash targets are refused (see
+//! connection, unless it was going to stop. If it still accepts connections a moment later,
+//! only the connection of the answer was lost. Crashes are reported to peers, and calls that crash targets are refused (see
 //! [`crate::policy::crash_history`]).
 
 use std::{sync::Arc, time::Duration};
@@ -28,15 +28,29 @@
 /// ends may close the connections of its answers before the socket that it listens on.
 const REPEAT_DELAYS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(400)];
 
+/// Time after which the examination of a target has ended: that of the delays and of the
+/// connections between them.
+const MAX_EXAMINATION: Duration = Duration::from_secs(4);
+
 /// A call that was sent to a target and is not answered completely.
 #[derive(Debug)]
 struct CallInFlight {
     boot: TargetBoot,
     call: Arc<Call>,
     sent_at: Instant,
-    /// Whether the answer broke off. The call is then kept until it is known whether
+    /// Whether the target was going to stop.
+    is_stopping: bool,
+    /// When the answer broke off. The call is then kept until it is known whether
     /// the target has crashed.
-    is_broken: bool,
+    broken_at: Option<Instant>,
+}
+
+impl CallInFlight {
+    /// Returns whether the answer broke off so lately that the target may still be examined.
+    fn may_be_examined(&self) -> bool {
+        self.broken_at
+            .is_some_and(|broken_at| broken_at.elapsed() < MAX_EXAMINATION)
+    }
 }
 
 /// Calls of this instance that are in flight on targets.
@@ -49,13 +63,14 @@
 }
 
 impl CallsInFlight {
-    fn insert(&mut self, boot: TargetBoot, call: Arc<Call>) -> u64 {
+    fn insert(&mut self, target: &Target, call: Arc<Call>) -> u64 {
         self.last_number += 1;
         let call = CallInFlight {
-            boot,
+            boot: TargetBoot::from(target),
             call,
             sent_at: Instant::now(),
-            is_broken: false,
+            is_stopping: target.state.is_draining(),
+            broken_at: None,
         };
         self.calls.insert(self.last_number, call);
         self.last_number
@@ -63,35 +78,55 @@
 
     /// Removes a call, unless its answer broke off.
     fn remove(&mut self, number: u64) {
-        if self.calls.get(&number).is_some_and(|call| !call.is_broken) {
+        if self
+            .calls
+            .get(&number)
+            .is_some_and(|call| call.broken_at.is_none()) {
             self.calls.swap_remove(&number);
         }
     }
 
     fn mark_broken(&mut self, number: u64) {
         if let Some(call) = self.calls.get_mut(&number) {
-            call.is_broken = true;
+            call.broken_at = Some(Instant::now());
+        }
+    }
+
+    /// Records that a target is going to stop, and thus that answers which break off from now
+    /// on are not due to a crash. The target may be unknown by the time it is examined.
+    pub(in crate::gateway) fn mark_stopping(&mut self, boot: &TargetBoot) {
+        for call in self.calls.values_mut() {
+            if call.boot == *boot {
+                call.is_stopping = true;
+            }
         }
     }
 
     fn has_broken(&self, boot: &TargetBoot) -> bool {
         let mut calls = self.calls.values();
-        calls.any(|call| call.is_broken && call.boot == *boot)
+        calls.any(|call| call.broken_at.is_some() && call.boot == *boot)
+    }
+
+    fn is_stopping(&self, boot: &TargetBoot) -> bool {
+        let mut calls = self.calls.values();
+        calls.any(|call| call.is_stopping && call.boot == *boot)
     }
 
     /// Forgets the calls whose answers broke off, because the target has not crashed.
     fn discard_broken(&mut self, boot: &TargetBoot) {
         self.calls
-            .retain(|_, call| !(call.is_broken && call.boot == *boot));
+            .retain(|_, call| call.broken_at.is_none() || call.boot != *boot);
     }
 
-    /// Forgets the calls whose answers broke off and whose targets are no longer known.
+    /// Forgets the calls whose answers broke off some time ago and whose targets are no longer
+    /// known.
     pub(in crate::gateway) fn discard_unknown<F>(&mut self, is_known: F)
     where
         F: Fn(&str) -> bool,
     {
-        self.calls
-            .retain(|_, call| !call.is_broken || is_known(call.boot.id()));
+        self.calls.retain(|_, call| {
+            call.broken_at.is_none() || call.may_be_examined() || is_known(call.boot.id())
+        });
     }
 
     /// Removes and returns all calls in flight on a target.
@@ -117,9 +152,8 @@
 
 impl CallGuard {
     pub(in crate::gateway) fn new(state: &Arc<State>, target: &Target, call: &Arc<Call>) -> Self {
-        let boot = TargetBoot::from(target);
         Self {
-            number: state.calls_in_flight().insert(boot, call.clone()),
+            number: state.calls_in_flight().insert(target, call.clone()),
             state: state.clone(),
         }
     }
@@ -185,9 +219,10 @@
     calls.discard_broken(&boot);
 }
 
-/// Returns whether a target has crashed or is about to stop. Records a crash.
+/// Returns whether a target has crashed or is going to stop. Records a crash.
 async fn has_ended(state: &State, target: &Arc<Target>, boot: &TargetBoot) -> bool {
-    if state.announced_leaving(target) || !state.is_ready_target(target) {
+    // The entry of a crashed target may already be gone from the platform's list.
+    if state.announced_leaving(target) || state.calls_in_flight().is_stopping(boot) {
         state.calls_in_flight().discard_broken(boot);
         return true;
     }
--- a/tests/crash_inducing_part.rs
+++ b/tests/crash_inducing_part.rs
@@ -36,12 +36,34 @@
 const MAX_CRASHES: usize = 5;
 /// Time for which a crashed engine is down.
 const RESTART_TIME: Duration = Duration::from_millis(50);
+/// Time for which an engine whose listener outlives its answers still accepts connections.
+const CLOSE_DELAY: Duration = Duration::from_millis(60);
 /// Time in which instances read each other's announcements, which they do once a second,
 /// and connect.
 const CONNECT_TIME: Duration = Duration::from_millis(2_500);
 /// Pause between two requests with the part.
 const PAUSE: Duration = Duration::from_millis(400);
 
+/// What happens as an engine crashes, after its answers broke off.
+#[derive(Clone, Copy, Default)]
+struct CrashSteps {
+    /// Time for which the engine still accepts connections.
+    close_delay: Duration,
+    /// Whether its entry is removed before it stops to accept connections, and instances
+    /// read that at once.
+    is_unlisted_first: bool,
+}
+
+impl CrashSteps {
+    /// Returns the settings of the instances.
+    fn settings(&self) -> &'static str {
+        match self.is_unlisted_first {
+            true => "timing: {lease_ms: 900, usage_window_ms: 1000, stop_ms: 4000, drain_ms: 20}",
+            false => "",
+        }
+    }
+}
+
 /// Engines that crash on [`CRASHING_PART`] and start again under another identifier.
 struct Engines {
     crashes: Arc<AtomicUsize>,
@@ -57,7 +79,7 @@
 }
 
 impl Engines {
-    fn start(store: &Store, close_delay: Duration) -> Self {
+    fn start(store: &Store, steps: CrashSteps) -> Self {
         let crashes: Arc<AtomicUsize> = Arc::default();
         let running: Arc<Mutex<Vec<RunningEngine>>> = Arc::default();
         let mut tasks = JoinSet::new();
@@ -67,7 +89,7 @@
                 store.clone(),
                 crashes.clone(),
                 running.clone(),
-                close_delay,
+                steps,
             ));
         }
         Self {
@@ -100,7 +122,7 @@
     store: Store,
     crashes: Arc<AtomicUsize>,
     running: Arc<Mutex<Vec<RunningEngine>>>,
-    close_delay: Duration,
+    steps: CrashSteps,
 ) {
     for start in 0.. {
         let id = format!("i-{index}-{start}");
@@ -112,7 +134,7 @@
                 let answer = answer_unless_crashed(arrival);
                 if answer.is_none() {
                     crashes.fetch_add(1, Ordering::SeqCst);
-                    if close_delay.is_zero() {
+                    if steps.close_delay.is_zero() {
                         server.get().unwrap().abort();
                     }
                     crashed.notify_one();
@@ -132,7 +154,10 @@
             &worker.entry("models", Some("decode")),
         );
         crashed.notified().await;
-        sleep(close_delay).await;
+        if steps.is_unlisted_first {
+            store.put("keyed.servers", &id, &serde_json::Value::Null);
+        }
+        sleep(steps.close_delay).await;
         server.get().unwrap().abort();
         sleep(RESTART_TIME).await;
         store.put("keyed.servers", &id, &serde_json::Value::Null);
@@ -168,17 +193,18 @@
 
 impl Fixture {
     async fn start(instances: usize) -> Self {
-        Self::start_with(instances, Duration::ZERO).await
+        Self::start_with(instances, CrashSteps::default()).await
     }
 
-    /// Starts instances, and engines that stop listening `close_delay` after a crash.
-    async fn start_with(instances: usize, close_delay: Duration) -> Self {
+    /// Starts instances, and engines that crash in these steps.
+    async fn start_with(instances: usize, steps: CrashSteps) -> Self {
         let (store, cloud) = (Store::start().await, Cloud::start().await);
         store.put("keyed.op", "config", &configuration(1));
-        let engines = Engines::start(&store, close_delay);
+        let engines = Engines::start(&store, steps);
         let mut gateways = Vec::new();
         for index in 0..instances {
-            let gateway = Gateway::start(&format!("entry-{index}"), &store, &cloud).await;
+            let name = format!("entry-{index}");
+            let gateway = Gateway::start_with(&name, &store, &cloud, steps.settings()).await;
             gateway.wait_until_ready().await;
             gateways.push(gateway);
         }
@@ -395,7 +421,26 @@
 /// just after its answers broke off.
 #[tokio::test]
 async fn late_close_noticed() {
-    let fixture = Fixture::start_with(2, Duration::from_millis(60)).await;
+    let steps = CrashSteps {
+        close_delay: CLOSE_DELAY,
+        ..CrashSteps::default()
+    };
+    expect_few_crashes(steps).await;
+}
+
+/// Guards against crashes that are not noticed, because the platform's list no longer has the
+/// engine by the time it is examined again.
+#[tokio::test]
+async fn early_removal_noticed() {
+    let steps = CrashSteps {
+        close_delay: CLOSE_DELAY,
+        is_unlisted_first: true,
+    };
+    expect_few_crashes(steps).await;
+}
+
+async fn expect_few_crashes(steps: CrashSteps) {
+    let fixture = Fixture::start_with(2, steps).await;
     for number in 0..12 {
         let id = format!("r-crashing-{number}");
         fixture
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -665,18 +665,22 @@
     }
 
     /// Starts a gateway that reaches the store and the platform's API at these addresses. It
-    /// reports usage, unless `more` sets other duties.
+    /// reports usage, unless `more` sets other duties. `more` may set other times.
     pub async fn start_at(name: &str, store: SocketAddr, cloud: SocketAddr, more: &str) -> Self {
         let free = "127.0.0.1:0";
         let duties = match more.contains("duties:") {
             true => "",
             false => "duties: {usage: true}",
         };
+        let timing = match more.contains("timing:") {
+            true => "",
+            false => "timing: {lease_ms: 900, usage_window_ms: 1000, stop_ms: 4000}",
+        };
         let text = format!(
             "name: {name}\nfailure_domain: z1\ncaller_address: {free}\n\
              readiness_address: {free}\npeer_address: {free}\nmetrics_address: {free}\n\
              store_address: {store}\ncloud_address: {cloud}\n{duties}\n\
-             timing: {{lease_ms: 900, usage_window_ms: 1000, stop_ms: 4000}}\n{more}\n"
+             {timing}\n{more}\n"
         );
         let path = Path::new("gateway.yaml");
         let settings = GatewaySettings::parse(&text, path).unwrap();
