Cover late reports of usage by what the bucket could not hold

Cause: heartbeats carry few accounts, so that seconds pass between two reports of one account. The bucket holds a second's refill and was charged with all of them at once: instances refused requests of accounts within their limits for up to 13 s. Change: the refill that the bucket could not hold covers usage that is reported later than the report delay.

--- a/src/gateway/admission/quota.rs
+++ b/src/gateway/admission/quota.rs
@@ -144,13 +144,14 @@
             }
         }
         self.heard.add(presence_ms, now_ms);
+        let reach = self.reach(now_ms);
         for PeerAmount { name, amount } in amounts {
             let account = name.strip_prefix(NAME_PREFIX).unwrap_or_default();
             let Some(quota) = catalog.quota(account) else {
                 continue;
             };
             let limit = self.limit(&account.into(), quota, now_ms);
-            limit.hear(amount, now_ms);
+            limit.hear(amount, reach, now_ms);
         }
     }
 
--- a/src/policy/share/fleet_limit.rs
+++ b/src/policy/share/fleet_limit.rs
@@ -126,6 +126,9 @@
 pub struct FleetLimit {
     limit: Limit,
     bucket: TokenBucket,
+    /// What the bucket could not hold since usage of other instances was last heard, at most
+    /// that of one window, in units.
+    surplus: u64,
     /// Usage of this instance.
     own: UsageWindow,
     /// Extrapolated usage of the other instances, by the time it was heard.
@@ -149,6 +152,7 @@
         let mut created = Self::unknown(limit, now_ms);
         created.others = UsageWindow::filled(0, limit.window_ms, now_ms);
         created.bucket.fill();
+        created.surplus = created.max_surplus();
         created
     }
 
@@ -165,6 +169,7 @@
         Self {
             limit,
             bucket,
+            surplus: 0,
             own: UsageWindow::filled(0, limit.window_ms, now_ms),
             others: UsageWindow::filled(limit.rate_per_s, limit.window_ms, now_ms),
             means: Default::default(),
@@ -196,7 +201,7 @@
     /// Fails if the request is over the limit; nothing is charged then.
     pub fn charge(&mut self, cost: u64, reach: Reach, now_ms: u64) -> Result<(), OverLimit> {
         self.used_at_ms = now_ms;
-        self.bucket.refill(now_ms);
+        self.refill(now_ms);
         let bucket_wait_ms = self.bucket.wait_ms(cost);
         let part_wait_ms = self.part_wait_ms(cost, reach, now_ms);
         let wait_ms = bucket_wait_ms.max(part_wait_ms);
@@ -223,11 +228,16 @@
     }
 
     /// Adds the sum of what other instances have got from [`Self::take_report`].
-    pub fn hear(&mut self, parts: u64, now_ms: u64) {
+    ///
+    /// Heartbeats carry few accounts, so that a report may be later than the report delay. The
+    /// bucket has refilled meanwhile, and what it could not hold covers such usage.
+    pub fn hear(&mut self, parts: u64, reach: Reach, now_ms: u64) {
         self.used_at_ms = now_ms;
         let amount = scale(parts, self.limit.rate_per_s, REPORT_PARTS);
-        self.bucket.refill(now_ms);
-        self.bucket.spend(amount as i64);
+        self.refill(now_ms);
+        let delayed = scale(self.limit.rate_per_s, reach.report_delay_ms, 1_000);
+        let covering = std::mem::take(&mut self.surplus).saturating_sub(delayed);
+        self.bucket.spend(amount.saturating_sub(covering) as i64);
         self.others.add(amount, now_ms);
         self.recent += amount as f64;
         for mean in &mut self.means {
@@ -248,7 +258,7 @@
         self.fraction = self.fraction.max(reach.fraction);
         let usage_per_ms = self.recent / reach.recent_presence_ms.max(1.0);
         let unheard = unheard_ms * f64::from(reach.instances) * usage_per_ms;
-        self.bucket.refill(now_ms);
+        self.refill(now_ms);
         self.bucket.spend(unheard as i64);
         self.others.add(unheard as u64, now_ms);
     }
@@ -285,6 +295,15 @@
         self.used_at_ms < since_ms
     }
 
+    fn refill(&mut self, now_ms: u64) {
+        let surplus = self.surplus.saturating_add(self.bucket.refill(now_ms));
+        self.surplus = surplus.min(self.max_surplus());
+    }
+
+    fn max_surplus(&self) -> u64 {
+        scale(self.limit.rate_per_s, self.limit.window_ms, 1_000)
+    }
+
     /// Returns the usage of the last window that is known to all instances.
     fn known(&self, reach: Reach, now_ms: u64) -> u64 {
         let window_ms = self.limit.window_ms;
--- a/src/policy/token_bucket.rs
+++ b/src/policy/token_bucket.rs
@@ -50,23 +50,23 @@
         self.level_milli = self.capacity_milli();
     }
 
-    /// Adds what the rate has refilled by `now_ms`.
-    pub fn refill(&mut self, now_ms: u64) {
+    /// Adds what the rate has refilled by `now_ms`. Returns the whole units that the bucket
+    /// could not hold.
+    pub fn refill(&mut self, now_ms: u64) -> u64 {
         let Some(rate_milli_per_s) = self.rate_milli_per_s else {
-            return;
+            return 0;
         };
         let elapsed_ms = now_ms.saturating_sub(self.refilled_at_ms);
         let refill_milli =
             u128::from(rate_milli_per_s) * u128::from(elapsed_ms) / u128::from(MS_PER_S);
         if refill_milli == 0 {
-            return;
+            return 0;
         }
         self.refilled_at_ms = now_ms;
         let refill_milli = i64::try_from(refill_milli).unwrap_or(i64::MAX);
-        self.level_milli = self
-            .level_milli
-            .saturating_add(refill_milli)
-            .min(self.capacity_milli());
+        let refilled_milli = self.level_milli.saturating_add(refill_milli);
+        self.level_milli = refilled_milli.min(self.capacity_milli());
+        (refilled_milli - self.level_milli).unsigned_abs() / MILLI
     }
 
     /// Returns the capacity: the configured one or the amount refilled in one second, at
--- a/tests/account_quotas.rs
+++ b/tests/account_quotas.rs
@@ -230,6 +230,31 @@
     limit.charge(60_000, reach, 100 + wait_ms).unwrap();
 }
 
+/// Usage that is reported seconds late, because heartbeats carry few accounts, counts as used
+/// all at once, so that requests of an account within its limit are refused.
+#[test]
+fn late_reports() {
+    let reach = Reach {
+        instances: INSTANCES as u32,
+        fraction: 1.0,
+        recent_presence_ms: INSTANCES as f64 * 1_000.0,
+        report_delay_ms: 1_400,
+    };
+    // Parts of a second of the limit's rate, of which 65,536 are the whole.
+    let parts_per_s = 65_536 * 6 / 10;
+    let mut limit = FleetLimit::idle(limit(RATE), 0);
+    for now_s in 1..60 {
+        for now_ms in (now_s * 1_000..(now_s + 1) * 1_000).step_by(100) {
+            limit.take_report(reach, now_ms);
+        }
+        if now_s % 5 == 0 {
+            limit.hear(5 * parts_per_s, reach, now_s * 1_000);
+        }
+        let charged = limit.charge(5_500, reach, now_s * 1_000 + 500);
+        assert!(charged.is_ok(), "after {now_s} s: {charged:?}");
+    }
+}
+
 /// A refunded request still counts.
 #[test]
 fn refund() {
--- a/tests/quota_fleet/mod.rs
+++ b/tests/quota_fleet/mod.rs
@@ -157,7 +157,7 @@
         instance.heard.add(presence_ms, now_ms);
         let reach = instance.heard.reach(now_ms);
         if amount > 0 {
-            instance.limit.hear(amount, now_ms);
+            instance.limit.hear(amount, reach, now_ms);
         }
         let requests = load_per_s * STEP_MS as f64 / 1_000.0 / 11_250.0;
         for _ in 0..self.random.events(requests) {
