--- a/src/gateway/target/crash.rs
+++ b/src/gateway/target/crash.rs
@@ -81,7 +81,8 @@
         if self
             .calls
             .get(&number)
-            .is_some_and(|call| call.broken_at.is_none()) {
+            .is_some_and(|call| call.broken_at.is_none())
+        {
             self.calls.swap_remove(&number);
         }
     }
