Write usage slices soon after a failure and while an instance stops

Cause: in large fleets, a slice whose write failed was written again only at the end of the next window, after the figure was determined, and an instance that stopped left the counts of the open window. Change: a failed write is repeated after 0.5 to 1.5 s. An instance that stops writes each second, also the open window.

--- a/src/gateway/duty/slices.rs
+++ b/src/gateway/duty/slices.rs
@@ -14,6 +14,7 @@
 use super::reports::decision_delay_ms;
 use crate::{
     gateway::{state::State, usage::Counts},
+    log::backoff::Backoff,
     platform::{StoreClient, Topic},
     policy::cache_locality::rendezvous_weight,
     settings::GatewayTiming,
@@ -42,6 +43,13 @@
 /// time.
 const MAX_JITTER: Duration = Duration::from_millis(500);
 
+/// Delays after a failed write. The figure of a window is determined a few seconds after its
+/// end, so that slices must be written soon after an outage of the store.
+const RETRY_DELAYS: [Duration; 2] = [Duration::from_millis(500), Duration::from_millis(1_000)];
+
+/// Time between two writes of an instance that stops, as it may end at any moment.
+const STOPPING_FLUSH_PERIOD: Duration = Duration::from_millis(1_000);
+
 /// Longest random delay, for each instance, before slices are written again to a restored
 /// store.
 const RESTORE_SPREAD: Duration = Duration::from_millis(5);
@@ -102,9 +110,17 @@
     let mut written_era = store.era().number;
     let mut era = store.watch_era();
     let kept_windows = kept_windows(&state.settings.timing);
+    let mut retry = Backoff::new(RETRY_DELAYS[0], RETRY_DELAYS[1]);
+    let mut has_failed = false;
+    let mut is_stopping = false;
     loop {
+        let delay = match has_failed {
+            true => retry.next_delay() + MAX_JITTER.mul_f64(rand::random()),
+            false => flush_delay(&state),
+        };
         tokio::select! {
-            () = sleep(flush_delay(&state)) => {}
+            () = sleep(delay) => {}
+            () = state.stop_begun(), if !is_stopping => is_stopping = true,
             Ok(()) = era.changed() => sleep(rewrite_delay(&state)).await,
         }
         let current = state.usage().current_window();
@@ -130,7 +146,9 @@
                 due.push(slice);
             }
         }
-        if !due.is_empty() && write_slices(&store, &due, kept_windows).await {
+        has_failed = !due.is_empty() && !write_slices(&store, &due, kept_windows).await;
+        if !has_failed {
+            retry.reset();
             for slice in due {
                 flushed.insert(slice.window, slice);
             }
@@ -157,8 +175,11 @@
 
 /// Returns the delay before the next write: a period that grows with the number of
 /// instances and ends at the latest when the current window's slice is closed, plus
-/// jitter.
+/// jitter. An instance that stops writes more often.
 fn flush_delay(state: &State) -> Duration {
+    if state.is_stopping() {
+        return STOPPING_FLUSH_PERIOD;
+    }
     let window_ms = state.settings.timing.usage_window_ms;
     let fleet_size_ratio = state.instances() as f64 / LARGE_FLEET_INSTANCES as f64;
     let period = Duration::from_millis(window_ms).mul_f64(fleet_size_ratio);
@@ -174,8 +195,12 @@
 ///
 /// The counts are not written in a large fleet, where one instance counts only a
 /// small part of the requests. They are also not written just after the window's
-/// start, when there are only a few requests to count.
+/// start, when there are only a few requests to count. An instance that stops writes them in
+/// any case.
 fn writes_open_window(state: &State, window: u64) -> bool {
+    if state.is_stopping() {
+        return true;
+    }
     let window_ms = state.settings.timing.usage_window_ms as i64;
     let since_start_ms = window_ms + state.usage().ms_since_end(window);
     state.instances() < LARGE_FLEET_INSTANCES && since_start_ms >= MIN_OPEN_MS
@@ -196,7 +221,8 @@
     let is_in_time = latest_write_ms <= decision_delay_ms(&timing);
     let parity = rendezvous_weight(0, &state.settings.name) % 2;
     let is_first_of_pair = window % 2 == parity && window + 1 >= current;
-    state.instances() >= LARGE_FLEET_INSTANCES && is_in_time && is_first_of_pair
+    let is_large = state.instances() >= LARGE_FLEET_INSTANCES;
+    is_large && !state.is_stopping() && is_in_time && is_first_of_pair
 }
 
 fn current_slice(state: &State, window: u64, incarnation: u64) -> Slice {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -345,6 +345,13 @@
         self.stop_phase.send_replace(phase);
     }
 
+    /// Waits until the instance begins to stop.
+    pub(super) async fn stop_begun(&self) {
+        let mut phase = self.stop_phase.subscribe();
+        // The channel is open as long as this state exists.
+        let _ = phase.wait_for(|phase| *phase > StopPhase::Running).await;
+    }
+
     /// Waits until requests in progress must get their final answers, because the instance
     /// stops.
     pub(super) async fn stop_ended(&self) {
