--- a/src/policy/share/fleet_limit.rs
+++ b/src/policy/share/fleet_limit.rs
@@ -19,6 +19,10 @@
 /// delay: reports take at least the rest of it on average.
 const HEARD_AGE_DIVISOR: u64 = 4;
 
+/// Length of the window, as a divisor, for whose refill late reports are covered. Usage that
+/// is reported still later is charged as if it were new.
+const MAX_REPORT_AGE_DIVISOR: u64 = 2;
+
 /// Time constants of the mean usages that determine the parts, in milliseconds. The short one
 /// follows demand that moves to other instances, the long one is exact for steady demand.
 const MEAN_TIME_CONSTANTS_MS: [f64; 2] = [3_000.0, 40_000.0];
@@ -126,8 +130,7 @@
 pub struct FleetLimit {
     limit: Limit,
     bucket: TokenBucket,
-    /// What the bucket could not hold since usage of other instances was last heard, at most
-    /// that of one window, in units.
+    /// What the bucket could not hold since usage of other instances was last heard, in units.
     surplus: u64,
     /// Usage of this instance.
     own: UsageWindow,
@@ -152,7 +155,6 @@
         let mut created = Self::unknown(limit, now_ms);
         created.others = UsageWindow::filled(0, limit.window_ms, now_ms);
         created.bucket.fill();
-        created.surplus = created.max_surplus();
         created
     }
 
@@ -301,7 +303,8 @@
     }
 
     fn max_surplus(&self) -> u64 {
-        scale(self.limit.rate_per_s, self.limit.window_ms, 1_000)
+        let delay_ms = self.limit.window_ms / MAX_REPORT_AGE_DIVISOR;
+        scale(self.limit.rate_per_s, delay_ms, 1_000)
     }
 
     /// Returns the usage of the last window that is known to all instances.
