Read the list of targets only while no peer confirms it

Cause: each instance reads the list of targets each 0.7 x drain_ms, the most calls of all topics. The topic always has new records, so that offsets, as for the configuration, confirm nothing. At drain_ms 2,000, a read without an answer could leave a draining target unknown for 2,150 ms, beyond the bound.

Change: with shared reads, heartbeats carry a digest of the known list (fields 50 and 51) and the age of that knowledge. An equal digest of a linked peer confirms the own list as of the send time of the own heartbeat that the peer echoed, less the age. A confirmed instance passes on the age of what confirmed it. An instance reads if its list is unconfirmed for drain_ms - 600 ms (relays earlier), if a peer has another, later list, and each 9.2 s. A read without an answer is repeated on a new connection after 250 ms. Service and slots are part of the digest in addition to the required fields. The 4 bytes of the age, and 10 of a changed digest, are taken from the bytes for changes. Heartbeats and reads of other fleets stay the same; heartbeats without a digest confirm nothing.

With the time of arrival instead of that of the echoed heartbeat, list_echo fails; with an age that is not passed on, list_reads does.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -98,8 +98,10 @@
     .map(|address| address.map_or_else(|error| error.to_string(), |address| address.to_string()));
     let [callers, readiness_address, metrics_address] = addresses;
     let metrics = metrics_handle().map_err(|error| Error::Metrics(error.to_string()))?;
-    let client = platform_client().map_err(Error::Client)?;
-    let store = StoreClient::new(client, settings.store_address, STORE_TIMEOUT);
+    let client = platform_client(usize::MAX).map_err(Error::Client)?;
+    let unpooled = platform_client(0).map_err(Error::Client)?;
+    let store =
+        StoreClient::new(client, settings.store_address, STORE_TIMEOUT).with_unpooled(unpooled);
     let cloud = CloudClient::new(
         settings.cloud_address,
         CLOUD_TIMEOUT,
@@ -378,8 +380,10 @@
     }))
 }
 
-fn platform_client() -> reqwest::Result<reqwest::Client> {
+/// Creates an HTTP client that keeps up to `max_idle` unused connections.
+fn platform_client(max_idle: usize) -> reqwest::Result<reqwest::Client> {
     reqwest::Client::builder()
+        .pool_max_idle_per_host(max_idle)
         .redirect(Policy::none())
         .tcp_nodelay(true)
         .tcp_user_timeout(PLATFORM_USER_TIMEOUT)
--- a/src/gateway/store/follower.rs
+++ b/src/gateway/store/follower.rs
@@ -4,7 +4,7 @@
 //! that it would read next was given out again. It then reads a snapshot, and tells its
 //! caller that records are missing or older than those it read before.
 
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
 
 use tokio::{
     sync::watch,
@@ -12,8 +12,9 @@
 };
 
 use crate::{
-    platform::{KeyedRecord, Position, StoreClient, StoreEra, StoreError, Topic},
+    platform::{KeyedRecord, Position, ReadBatch, StoreClient, StoreEra, StoreError, Topic},
     policy::{
+        list_reads::repeat_delay,
         read_backoff::{ReadBackoff, ReadOutcome},
         snapshot_pace::SnapshotPace,
     },
@@ -53,6 +54,10 @@
     failures: Option<FailedReads>,
     backoff: ReadBackoff,
     snapshot_pace: SnapshotPace,
+    /// Whether reads that do not wait are repeated if there is no answer.
+    repeats_reads: bool,
+    /// Time that the last answered read of changes took.
+    read_time: Duration,
     /// Time that the last snapshot took, until the first read of changes after it.
     snapshot_time: Duration,
 }
@@ -75,6 +80,8 @@
             failures: None,
             backoff: ReadBackoff::default(),
             snapshot_pace: SnapshotPace::default(),
+            repeats_reads: false,
+            read_time: Duration::ZERO,
             snapshot_time: Duration::ZERO,
         }
     }
@@ -85,6 +92,12 @@
         self.restore_spread = spread;
     }
 
+    /// Sets whether each read that does not wait is repeated on a second connection if there
+    /// is no answer. The first answer counts.
+    pub(in crate::gateway) fn repeat_reads(&mut self, repeats: bool) {
+        self.repeats_reads = repeats;
+    }
+
     /// Reads the next records, and waits up to `wait` if there are none; the first
     /// read returns a snapshot.
     ///
@@ -159,10 +172,12 @@
     /// since then, also if the read is still waiting.
     async fn read_changes(&mut self, from: Position, wait: Duration) -> Result<Update, StoreError> {
         let mut era = self.store.watch_era();
+        let sent_at = Instant::now();
         let batch = tokio::select! {
             () = later_era(&mut era, from.era) => return Err(StoreError::Restored),
-            batch = self.store.read(self.topic, from, wait) => batch?,
+            batch = self.read_batch(from, wait) => batch?,
         };
+        self.read_time = sent_at.elapsed();
         if batch.malformed > 0 {
             let topic = self.topic;
             let malformed = batch.malformed;
@@ -174,6 +189,25 @@
         Ok(Update::Changes(batch.records))
     }
 
+    async fn read_batch(&self, from: Position, wait: Duration) -> Result<ReadBatch, StoreError> {
+        let mut read = pin!(self.store.read(self.topic, from, wait));
+        if !self.repeats_reads || !wait.is_zero() {
+            return read.await;
+        }
+        let mut repetition = pin!(async {
+            sleep(repeat_delay(self.read_time)).await;
+            self.store.read_anew(self.topic, from).await
+        });
+        tokio::select! {
+            // A read that fails at once is repeated by the caller.
+            batch = &mut read => batch,
+            batch = &mut repetition => match batch {
+                Err(StoreError::NotSent(_) | StoreError::Unknown { .. }) => read.await,
+                batch => batch,
+            },
+        }
+    }
+
     /// Makes the next read return a snapshot.
     pub(in crate::gateway) fn read_snapshot_next(&mut self) {
         self.next = None;
--- a/src/gateway/store/targets.rs
+++ b/src/gateway/store/targets.rs
@@ -3,12 +3,15 @@
 use std::{sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep};
 
 use crate::{
     gateway::{
         state::State,
-        store::follower::{Follower, Update},
+        store::{
+            follower::{Follower, Update},
+            list_reads::SharedReads,
+        },
     },
     platform::{KeyedRecord, StoreClient, TARGET_TOPIC, read_target},
     roster::Target,
@@ -23,10 +26,11 @@
 /// read return several changes.
 const BATCH_SHARE: f64 = 0.6;
 
-/// Time between two reads in a large fleet, as a fraction of `drain_ms`. These reads do not
-/// wait for records. The rest of `drain_ms` is left for one read that gets no answer, and for
-/// its repetition.
-const SHARED_BATCH_SHARE: f64 = 0.7;
+/// Interval at which an instance in a large fleet checks whether a read is due.
+const CHECK_PERIOD: Duration = Duration::from_millis(50);
+
+/// Interval at which connections and loads of removed targets are pruned while no read is due.
+const PRUNE_PERIOD: Duration = Duration::from_secs(1);
 
 /// Number of heartbeats of targets after which a restored store has removed the entries of
 /// those that do not run. The platform removes an entry after three.
@@ -38,15 +42,25 @@
 /// Follows the list of targets. Never returns.
 pub(in crate::gateway) async fn follow(state: Arc<State>, store: StoreClient) {
     let mut follower = Follower::new(store, TARGET_TOPIC);
+    let mut shared_reads = SharedReads::new(state.clone());
     let mut removals = Removals::new(&state);
     let mut recheck_at = None;
     loop {
+        let mut pruned_at = Instant::now();
+        while shared_reads.can_wait(&follower, recheck_at) {
+            if pruned_at.elapsed() >= PRUNE_PERIOD {
+                remove_expired(&state, &mut removals);
+                pruned_at = Instant::now();
+            }
+            sleep(CHECK_PERIOD).await;
+        }
         if recheck_at.is_some_and(|at| Instant::now() >= at) {
             recheck_at = None;
             follower.read_snapshot_next();
         }
         let had_failed = follower.last_read_failed();
         let shares_reads = state.shares_store_reads();
+        follower.repeat_reads(shares_reads);
         let wait = match shares_reads {
             true => Duration::ZERO,
             false => READ_WAIT,
@@ -77,14 +91,13 @@
             Update::Changes(records) => {
                 apply_records(&state, &mut removals, &records);
                 let drain = Duration::from_millis(state.tuning().timing.drain_ms);
-                if shares_reads {
-                    sleep_until(sent_at + drain.mul_f64(SHARED_BATCH_SHARE)).await;
-                } else if !records.is_empty() {
+                if !shares_reads && !records.is_empty() {
                     sleep(drain.mul_f64(BATCH_SHARE)).await;
                 }
             }
         }
         remove_expired(&state, &mut removals);
+        shared_reads.note_read(sent_at, &follower);
     }
 }
 
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -10,11 +10,13 @@
     delta::{PeerAmount, TargetLoad},
     frame::SentFrames,
     freshness::Freshness,
+    heartbeat::heartbeat_interval,
     membership::PeerState,
     quarantine::QuarantinedRequest,
     shared::Shared,
     state::SentNotice,
     suspects::{SentFingerprint, TargetCrash},
+    target_list::{ListComparison, ListCopy},
 };
 use crate::{infra::protocol::LiveInstance, log::records::UsageSlice};
 
@@ -105,6 +107,25 @@
         self.shared.state().is_relay()
     }
 
+    /// Returns the interval at which this instance sends heartbeats to each linked peer.
+    pub fn heartbeat_interval(&self) -> Duration {
+        let links = self.shared.state().links.len();
+        heartbeat_interval(links, self.shared.min_heartbeat_interval)
+    }
+
+    /// Sets the list of targets that this instance reports to its peers; with `None`, its
+    /// heartbeats contain none. `current_as_of` of a list that was confirmed by peers must be
+    /// the time that they confirmed.
+    pub fn report_target_list(&self, list: Option<ListCopy>) {
+        self.shared.state().target_list = list;
+    }
+
+    /// Compares the list of targets with the digest `own_digest` with those of the linked
+    /// peers.
+    pub fn compare_target_list(&self, own_digest: u64) -> ListComparison {
+        self.shared.state().compare_target_list(own_digest)
+    }
+
     /// Returns whether requests that need an API key may be served.
     pub fn may_serve_keyed(&self) -> bool {
         self.freshness().may_serve_keyed()
--- a/src/peer/heartbeat.rs
+++ b/src/peer/heartbeat.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use prost::Message;
 use tokio::time::Instant;
 
 use super::{
@@ -87,6 +88,12 @@
             return Err(Error::NamesExhausted);
         }
         let loads = self.loads.outgoing(link_kind, link);
+        let base_bytes = heartbeat.encoded_len();
+        link.list_sender
+            .encode(self.target_list, now, &mut heartbeat);
+        // Taken from the bytes for changes, so that the traffic stays the same.
+        let list_bytes = heartbeat.encoded_len() - base_bytes;
+        let max_bytes = max_bytes.saturating_sub(list_bytes);
         link.encoder.encode(&loads, max_bytes, &mut heartbeat);
         link.assign_sequence(&mut heartbeat, now);
         Ok(heartbeat)
--- a/src/peer/lavenderwind.peer.rs
+++ b/src/peer/lavenderwind.peer.rs
@@ -95,6 +95,14 @@
     pub loads: ::prost::alloc::vec::Vec<LoadChange>,
     #[prost(message, repeated, tag = "15")]
     pub served: ::prost::alloc::vec::Vec<ServedTokens>,
+    /// Digest of the list of targets that the sender knows. Set if it differs from the last
+    /// one that was sent on this connection.
+    #[prost(fixed64, optional, tag = "50")]
+    pub target_list_digest: ::core::option::Option<u64>,
+    /// The list with the last sent digest was current this number of milliseconds ago; 0 if
+    /// the sender confirms no list.
+    #[prost(uint32, tag = "51")]
+    pub target_list_age_ms: u32,
 }
 /// Assigns the next index on this connection, starting at 0, to the name of a
 /// target or account.
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -11,6 +11,7 @@
     frames::{Heartbeat, frame::Body},
     freshness::PeerLogPosition,
     membership::PeerIdentity,
+    target_list::{ListReceiver, ListSender},
 };
 use crate::log::Offset;
 
@@ -34,6 +35,10 @@
     /// Decoder of the loads and amounts that are received. Contains the loads that
     /// the peer last reported.
     pub(super) decoder: DeltaDecoder,
+    /// Reports the known list of targets to the peer.
+    pub(super) list_sender: ListSender,
+    /// The list of targets that the peer knows.
+    pub(super) list_receiver: ListReceiver,
     /// When the pending log request was sent; `None` if none is pending.
     pub(super) log_requested_at: Option<Instant>,
     /// Start offset of the last log request that the peer could not serve.
@@ -86,6 +91,8 @@
             replaced: CancellationToken::new(),
             encoder: DeltaEncoder::default(),
             decoder: DeltaDecoder::default(),
+            list_sender: ListSender::default(),
+            list_receiver: ListReceiver::default(),
             log_requested_at: None,
             missing_offset: None,
             acknowledged_notice: 0,
@@ -119,7 +126,11 @@
     pub(super) fn apply_heartbeat(&mut self, heartbeat: &Heartbeat) -> Result<Vec<PeerAmount>> {
         self.last_received_sequence = heartbeat.sequence;
         let amounts = self.decoder.apply(heartbeat)?;
-        self.record_echo(heartbeat);
+        let echoed_at = self.take_echoed(heartbeat.echo);
+        if let Some(echoed_at) = echoed_at {
+            self.echoed_state = EchoedState::new(heartbeat, echoed_at);
+        }
+        self.list_receiver.apply(heartbeat, echoed_at);
         Ok(amounts)
     }
 
@@ -140,21 +151,23 @@
         })
     }
 
-    /// Stores the reported state with the send time of the echoed heartbeat.
+    /// Returns the send time of the heartbeat that the peer echoed, unless it echoed it
+    /// before.
     ///
-    /// The time of arrival cannot be used, because frames that were buffered while
-    /// this process was paused would appear to be recent.
-    fn record_echo(&mut self, heartbeat: &Heartbeat) {
+    /// What the peer reports is stored with this time. The time of arrival cannot be used,
+    /// because frames that were buffered while this process was paused would appear to be
+    /// recent.
+    fn take_echoed(&mut self, echo: u64) -> Option<Instant> {
         while let Some(sent) = self.unechoed.front().copied() {
-            if sent.sequence > heartbeat.echo {
-                return;
+            if sent.sequence > echo {
+                return None;
             }
             self.unechoed.pop_front();
-            if sent.sequence == heartbeat.echo {
-                self.echoed_state = EchoedState::new(heartbeat, sent.sent_at);
-                return;
+            if sent.sequence == echo {
+                return Some(sent.sent_at);
             }
         }
+        None
     }
 }
 
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -13,7 +13,7 @@
 //!   `load` sums up the reported loads, `usage` keeps copies of other instances' usage
 //!   slices, `unflushed_usage` this instance's slices, `quarantine` the requests that the
 //!   log quarantines, `suspects` those that reported crashes do, and `notices` what targets
-//!   say in their answers. `reports` are those of the last two that are sent to peers.
+//!   say in their answers. `target_list` compares the known lists of targets. `reports` are those of the last two that are sent to peers.
 //! - Tasks: `heartbeat` builds heartbeats, `relay` relays log records, `live_list`
 //!   polls the platform's list of instances, `upkeep` does periodic maintenance, and
 //!   `spawn` starts the tasks.
@@ -41,6 +41,7 @@
 mod spawn;
 mod state;
 mod suspects;
+pub mod target_list;
 pub mod topology;
 mod unflushed_usage;
 mod upkeep;
@@ -65,5 +66,6 @@
 pub use shared::{PeerLog, PeerOptions};
 pub use spawn::{PeerInputs, Peers, spawn, spawn_without_live_list};
 pub use suspects::{SentFingerprint, TargetCrash};
+pub use target_list::{ListComparison, ListCopy};
 pub use topology::{MAX_MESH_INSTANCES, rendezvous_order};
 pub use usage::{Source, UsageCopies};
--- a/src/peer/state.rs
+++ b/src/peer/state.rs
@@ -21,6 +21,7 @@
     reachability::Reachability,
     reports::ReportLog,
     suspects::ReportedCrashes,
+    target_list::{ListComparison, ListCopy},
     topology::LinkKind,
     unflushed_usage::UnflushedUsage,
     usage::UsageCopies,
@@ -74,6 +75,8 @@
     ///
     /// [`PeerHandle::take_peer_amounts`]: super::PeerHandle::take_peer_amounts
     pub(super) peer_amounts: IndexMap<Arc<str>, u64>,
+    /// List of targets that this instance reports to its peers; `None` if it reports none.
+    pub(super) target_list: Option<ListCopy>,
     quorum: Quorum,
     last_link_id: u64,
     /// Number of the last quarantine notice that this instance sent.
@@ -104,6 +107,7 @@
             unflushed_usage: UnflushedUsage::default(),
             loads: LoadTotals::default(),
             peer_amounts: IndexMap::new(),
+            target_list: None,
             last_link_id: 0,
             last_notice_number: 0,
         }
@@ -286,6 +290,16 @@
         self.loads.peer_total(target)
     }
 
+    /// Compares the list of targets with the digest `own_digest` with those of the linked
+    /// peers.
+    pub(super) fn compare_target_list(&self, own_digest: u64) -> ListComparison {
+        let links = self.links.values();
+        ListComparison::new(
+            own_digest,
+            links.filter_map(|link| link.list_receiver.copy()),
+        )
+    }
+
     /// Returns the kind of the link to a peer.
     pub(super) fn link_kind(&self, name: &str) -> LinkKind {
         link_kind_of(&self.link_kinds, name)
--- a/src/platform/store/mod.rs
+++ b/src/platform/store/mod.rs
@@ -96,6 +96,8 @@
 #[derive(Clone, Debug)]
 pub struct StoreClient {
     http: reqwest::Client,
+    /// Client that opens a new connection for each call; `None` if there is none.
+    unpooled: Option<reqwest::Client>,
     base_url: Arc<str>,
     timeout: Duration,
     eras: EraTracker,
@@ -109,12 +111,20 @@
     pub fn new(http: reqwest::Client, address: SocketAddr, timeout: Duration) -> Self {
         Self {
             http,
+            unpooled: None,
             base_url: format!("http://{address}").into(),
             timeout,
             eras: EraTracker::new(),
         }
     }
 
+    /// Sets a client without kept connections for [`StoreClient::read_anew`].
+    #[must_use]
+    pub fn with_unpooled(mut self, unpooled: reqwest::Client) -> Self {
+        self.unpooled = Some(unpooled);
+        self
+    }
+
     /// Returns the latest known era of the store.
     #[must_use]
     pub fn era(&self) -> StoreEra {
@@ -214,6 +224,27 @@
         topic: Topic,
         from: Position,
         wait: Duration,
+    ) -> Result<ReadBatch, StoreError> {
+        self.read_with(&self.http, topic, from, wait).await
+    }
+
+    /// Reads the records from position `from` on without waiting, on a new connection if there
+    /// is a client without kept ones. A kept connection may be silent.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`StoreClient::read`] does.
+    pub async fn read_anew(&self, topic: Topic, from: Position) -> Result<ReadBatch, StoreError> {
+        let http = self.unpooled.as_ref().unwrap_or(&self.http);
+        self.read_with(http, topic, from, Duration::ZERO).await
+    }
+
+    async fn read_with(
+        &self,
+        http: &reqwest::Client,
+        topic: Topic,
+        from: Position,
+        wait: Duration,
     ) -> Result<ReadBatch, StoreError> {
         let query = [
             ("topic", topic.to_string()),
@@ -221,8 +252,7 @@
             ("from", from.offset.to_string()),
             ("wait_ms", wait.as_millis().to_string()),
         ];
-        let request = self
-            .http
+        let request = http
             .get(format!("{}/log-read", self.base_url))
             .query(&query)
             .timeout(self.timeout + wait);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -15,6 +15,7 @@
 pub mod engine_profile;
 pub mod limits;
 pub mod line_fit;
+pub mod list_reads;
 pub mod load;
 pub mod placement;
 pub mod prefix;
--- a/src/roster/mod.rs
+++ b/src/roster/mod.rs
@@ -1,6 +1,8 @@
 //! Known targets of all services. A target is a process, such as a language-model
 //! engine, that answers requests for one service.
 
+mod digest;
+
 use std::{net::SocketAddr, sync::Arc};
 
 use derive_more::IsVariant;
--- a/tests/store_calls.rs
+++ b/tests/store_calls.rs
@@ -110,6 +110,9 @@
     // Each instance would read about every 2 s.
     let alone = COUNTED.as_secs() as usize * INSTANCES / 2;
     assert!(counts["keyed.op"] < alone / 2, "{counts:?}");
+    // Without confirmations, each instance would read about every 1.4 s.
+    let unconfirmed = COUNTED.as_millis() as usize * INSTANCES / 1_400;
+    assert!(counts["keyed.servers"] < unconfirmed / 2, "{counts:?}");
     let written_at = Instant::now();
     store.put("keyed.op", "config", &later_configuration());
     for gateway in &fleet {
@@ -143,4 +146,6 @@
     let counts = count_calls(&store).await;
     let expected = COUNTED.as_secs() as usize * INSTANCES / 2;
     assert!(counts["keyed.op"] > expected / 2, "{counts:?}");
+    // A read each 0.6 x `drain_ms`.
+    assert!(counts["keyed.servers"] > expected, "{counts:?}");
 }
