End a placement that its instance cannot use

Cause: the ticket that reports the end of a placement was created only for an engine that the instance then used. If the dispatcher's answer named an engine that the instance could not use, or came too late, and the instance found no engine itself, nothing told the dispatcher, and the placement counted against its engine until the deadline of the request and one second more. The same held for a call whose caller left while its query was open; its entry in the list of waiting queries then remained if the answer was lost.

Change: the ticket is created before the query is sent and handed on with it, so that dropping it at any later point ends the placement. A refused request has no placement, and its ticket is discarded without a report.

Evidence: shared_placement::unusable_placement_ended, in which a stand-in for the dispatcher answers with an engine that does not exist or not at all, timed out after 30 s before the change, and passes with it; the other tests of shared_placement and dispatch_ledger pass. The case of a caller that leaves has no test of its own.

--- a/src/gateway/dispatch/client.rs
+++ b/src/gateway/dispatch/client.rs
@@ -48,11 +48,10 @@
     Placed(PrefillChoice),
     /// The dispatcher refuses the request.
     Refused(Refusal),
-    /// There is no usable answer. The placement that the instance decides on itself gets
-    /// this number.
+    /// There is no usable answer. The instance decides on the placement itself.
     Unanswered {
-        /// Number of the placement.
-        number: u64,
+        /// Reports the placement to the dispatcher, which may count it already.
+        ticket: Ticket,
     },
 }
 
@@ -115,9 +114,11 @@
         may_refuse: bool,
     ) -> QueryOutcome {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
-        let unanswered = QueryOutcome::Unanswered { number };
+        // From now on, the dispatcher may count the placement. The ticket ends it there, also
+        // if the call is dropped.
+        let ticket = Ticket::new(self, &call.service, number);
         let Some(dispatcher) = self.dispatcher(state, &call.service) else {
-            return unanswered;
+            return QueryOutcome::Unanswered { ticket };
         };
         let asked_at = Instant::now();
         let query = build_query(call, prompt, tried, may_refuse, number);
@@ -125,8 +126,8 @@
         lock(&self.waiting).insert(number, sender);
         self.send(dispatcher, Body::Query(query));
         let answer = timeout(QUERY_TIMEOUT, receiver).await;
-        lock(&self.waiting).swap_remove(&number);
         let Ok(Ok(answer)) = answer else {
+            lock(&self.waiting).swap_remove(&number);
             lock(&self.preference).record_miss(dispatcher, state.now_ms());
             record_query("unanswered", asked_at);
             tracing::info!(
@@ -134,12 +135,13 @@
                 dispatcher = %dispatcher,
                 "dispatch: query not answered"
             );
-            return unanswered;
+            return QueryOutcome::Unanswered { ticket };
         };
         lock(&self.preference).record_answer(dispatcher);
         match answer {
             Body::Refused(refused) => {
                 record_query("refused", asked_at);
+                ticket.discard();
                 QueryOutcome::Refused(Refusal::Short {
                     reason: decode_reason(refused.reason()),
                     wait_ms: refused.wait_ms,
@@ -149,29 +151,32 @@
             Body::Placed(placed) => {
                 let Some(mut choice) = decode_choice(state, call, &placed) else {
                     record_query("unusable", asked_at);
-                    return unanswered;
+                    return QueryOutcome::Unanswered { ticket };
                 };
                 record_query("placed", asked_at);
-                choice.ticket = Some(self.announce_to_self(call, prompt, &choice, number));
+                self.keep(call, prompt, &choice, number);
+                choice.ticket = Some(ticket);
                 QueryOutcome::Placed(choice)
             }
             _ => {
                 record_query("declined", asked_at);
-                unanswered
+                QueryOutcome::Unanswered { ticket }
             }
         }
     }
 
-    /// Tells the dispatcher of a placement that this instance has decided on itself.
+    /// Tells the dispatcher of a placement that this instance has decided on itself. `ticket`
+    /// is that of the query.
     pub(in crate::gateway) fn announce(
-        self: &Arc<Self>,
+        &self,
         state: &State,
         call: &Call,
         prompt: &Prompt,
         choice: &PrefillChoice,
-        number: u64,
-    ) -> Ticket {
-        let ticket = self.announce_to_self(call, prompt, choice, number);
+        ticket: &Ticket,
+    ) {
+        let number = ticket.number();
+        self.keep(call, prompt, choice, number);
         if let Some(dispatcher) = self.dispatcher(state, &call.service) {
             let notice = lock(&self.outstanding)
                 .get(&number)
@@ -180,17 +185,10 @@
                 self.send(dispatcher, Body::Notice(notice));
             }
         }
-        ticket
     }
 
     /// Keeps a placement as outstanding until its ticket is dropped.
-    fn announce_to_self(
-        self: &Arc<Self>,
-        call: &Call,
-        prompt: &Prompt,
-        choice: &PrefillChoice,
-        number: u64,
-    ) -> Ticket {
+    fn keep(&self, call: &Call, prompt: &Prompt, choice: &PrefillChoice, number: u64) {
         let now = Instant::now();
         let decode_target = choice.decode_target.as_ref();
         let notice = Notice {
@@ -210,7 +208,6 @@
             deadline: call.deadline,
         };
         lock(&self.outstanding).insert(number, outstanding);
-        Ticket::new(self, &call.service, number)
     }
 
     /// Reports that the prompt of a placement is prefilled.
@@ -234,6 +231,8 @@
 
     /// Reports that a placement has ended.
     pub(super) fn report_end(&self, service: &Arc<str>, number: u64) {
+        // The query still waits if its call was dropped.
+        lock(&self.waiting).swap_remove(&number);
         lock(&self.outstanding).swap_remove(&number);
         self.report(
             service,
--- a/src/gateway/dispatch/ticket.rs
+++ b/src/gateway/dispatch/ticket.rs
@@ -14,6 +14,8 @@
     service: Arc<str>,
     number: u64,
     is_prefilled: AtomicBool,
+    /// Whether the dispatcher does not count the placement, so that its end is not reported.
+    is_discarded: bool,
 }
 
 impl Ticket {
@@ -23,9 +25,19 @@
             service: service.clone(),
             number,
             is_prefilled: AtomicBool::new(false),
+            is_discarded: false,
         }
     }
 
+    pub(super) fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Drops the ticket of a request that the dispatcher has refused.
+    pub(super) fn discard(mut self) {
+        self.is_discarded = true;
+    }
+
     /// Reports that the prompt is prefilled. Later calls have no effect.
     pub(in crate::gateway) fn record_prefilled(&self) {
         if !self.is_prefilled.swap(true, Ordering::Relaxed) {
@@ -36,6 +48,9 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
+        if self.is_discarded {
+            return;
+        }
         self.dispatch.report_end(&self.service, self.number);
     }
 }
--- a/src/gateway/engine/placement.rs
+++ b/src/gateway/engine/placement.rs
@@ -102,15 +102,16 @@
         let chosen = choose_alone(state, call, prompt, tried).await;
         return chosen.map_or(Choice::NoEngine, Choice::Engine);
     };
-    let number = match dispatch.query(state, call, prompt, tried, may_refuse).await {
+    let ticket = match dispatch.query(state, call, prompt, tried, may_refuse).await {
         QueryOutcome::Placed(choice) => return Choice::Engine(choice),
         QueryOutcome::Refused(refusal) => return Choice::Refused(refusal),
-        QueryOutcome::Unanswered { number } => number,
+        QueryOutcome::Unanswered { ticket } => ticket,
     };
     let Some(mut choice) = choose_alone(state, call, prompt, tried).await else {
         return Choice::NoEngine;
     };
-    choice.ticket = Some(dispatch.announce(state, call, prompt, &choice, number));
+    dispatch.announce(state, call, prompt, &choice, &ticket);
+    choice.ticket = Some(ticket);
     Choice::Engine(choice)
 }
 
--- a/tests/shared_placement.rs
+++ b/tests/shared_placement.rs
@@ -2,11 +2,21 @@
 
 mod platform_support;
 
-use std::time::Duration;
+/// Messages between instances.
+#[path = "../src/gateway/dispatch/lavenderwind.dispatch.rs"]
+#[allow(unreachable_pub, clippy::all)]
+mod frames;
 
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use frames::{Datagram, Failure, Placed, datagram::Body};
 use hyper::Method;
+use indexmap::IndexSet;
+use lavenderwind::peer::rendezvous_order;
 use platform_support::{Cloud, Gateway, Store, Worker, configuration, eventually, signed, stream};
-use tokio::{sync::Mutex, time::sleep};
+use prost::Message;
+use serde_json::Value;
+use tokio::{net::UdpSocket, sync::Mutex, task::JoinHandle, time::sleep};
 
 const SHARED: &str = "placement:\n  shared: true\n";
 
@@ -17,7 +27,7 @@
 
 /// Store, engines and instances with shared placement.
 struct Fleet {
-    _store: Store,
+    store: Store,
     _cloud: Cloud,
     _workers: Vec<Worker>,
     gateways: Vec<Gateway>,
@@ -58,7 +68,7 @@
         gateways.push(gateway);
     }
     Fleet {
-        _store: store,
+        store,
         _cloud: cloud,
         _workers: workers,
         gateways,
@@ -86,6 +96,87 @@
     counts.next().map_or(0.0, |count| count.parse().unwrap())
 }
 
+/// Returns the address at which an instance takes part in shared placement, once it has
+/// announced itself.
+async fn peer_address(store: &Store, name: &str) -> SocketAddr {
+    let find = || {
+        let members = store.state.lock().unwrap().newest("keyed.members");
+        let (_, value) = members.get(name)?;
+        let member: Value = serde_json::from_slice(value).unwrap();
+        Some(member["peer_address"].as_str()?.parse().unwrap())
+    };
+    eventually("the instance announces itself", || find().is_some()).await;
+    find().unwrap()
+}
+
+async fn send_to(socket: &UdpSocket, address: SocketAddr, body: Body) {
+    let bytes = Datagram { body: Some(body) }.encode_to_vec();
+    socket.send_to(&bytes, address).await.unwrap();
+}
+
+async fn receive(socket: &UdpSocket) -> (Body, SocketAddr) {
+    let mut bytes = [0; 2_048];
+    let (length, from) = socket.recv_from(&mut bytes).await.unwrap();
+    let datagram = Datagram::decode(&bytes[..length]).unwrap();
+    (datagram.body.unwrap(), from)
+}
+
+/// What instances have told a dispatcher, by numbers of placements.
+#[derive(Default)]
+struct Reports {
+    queries: IndexSet<u64>,
+    notices: IndexSet<u64>,
+    ended: IndexSet<u64>,
+}
+
+/// Dispatcher that lets instances find no engine: it reports each engine as unreachable, and
+/// answers every other query with an engine that does not exist. It answers no others.
+fn start_misleading_dispatcher(
+    socket: UdpSocket,
+    engine: &str,
+) -> (JoinHandle<()>, Arc<std::sync::Mutex<Reports>>) {
+    let reports: Arc<std::sync::Mutex<Reports>> = Arc::default();
+    let (heard, engine) = (reports.clone(), engine.to_owned());
+    let task = tokio::spawn(async move {
+        loop {
+            let (body, from) = receive(&socket).await;
+            let number = match body {
+                Body::Query(query) => query.number,
+                Body::Notice(notice) => {
+                    heard.lock().unwrap().notices.insert(notice.number);
+                    continue;
+                }
+                Body::Ended(ended) => {
+                    heard.lock().unwrap().ended.insert(ended.number);
+                    continue;
+                }
+                _ => continue,
+            };
+            for _ in 0..5 {
+                let failure = Failure {
+                    target: engine.clone(),
+                    refused: false,
+                };
+                send_to(&socket, from, Body::Failure(failure)).await;
+            }
+            let is_answered = {
+                let mut heard = heard.lock().unwrap();
+                heard.queries.insert(number);
+                heard.queries.len() % 2 == 1
+            };
+            if is_answered {
+                let placed = Placed {
+                    number,
+                    target: "i-none".into(),
+                    ..Placed::default()
+                };
+                send_to(&socket, from, Body::Placed(placed)).await;
+            }
+        }
+    });
+    (task, reports)
+}
+
 /// Each instance must ask the dispatcher and use its answer; with a setting that has no effect,
 /// instances would go on placing prompts blindly.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -157,3 +248,43 @@
     let after = queries(&gateway, "placed").await + queries(&gateway, "unanswered").await;
     assert_eq!(before, after);
 }
+
+/// An instance that can use no placement of the dispatcher, or gets none in time, and finds no
+/// engine itself must end the placement. Otherwise it counts against its engine until the
+/// deadline of the request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn unusable_placement_ended() {
+    let _metrics = METRICS.lock().await;
+    let (store, cloud) = (Store::start().await, Cloud::start().await);
+    store.put("keyed.op", "config", &configuration(1));
+    let worker = Worker::start("i-d", |arrival| Some(stream(arrival, vec![Ok(COMPLETE)]))).await;
+    let entry = worker.entry("models", Some("decode"));
+    store.put("keyed.servers", &worker.id, &entry);
+    let names: [Arc<str>; 2] = ["entry-0".into(), "entry-1".into()];
+    let order = rendezvous_order("models", &names);
+    // The first instance does not use its address for datagrams, as it has no shared placement.
+    let first = Gateway::start(order[0], &store, &cloud).await;
+    let socket = UdpSocket::bind(peer_address(&store, order[0]).await).await;
+    let (dispatcher, reports) = start_misleading_dispatcher(socket.unwrap(), "i-d");
+    let gateway = Gateway::start_with(order[1], &store, &cloud, SHARED).await;
+    gateway.wait_until_ready().await;
+    let mut sent = 0;
+    while reports.lock().unwrap().queries.len() < 6 {
+        sent += 1;
+        assert!(sent < 400, "the dispatcher is not asked");
+        is_answered(&gateway, &format!("u-{sent}")).await;
+        sleep(Duration::from_millis(20)).await;
+    }
+    eventually("all placements are ended", || {
+        let reports = reports.lock().unwrap();
+        reports.queries.is_subset(&reports.ended)
+    })
+    .await;
+    assert_eq!(
+        reports.lock().unwrap().notices.len(),
+        0,
+        "an engine was found"
+    );
+    dispatcher.abort();
+    drop(first);
+}
