Serve the tests of raw targets with one fixture

Cause: targets that write the bytes of their answers themselves were implemented three times, in tests/raw_target (used by early_answers, wrong_statuses and huge_keep_alive), tests/cut_heads.rs and tests/endless_support (used by endless_answers and answer_memory), and the start of a gateway with such a target four times.

Change: tests/raw_target serves all of them. Bounds, answers and checks of the tests are the same.

--- a/tests/answer_memory.rs
+++ b/tests/answer_memory.rs
@@ -2,18 +2,18 @@
 //!
 //! A file of its own, so that no other test takes memory in the same process.
 
-mod endless_support;
 mod platform_support;
+mod raw_target;
 
 use std::{
     sync::atomic::{AtomicU64, Ordering},
     time::Duration,
 };
 
-use endless_support::{EndlessTarget, SIGNED_HEAD, check_closed, start_gateway_with};
 use futures_util::future::{join, join_all};
 use hyper::Method;
-use platform_support::{Arrival, Gateway, Worker, signed, stream};
+use platform_support::{Arrival, Gateway, Worker, configuration, signed, stream};
+use raw_target::{End, RawTarget, SIGNED_HEAD, with_prompt};
 use tokio::time::sleep;
 
 /// Memory limit of the gateway in [`memory_bounded`], and number of answers without end.
@@ -35,13 +35,15 @@
         (CHUNKED_HEAD, "1\r\nx\r\n", "/order/", "small chunks"),
         (SIGNED_HEAD, "data", "/once/", "events"),
     ] {
-        let target = EndlessTarget::start(start, repeated).await;
+        let target = RawTarget::start(start, End::Repeat(repeated));
         let (service, role) = match path {
             "/order/" => ("desk", None),
             _ => ("models", Some("decode")),
         };
         let settings = format!("limits: {{memory_mb: {MEMORY_MB}, max_descriptors: 4100}}");
-        let (store, _cloud, gateway) = start_gateway_with(&target, service, role, &settings).await;
+        let (store, _cloud, gateway) = target
+            .start_gateway_with(service, role, &configuration(1), &settings)
+            .await;
         let (sound_path, sound_service) = match service {
             "desk" => ("/once/", ("models", Some("decode"))),
             _ => ("/look/", ("desk", None)),
@@ -71,16 +73,12 @@
         }
         let grown_mb = peak.load(Ordering::SeqCst).saturating_sub(before_mb);
         assert!(grown_mb < MEMORY_MB, "{what}: {grown_mb} MB more");
-        check_closed(&target, &gateway, what).await;
+        target.check_closed(&gateway, what).await;
     }
 }
 
 async fn send(gateway: &Gateway, path: &str, id: &str) -> Option<u16> {
-    let request = gateway
-        .request(Method::POST, path, id)
-        .header("model", "m")
-        .header("token-count", "900,20")
-        .header("prompt-prefix", "a1:600,b2:300");
+    let request = with_prompt(gateway.request(Method::POST, path, id));
     let response = request.body("x").send().await.unwrap();
     let status = response.status().as_u16();
     response.bytes().await.ok().map(|_| status)
--- a/tests/early_answers.rs
+++ b/tests/early_answers.rs
@@ -9,7 +9,7 @@
 use hyper::Method;
 use lavenderwind::target::{PlainClient, PlainRequest, http_client};
 use platform_support::{Cloud, Gateway, Store, configuration};
-use raw_target::{End, RawTarget};
+use raw_target::{End, RawTarget, with_prompt};
 use reqwest::header::HeaderMap;
 use serde_json::json;
 
@@ -35,22 +35,11 @@
     service: &str,
     role: Option<&str>,
 ) -> (Store, Cloud, Gateway) {
-    let (store, cloud) = (Store::start().await, Cloud::start().await);
     let mut configuration = configuration(1);
     configuration["limits"]["max_body_bytes"] = json!(2 * UPLOAD_BYTES);
-    store.put("keyed.op", "config", &configuration);
-    let mut entry = json!({
-        "service": service, "address": target.address.to_string(), "zone": "z1",
-        "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0, "seq": 0,
-        "born": 1_700_000_000_000u64,
-    });
-    if let Some(role) = role {
-        entry["stage"] = json!(role);
-    }
-    store.put("keyed.servers", "i-0", &entry);
-    let gateway = Gateway::start("entry-1", &store, &cloud).await;
-    gateway.wait_until_ready().await;
-    (store, cloud, gateway)
+    target
+        .start_gateway_with(service, role, &configuration, "")
+        .await
 }
 
 /// Checks that no part of an answer reaches the caller of `path` as a whole answer.
@@ -62,10 +51,7 @@
             let id = format!("r-{number}");
             let mut request = gateway.request(Method::POST, path, &id);
             if prompt {
-                request = request
-                    .header("model", "m")
-                    .header("token-count", "900,20")
-                    .header("prompt-prefix", "a1:600,b2:300");
+                request = with_prompt(request);
             }
             let response = request.body(vec![b'x'; UPLOAD_BYTES]).send().await.unwrap();
             let status = response.status().as_u16();
--- a/tests/huge_keep_alive.rs
+++ b/tests/huge_keep_alive.rs
@@ -4,9 +4,7 @@
 mod raw_target;
 
 use hyper::Method;
-use platform_support::{Cloud, Gateway, Store, configuration};
 use raw_target::{End, RawTarget};
-use serde_json::json;
 
 /// Guards against a panic of the connection pool, which ends the caller's connection without
 /// an answer.
@@ -23,16 +21,7 @@
              keep-alive: timeout={timeout}\r\ncontent-length: 2\r\n\r\nok"
         );
         let target = RawTarget::start(&answer, End::Keep);
-        let (store, cloud) = (Store::start().await, Cloud::start().await);
-        store.put("keyed.op", "config", &configuration(1));
-        let entry = json!({
-            "service": "desk", "address": target.address.to_string(), "zone": "z1",
-            "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0, "seq": 0,
-            "born": 1_700_000_000_000u64,
-        });
-        store.put("keyed.servers", "i-0", &entry);
-        let gateway = Gateway::start("entry-1", &store, &cloud).await;
-        gateway.wait_until_ready().await;
+        let (_store, _cloud, gateway) = target.start_gateway("desk", None).await;
         for id in ["r-1", "r-2"] {
             let request = gateway.request(Method::POST, "/order/", id).body("x");
             let response = request.send().await;
--- a/tests/wrong_statuses.rs
+++ b/tests/wrong_statuses.rs
@@ -3,7 +3,7 @@
 mod platform_support;
 mod raw_target;
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
 use hyper::Method;
 use lavenderwind::{
@@ -11,7 +11,7 @@
     target::{EngineClient, PlainClient, PlainRequest, http_client},
 };
 use platform_support::{Cloud, Gateway, Store, configuration, eventually};
-use raw_target::{End, RawTarget, WRONG_STATUSES};
+use raw_target::{End, RawTarget, WRONG_STATUSES, with_prompt};
 use reqwest::header::HeaderMap;
 use serde_json::json;
 
@@ -29,28 +29,13 @@
 /// Sends requests to a gateway whose target answers with each of [`WRONG_STATUSES`].
 async fn check_gateway(service: &str, role: Option<&str>, path: &str, prompt: bool) {
     let target = RawTarget::start("", End::Keep);
-    let (store, cloud) = (Store::start().await, Cloud::start().await);
-    store.put("keyed.op", "config", &configuration(1));
-    let mut entry = json!({
-        "service": service, "address": target.address.to_string(), "zone": "z1",
-        "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0, "seq": 0,
-        "born": 1_700_000_000_000u64,
-    });
-    if let Some(role) = role {
-        entry["stage"] = json!(role);
-    }
-    store.put("keyed.servers", "i-0", &entry);
-    let gateway = Gateway::start("entry-1", &store, &cloud).await;
-    gateway.wait_until_ready().await;
+    let (_store, _cloud, gateway) = target.start_gateway(service, role).await;
     for status in WRONG_STATUSES {
-        *target.answer.lock().unwrap() = answer_with(status, "id: 1\ndata: a\n\n");
+        target.set_answer(&answer_with(status, "id: 1\ndata: a\n\n"));
         let arrived = target.count();
         let mut request = gateway.request(Method::POST, path, "r-1").body("x");
         if prompt {
-            request = request
-                .header("model", "m")
-                .header("token-count", "900,20")
-                .header("prompt-prefix", "a1:600,b2:300");
+            request = with_prompt(request);
         }
         let response = request.send().await.unwrap();
         let code = response.status().as_u16();
@@ -89,7 +74,7 @@
     let target = RawTarget::start("", End::Keep);
     let client = PlainClient::new(http_client().unwrap());
     for status in WRONG_STATUSES {
-        *target.answer.lock().unwrap() = answer_with(status, "whole");
+        target.set_answer(&answer_with(status, "whole"));
         let request = PlainRequest {
             method: Method::POST,
             path_and_query: "/orders".into(),
@@ -111,7 +96,7 @@
     let target = RawTarget::start("", End::Keep);
     let client = EngineClient::new(http_client().unwrap());
     for status in WRONG_STATUSES {
-        *target.answer.lock().unwrap() = answer_with(status, "{}");
+        target.set_answer(&answer_with(status, "{}"));
         let answer = client.state(&target.address.to_string()).await;
         assert!(answer.is_err(), "{status}");
     }
@@ -134,7 +119,7 @@
     let platform = RawTarget::start("", End::Keep);
     let client = CloudClient::new(platform.address, LIMIT, LIMIT);
     for status in WRONG_STATUSES {
-        *platform.answer.lock().unwrap() = answer_with(status, "{}");
+        platform.set_answer(&answer_with(status, "{}"));
         let result = client.order_targets(&holder, &order, || LIMIT).await;
         let is_right = matches!(result, Err(CloudError::Unknown(_) | CloudError::Status(_)));
         assert!(is_right, "{status}: {result:?}");
@@ -156,7 +141,7 @@
     let start = Position { era: 0, offset: 0 };
     for status in WRONG_STATUSES {
         let body = json!({"offset": 0, "end_offset": 1, "items": [], "more": false}).to_string();
-        *store.answer.lock().unwrap() = answer_with(status, &body);
+        store.set_answer(&answer_with(status, &body));
         let appended = client.append(topic, "a", b"1", Some(start)).await;
         let error = appended.expect_err(status);
         assert!(error.may_be_executed(), "{status}: {error}");
@@ -181,12 +166,7 @@
         ("i-0", &prefilling, "prefill"),
         ("i-1", &decoding, "decode"),
     ] {
-        let entry = json!({
-            "service": "models", "address": target.address.to_string(), "zone": "z1",
-            "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0, "seq": 0,
-            "born": 1_700_000_000_000u64, "stage": role,
-        });
-        store.put("keyed.servers", id, &entry);
+        store.put("keyed.servers", id, &target.entry("models", Some(role)));
     }
     let gateway = Gateway::start("entry-1", &store, &cloud).await;
     gateway.wait_until_ready().await;
@@ -203,5 +183,4 @@
     );
     let prefills = prefilling.count();
     eventually("the prefill was tried", || prefills > 0).await;
-    drop(Arc::new(gateway));
 }
