Keep the progress of a request of a caller in one place

Cause: Relay::ended was set wherever the relay's guard was finished, and Activity::in_request where CallerSocket begins and ends a request, so each pair said the same twice.

Change: the relay asks its guard, and the activity of a connection asks its socket. The pair of the connection was not in one folder: SocketState::is_waiting is in src/intake, which is why the socket got a method that returns it. The end of a request now sets the times of the connection before it tells the socket, so that the idle timeout is never computed from the times of the request.

--- a/src/gateway/caller/answer_guard.rs
+++ b/src/gateway/caller/answer_guard.rs
@@ -35,6 +35,11 @@
     pub(in crate::gateway) fn finish(&mut self) {
         self.is_answered = true;
     }
+
+    /// Returns whether [`Self::finish`] was called.
+    pub(in crate::gateway) fn is_finished(&self) -> bool {
+        self.is_answered
+    }
 }
 
 impl Drop for AnswerGuard {
--- a/src/gateway/caller/connection.rs
+++ b/src/gateway/caller/connection.rs
@@ -4,10 +4,7 @@
 use std::{
     convert::Infallible,
     pin::pin,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -52,8 +49,8 @@
 /// Activity on a connection, from which its timeouts are derived.
 #[derive(Debug)]
 struct Activity {
-    /// Whether a request is in progress.
-    in_request: AtomicBool,
+    /// Tells whether a request is in progress.
+    socket: Arc<CallerSocket>,
     times: Mutex<ReadTimes>,
 }
 
@@ -67,9 +64,9 @@
 }
 
 impl Activity {
-    fn new() -> Self {
+    fn new(socket: Arc<CallerSocket>) -> Self {
         Self {
-            in_request: AtomicBool::new(false),
+            socket,
             times: Mutex::new(ReadTimes {
                 head_started_at: None,
                 idle_since: Instant::now(),
@@ -86,7 +83,7 @@
     ///
     /// While a request is in progress, returns only the time of the next check.
     fn close_deadline(&self, limits: &CallerLimits) -> Instant {
-        if self.in_request.load(Ordering::Acquire) {
+        if self.socket.is_waiting() {
             return Instant::now() + BUSY_CHECK_INTERVAL;
         }
         let times = *self.lock();
@@ -104,22 +101,15 @@
 /// Marks a connection as serving a request until the response body is dropped.
 struct RequestGuard {
     activity: Arc<Activity>,
-    socket: Arc<CallerSocket>,
     admission: Arc<intake::Connection>,
 }
 
 impl RequestGuard {
-    fn new(
-        activity: &Arc<Activity>,
-        socket: &Arc<CallerSocket>,
-        admission: &Arc<intake::Connection>,
-    ) -> Self {
-        activity.in_request.store(true, Ordering::Release);
-        socket.begin_request();
+    fn new(activity: &Arc<Activity>, admission: &Arc<intake::Connection>) -> Self {
+        activity.socket.begin_request();
         admission.begin_work();
         Self {
             activity: activity.clone(),
-            socket: socket.clone(),
             admission: admission.clone(),
         }
     }
@@ -128,12 +118,12 @@
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         self.admission.end_request();
-        self.socket.end_request();
+        // The times must be those of an idle connection once no request is in progress.
         *self.activity.lock() = ReadTimes {
             head_started_at: None,
             idle_since: Instant::now(),
         };
-        self.activity.in_request.store(false, Ordering::Release);
+        self.activity.socket.end_request();
     }
 }
 
@@ -154,11 +144,11 @@
     let limits = state
         .catalog()
         .map_or_else(CallerLimits::default, |catalog| *catalog.limits());
-    let activity = Arc::new(Activity::new());
     let socket = CallerSocket::new(stream);
+    let activity = Arc::new(Activity::new(socket.clone()));
     let admission = admitted.connection().clone();
     let service = service_fn(|mut request: Request<Incoming>| {
-        let guard = RequestGuard::new(&activity, &socket, &admission);
+        let guard = RequestGuard::new(&activity, &admission);
         request.extensions_mut().insert(admission.clone());
         let answering = answer(state.clone(), socket.clone(), request);
         async move {
--- a/src/gateway/engine/relay.rs
+++ b/src/gateway/engine/relay.rs
@@ -84,7 +84,6 @@
     guard: AnswerGuard,
     last_event_id: Option<Arc<str>>,
     event_count: usize,
-    ended: bool,
     /// Memory of the request body, which is kept to be sent again if the stream is
     /// resumed.
     _memory: Option<HeldMemory>,
@@ -128,7 +127,6 @@
             history,
             last_event_id,
             event_count: 0,
-            ended: false,
             _memory: memory,
         }
     }
@@ -144,7 +142,7 @@
     }
 
     async fn next_chunk(&mut self) -> Option<io::Result<Bytes>> {
-        while !self.ended {
+        while !self.guard.is_finished() {
             match self.read_events().await {
                 StreamRead::Events(bytes) => return Some(Ok(bytes)),
                 StreamRead::End => {
@@ -155,7 +153,7 @@
                     if self.resume(&error).await {
                         continue;
                     }
-                    self.end();
+                    self.guard.finish();
                     return Some(Err(io::Error::other(error.to_string())));
                 }
             }
@@ -218,15 +216,10 @@
         }
     }
 
-    fn end(&mut self) {
-        self.ended = true;
-        self.guard.finish();
-    }
-
     /// Records that the engine has ended the stream, and returns the connection to
     /// the pool.
     fn finish(&mut self) {
-        self.end();
+        self.guard.finish();
         let Some(source) = self.source.take() else {
             return;
         };
--- a/src/intake/caller_socket.rs
+++ b/src/intake/caller_socket.rs
@@ -167,6 +167,11 @@
         }
     }
 
+    /// Returns whether a request is in progress.
+    pub(crate) fn is_waiting(&self) -> bool {
+        self.lock().is_waiting
+    }
+
     /// Looks at the connection, and returns whether the caller is there.
     pub(crate) fn look(&self) -> Presence {
         let mut state = self.lock();
