Log the close of a connection to a target only for requests that were given up

Cause: the line "connection to a target closed during a request" was written whenever a connection was dropped before its answer was complete, thus also after a refusal, a failed attempt, a time limit and calls of the gateway itself. It tells from when on a target can know that a request was given up.

Change: a connection whose attempt has failed is marked as such before it is dropped. The line is written if it is dropped unmarked while a request is in flight, as it is when the call is dropped. In both cases the connection is still reset. Calls of the gateway itself have no identifier and no line. The time limit of an attempt is now also applied to the exchange on the connection, so that its end is seen there.

--- a/src/gateway/engine/generation.rs
+++ b/src/gateway/engine/generation.rs
@@ -248,6 +248,7 @@
     call.caller.enter(Step::Decode);
     let answer = attempt::send(state, call, target, head, deadline).await?;
     if answer.status.is_success() && !answer.head.is_signed {
+        answer.mark_failed();
         let error = AttemptError::incomplete_answer("answer without signature");
         attempt::record_failure(state, call, target, &error).await;
         return Err(error);
--- a/src/gateway/engine/relay.rs
+++ b/src/gateway/engine/relay.rs
@@ -252,7 +252,10 @@
     async fn resume(&mut self, error: &AttemptError) -> bool {
         // Closes the connection to the failed engine, so that this engine stops
         // generating before another engine continues.
-        let failed_target = self.source.take().map(|source| source.target);
+        let failed_target = self.source.take().map(|source| {
+            source.connection.mark_failed();
+            source.target
+        });
         if let Some(target) = &failed_target {
             attempt::record_failure(&self.state, &self.call, target, error).await;
             self.history.tried.push(target.id.clone());
@@ -309,6 +312,7 @@
         let sent = attempt::send(&self.state, &self.call, &target, head, deadline).await;
         Some(sent.and_then(|answer| {
             if !answer.status.is_success() || !answer.head.is_signed {
+                answer.mark_failed();
                 return Err(AttemptError::incomplete_answer(format!(
                     "resume answered {}",
                     answer.status
--- a/src/gateway/target/attempt.rs
+++ b/src/gateway/target/attempt.rs
@@ -140,7 +140,7 @@
     head: AttemptHead<'_>,
     deadline: Instant,
 ) -> Result<Answer, AttemptError> {
-    let sending = exchange(state, call, target, head);
+    let sending = exchange(state, call, target, head, deadline);
     let result = timeout_at(deadline, sending)
         .await
         .unwrap_or_else(|_| Err(AttemptError::timeout()));
@@ -226,12 +226,18 @@
                 })
             }
             Err(error) => {
+                self.connection.mark_failed();
                 record_failure(state, call, &self.target, &error).await;
                 Err(error)
             }
         }
     }
 
+    /// Records that the answer is of no use.
+    pub(in crate::gateway) fn mark_failed(&self) {
+        self.connection.mark_failed();
+    }
+
     /// Splits the answer into its body, the connection that the body arrives on, and the
     /// guard that counts the call as in flight.
     pub(in crate::gateway) fn into_stream(self) -> (Incoming, Connection, CallGuard) {
@@ -244,6 +250,7 @@
     call: &Arc<Call>,
     target: &Arc<Target>,
     mut head: AttemptHead<'_>,
+    deadline: Instant,
 ) -> Result<Answer, AttemptError> {
     let max_connections = state.max_connections(&target.service);
     let checkout = state.pool.checkout(target, max_connections).await;
@@ -267,21 +274,25 @@
     let request = build_request(call, &head)?;
     let in_flight = CallGuard::new(state, target, call);
     call.caller.record_send(&target.id);
-    let response = connection
-        .send(&call.id, request)
-        .await
-        .map_err(|error| match error {
-            pool::Error::Broken(_) => {
-                in_flight.mark_broken();
-                AttemptError::connection_lost(error)
-            }
-            _ => AttemptError::new(Failure::NotWritten, error),
-        })?;
+    let Ok(sent) = timeout_at(deadline, connection.send(Some(&call.id), request)).await else {
+        connection.mark_failed();
+        return Err(AttemptError::timeout());
+    };
+    let response = sent.map_err(|error| match error {
+        pool::Error::Broken(_) => {
+            in_flight.mark_broken();
+            AttemptError::connection_lost(error)
+        }
+        _ => AttemptError::new(Failure::NotWritten, error),
+    })?;
     let (parts, body) = response.into_parts();
     let answer_head = read_answer_head(&parts);
     connection.idle_timeout = answer_head.idle_timeout;
     state.note_hints(target, &answer_head.hints);
-    check_head(call, parts.status, &answer_head)?;
+    if let Err(error) = check_head(call, parts.status, &answer_head) {
+        connection.mark_failed();
+        return Err(error);
+    }
     Ok(Answer {
         target: target.clone(),
         status: parts.status,
--- a/src/gateway/target/engine_call.rs
+++ b/src/gateway/target/engine_call.rs
@@ -159,14 +159,13 @@
     *request.method_mut() = method;
     *request.uri_mut() = path.parse::<Uri>().map_err(CallError::not_run)?;
     *request.headers_mut() = engine_headers(&target.id, target.address);
-    let response =
-        connection
-            .send(&Arc::from(path), request)
-            .await
-            .map_err(|error| match error {
-                pool::Error::Broken(_) => CallError::unknown(error),
-                _ => CallError::not_run(error),
-            })?;
+    let response = connection
+        .send(None, request)
+        .await
+        .map_err(|error| match error {
+            pool::Error::Broken(_) => CallError::unknown(error),
+            _ => CallError::not_run(error),
+        })?;
     let status = response.status();
     if !is_final_status(status.as_u16()) {
         let cause = format!("answer has the invalid status {}", status.as_u16());
--- a/src/gateway/target/pool.rs
+++ b/src/gateway/target/pool.rs
@@ -122,16 +122,17 @@
 
 impl Connection {
     /// Sends a request and returns once the head of the answer has arrived. Log lines name
-    /// the request by `id`.
+    /// the request by `id`; a call of the gateway itself has none.
     pub(in crate::gateway) async fn send(
         &mut self,
-        id: &Arc<str>,
+        id: Option<&Arc<str>>,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
         self.in_flight.begin(id);
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => {
+                self.mark_failed();
                 let unsent = error.take_message().is_some();
                 let cause = error.into_error();
                 Err(match unsent {
@@ -143,6 +144,20 @@
     }
 }
 
+impl Connection {
+    /// Records that the attempt has failed, so that the end of the connection does not count
+    /// as that of a request that was given up.
+    pub(in crate::gateway) fn mark_failed(&self) {
+        self.in_flight.fail();
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.in_flight.give_up();
+    }
+}
+
 /// Counts a connection as open until it is dropped.
 #[derive(Debug)]
 struct OpenGuard(Arc<AtomicUsize>);
--- a/src/gateway/target/yielding_stream.rs
+++ b/src/gateway/target/yielding_stream.rs
@@ -20,23 +20,50 @@
 /// one thread, and small messages without end keep their parser busy for long.
 const BYTES_PER_TURN: usize = 64 << 10;
 
+/// Use of a connection.
+#[derive(Clone, Debug, Default)]
+enum Progress {
+    /// No request is in flight.
+    #[default]
+    Idle,
+    /// A request is in flight. A call of the gateway itself has no identifier.
+    InFlight(Option<Arc<str>>),
+    /// The attempt has failed, so that the connection is of no more use.
+    Failed,
+    /// The request was given up while it was in flight.
+    GivenUp(Option<Arc<str>>),
+}
+
 /// The request that is in flight on a connection, if any. Clones refer to the same
 /// connection.
 #[derive(Clone, Debug, Default)]
-pub(in crate::gateway) struct RequestInFlight(Arc<Mutex<Option<Arc<str>>>>);
+pub(in crate::gateway) struct RequestInFlight(Arc<Mutex<Progress>>);
 
 impl RequestInFlight {
-    /// Records that a request is sent.
-    pub(in crate::gateway) fn begin(&self, id: &Arc<str>) {
-        *self.lock() = Some(id.clone());
+    /// Records that a request is sent. Log lines name it by `id`.
+    pub(in crate::gateway) fn begin(&self, id: Option<&Arc<str>>) {
+        *self.lock() = Progress::InFlight(id.cloned());
     }
 
     /// Records that the request is answered completely.
     pub(in crate::gateway) fn end(&self) {
-        *self.lock() = None;
+        *self.lock() = Progress::Idle;
+    }
+
+    /// Records that the attempt has failed.
+    pub(in crate::gateway) fn fail(&self) {
+        *self.lock() = Progress::Failed;
     }
 
-    fn lock(&self) -> MutexGuard<'_, Option<Arc<str>>> {
+    /// Records that nobody waits for the answer any more.
+    pub(in crate::gateway) fn give_up(&self) {
+        let mut progress = self.lock();
+        if let Progress::InFlight(id) = &*progress {
+            *progress = Progress::GivenUp(id.clone());
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Progress> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -77,9 +104,12 @@
 
 impl Drop for YieldingStream {
     fn drop(&mut self) {
-        let in_flight = self.in_flight.lock();
-        if let Some(id) = &*in_flight {
-            self.reset_on_close();
+        let progress = self.in_flight.lock();
+        if matches!(*progress, Progress::Idle) {
+            return;
+        }
+        self.reset_on_close();
+        if let Progress::GivenUp(Some(id)) = &*progress {
             tracing::info!(
                 request = &**id,
                 "gateway: connection to a target closed during a request"
--- a/tests/left_examination.rs
+++ b/tests/left_examination.rs
@@ -1,14 +1,11 @@
 //! Calls in flight whose answers broke off and whose callers leave.
 
+mod log_lines;
 mod platform_support;
 
-use std::{
-    io,
-    net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{net::SocketAddr, time::Duration};
 
+use log_lines::Lines;
 use platform_support::{Cloud, Gateway, Store, configuration, eventually};
 use serde_json::json;
 use tokio::{
@@ -17,31 +14,6 @@
     time::{sleep, timeout},
 };
 
-/// Log lines of this process.
-#[derive(Clone, Default)]
-struct Lines(Arc<Mutex<Vec<u8>>>);
-
-impl io::Write for Lines {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().unwrap().extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
-impl Lines {
-    /// Returns the lines that contain a text.
-    fn with(&self, text: &str) -> Vec<String> {
-        let bytes = self.0.lock().unwrap();
-        let all = String::from_utf8_lossy(&bytes);
-        let lines = all.lines().filter(|line| line.contains(text));
-        lines.map(str::to_owned).collect()
-    }
-}
-
 async fn send(gateway: &Gateway, id: &str) -> TcpStream {
     let address = gateway.url.strip_prefix("http://").unwrap();
     let mut caller = TcpStream::connect(address).await.unwrap();
@@ -98,12 +70,7 @@
 /// while the target was examined: it would be suspected of each later crash.
 #[tokio::test(flavor = "multi_thread")]
 async fn left_call_forgotten() {
-    let lines = Lines::default();
-    let writer = lines.clone();
-    tracing_subscriber::fmt()
-        .with_ansi(false)
-        .with_writer(move || writer.clone())
-        .init();
+    let lines = Lines::capture();
     let socket = TcpSocket::new_v4().unwrap();
     socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
     let listener = socket.listen(1).unwrap();
