Learn the speeds of engines only from predictions that were learned

Cause: the dispatcher compared the time of each prefill with what the profile predicts, also before the profile has observed enough and predicts a constant time for each token. After one fast answer it expected 0.82 times the time of other engines there, and placed the next prompts there. The instances' own estimates leave such answers out.

Change: the dispatcher leaves them out, too. The tests of its placements get a file of their own, and the datagrams that tests send a fixture.

Evidence: dispatch_planner::speeds_need_profile fails before the change (148 ms predicted instead of 180 ms) and passes with it; the tests of shared_placement pass.

--- a/src/gateway/dispatch/planner.rs
+++ b/src/gateway/dispatch/planner.rs
@@ -163,16 +163,18 @@
         let elapsed_ms = f64::from(report.elapsed_ms);
         let profile = state.engines().profile(&report.service);
         let expected_ms = match prefilled.is_local_prefill {
-            true => profile.local_prefill_ms(prefilled.tokens),
-            false => profile.remote_prefill_ms(prefilled.tokens),
+            true => profile.learned_local_prefill_ms(prefilled.tokens),
+            false => profile.learned_remote_prefill_ms(prefilled.tokens),
         };
-        plan.speeds.observe(
-            &prefilled.engine,
-            prefilled.requests_ahead,
-            expected_ms,
-            elapsed_ms,
-            state.now_ms(),
-        );
+        if let Some(expected_ms) = expected_ms {
+            plan.speeds.observe(
+                &prefilled.engine,
+                prefilled.requests_ahead,
+                expected_ms,
+                elapsed_ms,
+                state.now_ms(),
+            );
+        }
         if is_own {
             // The timing profile has observed the prompt when its prefill ended.
             return;
--- /dev/null
+++ b/tests/dispatch_planner.rs
@@ -0,0 +1,151 @@
+//! Placements by a dispatcher, which other instances query by datagrams.
+
+mod dispatch_datagrams;
+mod platform_support;
+
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use dispatch_datagrams::{
+    frames::{Ended, Part, Placed, Prompt, Query, datagram::Body},
+    peer_address, receive, send_to,
+};
+use hyper::Method;
+use platform_support::{Cloud, DEADLINE, Gateway, Store, Worker, configuration, signed, stream};
+use tokio::{
+    net::UdpSocket,
+    time::{sleep, timeout},
+};
+
+const COMPLETE: &str = "id: 1\ndata: a\n\nid: 2\nevent: end\ndata: b\n\n";
+
+const PREFILLED: &str = r#"{"kv_handle":"h1","tokens":900,"version":1}"#;
+
+const PROMPT_TOKENS: u32 = 9_000;
+
+/// Dispatcher, and a socket from which it is queried as by another instance.
+struct Fleet {
+    _platform: (Store, Cloud),
+    _workers: Vec<Worker>,
+    gateway: Gateway,
+    dispatcher: SocketAddr,
+    socket: UdpSocket,
+    next_number: AtomicU64,
+}
+
+impl Fleet {
+    /// Starts a dispatcher with these engines and their roles.
+    async fn start(workers: Vec<(Worker, &str)>) -> Self {
+        let (store, cloud) = (Store::start().await, Cloud::start().await);
+        store.put("keyed.op", "config", &configuration(1));
+        for (worker, role) in &workers {
+            let entry = worker.entry("models", Some(role));
+            store.put("keyed.servers", &worker.id, &entry);
+        }
+        let settings = "placement:\n  shared: true\n";
+        let gateway = Gateway::start_with("entry-0", &store, &cloud, settings).await;
+        gateway.wait_until_ready().await;
+        let dispatcher = peer_address(&store, "entry-0").await;
+        // Services get a timing profile some time after the start.
+        sleep(Duration::from_secs(1)).await;
+        Self {
+            _platform: (store, cloud),
+            _workers: workers.into_iter().map(|(worker, _)| worker).collect(),
+            gateway,
+            dispatcher,
+            socket: UdpSocket::bind("127.0.0.1:0").await.unwrap(),
+            next_number: AtomicU64::new(1),
+        }
+    }
+
+    async fn tell(&self, body: Body) {
+        send_to(&self.socket, self.dispatcher, body).await;
+    }
+
+    /// Asks the dispatcher to place a prompt of which nothing is cached.
+    async fn ask(&self, may_refuse: bool) -> Body {
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let query = Query {
+            number,
+            service: "models".into(),
+            prompt: Some(prompt(number)),
+            objective_ms: 500,
+            event_objective_ms: 500,
+            left_ms: 6_000,
+            may_refuse,
+            ..Query::default()
+        };
+        self.tell(Body::Query(query)).await;
+        timeout(DEADLINE, receive(&self.socket)).await.unwrap().0
+    }
+
+    async fn place(&self) -> Option<Placed> {
+        match self.ask(false).await {
+            Body::Placed(placed) => Some(placed),
+            _ => None,
+        }
+    }
+
+    /// Asks where a prompt would be placed.
+    async fn probe(&self) -> Placed {
+        let placed = self.place().await.expect("not placed");
+        let ended = Ended {
+            number: placed.number,
+            service: "models".into(),
+        };
+        self.tell(Body::Ended(ended)).await;
+        placed
+    }
+
+    /// Sends a prompt that the dispatcher receives itself.
+    async fn send_own(&self, id: &str) -> bool {
+        let request = self
+            .gateway
+            .request(Method::POST, "/chat/1", id)
+            .header("model", "m")
+            .header("token-count", "9000,20")
+            .header("prompt-prefix", "a1:6000,b2:3000");
+        let response = request.body("prompt").send().await.unwrap();
+        response.status() == 200 && response.text().await.is_ok_and(|text| text == COMPLETE)
+    }
+}
+
+fn prompt(id: u64) -> Prompt {
+    let part = Part {
+        id,
+        tokens: PROMPT_TOKENS,
+    };
+    Prompt {
+        prompt_tokens: PROMPT_TOKENS,
+        max_output_tokens: 20,
+        parts: vec![part],
+    }
+}
+
+async fn decoding(id: &str) -> Worker {
+    Worker::start(id, |arrival| Some(stream(arrival, vec![Ok(COMPLETE)]))).await
+}
+
+async fn prefilling(id: &str) -> Worker {
+    Worker::start(id, |arrival| Some(signed(arrival, 200, PREFILLED))).await
+}
+
+/// Before the profile predicts, the speeds of engines must not be learned from answers. They
+/// would be compared with a constant, and engines that have answered would seem faster than
+/// others.
+#[tokio::test(flavor = "multi_thread")]
+async fn speeds_need_profile() {
+    let engines = vec![
+        (prefilling("i-p").await, "prefill"),
+        (decoding("i-d").await, "decode"),
+    ];
+    let fleet = Fleet::start(engines).await;
+    let prior_ms = fleet.probe().await.first_event_ms;
+    for number in 0..3 {
+        assert!(fleet.send_own(&format!("s-{number}")).await);
+    }
+    assert_eq!(fleet.probe().await.first_event_ms, prior_ms);
+}
--- a/tests/shared_placement.rs
+++ b/tests/shared_placement.rs
@@ -1,23 +1,20 @@
 //! Placement of the prompts of all instances by one of them, over real connections.
 
+mod dispatch_datagrams;
 mod platform_support;
 
-/// Messages between instances.
-#[path = "../src/gateway/dispatch/lavenderwind.dispatch.rs"]
-#[allow(unreachable_pub, clippy::all)]
-mod frames;
-
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use frames::{Datagram, Ended, Failure, Part, Placed, Prompt, Query, datagram::Body};
+use dispatch_datagrams::{
+    frames::{Ended, Failure, Part, Placed, Prompt, Query, datagram::Body},
+    peer_address, receive, send_to,
+};
 use hyper::Method;
 use indexmap::IndexSet;
 use lavenderwind::peer::rendezvous_order;
 use platform_support::{
     Cloud, DEADLINE, Gateway, Store, Worker, configuration, eventually, signed, stream,
 };
-use prost::Message;
-use serde_json::Value;
 use tokio::{
     net::UdpSocket,
     sync::Mutex,
@@ -108,31 +105,6 @@
     counts.next().map_or(0.0, |count| count.parse().unwrap())
 }
 
-/// Returns the address at which an instance takes part in shared placement, once it has
-/// announced itself.
-async fn peer_address(store: &Store, name: &str) -> SocketAddr {
-    let find = || {
-        let members = store.state.lock().unwrap().newest("keyed.members");
-        let (_, value) = members.get(name)?;
-        let member: Value = serde_json::from_slice(value).unwrap();
-        Some(member["peer_address"].as_str()?.parse().unwrap())
-    };
-    eventually("the instance announces itself", || find().is_some()).await;
-    find().unwrap()
-}
-
-async fn send_to(socket: &UdpSocket, address: SocketAddr, body: Body) {
-    let bytes = Datagram { body: Some(body) }.encode_to_vec();
-    socket.send_to(&bytes, address).await.unwrap();
-}
-
-async fn receive(socket: &UdpSocket) -> (Body, SocketAddr) {
-    let mut bytes = [0; 2_048];
-    let (length, from) = socket.recv_from(&mut bytes).await.unwrap();
-    let datagram = Datagram::decode(&bytes[..length]).unwrap();
-    (datagram.body.unwrap(), from)
-}
-
 /// What instances have told a dispatcher, by numbers of placements.
 #[derive(Default)]
 struct Reports {
