Count prompts that other instances had answered for their engines

Cause: the dispatcher hears of refusals and failures of all instances, but observed answers only of its own prompts. An engine that had refused one prompt of another instance thus stayed in backoff: the dispatcher placed one prompt on it in each period of 0.1 to 1 s, and one in 3 s after it was unreachable, and its failure rate did not fall, until one of the dispatcher's own prompts was answered there.

Change: the report that a prompt is prefilled counts as an answer of its engine. For the engine that decodes after a remote prefill there is no such report, so it remains as it was.

Evidence: dispatch_planner::refusing_engine_recovers fails before the change at its first placement after the answer, and passes with it; the tests of shared_placement pass. The periods are read from the code.

--- a/src/gateway/dispatch/planner.rs
+++ b/src/gateway/dispatch/planner.rs
@@ -176,9 +176,13 @@
             );
         }
         if is_own {
-            // The timing profile has observed the prompt when its prefill ended.
+            // The answer and its time have been observed.
             return;
         }
+        let now_ms = state.now_ms();
+        state
+            .loads()
+            .observe(&prefilled.engine, AttemptOutcome::Answered, now_ms);
         state.engines().update_profile(&report.service, |profile| {
             match prefilled.is_local_prefill {
                 true => profile.observe_local_prefill(prefilled.tokens, elapsed_ms),
--- a/tests/dispatch_planner.rs
+++ b/tests/dispatch_planner.rs
@@ -10,7 +10,7 @@
 };
 
 use dispatch_datagrams::{
-    frames::{Ended, Part, Placed, Prompt, Query, datagram::Body},
+    frames::{Ended, Failure, Part, Placed, Prefilled, Prompt, Query, datagram::Body},
     peer_address, receive, send_to,
 };
 use hyper::Method;
@@ -133,6 +133,37 @@
     Worker::start(id, |arrival| Some(signed(arrival, 200, PREFILLED))).await
 }
 
+/// An engine that refused a prompt of another instance and then prefills one must get prompts
+/// as before. Otherwise it gets only one in each backoff period until the dispatcher's own
+/// prompts, a small part of all, are answered there.
+#[tokio::test(flavor = "multi_thread")]
+async fn refusing_engine_recovers() {
+    let fleet = Fleet::start(vec![(decoding("i-d").await, "decode")]).await;
+    fleet.probe().await;
+    for _ in 0..4 {
+        let failure = Failure {
+            target: "i-d".into(),
+            refused: true,
+        };
+        fleet.tell(Body::Failure(failure)).await;
+    }
+    let placed = loop {
+        if let Some(placed) = fleet.place().await {
+            break placed;
+        }
+        sleep(Duration::from_millis(20)).await;
+    };
+    let prefilled = Prefilled {
+        number: placed.number,
+        service: "models".into(),
+        elapsed_ms: 5,
+    };
+    fleet.tell(Body::Prefilled(prefilled)).await;
+    for number in 0..10 {
+        assert!(fleet.place().await.is_some(), "{number}");
+    }
+}
+
 /// Before the profile predicts, the speeds of engines must not be learned from answers. They
 /// would be compared with a constant, and engines that have answered would seem faster than
 /// others.
