See a shortage in services without prefill engines

Cause: a shortage is seen by the mean wait on the prefill engines. If there are none, be it that all engines prefill and decode or that all prefill engines are lost, the mean was 0, and the admission stayed calm whatever the wait.

Change: if no prefill engine takes prompts, the mean wait is that of the other engines. Nothing changes while there is one.

Evidence: dispatch_planner::shortage_without_prefill_engines fails before the change (placed with a wait of 1,163 ms and an objective of 500 ms) and passes with it; the tests of shared_placement pass.

--- a/src/gateway/dispatch/service_plan.rs
+++ b/src/gateway/dispatch/service_plan.rs
@@ -135,20 +135,28 @@
     capacity
 }
 
-/// Returns the mean time until an engine has prefilled the prompts that are queued on it, in
-/// milliseconds.
+/// Returns the mean time until a prefill engine has prefilled the prompts that are queued on
+/// it, in milliseconds; that of the other engines if no prefill engine takes prompts.
 fn mean_wait_ms(candidates: &[EngineCandidate], profile: &EngineProfile) -> f64 {
-    let mut wait_ms = 0.0;
-    let mut engines = 0.0;
+    let (mut remote_ms, mut prefill_engines) = (0.0, 0.0);
+    let (mut local_ms, mut other_engines) = (0.0, 0.0);
     for candidate in candidates {
-        if candidate.is_excluded || candidate.is_unreachable || !candidate.prefills() {
+        if candidate.is_excluded || candidate.is_unreachable {
             continue;
         }
-        let ms_per_token = profile.remote_prefill_ms_per_token() * candidate.slowness;
-        wait_ms += candidate.queued_tokens * ms_per_token;
-        engines += 1.0;
+        let slow_tokens = candidate.queued_tokens * candidate.slowness;
+        if candidate.prefills() {
+            remote_ms += slow_tokens * profile.remote_prefill_ms_per_token();
+            prefill_engines += 1.0;
+        } else {
+            local_ms += slow_tokens * profile.local_prefill_ms_per_token();
+            other_engines += 1.0;
+        }
+    }
+    match prefill_engines > 0.0 {
+        true => remote_ms / prefill_engines,
+        false => local_ms / f64::max(other_engines, 1.0),
     }
-    wait_ms / f64::max(engines, 1.0)
 }
 
 fn record_state(service: &str, state: ShortageState, offer: &Offer) {
--- a/tests/dispatch_planner.rs
+++ b/tests/dispatch_planner.rs
@@ -10,7 +10,10 @@
 };
 
 use dispatch_datagrams::{
-    frames::{Ended, Failure, Part, Placed, Prefilled, Prompt, Query, datagram::Body},
+    frames::{
+        Ended, Failure, Notice, Part, Placed, Prefilled, Prompt, Query, RefusalReason,
+        datagram::Body,
+    },
     peer_address, receive, send_to,
 };
 use hyper::Method;
@@ -100,6 +103,22 @@
         placed
     }
 
+    /// Reports a prompt of so many tokens on an engine that will not end.
+    async fn occupy(&self, engine: &str, tokens: u32) {
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let notice = Notice {
+            number,
+            service: "models".into(),
+            prompt: Some(prompt(number)),
+            target: engine.into(),
+            local_prefill: true,
+            uncached_tokens: tokens,
+            left_ms: 600_000,
+            ..Notice::default()
+        };
+        self.tell(Body::Notice(notice)).await;
+    }
+
     /// Sends a prompt that the dispatcher receives itself.
     async fn send_own(&self, id: &str) -> bool {
         let request = self
@@ -180,3 +199,17 @@
     }
     assert_eq!(fleet.probe().await.first_event_ms, prior_ms);
 }
+
+/// A service whose engines all prefill and decode must see a shortage, too. Otherwise its most
+/// urgent requests wait behind all others.
+#[tokio::test(flavor = "multi_thread")]
+async fn shortage_without_prefill_engines() {
+    let fleet = Fleet::start(vec![(decoding("i-d").await, "decode")]).await;
+    assert!(matches!(fleet.ask(true).await, Body::Placed(_)));
+    // More than the objective, and less than callers wait.
+    fleet.occupy("i-d", 20_000).await;
+    match fleet.ask(true).await {
+        Body::Refused(refused) => assert_eq!(refused.reason(), RefusalReason::Shortage),
+        other => panic!("not refused: {other:?}"),
+    }
+}
