Count failed attempts of the dispatcher itself once

Cause: an instance counts a failed attempt against its target when it fails, and as dispatcher it counted it again when its own report arrived by datagram. Backoff and failure rate thus grew twice as fast by its own prompts as by those of others.

Change: a report that comes from the instance's own address is ignored.

Evidence: dispatch_planner::own_failures_counted_once fails before the change in three runs (the engine that had refused once was passed over) and passes with it; the tests of shared_placement pass.

--- a/src/gateway/dispatch/server.rs
+++ b/src/gateway/dispatch/server.rs
@@ -63,6 +63,8 @@
             planner.record_prefilled(state, key(prefilled.number), &prefilled, is_own);
         }
         Body::Ended(ended) => planner.end(&ended.service, key(ended.number)),
+        // An attempt of this instance was counted when it failed.
+        Body::Failure(_) if from == dispatch.own_address => {}
         Body::Failure(failure) => planner.record_failure(state, &failure),
         Body::Placed(placed) => dispatch.complete(placed.number, Body::Placed(placed)),
         Body::Refused(refused) => dispatch.complete(refused.number, Body::Refused(refused)),
--- a/tests/dispatch_planner.rs
+++ b/tests/dispatch_planner.rs
@@ -5,7 +5,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -17,7 +20,9 @@
     peer_address, receive, send_to,
 };
 use hyper::Method;
-use platform_support::{Cloud, DEADLINE, Gateway, Store, Worker, configuration, signed, stream};
+use platform_support::{
+    Cloud, DEADLINE, Gateway, Store, Worker, configuration, not_run, signed, stream,
+};
 use tokio::{
     net::UdpSocket,
     time::{sleep, timeout},
@@ -29,6 +34,9 @@
 
 const PROMPT_TOKENS: u32 = 9_000;
 
+/// Tokens whose prefill takes longer than one failure costs, and less long than two cost.
+const OCCUPIED_TOKENS: u32 = 34_000;
+
 /// Dispatcher, and a socket from which it is queried as by another instance.
 struct Fleet {
     _platform: (Store, Cloud),
@@ -213,3 +221,35 @@
         other => panic!("not refused: {other:?}"),
     }
 }
+
+/// A failed attempt of the dispatcher itself must count once against its engine, as those of
+/// other instances do.
+#[tokio::test(flavor = "multi_thread")]
+async fn own_failures_counted_once() {
+    let refused: Arc<Mutex<Option<String>>> = Arc::default();
+    let mut engines = vec![(decoding("i-d").await, "decode")];
+    for id in ["i-p0", "i-p1"] {
+        let refused = refused.clone();
+        let worker = Worker::start(id, move |arrival| {
+            let mut refused = refused.lock().unwrap();
+            if refused.is_some() || arrival.header("request-id").is_none() {
+                return Some(signed(arrival, 200, PREFILLED));
+            }
+            *refused = Some(id.to_owned());
+            Some(not_run(arrival))
+        });
+        engines.push((worker.await, "prefill"));
+    }
+    let fleet = Fleet::start(engines).await;
+    assert!(fleet.send_own("f-1").await);
+    let refusing = refused.lock().unwrap().clone().expect("nothing refused");
+    let other = match &*refusing {
+        "i-p0" => "i-p1",
+        _ => "i-p0",
+    };
+    fleet.occupy(other, OCCUPIED_TOKENS).await;
+    fleet.occupy("i-d", 10 * OCCUPIED_TOKENS).await;
+    // Longer than the backoff after two refusals.
+    sleep(Duration::from_millis(600)).await;
+    assert_eq!(fleet.probe().await.target, refusing);
+}
