--- a/src/gateway/dispatch/planner.rs
+++ b/src/gateway/dispatch/planner.rs
@@ -138,8 +138,15 @@
         }
     }
 
-    /// Records that the prompt of a placement is prefilled.
-    pub(super) fn record_prefilled(&self, state: &State, key: PlacementKey, report: &Prefilled) {
+    /// Records that the prompt of a placement is prefilled. `is_own` tells whether this
+    /// instance received the request.
+    pub(super) fn record_prefilled(
+        &self,
+        state: &State,
+        key: PlacementKey,
+        report: &Prefilled,
+        is_own: bool,
+    ) {
         let mut services = self.lock();
         let Some(plan) = services.get_mut(&*report.service) else {
             return;
@@ -156,16 +163,26 @@
         let elapsed_ms = f64::from(report.elapsed_ms);
         let profile = state.engines().profile(&report.service);
         let expected_ms = match prefilled.is_local_prefill {
-            true => profile.local_prefill_ms(prefilled.tokens),
-            false => profile.remote_prefill_ms(prefilled.tokens),
+            true => profile.learned_local_prefill_ms(prefilled.tokens),
+            false => profile.learned_remote_prefill_ms(prefilled.tokens),
         };
-        plan.speeds.observe(
-            &prefilled.engine,
-            prefilled.requests_ahead,
-            expected_ms,
-            elapsed_ms,
-            state.now_ms(),
-        );
+        if let Some(expected_ms) = expected_ms {
+            plan.speeds.observe(
+                &prefilled.engine,
+                prefilled.requests_ahead,
+                expected_ms,
+                elapsed_ms,
+                state.now_ms(),
+            );
+        }
+        if is_own {
+            // The answer and its time have been observed.
+            return;
+        }
+        let now_ms = state.now_ms();
+        state
+            .loads()
+            .observe(&prefilled.engine, AttemptOutcome::Answered, now_ms);
         state.engines().update_profile(&report.service, |profile| {
             match prefilled.is_local_prefill {
                 true => profile.observe_local_prefill(prefilled.tokens, elapsed_ms),
--- a/tests/shared_placement.rs
+++ b/tests/shared_placement.rs
@@ -1,12 +1,26 @@
 //! Placement of the prompts of all instances by one of them, over real connections.
 
+mod dispatch_datagrams;
 mod platform_support;
 
-use std::time::Duration;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use dispatch_datagrams::{
+    frames::{Ended, Failure, Part, Placed, Prompt, Query, datagram::Body},
+    peer_address, receive, send_to,
+};
 use hyper::Method;
-use platform_support::{Cloud, Gateway, Store, Worker, configuration, eventually, signed, stream};
-use tokio::{sync::Mutex, time::sleep};
+use indexmap::IndexSet;
+use lavenderwind::peer::rendezvous_order;
+use platform_support::{
+    Cloud, DEADLINE, Gateway, Store, Worker, configuration, eventually, signed, stream,
+};
+use tokio::{
+    net::UdpSocket,
+    sync::Mutex,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
 
 const SHARED: &str = "placement:\n  shared: true\n";
 
@@ -17,7 +31,7 @@
 
 /// Store, engines and instances with shared placement.
 struct Fleet {
-    _store: Store,
+    store: Store,
     _cloud: Cloud,
     _workers: Vec<Worker>,
     gateways: Vec<Gateway>,
@@ -58,7 +72,7 @@
         gateways.push(gateway);
     }
     Fleet {
-        _store: store,
+        store,
         _cloud: cloud,
         _workers: workers,
         gateways,
@@ -67,11 +81,16 @@
 
 /// Sends a prompt and returns whether it was answered completely.
 async fn is_answered(gateway: &Gateway, id: &str) -> bool {
+    is_prompt_answered(gateway, id, "a1:6000,b2:3000").await
+}
+
+/// Sends a prompt that consists of `parts`, and returns whether it was answered completely.
+async fn is_prompt_answered(gateway: &Gateway, id: &str, parts: &str) -> bool {
     let request = gateway
         .request(Method::POST, "/chat/1", id)
         .header("model", "m")
         .header("token-count", "9000,20")
-        .header("prompt-prefix", "a1:6000,b2:3000");
+        .header("prompt-prefix", parts);
     let response = request.body("prompt").send().await.unwrap();
     let is_success = response.status() == 200;
     is_success && response.text().await.is_ok_and(|text| text == COMPLETE)
@@ -86,6 +105,97 @@
     counts.next().map_or(0.0, |count| count.parse().unwrap())
 }
 
+/// What instances have told a dispatcher, by numbers of placements.
+#[derive(Default)]
+struct Reports {
+    queries: IndexSet<u64>,
+    notices: IndexSet<u64>,
+    ended: IndexSet<u64>,
+}
+
+/// Dispatcher that lets instances find no engine: it reports each engine as unreachable, and
+/// answers every other query with an engine that does not exist. It answers no others.
+fn start_misleading_dispatcher(
+    socket: UdpSocket,
+    engine: &str,
+) -> (JoinHandle<()>, Arc<std::sync::Mutex<Reports>>) {
+    let reports: Arc<std::sync::Mutex<Reports>> = Arc::default();
+    let (heard, engine) = (reports.clone(), engine.to_owned());
+    let task = tokio::spawn(async move {
+        loop {
+            let (body, from) = receive(&socket).await;
+            let number = match body {
+                Body::Query(query) => query.number,
+                Body::Notice(notice) => {
+                    heard.lock().unwrap().notices.insert(notice.number);
+                    continue;
+                }
+                Body::Ended(ended) => {
+                    heard.lock().unwrap().ended.insert(ended.number);
+                    continue;
+                }
+                _ => continue,
+            };
+            for _ in 0..5 {
+                let failure = Failure {
+                    target: engine.clone(),
+                    refused: false,
+                };
+                send_to(&socket, from, Body::Failure(failure)).await;
+            }
+            let is_answered = {
+                let mut heard = heard.lock().unwrap();
+                heard.queries.insert(number);
+                heard.queries.len() % 2 == 1
+            };
+            if is_answered {
+                let placed = Placed {
+                    number,
+                    target: "i-none".into(),
+                    ..Placed::default()
+                };
+                send_to(&socket, from, Body::Placed(placed)).await;
+            }
+        }
+    });
+    (task, reports)
+}
+
+/// Asks a dispatcher to place a prompt of one part, and returns the predicted time to the
+/// first event.
+async fn predicted_ms(dispatcher: SocketAddr, part: u64) -> u32 {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let part = Part {
+        id: part,
+        tokens: 9_000,
+    };
+    let query = Query {
+        number: 1,
+        service: "models".into(),
+        prompt: Some(Prompt {
+            prompt_tokens: 9_000,
+            max_output_tokens: 20,
+            parts: vec![part],
+        }),
+        objective_ms: 500,
+        event_objective_ms: 500,
+        left_ms: 3_000,
+        ..Query::default()
+    };
+    send_to(&socket, dispatcher, Body::Query(query)).await;
+    match timeout(DEADLINE, receive(&socket)).await.unwrap() {
+        (Body::Placed(placed), _) => {
+            let ended = Ended {
+                number: placed.number,
+                service: "models".into(),
+            };
+            send_to(&socket, dispatcher, Body::Ended(ended)).await;
+            placed.first_event_ms
+        }
+        (other, _) => panic!("not placed: {other:?}"),
+    }
+}
+
 /// Each instance must ask the dispatcher and use its answer; with a setting that has no effect,
 /// instances would go on placing prompts blindly.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -157,3 +267,77 @@
     let after = queries(&gateway, "placed").await + queries(&gateway, "unanswered").await;
     assert_eq!(before, after);
 }
+
+/// An instance that can use no placement of the dispatcher, or gets none in time, and finds no
+/// engine itself must end the placement. Otherwise it counts against its engine until the
+/// deadline of the request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn unusable_placement_ended() {
+    let _metrics = METRICS.lock().await;
+    let (store, cloud) = (Store::start().await, Cloud::start().await);
+    store.put("keyed.op", "config", &configuration(1));
+    let worker = Worker::start("i-d", |arrival| Some(stream(arrival, vec![Ok(COMPLETE)]))).await;
+    let entry = worker.entry("models", Some("decode"));
+    store.put("keyed.servers", &worker.id, &entry);
+    let names: [Arc<str>; 2] = ["entry-0".into(), "entry-1".into()];
+    let order = rendezvous_order("models", &names);
+    // The first instance does not use its address for datagrams, as it has no shared placement.
+    let first = Gateway::start(order[0], &store, &cloud).await;
+    let socket = UdpSocket::bind(peer_address(&store, order[0]).await).await;
+    let (dispatcher, reports) = start_misleading_dispatcher(socket.unwrap(), "i-d");
+    let gateway = Gateway::start_with(order[1], &store, &cloud, SHARED).await;
+    gateway.wait_until_ready().await;
+    let mut sent = 0;
+    while reports.lock().unwrap().queries.len() < 6 {
+        sent += 1;
+        assert!(sent < 400, "the dispatcher is not asked");
+        is_answered(&gateway, &format!("u-{sent}")).await;
+        sleep(Duration::from_millis(20)).await;
+    }
+    eventually("all placements are ended", || {
+        let reports = reports.lock().unwrap();
+        reports.queries.is_subset(&reports.ended)
+    })
+    .await;
+    assert_eq!(
+        reports.lock().unwrap().notices.len(),
+        0,
+        "an engine was found"
+    );
+    dispatcher.abort();
+    drop(first);
+}
+
+/// The dispatcher must observe the prompts that it has received itself once. If they count
+/// twice, its timing profile follows its own prompts more than those of others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn own_prompts_observed_once() {
+    let _metrics = METRICS.lock().await;
+    let fleet = start_fleet(1).await;
+    let gateway = &fleet.gateways[0];
+    let dispatcher = peer_address(&fleet.store, "entry-0").await;
+    // Services get a timing profile some time after the start.
+    sleep(Duration::from_secs(1)).await;
+    // Until the profile has observed more than four prefills, it predicts a constant time for
+    // each token. The engines of this test take far less.
+    let learned_ms = predicted_ms(dispatcher, 1).await / 4;
+    let before = queries(gateway, "placed").await;
+    for number in 1..=4 {
+        let parts = format!("a{number}:6000,b{number}:3000");
+        assert!(is_prompt_answered(gateway, &format!("o-{number}"), &parts).await);
+    }
+    let placed = queries(gateway, "placed").await - before;
+    assert!(
+        placed >= 2.0,
+        "{placed} prompts were placed by the dispatcher"
+    );
+    let predicted = predicted_ms(dispatcher, 2).await;
+    assert!(predicted > learned_ms, "{predicted} ms after four prompts");
+    let mut number = 4;
+    while predicted_ms(dispatcher, 1_000 + number).await > learned_ms {
+        number += 1;
+        assert!(number < 200, "nothing learned");
+        let parts = format!("a{number}:6000,b{number}:3000");
+        assert!(is_prompt_answered(gateway, &format!("o-{number}"), &parts).await);
+    }
+}
