Pack reported amounts in heartbeats into two bytes each

Cause: each amount is a message of 7 to 9 bytes, of which a relay's heartbeat at 82 instances holds 3 beside the loads. With 16 accounts in use, an account is reported every 5 heartbeats on average, although its usage counts as known after 1.5 s.

Change: amounts that may arrive in parts are sent in the field `packed_amounts`: the difference to the previous index, an exponent and five binary digits. What the digits leave out stays pending, so that sums are exact. Usage of quotas is packed, and the work of engines where quotas are in use; all other amounts are sent as before. Speeds of targets must arrive as a whole, as they are two numbers in one. An instance announces in its `Hello` that it decodes the packed form; instances of the previous version get the messages that they decode, and what they send is forwarded as a whole.

The heartbeats' size and interval are unchanged.

--- a/src/gateway/admission/quota.rs
+++ b/src/gateway/admission/quota.rs
@@ -267,12 +267,12 @@
         let reach = quotas.reach(now_ms);
         drop(quotas);
         for PeerAmount { name, amount } in reports {
-            peers.report_amount(&name, amount);
+            peers.report_divisible_amount(&name, amount);
         }
         let presence_ms = now_ms.saturating_sub(presence_from_ms).min(MAX_PRESENCE_MS);
         presence_from_ms = now_ms;
         let units = (presence_ms as f64 * PRESENCE_UNITS_PER_MS) as u64;
-        peers.report_amount(NAME_PREFIX, units);
+        peers.report_divisible_amount(NAME_PREFIX, units);
         metrics::gauge!("gateway_quota_heard_fraction").set(reach.fraction);
         let hears_all = reach.fraction >= 1.0;
         if hears_all != heard_all {
--- a/src/gateway/engine/profiles.rs
+++ b/src/gateway/engine/profiles.rs
@@ -157,7 +157,10 @@
             ] {
                 let name = format!("{service}/{kind}");
                 let units = (*own_ms * WORK_UNITS_PER_MS) as u64;
-                if units > 0 {
+                if units > 0 && catalog.has_quotas() {
+                    // As a whole, work would displace the usage of quotas in heartbeats.
+                    peers.report_divisible_amount(&name, units);
+                } else if units > 0 {
                     peers.report_amount(&name, units);
                 }
                 let reported_ms = units as f64 / WORK_UNITS_PER_MS;
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -13,6 +13,7 @@
 
 use super::{
     Error, Result,
+    delta::AmountForm,
     frame::{FramedStream, framed, receive, send},
     frames::{CrashReport, Hello, QuarantineAck, QuarantineNotice, UsageCopy, frame::Body},
     heartbeat::heartbeat_interval,
@@ -56,12 +57,14 @@
         sender: own.name.to_string(),
         incarnation: own.incarnation,
         failure_domain: own.failure_domain.to_string(),
+        accepts_packed_amounts: true,
     };
     let hello = Body::Hello(hello);
     send(&mut sink, hello, FRAME_TIMEOUT, &shared.traffic).await?;
     let Body::Hello(hello) = receive(&mut source, FRAME_TIMEOUT).await? else {
         return Err(Error::UnexpectedFrame);
     };
+    let amount_form = AmountForm::accepted_by(&hello);
     let peer = PeerIdentity {
         name: hello.sender.into(),
         incarnation: hello.incarnation,
@@ -70,7 +73,7 @@
     let (outbox, outbox_frames) = mpsc::channel(OUTBOX_FRAMES);
     let opened = shared
         .state()
-        .open_link(peer.clone(), outbox, Instant::now())?;
+        .open_link(peer.clone(), amount_form, outbox, Instant::now())?;
     tracing::debug!("peer: connected to {}", peer.name);
     let connection = Connection {
         shared,
--- a/src/peer/delta.rs
+++ b/src/peer/delta.rs
@@ -1,7 +1,9 @@
 //! Delta encoding of target loads and served tokens in heartbeats.
 //!
 //! On each connection, every name of a target or account is defined once and is then
-//! referred to by an index. A heartbeat contains only the loads that have changed.
+//! referred to by an index. A heartbeat contains only the loads that have changed, and the
+//! amounts that were added. Amounts that may arrive in parts are packed if the receiver's
+//! `Hello` says that it decodes this form. All others have a message each.
 
 use std::sync::Arc;
 
@@ -9,7 +11,12 @@
 use indexmap::{IndexMap, IndexSet};
 use prost::Message;
 
-use super::frames::{Heartbeat, LoadChange, NameDefinition, ServedTokens};
+use super::{
+    byte_budget::ByteBudget,
+    frames::{Heartbeat, Hello, LoadChange, NameDefinition, ServedTokens},
+    packed_amounts::{MAX_PACKED_AMOUNT, PackedAmount, PackedAmounts, unpack},
+    pending_amounts::{PendingAmount, PendingAmounts},
+};
 
 /// Maximum number of names defined on one connection.
 pub const MAX_NAMES: usize = 1 << 16;
@@ -63,6 +70,18 @@
     pub amount: u64,
 }
 
+/// An amount in a heartbeat.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ReceivedAmount {
+    /// Name under which the amount was reported.
+    pub name: Arc<str>,
+    /// Amount added since the previous report.
+    pub amount: u64,
+    /// Whether the amount may be forwarded in parts: it was in the packed form, in which only
+    /// divisible amounts are sent.
+    pub is_divisible: bool,
+}
+
 /// Reasons why the changes in a heartbeat cannot be applied.
 #[derive(Debug, Display, derive_more::Error)]
 pub enum Error {
@@ -78,6 +97,27 @@
     },
 }
 
+/// Form in which amounts are sent over one connection.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum AmountForm {
+    /// One `ServedTokens` message for each amount, which all versions decode.
+    #[default]
+    Separate,
+    /// `packed_amounts`, with about two bytes for each amount, if it is divisible. For
+    /// receivers whose `Hello` has `accepts_packed_amounts`.
+    Packed,
+}
+
+impl AmountForm {
+    /// Returns the form for a receiver that has sent this `Hello`.
+    pub fn accepted_by(hello: &Hello) -> Self {
+        if hello.accepts_packed_amounts {
+            return Self::Packed;
+        }
+        Self::Separate
+    }
+}
+
 /// Encodes changes for the sending side of one connection.
 #[derive(Debug, Default)]
 pub struct DeltaEncoder {
@@ -86,55 +126,49 @@
     /// Loads as last sent, by target.
     sent_loads: IndexMap<Arc<str>, TargetLoad>,
     /// Amounts that are not reported yet, by name.
-    pending_amounts: IndexMap<Arc<str>, u64>,
+    pending_amounts: PendingAmounts,
     /// Bytes by which earlier heartbeats exceeded their limit, to be saved by later
     /// heartbeats.
     excess_bytes: i64,
+    amount_form: AmountForm,
 }
 
-/// Number of bytes that may still be added to a heartbeat.
-///
-/// The first item may exceed the budget, as otherwise a name longer than the budget
-/// would never be sent. Later heartbeats are smaller by the excess.
-struct ByteBudget {
-    bytes: i64,
-    unused: bool,
-}
-
-impl ByteBudget {
-    fn new(bytes: i64) -> Self {
+impl DeltaEncoder {
+    /// Creates an encoder that sends amounts in this form.
+    pub fn new(amount_form: AmountForm) -> Self {
         Self {
-            bytes,
-            unused: bytes > 0,
+            amount_form,
+            ..Self::default()
         }
     }
 
-    fn try_consume(&mut self, bytes: usize) -> bool {
-        let remaining = self.bytes - bytes as i64;
-        if remaining < 0 && !self.unused {
-            return false;
-        }
-        self.unused = false;
-        self.bytes = remaining;
-        true
+    /// Adds to the amount of a name, to be reported as a whole in a later heartbeat.
+    pub fn add_amount(&mut self, name: &Arc<str>, amount: u64) {
+        self.pending_amounts.add(name, amount, false);
     }
-}
 
-impl DeltaEncoder {
-    /// Adds to the amount of a name, to be reported in a later heartbeat.
-    pub fn add_amount(&mut self, name: &Arc<str>, amount: u64) {
-        if let Some(pending) = self.pending_amounts.get_mut(name) {
-            *pending += amount;
-            return;
-        }
-        self.pending_amounts.insert(name.clone(), amount);
+    /// Adds to the amount of a name, to be reported in later heartbeats. It may arrive in
+    /// parts.
+    pub fn add_divisible_amount(&mut self, name: &Arc<str>, amount: u64) {
+        self.pending_amounts.add(name, amount, true);
+    }
+
+    /// Adds an amount that was received over another connection.
+    pub fn forward_amount(&mut self, received: &ReceivedAmount) {
+        let ReceivedAmount {
+            name,
+            amount,
+            is_divisible,
+        } = received;
+        self.pending_amounts.add(name, *amount, *is_divisible);
     }
 
     /// Adds changed loads and amounts to a heartbeat, each with the largest first,
     /// up to `max_bytes`.
     ///
-    /// Changes that do not fit are sent in later heartbeats. Loads use at most
-    /// half of the bytes while amounts are waiting to be reported.
+    /// Changes that do not fit are sent in later heartbeats, as is what packing cuts off
+    /// amounts. Loads use at most half of the bytes while amounts are waiting to be
+    /// reported.
     pub fn encode(
         &mut self,
         loads: &IndexMap<Arc<str>, TargetLoad>,
@@ -148,12 +182,12 @@
             max_bytes / 2
         };
         let mut load_budget = ByteBudget::new(load_bytes.min(max_bytes - self.excess_bytes));
-        let load_budget_bytes = load_budget.bytes;
+        let load_budget_bytes = load_budget.left();
         self.encode_loads(loads, &mut load_budget, heartbeat);
-        let used_load_bytes = load_budget_bytes - load_budget.bytes;
+        let used_load_bytes = load_budget_bytes - load_budget.left();
         let mut amount_budget = ByteBudget::new(max_bytes - self.excess_bytes - used_load_bytes);
         self.encode_amounts(&mut amount_budget, heartbeat);
-        self.excess_bytes = (-amount_budget.bytes).max(0);
+        self.excess_bytes = (-amount_budget.left()).max(0);
     }
 
     /// Returns whether the limit of names is reached. Further names can only be defined
@@ -197,26 +231,53 @@
     }
 
     fn encode_amounts(&mut self, budget: &mut ByteBudget, heartbeat: &mut Heartbeat) {
-        let mut pending = Vec::new();
-        for (name, &amount) in &self.pending_amounts {
-            pending.push((amount, name.clone()));
+        let mut packed = PackedAmounts::default();
+        // What packing cuts off is added once each name has an amount in the heartbeat.
+        while !self.pending_amounts.is_empty() {
+            if !self.encode_each_amount(&mut packed, budget, heartbeat) {
+                break;
+            }
         }
-        pending.sort_unstable_by(|a, b| b.cmp(a));
-        for (amount, name) in pending {
-            let added = self.add_name(&name, budget, heartbeat);
-            let Some(account) = added else {
-                return;
+        heartbeat.packed_amounts = packed.into_elements();
+    }
+
+    /// Adds one amount for each name with a pending amount. Returns whether all fit.
+    fn encode_each_amount(
+        &mut self,
+        packed: &mut PackedAmounts,
+        budget: &mut ByteBudget,
+        heartbeat: &mut Heartbeat,
+    ) -> bool {
+        for (pending, name) in self.pending_amounts.largest() {
+            let Some(index) = self.add_name(&name, budget, heartbeat) else {
+                return false;
             };
+            if self.is_sent_packed(&pending) {
+                let entry = PackedAmount::new(index, pending.amount);
+                if !budget.try_consume(packed.added_bytes(entry)) {
+                    return false;
+                }
+                packed.insert(entry);
+                self.pending_amounts.subtract(&name, entry.amount());
+                continue;
+            }
             let served = ServedTokens {
-                account,
-                tokens: amount,
+                account: index,
+                tokens: pending.amount,
             };
             if !budget.try_consume(served.encoded_len() + FIELD_HEADER_BYTES) {
-                return;
+                return false;
             }
             heartbeat.served.push(served);
-            self.pending_amounts.swap_remove(&name);
+            self.pending_amounts.subtract(&name, pending.amount);
         }
+        true
+    }
+
+    fn is_sent_packed(&self, pending: &PendingAmount) -> bool {
+        self.amount_form == AmountForm::Packed
+            && pending.is_divisible
+            && pending.amount <= MAX_PACKED_AMOUNT
     }
 
     /// Returns the loads that differ from those last sent, largest change
@@ -285,7 +346,7 @@
     ///
     /// Fails if the heartbeat refers to an undefined name or defines more than
     /// [`MAX_NAMES`] names.
-    pub fn apply(&mut self, heartbeat: &Heartbeat) -> Result<Vec<PeerAmount>, Error> {
+    pub fn apply(&mut self, heartbeat: &Heartbeat) -> Result<Vec<ReceivedAmount>, Error> {
         for definition in &heartbeat.names {
             if self.names.len() >= MAX_NAMES {
                 return Err(Error::TooManyNames {
@@ -307,11 +368,20 @@
             }
             self.loads.insert(name, load);
         }
-        let mut amounts = Vec::with_capacity(heartbeat.served.len());
+        let count = heartbeat.served.len() + heartbeat.packed_amounts.len();
+        let mut amounts = Vec::with_capacity(count);
         for entry in &heartbeat.served {
-            amounts.push(PeerAmount {
+            amounts.push(ReceivedAmount {
                 name: self.name(entry.account)?,
                 amount: entry.tokens,
+                is_divisible: false,
+            });
+        }
+        for entry in unpack(&heartbeat.packed_amounts) {
+            amounts.push(ReceivedAmount {
+                name: self.name(entry.index())?,
+                amount: entry.amount(),
+                is_divisible: true,
             });
         }
         Ok(amounts)
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -147,10 +147,19 @@
 
     /// Reports an amount to peers, such as the tokens that this instance served for an
     /// account (`SERVICE/ACCOUNT`) or the work of a service's engines. Peers add up the
-    /// amounts of each name.
+    /// amounts of each name. The amount arrives as a whole, in a sum with others.
     pub fn report_amount(&self, name: &str, amount: u64) {
         let name = name.into();
-        self.shared.state().report_amount(&name, amount);
+        let mut state = self.shared.state();
+        state.report_amount(|encoder| encoder.add_amount(&name, amount));
+    }
+
+    /// Reports an amount to peers as [`Self::report_amount`] does, but most of it arrives
+    /// earlier than the rest, which saves bytes. For amounts of which only the sum counts.
+    pub fn report_divisible_amount(&self, name: &str, amount: u64) {
+        let name = name.into();
+        let mut state = self.shared.state();
+        state.report_amount(|encoder| encoder.add_divisible_amount(&name, amount));
     }
 
     /// Announces to all peers and the live list that this instance is shutting
--- a/src/peer/lavenderwind.peer.rs
+++ b/src/peer/lavenderwind.peer.rs
@@ -43,9 +43,13 @@
     pub incarnation: u64,
     #[prost(string, tag = "3")]
     pub failure_domain: ::prost::alloc::string::String,
+    /// Whether the sender decodes `Heartbeat.packed_amounts`. Instances without this field
+    /// are sent `Heartbeat.served`.
+    #[prost(bool, tag = "40")]
+    pub accepts_packed_amounts: bool,
 }
-/// State of the sender. `loads` and `served` contain only the changes since the
-/// previous heartbeat on this connection.
+/// State of the sender. `loads`, `served` and `packed_amounts` contain only the changes
+/// since the previous heartbeat on this connection.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Heartbeat {
     /// Sequence number of the heartbeat on this connection, starting at 1.
@@ -95,6 +99,15 @@
     pub loads: ::prost::alloc::vec::Vec<LoadChange>,
     #[prost(message, repeated, tag = "15")]
     pub served: ::prost::alloc::vec::Vec<ServedTokens>,
+    /// Amounts in the compact form, in the order of their indices. They are added up like
+    /// those in `served`, but may be parts of an amount, and may be forwarded in parts; an
+    /// index may occur more than once. Bits 9 and higher of an element are the difference
+    /// between its index and that of the previous element, or the index itself for the
+    /// first. Bits 0 to 8 are the amount: if bits 4 to 8, the exponent, are 0, it is the
+    /// number in bits 0 to 3; otherwise it is 16 plus that number, multiplied by 2 to the
+    /// power of the exponent less 1.
+    #[prost(uint32, repeated, tag = "40")]
+    pub packed_amounts: ::prost::alloc::vec::Vec<u32>,
 }
 /// Assigns the next index on this connection, starting at 0, to the name of a
 /// target or account.
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Result,
-    delta::{DeltaDecoder, DeltaEncoder, PeerAmount},
+    delta::{AmountForm, DeltaDecoder, DeltaEncoder, ReceivedAmount},
     frames::{Heartbeat, frame::Body},
     freshness::PeerLogPosition,
     membership::PeerIdentity,
@@ -78,13 +78,18 @@
 }
 
 impl Link {
-    pub(super) fn new(id: u64, peer: PeerIdentity, outbox: mpsc::Sender<Body>) -> Self {
+    pub(super) fn new(
+        id: u64,
+        peer: PeerIdentity,
+        amount_form: AmountForm,
+        outbox: mpsc::Sender<Body>,
+    ) -> Self {
         Self {
             id,
             peer,
             outbox,
             replaced: CancellationToken::new(),
-            encoder: DeltaEncoder::default(),
+            encoder: DeltaEncoder::new(amount_form),
             decoder: DeltaDecoder::default(),
             log_requested_at: None,
             missing_offset: None,
@@ -116,7 +121,7 @@
     /// # Errors
     ///
     /// Fails if the heartbeat refers to an undefined name or defines too many names.
-    pub(super) fn apply_heartbeat(&mut self, heartbeat: &Heartbeat) -> Result<Vec<PeerAmount>> {
+    pub(super) fn apply_heartbeat(&mut self, heartbeat: &Heartbeat) -> Result<Vec<ReceivedAmount>> {
         self.last_received_sequence = heartbeat.sequence;
         let amounts = self.decoder.apply(heartbeat)?;
         self.record_echo(heartbeat);
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -14,11 +14,15 @@
 //!   slices, `unflushed_usage` this instance's slices, `quarantine` the requests that the
 //!   log quarantines, `suspects` those that reported crashes do, and `notices` what targets
 //!   say in their answers. `reports` are those of the last two that are sent to peers.
+//! - Changes in heartbeats: `delta` encodes and decodes them. `pending_amounts` are those that
+//!   wait to be sent, `packed_amounts` encodes those that may be sent in parts, and
+//!   `byte_budget` limits the size.
 //! - Tasks: `heartbeat` builds heartbeats, `relay` relays log records, `live_list`
 //!   polls the platform's list of instances, `upkeep` does periodic maintenance, and
 //!   `spawn` starts the tasks.
 //! - `handle` is the interface to the rest of an instance.
 
+mod byte_budget;
 mod connection;
 pub mod delta;
 mod dial;
@@ -33,6 +37,8 @@
 mod load;
 pub mod membership;
 mod notices;
+mod packed_amounts;
+mod pending_amounts;
 mod quarantine;
 mod reachability;
 mod relay;
--- a/src/peer/state.rs
+++ b/src/peer/state.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Error, Result,
-    delta::{PeerAmount, TargetLoad},
+    delta::{AmountForm, DeltaEncoder, ReceivedAmount, TargetLoad},
     frames::{Heartbeat, QuarantineNotice, frame::Body},
     freshness::{Freshness, FreshnessInput, PeerLogPosition, Quorum},
     link::Link,
@@ -109,7 +109,8 @@
         }
     }
 
-    /// Registers a connection. Replaces an earlier connection to the same peer.
+    /// Registers a connection, over which amounts are sent in the form `amount_form`.
+    /// Replaces an earlier connection to the same peer.
     ///
     /// # Errors
     ///
@@ -118,6 +119,7 @@
     pub(super) fn open_link(
         &mut self,
         peer: PeerIdentity,
+        amount_form: AmountForm,
         outbox: mpsc::Sender<Body>,
         now: Instant,
     ) -> Result<OpenedLink> {
@@ -126,7 +128,7 @@
         }
         self.observe_frame(&peer, now)?;
         self.last_link_id += 1;
-        let link = Link::new(self.last_link_id, peer, outbox);
+        let link = Link::new(self.last_link_id, peer, amount_form, outbox);
         let opened = OpenedLink {
             id: link.id,
             replaced: link.replaced.clone(),
@@ -203,11 +205,14 @@
         Ok(())
     }
 
-    /// Adds an amount of this instance to the outgoing reports.
-    pub(super) fn report_amount(&mut self, name: &Arc<str>, amount: u64) {
+    /// Adds an amount of this instance to the outgoing reports, with `add`.
+    pub(super) fn report_amount<F>(&mut self, add: F)
+    where
+        F: Fn(&mut DeltaEncoder),
+    {
         for (peer, link) in &mut self.links {
             if link_kind_of(&self.link_kinds, peer) != LinkKind::Backup {
-                link.encoder.add_amount(name, amount);
+                add(&mut link.encoder);
             }
         }
     }
@@ -303,16 +308,16 @@
         peer_positions
     }
 
-    fn receive_amounts(&mut self, from: &Arc<str>, amounts: Vec<PeerAmount>) {
+    fn receive_amounts(&mut self, from: &Arc<str>, amounts: Vec<ReceivedAmount>) {
         let from_kind = self.link_kind(from);
-        for PeerAmount { name, amount } in amounts {
+        for received in amounts {
             for (peer, link) in &mut self.links {
                 let kind = link_kind_of(&self.link_kinds, peer);
                 if peer != from && from_kind.forwards_to(kind) {
-                    link.encoder.add_amount(&name, amount);
+                    link.encoder.forward_amount(&received);
                 }
             }
-            *self.peer_amounts.entry(name).or_insert(0) += amount;
+            *self.peer_amounts.entry(received.name).or_insert(0) += received.amount;
         }
     }
 }
--- a/tests/peer_delta.rs
+++ b/tests/peer_delta.rs
@@ -5,7 +5,7 @@
 use arbtest::arbtest;
 use indexmap::IndexMap;
 use lavenderwind::peer::{
-    delta::{DeltaDecoder, DeltaEncoder, Error, MAX_NAMES, TargetLoad},
+    delta::{AmountForm, DeltaDecoder, DeltaEncoder, Error, MAX_NAMES, TargetLoad},
     frames::{Heartbeat, LoadChange, NameDefinition, ServedTokens},
 };
 use prost::Message;
@@ -14,6 +14,7 @@
 const MAX_BYTES: usize = 64;
 /// Number of runs, each with its own seed.
 const SEEDS: u64 = 400;
+const FORMS: [AmountForm; 2] = [AmountForm::Separate, AmountForm::Packed];
 
 /// Both ends of a connection, with the data given to the encoder and received from the
 /// decoder.
@@ -28,9 +29,9 @@
 }
 
 impl Exchange {
-    fn new() -> Self {
+    fn new(amount_form: AmountForm) -> Self {
         Self {
-            encoder: DeltaEncoder::default(),
+            encoder: DeltaEncoder::new(amount_form),
             decoder: DeltaDecoder::default(),
             loads: IndexMap::new(),
             served: IndexMap::new(),
@@ -39,6 +40,16 @@
         }
     }
 
+    /// Reports an amount that must arrive as a whole, or one that may arrive in parts.
+    fn report(&mut self, name: &Arc<str>, amount: u64, is_divisible: bool) {
+        if is_divisible {
+            self.encoder.add_divisible_amount(name, amount);
+        } else {
+            self.encoder.add_amount(name, amount);
+        }
+        *self.served.entry(name.clone()).or_insert(0) += amount;
+    }
+
     /// Passes a heartbeat from the encoder to the decoder. Returns whether the heartbeat
     /// contained anything.
     fn send_heartbeat(&mut self) -> bool {
@@ -54,51 +65,53 @@
     }
 }
 
-/// The decoder gets all loads and tokens from heartbeats within the byte limit.
+/// The decoder gets all loads and tokens from heartbeats within the byte limit, in both forms
+/// of amounts.
 #[test]
 fn decoder_converges() {
-    let mut carried_over = 0;
-    for seed in 0..SEEDS {
-        // The lower half of an arbtest seed is the size of the generated input, here
-        // 1,024 bytes. The upper half seeds the generator.
-        arbtest(|input| {
-            let mut exchange = Exchange::new();
-            for _ in 0..30 {
-                let name: Arc<str> = format!("name-{}", input.int_in_range(0..=20)?).into();
-                match input.int_in_range(0..=3)? {
-                    0 => {
-                        let load = TargetLoad {
-                            requests: input.int_in_range(0..=9)?,
-                            tokens: input.int_in_range(0..=100_000)?,
-                            blocks: input.int_in_range(0..=2_000)?,
-                        };
-                        exchange.loads.insert(name, load);
-                    }
-                    1 => {
-                        exchange.loads.swap_remove(&name);
-                    }
-                    2 => {
-                        let tokens = input.int_in_range(1..=100_000)?;
-                        exchange.encoder.add_amount(&name, tokens);
-                        *exchange.served.entry(name).or_insert(0) += tokens;
-                    }
-                    _ => {
-                        exchange.send_heartbeat();
+    for amount_form in FORMS {
+        let mut carried_over = 0;
+        for seed in 0..SEEDS {
+            // The lower half of an arbtest seed is the size of the generated input, here
+            // 1,024 bytes. The upper half seeds the generator.
+            arbtest(|input| {
+                let mut exchange = Exchange::new(amount_form);
+                for _ in 0..30 {
+                    let name: Arc<str> = format!("name-{}", input.int_in_range(0..=20)?).into();
+                    match input.int_in_range(0..=3)? {
+                        0 => {
+                            let load = TargetLoad {
+                                requests: input.int_in_range(0..=9)?,
+                                tokens: input.int_in_range(0..=100_000)?,
+                                blocks: input.int_in_range(0..=2_000)?,
+                            };
+                            exchange.loads.insert(name, load);
+                        }
+                        1 => {
+                            exchange.loads.swap_remove(&name);
+                        }
+                        2 => {
+                            let tokens = input.int_in_range(1..=100_000)?;
+                            exchange.report(&name, tokens, input.arbitrary()?);
+                        }
+                        _ => {
+                            exchange.send_heartbeat();
+                        }
                     }
                 }
-            }
-            while exchange.send_heartbeat() {}
-            exchange
-                .loads
-                .retain(|_, load| *load != TargetLoad::default());
-            assert_eq!(*exchange.decoder.loads(), exchange.loads);
-            assert_eq!(exchange.received, exchange.served);
-            carried_over += exchange.carried_over;
-            Ok(())
-        })
-        .seed(seed << 32 | 0x400);
+                while exchange.send_heartbeat() {}
+                exchange
+                    .loads
+                    .retain(|_, load| *load != TargetLoad::default());
+                assert_eq!(*exchange.decoder.loads(), exchange.loads);
+                assert_eq!(exchange.received, exchange.served);
+                carried_over += exchange.carried_over;
+                Ok(())
+            })
+            .seed(seed << 32 | 0x400);
+        }
+        assert!(carried_over > 500, "accounts carried over: {carried_over}");
     }
-    assert!(carried_over > 500, "accounts carried over: {carried_over}");
 }
 
 #[test]
@@ -148,7 +161,11 @@
         }],
         ..Heartbeat::default()
     };
-    for heartbeat in [load, served] {
+    let packed = Heartbeat {
+        packed_amounts: vec![3 << 9 | 1],
+        ..Heartbeat::default()
+    };
+    for heartbeat in [load, served, packed] {
         let error = DeltaDecoder::default().apply(&heartbeat).unwrap_err();
         assert!(matches!(error, Error::UnknownName { index: 3 }));
     }
@@ -159,7 +176,13 @@
 /// heartbeats are smaller by the excess.
 #[test]
 fn long_names_sent() {
-    let mut exchange = Exchange::new();
+    for amount_form in FORMS {
+        send_long_names(amount_form);
+    }
+}
+
+fn send_long_names(amount_form: AmountForm) {
+    let mut exchange = Exchange::new(amount_form);
     let mut bytes = 0;
     let mut heartbeats = 0;
     for index in 0..5 {
@@ -171,8 +194,7 @@
         };
         exchange.loads.insert(target, load);
         let account: Arc<str> = format!("{index}{}", "a".repeat(100)).into();
-        exchange.encoder.add_amount(&account, 7);
-        exchange.served.insert(account, 7);
+        exchange.report(&account, 7, true);
     }
     while exchange.received != exchange.served || *exchange.decoder.loads() != exchange.loads {
         let mut heartbeat = Heartbeat::default();
--- a/tests/peer_frames.rs
+++ b/tests/peer_frames.rs
@@ -50,6 +50,7 @@
         sender: sender.into(),
         incarnation,
         failure_domain: "d2".into(),
+        accepts_packed_amounts: false,
     }))
 }
 
