--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -13,12 +13,14 @@
 //!   `load` sums up the reported loads, `usage` keeps copies of other instances' usage
 //!   slices, `unflushed_usage` this instance's slices, `quarantine` the requests that the
 //!   log quarantines, `suspects` those that reported crashes do, and `notices` what targets
-//!   say in their answers. `target_list` compares the known lists of targets. `reports` are those of the last two that are sent to peers.
+//!   say in their answers. `target_list` compares the known lists of targets. `reports` are
+//!   those of crashes and notices that are sent to peers.
 //! - Tasks: `heartbeat` builds heartbeats, `relay` relays log records, `live_list`
 //!   polls the platform's list of instances, `upkeep` does periodic maintenance, and
 //!   `spawn` starts the tasks.
 //! - `handle` is the interface to the rest of an instance.
 
+mod byte_budget;
 mod connection;
 pub mod delta;
 mod dial;
@@ -33,6 +35,8 @@
 mod load;
 pub mod membership;
 mod notices;
+mod packed_amounts;
+mod pending_amounts;
 mod quarantine;
 mod reachability;
 mod relay;
