Give each run of a process test its own folder

Cause: the folder of a deployment was named after the test only. Copies of a test that ran at the same time overwrote each other's settings, so that they could not be used to look for rare failures.

Change: the name contains the process id, and the folder is removed at the end of the test.

--- a/tests/common/cluster.rs
+++ b/tests/common/cluster.rs
@@ -22,9 +22,33 @@
 /// Secret of the account `workshop` of the service `orders`.
 pub const ORDER_KEY: &str = "test-order-key";
 
+/// Folder of the files of one deployment, removed when dropped.
+struct Folder(PathBuf);
+
+impl Folder {
+    /// Creates a folder that no other run of the test uses, since runs at the same time
+    /// would overwrite each other's settings.
+    fn create(name: &str) -> Self {
+        let name = format!("{name}-{}", std::process::id());
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(&path).expect("the folder can be made");
+        Self(path)
+    }
+
+    fn join(&self, name: &str) -> PathBuf {
+        self.0.join(name)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 /// Separate processes of one deployment.
 pub struct Cluster {
-    folder: PathBuf,
+    folder: Folder,
     /// Stand-in platform.
     pub platform: Process,
     /// Stand-in engines.
@@ -67,8 +91,7 @@
     /// Starts all processes, publishes the services and waits until every
     /// instance is ready and has applied them.
     pub async fn start(name: &str, options: ClusterOptions) -> Self {
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-        std::fs::create_dir_all(&folder).expect("the folder can be made");
+        let folder = Folder::create(name);
         let platform = Process::start(&["standin", "platform"]).await;
         let mut cluster = Self {
             folder,
@@ -112,7 +135,7 @@
              log_url: {log_url}\n  live_url: {url}\n  targets_url: {url}\n  usage_url: {url}\n\
              timing:\n{timing}"
         );
-        let path = self.folder.join(format!("entry-{index}.yaml"));
+        let path = self.folder.join(&format!("entry-{index}.yaml"));
         std::fs::write(&path, settings).expect("the settings can be written");
         let path = path.to_str().expect("the path is text").to_owned();
         Process::start(&["serve", "--settings", &path]).await
@@ -148,7 +171,7 @@
     /// Publishes a service document with the operator's command and waits until
     /// all live instances have applied it.
     pub async fn publish(&self, name: &str, document: &str) {
-        let path = self.folder.join(format!("{name}-service.yaml"));
+        let path = self.folder.join(&format!("{name}-service.yaml"));
         std::fs::write(&path, document).expect("the document can be written");
         let path = path.to_str().expect("the path is text").to_owned();
         let output = self
