Count crashes of engines whose listener closes late

Cause: after a stream broke, the state of the engine was queried once. If the engine was still closing its listener, the query was cut off after its connection had been opened, and the crash did not count. The request was then sent to a third engine. In the failed run, attempt 1 on engine-3 was such a crash, 3 ms before attempts 2 and 3, which counted; one instance alone crashed all three engines.

Change: a query that is cut off is repeated until the engine refuses the connection or reports its boot, for 500 ms in all as before. The result is logged.

--- a/src/entry/crash.rs
+++ b/src/entry/crash.rs
@@ -5,18 +5,21 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     entry::{call::Call, context::EntryContext},
     infra::protocol::TargetState,
     log::records::{CrashSuspect, record::Body},
-    target::table::TargetView,
+    target::{protocol::EngineState, table::TargetView},
 };
 
-/// Timeout of the state query that shows whether an engine was restarted.
+/// Maximum time of the state queries that show whether an engine has crashed.
 const STATE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Delay before the state of an engine is queried again after an inconclusive error.
+const STATE_RETRY_DELAY: Duration = Duration::from_millis(10);
+
 /// Maximum wait until a crash record is applied to the ledger. After this time,
 /// the request is quarantined or retried regardless.
 const CRASH_RECORD_TIMEOUT: Duration = Duration::from_secs(1);
@@ -37,19 +40,46 @@
 /// Whether an engine crashed, which means that it refuses connections or has been
 /// restarted since the boot with the identifier `boot`.
 ///
-/// An engine that does not answer within [`STATE_TIMEOUT`] does not count as
-/// crashed.
+/// A process that ends may close the connections of its streams before the socket that
+/// it listens on. A query that is cut off is therefore repeated. An engine that gives no
+/// conclusive answer within [`STATE_TIMEOUT`] does not count as crashed.
 pub(super) async fn has_crashed(
     context: &EntryContext,
     engine: &TargetView,
     boot: Option<&str>,
 ) -> bool {
-    let state = context.engine_client().state(&engine.address);
-    match timeout(STATE_TIMEOUT, state).await {
-        Ok(Ok(state)) => boot.is_some_and(|boot| *boot != *state.boot),
-        Ok(Err(error)) => !error.may_have_been_sent() && !error.timed_out(),
-        Err(_) => false,
+    let queries = async {
+        loop {
+            match context.engine_client().state(&engine.address).await {
+                Ok(state) => return is_restarted(engine, boot, &state),
+                Err(error) if error.timed_out() => return false,
+                Err(error) if !error.may_have_been_sent() => return true,
+                Err(error) => tracing::debug!(
+                    "entry: state of target {} not known after a broken stream: {error}",
+                    engine.name
+                ),
+            }
+            sleep(STATE_RETRY_DELAY).await;
+        }
+    };
+    let crashed = timeout(STATE_TIMEOUT, queries).await;
+    if crashed.is_err() {
+        tracing::warn!(
+            "entry: target {} gave no conclusive answer after a broken stream",
+            engine.name
+        );
     }
+    crashed.unwrap_or(false)
+}
+
+/// Whether an engine reports another boot than the one in which a stream broke.
+fn is_restarted(engine: &TargetView, boot: Option<&str>, state: &EngineState) -> bool {
+    let restarted = boot.is_some_and(|boot| *boot != *state.boot);
+    tracing::info!(
+        "entry: target {} answers after a broken stream, restarted: {restarted}",
+        engine.name
+    );
+    restarted
 }
 
 /// Records that a request was in flight when a target crashed.
