Wait for claimants that are not known yet, and not for those that terminate

Cause: an instance that was asked for a claimed request took the claimant for gone if neither the live list nor a heartbeat had told of it yet, which happens for some hundred milliseconds after a start, and answered 502 with an unknown outcome though the request ran. Conversely, the claimant was looked at once only: if it terminated afterwards, the caller waited for 10 s and got 409.

Change: the membership remembers the incarnations that terminated, and considers one that it has never known as possibly running for the silence timeout (3 s) after it was first asked for. While the outcome is awaited, the claimant is checked every 100 ms. So a caller waits for at most 3 s for a claimant that is not known, later callers not at all, and no caller waits on for one that terminates.

New tests on the code before: unlisted_claimant fails with 502, terminated_claimant with 409, claimant_lost_meanwhile with 409 after 10 s.

--- a/src/entry/claim.rs
+++ b/src/entry/claim.rs
@@ -6,7 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     entry::{
@@ -30,6 +30,9 @@
 /// Maximum wait for the outcome of a request that already runs under a claim.
 const OUTCOME_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Interval at which the instance with a claim is checked while its outcome is awaited.
+const CLAIMANT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Maximum number of attempts to claim a request while other claims for the same
 /// idempotency key are accepted and released.
 const MAX_CLAIM_ATTEMPTS: u32 = 8;
@@ -155,7 +158,7 @@
 /// Returns the answer recorded for an existing claim, or `None` if the claim was
 /// released.
 ///
-/// Waits for the outcome only if the claiming instance is live. The outcome of a
+/// Waits for the outcome only while the claiming instance is live. The outcome of a
 /// request whose claiming instance has ended may never be recorded.
 async fn resolve_claim(
     context: &EntryContext,
@@ -167,21 +170,12 @@
         return Err(Error::KeyReused);
     }
     let offset = entry.offset;
-    let instance = Arc::clone(&entry.instance);
-    let incarnation = entry.incarnation;
-    let live = (context.peers().is_live)(&instance, incarnation);
-    let wait = if live {
-        OUTCOME_TIMEOUT.min(call.remaining())
-    } else {
-        Duration::ZERO
-    };
-    let outcome = wait_for_outcome(context, call, key, offset);
-    let Ok(state) = timeout(wait, outcome).await else {
-        return Err(if live {
-            Error::InProgress
-        } else {
-            unknown_outcome()
-        });
+    let wait = OUTCOME_TIMEOUT.min(call.remaining());
+    let state = tokio::select! {
+        biased;
+        state = wait_for_outcome(context, call, key, offset) => state,
+        () = wait_for_end(context, &entry) => return Err(unknown_outcome()),
+        () = sleep(wait) => return Err(Error::InProgress),
     };
     match state {
         Some(ClaimState::Finished {
@@ -220,6 +214,13 @@
     outcome.await
 }
 
+/// Waits until the instance with a claim is no longer live.
+async fn wait_for_end(context: &EntryContext, entry: &ClaimEntry) {
+    while (context.peers().is_live)(&entry.instance, entry.incarnation) {
+        sleep(CLAIMANT_CHECK_INTERVAL).await;
+    }
+}
+
 /// Appends a claim. Returns `None` if the ledger did not accept the claim, because
 /// an earlier claim exists.
 async fn append_claim(
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -10,7 +10,7 @@
 
 type IsQuarantinedFn = dyn Fn(&str, &[u8]) -> bool + Send + Sync;
 type NotifyQuarantineFn = dyn Fn(&str, &[u8]) -> BoxFuture<'static, ()> + Send + Sync;
-type IsLiveFn = dyn Fn(&str, u64) -> bool + Send + Sync;
+type IsLiveFn = dyn Fn(&Arc<str>, u64) -> bool + Send + Sync;
 type ReportServedFn = dyn Fn(&str, u64) + Send + Sync;
 type TakeServedFn = dyn Fn() -> Vec<PeerAmount> + Send + Sync;
 type PeerLoadFn = dyn Fn(&str) -> TargetLoad + Send + Sync;
@@ -31,7 +31,8 @@
     /// the request.
     #[debug(skip)]
     pub notify_quarantine: Arc<NotifyQuarantineFn>,
-    /// Whether an instance, given by its name, is live in the given incarnation.
+    /// Whether an instance, given by its name, is live in the given incarnation. An
+    /// incarnation that is not known yet counts as live for some time.
     #[debug(skip)]
     pub is_live: Arc<IsLiveFn>,
     /// Number of live instances, this one included.
--- a/src/instance/components.rs
+++ b/src/instance/components.rs
@@ -163,13 +163,10 @@
                 async move { peers.notify_quarantine(&account, &digest).await }.boxed()
             }),
             is_live: Arc::new(move |peer, peer_incarnation| {
-                if peer == &*name {
+                if *peer == name {
                     return peer_incarnation == incarnation;
                 }
-                let peers = membership.live();
-                peers
-                    .iter()
-                    .any(|other| &*other.name == peer && other.incarnation == peer_incarnation)
+                membership.may_run(peer, peer_incarnation)
             }),
             live_instances: Arc::new(move || {
                 u32::try_from(*live_instances.borrow()).unwrap_or(u32::MAX)
--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -37,6 +37,13 @@
         self.shared.state().membership.live(Instant::now())
     }
 
+    /// Returns whether another instance may be running in the given incarnation (see
+    /// [`Membership::may_run`](super::membership::Membership::may_run)).
+    pub fn may_run(&self, name: &Arc<str>, incarnation: u64) -> bool {
+        let mut state = self.shared.state();
+        state.membership.may_run(name, incarnation, Instant::now())
+    }
+
     /// Returns the running instances other than this one. Omits instances that are
     /// linked to this one but from which no frame arrived recently.
     pub fn reachable(&self) -> Vec<PeerState> {
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -14,6 +14,10 @@
     log::Offset,
 };
 
+/// Maximum number of instances that are remembered although they are not running. Above
+/// it, the one that was added first is forgotten.
+const MAX_ABSENT: usize = 1_024;
+
 /// Known state of another instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PeerState {
@@ -62,9 +66,19 @@
     silence_timeout: Duration,
     /// Other instances by name.
     peers: IndexMap<Arc<str>, PeerState>,
+    /// Instances that are not running as far as is known, by name.
+    absent: IndexMap<Arc<str>, AbsentInstance>,
     has_live_list: bool,
 }
 
+/// An instance that is neither in the live list nor has sent frames.
+#[derive(Clone, Copy, Debug)]
+struct AbsentInstance {
+    incarnation: u64,
+    /// Until when the instance may be running without being known.
+    may_run_until: Instant,
+}
+
 impl Membership {
     /// Creates the membership as seen by the instance called `name`.
     ///
@@ -75,6 +89,7 @@
             name,
             silence_timeout,
             peers: IndexMap::new(),
+            absent: IndexMap::new(),
             has_live_list: false,
         }
     }
@@ -151,9 +166,34 @@
             }
             is_running
         });
+        for peer in &terminated {
+            self.add_absent(&peer.name, peer.incarnation, now);
+        }
         terminated
     }
 
+    /// Returns whether another instance may be running in the given incarnation.
+    ///
+    /// The live list and the frames of an instance may arrive later than its records in
+    /// the log. An incarnation that is not known yet is therefore considered running for
+    /// the silence timeout after the first call. One that has terminated or was replaced
+    /// is not.
+    pub fn may_run(&mut self, name: &Arc<str>, incarnation: u64, now: Instant) -> bool {
+        if let Some(peer) = self.peers.get(name)
+            && peer.incarnation >= incarnation
+        {
+            let is_running = peer.listed || !peer.is_silent(self.silence_timeout, now);
+            return is_running && peer.incarnation == incarnation;
+        }
+        if let Some(absent) = self.absent.get(name)
+            && absent.incarnation >= incarnation
+        {
+            return absent.incarnation == incarnation && now < absent.may_run_until;
+        }
+        self.add_absent(name, incarnation, now + self.silence_timeout);
+        true
+    }
+
     /// Returns the running instances other than this one.
     pub fn live(&self, now: Instant) -> Vec<PeerState> {
         let mut live = Vec::new();
@@ -193,6 +233,17 @@
         self.peers.get(name)
     }
 
+    fn add_absent(&mut self, name: &Arc<str>, incarnation: u64, may_run_until: Instant) {
+        if self.absent.len() >= MAX_ABSENT && !self.absent.contains_key(name) {
+            self.absent.shift_remove_index(0);
+        }
+        let absent = AbsentInstance {
+            incarnation,
+            may_run_until,
+        };
+        self.absent.insert(name.clone(), absent);
+    }
+
     fn apply_entry(&mut self, entry: &LiveInstance) {
         let peer = self
             .peers
--- a/tests/order_once.rs
+++ b/tests/order_once.rs
@@ -284,6 +284,39 @@
     sending.abort();
 }
 
+/// Guards against callers that wait on after the claimant has terminated: the outcome is
+/// then reported as unknown, and not as in progress after the longest wait.
+#[tokio::test]
+async fn claimant_lost_meanwhile() {
+    let fixture = Fixture::start(Targets::start(0, 1).await).await;
+    fixture.set_faults(PlainFaults {
+        latency_ms: 600_000,
+        ..PlainFaults::default()
+    });
+    let order = |entry: &Entry| {
+        let request = caller()
+            .post(format!("{}/orders", entry.url))
+            .bearer_auth(MILL_KEY)
+            .header("idempotency-key", "k-1")
+            .body("3 sheets");
+        tokio::spawn(request.send())
+    };
+    let sending = order(&fixture.first);
+    wait_until("the order is claimed", || fixture.has_claim("k-1")).await;
+    let again = order(&fixture.second);
+    // Long enough for the request to arrive and to wait for the outcome.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(!again.is_finished());
+    fixture
+        .second
+        .peers_live
+        .store(false, std::sync::atomic::Ordering::SeqCst);
+    let again = again.await.unwrap().unwrap();
+    assert_eq!(again.status(), 502);
+    assert_eq!(outcome(&again), "unknown");
+    sending.abort();
+}
+
 /// A large answer is not recorded, but a resend does not run.
 #[tokio::test]
 async fn large_answer_unrecorded() {
--- a/tests/peer_membership.rs
+++ b/tests/peer_membership.rs
@@ -286,3 +286,45 @@
     membership.apply_list(&[entry(2, Live)]);
     assert_eq!(membership.get(&name).unwrap().applied_offset, Offset(0));
 }
+
+/// Guards against an instance that is taken for gone because its first record in the log
+/// arrives before the live list contains it and before its first heartbeat.
+#[test]
+fn unknown_may_run() {
+    let name: Arc<str> = "b".into();
+    let mut now = Instant::now();
+    let mut membership = Membership::new("a".into(), SILENCE_TIMEOUT);
+    membership.apply_list(&[]);
+    assert!(membership.may_run(&name, 2, now));
+    now += SILENCE_TIMEOUT / 2;
+    assert!(membership.may_run(&name, 2, now));
+    assert!(!membership.may_run(&name, 1, now));
+    membership.apply_list(&[entry(2, Live)]);
+    now += SILENCE_TIMEOUT;
+    assert!(membership.may_run(&name, 2, now));
+    assert!(!membership.may_run(&name, 1, now));
+    // The list lags behind a restart.
+    assert!(membership.may_run(&name, 3, now));
+}
+
+/// Guards against callers that wait for an instance that has terminated.
+#[test]
+fn terminated_not_running() {
+    let name: Arc<str> = "b".into();
+    let mut now = Instant::now();
+    let mut membership = Membership::new("a".into(), SILENCE_TIMEOUT);
+    membership.apply_list(&[entry(2, Live)]);
+    assert!(membership.may_run(&name, 2, now));
+    membership.apply_list(&[]);
+    assert!(!membership.may_run(&name, 2, now));
+    assert_eq!(membership.expire(now).len(), 1);
+    assert!(!membership.may_run(&name, 2, now));
+    assert!(!membership.may_run(&name, 1, now));
+    // An instance that is never seen counts as terminated once it has been unknown for
+    // the silence timeout, and is not waited for again.
+    assert!(membership.may_run(&name, 3, now));
+    now += SILENCE_TIMEOUT;
+    assert!(!membership.may_run(&name, 3, now));
+    now += SILENCE_TIMEOUT;
+    assert!(!membership.may_run(&name, 3, now));
+}
--- a/tests/process_orders.rs
+++ b/tests/process_orders.rs
@@ -146,6 +146,61 @@
     }
 }
 
+/// Guards against a wrong "unknown" outcome: an instance does not know the claimant yet,
+/// because the live list is unavailable, and takes it for gone while the request runs.
+#[tokio::test]
+async fn unlisted_claimant() {
+    let cluster = Cluster::start("unlisted_claimant", ClusterOptions::default()).await;
+    cluster
+        .set_faults(&cluster.platform, json!({"live": {"outage": true}}))
+        .await;
+    let timing = ClusterOptions::default().timing;
+    let url = cluster.platform_url();
+    let claimant = cluster.start_instance(3, &url, &timing).await;
+    cluster.wait_instance_ready(&claimant).await;
+    cluster
+        .set_faults(&cluster.plain_services[0], json!({"latency_ms": 500}))
+        .await;
+    let pending = tokio::spawn(cluster.order(&claimant, "order-1", "steel").send());
+    wait_for_claim(&cluster, 1).await;
+    let again = cluster
+        .order(&cluster.instances[1], "order-1", "steel")
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(again.status(), 201);
+    assert_eq!(again.headers()["lavenderwind-replayed"], "true");
+    assert_eq!(pending.await.unwrap().unwrap().status(), 201);
+    assert_eq!(executions(&cluster, "order-1").await, 1);
+}
+
+/// Guards against callers that wait for a claimant that terminated before the instance
+/// that they ask was started: after the longest wait, they would get status 409.
+#[tokio::test]
+async fn terminated_claimant() {
+    let mut cluster = Cluster::start("terminated_claimant", ClusterOptions::default()).await;
+    cluster
+        .set_faults(&cluster.plain_services[0], json!({"latency_ms": 600_000}))
+        .await;
+    let pending = cluster
+        .order(&cluster.instances[0], "order-1", "steel")
+        .send();
+    let pending = tokio::spawn(pending);
+    wait_for_claim(&cluster, 1).await;
+    cluster.instances[0].kill().await;
+    assert!(pending.await.unwrap().is_err());
+    let timing = ClusterOptions::default().timing;
+    let url = cluster.platform_url();
+    let later = cluster.start_instance(3, &url, &timing).await;
+    cluster.wait_instance_ready(&later).await;
+    for instance in [&later, &cluster.instances[1]] {
+        let again = cluster.order(instance, "order-1", "steel").send().await;
+        let again = again.unwrap();
+        assert_eq!(again.status(), 502);
+        assert_eq!(outcome(&again), Some("unknown"));
+    }
+}
+
 /// During an outage of the log, orders are refused and not run, while chat requests
 /// are still answered.
 #[tokio::test]
