--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -15,6 +15,9 @@
 //!   log quarantines, `suspects` those that reported crashes do, and `notices` what targets
 //!   say in their answers. `target_list` compares the known lists of targets. `reports` are
 //!   those of crashes and notices that are sent to peers.
+//! - Changes in heartbeats: `delta` encodes and decodes them. `pending_amounts` are those that
+//!   wait to be sent, `packed_amounts` encodes those that may be sent in parts, and
+//!   `byte_budget` limits the size.
 //! - Tasks: `heartbeat` builds heartbeats, `relay` relays log records, `live_list`
 //!   polls the platform's list of instances, `upkeep` does periodic maintenance, and
 //!   `spawn` starts the tasks.
