--- a/tests/list_echo.rs
+++ b/tests/list_echo.rs
@@ -37,6 +37,7 @@
             sender: "x".into(),
             incarnation: 5,
             failure_domain: "d2".into(),
+            accepts_packed_amounts: false,
         });
         peer.send(hello).await;
         peer
