--- a/src/peer/handle.rs
+++ b/src/peer/handle.rs
@@ -47,7 +47,8 @@
     }
 
     /// Returns the running instances other than this one. Omits instances that are
-    /// linked to this one but from which no frame arrived recently.
+    /// linked to this one, or were until they ceased to respond, but from which no frame
+    /// arrived recently.
     pub fn reachable(&self) -> Vec<PeerState> {
         self.shared.state().reachable(Instant::now())
     }
--- a/src/peer/linking.rs
+++ b/src/peer/linking.rs
@@ -25,6 +25,10 @@
     pub(super) fn reachable(&self, now: Instant) -> Vec<PeerState> {
         let mut reachable = self.membership.live(now);
         reachable.retain(|peer| {
+            // An instance that does not respond may no longer be linked.
+            if self.reachability.is_unreachable(&peer.name) {
+                return false;
+            }
             let is_linked = self.link_kinds.contains_key(&peer.name);
             !is_linked || self.membership.is_recently_seen(&peer.name, now)
         });
