--- a/src/gateway/dispatch/client.rs
+++ b/src/gateway/dispatch/client.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -28,6 +28,7 @@
     peer::rendezvous_order,
     policy::dispatch::Preference,
     roster::Target,
+    sync::lock,
 };
 
 /// Time limit for the answer to a query. An instance on a small share of a processor may
@@ -357,7 +358,3 @@
         addresses
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/gateway/dispatch/planner.rs
+++ b/src/gateway/dispatch/planner.rs
@@ -1,6 +1,6 @@
 //! Places the prompts of all instances on the engines of a service.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 use indexmap::IndexMap;
 
@@ -26,6 +26,7 @@
         spread::{SpreadCandidate, choose_least_loaded},
     },
     roster::Target,
+    sync,
 };
 
 /// Places prompts for all instances. Does nothing until it is queried.
@@ -213,7 +214,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, IndexMap<Arc<str>, ServicePlan>> {
-        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.services)
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! State shared by all requests and tasks of an instance.
 
 use std::sync::{
-    Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+    Arc, Mutex, MutexGuard, OnceLock,
     atomic::{AtomicUsize, Ordering},
 };
 
@@ -30,6 +30,7 @@
     policy::retry_window::{RetryWindow, WindowBounds},
     roster::{Roster, Target},
     settings::{GatewaySettings, Tuning},
+    sync::lock,
 };
 
 /// Fraction of a target's connection limit that is divided among instances.
@@ -395,7 +396,3 @@
     let limits = tuning.limits;
     IntakeLimits::new(&tuning.intake, limits.memory_mb, limits.max_descriptors)
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/intake/caller_socket.rs
+++ b/src/intake/caller_socket.rs
@@ -9,7 +9,7 @@
 use std::{
     io::{self, Read},
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -23,7 +23,7 @@
     time::{Instant, sleep},
 };
 
-use crate::call::Presence;
+use crate::{call::Presence, sync};
 
 /// Time in which a closed connection rejects a byte. A caller that has not done so by then
 /// has only closed its sending side.
@@ -281,7 +281,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, SocketState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.state)
     }
 }
 
--- a/src/intake/connection.rs
+++ b/src/intake/connection.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak,
+        Arc, Mutex, MutexGuard, OnceLock, Weak,
         atomic::{AtomicUsize, Ordering},
     },
 };
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{Activity, CallerSocket, Phase};
+use crate::sync;
 
 /// Listener on which a connection has arrived.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
@@ -189,6 +190,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Activity> {
-        self.activity.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.activity)
     }
 }
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -19,7 +19,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -33,7 +33,10 @@
 };
 
 use self::refusals::Refusals;
-use crate::policy::caller_choice::{Activity, Phase, choose};
+use crate::{
+    policy::caller_choice::{Activity, Phase, choose},
+    sync::lock,
+};
 
 pub(crate) use self::{
     answer_body::AnswerBody,
@@ -252,10 +255,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn closed_error() -> io::Error {
     io::Error::new(io::ErrorKind::ConnectionAborted, "connection gave way")
 }
--- a/src/intake/refusals.rs
+++ b/src/intake/refusals.rs
@@ -1,14 +1,12 @@
 //! Counts and logs what is refused to callers.
 
-use std::{
-    net::SocketAddr,
-    sync::{Mutex, PoisonError},
-};
+use std::{net::SocketAddr, sync::Mutex};
 
 use displaydoc::Display;
 use indexmap::IndexMap;
 
 use super::Listener;
+use crate::sync::lock;
 
 /// Minimum time between two log lines of one reason, in milliseconds. A crowd that is refused
 /// would otherwise fill the log.
@@ -68,7 +66,7 @@
             ("reason", reason.label().to_owned()),
         ];
         metrics::counter!("intake_refusals_total", &labels).increment(1);
-        let mut logged = self.logged.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut logged = lock(&self.logged);
         let logged = logged.entry(reason).or_default();
         logged.since += 1;
         let is_due = |at_ms| now_ms.saturating_sub(at_ms) >= LOG_INTERVAL_MS;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod settings;
 pub mod standin;
 pub mod supervisor;
+mod sync;
 pub mod target;
 
 pub use settings::Settings;
