--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -19,6 +19,7 @@
         duty::kept_windows,
         engine::profiles::Engines,
         notices::target_notices::Notices,
+        stop::StopPhase,
         target::{
             answer_memory::AnswerMemory, crash::CallsInFlight, loads::Loads, pool::Pool,
             speeds::Speeds,
@@ -46,19 +47,6 @@
 
 const BYTES_PER_MB: u64 = 1 << 20;
 
-/// Phase of an instance with respect to its stop.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(super) enum StopPhase {
-    /// The instance does not stop.
-    Running,
-    /// Requests are still accepted, but the instance is not ready.
-    Draining,
-    /// No requests are accepted; those in progress are still answered.
-    Closing,
-    /// Requests in progress get a final answer at once.
-    Ended,
-}
-
 /// Shared state of an instance.
 #[derive(Debug)]
 pub(super) struct State {
@@ -84,7 +72,7 @@
     pub(super) intake: Arc<Intake>,
     /// Number of live instances.
     instances: AtomicUsize,
-    stop_phase: watch::Sender<StopPhase>,
+    pub(super) stop_phase: watch::Sender<StopPhase>,
     /// Notified when the crashes that have led to a quarantine have changed.
     pub(super) quarantine_changed: Notify,
     started_at: Instant,
@@ -331,44 +319,6 @@
         (share as usize).max(MIN_CONNECTIONS)
     }
 
-    /// Returns whether the instance is stopping.
-    pub(super) fn is_stopping(&self) -> bool {
-        self.stop_phase() > StopPhase::Running
-    }
-
-    /// Returns the phase of the instance's stop.
-    pub(super) fn stop_phase(&self) -> StopPhase {
-        *self.stop_phase.borrow()
-    }
-
-    /// Enters a later phase of the instance's stop.
-    pub(super) fn enter_stop_phase(&self, phase: StopPhase) {
-        self.stop_phase.send_replace(phase);
-    }
-
-    /// Waits until the instance begins to stop.
-    pub(super) async fn stop_begun(&self) {
-        let mut phase = self.stop_phase.subscribe();
-        // The channel is open as long as this state exists.
-        let _ = phase.wait_for(|phase| *phase > StopPhase::Running).await;
-    }
-
-    /// Waits until requests in progress must get their final answers, because the instance
-    /// stops.
-    pub(super) async fn stop_ended(&self) {
-        let mut phase = self.stop_phase.subscribe();
-        // The channel is open as long as this state exists.
-        let _ = phase.wait_for(|phase| *phase == StopPhase::Ended).await;
-    }
-
-    /// Marks the instance as stopping, and announces that to its peers.
-    pub(super) fn begin_stop(&self) {
-        self.enter_stop_phase(StopPhase::Draining);
-        if let Some(peers) = self.peers.get() {
-            peers.announce_leaving();
-        }
-    }
-
     /// Returns the reason why the instance is not ready; `None` if it is ready.
     pub(super) fn not_ready_reason(&self) -> Option<&'static str> {
         if self.is_stopping() {
