Mark requests in progress by one guard in both servers

Cause: the gateway's connection had a guard of its own beside that of the intake, and both decided by the same lines whether an answer consists of chunks. Change: the gateway's guard contains that of the intake, and CallerSocket decides. No change of behaviour; caller_left, gateway_crowds, stale_close, planned_stop and bad_input pass.

--- a/src/gateway/caller/connection.rs
+++ b/src/gateway/caller/connection.rs
@@ -8,13 +8,7 @@
     time::Duration,
 };
 
-use hyper::{
-    Request, Response, Version,
-    body::{Body as _, Incoming},
-    header::CONTENT_LENGTH,
-    server::conn::http1,
-    service::service_fn,
-};
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpStream,
@@ -30,7 +24,8 @@
         state::State,
     },
     intake::{
-        self, Admitted, AnswerBody, CallerSocket, CallerStream, IntakeStream, Listener, Reason,
+        Admitted, AnswerBody, CallerSocket, CallerStream, IntakeStream, Listener, Reason,
+        RequestGuard,
     },
 };
 
@@ -99,31 +94,19 @@
 }
 
 /// Marks a connection as serving a request until the response body is dropped.
-struct RequestGuard {
+struct ServingGuard {
     activity: Arc<Activity>,
-    admission: Arc<intake::Connection>,
+    /// Dropped after the times are reset: they must be those of an idle connection once no
+    /// request is in progress.
+    _request: RequestGuard,
 }
 
-impl RequestGuard {
-    fn new(activity: &Arc<Activity>, admission: &Arc<intake::Connection>) -> Self {
-        activity.socket.begin_request();
-        admission.begin_work();
-        Self {
-            activity: activity.clone(),
-            admission: admission.clone(),
-        }
-    }
-}
-
-impl Drop for RequestGuard {
+impl Drop for ServingGuard {
     fn drop(&mut self) {
-        self.admission.end_request();
-        // The times must be those of an idle connection once no request is in progress.
         *self.activity.lock() = ReadTimes {
             head_started_at: None,
             idle_since: Instant::now(),
         };
-        self.activity.socket.end_request();
     }
 }
 
@@ -147,8 +130,12 @@
     let socket = CallerSocket::new(stream);
     let activity = Arc::new(Activity::new(socket.clone()));
     let admission = admitted.connection().clone();
+    admission.set_socket(&socket);
     let service = service_fn(|mut request: Request<Incoming>| {
-        let guard = RequestGuard::new(&activity, &admission);
+        let guard = ServingGuard {
+            activity: activity.clone(),
+            _request: RequestGuard::new(admission.clone()),
+        };
         request.extensions_mut().insert(admission.clone());
         let answering = answer(state.clone(), socket.clone(), request);
         async move {
@@ -205,7 +192,7 @@
     socket: Arc<CallerSocket>,
     request: Request<Incoming>,
 ) -> Response<Body> {
-    let may_have_chunks = request.version() >= Version::HTTP_11;
+    let version = request.version();
     // A call may outlast its connection, and must not keep it open.
     let looked_at = Arc::downgrade(&socket);
     let caller = Caller::new(move || {
@@ -213,8 +200,6 @@
         socket.map_or(Presence::Left, |socket| socket.look())
     });
     let response = server::answer(state, request, caller).await;
-    let has_length = response.body().size_hint().exact().is_some()
-        || response.headers().contains_key(CONTENT_LENGTH);
-    socket.begin_answer(may_have_chunks && !has_length);
+    socket.begin_answer(version, response.headers(), response.body());
     response
 }
--- a/src/intake/caller_socket.rs
+++ b/src/intake/caller_socket.rs
@@ -15,6 +15,7 @@
 };
 
 use bytes::{Buf, BytesMut};
+use hyper::{HeaderMap, Version, body::Body, header::CONTENT_LENGTH};
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
@@ -146,11 +147,16 @@
         self.changed.notify_one();
     }
 
-    /// Records that the answer begins.
-    pub(crate) fn begin_answer(&self, has_chunks: bool) {
+    /// Records that the answer with these headers and this body begins. `version` is that of
+    /// the request.
+    pub(crate) fn begin_answer<B>(&self, version: Version, headers: &HeaderMap, body: &B)
+    where
+        B: Body,
+    {
+        let has_length = body.size_hint().exact().is_some() || headers.contains_key(CONTENT_LENGTH);
         let mut state = self.lock();
         state.has_begun = true;
-        state.has_chunks = has_chunks;
+        state.has_chunks = version >= Version::HTTP_11 && !has_length;
         if state.sent == Sent::Nothing {
             state.sent = Sent::Part;
         }
--- a/src/intake/connection.rs
+++ b/src/intake/connection.rs
@@ -95,7 +95,7 @@
         self.ended.cancel();
     }
 
-    pub(super) fn set_socket(&self, socket: &Arc<CallerSocket>) {
+    pub(crate) fn set_socket(&self, socket: &Arc<CallerSocket>) {
         // A connection has only one socket.
         let _ = self.socket.set(Arc::downgrade(socket));
     }
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -41,7 +41,7 @@
 pub(crate) use self::{
     answer_body::AnswerBody,
     caller_socket::{CallerSocket, CallerStream},
-    watch::watch_caller,
+    watch::{RequestGuard, watch_caller},
 };
 
 pub use self::{
--- a/src/intake/watch.rs
+++ b/src/intake/watch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use http_body_util::BodyExt;
-use hyper::{Version, body::Body as _, header::CONTENT_LENGTH};
+use hyper::Version;
 use salvo::{ConnCtrl, Response, http::ResBody};
 
 use super::{AnswerBody, CallerSocket, Connection};
@@ -31,13 +31,13 @@
 
 /// Marks a request as in progress until it is dropped.
 #[derive(Debug)]
-pub(super) struct RequestGuard {
+pub(crate) struct RequestGuard {
     connection: Arc<Connection>,
     socket: Option<Arc<CallerSocket>>,
 }
 
 impl RequestGuard {
-    pub(super) fn new(connection: Arc<Connection>) -> Self {
+    pub(crate) fn new(connection: Arc<Connection>) -> Self {
         let socket = connection.socket();
         connection.begin_work();
         if let Some(socket) = &socket {
@@ -54,9 +54,7 @@
             return;
         }
         if let Some(socket) = &self.socket {
-            let has_length = body.size_hint().exact().is_some()
-                || response.headers().contains_key(CONTENT_LENGTH);
-            socket.begin_answer(version >= Version::HTTP_11 && !has_length);
+            socket.begin_answer(version, response.headers(), &body);
         }
         let guarded = AnswerBody::new(body, self);
         response.body = ResBody::Boxed(Box::pin(guarded.map_err(Into::into)));
