Compute what a quota's window leaves in one place, and check a body's size once

Cause: two functions of FleetLimit computed it, serve checked the announced size of a body before intake::read_body checks it again, two delays were an array that was only indexed, and a decaying mean had the name of the decaying sum beside it. Change: one function, one check, two constants, another name. No change of behaviour.

--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -3,10 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use salvo::{
-    Request,
-    http::{HeaderMap, header::CONTENT_LENGTH},
-};
+use salvo::{Request, http::HeaderMap};
 use tokio::time::Instant;
 
 use crate::{
@@ -49,10 +46,6 @@
     limit_bytes: u64,
     limit_ms: u64,
 ) -> Result<Bytes> {
-    let declared_bytes = content_length(request.headers());
-    if declared_bytes.is_some_and(|length| length > limit_bytes) {
-        return Err(Error::BodyTooLarge { limit_bytes });
-    }
     let peer = request.remote_addr().clone().into_std();
     let connection = peer.and_then(|peer| intake.find(Listener::Callers, peer));
     let deadline = Instant::now() + Duration::from_millis(limit_ms);
@@ -83,7 +76,3 @@
         &self.bytes
     }
 }
-
-fn content_length(headers: &HeaderMap) -> Option<u64> {
-    headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
-}
--- a/src/gateway/duty/slices.rs
+++ b/src/gateway/duty/slices.rs
@@ -43,9 +43,12 @@
 /// time.
 const MAX_JITTER: Duration = Duration::from_millis(500);
 
-/// Delays after a failed write. The figure of a window is determined a few seconds after its
-/// end, so that slices must be written soon after an outage of the store.
-const RETRY_DELAYS: [Duration; 2] = [Duration::from_millis(500), Duration::from_millis(1_000)];
+/// First delay after a failed write.
+const FIRST_RETRY: Duration = Duration::from_millis(500);
+
+/// Longest delay after a failed write. The figure of a window is determined a few seconds after
+/// its end, so that slices must be written soon after an outage of the store.
+const MAX_RETRY: Duration = Duration::from_millis(1_000);
 
 /// Time between two writes of an instance that stops, as it may end at any moment.
 const STOPPING_FLUSH_PERIOD: Duration = Duration::from_millis(1_000);
@@ -110,7 +113,7 @@
     let mut written_era = store.era().number;
     let mut era = store.watch_era();
     let kept_windows = kept_windows(&state.settings.timing);
-    let mut retry = Backoff::new(RETRY_DELAYS[0], RETRY_DELAYS[1]);
+    let mut retry = Backoff::new(FIRST_RETRY, MAX_RETRY);
     let mut has_failed = false;
     let mut is_stopping = false;
     loop {
--- a/src/policy/share/fleet_limit.rs
+++ b/src/policy/share/fleet_limit.rs
@@ -318,8 +318,12 @@
 
     /// Returns the usage that this instance may have without the others' knowledge.
     fn part(&self, cost: u64, reach: Reach, now_ms: u64) -> f64 {
-        let left = (self.limit.window_bound() - self.known(reach, now_ms) as f64).max(0.0);
-        left * self.weight(cost, reach)
+        self.left(reach, now_ms).max(0.0) * self.weight(cost, reach)
+    }
+
+    /// Returns what known usage leaves of the window's bound; negative if it exceeds it.
+    fn left(&self, reach: Reach, now_ms: u64) -> f64 {
+        self.limit.window_bound() - self.known(reach, now_ms) as f64
     }
 
     /// Returns this instance's part as a fraction of that of all instances.
@@ -352,7 +356,7 @@
 
     fn is_within_part(&self, cost: u64, reach: Reach, now_ms: u64) -> bool {
         let unknown = self.own.sum(0, reach.report_delay_ms, now_ms);
-        let left = self.limit.window_bound() - self.known(reach, now_ms) as f64;
+        let left = self.left(reach, now_ms);
         if unknown == 0 && cost as f64 <= left / SINGLE_REQUEST_DIVISOR {
             return true;
         }
--- a/src/policy/target_speed/estimate.rs
+++ b/src/policy/target_speed/estimate.rs
@@ -22,14 +22,14 @@
 /// Weight of the prior, a flat curve, at each knot, in answers.
 const CURVE_PRIOR_ANSWERS: f64 = 6.0;
 
-/// Sum of values with decaying weights.
+/// Mean of values with decaying weights.
 #[derive(Clone, Copy, Debug, Default)]
-struct DecayingSum {
+struct DecayingMean {
     weight: f64,
     sum: f64,
 }
 
-impl DecayingSum {
+impl DecayingMean {
     fn decay(&mut self, factor: f64) {
         self.weight *= factor;
         self.sum *= factor;
@@ -49,9 +49,9 @@
 /// Estimate of one target.
 #[derive(Clone, Debug)]
 pub(super) struct SpeedEstimate {
-    level: DecayingSum,
+    level: DecayingMean,
     /// Deviations from the level, by the knot at which they were observed.
-    deviations: [DecayingSum; KNOTS.len()],
+    deviations: [DecayingMean; KNOTS.len()],
     /// Curve at each knot, which never falls with the load, as of the last answer.
     curve: [f64; KNOTS.len()],
     observed_at_ms: u64,
@@ -60,8 +60,8 @@
 impl SpeedEstimate {
     pub(super) fn new(now_ms: u64) -> Self {
         Self {
-            level: DecayingSum::default(),
-            deviations: [DecayingSum::default(); KNOTS.len()],
+            level: DecayingMean::default(),
+            deviations: [DecayingMean::default(); KNOTS.len()],
             curve: [0.0; KNOTS.len()],
             observed_at_ms: now_ms,
         }
@@ -105,7 +105,7 @@
     /// Derives the curve from the deviations. Their mean is left out, since it is a
     /// change of the level that the level follows by itself.
     fn update_curve(&mut self) {
-        let mut total = DecayingSum::default();
+        let mut total = DecayingMean::default();
         for deviation in &self.deviations {
             total.weight += deviation.weight;
             total.sum += deviation.sum;
@@ -113,7 +113,7 @@
         let mean = total.sum / total.weight.max(f64::MIN_POSITIVE);
         let mut highest = f64::NEG_INFINITY;
         for (value, deviation) in self.curve.iter_mut().zip(&self.deviations) {
-            let centered = DecayingSum {
+            let centered = DecayingMean {
                 sum: deviation.sum - mean * deviation.weight,
                 ..*deviation
             };
