Keep plans only of configured services at the dispatcher

Cause: the dispatcher created a plan for each service name that a query or a notice contained, so that faulty or foreign datagrams made its memory grow, and it kept plans of services that the configuration no longer had. Change: a query for a service that the known configuration does not have is declined, so that its instance decides alone at once; a notice for one is ignored. Both are counted in dispatch_datagrams_ignored_total{cause="service"}. Plans of removed services are dropped. unknown_services_ignored fails without the change: the unknown service's request is refused because of a notice about it.

--- a/src/gateway/dispatch/planner.rs
+++ b/src/gateway/dispatch/planner.rs
@@ -11,6 +11,7 @@
 };
 use crate::{
     call::Prompt,
+    catalog::Catalog,
     gateway::{
         engine::{
             decode::{MIN_SLOT_TIME_MS, WEIGHTS},
@@ -32,7 +33,28 @@
 /// Places prompts for all instances. Does nothing until it is queried.
 #[derive(Debug, Default)]
 pub(super) struct Planner {
-    services: Mutex<IndexMap<Arc<str>, ServicePlan>>,
+    services: Mutex<ServicePlans>,
+}
+
+/// Plans of the configured services.
+#[derive(Debug, Default)]
+struct ServicePlans {
+    plans: IndexMap<Arc<str>, ServicePlan>,
+    /// Version of the configuration that has all services of `plans`.
+    version: u64,
+}
+
+impl ServicePlans {
+    /// Returns the plan of a service; `None` if the configuration does not have the service.
+    /// Datagrams may name any service, and plans of all of them would need unbounded memory.
+    fn configured(&mut self, service: &str, catalog: &Catalog) -> Option<&mut ServicePlan> {
+        if self.version != catalog.version() {
+            self.plans.retain(|name, _| catalog.service(name).is_some());
+            self.version = catalog.version();
+        }
+        let name = &catalog.service(service)?.name;
+        Some(self.plans.entry(name.clone()).or_default())
+    }
 }
 
 impl Planner {
@@ -47,7 +69,9 @@
         let service: Arc<str> = query.service.as_str().into();
         let targets = state.targets(&service);
         let mut services = self.lock();
-        let plan = services.entry(service.clone()).or_default();
+        let Some(plan) = configured_plan(&mut services, state, &service, key) else {
+            return declined;
+        };
         plan.update_engines(&targets);
         let boots = &plan.boots;
         plan.ledger
@@ -120,7 +144,9 @@
         let service: Arc<str> = notice.service.as_str().into();
         let prompt = notice.prompt.as_ref().map(decode_prompt);
         let mut services = self.lock();
-        let plan = services.entry(service.clone()).or_default();
+        let Some(plan) = configured_plan(&mut services, state, &service, key) else {
+            return;
+        };
         let backlog = plan.ledger.backlog(&notice.target);
         let decode_engine = (!notice.decode_target.is_empty()).then_some(notice.decode_target);
         let placement = OutstandingPlacement {
@@ -149,7 +175,7 @@
         is_own: bool,
     ) {
         let mut services = self.lock();
-        let Some(plan) = services.get_mut(&*report.service) else {
+        let Some(plan) = services.plans.get_mut(&*report.service) else {
             return;
         };
         let Some(prefilled) = plan.ledger.record_prefilled(key) else {
@@ -194,7 +220,7 @@
 
     /// Removes a placement that has ended.
     pub(super) fn end(&self, service: &str, key: PlacementKey) {
-        if let Some(plan) = self.lock().get_mut(service) {
+        if let Some(plan) = self.lock().plans.get_mut(service) {
             plan.ledger.remove(key);
         }
     }
@@ -213,11 +239,33 @@
         state.loads().observe(&target.id, outcome, now_ms);
     }
 
-    fn lock(&self) -> MutexGuard<'_, IndexMap<Arc<str>, ServicePlan>> {
+    fn lock(&self) -> MutexGuard<'_, ServicePlans> {
         sync::lock(&self.services)
     }
 }
 
+/// Returns the plan of a service to which a datagram refers. Counts the datagram as ignored if
+/// the configuration does not have the service or is not read yet.
+fn configured_plan<'a>(
+    services: &'a mut ServicePlans,
+    state: &State,
+    service: &str,
+    key: PlacementKey,
+) -> Option<&'a mut ServicePlan> {
+    let catalog = state.catalog();
+    let plan = catalog.and_then(|catalog| services.configured(service, &catalog));
+    if plan.is_none() {
+        metrics::counter!("dispatch_datagrams_ignored_total", "cause" => "service").increment(1);
+        tracing::debug!(
+            service,
+            instance = %key.instance,
+            number = key.number,
+            "dispatch: placement of an unknown service ignored"
+        );
+    }
+    plan
+}
+
 /// Adds a placement to the ledger, and its parts to those that the engine will have cached.
 fn insert(
     state: &State,
--- a/tests/dispatch_planner.rs
+++ b/tests/dispatch_planner.rs
@@ -23,9 +23,10 @@
 use platform_support::{
     Cloud, DEADLINE, Gateway, Store, Worker, configuration, not_run, signed, stream,
 };
+use serde_json::{Value, json};
 use tokio::{
     net::UdpSocket,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 const COMPLETE: &str = "id: 1\ndata: a\n\nid: 2\nevent: end\ndata: b\n\n";
@@ -39,7 +40,8 @@
 
 /// Dispatcher, and a socket from which it is queried as by another instance.
 struct Fleet {
-    _platform: (Store, Cloud),
+    store: Store,
+    _cloud: Cloud,
     _workers: Vec<Worker>,
     gateway: Gateway,
     dispatcher: SocketAddr,
@@ -50,10 +52,20 @@
 impl Fleet {
     /// Starts a dispatcher with these engines and their roles.
     async fn start(workers: Vec<(Worker, &str)>) -> Self {
+        let mut engines = Vec::new();
+        for (worker, role) in workers {
+            engines.push((worker, "models", role));
+        }
+        Self::start_services(engines).await
+    }
+
+    /// Starts a dispatcher with these engines, their services and roles. The configuration has
+    /// only the service `models`.
+    async fn start_services(engines: Vec<(Worker, &str, &str)>) -> Self {
         let (store, cloud) = (Store::start().await, Cloud::start().await);
         store.put("keyed.op", "config", &configuration(1));
-        for (worker, role) in &workers {
-            let entry = worker.entry("models", Some(role));
+        for (worker, service, role) in &engines {
+            let entry = worker.entry(service, Some(role));
             store.put("keyed.servers", &worker.id, &entry);
         }
         let settings = "placement:\n  shared: true\n";
@@ -63,8 +75,9 @@
         // Services get a timing profile some time after the start.
         sleep(Duration::from_secs(1)).await;
         Self {
-            _platform: (store, cloud),
-            _workers: workers.into_iter().map(|(worker, _)| worker).collect(),
+            store,
+            _cloud: cloud,
+            _workers: engines.into_iter().map(|(worker, ..)| worker).collect(),
             gateway,
             dispatcher,
             socket: UdpSocket::bind("127.0.0.1:0").await.unwrap(),
@@ -78,10 +91,15 @@
 
     /// Asks the dispatcher to place a prompt of which nothing is cached.
     async fn ask(&self, may_refuse: bool) -> Body {
+        self.ask_for("models", may_refuse).await
+    }
+
+    /// Asks the dispatcher to place a prompt of a service of which nothing is cached.
+    async fn ask_for(&self, service: &str, may_refuse: bool) -> Body {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let query = Query {
             number,
-            service: "models".into(),
+            service: service.into(),
             prompt: Some(prompt(number)),
             objective_ms: 500,
             event_objective_ms: 500,
@@ -113,10 +131,15 @@
 
     /// Reports a prompt of so many tokens on an engine that will not end.
     async fn occupy(&self, engine: &str, tokens: u32) {
+        self.occupy_for("models", engine, tokens).await;
+    }
+
+    /// Reports a prompt of a service on an engine that will not end.
+    async fn occupy_for(&self, service: &str, engine: &str, tokens: u32) {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let notice = Notice {
             number,
-            service: "models".into(),
+            service: service.into(),
             prompt: Some(prompt(number)),
             target: engine.into(),
             local_prefill: true,
@@ -127,6 +150,41 @@
         self.tell(Body::Notice(notice)).await;
     }
 
+    /// Asks where a prompt of a service would be placed, again until the dispatcher places it
+    /// or, if `is_placed` is false, until it declines. Returns the placement.
+    async fn probe_until(&self, service: &str, is_placed: bool) -> Option<Placed> {
+        let began_at = Instant::now();
+        loop {
+            let placed = match self.ask_for(service, false).await {
+                Body::Placed(placed) => Some(placed),
+                Body::Declined(_) => None,
+                other => panic!("neither placed nor declined: {other:?}"),
+            };
+            if let Some(placed) = &placed {
+                let ended = Ended {
+                    number: placed.number,
+                    service: service.into(),
+                };
+                self.tell(Body::Ended(ended)).await;
+            }
+            if placed.is_some() == is_placed {
+                return placed;
+            }
+            assert!(began_at.elapsed() < DEADLINE, "still {placed:?}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Returns the number of datagrams that instances of this process have ignored because of
+    /// an unknown service.
+    async fn ignored(&self) -> f64 {
+        let url = format!("http://{}/metrics", self.gateway.metrics_address);
+        let text = reqwest::get(url).await.unwrap().text().await.unwrap();
+        let line = "dispatch_datagrams_ignored_total{cause=\"service\"} ";
+        let mut counts = text.lines().filter_map(|text| text.strip_prefix(line));
+        counts.next().map_or(0.0, |count| count.parse().unwrap())
+    }
+
     /// Sends a prompt that the dispatcher receives itself.
     async fn send_own(&self, id: &str) -> bool {
         let request = self
@@ -152,6 +210,19 @@
     }
 }
 
+/// Returns a configuration that also has the service `drafts`.
+fn with_drafts(version: u64) -> Value {
+    let mut configuration = configuration(version);
+    configuration["services"]
+        .as_array_mut()
+        .unwrap()
+        .push(json!({
+            "name": "drafts", "health_path": "/health", "max_conns": 100,
+            "engine": {"slots": 64, "kv_tokens": 500_000, "switch_s": 3.0, "handle_ttl_s": 5.0},
+        }));
+    configuration
+}
+
 async fn decoding(id: &str) -> Worker {
     Worker::start(id, |arrival| Some(stream(arrival, vec![Ok(COMPLETE)]))).await
 }
@@ -253,3 +324,36 @@
     sleep(Duration::from_millis(600)).await;
     assert_eq!(fleet.probe().await.target, refusing);
 }
+
+/// A dispatcher must keep nothing about services that are not in its configuration. Otherwise
+/// datagrams with arbitrary names of services make its memory grow. It must decline to place
+/// their prompts, so that the instance that asks decides itself, and place them once the
+/// configuration has the service.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_services_ignored() {
+    let engines = vec![
+        (decoding("i-d").await, "models", "decode"),
+        (decoding("i-draft").await, "drafts", "decode"),
+    ];
+    let fleet = Fleet::start_services(engines).await;
+    let before = fleet.ignored().await;
+    fleet.occupy_for("drafts", "i-draft", OCCUPIED_TOKENS).await;
+    let answer = fleet.ask_for("drafts", true).await;
+    assert!(matches!(answer, Body::Declined(_)), "{answer:?}");
+    assert_eq!(fleet.ignored().await - before, 2.0);
+    assert!(matches!(fleet.ask(true).await, Body::Placed(_)));
+
+    fleet.store.put("keyed.op", "config", &with_drafts(2));
+    let placed = fleet.probe_until("drafts", true).await.unwrap();
+    assert_eq!((placed.requests, placed.queued_tokens), (0, 0));
+    fleet.occupy_for("drafts", "i-draft", OCCUPIED_TOKENS).await;
+    let placed = fleet.probe_until("drafts", true).await.unwrap();
+    assert_eq!(placed.queued_tokens, OCCUPIED_TOKENS);
+
+    // What is known of a service is dropped with the service.
+    fleet.store.put("keyed.op", "config", &configuration(3));
+    fleet.probe_until("drafts", false).await;
+    fleet.store.put("keyed.op", "config", &with_drafts(4));
+    let placed = fleet.probe_until("drafts", true).await.unwrap();
+    assert_eq!((placed.requests, placed.queued_tokens), (0, 0));
+}
