Accept answers to placement queries only from the queried instance

Cause: an answer was passed to the query with its number, whoever sent it. A foreign or misdirected datagram could refuse a request or choose its engines. Change: a query keeps the address to which it was sent (policy::dispatch::OpenQueries). After a change of the dispatcher, an answer of the former one is accepted while its query is open. An unspecified peer address stands for the loopback address, from which answers to it come. foreign_answers_ignored fails without the change, as a foreign refusal ends its first query at the other instance.

--- a/src/gateway/dispatch/client.rs
+++ b/src/gateway/dispatch/client.rs
@@ -26,7 +26,7 @@
     call::{Call, Prompt},
     gateway::{caller::reply::Refusal, engine::placement::PrefillChoice, state::State},
     peer::rendezvous_order,
-    policy::dispatch::Preference,
+    policy::dispatch::{OpenQueries, Preference},
     roster::Target,
     sync::lock,
 };
@@ -77,7 +77,7 @@
     pub(super) socket: UdpSocket,
     pub(super) own_address: SocketAddr,
     next_number: AtomicU64,
-    waiting: Mutex<IndexMap<u64, oneshot::Sender<Body>>>,
+    open_queries: Mutex<OpenQueries<oneshot::Sender<Body>>>,
     outstanding: Mutex<IndexMap<u64, Outstanding>>,
     preference: Mutex<Preference>,
     orders: Mutex<IndexMap<Arc<str>, Order>>,
@@ -97,7 +97,7 @@
             socket,
             own_address,
             next_number: AtomicU64::new(started_at_unix_ms << NUMBER_BITS),
-            waiting: Mutex::default(),
+            open_queries: Mutex::default(),
             outstanding: Mutex::default(),
             preference: Mutex::default(),
             orders: Mutex::default(),
@@ -124,11 +124,11 @@
         let asked_at = Instant::now();
         let query = build_query(call, prompt, tried, may_refuse, number);
         let (sender, receiver) = oneshot::channel();
-        lock(&self.waiting).insert(number, sender);
+        lock(&self.open_queries).insert(number, dispatcher, sender);
         self.send(dispatcher, Body::Query(query));
         let answer = timeout(QUERY_TIMEOUT, receiver).await;
         let Ok(Ok(answer)) = answer else {
-            lock(&self.waiting).swap_remove(&number);
+            lock(&self.open_queries).remove(number);
             lock(&self.preference).record_miss(dispatcher, state.now_ms());
             record_query("unanswered", asked_at);
             tracing::info!(
@@ -232,8 +232,8 @@
 
     /// Reports that a placement has ended.
     pub(super) fn report_end(&self, service: &Arc<str>, number: u64) {
-        // The query still waits if its call was dropped.
-        lock(&self.waiting).swap_remove(&number);
+        // The query is still open if its call was dropped.
+        lock(&self.open_queries).remove(number);
         lock(&self.outstanding).swap_remove(&number);
         self.report(
             service,
@@ -253,12 +253,21 @@
         self.report(&target.service, Body::Failure(failure));
     }
 
-    /// Passes an answer on to the query that waits for it.
-    pub(super) fn complete(&self, number: u64, answer: Body) {
-        let waiting = lock(&self.waiting).swap_remove(&number);
-        if let Some(waiting) = waiting {
-            // The query may have timed out meanwhile.
-            let _ = waiting.send(answer);
+    /// Passes an answer from `sender` on to the query that waits for it. Counts an answer that
+    /// is ignored.
+    pub(super) fn complete(&self, number: u64, sender: SocketAddr, answer: Body) {
+        let taken = lock(&self.open_queries).take(number, sender);
+        match taken {
+            Ok(waiting) => {
+                // The query may have timed out meanwhile.
+                let _ = waiting.send(answer);
+            }
+            Err(cause) => {
+                let label = cause.to_string();
+                metrics::counter!("dispatch_datagrams_ignored_total", "cause" => label)
+                    .increment(1);
+                tracing::debug!(number, sender = %sender, "dispatch: answer ignored: {cause}");
+            }
         }
     }
 
--- a/src/gateway/dispatch/server.rs
+++ b/src/gateway/dispatch/server.rs
@@ -66,8 +66,10 @@
         // An attempt of this instance was counted when it failed.
         Body::Failure(_) if from == dispatch.own_address => {}
         Body::Failure(failure) => planner.record_failure(state, &failure),
-        Body::Placed(placed) => dispatch.complete(placed.number, Body::Placed(placed)),
-        Body::Refused(refused) => dispatch.complete(refused.number, Body::Refused(refused)),
-        Body::Declined(declined) => dispatch.complete(declined.number, Body::Declined(declined)),
+        Body::Placed(placed) => dispatch.complete(placed.number, from, Body::Placed(placed)),
+        Body::Refused(refused) => dispatch.complete(refused.number, from, Body::Refused(refused)),
+        Body::Declined(declined) => {
+            dispatch.complete(declined.number, from, Body::Declined(declined))
+        }
     }
 }
--- a/tests/shared_placement.rs
+++ b/tests/shared_placement.rs
@@ -6,7 +6,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use dispatch_datagrams::{
-    frames::{Ended, Failure, Part, Placed, Prompt, Query, datagram::Body},
+    frames::{Ended, Failure, Part, Placed, Prompt, Query, Refused, datagram::Body},
     peer_address, receive, send_to,
 };
 use hyper::Method;
@@ -98,9 +98,15 @@
 
 /// Returns the number of queries of all instances in this process with an outcome.
 async fn queries(gateway: &Gateway, outcome: &str) -> f64 {
+    let series = format!("dispatch_queries_total{{outcome=\"{outcome}\"}}");
+    counted(gateway, &series).await
+}
+
+/// Returns the value of a counter of this process.
+async fn counted(gateway: &Gateway, series: &str) -> f64 {
     let url = format!("http://{}/metrics", gateway.metrics_address);
     let text = reqwest::get(url).await.unwrap().text().await.unwrap();
-    let line = format!("dispatch_queries_total{{outcome=\"{outcome}\"}} ");
+    let line = format!("{series} ");
     let mut counts = text.lines().filter_map(|text| text.strip_prefix(&line));
     counts.next().map_or(0.0, |count| count.parse().unwrap())
 }
@@ -161,6 +167,51 @@
     (task, reports)
 }
 
+/// Dispatcher each of whose queries is refused from `foreign`, another address, first. It then
+/// places every other one on `engine`, beginning with the first, and does not answer the others.
+fn start_outrun_dispatcher(
+    socket: UdpSocket,
+    foreign: UdpSocket,
+    engine: &str,
+) -> (JoinHandle<()>, Arc<std::sync::Mutex<Reports>>) {
+    let reports: Arc<std::sync::Mutex<Reports>> = Arc::default();
+    let (heard, engine) = (reports.clone(), engine.to_owned());
+    let task = tokio::spawn(async move {
+        loop {
+            let (body, from) = receive(&socket).await;
+            let number = match body {
+                Body::Query(query) => query.number,
+                Body::Notice(notice) => {
+                    heard.lock().unwrap().notices.insert(notice.number);
+                    continue;
+                }
+                Body::Ended(ended) => {
+                    heard.lock().unwrap().ended.insert(ended.number);
+                    continue;
+                }
+                _ => continue,
+            };
+            let refused = Refused {
+                number,
+                retry_after_ms: 900,
+                ..Refused::default()
+            };
+            send_to(&foreign, from, Body::Refused(refused)).await;
+            let (index, _) = heard.lock().unwrap().queries.insert_full(number);
+            if index % 2 == 0 {
+                let placed = Placed {
+                    number,
+                    target: engine.clone(),
+                    local_prefill: true,
+                    ..Placed::default()
+                };
+                send_to(&socket, from, Body::Placed(placed)).await;
+            }
+        }
+    });
+    (task, reports)
+}
+
 /// Asks a dispatcher to place a prompt of one part, and returns the predicted time to the
 /// first event.
 async fn predicted_ms(dispatcher: SocketAddr, part: u64) -> u32 {
@@ -308,6 +359,50 @@
     drop(first);
 }
 
+/// An instance must ignore answers from addresses that it did not query, and still use the answer
+/// of the dispatcher, or decide itself if there is none. Otherwise a foreign datagram can refuse
+/// requests, or choose their engines.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn foreign_answers_ignored() {
+    let _metrics = METRICS.lock().await;
+    let (store, cloud) = (Store::start().await, Cloud::start().await);
+    store.put("keyed.op", "config", &configuration(1));
+    let worker = Worker::start("i-d", |arrival| Some(stream(arrival, vec![Ok(COMPLETE)]))).await;
+    let entry = worker.entry("models", Some("decode"));
+    store.put("keyed.servers", &worker.id, &entry);
+    let names: [Arc<str>; 2] = ["entry-0".into(), "entry-1".into()];
+    let order = rendezvous_order("models", &names);
+    // The first instance does not use its address for datagrams, as it has no shared placement.
+    let first = Gateway::start(order[0], &store, &cloud).await;
+    let socket = UdpSocket::bind(peer_address(&store, order[0]).await).await;
+    let foreign = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let (dispatcher, reports) = start_outrun_dispatcher(socket.unwrap(), foreign, "i-d");
+    let gateway = Gateway::start_with(order[1], &store, &cloud, SHARED).await;
+    gateway.wait_until_ready().await;
+    let ignored = "dispatch_datagrams_ignored_total{cause=\"sender\"}";
+    let ignored_before = counted(&gateway, ignored).await;
+    let (mut sent, mut placed, mut decided_alone) = (0, 0, 0);
+    while placed < 3 || decided_alone < 3 {
+        sent += 1;
+        assert!(sent < 400, "{placed} placed, {decided_alone} decided alone");
+        assert!(is_answered(&gateway, &format!("f-{sent}")).await);
+        sleep(Duration::from_millis(20)).await;
+        let reports = reports.lock().unwrap();
+        (placed, decided_alone) = (0, 0);
+        for number in reports.queries.intersection(&reports.ended) {
+            // An instance sends a notice of each placement that it decides on itself.
+            match reports.notices.contains(number) {
+                true => decided_alone += 1,
+                false => placed += 1,
+            }
+        }
+    }
+    let ignored = counted(&gateway, ignored).await - ignored_before;
+    assert!(ignored >= f64::from(placed), "{ignored} answers ignored");
+    dispatcher.abort();
+    drop(first);
+}
+
 /// The dispatcher must observe the prompts that it has received itself once. If they count
 /// twice, its timing profile follows its own prompts more than those of others.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
