Lock all mutexes with crate::sync::lock

Twenty-six modules, among them upload.rs and yielding_stream.rs, repeated what the function does. No change of behaviour; read-write locks are unchanged.

--- a/src/call/caller.rs
+++ b/src/call/caller.rs
@@ -2,13 +2,15 @@
 
 use std::{
     fmt,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
 use displaydoc::Display;
 use tokio::time::{Instant, sleep};
 
+use crate::sync;
+
 /// What is being done for a request.
 #[derive(Clone, Copy, Debug, Default, Display, Eq, PartialEq)]
 pub enum Step {
@@ -136,7 +138,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Progress> {
-        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.progress)
     }
 }
 
--- a/src/control/authority.rs
+++ b/src/control/authority.rs
@@ -2,14 +2,14 @@
 //! instance performs at a time.
 
 use std::sync::{
-    Arc, Mutex, PoisonError,
+    Arc, Mutex,
     atomic::{AtomicBool, Ordering},
 };
 
 use tokio::sync::{OwnedRwLockReadGuard, RwLock};
 
 use super::{Clock, Error, Identity, LeaseClock, Result};
-use crate::{ledger::LedgerHandle, log::records::Duty};
+use crate::{ledger::LedgerHandle, log::records::Duty, sync};
 
 /// Authority of this instance to act as the holder of a duty.
 ///
@@ -152,7 +152,6 @@
     }
 
     fn lock_lease(&self) -> std::sync::MutexGuard<'_, LeaseClock> {
-        let lease = self.shared.lease.lock();
-        lease.unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.shared.lease)
     }
 }
--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -8,7 +8,7 @@
 use std::{
     collections::HashSet,
     future::Future,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -21,6 +21,7 @@
         Appender, Offset, Receipt,
         records::{OrderIntent, OrderResolved, order_intent::Order, record::Body},
     },
+    sync,
 };
 
 /// Interval between two reads of a target's state.
@@ -325,5 +326,5 @@
 }
 
 fn lock_targets(set: &Mutex<HashSet<Arc<str>>>) -> MutexGuard<'_, HashSet<Arc<str>>> {
-    set.lock().unwrap_or_else(PoisonError::into_inner)
+    sync::lock(set)
 }
--- a/src/control/usage.rs
+++ b/src/control/usage.rs
@@ -2,7 +2,7 @@
 //! slices.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -18,6 +18,7 @@
         records::{UsageSlice, UsageWatermark, record::Body},
     },
     settings::Timing,
+    sync,
 };
 
 /// Interval between two flushes. A flush appends the completed slices to the log.
@@ -58,7 +59,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, SliceBuffer> {
-        self.buffer.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.buffer)
     }
 }
 
--- a/src/entry/burn.rs
+++ b/src/entry/burn.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::entry::router::AccountEntry;
+use crate::{entry::router::AccountEntry, sync};
 
 /// Result of one request, as counted against the service-level objective.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -98,8 +98,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, IndexMap<Arc<str>, AccountResultCounts>> {
-        self.accounts
-            .lock()
-            .unwrap_or_else(|error| error.into_inner())
+        sync::lock(&self.accounts)
     }
 }
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -33,6 +33,7 @@
     ledger::{ApplyResult, LedgerHandle},
     log::{self, Offset, records::record::Body},
     policy::{queue::cost_tokens, retry::RetryBudget},
+    sync,
     target::{EngineClient, PlainClient, table::TargetTable},
 };
 
@@ -309,8 +310,7 @@
     }
 
     fn retry_budget(&self) -> MutexGuard<'_, RetryBudget> {
-        let budget = self.inner.retry_budget.lock();
-        budget.unwrap_or_else(|error| error.into_inner())
+        sync::lock(&self.inner.retry_budget)
     }
 
     pub(super) fn limiter(&self) -> &Arc<Limiter> {
--- a/src/entry/limiter.rs
+++ b/src/entry/limiter.rs
@@ -14,6 +14,7 @@
         router::AccountEntry,
     },
     policy::limits::{AccountLimiter, AccountLimits, LimitError},
+    sync,
 };
 
 /// Retry delay reported to callers at the limit of concurrent requests, in
@@ -97,9 +98,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, IndexMap<Arc<str>, AccountState>> {
-        self.accounts
-            .lock()
-            .unwrap_or_else(|error| error.into_inner())
+        sync::lock(&self.accounts)
     }
 }
 
--- a/src/entry/partition.rs
+++ b/src/entry/partition.rs
@@ -3,7 +3,7 @@
 //!
 //! A mixed engine is one that can both prefill and decode.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 
 use indexmap::IndexMap;
 use tokio::time::Instant;
@@ -18,6 +18,7 @@
         routing::{PartitionDemand, PartitionEngines},
     },
     service::{Document, KindRole, Model},
+    sync,
     target::{
         protocol::{EngineRole, EngineState},
         table::TargetView,
@@ -71,7 +72,7 @@
     /// within [`DIVISION_PERIOD_MS`] of the last update.
     pub(super) fn update(&self, context: &EntryContext) {
         let now_ms = self.started_at.elapsed().as_millis() as u64;
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = sync::lock(&self.state);
         let elapsed_ms = now_ms - state.updated_at_ms;
         if elapsed_ms < DIVISION_PERIOD_MS {
             return;
--- a/src/entry/scheduler.rs
+++ b/src/entry/scheduler.rs
@@ -32,6 +32,7 @@
         share::{KnownUsage, estimate_share},
     },
     settings::{Division, Policy, QueueOrder},
+    sync,
     target::{
         protocol::{BLOCK_TOKENS, CacheEventList},
         table::{TargetTable, TargetView},
@@ -268,7 +269,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(|error| error.into_inner())
+        sync::lock(&self.state)
     }
 
     fn now_ms(&self) -> u64 {
--- a/src/entry/suspect.rs
+++ b/src/entry/suspect.rs
@@ -17,6 +17,7 @@
         crash_history::CrashHistory,
         suspects::{Fingerprint, MAX_CRASHES},
     },
+    sync,
 };
 
 /// Time of all crashes: the ledger, not this instance, decides when a quarantine ends.
@@ -103,7 +104,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(|error| error.into_inner())
+        sync::lock(&self.state)
     }
 }
 
--- a/src/gateway/caller/connection.rs
+++ b/src/gateway/caller/connection.rs
@@ -4,7 +4,7 @@
 use std::{
     convert::Infallible,
     pin::pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -27,6 +27,7 @@
         Admitted, AnswerBody, CallerSocket, CallerStream, IntakeStream, Listener, Reason,
         RequestGuard,
     },
+    sync,
 };
 
 /// Minimum size of the buffer for a request head.
@@ -89,7 +90,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, ReadTimes> {
-        self.times.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.times)
     }
 }
 
--- a/src/gateway/clock.rs
+++ b/src/gateway/clock.rs
@@ -2,12 +2,14 @@
 //! jumps of the system clock.
 
 use std::{
-    sync::{Mutex, PoisonError},
+    sync::Mutex,
     time::{SystemTime, UNIX_EPOCH},
 };
 
 use rustix::time::{ClockId, clock_gettime};
 
+use crate::sync;
+
 /// Largest change of the system clock, relative to the boot clock, that is adopted
 /// immediately, in milliseconds. A larger change counts as a jump.
 const MAX_DRIFT_MS: i64 = 150;
@@ -51,7 +53,7 @@
     /// adopted.
     pub(super) fn now_ms(&self) -> u64 {
         let boot_ms = boot_ms();
-        let mut offset = self.offset.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut offset = sync::lock(&self.offset);
         offset.observe(measure_offset_ms(boot_ms), boot_ms);
         (boot_ms as i64 + offset.offset_ms).max(0) as u64
     }
--- a/src/gateway/duty/duty_lease.rs
+++ b/src/gateway/duty/duty_lease.rs
@@ -8,7 +8,7 @@
 //! the store is therefore no longer used.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -20,6 +20,7 @@
     gateway::clock::boot_ms,
     ledger::DutyEntry,
     platform::{Appended, Holder, KeyedRecord, Position, StoreEra},
+    sync,
 };
 
 /// Lease duration divided by the time before the end of the lease after which a duty makes no
@@ -283,7 +284,7 @@
     }
 
     pub(super) fn lock(&self) -> MutexGuard<'_, LeaseState> {
-        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.known)
     }
 }
 
--- a/src/gateway/target/answer_memory.rs
+++ b/src/gateway/target/answer_memory.rs
@@ -1,7 +1,7 @@
 //! Memory for the answers of targets, with one limit for all answers in flight.
 
 use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError,
+    Arc, Mutex, MutexGuard,
     atomic::{AtomicUsize, Ordering},
 };
 
@@ -12,7 +12,10 @@
 use indexmap::IndexMap;
 use tokio_util::sync::CancellationToken;
 
-use crate::policy::answer_budget::{AnswerBudget, Resized};
+use crate::{
+    policy::answer_budget::{AnswerBudget, Resized},
+    sync,
+};
 
 /// Divisor of the instance's memory limit; the quotient is the limit for answers. Up to
 /// [`MAX_WITH_EVICTED`](crate::policy::answer_budget::MAX_WITH_EVICTED) times as much is used
@@ -91,7 +94,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Answers> {
-        self.answers.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.answers)
     }
 }
 
--- a/src/gateway/target/pool.rs
+++ b/src/gateway/target/pool.rs
@@ -4,7 +4,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
@@ -30,6 +30,7 @@
 use crate::{
     gateway::target::yielding_stream::{RequestInFlight, YieldingStream},
     roster::Target,
+    sync,
 };
 
 /// Time limit for opening a TCP connection to a target.
@@ -251,7 +252,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, IndexMap<TargetBoot, TargetConnections>> {
-        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.targets)
     }
 }
 
--- a/src/gateway/target/yielding_stream.rs
+++ b/src/gateway/target/yielding_stream.rs
@@ -5,7 +5,7 @@
 use std::{
     io,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     task::{Context, Poll},
     time::Duration,
 };
@@ -16,6 +16,8 @@
     net::TcpStream,
 };
 
+use crate::sync;
+
 /// Number of bytes after which a reader yields to other tasks. A gateway runs all tasks in
 /// one thread, and small messages without end keep their parser busy for long.
 const BYTES_PER_TURN: usize = 64 << 10;
@@ -64,7 +66,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Progress> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.0)
     }
 }
 
--- a/src/infra/client.rs
+++ b/src/infra/client.rs
@@ -1,7 +1,7 @@
 //! HTTP clients for the platform's live list, target ordering and usage sink.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -14,6 +14,7 @@
     Error, Result,
     protocol::{LiveInstance, TargetList, TargetOrder, UsageReport},
 };
+use crate::sync;
 
 /// Base URL, HTTP client and request timeout of one platform interface.
 #[derive(Clone, Debug)]
@@ -116,13 +117,12 @@
             tag,
             list: list.clone(),
         });
-        *self.last.lock().unwrap_or_else(PoisonError::into_inner) = tagged;
+        *sync::lock(&self.last) = tagged;
         Ok(list)
     }
 
     fn last(&self) -> Option<TaggedList<T>> {
-        let last = self.last.lock();
-        last.unwrap_or_else(PoisonError::into_inner).clone()
+        sync::lock(&self.last).clone()
     }
 }
 
--- a/src/instance/burn.rs
+++ b/src/instance/burn.rs
@@ -1,7 +1,7 @@
 //! Samples request results for the report on the burn of error budgets.
 
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -11,6 +11,7 @@
     entry::EntryContext,
     report::{BurnHistory, BurnSample, ResultCounts},
     supervisor::Supervisor,
+    sync,
 };
 
 /// Interval at which the result counts are sampled.
@@ -49,14 +50,14 @@
     /// Takes a sample and returns the history, including the new sample.
     pub(super) fn samples(&self) -> Vec<BurnSample> {
         self.observe();
-        let history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        let history = sync::lock(&self.history);
         history.samples(self.now_s())
     }
 
     /// Adds a sample of the current result counts to the history.
     fn observe(&self) {
         let now_s = self.now_s();
-        let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut history = sync::lock(&self.history);
         for counts in self.context.burn().counts() {
             let results = ResultCounts::from(&counts);
             history.observe(&counts.service, &counts.account, results, now_s);
--- a/src/instance/components.rs
+++ b/src/instance/components.rs
@@ -29,6 +29,7 @@
     peer::{self, PeerHandle, PeerInputs},
     service::KindRole,
     supervisor::Supervisor,
+    sync,
     target::{
         EngineClient,
         table::{TargetPoller, TargetTable},
@@ -315,9 +316,7 @@
 /// shared by all instances in the process.
 pub(crate) fn metrics_handle() -> Result<PrometheusHandle> {
     static HANDLE: std::sync::Mutex<Option<PrometheusHandle>> = std::sync::Mutex::new(None);
-    let mut handle = HANDLE
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    let mut handle = sync::lock(&HANDLE);
     if let Some(handle) = &*handle {
         return Ok(handle.clone());
     }
--- a/src/log/recent.rs
+++ b/src/log/recent.rs
@@ -3,11 +3,11 @@
 
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
 };
 
 use super::Offset;
-use crate::infra::protocol::LogEntry;
+use crate::{infra::protocol::LogEntry, sync};
 
 /// Shared buffer of the newest records, in offset order without gaps.
 #[derive(Clone, Debug)]
@@ -92,6 +92,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Buffer> {
-        self.buffer.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.buffer)
     }
 }
--- a/src/peer/shared.rs
+++ b/src/peer/shared.rs
@@ -1,7 +1,7 @@
 //! State and inputs shared by the tasks of the peer module.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -16,7 +16,10 @@
     membership::PeerIdentity,
     state::{LogView, State},
 };
-use crate::log::{Appender, Offset, RecentEntries, RelayedEntries, TailStatus};
+use crate::{
+    log::{Appender, Offset, RecentEntries, RelayedEntries, TailStatus},
+    sync,
+};
 
 /// Time without frames after which an unlisted instance is considered
 /// terminated.
@@ -111,7 +114,7 @@
 
     /// Locks the state of the peers and connections.
     pub(super) fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.state)
     }
 
     /// Returns a snapshot of the log status and the applied offset.
--- a/src/standin/engine/service.rs
+++ b/src/standin/engine/service.rs
@@ -1,7 +1,7 @@
 //! HTTP interface of the engine stand-in.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -27,6 +27,7 @@
         faults::AnswerLoss,
         http::{path_segments, read_json, write_error, write_json},
     },
+    sync,
     target::protocol::{EngineAction, EngineOrderRequest, GenerateRequest, KvTransfer},
 };
 
@@ -96,7 +97,7 @@
 
     /// Locks the engine's state.
     pub(super) fn lock(&self) -> MutexGuard<'_, Core> {
-        self.core.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.core)
     }
 
     /// Replaces the injected faults.
@@ -112,9 +113,7 @@
     }
 
     fn lock_answer_loss(&self) -> MutexGuard<'_, AnswerLoss> {
-        self.answer_loss
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.answer_loss)
     }
 
     fn lose_answer(&self) -> bool {
--- a/src/standin/plain.rs
+++ b/src/standin/plain.rs
@@ -8,7 +8,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -28,6 +28,7 @@
     engine::Power,
     http::{HttpServer, path_segments, read_body, read_json, write_json},
 };
+use crate::sync;
 
 /// Header with the request identifier, which is returned in the response.
 const REQUEST_ID: &str = "x-request-id";
@@ -128,7 +129,7 @@
 
 impl PlainHandler {
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.state)
     }
 
     fn set_faults(&self, faults: PlainFaults) {
--- a/src/standin/platform/service.rs
+++ b/src/standin/platform/service.rs
@@ -1,7 +1,7 @@
 //! HTTP interface of the platform stand-in.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::{SystemTime, UNIX_EPOCH},
 };
 
@@ -34,6 +34,7 @@
             write_tagged_json,
         },
     },
+    sync,
 };
 
 /// Content type of protobuf bodies.
@@ -188,7 +189,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.state)
     }
 
     fn interface_faults(&self, interface: Interface) -> InterfaceFaults {
--- a/src/target/table/mod.rs
+++ b/src/target/table/mod.rs
@@ -8,7 +8,7 @@
 
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -28,6 +28,7 @@
         protocol::{PlatformTarget, TargetState},
     },
     service::KindRole,
+    sync,
 };
 
 /// Maximum number of crash events buffered for a slow subscriber; older events are
@@ -208,8 +209,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, IndexMap<Arc<str>, Row>> {
-        let rows = self.shared.rows.lock();
-        rows.unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.shared.rows)
     }
 
     fn update_health<F>(&self, name: &str, change: F)
--- a/src/target/upload.rs
+++ b/src/target/upload.rs
@@ -6,13 +6,15 @@
 use std::{
     convert::Infallible,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     task::{Context, Poll, Waker},
 };
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 
+use crate::sync;
+
 /// Size of the pieces in which a body is handed to the HTTP client, in bytes.
 const PIECE_BYTES: usize = 64 << 10;
 
@@ -37,7 +39,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        sync::lock(&self.0)
     }
 }
 
