--- a/src/control/fleet/demand.rs
+++ b/src/control/fleet/demand.rs
@@ -16,6 +16,7 @@
 /// Key of the counts of one service within one window.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct CountKey {
+    /// Number of the usage window.
     window: u64,
     service: Arc<str>,
 }
--- a/src/control/slices.rs
+++ b/src/control/slices.rs
@@ -24,11 +24,11 @@
 pub struct SliceBuffer {
     source: Identity,
     window_ms: u64,
-    /// Lowest open window of the ledger.
+    /// Number of the lowest open usage window of the ledger.
     open_window: u64,
     /// Time at which this instance first saw `open_window`.
     window_opened_ms: u64,
-    /// Window of the current slice.
+    /// Number of the usage window of the current slice.
     current_window: u64,
     /// Number of the current slice.
     next_slice: u64,
--- a/src/gateway/duty/slices.rs
+++ b/src/gateway/duty/slices.rs
@@ -67,7 +67,7 @@
 /// Requests that one instance has counted in one window so far.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(super) struct Slice {
-    /// Number of the window: the Unix time of its start divided by its length.
+    /// Number of the usage window: the Unix time of its start divided by its length.
     pub(super) window: u64,
     /// Name of the instance that counted the requests.
     pub(super) instance: Arc<str>,
--- a/src/gateway/duty/usage_records.rs
+++ b/src/gateway/duty/usage_records.rs
@@ -14,6 +14,7 @@
 /// Final request counts of a window.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(super) struct Figure {
+    /// Number of the usage window, as in the slices.
     pub(super) window: u64,
     /// `None` if this window and all earlier ones are skipped.
     pub(super) counts: Option<Counts>,
--- a/src/infra/protocol.rs
+++ b/src/infra/protocol.rs
@@ -195,7 +195,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct UsageReport {
-    /// Sequence number of the window.
+    /// Number of the usage window.
     pub window: u64,
     /// Fencing token of the usage duty.
     pub epoch: u64,
--- a/src/ledger/error.rs
+++ b/src/ledger/error.rs
@@ -98,9 +98,9 @@
     OutcomeRecorded,
     /// usage window {window} is not open; the open window is {open}
     WindowNotOpen {
-        /// Window that the record names.
+        /// Number of the usage window that the record names.
         window: u64,
-        /// Lowest window that is not closed.
+        /// Number of the lowest usage window that is not closed.
         open: u64,
     },
     /// usage window {0} has no unacknowledged report
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -147,6 +147,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct UsageState {
+    /// Number of the lowest usage window that is not closed.
     #[prost(uint64, tag = "1")]
     pub(super) open_window: u64,
     #[prost(message, repeated, tag = "2")]
@@ -159,6 +160,7 @@
 
 #[derive(Clone, PartialEq, prost::Message)]
 pub(super) struct WindowState {
+    /// Number of the usage window.
     #[prost(uint64, tag = "1")]
     pub(super) window: u64,
     #[prost(uint64, tag = "2")]
--- a/src/ledger/usage.rs
+++ b/src/ledger/usage.rs
@@ -53,7 +53,7 @@
 /// Usage counted in one window.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct WindowEntry {
-    /// Number of the window.
+    /// Number of the usage window.
     pub window: u64,
     /// Offset of the record that closed the window; 0 if the window is not closed.
     pub closed_at: Offset,
@@ -87,7 +87,7 @@
 /// Usage windows and the progress of the sources.
 #[derive(Clone, Debug)]
 pub(super) struct Usage {
-    /// Lowest window that is not closed.
+    /// Number of the lowest usage window that is not closed.
     open_window: u64,
     /// Windows that are not closed, by number.
     windows: IndexMap<u64, WindowEntry>,
--- a/src/log/lavenderwind.records.rs
+++ b/src/log/lavenderwind.records.rs
@@ -156,6 +156,7 @@
 /// Order to report a closed usage window to the platform.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct UsageOrder {
+    /// Number of the usage window.
     #[prost(uint64, tag = "1")]
     pub window: u64,
 }
@@ -272,7 +273,7 @@
     /// Number of the slice within the source's incarnation, starting at 1.
     #[prost(uint64, tag = "3")]
     pub slice: u64,
-    /// Window in which the source measured the usage.
+    /// Number of the usage window in which the source measured the usage.
     #[prost(uint64, tag = "4")]
     pub window: u64,
     #[prost(message, repeated, tag = "5")]
@@ -286,6 +287,7 @@
     pub source: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
     pub source_incarnation: u64,
+    /// Number of the usage window.
     #[prost(uint64, tag = "3")]
     pub window: u64,
 }
@@ -293,6 +295,7 @@
 /// ledger has counted at the offset of this record.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct WindowClose {
+    /// Number of the usage window.
     #[prost(uint64, tag = "1")]
     pub window: u64,
     /// Epoch of the usage duty under which the window is closed.
@@ -302,6 +305,7 @@
 /// Records that the platform acknowledged the report of a usage window.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct WindowAcknowledged {
+    /// Number of the usage window.
     #[prost(uint64, tag = "1")]
     pub window: u64,
 }
--- a/src/platform/cloud.rs
+++ b/src/platform/cloud.rs
@@ -75,6 +75,7 @@
 
 #[derive(Serialize)]
 struct UsageBody<'a> {
+    // Number of the usage window.
     window: u64,
     // Numbers of started requests, by client account.
     counts: &'a IndexMap<Arc<str>, u64>,
