Wait for failed writes of slices after a store outage

Cause: the holder determined the figure of a window at the first read after an outage of the store, if the decision time had passed meanwhile. The other instances repeat a failed write of their slices only after 0.5 to 1.5 s, so that the figure lacked them. Change: after an outage, a figure whose slices are missing is determined once the instances have had 2.2 s (time limit of a write, longest retry delay, jitter), and at the latest 150 ms before its report is due. An outage is told from all calls of the instance to the store: two or more that failed, and 500 ms or more without an answer. A second outage during the wait ends it. Slices are kept in the store until the later decision time, which makes a difference only for windows shorter than those of the deployments.

--- a/src/gateway/duty/reports.rs
+++ b/src/gateway/duty/reports.rs
@@ -22,12 +22,13 @@
 
 use super::{
     duty_lease::DutyLease,
-    slices::SLICE_TOPIC,
+    slices::{SLICE_TOPIC, longest_retry},
     usage_records::{Figure, UsageRecords},
 };
 use crate::{
     gateway::{state::State, store::follower::Follower, usage::Counts},
     platform::{CloudClient, CloudError, Holder, Position, StoreClient, StoreError, Topic},
+    policy::figure_due::{FigureDelays, FigureStep, FigureTimer, WindowProgress},
     settings::GatewayTiming,
 };
 
@@ -48,6 +49,10 @@
 /// the platform.
 const REPORT_MARGIN_MS: i64 = 3_500;
 
+/// The same margin just after an outage of the store, in milliseconds. The platform usually
+/// answers a report within 15 to 30 ms, and the figure is stored before.
+const USUAL_REPORT_MARGIN_MS: i64 = 150;
+
 /// Time after its start within which an instance learns of all peers, in milliseconds.
 const JOIN_MS: i64 = 6_000;
 
@@ -60,6 +65,12 @@
     timing.usage_due_ms as i64 - REPORT_MARGIN_MS
 }
 
+/// Returns the time after a window's end at which its figure is determined even
+/// if an outage of the store has just ended, in milliseconds.
+pub(super) fn latest_decision_ms(timing: &GatewayTiming) -> i64 {
+    timing.usage_due_ms as i64 - USUAL_REPORT_MARGIN_MS
+}
+
 /// The newest figure, and the lease under which it is known to be the newest.
 #[derive(Clone, Debug)]
 struct KnownFigure {
@@ -78,6 +89,7 @@
     records: UsageRecords,
     /// The newest figure under the last lease of this instance.
     known: Option<KnownFigure>,
+    timer: FigureTimer,
 }
 
 /// Reports usage windows while this instance holds the lease. Never returns.
@@ -94,6 +106,7 @@
         cloud,
         records: UsageRecords::default(),
         known: None,
+        timer: FigureTimer::default(),
     };
     loop {
         let Some(holder) = reporter.lease.holder() else {
@@ -113,10 +126,14 @@
             return;
         }
         self.send_newest(fence).await;
+        let mut read_wait = READ_WAIT;
         while self.current_holder(fence).is_some() {
-            let Ok(update) = slices.next_update(READ_WAIT).await else {
+            let Ok(update) = slices.next_update(read_wait).await else {
+                // A figure may be due soon after an outage, so that the next read must not wait.
+                read_wait = Duration::ZERO;
                 continue;
             };
+            read_wait = READ_WAIT;
             for record in &update.into_records() {
                 self.records.apply_slice(record);
             }
@@ -124,9 +141,16 @@
                 continue;
             };
             self.records.forget_before(window);
-            if !self.is_due(window) {
+            let time_left = match self.next_step(window) {
+                FigureStep::Determine => Duration::ZERO,
+                FigureStep::Wait => Duration::MAX,
+                FigureStep::WaitForRetries { left_ms, .. } => Duration::from_millis(left_ms),
+            };
+            if !time_left.is_zero() {
                 // Batches the slices of many instances into one read.
-                sleep(CHECK_PERIOD).await;
+                let pause = CHECK_PERIOD.min(time_left);
+                sleep(pause).await;
+                read_wait = READ_WAIT.min(time_left - pause);
                 continue;
             }
             let accounts = match self.state.catalog() {
@@ -230,19 +254,42 @@
         }
     }
 
-    /// Returns whether the figure of a window can be determined: the window has ended,
-    /// and either all running instances have closed their slices or the time to wait
-    /// for the slices has passed. At the end of a window just after its start, this
-    /// instance does not know which instances run.
-    fn is_due(&self, window: u64) -> bool {
+    /// Decides whether the figure of a window is determined now. At the end of a window just
+    /// after its start, this instance does not know which instances run.
+    fn next_step(&mut self, window: u64) -> FigureStep {
+        let timing = self.state.tuning().timing;
+        let delays = FigureDelays {
+            decision_ms: decision_delay_ms(&timing),
+            latest_decision_ms: latest_decision_ms(&timing),
+            retry_ms: longest_retry(self.store.timeout()).as_millis() as u64,
+        };
         let since_end_ms = self.state.usage().ms_since_end(window);
-        if since_end_ms < 0 {
-            return false;
-        }
         let knew_peers = self.state.now_ms() as i64 - since_end_ms >= JOIN_MS;
-        let are_closed = self.records.closed_slices(window) >= self.state.instances();
-        let max_wait_ms = decision_delay_ms(&self.state.tuning().timing);
-        knew_peers && are_closed || since_end_ms >= max_wait_ms
+        let closed_slices = self.records.closed_slices(window);
+        let instances = self.state.instances();
+        let progress = WindowProgress {
+            window,
+            since_end_ms,
+            is_complete: knew_peers && closed_slices >= instances,
+            recovery: self.store.recovery(),
+        };
+        let step = self.timer.next_step(&delays, &progress);
+        if let FigureStep::WaitForRetries {
+            left_ms,
+            is_new: true,
+        } = step
+        {
+            tracing::info!(
+                window,
+                since_end_ms,
+                closed_slices,
+                instances,
+                left_ms,
+                "usage: waiting for slices after an outage of the store"
+            );
+            metrics::counter!("gateway_usage_retry_waits_total").increment(1);
+        }
+        step
     }
 
     /// Stores the figure of a window. Returns false if the append failed, for example
--- a/src/gateway/duty/slices.rs
+++ b/src/gateway/duty/slices.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use super::reports::decision_delay_ms;
+use super::reports::{decision_delay_ms, latest_decision_ms};
 use crate::{
     gateway::{state::State, usage::Counts},
     log::backoff::Backoff,
@@ -168,7 +168,14 @@
 
 /// Returns the number of recent windows whose slices an instance keeps in the store.
 pub(in crate::gateway) fn kept_windows(timing: &GatewayTiming) -> u64 {
-    decision_delay_ms(timing).max(0) as u64 / timing.usage_window_ms.max(1) + EXTRA_KEPT_WINDOWS
+    latest_decision_ms(timing).max(0) as u64 / timing.usage_window_ms.max(1) + EXTRA_KEPT_WINDOWS
+}
+
+/// Returns the longest time after an outage of the store until an instance writes its slices,
+/// if each write ends within `write_timeout`. A write that is sent just before the end of the
+/// outage may fail only after that time.
+pub(super) fn longest_retry(write_timeout: Duration) -> Duration {
+    write_timeout + MAX_RETRY + MAX_JITTER
 }
 
 /// Returns a random delay before slices are written again to a restored store.
--- a/src/platform/store/call.rs
+++ b/src/platform/store/call.rs
@@ -5,7 +5,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
-use super::{StoreError, Topic, era::EraTracker};
+use super::{StoreError, Topic, era::EraTracker, outage::OutageTracker};
 use crate::target::is_final_status;
 
 /// Complete answer of the store.
@@ -68,10 +68,13 @@
     topic: Topic,
     request: RequestBuilder,
     eras: &EraTracker,
+    outages: &OutageTracker,
 ) -> Result<Answer, StoreError> {
     metrics::counter!("store_calls_total", "call" => name, "topic" => topic.0).increment(1);
     let sent_at = Instant::now();
     let result = exchange(request, eras).await;
+    let is_answered = |answer: &Answer| !answer.status.is_server_error();
+    outages.note_call(sent_at, result.as_ref().is_ok_and(is_answered));
     let elapsed_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
     let received_bytes = match &result {
         Ok(answer) => answer.body.len() as u64,
--- a/src/platform/store/mod.rs
+++ b/src/platform/store/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod era;
 mod error;
+mod outage;
 mod records;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -17,6 +18,7 @@
 use self::{
     call::call,
     era::EraTracker,
+    outage::OutageTracker,
     records::{decode_batch, encode_record},
 };
 pub use self::{
@@ -24,6 +26,7 @@
     error::StoreError,
     records::{KeyedRecord, ReadBatch},
 };
+use crate::policy::store_outage::Recovery;
 
 /// Key that sorts after all others.
 const LAST_KEY: &str = "\u{10ffff}";
@@ -101,6 +104,7 @@
     base_url: Arc<str>,
     timeout: Duration,
     eras: EraTracker,
+    outages: OutageTracker,
 }
 
 impl StoreClient {
@@ -115,6 +119,7 @@
             base_url: format!("http://{address}").into(),
             timeout,
             eras: EraTracker::new(),
+            outages: OutageTracker::new(),
         }
     }
 
@@ -137,6 +142,19 @@
         self.eras.subscribe()
     }
 
+    /// Returns when the latest outage of the store ended, by the calls of this process; `None`
+    /// if there was no outage.
+    #[must_use]
+    pub fn recovery(&self) -> Option<Recovery> {
+        self.outages.recovery()
+    }
+
+    /// Returns the time limit of each HTTP request.
+    #[must_use]
+    pub fn timeout(&self) -> Duration {
+        self.timeout
+    }
+
     /// Notes an era that another instance has seen.
     pub fn note_era(&self, number: u64) {
         self.eras.note(number);
@@ -190,7 +208,7 @@
             .query(&query)
             .timeout(self.timeout)
             .body(body.freeze());
-        let mut answer = call("append", topic, request, &self.eras).await?;
+        let mut answer = call("append", topic, request, &self.eras, &self.outages).await?;
         if let Some(at) = at {
             answer = answer.of_era(at.era)?;
         }
@@ -256,7 +274,7 @@
             .get(format!("{}/log-read", self.base_url))
             .query(&query)
             .timeout(self.timeout + wait);
-        let answer = call("read", topic, request, &self.eras).await?;
+        let answer = call("read", topic, request, &self.eras, &self.outages).await?;
         let answer = answer.of_era(from.era)?;
         if answer.status == StatusCode::GONE {
             let first: FirstOffset = answer.json()?;
@@ -350,7 +368,7 @@
             .get(format!("{}/log-newest", self.base_url))
             .query(&query)
             .timeout(time_limit);
-        let answer = call("newest", topic, request, &self.eras).await?;
+        let answer = call("newest", topic, request, &self.eras, &self.outages).await?;
         let era = answer.era;
         // A topic that only gateways write does not exist before the first record is
         // appended.
