Share the retries of an instance's topics in a store outage

Change: in fleets with shared reads, a failed call of any topic postpones the retries of the others, until a call is answered. Others are unchanged.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -322,6 +322,7 @@
         loop {
             let instances = *live.borrow_and_update();
             self.state.set_instances(instances);
+            self.store.share_retries(self.state.shares_store_reads());
             tracing::info!(instances, "gateway: number of live instances updated");
             if live.changed().await.is_err() {
                 drop(peers);
--- a/src/gateway/store/follower.rs
+++ b/src/gateway/store/follower.rs
@@ -8,14 +8,14 @@
 
 use tokio::{
     sync::watch,
-    time::{Instant, sleep},
+    time::{Instant, sleep, sleep_until},
 };
 
 use crate::{
     platform::{KeyedRecord, Position, ReadBatch, StoreClient, StoreEra, StoreError, Topic},
     policy::{
         list_reads::repeat_delay,
-        read_backoff::{ReadBackoff, ReadOutcome},
+        read_backoff::{ReadBackoff, ReadOutcome, shared_retry_at},
         snapshot_pace::SnapshotPace,
     },
 };
@@ -125,6 +125,8 @@
             Err(error) => {
                 let elapsed = sent_at.elapsed();
                 let outcome = self.note_failure(&error, elapsed);
+                let shares_retries = self.store.watch_outcomes().borrow().shares_retries;
+                self.backoff.share_retries(shares_retries);
                 let mut delay = self.backoff.delay_after(outcome, rand::random());
                 if matches!(error, StoreError::Restored) {
                     delay += self.restore_spread.mul_f64(rand::random());
@@ -135,12 +137,36 @@
                         .pause_after_failure(elapsed, rand::random());
                     delay = delay.max(pause);
                 }
-                sleep(delay).await;
+                match outcome {
+                    ReadOutcome::Failed => self.wait_for_retry(delay).await,
+                    _ => sleep(delay).await,
+                }
                 Err(())
             }
         }
     }
 
+    /// Waits for the time of the next read after one that has just failed.
+    async fn wait_for_retry(&self, delay: Duration) {
+        let failed_at = Instant::now();
+        let mut outcomes = self.store.watch_outcomes();
+        loop {
+            let latest = *outcomes.borrow_and_update();
+            let retry_at = match latest.shares_retries {
+                true => shared_retry_at(failed_at, delay, latest.failed_at, latest.answered_at),
+                false => failed_at + delay,
+            };
+            if Instant::now() >= retry_at {
+                return;
+            }
+            tokio::select! {
+                () = sleep_until(retry_at) => {}
+                // The channel is open as long as the client exists.
+                _ = outcomes.changed() => {}
+            }
+        }
+    }
+
     /// Reads a snapshot, once a small read has shown that the store answers. So a
     /// snapshot is not asked of a store that is silent or has many answers to deliver
     /// first.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -30,7 +30,8 @@
     engine_headers, read_answer_head, read_caller_head, read_target_hints, refusal_headers,
 };
 pub use store::{
-    Appended, KeyedRecord, Newest, Position, ReadBatch, StoreClient, StoreEra, StoreError, Topic,
+    Appended, CallOutcomes, KeyedRecord, Newest, Position, ReadBatch, StoreClient, StoreEra,
+    StoreError, Topic,
 };
 pub use workers::read_target;
 
--- a/src/platform/store/call.rs
+++ b/src/platform/store/call.rs
@@ -5,7 +5,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
-use super::{StoreError, Topic, era::EraTracker};
+use super::{StoreError, Topic, era::EraTracker, outcomes::OutcomeTracker};
 use crate::target::is_final_status;
 
 /// Complete answer of the store.
@@ -68,11 +68,16 @@
     topic: Topic,
     request: RequestBuilder,
     eras: &EraTracker,
+    outcomes: &OutcomeTracker,
 ) -> Result<Answer, StoreError> {
     metrics::counter!("store_calls_total", "call" => name, "topic" => topic.0).increment(1);
     let sent_at = Instant::now();
     let result = exchange(request, eras).await;
     let elapsed_ms = sent_at.elapsed().as_secs_f64() * 1_000.0;
+    match &result {
+        Ok(answer) if !answer.status.is_server_error() => outcomes.note_answer(),
+        _ => outcomes.note_failure(),
+    }
     let received_bytes = match &result {
         Ok(answer) => answer.body.len() as u64,
         Err(error) => {
--- a/src/platform/store/mod.rs
+++ b/src/platform/store/mod.rs
@@ -3,6 +3,7 @@
 mod call;
 mod era;
 mod error;
+mod outcomes;
 mod records;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -17,11 +18,13 @@
 use self::{
     call::call,
     era::EraTracker,
+    outcomes::OutcomeTracker,
     records::{decode_batch, encode_record},
 };
 pub use self::{
     era::{Position, StoreEra},
     error::StoreError,
+    outcomes::CallOutcomes,
     records::{KeyedRecord, ReadBatch},
 };
 
@@ -101,6 +104,7 @@
     base_url: Arc<str>,
     timeout: Duration,
     eras: EraTracker,
+    outcomes: OutcomeTracker,
 }
 
 impl StoreClient {
@@ -115,6 +119,7 @@
             base_url: format!("http://{address}").into(),
             timeout,
             eras: EraTracker::new(),
+            outcomes: OutcomeTracker::default(),
         }
     }
 
@@ -142,6 +147,17 @@
         self.eras.note(number);
     }
 
+    /// Returns a channel of the latest outcomes of calls.
+    #[must_use]
+    pub fn watch_outcomes(&self) -> watch::Receiver<CallOutcomes> {
+        self.outcomes.subscribe()
+    }
+
+    /// Sets whether the topics share their retries while the store does not answer.
+    pub fn share_retries(&self, shares: bool) {
+        self.outcomes.share_retries(shares);
+    }
+
     /// Appends a record. If `at` is given, the store appends the record only if `at`
     /// is the topic's end.
     ///
@@ -190,7 +206,7 @@
             .query(&query)
             .timeout(self.timeout)
             .body(body.freeze());
-        let mut answer = call("append", topic, request, &self.eras).await?;
+        let mut answer = call("append", topic, request, &self.eras, &self.outcomes).await?;
         if let Some(at) = at {
             answer = answer.of_era(at.era)?;
         }
@@ -256,7 +272,7 @@
             .get(format!("{}/log-read", self.base_url))
             .query(&query)
             .timeout(self.timeout + wait);
-        let answer = call("read", topic, request, &self.eras).await?;
+        let answer = call("read", topic, request, &self.eras, &self.outcomes).await?;
         let answer = answer.of_era(from.era)?;
         if answer.status == StatusCode::GONE {
             let first: FirstOffset = answer.json()?;
@@ -350,7 +366,7 @@
             .get(format!("{}/log-newest", self.base_url))
             .query(&query)
             .timeout(time_limit);
-        let answer = call("newest", topic, request, &self.eras).await?;
+        let answer = call("newest", topic, request, &self.eras, &self.outcomes).await?;
         let era = answer.era;
         // A topic that only gateways write does not exist before the first record is
         // appended.
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -161,6 +161,8 @@
     pub calls: Vec<String>,
     /// Whether calls that arrive are never answered nor executed.
     pub silent: bool,
+    /// Whether calls that arrive are answered with 503 and not executed.
+    pub unavailable: bool,
     /// Rate at which answers to reads are delivered, all callers together, in bytes per
     /// second; `None` if it is unlimited.
     pub read_rate: Option<f64>,
@@ -308,6 +310,7 @@
         state.calls.push(format!("{path}?{query:?}"));
         match state.faults.front() {
             _ if state.silent => Some(("", StoreFault::NoAnswer)),
+            _ if state.unavailable => Some(("", StoreFault::Status(503))),
             Some((path_part, _)) if path.contains(path_part) => state.faults.pop_front(),
             _ => None,
         }
--- a/tests/read_backoff.rs
+++ b/tests/read_backoff.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use lavenderwind::policy::read_backoff::{ReadBackoff, ReadOutcome};
+use lavenderwind::policy::read_backoff::{ReadBackoff, ReadOutcome, shared_retry_at};
+use tokio::time::Instant;
 
 /// Timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -37,3 +38,44 @@
     assert_eq!(backoff.delay_after(ReadOutcome::Read, 0.0), Duration::ZERO);
     assert_eq!(backoff.delay_after(ReadOutcome::Failed, 0.0), first);
 }
+
+/// Guards against missed records that are read too late because topics share their retries.
+#[test]
+fn shared_delay_bounded() {
+    let mut backoff = ReadBackoff::default();
+    backoff.share_retries(true);
+    for _ in 0..20 {
+        backoff.delay_after(ReadOutcome::Failed, 1.0);
+    }
+    let elapsed = CALL_TIMEOUT + backoff.delay_after(ReadOutcome::Failed, 1.0);
+    assert!(elapsed <= MAX_READ_DELAY, "{elapsed:?}");
+}
+
+/// Guards against calls in an outage that grow with the number of topics: each failed call
+/// postpones the retries of the other topics.
+#[test]
+fn failures_postpone_others() {
+    const DELAY: Duration = Duration::from_millis(400);
+    let failed_at = Instant::now();
+    let other_failed_at = failed_at + Duration::from_millis(300);
+    let alone = shared_retry_at(failed_at, DELAY, Some(failed_at), None);
+    assert_eq!(alone, failed_at + DELAY);
+    let postponed = shared_retry_at(failed_at, DELAY, Some(other_failed_at), None);
+    assert_eq!(postponed, other_failed_at + DELAY);
+    let answered_before = Some(failed_at);
+    let postponed = shared_retry_at(failed_at, DELAY, Some(other_failed_at), answered_before);
+    assert_eq!(postponed, other_failed_at + DELAY);
+}
+
+/// Guards against a topic that waits for the failures of others although the store answers
+/// again, and against reads without a pause if only one topic fails.
+#[test]
+fn answer_ends_wait() {
+    const DELAY: Duration = Duration::from_millis(400);
+    let failed_at = Instant::now();
+    let later = |ms| Some(failed_at + Duration::from_millis(ms));
+    let retry_at = shared_retry_at(failed_at, DELAY, later(900), later(1_000));
+    assert_eq!(retry_at, failed_at + DELAY);
+    let retry_at = shared_retry_at(failed_at, DELAY, Some(failed_at), later(10));
+    assert_eq!(retry_at, failed_at + DELAY);
+}
--- a/tests/store_calls.rs
+++ b/tests/store_calls.rs
@@ -149,3 +149,38 @@
     // A read each 0.6 x `drain_ms`.
     assert!(counts["keyed.servers"] > expected, "{counts:?}");
 }
+
+/// Guards against an outage in which each topic of each instance retries on its own, so that
+/// all instances together make several times the calls of normal operation.
+#[tokio::test(flavor = "multi_thread")]
+async fn retries_in_outage() {
+    /// Topics that all instances read.
+    const TOPICS: usize = 3;
+    const OUTAGE: Duration = Duration::from_secs(8);
+    /// Longest delay between two reads of a topic that retries on its own.
+    const OWN_DELAY: Duration = Duration::from_millis(600);
+    let (store, cloud) = (Store::start().await, Cloud::start().await);
+    let fleet = start_fleet(&store, &cloud, "placement: {shared: true}").await;
+    {
+        let mut state = store.state.lock().unwrap();
+        state.unavailable = true;
+        state.calls.clear();
+    }
+    sleep(OUTAGE).await;
+    let calls = {
+        let mut state = store.state.lock().unwrap();
+        state.unavailable = false;
+        std::mem::take(&mut state.calls)
+    };
+    let reads = calls.iter().filter(|call| !call.contains("append")).count();
+    println!("{reads} reads in the outage");
+    let alone = OUTAGE.div_duration_f64(OWN_DELAY) * (INSTANCES * TOPICS) as f64;
+    assert!(
+        (reads as f64) < alone / 2.0,
+        "{reads} reads, {alone} by each topic alone"
+    );
+    store.put("keyed.op", "config", &later_configuration());
+    for gateway in &fleet {
+        wait_for_route(gateway, true).await;
+    }
+}
