--- a/src/platform/store/mod.rs
+++ b/src/platform/store/mod.rs
@@ -3,7 +3,7 @@
 mod call;
 mod era;
 mod error;
-mod outage;
+mod outcomes;
 mod records;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -18,12 +18,13 @@
 use self::{
     call::call,
     era::EraTracker,
-    outage::OutageTracker,
+    outcomes::OutcomeTracker,
     records::{decode_batch, encode_record},
 };
 pub use self::{
     era::{Position, StoreEra},
     error::StoreError,
+    outcomes::CallOutcomes,
     records::{KeyedRecord, ReadBatch},
 };
 use crate::policy::store_outage::Recovery;
@@ -104,7 +105,7 @@
     base_url: Arc<str>,
     timeout: Duration,
     eras: EraTracker,
-    outages: OutageTracker,
+    outcomes: OutcomeTracker,
 }
 
 impl StoreClient {
@@ -119,7 +120,7 @@
             base_url: format!("http://{address}").into(),
             timeout,
             eras: EraTracker::new(),
-            outages: OutageTracker::new(),
+            outcomes: OutcomeTracker::new(),
         }
     }
 
@@ -146,7 +147,7 @@
     /// if there was no outage.
     #[must_use]
     pub fn recovery(&self) -> Option<Recovery> {
-        self.outages.recovery()
+        self.outcomes.recovery()
     }
 
     /// Returns the time limit of each HTTP request.
@@ -155,6 +156,17 @@
         self.timeout
     }
 
+    /// Returns a channel of the latest outcomes of calls.
+    #[must_use]
+    pub fn watch_outcomes(&self) -> watch::Receiver<CallOutcomes> {
+        self.outcomes.subscribe()
+    }
+
+    /// Sets whether the topics share their retries while the store does not answer.
+    pub fn share_retries(&self, shares: bool) {
+        self.outcomes.share_retries(shares);
+    }
+
     /// Notes an era that another instance has seen.
     pub fn note_era(&self, number: u64) {
         self.eras.note(number);
@@ -208,7 +220,7 @@
             .query(&query)
             .timeout(self.timeout)
             .body(body.freeze());
-        let mut answer = call("append", topic, request, &self.eras, &self.outages).await?;
+        let mut answer = call("append", topic, request, &self.eras, &self.outcomes).await?;
         if let Some(at) = at {
             answer = answer.of_era(at.era)?;
         }
@@ -274,7 +286,7 @@
             .get(format!("{}/log-read", self.base_url))
             .query(&query)
             .timeout(self.timeout + wait);
-        let answer = call("read", topic, request, &self.eras, &self.outages).await?;
+        let answer = call("read", topic, request, &self.eras, &self.outcomes).await?;
         let answer = answer.of_era(from.era)?;
         if answer.status == StatusCode::GONE {
             let first: FirstOffset = answer.json()?;
@@ -368,7 +380,7 @@
             .get(format!("{}/log-newest", self.base_url))
             .query(&query)
             .timeout(time_limit);
-        let answer = call("newest", topic, request, &self.eras, &self.outages).await?;
+        let answer = call("newest", topic, request, &self.eras, &self.outcomes).await?;
         let era = answer.era;
         // A topic that only gateways write does not exist before the first record is
         // appended.
