Use a token limit that does not refill within rate_excess_refused

Cause: the first request leaves about half a second's refill in the account's bucket missing for the second one. On a loaded machine the two, sent at once, arrived further apart, and the second was within the limit. Change: the limit is one token per second, so that the first request takes it for many seconds. The assertions are unchanged. The case of requests per second still needs both within a second: the limit is a whole number.

--- a/tests/account_limits.rs
+++ b/tests/account_limits.rs
@@ -31,9 +31,11 @@
             limit: "max_requests_per_s: 1",
             admitted: 1,
         },
+        // The first request takes many times what the limit refills in a second, so that the
+        // other one exceeds it, however late it arrives on a busy machine.
         Case {
             name: "tokens",
-            limit: "max_tokens_per_s: 40",
+            limit: "max_tokens_per_s: 1",
             admitted: 1,
         },
     ];
