Wait in tests until records of the store are applied

Cause, found by reading: draining_target_skipped and memory_bounded slept 0.3 s after writing an entry of a target, and revoked_key_rejected 0.2 s after writing an older configuration. On an instance that reads them later, the first two would fail for no fault, and the last one would pass without having tested anything. Change: the tests wait until the instance asks the store for later records, which it does once it has applied these. The assertions are unchanged.

--- a/tests/answer_memory.rs
+++ b/tests/answer_memory.rs
@@ -69,8 +69,7 @@
             "i-sound",
             &sound.entry(sound_service.0, sound_service.1),
         );
-        // The gateway reads the entry meanwhile.
-        sleep(Duration::from_millis(300)).await;
+        store.wait_until_applied("keyed.servers").await;
         let before_mb = memory_mb();
         let peak = AtomicU64::new(0);
         let endless = (0..ENDLESS_ANSWERS).map(|_| send(&gateway, path, "r-1", ENDLESS_TIME));
--- a/tests/gateway_forward.rs
+++ b/tests/gateway_forward.rs
@@ -193,7 +193,7 @@
     fixture
         .store
         .put("keyed.op", "other", &Value::from("unused"));
-    tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    fixture.store.wait_until_applied("keyed.op").await;
     assert_eq!(send("r-3").await, 401);
 }
 
@@ -211,7 +211,7 @@
         let request = fixture.gateway.request(Method::GET, "/look/", &id);
         assert_eq!(request.send().await.unwrap().status(), 200);
     };
-    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    fixture.store.wait_until_applied("keyed.servers").await;
     let before = fixture.workers[0].count();
     for index in 0..10 {
         send(format!("r-{index}")).await;
--- a/tests/platform_support/mod.rs
+++ b/tests/platform_support/mod.rs
@@ -293,6 +293,24 @@
         self.changed.notify_waiters();
     }
 
+    /// Waits until an instance has applied all records of a topic, if only one follows it: it
+    /// asks for later records then.
+    pub async fn wait_until_applied(&self, topic: &str) {
+        let what = format!("the records of {topic} are applied");
+        eventually(&what, || {
+            let state = self.state.lock().unwrap();
+            let topic_field = format!("\"topic\": \"{topic}\"");
+            let from_field = format!("\"from\": \"{}\"", state.end(topic));
+            let is_later_read = |call: &String| {
+                call.starts_with("/log-read")
+                    && call.contains(&topic_field)
+                    && call.contains(&from_field)
+            };
+            state.calls.iter().any(is_later_read)
+        })
+        .await;
+    }
+
     /// Injects a fault into the next call whose path contains `path`.
     pub fn fault(&self, path: &'static str, fault: StoreFault) {
         self.state.lock().unwrap().faults.push_back((path, fault));
