Share test fixtures that stood twice

Frames of simulated peers, the loop of a simulated dispatcher, a claimant that is killed, and captured log lines each have one piece of code now. Assertions are unchanged.

--- a/tests/list_echo.rs
+++ b/tests/list_echo.rs
@@ -4,18 +4,15 @@
 
 use std::time::Duration;
 
-use bytes::{BufMut, BytesMut};
 use lavenderwind::{
     peer::{
         ListCopy,
-        frames::{Frame, Heartbeat, Hello, frame::Body},
+        frames::{Heartbeat, Hello, frame::Body},
     },
     standin::platform::PlatformFaults,
 };
-use peer_net::{Instance, eventually, platform, within};
-use prost::Message;
+use peer_net::{Instance, eventually, platform, receive_frame, send_frame, within};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     time::{Instant, sleep},
 };
@@ -44,21 +41,15 @@
     }
 
     async fn send(&mut self, body: Body) {
-        let bytes = Frame { body: Some(body) }.encode_to_vec();
-        let mut buffer = BytesMut::new();
-        buffer.put_u32(bytes.len() as u32);
-        buffer.put_slice(&bytes);
-        self.stream.write_all(&buffer).await.unwrap();
+        send_frame(&mut self.stream, body).await;
     }
 
     /// Receives frames until a heartbeat arrives.
     async fn heartbeat(&mut self) -> Heartbeat {
         let receive = async {
             loop {
-                let length = self.stream.read_u32().await.unwrap();
-                let mut bytes = vec![0; length as usize];
-                self.stream.read_exact(&mut bytes).await.unwrap();
-                if let Some(Body::Heartbeat(heartbeat)) = Frame::decode(&*bytes).unwrap().body {
+                let body = receive_frame(&mut self.stream).await.unwrap();
+                if let Body::Heartbeat(heartbeat) = body {
                     return heartbeat;
                 }
             }
--- a/tests/log_lines/mod.rs
+++ b/tests/log_lines/mod.rs
@@ -29,6 +29,7 @@
         let writer = lines.clone();
         tracing_subscriber::fmt()
             .with_ansi(false)
+            .with_thread_names(true)
             .with_writer(move || writer.clone())
             .init();
         lines
--- a/tests/peer_frames.rs
+++ b/tests/peer_frames.rs
@@ -4,7 +4,6 @@
 
 use std::time::Duration;
 
-use bytes::{BufMut, BytesMut};
 use lavenderwind::{
     infra::{
         LiveClient,
@@ -19,13 +18,11 @@
     },
     standin::platform::PlatformFaults,
 };
-use peer_net::{DEADLINE, Instance, eventually, platform, within};
-use prost::Message;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    time::sleep,
+use peer_net::{
+    DEADLINE, Instance, encode_frame, eventually, platform, receive_frame, with_length, within,
 };
+use prost::Message;
+use tokio::{io::AsyncWriteExt, net::TcpStream, time::sleep};
 
 /// Incarnation of the simulated peer.
 const INCARNATION: u64 = 5;
@@ -34,17 +31,6 @@
     encode_frame(&Frame { body: Some(body) })
 }
 
-fn encode_frame(frame: &Frame) -> Vec<u8> {
-    with_length(&frame.encode_to_vec())
-}
-
-fn with_length(bytes: &[u8]) -> Vec<u8> {
-    let mut buffer = BytesMut::new();
-    buffer.put_u32(bytes.len() as u32);
-    buffer.put_slice(bytes);
-    buffer.to_vec()
-}
-
 fn hello(sender: &str, incarnation: u64) -> Vec<u8> {
     encode(Body::Hello(Hello {
         sender: sender.into(),
@@ -78,10 +64,7 @@
     }
 
     async fn receive(&mut self) -> Option<Body> {
-        let length = self.stream.read_u32().await.ok()?;
-        let mut bytes = vec![0; length as usize];
-        self.stream.read_exact(&mut bytes).await.ok()?;
-        Frame::decode(&*bytes).unwrap().body
+        receive_frame(&mut self.stream).await
     }
 
     /// Receives frames until `f` returns a value or the connection closes.
--- a/tests/peer_net/mod.rs
+++ b/tests/peer_net/mod.rs
@@ -14,16 +14,21 @@
     time::Duration,
 };
 
+use bytes::{BufMut, BytesMut};
 use lavenderwind::{
     Settings,
     infra::LiveClient,
     ledger::{Ledger, LedgerHandle},
     log::{self, Log, LogOptions, Offset, Receipt, records::record::Body},
-    peer::{self, PeerHandle, PeerInputs, Peers},
+    peer::{
+        self, PeerHandle, PeerInputs, Peers,
+        frames::{Frame, frame},
+    },
     standin::platform::{Platform, PlatformFaults},
 };
+use prost::Message;
 use tokio::{
-    io::copy_bidirectional,
+    io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional},
     net::{TcpListener, TcpStream},
     sync::watch,
     task::JoinHandle,
@@ -31,6 +36,33 @@
 };
 use tokio_util::sync::CancellationToken;
 
+/// Encodes a frame as it is sent, with its length first.
+pub fn encode_frame(frame: &Frame) -> Vec<u8> {
+    with_length(&frame.encode_to_vec())
+}
+
+/// Puts the length of a frame before its bytes.
+pub fn with_length(bytes: &[u8]) -> Vec<u8> {
+    let mut buffer = BytesMut::new();
+    buffer.put_u32(bytes.len() as u32);
+    buffer.put_slice(bytes);
+    buffer.to_vec()
+}
+
+/// Sends a frame as a simulated peer.
+pub async fn send_frame(stream: &mut TcpStream, body: frame::Body) {
+    let bytes = encode_frame(&Frame { body: Some(body) });
+    stream.write_all(&bytes).await.unwrap();
+}
+
+/// Receives the next frame as a simulated peer; `None` if the connection has ended.
+pub async fn receive_frame(stream: &mut TcpStream) -> Option<frame::Body> {
+    let length = stream.read_u32().await.ok()?;
+    let mut bytes = vec![0; length as usize];
+    stream.read_exact(&mut bytes).await.ok()?;
+    Frame::decode(&*bytes).unwrap().body
+}
+
 /// Timeout that makes a hanging test fail.
 pub const DEADLINE: Duration = Duration::from_secs(30);
 
--- a/tests/peer_upgrade.rs
+++ b/tests/peer_upgrade.rs
@@ -4,18 +4,12 @@
 
 use std::time::Duration;
 
-use bytes::{BufMut, BytesMut};
 use lavenderwind::{
-    peer::frames::{Frame, Heartbeat, Hello, NameDefinition, ServedTokens, frame::Body},
+    peer::frames::{Heartbeat, Hello, NameDefinition, ServedTokens, frame::Body},
     standin::platform::PlatformFaults,
 };
-use peer_net::{Instance, eventually, platform, within};
-use prost::Message;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-    time::sleep,
-};
+use peer_net::{Instance, eventually, platform, receive_frame, send_frame, within};
+use tokio::{net::TcpStream, time::sleep};
 
 /// Name under which the instance reports amounts.
 const NAME: &str = "quota/a";
@@ -48,18 +42,11 @@
     }
 
     async fn send(&mut self, body: Body) {
-        let frame = Frame { body: Some(body) }.encode_to_vec();
-        let mut bytes = BytesMut::new();
-        bytes.put_u32(frame.len() as u32);
-        bytes.put_slice(&frame);
-        self.stream.write_all(&bytes).await.unwrap();
+        send_frame(&mut self.stream, body).await;
     }
 
     async fn receive(&mut self) -> Body {
-        let length = self.stream.read_u32().await.unwrap();
-        let mut bytes = vec![0; length as usize];
-        self.stream.read_exact(&mut bytes).await.unwrap();
-        Frame::decode(&*bytes).unwrap().body.unwrap()
+        receive_frame(&mut self.stream).await.unwrap()
     }
 
     /// Receives heartbeats and answers them until all of [`AMOUNT`] has arrived.
--- a/tests/process_orders.rs
+++ b/tests/process_orders.rs
@@ -35,6 +35,26 @@
     wait_until("the claim is applied", applied).await;
 }
 
+/// Starts a cluster, and kills its first instance after it has claimed `order-1`, whose
+/// execution takes `latency_ms`.
+async fn start_and_kill_claimant(test: &str, latency_ms: u64) -> Cluster {
+    let mut cluster = Cluster::start(test, ClusterOptions::default()).await;
+    cluster
+        .set_faults(
+            &cluster.plain_services[0],
+            json!({"latency_ms": latency_ms}),
+        )
+        .await;
+    let pending = cluster
+        .order(&cluster.instances[0], "order-1", "steel")
+        .send();
+    let pending = tokio::spawn(pending);
+    wait_for_claim(&cluster, 1).await;
+    cluster.instances[0].kill().await;
+    assert!(pending.await.unwrap().is_err());
+    cluster
+}
+
 /// Resends to any instance get the recorded answer; a different body with the same
 /// idempotency key is refused.
 #[tokio::test]
@@ -92,17 +112,7 @@
 /// resend must not run the request again.
 #[tokio::test]
 async fn killed_claimant() {
-    let mut cluster = Cluster::start("killed_claimant", ClusterOptions::default()).await;
-    cluster
-        .set_faults(&cluster.plain_services[0], json!({"latency_ms": 2000}))
-        .await;
-    let pending = cluster
-        .order(&cluster.instances[0], "order-1", "steel")
-        .send();
-    let pending = tokio::spawn(pending);
-    wait_for_claim(&cluster, 1).await;
-    cluster.instances[0].kill().await;
-    assert!(pending.await.unwrap().is_err());
+    let cluster = start_and_kill_claimant("killed_claimant", 2_000).await;
     let again = cluster
         .order(&cluster.instances[2], "order-1", "steel")
         .send()
@@ -186,17 +196,7 @@
 /// that they ask was started: after the longest wait, they would get status 409.
 #[tokio::test]
 async fn terminated_claimant() {
-    let mut cluster = Cluster::start("terminated_claimant", ClusterOptions::default()).await;
-    cluster
-        .set_faults(&cluster.plain_services[0], json!({"latency_ms": 600_000}))
-        .await;
-    let pending = cluster
-        .order(&cluster.instances[0], "order-1", "steel")
-        .send();
-    let pending = tokio::spawn(pending);
-    wait_for_claim(&cluster, 1).await;
-    cluster.instances[0].kill().await;
-    assert!(pending.await.unwrap().is_err());
+    let cluster = start_and_kill_claimant("terminated_claimant", 600_000).await;
     let timing = ClusterOptions::default().timing;
     let url = cluster.platform_url();
     let later = cluster.start_instance(3, &url, &timing).await;
--- a/tests/shared_placement.rs
+++ b/tests/shared_placement.rs
@@ -119,6 +119,21 @@
     ended: IndexSet<u64>,
 }
 
+/// Waits for the next query and returns its number and its sender. Records the reports that
+/// arrive before.
+async fn next_query(socket: &UdpSocket, reports: &std::sync::Mutex<Reports>) -> (u64, SocketAddr) {
+    loop {
+        let (body, from) = receive(socket).await;
+        let mut reports = reports.lock().unwrap();
+        match body {
+            Body::Query(query) => return (query.number, from),
+            Body::Notice(notice) => _ = reports.notices.insert(notice.number),
+            Body::Ended(ended) => _ = reports.ended.insert(ended.number),
+            _ => {}
+        }
+    }
+}
+
 /// Dispatcher that lets instances find no engine: it reports each engine as unreachable, and
 /// answers every other query with an engine that does not exist. It answers no others.
 fn start_misleading_dispatcher(
@@ -129,19 +144,7 @@
     let (heard, engine) = (reports.clone(), engine.to_owned());
     let task = tokio::spawn(async move {
         loop {
-            let (body, from) = receive(&socket).await;
-            let number = match body {
-                Body::Query(query) => query.number,
-                Body::Notice(notice) => {
-                    heard.lock().unwrap().notices.insert(notice.number);
-                    continue;
-                }
-                Body::Ended(ended) => {
-                    heard.lock().unwrap().ended.insert(ended.number);
-                    continue;
-                }
-                _ => continue,
-            };
+            let (number, from) = next_query(&socket, &heard).await;
             for _ in 0..5 {
                 let failure = Failure {
                     target: engine.clone(),
@@ -178,19 +181,7 @@
     let (heard, engine) = (reports.clone(), engine.to_owned());
     let task = tokio::spawn(async move {
         loop {
-            let (body, from) = receive(&socket).await;
-            let number = match body {
-                Body::Query(query) => query.number,
-                Body::Notice(notice) => {
-                    heard.lock().unwrap().notices.insert(notice.number);
-                    continue;
-                }
-                Body::Ended(ended) => {
-                    heard.lock().unwrap().ended.insert(ended.number);
-                    continue;
-                }
-                _ => continue,
-            };
+            let (number, from) = next_query(&socket, &heard).await;
             let refused = Refused {
                 number,
                 retry_after_ms: 900,
--- a/tests/uneven_targets.rs
+++ b/tests/uneven_targets.rs
@@ -1,15 +1,12 @@
 //! Choice among targets of different speeds, over real connections.
 
+mod log_lines;
 mod platform_support;
 
-use std::{
-    io,
-    sync::{Arc, Mutex},
-    thread::sleep,
-    time::Duration,
-};
+use std::{thread::sleep, time::Duration};
 
 use hyper::Method;
+use log_lines::Lines;
 use platform_support::{Cloud, Gateway, Store, Worker, configuration, eventually, signed};
 
 const SLOW_ANSWER: Duration = Duration::from_millis(40);
@@ -59,44 +56,18 @@
     assert!(slow > 4, "fast {fast}, slow {slow}");
 }
 
-/// Log lines of all gateways, with the names of their threads.
-#[derive(Clone, Debug, Default)]
-struct CapturedLog(Arc<Mutex<Vec<u8>>>);
-
-impl io::Write for CapturedLog {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        self.0.lock().unwrap().extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
-impl CapturedLog {
-    /// Returns whether a gateway has logged a change of a target's speed.
-    fn has_change(&self, gateway: &str, target: &str) -> bool {
-        let bytes = self.0.lock().unwrap();
-        String::from_utf8_lossy(&bytes).lines().any(|line| {
-            line.contains("target changed its speed")
-                && line.contains(gateway)
-                && line.contains(target)
-        })
-    }
+/// Returns whether a gateway has logged a change of a target's speed.
+fn has_change(log: &Lines, gateway: &str, target: &str) -> bool {
+    let changes = log.with("target changed its speed");
+    changes
+        .iter()
+        .any(|line| line.contains(gateway) && line.contains(target))
 }
 
 /// An instance that gets no requests must learn from another one which target is slow.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn speeds_reported() {
-    let log = CapturedLog::default();
-    let writer = log.clone();
-    let subscriber = tracing_subscriber::fmt()
-        .json()
-        .with_thread_names(true)
-        .with_writer(move || writer.clone())
-        .finish();
-    tracing::subscriber::set_global_default(subscriber).unwrap();
+    let log = Lines::capture();
     let (store, cloud) = (Store::start().await, Cloud::start().await);
     store.put("keyed.op", "config", &configuration(1));
     let [_fast, slow] = start_workers(&store).await;
@@ -111,7 +82,7 @@
         }
     };
     let learned = eventually("the idle instance knows the slow target", || {
-        log.has_change("idle-entry", &slow.id)
+        has_change(&log, "idle-entry", &slow.id)
     });
     tokio::select! {
         () = loading => {}
