--- a/src/platform/store/mod.rs
+++ b/src/platform/store/mod.rs
@@ -1,5 +1,6 @@
 //! Client of the platform's store, which has an append-only log for each topic.
 
+mod answers;
 mod call;
 mod era;
 mod error;
@@ -12,10 +13,10 @@
 use bytes::BytesMut;
 use derive_more::Display;
 use reqwest::StatusCode;
-use serde::Deserialize;
 use tokio::sync::watch;
 
 use self::{
+    answers::{AppendedOffsets, EndOffset, FirstOffset, NewestContent},
     call::call,
     era::EraTracker,
     outcomes::OutcomeTracker,
@@ -65,37 +66,6 @@
     received_bytes: u64,
 }
 
-#[derive(Default, Deserialize)]
-struct NewestContent {
-    items: Vec<NewestItem>,
-    more: bool,
-    end_offset: u64,
-}
-
-#[derive(Deserialize)]
-struct NewestItem {
-    key: Arc<str>,
-    // Base64.
-    value: String,
-    offset: u64,
-}
-
-#[derive(Deserialize)]
-struct AppendedOffsets {
-    offset: u64,
-    end_offset: u64,
-}
-
-#[derive(Deserialize)]
-struct EndOffset {
-    end_offset: u64,
-}
-
-#[derive(Deserialize)]
-struct FirstOffset {
-    first_offset: u64,
-}
-
 /// Client of the store. Clones share the connections.
 #[derive(Clone, Debug)]
 pub struct StoreClient {
