--- a/src/entry/acceptor.rs
+++ b/src/entry/acceptor.rs
@@ -6,12 +6,13 @@
     ConnCtrl,
     conn::{Accepted, Acceptor, Holding, StraightStream, tcp::TcpCoupler},
     fuse::{ArcFusePolicy, FuseConfig},
-    http::{Version, uri::Scheme},
 };
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use crate::intake::{CallerSocket, CallerStream, Intake, IntakeStream, Listener, watch_caller};
+use crate::intake::{
+    self, CallerSocket, CallerStream, Intake, IntakeStream, Listener, watch_caller,
+};
 
 /// Time without progress in a write after which a connection is closed, because
 /// its caller reads no data.
@@ -61,11 +62,7 @@
         header_timeout: Duration,
         intake: Arc<Intake>,
     ) -> io::Result<(Self, CloseHandle)> {
-        let holding = Holding {
-            local_addr: listener.local_addr()?.into(),
-            http_versions: vec![Version::HTTP_11],
-            http_scheme: Scheme::HTTP,
-        };
+        let holding = intake::holding(&listener)?;
         let handle = CloseHandle {
             close_requested: CancellationToken::new(),
             closed: CancellationToken::new(),
@@ -111,7 +108,7 @@
         &mut self,
         _policy: Option<ArcFusePolicy>,
     ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
-        let (stream, admitted, remote_addr) = loop {
+        let (stream, admitted, peer) = loop {
             let (stream, peer) = self.accept_stream().await?;
             if let Some((stream, admitted)) = self.intake.admit(Listener::Callers, stream, peer) {
                 break (stream, admitted, peer);
@@ -126,14 +123,9 @@
         tokio::spawn(watch_caller(socket.clone(), connection, conn_ctrl.clone()));
         let on_read: fn() = || ();
         let stream = IntakeStream::new(CallerStream::new(socket, on_read), admitted);
-        Ok(Accepted {
-            coupler: TcpCoupler::new(),
-            stream: StraightStream::new(stream, Some(self.fuse), conn_ctrl.clone(), None),
-            fuse_config: Some(self.fuse),
-            conn_ctrl,
-            local_addr: self.holdings[0].local_addr.clone(),
-            remote_addr: remote_addr.into(),
-            http_scheme: Scheme::HTTP,
-        })
+        let holding = &self.holdings[0];
+        Ok(intake::accepted(
+            stream, conn_ctrl, self.fuse, holding, peer,
+        ))
     }
 }
--- a/src/intake/acceptor.rs
+++ b/src/intake/acceptor.rs
@@ -1,6 +1,6 @@
 //! Admission at listeners that the HTTP framework serves.
 
-use std::{io, sync::Arc};
+use std::{io, net::SocketAddr, sync::Arc};
 
 use salvo::{
     ConnCtrl, Depot, FlowCtrl, Handler, Request, Response, Router, Server, Service, async_trait,
@@ -8,7 +8,10 @@
     fuse::{ArcFusePolicy, FuseConfig},
     http::{Version, uri::Scheme},
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::{TcpListener, TcpStream},
+};
 
 use super::{Intake, IntakeStream, Listener, watch::RequestGuard};
 
@@ -56,16 +59,11 @@
     ///
     /// Fails if the local address of the listener cannot be determined.
     pub fn new(listener: TcpListener, kind: Listener, intake: Arc<Intake>) -> io::Result<Self> {
-        let holding = Holding {
-            local_addr: listener.local_addr()?.into(),
-            http_versions: vec![Version::HTTP_11],
-            http_scheme: Scheme::HTTP,
-        };
         Ok(Self {
+            holdings: vec![holding(&listener)?],
             listener,
             kind,
             intake,
-            holdings: vec![holding],
         })
     }
 }
@@ -88,17 +86,40 @@
                 break (IntakeStream::new(stream, admitted), peer);
             }
         };
+        let holding = &self.holdings[0];
         let fuse = FuseConfig::default();
-        let conn_ctrl = ConnCtrl::new();
-        Ok(Accepted {
-            coupler: TcpCoupler::new(),
-            stream: StraightStream::new(stream, Some(fuse), conn_ctrl.clone(), None),
-            fuse_config: Some(fuse),
-            conn_ctrl,
-            local_addr: self.holdings[0].local_addr.clone(),
-            remote_addr: peer.into(),
-            http_scheme: Scheme::HTTP,
-        })
+        Ok(accepted(stream, ConnCtrl::new(), fuse, holding, peer))
+    }
+}
+
+/// Returns what the framework has to know of a listener without encryption.
+pub(crate) fn holding(listener: &TcpListener) -> io::Result<Holding> {
+    Ok(Holding {
+        local_addr: listener.local_addr()?.into(),
+        http_versions: vec![Version::HTTP_11],
+        http_scheme: Scheme::HTTP,
+    })
+}
+
+/// Returns an accepted connection without encryption.
+pub(crate) fn accepted<S>(
+    stream: S,
+    conn_ctrl: ConnCtrl,
+    fuse: FuseConfig,
+    holding: &Holding,
+    peer: SocketAddr,
+) -> Accepted<TcpCoupler<StraightStream<S>>, StraightStream<S>>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    Accepted {
+        coupler: TcpCoupler::new(),
+        stream: StraightStream::new(stream, Some(fuse), conn_ctrl.clone(), None),
+        fuse_config: Some(fuse),
+        conn_ctrl,
+        local_addr: holding.local_addr.clone(),
+        remote_addr: peer.into(),
+        http_scheme: Scheme::HTTP,
     }
 }
 
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -39,6 +39,7 @@
 };
 
 pub(crate) use self::{
+    acceptor::{accepted, holding},
     answer_body::AnswerBody,
     caller_socket::{CallerSocket, CallerStream},
     watch::{RequestGuard, watch_caller},
