--- a/src/gateway/dispatch/mod.rs
+++ b/src/gateway/dispatch/mod.rs
@@ -9,8 +9,7 @@
 //!
 //! `client` queries the dispatcher (`query`) and reports to it (`ticket`), `server` receives
 //! datagrams (`datagram`), and `planner` places prompts by what `service_plan` knows and by the
-//! decisions in
-//! [`crate::policy::dispatch`] and [`crate::policy::placement`].
+//! decisions in [`crate::policy::dispatch`] and [`crate::policy::placement`].
 
 mod client;
 mod datagram;
--- a/src/gateway/dispatch/planner.rs
+++ b/src/gateway/dispatch/planner.rs
@@ -67,11 +67,11 @@
             return declined;
         };
         let service: Arc<str> = query.service.as_str().into();
-        let targets = state.targets(&service);
         let mut services = self.lock();
         let Some(plan) = configured_plan(&mut services, state, &service, key) else {
             return declined;
         };
+        let targets = state.targets(&service);
         plan.update_engines(&targets);
         let boots = &plan.boots;
         plan.ledger
