Add review case 6: one crash after a deadly part shuts out a first part

Only answers that mark their own end clear a suspicion, and a part that a deadly request also carries is spared only while the deadly part was at all of its crashes.

Tried: three instances, nine workers whose streams end with their connections, a deadly part each second, and one crash of a worker.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for name in turned_away; do
+for name in turned_away hot_part; do
 	rustc --edition 2021 -O -A dead_code -o "target/review-2/$name" "review/standins-2/$name.rs"
 done
--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -261,8 +261,19 @@
 }
 
 impl Instance {
-    /// Starts an instance with the command and the template of the deploy file.
+    /// Starts an instance with the command and the template of the deploy file. Its ports were
+    /// free a moment before; if another program has taken one, it ends and is started again.
     pub fn start(folder: &str, name: &str, store_port: u16, cloud_port: u16) -> Self {
+        loop {
+            let mut instance = Self::start_once(folder, name, store_port, cloud_port);
+            thread::sleep(Duration::from_millis(300));
+            if matches!(instance.child.try_wait(), Ok(None)) {
+                return instance;
+            }
+        }
+    }
+
+    fn start_once(folder: &str, name: &str, store_port: u16, cloud_port: u16) -> Self {
         let (caller_port, ready_port) = (free_port(), free_port());
         let (peer_port, metrics_port) = (free_port(), free_port());
         let local = "127.0.0.1";
